--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Targets of junctioncross; README explains the first two.
+BIN := bin
+TOOLS := .tools
+LINT_VERSION := v2.15.0
+LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
+GO ?= go
+PROGRAMS := jxd jxctl jxload jxfake
+
+.PHONY: all build run test demo lint format unit clean
+
+all: build
+
+build:
+	@mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/ $(PROGRAMS:%=./cmd/%)
+
+run: build
+	$(BIN)/jxload --bin $(BIN) run
+
+demo: build
+	$(BIN)/jxload --bin $(BIN) demo
+
+test: lint unit
+
+unit: build
+	JX_BIN=$(CURDIR)/$(BIN) $(GO) test -race -count=1 -timeout 300s ./... -rapid.seed=1
+
+lint: $(LINT)
+	$(LINT) run ./...
+
+format: $(LINT)
+	$(LINT) fmt ./...
+
+# The linter is built outside of the module, so that its dependencies stay out of go.mod.
+$(LINT):
+	GOBIN=$(CURDIR)/$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	mv $(TOOLS)/golangci-lint $@
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/admit/gate.go
@@ -0,0 +1,185 @@
+package admit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/share"
+	"junctioncross/timer"
+)
+
+// Errors of this layer.
+var (
+	// ErrOverloaded means that the wait would be too long; the request was not started.
+	ErrOverloaded = errors.New("admit: overloaded")
+	// ErrGone means that the caller gave up while waiting.
+	ErrGone = errors.New("admit: caller gone")
+)
+
+const (
+	// initialService is the assumed time of a request until one was seen.
+	initialService = 500 * time.Millisecond
+	serviceWeight  = 16
+)
+
+// Gate admits requests for one model.
+type Gate struct {
+	clock   *timer.Service
+	maxWait time.Duration
+
+	mu      sync.Mutex
+	limit   int
+	running int
+	service time.Duration
+	order   *share.Scheduler
+	usage   map[share.Owner]float64
+}
+
+// New returns a Gate that refuses a request when its predicted wait is longer than maxWait.
+func New(clock *timer.Service, maxWait time.Duration) *Gate {
+	return &Gate{
+		clock: clock, maxWait: maxWait, limit: 1, service: initialService,
+		order: share.New(), usage: map[share.Owner]float64{},
+	}
+}
+
+// Ticket is the right to run one request.
+type Ticket struct {
+	gate  *Gate
+	owner share.Owner
+	start time.Time
+	once  sync.Once
+}
+
+// SetLimit sets the number of requests that run at once.
+func (g *Gate) SetLimit(limit int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limit = max(limit, 1)
+	g.admit()
+}
+
+// Demand returns the requests that run and wait.
+func (g *Gate) Demand() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running + g.order.Len()
+}
+
+// Running returns the requests that run.
+func (g *Gate) Running() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running
+}
+
+// Enter waits for a place; it returns ErrOverloaded at once when the predicted wait is too long, or ErrGone.
+func (g *Gate) Enter(ctx context.Context, owner share.Owner) (*Ticket, error) {
+	admitted := make(chan struct{})
+	g.mu.Lock()
+	if g.predictedWait() > g.maxWait {
+		g.mu.Unlock()
+		return nil, ErrOverloaded
+	}
+	w := g.order.Enqueue(owner, func() { close(admitted) })
+	g.admit()
+	g.mu.Unlock()
+	select {
+	case <-admitted:
+		return &Ticket{gate: g, owner: owner, start: g.clock.Now()}, nil
+	case <-ctx.Done():
+		return nil, g.leave(w, admitted)
+	case <-g.clock.After(g.maxWait * 2):
+		return nil, g.expire(w, admitted)
+	}
+}
+
+// RetryAfter returns when a refused caller may come back.
+func (g *Gate) RetryAfter() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.predictedWait(), time.Second)
+}
+
+// predictedWait returns how long a new request would wait; the caller holds the lock.
+func (g *Gate) predictedWait() time.Duration {
+	ahead := g.running + g.order.Len() + 1 - g.limit
+	if ahead <= 0 {
+		return 0
+	}
+	return g.service * time.Duration(ahead) / time.Duration(g.limit)
+}
+
+func (g *Gate) admit() {
+	for g.running < g.limit {
+		w := g.order.Next()
+		if w == nil {
+			return
+		}
+		g.running++
+		w.Admitted()
+	}
+}
+
+func (g *Gate) leave(w *share.Waiter, admitted chan struct{}) error {
+	g.withdraw(w, admitted)
+	return ErrGone
+}
+
+func (g *Gate) expire(w *share.Waiter, admitted chan struct{}) error {
+	g.withdraw(w, admitted)
+	return ErrOverloaded
+}
+
+// withdraw takes a request out of the queue, or gives its place back when it was admitted meanwhile.
+func (g *Gate) withdraw(w *share.Waiter, admitted chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-admitted:
+		g.running--
+		g.admit()
+	default:
+		g.order.Drop(w)
+	}
+}
+
+// Charge adds cost that the ticket's owner used here.
+func (t *Ticket) Charge(cost float64) {
+	g := t.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.order.Charge(t.owner, cost)
+	g.usage[t.owner] += cost
+}
+
+// Leave gives the place back; further calls do nothing.
+func (t *Ticket) Leave() {
+	t.once.Do(func() {
+		g := t.gate
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.running--
+		g.service += (g.clock.Since(t.start) - g.service) / serviceWeight
+		g.admit()
+	})
+}
+
+// TakeUsage returns the cost used here since the last call, by owner.
+func (g *Gate) TakeUsage() map[share.Owner]float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := g.usage
+	g.usage = map[share.Owner]float64{}
+	return out
+}
+
+// ChargeRemote adds cost that an owner used on another instance.
+func (g *Gate) ChargeRemote(owner share.Owner, cost float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.order.Charge(owner, cost)
+}
--- /dev/null
+++ b/app/doc.go
@@ -0,0 +1,2 @@
+// Package app wires the parts of an entry instance together and runs it.
+package app
--- /dev/null
+++ b/app/health.go
@@ -0,0 +1,52 @@
+package app
+
+import (
+	"sync/atomic"
+
+	"github.com/valyala/fasthttp"
+
+	"junctioncross/entry"
+	"junctioncross/metrics"
+	"junctioncross/view"
+)
+
+// health answers the balancer's checks and the scrapes of metrics.
+type health struct {
+	board   *view.Board
+	entry   *entry.Handler
+	stats   *metrics.Registry
+	leaving atomic.Bool
+}
+
+func newHealth(board *view.Board, handler *entry.Handler, stats *metrics.Registry) *health {
+	return &health{board: board, entry: handler, stats: stats}
+}
+
+// leave makes the readiness check fail from now on.
+func (h *health) leave() { h.leaving.Store(true) }
+
+func (h *health) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/health/live":
+		ctx.SetBodyString("live\n")
+	case "/health/ready":
+		h.ready(ctx)
+	case "/metrics":
+		h.stats.Gauge("requests_running").Update(int64(h.entry.Running()))
+		ctx.SetContentType("text/plain; version=0.0.4")
+		_ = h.stats.Write(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (h *health) ready(ctx *fasthttp.RequestCtx) {
+	switch {
+	case h.leaving.Load():
+		ctx.Error("leaving\n", fasthttp.StatusServiceUnavailable)
+	case h.board.Current().Index() == nil:
+		ctx.Error("no configuration\n", fasthttp.StatusServiceUnavailable)
+	default:
+		ctx.SetBodyString("ready\n")
+	}
+}
--- /dev/null
+++ b/app/provide.go
@@ -0,0 +1,155 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/dig"
+
+	"junctioncross/admit"
+	"junctioncross/claim"
+	"junctioncross/config"
+	"junctioncross/control"
+	"junctioncross/engine"
+	"junctioncross/entry"
+	"junctioncross/keys"
+	"junctioncross/kv"
+	"junctioncross/link"
+	"junctioncross/metrics"
+	"junctioncross/operator"
+	"junctioncross/order"
+	"junctioncross/pipeline"
+	"junctioncross/pool"
+	"junctioncross/revision"
+	"junctioncross/service"
+	"junctioncross/timer"
+	"junctioncross/view"
+)
+
+// container provides every part of an instance.
+func container(ctx context.Context, set *config.Settings) (*dig.Container, error) {
+	c := dig.New()
+	constructors := []any{
+		func() context.Context { return ctx },
+		func() *config.Settings { return set },
+		timer.NewReal, metrics.New, newLog, newRing, newStore, newSelf, newGates, newClaims, newEntry, newCluster, newLeader, newLoop,
+		revision.NewStore, revision.NewKeeper, view.NewBoard, engine.NewCaller, pool.New, pipeline.New,
+		service.New, link.NewMux, link.NewClient, operator.New,
+	}
+	for _, fn := range constructors {
+		if err := c.Provide(fn); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func newLog(set *config.Settings) (*logrus.Logger, error) {
+	level, err := logrus.ParseLevel(set.Log.Level)
+	if err != nil {
+		return nil, err
+	}
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	log.SetLevel(level)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	log.AddHook(instanceHook{name: set.Instance.Name, domain: set.Instance.Domain})
+	return log, nil
+}
+
+// instanceHook adds the instance to every line.
+type instanceHook struct {
+	name   string
+	domain string
+}
+
+// Levels implements logrus.Hook.
+func (instanceHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (h instanceHook) Fire(e *logrus.Entry) error {
+	e.Data["instance"] = h.name
+	e.Data["domain"] = h.domain
+	return nil
+}
+
+func newRing(set *config.Settings) (*keys.Ring, error) {
+	return keys.NewRing(keys.Files{Authority: set.Keys.Authority, Certificate: set.Keys.Certificate, Key: set.Keys.Key})
+}
+
+func newStore(set *config.Settings, stats *metrics.Registry) kv.Store {
+	return kv.New(set.Platform.KV, stats)
+}
+
+func newSelf(set *config.Settings, clock *timer.Service) control.Self {
+	return control.Self{
+		Name: set.Instance.Name, Domain: set.Instance.Domain, PeerAddr: set.Listen.Peers,
+		Incarnation: uint64(clock.Now().UnixNano()), Seeds: set.Peers, ListAddr: set.Platform.Instances,
+	}
+}
+
+func newGates(set *config.Settings, clock *timer.Service) *admit.Gates {
+	return admit.NewGates(clock, set.Limits.QueueWait)
+}
+
+func newClaims(set *config.Settings, self control.Self, store kv.Store, clock *timer.Service, stats *metrics.Registry) claim.Asker {
+	writer := fmt.Sprintf("%s/%d", self.Name, self.Incarnation)
+	return claim.NewKeeper(store, clock, stats, writer, set.Limits.ClaimPartitions)
+}
+
+// entryParts are the parts that answer callers.
+type entryParts struct {
+	dig.In
+
+	Board   *view.Board
+	Gates   *admit.Gates
+	Runner  *pipeline.Runner
+	Forward *service.Forwarder
+	Claims  claim.Asker
+	Clock   *timer.Service
+	Stats   *metrics.Registry
+	Log     *logrus.Logger
+}
+
+func newEntry(set *config.Settings, p entryParts) *entry.Handler {
+	return entry.New(p.Board, p.Gates, p.Runner, p.Forward, p.Claims, p.Clock, p.Stats, p.Log, set.Limits.RequestTime)
+}
+
+// loopParts are the parts of the control loop.
+type loopParts struct {
+	dig.In
+
+	Store  *revision.Store
+	Keeper *revision.Keeper
+	Board  *view.Board
+	Gates  *admit.Gates
+	Pool   *pool.Pool
+	Caller *engine.Caller
+	Links  *link.Client
+	Clock  *timer.Service
+	Stats  *metrics.Registry
+	Log    *logrus.Logger
+}
+
+func newLoop(ctx context.Context, self control.Self, mux *link.Mux, p loopParts) *control.Loop {
+	loop := control.New(ctx, self, control.Deps{
+		Store: p.Store, Keeper: p.Keeper, Board: p.Board, Gates: p.Gates, Pool: p.Pool, Caller: p.Caller,
+		Links: p.Links, Clock: p.Clock, Stats: p.Stats, Log: p.Log,
+	})
+	loop.Register(mux)
+	return loop
+}
+
+func newCluster(loop *control.Loop, links *link.Client, set *config.Settings) *operator.Cluster {
+	return operator.NewCluster(loop, links, set.Instance.Domain)
+}
+
+func newLeader(
+	ctx context.Context, loop *control.Loop, store kv.Store, self control.Self, caller *engine.Caller,
+	clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
+) *order.Leader {
+	holder := fmt.Sprintf("%s/%d", self.Name, self.Incarnation)
+	return order.New(ctx, loop, order.NewLease(store, clock, self.Domain, holder), caller, clock, stats, log)
+}
--- /dev/null
+++ b/cmd/jxctl/certify.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/keys"
+)
+
+type certifyCommand struct {
+	Dir       string   `arg:"" help:"Directory for the files."`
+	Instances []string `help:"Instances as DOMAIN/NAME."`
+	Operators []string `help:"Names of operators, who may do everything."`
+	Viewers   []string `help:"Names of viewers, who may only look."`
+}
+
+// Run makes a fresh authority and one certificate for each holder.
+func (k *certifyCommand) Run(*commands) error {
+	now := time.Now()
+	authority, err := keys.NewAuthority(now)
+	if err != nil {
+		return err
+	}
+	if err := authority.Write(k.Dir); err != nil {
+		return err
+	}
+	for _, i := range k.Instances {
+		domain, name, ok := strings.Cut(i, "/")
+		if !ok {
+			return errors.Errorf("instance %q: accepted: DOMAIN/NAME", i)
+		}
+		if err := authority.Issue(k.Dir, keys.NewIdentity(keys.RoleInstance, domain, name), now); err != nil {
+			return err
+		}
+	}
+	for _, o := range k.Operators {
+		if err := authority.Issue(k.Dir, keys.NewIdentity(keys.RoleOperator, "", o), now); err != nil {
+			return err
+		}
+	}
+	for _, v := range k.Viewers {
+		if err := authority.Issue(k.Dir, keys.NewIdentity(keys.RoleViewer, "", v), now); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/jxd/main.go
@@ -0,0 +1,17 @@
+// Command jxd is the entry instance: it answers callers, drives pipelines and takes its part of control.
+package main
+
+import (
+	"github.com/alecthomas/kong"
+)
+
+type commands struct {
+	Run   runCommand   `cmd:"" help:"Run an entry instance until it is told to stop."`
+	Check checkCommand `cmd:"" help:"Check a settings file without starting."`
+}
+
+func main() {
+	var c commands
+	ctx := kong.Parse(&c, kong.Name("jxd"), kong.Description("Entry instance of junctioncross."), kong.UsageOnError())
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/cmd/jxload/main.go
@@ -0,0 +1,19 @@
+// Command jxload runs fleets on loopback, checks them and measures them.
+package main
+
+import (
+	"github.com/alecthomas/kong"
+)
+
+type commands struct {
+	Bin string `default:"bin" help:"Directory of the programs."`
+
+	Run  runCommand  `cmd:"" help:"Start the users' fleet and keep it until Ctrl-C."`
+	Demo demoCommand `cmd:"" help:"Start the users' fleet, check what it promises and stop it."`
+}
+
+func main() {
+	var c commands
+	ctx := kong.Parse(&c, kong.Name("jxload"), kong.Description("Fleets, checks and measurements on loopback."), kong.UsageOnError())
+	ctx.FatalIfErrorf(ctx.Run(&c))
+}
--- /dev/null
+++ b/config/doc.go
@@ -0,0 +1,2 @@
+// Package config reads and checks the settings of an entry instance.
+package config
--- /dev/null
+++ b/config/settings.go
@@ -0,0 +1,44 @@
+package config
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/strict"
+)
+
+// Settings is the whole settings file of jxd.
+type Settings struct {
+	Instance Instance `yaml:"instance"`
+	Listen   Listen   `yaml:"listen"`
+	Platform Platform `yaml:"platform"`
+	Peers    []string `yaml:"peers" validate:"dive,ipport"`
+	Keys     Keys     `yaml:"keys"`
+	Limits   Limits   `yaml:"limits"`
+	Drain    Drain    `yaml:"drain"`
+	Log      Log      `yaml:"log"`
+}
+
+// Default returns the settings that hold where the file is silent.
+func Default() Settings {
+	return Settings{Limits: defaultLimits(), Drain: defaultDrain(), Log: defaultLog()}
+}
+
+// Load reads a file; the error lists every mistake with file, line, key and what is accepted.
+func Load(path string) (*Settings, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "config: read settings")
+	}
+	return Parse(path, body)
+}
+
+// Parse reads settings from YAML; name stands for the file in errors.
+func Parse(name string, body []byte) (*Settings, error) {
+	s := Default()
+	if err := strict.Decode(name, body, &s); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
--- /dev/null
+++ b/control/backends.go
@@ -0,0 +1,220 @@
+package control
+
+import (
+	"strings"
+
+	"junctioncross/chart"
+	"junctioncross/engine"
+	"junctioncross/intent"
+	"junctioncross/models"
+	"junctioncross/order"
+	"junctioncross/plan"
+	"junctioncross/pool"
+	"junctioncross/route"
+	"junctioncross/view"
+)
+
+var backendChart = chart.MustLoad("backend")
+
+// backend is a backend server of the configuration.
+type backend struct {
+	spec  intent.Backend
+	kind  *intent.Kind
+	index int
+	chart *chart.Machine
+	// status is the newest statement about the server.
+	status backendStatus
+	known  bool
+}
+
+// serving reports whether new work for the model may go to the server.
+func (b *backend) serving(model string) bool {
+	return b.chart.State() == "serving" && b.status.Model == model && !b.spec.Retiring
+}
+
+func (b *backend) fire(e chart.Event) {
+	if b.chart.Can(e) {
+		_ = b.chart.Fire(e)
+	}
+}
+
+// followDocument adds and removes backend servers by the configuration.
+func (l *Loop) followDocument() {
+	d := l.index.Document()
+	keep := map[string]bool{}
+	for _, spec := range d.Backends {
+		keep[spec.Name] = true
+		b := l.backends[spec.Name]
+		if b == nil || b.spec.Addr != spec.Addr {
+			b = &backend{chart: chart.New(backendChart)}
+			b.index = l.deps.Pool.Ensure(pool.Spec{Name: spec.Name, Addr: spec.Addr, Domain: spec.Domain})
+			l.backends[spec.Name] = b
+		}
+		b.spec = spec
+		b.kind = d.Kind(spec.Kind)
+	}
+	for name, b := range l.backends {
+		if !keep[name] {
+			l.deps.Pool.Server(b.index).Bar(true)
+			delete(l.backends, name)
+			delete(l.polls, name)
+			l.table.Set(prefixBackend+name, nil)
+		}
+	}
+}
+
+// mergeBackends joins what all instances state about the servers and reports whether any server's state changed.
+func (l *Loop) mergeBackends() bool {
+	newest := map[string]backendStatus{}
+	movingNow := map[string]bool{}
+	listedLeaving := map[string]bool{}
+	for _, o := range l.table.Origins(l.deps.Clock.Now()) {
+		o.Each(func(key string, body []byte) {
+			name, isBackend := strings.CutPrefix(key, prefixBackend)
+			switch {
+			case isBackend:
+				collect(newest, name, body)
+			case key == entryMoving && o.Silent < silentLimit:
+				addNames(movingNow, body)
+			case key == entryLeaving && o.Silent < silentLimit:
+				addNames(listedLeaving, body)
+			}
+		})
+	}
+	changed := false
+	for name, b := range l.backends {
+		changed = b.follow(newest[name], listedLeaving[name]) || changed
+		barred := b.spec.Retiring || movingNow[name] || b.chart.State() == "leaving" || b.chart.State() == "suspect"
+		l.deps.Pool.Server(b.index).Bar(barred)
+	}
+	return changed
+}
+
+func addNames(set map[string]bool, body []byte) {
+	names, _ := decode[[]string](body)
+	for _, n := range names {
+		set[n] = true
+	}
+}
+
+func collect(newest map[string]backendStatus, name string, body []byte) {
+	s, ok := decode[backendStatus](body)
+	if !ok {
+		return
+	}
+	old, known := newest[name]
+	if !known || s.newer(old) || !old.newer(s) && old.Silent {
+		newest[name] = s
+	}
+}
+
+// follow moves the server's chart by the newest statement and reports whether anything changed.
+func (b *backend) follow(s backendStatus, listedLeaving bool) bool {
+	before, was := b.chart.State(), b.status
+	if s.Incarnation != 0 {
+		if b.known && s.Incarnation > b.status.Incarnation {
+			b.fire("restarted")
+		}
+		b.known = true
+		b.status = s
+		b.fire(eventOf(s))
+	}
+	if s.Leaving || listedLeaving {
+		b.fire("leaving")
+	}
+	return b.chart.State() != before || !b.status.sameFacts(was)
+}
+
+func eventOf(s backendStatus) chart.Event {
+	switch {
+	case s.Silent:
+		return "silent"
+	case s.State == engine.StateReady:
+		return "ready"
+	default:
+		return "loading"
+	}
+}
+
+// publish shows the request path the servers as they are now.
+func (l *Loop) publish() {
+	if l.index == nil {
+		return
+	}
+	graphs := map[string]*route.Graph{}
+	for _, m := range l.index.Document().Models {
+		graphs[m.Name] = l.graph(&m)
+	}
+	l.deps.Board.Publish(view.NewSnapshot(l.index, graphs))
+}
+
+// graph prefers the servers of the own domain; when they hold no whole path, those of other domains join as planned.
+func (l *Loop) graph(m *intent.Model) *route.Graph {
+	nodes := make([]route.Node, 0, len(l.backends))
+	for _, b := range l.backends {
+		if b.spec.Domain == l.self.Domain && b.serving(m.Name) && b.status.Version == m.Version {
+			nodes = append(nodes, b.node(b.status.Layers))
+		}
+	}
+	g := route.NewGraph(m.Layers, nodes)
+	if !g.Empty() {
+		return g
+	}
+	for _, b := range l.backends {
+		if b.spec.Domain != l.self.Domain && b.spec.Model == m.Name && !b.spec.Retiring {
+			nodes = append(nodes, b.node(b.spec.Layers))
+		}
+	}
+	return route.NewGraph(m.Layers, nodes)
+}
+
+func (b *backend) node(layers models.Layers) route.Node {
+	return route.Node{Server: b.index, Layers: layers, Weight: plan.LayerRate(b.kind) / float64(max(layers.Count(), 1))}
+}
+
+// orders lists the servers of the own domain, as planned and as seen.
+func (l *Loop) orders() ordersAnswer {
+	a := ordersAnswer{seen: map[string]order.Seen{}}
+	if l.index == nil {
+		return a
+	}
+	for name, b := range l.backends {
+		if b.spec.Domain != l.self.Domain || b.spec.Model == "" || b.spec.Retiring {
+			continue
+		}
+		m := l.index.Document().Model(b.spec.Model)
+		if m == nil {
+			continue
+		}
+		a.targets = append(a.targets, order.Target{
+			Name: name, Addr: b.spec.Addr, Model: m.Name, Version: m.Version, Total: m.Layers,
+			Layers: b.spec.Layers, ChecksFence: b.spec.ChecksFence,
+		})
+		if b.known {
+			s := b.status
+			a.seen[name] = order.Seen{
+				Silent: s.Silent, Leaving: s.Leaving, State: s.State, Model: s.Model, Version: s.Version, Layers: s.Layers,
+			}
+		}
+	}
+	return a
+}
+
+// Chosen implements order.Fleet.
+func (l *Loop) Chosen() bool { return l.chosen.Load() }
+
+// Targets implements order.Fleet.
+func (l *Loop) Targets() []order.Target { return l.askOrders().targets }
+
+// Seen implements order.Fleet.
+func (l *Loop) Seen() map[string]order.Seen { return l.askOrders().seen }
+
+// SetMoving implements order.Fleet.
+func (l *Loop) SetMoving(names []string) { l.post(moving{names: names}) }
+
+// SetLeads tells whether this instance gives the orders of its domain.
+func (l *Loop) SetLeads(leads bool) { l.leads.Store(leads) }
+
+func (l *Loop) askOrders() ordersAnswer {
+	return ask(l, func(answer chan ordersAnswer) message { return ordersAsked{answer: answer} })
+}
--- /dev/null
+++ b/control/exchange.go
@@ -0,0 +1,148 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/gossip"
+	"junctioncross/keys"
+	"junctioncross/link"
+	"junctioncross/member"
+	"junctioncross/revision"
+)
+
+const exchangeTimeout = 1500 * time.Millisecond
+
+var errOtherDomain = errors.New("control: caller stands in another domain")
+
+// Register adds the handlers of the calls that other instances make.
+func (l *Loop) Register(m *link.Mux) {
+	link.Handle(m, link.KindExchange, l.serveExchange)
+	link.Handle(m, link.KindUpdates, l.serveUpdates)
+	link.Handle(m, link.KindHead, l.serveHead)
+	link.Handle(m, link.KindSegment, l.serveSegment)
+	link.Handle(m, link.KindStatus, func(context.Context, keys.Identity, none) ([]InstanceStatus, error) {
+		return l.Statuses(), nil
+	})
+}
+
+func (l *Loop) serveExchange(_ context.Context, from keys.Identity, q exchangeQuestion) (exchangeAnswer, error) {
+	if from.Domain() != l.self.Domain {
+		return exchangeAnswer{}, errOtherDomain
+	}
+	return ask(l, func(answer chan exchangeAnswer) message {
+		return exchangeAsked{digest: q.Digest, answer: answer}
+	}), nil
+}
+
+func (l *Loop) serveUpdates(_ context.Context, from keys.Identity, q updatesQuestion) (none, error) {
+	if from.Domain() != l.self.Domain {
+		return none{}, errOtherDomain
+	}
+	l.post(updatesArrived{updates: q.Updates})
+	return none{}, nil
+}
+
+func (l *Loop) serveHead(context.Context, keys.Identity, none) (revision.Head, error) {
+	f := l.deps.Keeper.InForce()
+	if f == nil {
+		return revision.Head{}, errors.New("control: no configuration")
+	}
+	return f.Head(), nil
+}
+
+func (l *Loop) serveSegment(_ context.Context, _ keys.Identity, hash string) ([]byte, error) {
+	body, ok := l.deps.Keeper.Body(hash)
+	if !ok {
+		return nil, errors.New("control: no such segment")
+	}
+	return body, nil
+}
+
+// startExchange exchanges news with the next neighbour.
+func (l *Loop) startExchange() {
+	addrs := l.neighbourAddrs()
+	if len(addrs) == 0 {
+		return
+	}
+	l.nextPeer++
+	l.exchange(addrs[l.nextPeer%len(addrs)])
+}
+
+// exchangeWithAll spreads news at once instead of at the next ticks.
+func (l *Loop) exchangeWithAll() {
+	for _, addr := range l.neighbourAddrs() {
+		l.exchange(addr)
+	}
+}
+
+// neighbourAddrs returns the addresses to exchange news with; an instance that knows no other asks its seeds.
+func (l *Loop) neighbourAddrs() []string {
+	addrs := map[string]string{}
+	for _, o := range l.table.Origins(l.deps.Clock.Now()) {
+		if s, ok := status(o); ok && o.Name != l.self.Name {
+			addrs[o.Name] = s.Addr
+		}
+	}
+	var out []string
+	for _, n := range member.Neighbours(l.live(), l.self.Name) {
+		if addr := addrs[n]; addr != "" {
+			out = append(out, addr)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	return l.seedAddr()
+}
+
+// seedAddr returns one address from the settings or the platform's list.
+func (l *Loop) seedAddr() []string {
+	var out []string
+	for _, addr := range l.self.Seeds {
+		if addr != l.self.PeerAddr {
+			out = append(out, addr)
+		}
+	}
+	for _, line := range l.listed {
+		if line.Role == member.RoleEntry && line.Domain == l.self.Domain && line.Name != l.self.Name {
+			out = append(out, line.Addr)
+		}
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	return []string{out[rand.IntN(len(out))]}
+}
+
+// exchange asks one instance for news and then tells it what it lacks.
+func (l *Loop) exchange(addr string) {
+	digest := l.table.Digest()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+		defer cancel()
+		a, err := link.Call[exchangeQuestion, exchangeAnswer](ctx, l.deps.Links, addr, link.KindExchange, exchangeQuestion{Digest: digest})
+		if err != nil {
+			l.deps.Stats.Counter("exchanges_failed_total").Inc(1)
+			return
+		}
+		if len(a.Updates) > 0 {
+			l.post(updatesArrived{updates: a.Updates})
+		}
+		l.push(ctx, addr, a.Digest)
+	}()
+}
+
+// push sends what the holder of a digest lacks.
+func (l *Loop) push(ctx context.Context, addr string, theirs gossip.Digest) {
+	updates := ask(l, func(answer chan []gossip.Update) message { return deltaAsked{digest: theirs, answer: answer} })
+	if len(updates) == 0 {
+		return
+	}
+	if _, err := link.Call[updatesQuestion, none](ctx, l.deps.Links, addr, link.KindUpdates, updatesQuestion{Updates: updates}); err != nil {
+		l.deps.Stats.Counter("exchanges_failed_total").Inc(1)
+	}
+}
--- /dev/null
+++ b/control/loop.go
@@ -0,0 +1,249 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"junctioncross/admit"
+	"junctioncross/engine"
+	"junctioncross/gossip"
+	"junctioncross/link"
+	"junctioncross/member"
+	"junctioncross/metrics"
+	"junctioncross/pool"
+	"junctioncross/revision"
+	"junctioncross/timer"
+	"junctioncross/view"
+)
+
+const (
+	fastPeriod  = 250 * time.Millisecond
+	slowPeriod  = time.Second
+	inboxLength = 1024
+	// silentLimit is the time without news after which an instance is not counted on.
+	silentLimit = 5 * time.Second
+	forgetLimit = 5 * time.Minute
+)
+
+// Self says who this instance is.
+type Self struct {
+	Name        string
+	Domain      string
+	PeerAddr    string
+	Incarnation uint64
+	// Seeds are addresses of instances to ask first.
+	Seeds []string
+	// ListAddr is the address of the platform's instance list.
+	ListAddr string
+}
+
+// Deps are the parts that the control loop works with.
+type Deps struct {
+	Store  *revision.Store
+	Keeper *revision.Keeper
+	Board  *view.Board
+	Gates  *admit.Gates
+	Pool   *pool.Pool
+	Caller *engine.Caller
+	Links  *link.Client
+	Clock  *timer.Service
+	Stats  *metrics.Registry
+	Log    *logrus.Logger
+}
+
+// Loop is the control goroutine and its helpers.
+type Loop struct {
+	self  Self
+	deps  Deps
+	inbox chan message
+	http  *http.Client
+
+	stopped chan struct{}
+
+	// What helpers and other goroutines read.
+	relay    atomic.Bool
+	chosen   atomic.Bool
+	fetching atomic.Bool
+	alone    atomic.Bool
+	leads    atomic.Bool
+
+	// The fields below belong to the control goroutine.
+	table     *gossip.Table
+	index     *view.Index
+	backends  map[string]*backend
+	listed    []member.Listed
+	leftList  map[string]bool
+	heard     uint64
+	leaves    bool
+	nextPeer  int
+	polls     map[string]*poll
+	relayNews map[string]relayNews
+}
+
+type relayNews struct {
+	heard uint64
+	at    time.Time
+}
+
+// New returns a Loop and starts it with its helpers; all stop when ctx ends.
+func New(ctx context.Context, self Self, deps Deps) *Loop {
+	now := deps.Clock.Now()
+	l := &Loop{
+		self: self, deps: deps, inbox: make(chan message, inboxLength),
+		http:      &http.Client{Timeout: 2 * time.Second},
+		stopped:   make(chan struct{}),
+		table:     gossip.New(self.Name, self.Incarnation, now),
+		backends:  map[string]*backend{},
+		leftList:  map[string]bool{},
+		polls:     map[string]*poll{},
+		relayNews: map[string]relayNews{},
+	}
+	go func() { l.run(ctx) }()
+	go func() { l.watch(ctx) }()
+	go func() { l.pollList(ctx) }()
+	return l
+}
+
+// post hands a message to the control goroutine; once that has stopped, the message is dropped.
+func (l *Loop) post(m message) {
+	select {
+	case l.inbox <- m:
+	case <-l.stopped:
+	}
+}
+
+// ask posts a message that carries a channel for its answer and waits for it; the zero answer means that the control
+// goroutine has stopped.
+func ask[A any](l *Loop, build func(answer chan A) message) A {
+	answer := make(chan A, 1)
+	l.post(build(answer))
+	select {
+	case a := <-answer:
+		return a
+	case <-l.stopped:
+		var zero A
+		return zero
+	}
+}
+
+func (l *Loop) run(ctx context.Context) {
+	defer close(l.stopped)
+	fast := l.deps.Clock.Subscribe(fastPeriod)
+	slow := l.deps.Clock.Subscribe(slowPeriod)
+	defer fast.Stop()
+	defer slow.Stop()
+	l.refreshMembers()
+	for {
+		select {
+		case m := <-l.inbox:
+			l.handle(m)
+		case <-fast.C():
+			l.fastTick()
+		case <-slow.C():
+			l.slowTick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Loop) fastTick() {
+	l.setLimits()
+	l.startPolls()
+	l.startExchange()
+}
+
+func (l *Loop) slowTick() {
+	now := l.deps.Clock.Now()
+	l.table.Beat(now)
+	l.table.Forget(now, forgetLimit)
+	l.refreshMembers()
+	l.stateStatus()
+	l.mergeBackends()
+	l.publish()
+}
+
+func (l *Loop) handle(m message) {
+	switch m := m.(type) {
+	case exchangeAsked:
+		m.answer <- exchangeAnswer{Updates: l.table.Delta(m.digest), Digest: l.table.Digest()}
+	case deltaAsked:
+		m.answer <- l.table.Delta(m.digest)
+	case updatesArrived:
+		l.merge(m.updates)
+	case reportArrived:
+		l.reported(m)
+	case listArrived:
+		l.listChanged(m.lines)
+	case configured:
+		l.configure()
+	case heard:
+		l.heard++
+	case moving:
+		l.table.Set(entryMoving, encode(m.names))
+		l.mergeBackends()
+	case statusAsked:
+		m.answer <- l.statuses()
+	case listAsked:
+		m.answer <- append([]member.Listed(nil), l.listed...)
+	case ordersAsked:
+		m.answer <- l.orders()
+	case leaving:
+		l.leave(m)
+	}
+}
+
+// merge takes statements of other instances in.
+func (l *Loop) merge(updates []gossip.Update) {
+	if !l.table.Merge(updates, l.deps.Clock.Now()) {
+		return
+	}
+	l.refreshMembers()
+	if l.mergeBackends() {
+		l.publish()
+	}
+	l.fetchNewer()
+}
+
+// configure follows a configuration that has just come into force.
+func (l *Loop) configure() {
+	f := l.deps.Keeper.InForce()
+	if f == nil || l.index != nil && l.index.Revision() >= f.Head().Revision {
+		return
+	}
+	l.index = view.NewIndex(f)
+	l.deps.Stats.Gauge("revision").Update(int64(f.Head().Revision))
+	l.deps.Log.WithField("revision", f.Head().Revision).Info("configuration in force")
+	l.followDocument()
+	l.mergeBackends()
+	l.publish()
+	l.stateStatus()
+	l.exchangeWithAll()
+}
+
+func (l *Loop) leave(m leaving) {
+	l.leaves = true
+	l.stateStatus()
+	l.refreshMembers()
+	l.exchangeWithAll()
+	close(m.done)
+}
+
+// Leave tells the other instances that this one stops.
+func (l *Loop) Leave() {
+	ask(l, func(done chan struct{}) message { return leaving{done: done} })
+}
+
+// Statuses returns what is known of the domain's instances.
+func (l *Loop) Statuses() []InstanceStatus {
+	return ask(l, func(answer chan []InstanceStatus) message { return statusAsked{answer: answer} })
+}
+
+// Listed returns the platform's instance list as this instance last read it.
+func (l *Loop) Listed() []member.Listed {
+	return ask(l, func(answer chan []member.Listed) message { return listAsked{answer: answer} })
+}
--- /dev/null
+++ b/control/poll.go
@@ -0,0 +1,156 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"junctioncross/engine"
+	"junctioncross/member"
+)
+
+const (
+	pollPeriod  = 500 * time.Millisecond
+	pollTimeout = 700 * time.Millisecond
+	// pollers is the number of instances that poll one backend server.
+	pollers = 2
+	// silentPolls is the number of failed polls in a row after which a server is suspect.
+	silentPolls = 3
+	listPeriod  = 3 * time.Second
+)
+
+// poll is the state of this instance's polling of one backend server.
+type poll struct {
+	due      time.Time
+	running  bool
+	failures int
+	last     backendStatus
+}
+
+// startPolls asks the servers that this instance is responsible for and whose time has come.
+func (l *Loop) startPolls() {
+	now := l.deps.Clock.Now()
+	names := l.live()
+	for name, b := range l.backends {
+		if b.spec.Domain != l.self.Domain {
+			continue
+		}
+		at := member.Position(names, name, l.self.Name)
+		if at < 0 || at >= pollers {
+			l.stopPoll(name)
+			continue
+		}
+		p := l.polls[name]
+		if p == nil {
+			p = &poll{}
+			l.polls[name] = p
+		}
+		if p.running || now.Before(p.due) {
+			continue
+		}
+		p.running = true
+		p.due = now.Add(pollPeriod)
+		addr := b.spec.Addr
+		go func() {
+			report, err := l.deps.Caller.Report(addr, pollTimeout)
+			l.post(reportArrived{name: name, report: report, err: err})
+		}()
+	}
+}
+
+func (l *Loop) stopPoll(name string) {
+	if l.polls[name] != nil {
+		delete(l.polls, name)
+		l.table.Set(prefixBackend+name, nil)
+	}
+}
+
+// reported states what a poll showed, when that has changed.
+func (l *Loop) reported(m reportArrived) {
+	p := l.polls[m.name]
+	if p == nil {
+		return
+	}
+	p.running = false
+	next := p.last
+	if m.err != nil {
+		p.failures++
+		next.Silent = p.failures >= silentPolls
+	} else {
+		p.failures = 0
+		next = statusOf(m.report)
+	}
+	if next.Incarnation == 0 || next.sameFacts(p.last) {
+		return
+	}
+	p.last = next
+	l.table.Set(prefixBackend+m.name, encode(next))
+	if l.mergeBackends() {
+		l.publish()
+	}
+	l.exchangeWithAll()
+}
+
+func statusOf(r engine.Report) backendStatus {
+	return backendStatus{
+		Incarnation: r.Incarnation, Sequence: r.Sequence, State: r.State,
+		Model: r.Model, Version: r.Version, Layers: r.Layers, Leaving: r.Leaving,
+	}
+}
+
+// pollList reads the platform's instance list, on relays and on instances that know no others.
+func (l *Loop) pollList(ctx context.Context) {
+	for {
+		if l.relay.Load() || l.alone.Load() {
+			if lines, err := l.readList(ctx); err == nil {
+				l.post(listArrived{lines: lines})
+			} else {
+				l.deps.Stats.Counter("list_errors_total").Inc(1)
+			}
+		}
+		pause := time.Duration(float64(listPeriod) * (0.5 + rand.Float64()/2))
+		select {
+		case <-l.deps.Clock.After(pause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Loop) readList(ctx context.Context) ([]member.Listed, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.self.ListAddr+member.PathInstances, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := l.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var lines []member.Listed
+	err = json.NewDecoder(resp.Body).Decode(&lines)
+	return lines, err
+}
+
+// listChanged keeps the list; a mark of leaving in it is kept for as long as the server's process lives.
+func (l *Loop) listChanged(lines []member.Listed) {
+	l.listed = lines
+	for _, line := range lines {
+		if line.Role == member.RoleBackend && line.Leaving {
+			l.leftList[line.Name] = true
+		}
+		if line.Role == member.RoleBackend && !line.Leaving {
+			delete(l.leftList, line.Name)
+		}
+	}
+	names := make([]string, 0, len(l.leftList))
+	for n := range l.leftList {
+		names = append(names, n)
+	}
+	l.table.Set(entryLeaving, encode(names))
+	if l.mergeBackends() {
+		l.publish()
+	}
+}
--- /dev/null
+++ b/control/relay.go
@@ -0,0 +1,173 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/kv"
+	"junctioncross/link"
+	"junctioncross/revision"
+)
+
+const (
+	watchPause = 200 * time.Millisecond
+	// checkPeriod is how often an instance that is no relay looks whether it has become one.
+	checkPeriod = time.Second
+	// longestPause bounds the pause between failed calls of a relay to the key-value service.
+	longestPause = 5 * time.Second
+	// askPeriod is how often an instance that hears of no relay asks the service itself.
+	askPeriod = 5 * time.Second
+	// relayFresh is how long a relay's last word from the service counts; a watch lasts up to nine seconds.
+	relayFresh   = 20 * time.Second
+	fetchTimeout = 3 * time.Second
+)
+
+// watch follows the head in the key-value service while this instance is a relay, and asks now and then when no relay
+// hears the service.
+func (l *Loop) watch(ctx context.Context) {
+	var at kv.Revision
+	failures := 0
+	for ctx.Err() == nil {
+		switch {
+		case l.relay.Load() && l.deps.Keeper.Revision() > 0 && at > 0:
+			failures = l.watchOnce(ctx, &at, failures)
+		case l.relay.Load() || l.deps.Keeper.Revision() == 0 && l.alone.Load():
+			failures = l.askOnce(ctx, &at, failures)
+		case l.deps.Keeper.Revision() == 0 || !l.relayHears():
+			_ = l.askOnce(ctx, &at, failures)
+			l.sleep(ctx, jittered(askPeriod))
+		default:
+			l.sleep(ctx, checkPeriod)
+		}
+	}
+}
+
+// watchOnce waits for the next head; it returns the number of failures in a row.
+func (l *Loop) watchOnce(ctx context.Context, at *kv.Revision, failures int) int {
+	started := l.deps.Clock.Now()
+	head, revision, err := l.deps.Store.WaitHead(ctx, *at)
+	if err == nil {
+		*at = revision
+		l.offer(ctx, head)
+	}
+	if err == nil || l.deps.Clock.Since(started) > askPeriod {
+		l.post(heard{})
+		return 0
+	}
+	l.sleep(ctx, pauseAfter(failures))
+	return failures + 1
+}
+
+// askOnce reads the head; it returns the number of failures in a row.
+func (l *Loop) askOnce(ctx context.Context, at *kv.Revision, failures int) int {
+	call, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	head, revision, err := l.deps.Store.Head(call)
+	if err != nil {
+		l.sleep(ctx, pauseAfter(failures))
+		return failures + 1
+	}
+	l.post(heard{})
+	*at = revision
+	if head.Revision == 0 {
+		l.sleep(ctx, jittered(watchPause))
+		return 0
+	}
+	l.offer(ctx, head)
+	return 0
+}
+
+func pauseAfter(failures int) time.Duration {
+	return jittered(min(watchPause<<min(failures, 6), longestPause))
+}
+
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.5 + rand.Float64()))
+}
+
+func (l *Loop) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-l.deps.Clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// offer puts a head from the service in force.
+func (l *Loop) offer(ctx context.Context, head revision.Head) {
+	call, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	changed, err := l.deps.Keeper.Offer(head, func(hash string) ([]byte, error) {
+		return l.deps.Store.Segment(call, hash)
+	})
+	if err != nil {
+		l.deps.Stats.Counter("config_fetch_failed_total").Inc(1)
+		return
+	}
+	if changed {
+		l.post(configured{})
+	}
+}
+
+// relayHears reports whether some relay of the domain has lately heard the key-value service.
+func (l *Loop) relayHears() bool {
+	for _, s := range l.Statuses() {
+		if s.Name != l.self.Name && s.Heard > 0 && l.heardLately(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// heardLately reports whether the instance's count of answers has grown within relayFresh; it is used by watch alone.
+func (l *Loop) heardLately(s InstanceStatus) bool {
+	now := l.deps.Clock.Now()
+	news, ok := l.relayNews[s.Name]
+	if !ok || news.heard != s.Heard {
+		l.relayNews[s.Name] = relayNews{heard: s.Heard, at: now}
+		return true
+	}
+	return now.Sub(news.at) < relayFresh
+}
+
+// fetchNewer takes a newer configuration from the instance that has it.
+func (l *Loop) fetchNewer() {
+	best := InstanceStatus{Revision: l.deps.Keeper.Revision()}
+	for _, o := range l.table.Origins(l.deps.Clock.Now()) {
+		if s, ok := status(o); ok && s.Revision > best.Revision && o.Name != l.self.Name {
+			best = s
+		}
+	}
+	if best.Addr == "" || l.fetching.Swap(true) {
+		return
+	}
+	go func() {
+		err := l.fetchFrom(best.Addr)
+		l.fetching.Store(false)
+		if err != nil {
+			l.deps.Stats.Counter("config_fetch_failed_total").Inc(1)
+		}
+	}()
+}
+
+func (l *Loop) fetchFrom(addr string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	head, err := link.Call[none, revision.Head](ctx, l.deps.Links, addr, link.KindHead, none{})
+	if err != nil {
+		return err
+	}
+	changed, err := l.deps.Keeper.Offer(head, func(hash string) ([]byte, error) {
+		body, err := link.Call[string, []byte](ctx, l.deps.Links, addr, link.KindSegment, hash)
+		if errors.Is(err, link.ErrUnreachable) || errors.Is(err, link.ErrRefused) {
+			return l.deps.Store.Segment(ctx, hash)
+		}
+		return body, err
+	})
+	if changed {
+		l.post(configured{})
+	}
+	return err
+}
--- /dev/null
+++ b/engine/caller.go
@@ -0,0 +1,122 @@
+package engine
+
+import (
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	dialTimeout       = 300 * time.Millisecond
+	maxReplySize      = 64 << 20
+	idleConnection    = 30 * time.Second
+	contentTypeBinary = "application/cbor"
+)
+
+// Caller makes single HTTP calls to engines; a connection whose answer is late or broken is closed, never reused.
+type Caller struct {
+	http *fasthttp.Client
+}
+
+// NewCaller returns a Caller with its own pool of connections.
+func NewCaller() *Caller {
+	dialer := &fasthttp.TCPDialer{Concurrency: 0}
+	return &Caller{http: &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxConnsPerHost:           64,
+		MaxIdleConnDuration:       idleConnection,
+		MaxResponseBodySize:       maxReplySize,
+		Dial: func(addr string) (net.Conn, error) {
+			return dialer.DialTimeout(addr, dialTimeout)
+		},
+	}}
+}
+
+// Step runs the gathered frames on the server at addr.
+func (c *Caller) Step(addr string, call StepCall, timeout time.Duration) (StepReply, error) {
+	return exchange[StepCall, StepReply](c, addr, PathStep, call, timeout)
+}
+
+// Cancel makes the server forget attempts.
+func (c *Caller) Cancel(addr string, cancel Cancel, timeout time.Duration) error {
+	_, err := exchange[Cancel, bool](c, addr, PathCancel, cancel, timeout)
+	return err
+}
+
+// Report asks the server for its state.
+func (c *Caller) Report(addr string, timeout time.Duration) (Report, error) {
+	return exchange[bool, Report](c, addr, PathReport, true, timeout)
+}
+
+// Order tells the server what to hold; ErrFenced means that a later leader has spoken.
+func (c *Caller) Order(addr string, order Order, timeout time.Duration) error {
+	_, err := exchange[Order, bool](c, addr, PathOrder, order, timeout)
+	return err
+}
+
+// Export reads the KV cache of an attempt.
+func (c *Caller) Export(addr string, id AttemptID, timeout time.Duration) (Snapshot, error) {
+	return exchange[AttemptID, Snapshot](c, addr, PathExport, id, timeout)
+}
+
+// Import gives the server the KV cache of an attempt.
+func (c *Caller) Import(addr string, snapshot Snapshot, timeout time.Duration) error {
+	_, err := exchange[Snapshot, bool](c, addr, PathImport, snapshot, timeout)
+	return err
+}
+
+func exchange[Q, A any](c *Caller, addr, path string, question Q, timeout time.Duration) (A, error) {
+	var none A
+	body, err := Encode(question)
+	if err != nil {
+		return none, errors.Wrap(ErrRefused, err.Error())
+	}
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr + path)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType(contentTypeBinary)
+	req.SetBodyRaw(body)
+	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
+		return none, callError(err)
+	}
+	return readAnswer[A](resp)
+}
+
+func readAnswer[A any](resp *fasthttp.Response) (A, error) {
+	var none A
+	switch code := resp.StatusCode(); code {
+	case fasthttp.StatusOK:
+	case fasthttp.StatusConflict:
+		return none, ErrFenced
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusNotFound:
+		return none, errors.Wrapf(ErrRefused, "status %d", code)
+	default:
+		return none, errors.Wrapf(ErrLost, "status %d", code)
+	}
+	answer, err := Decode[A](resp.Body())
+	if err != nil {
+		return none, errors.Wrap(ErrLost, err.Error())
+	}
+	return answer, nil
+}
+
+// callError turns the HTTP library's errors into this layer's.
+func callError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Wrap(ErrUnreachable, err.Error())
+	}
+	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return errors.Wrap(ErrUnreachable, err.Error())
+	}
+	if errors.Is(err, fasthttp.ErrTimeout) {
+		return errors.Wrap(ErrTimeout, err.Error())
+	}
+	return errors.Wrap(ErrLost, err.Error())
+}
--- /dev/null
+++ b/engine/progress.go
@@ -0,0 +1,86 @@
+package engine
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// stalledSteps is the number of expected step times without any answer after which a server counts as stalled.
+	stalledSteps = 6
+	minStall     = 40 * time.Millisecond
+	firstStall   = 500 * time.Millisecond
+	maxStall     = 3 * time.Second
+	// positionsPerStep lengthens the limit by one expected step for that many positions under way beyond one a frame.
+	positionsPerStep = 32
+	// smoothing is the weight of the newest step time in the running mean, as a divisor.
+	smoothing = 8
+)
+
+// Progress tells a server that works slowly from one that does not work: it judges by the time since the last answer,
+// measured in the server's own step times.
+type Progress struct {
+	mu        sync.Mutex
+	frames    int
+	positions int
+	last      time.Time
+	step      time.Duration
+}
+
+func (p *Progress) begin(positions int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.frames == 0 {
+		p.last = now
+	}
+	p.frames++
+	p.positions += positions
+}
+
+func (p *Progress) end(positions int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frames--
+	p.positions -= positions
+}
+
+func (p *Progress) answered(now time.Time, took time.Duration, decoding bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.last = now
+	if !decoding {
+		return
+	}
+	if p.step == 0 {
+		p.step = took
+		return
+	}
+	p.step += (took - p.step) / smoothing
+}
+
+func (p *Progress) stalled(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.frames > 0 && now.Sub(p.last) > p.limit()
+}
+
+// limit returns how long the server may stay silent; the caller holds the lock.
+func (p *Progress) limit() time.Duration {
+	if p.step == 0 {
+		return firstStall + time.Duration(p.positions)*time.Millisecond
+	}
+	steps := time.Duration(stalledSteps + (p.positions-p.frames)/positionsPerStep)
+	return min(max(p.step*steps, minStall), maxStall)
+}
+
+func (p *Progress) inFlight() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.frames
+}
+
+func (p *Progress) stepTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.step
+}
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"junctioncross/admit"
+	"junctioncross/claim"
+	"junctioncross/metrics"
+	"junctioncross/models"
+	"junctioncross/pipeline"
+	"junctioncross/service"
+	"junctioncross/timer"
+	"junctioncross/view"
+)
+
+const requestIDBytes = 12
+
+// Handler answers callers.
+type Handler struct {
+	board   *view.Board
+	gates   *admit.Gates
+	runner  *pipeline.Runner
+	forward *service.Forwarder
+	claims  claim.Asker
+	clock   *timer.Service
+	stats   *metrics.Registry
+	log     *logrus.Logger
+	limit   time.Duration
+
+	draining atomic.Bool
+	active   sync.WaitGroup
+	running  atomic.Int64
+}
+
+// New returns a Handler; limit bounds the time of one request.
+func New(
+	board *view.Board, gates *admit.Gates, runner *pipeline.Runner, forward *service.Forwarder, claims claim.Asker,
+	clock *timer.Service, stats *metrics.Registry, log *logrus.Logger, limit time.Duration,
+) *Handler {
+	return &Handler{
+		board: board, gates: gates, runner: runner, forward: forward, claims: claims,
+		clock: clock, stats: stats, log: log, limit: limit,
+	}
+}
+
+// call is one caller's request on its way.
+type call struct {
+	id      string
+	account *view.Account
+	view    *view.Snapshot
+	start   time.Time
+}
+
+func (c *call) fields() logrus.Fields {
+	name := ""
+	if c.account != nil {
+		name = c.account.Name()
+	}
+	return logrus.Fields{"request": c.id, "account": name}
+}
+
+// Routes returns the handler of all callers' paths.
+func (h *Handler) Routes() fasthttp.RequestHandler {
+	r := router.New()
+	r.POST("/v1/chat/completions", h.serve(h.chat))
+	r.POST("/v1/completions", h.serve(h.completion))
+	r.GET("/v1/models", h.serve(h.models))
+	r.ANY("/services/{name}/{path:*}", h.serve(h.service))
+	r.NotFound = h.serve(h.notFound)
+	r.MethodNotAllowed = r.NotFound
+	r.HandleMethodNotAllowed = true
+	return r.Handler
+}
+
+// serve wraps a handler of authorized calls.
+func (h *Handler) serve(next func(*fasthttp.RequestCtx, *call) *refusal) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		c := &call{id: newRequestID(), view: h.board.Current(), start: h.clock.Now()}
+		if !h.enter() {
+			ctx.SetConnectionClose()
+			h.refuse(ctx, c, notRun(fasthttp.StatusServiceUnavailable, models.ReasonDraining, "this instance is stopping; ask another one"))
+			return
+		}
+		defer h.leave()
+		r := h.authorize(ctx, c)
+		if r == nil {
+			r = next(ctx, c)
+		}
+		if r != nil {
+			h.refuse(ctx, c, r)
+		}
+	}
+}
+
+func newRequestID() string {
+	var b [requestIDBytes]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// enter counts a call that starts; it returns false once the instance refuses new ones.
+func (h *Handler) enter() bool {
+	h.active.Add(1)
+	h.running.Add(1)
+	if h.draining.Load() {
+		h.leave()
+		return false
+	}
+	return true
+}
+
+func (h *Handler) leave() {
+	h.running.Add(-1)
+	h.active.Done()
+}
+
+// Running returns the number of calls under way.
+func (h *Handler) Running() int { return int(h.running.Load()) }
+
+// Drain refuses new calls and waits until those under way are done, at most for limit; it reports whether all are.
+func (h *Handler) Drain(limit time.Duration) bool {
+	h.draining.Store(true)
+	done := make(chan struct{})
+	go func() {
+		h.active.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-h.clock.After(limit):
+		return false
+	}
+}
+
+func (h *Handler) authorize(ctx *fasthttp.RequestCtx, c *call) *refusal {
+	index := c.view.Index()
+	if index == nil {
+		r := notRun(fasthttp.StatusServiceUnavailable, models.ReasonNoConfiguration, "this instance has no configuration yet")
+		r.retryAfter = time.Second
+		return r
+	}
+	key, ok := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	if ok {
+		c.account = index.Account(key)
+	}
+	if c.account == nil {
+		return notRun(fasthttp.StatusUnauthorized, models.ReasonUnauthorized, "the bearer key names no client account")
+	}
+	return nil
+}
+
+func (h *Handler) notFound(ctx *fasthttp.RequestCtx, _ *call) *refusal {
+	return notRun(fasthttp.StatusNotFound, models.ReasonNotFound, "no such method and path: "+string(ctx.Method())+" "+string(ctx.Path()))
+}
+
+// Broken answers a request that could not be read as HTTP.
+func (h *Handler) Broken(ctx *fasthttp.RequestCtx, err error) {
+	c := &call{id: newRequestID(), start: h.clock.Now()}
+	r := notRun(fasthttp.StatusBadRequest, models.ReasonBadRequest, "the request could not be read")
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		r = notRun(fasthttp.StatusRequestEntityTooLarge, models.ReasonBodyTooLarge, "the body is too large")
+	}
+	h.refuse(ctx, c, r)
+	ctx.SetConnectionClose()
+}
--- /dev/null
+++ b/entry/service.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"junctioncross/claim"
+	"junctioncross/intent"
+	"junctioncross/models"
+	"junctioncross/service"
+)
+
+// service forwards a call to a plain service.
+func (h *Handler) service(ctx *fasthttp.RequestCtx, c *call) *refusal {
+	name := ctx.UserValue("name").(string)
+	s := c.view.Index().Document().Service(name)
+	if s == nil {
+		return notRun(fasthttp.StatusNotFound, models.ReasonUnknownService, "no service "+name)
+	}
+	run, cancel := context.WithTimeout(context.Background(), h.limit)
+	defer cancel()
+	path := "/" + ctx.UserValue("path").(string)
+	repeatable := service.Repeatable(s, string(ctx.Method()), path)
+	key := string(ctx.Request.Header.Peek(models.HeaderIdempotencyKey))
+	if repeatable || key == "" {
+		return h.forwardCall(run, ctx, c, s, path, repeatable)
+	}
+	held := claim.Claim{Key: c.account.Name() + "/" + name + "/" + key, Body: bodyHash(ctx, path), Request: c.id}
+	if r := h.claim(run, held); r != nil {
+		return r
+	}
+	r := h.forwardCall(run, ctx, c, s, path, false)
+	h.recordOutcome(held, ctx, r)
+	return r
+}
+
+func bodyHash(ctx *fasthttp.RequestCtx, path string) uint64 {
+	d := xxhash.New()
+	_, _ = d.Write(ctx.Method())
+	_, _ = d.WriteString(path)
+	_, _ = d.Write(ctx.URI().QueryString())
+	_, _ = d.Write(ctx.PostBody())
+	return d.Sum64()
+}
+
+// claim makes sure that this request alone may run under its key; a refusal says why it may not.
+func (h *Handler) claim(ctx context.Context, c claim.Claim) *refusal {
+	verdict, err := h.claims.Ask(ctx, c)
+	if errors.Is(err, claim.ErrUnsure) {
+		return notRun(fasthttp.StatusServiceUnavailable, models.ReasonClaimUnsure, "it is not known whether the key was claimed; the request was not sent")
+	}
+	if err != nil {
+		return notRun(fasthttp.StatusServiceUnavailable, models.ReasonClaimUnavailable, "the key cannot be claimed now; the request was not sent")
+	}
+	switch v := verdict.(type) {
+	case claim.Granted:
+		return nil
+	case claim.Reused:
+		return notRun(fasthttp.StatusUnprocessableEntity, models.ReasonKeyReused, "the idempotency key stands for another request")
+	case claim.Duplicate:
+		return duplicate(v)
+	default:
+		return notRun(fasthttp.StatusInternalServerError, models.ReasonClaimUnsure, "unknown verdict")
+	}
+}
+
+func duplicate(d claim.Duplicate) *refusal {
+	r := &refusal{status: fasthttp.StatusConflict, reason: models.ReasonDuplicate, fate: models.FateUnknown}
+	r.message = "a request with this idempotency key was accepted before; its outcome is not known"
+	if d.Status != 0 {
+		r.fate = models.FateRan
+		r.message = "a request with this idempotency key has run; its status was " + fasthttp.StatusMessage(d.Status)
+	}
+	return r
+}
+
+// recordOutcome tells the log what became of the claimed request, so that a repeat can be told.
+func (h *Handler) recordOutcome(c claim.Claim, ctx *fasthttp.RequestCtx, r *refusal) {
+	switch {
+	case r == nil:
+		c.Status = ctx.Response.StatusCode()
+	case r.fate == models.FateNotRun:
+		c.Void = true
+	default:
+		return
+	}
+	h.active.Add(1)
+	go func() {
+		defer h.active.Done()
+		run, cancel := context.WithTimeout(context.Background(), service.CallTimeout)
+		defer cancel()
+		if _, err := h.claims.Ask(run, c); err != nil {
+			h.stats.Counter("claim_outcomes_lost_total").Inc(1)
+		}
+	}()
+}
+
+func (h *Handler) forwardCall(run context.Context, ctx *fasthttp.RequestCtx, c *call, s *intent.Service, path string, repeatable bool) *refusal {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	ctx.Request.CopyTo(req)
+	req.Header.Del(fasthttp.HeaderAuthorization)
+	req.Header.Set(models.HeaderRequestID, c.id)
+	req.URI().SetPath(path)
+	req.URI().SetScheme("http")
+	err := h.forward.Forward(run, s, req, &ctx.Response, repeatable)
+	switch {
+	case err == nil:
+		ctx.Response.Header.Set(models.HeaderRequestID, c.id)
+		return nil
+	case errors.Is(err, service.ErrNeverSent):
+		return notRun(fasthttp.StatusServiceUnavailable, models.ReasonServiceFailed, "no backend server of the service could be reached")
+	default:
+		return &refusal{
+			status: fasthttp.StatusBadGateway, reason: models.ReasonServiceFailed, fate: models.FateUnknown,
+			message: "the service's answer was lost",
+		}
+	}
+}
--- /dev/null
+++ b/fleet/configure.go
@@ -0,0 +1,170 @@
+package fleet
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"junctioncross/intent"
+	"junctioncross/revision"
+	"junctioncross/view"
+)
+
+const (
+	startLimit = 30 * time.Second
+	tryPause   = 50 * time.Millisecond
+	callLimit  = 2 * time.Second
+)
+
+// change is one entry of an intent file: a single key with its value.
+type change map[string]any
+
+// configure states the fleet's configuration as an intent and confirms its plan.
+func (f *Fleet) configure() error {
+	changes := f.changes()
+	_, err := f.Apply("first configuration", changes...)
+	return err
+}
+
+func (f *Fleet) changes() []map[string]any {
+	var out []map[string]any
+	add := func(key string, value any) { out = append(out, change{key: value}) }
+	for _, m := range f.spec.Models {
+		add("model", m)
+	}
+	for _, k := range f.spec.Kinds {
+		add("kind", k)
+	}
+	for _, g := range f.spec.Groups {
+		add("group", g)
+	}
+	for _, a := range f.spec.Accounts {
+		add("account", intent.Account{Name: a.Name, Group: a.Group, Weight: a.Weight, KeyHash: view.HashKey(a.Key)})
+	}
+	for _, e := range f.engines {
+		add("add_backend", intent.Backend{Name: e.Name, Addr: e.Addr, Domain: e.Domain, Kind: e.Kind, ChecksFence: true})
+	}
+	for _, s := range f.spec.Services {
+		add("service", intent.Service{Name: s.Name, Addrs: f.addrsOf(s.Name), Calls: s.Calls})
+	}
+	return out
+}
+
+func (f *Fleet) addrsOf(service string) []string {
+	var out []string
+	for _, s := range f.services {
+		if s.Name == service {
+			out = append(out, s.Addr)
+		}
+	}
+	return out
+}
+
+// Apply states an intent of the given changes, plans it and confirms the plan on the first instance that answers.
+func (f *Fleet) Apply(why string, changes ...map[string]any) (revision.Entry, error) {
+	plan, err := f.Propose(why, changes...)
+	if err != nil {
+		return revision.Entry{}, err
+	}
+	client, err := f.Operator(f.entries[0])
+	if err != nil {
+		return revision.Entry{}, err
+	}
+	return client.Confirm(plan.ID)
+}
+
+// Propose states an intent and returns its plan, which changes nothing.
+func (f *Fleet) Propose(why string, changes ...map[string]any) (revision.Plan, error) {
+	var none revision.Plan
+	body, err := yaml.Marshal(map[string]any{"why": why, "changes": changes})
+	if err != nil {
+		return none, errors.Wrap(err, "fleet: intent")
+	}
+	client, err := f.Operator(f.entries[0])
+	if err != nil {
+		return none, err
+	}
+	var id string
+	err = Eventually(startLimit, func() error {
+		answer, err := client.Intent("fleet", body)
+		id = answer.ID
+		return err
+	})
+	if err != nil {
+		return none, err
+	}
+	return client.MakePlan(id)
+}
+
+// awaitServing waits until every entry instance is ready and every engine has loaded its layers.
+func (f *Fleet) awaitServing() error {
+	return Eventually(startLimit, func() error {
+		for _, e := range f.entries {
+			if _, err := Get[any](e.Health, "/health/ready"); err != nil {
+				return errors.Wrapf(err, "fleet: %s is not ready", e.Name)
+			}
+		}
+		for _, e := range f.engines {
+			r, err := EngineReport(e.Addr)
+			if err != nil || r.State != "ready" {
+				return errors.Errorf("fleet: engine %s is %q", e.Name, r.State)
+			}
+		}
+		return nil
+	})
+}
+
+// Eventually calls try until it succeeds or the limit is over, and returns its last error.
+func Eventually(limit time.Duration, try func() error) error {
+	end := time.Now().Add(limit)
+	for {
+		err := try()
+		if err == nil || time.Now().After(end) {
+			return err
+		}
+		time.Sleep(tryPause)
+	}
+}
+
+// Post sends a JSON value to a path of a stand-in.
+func Post(addr, path string, value any) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "fleet: encode")
+	}
+	return Eventually(startLimit, func() error {
+		req := fasthttp.AcquireRequest()
+		resp := fasthttp.AcquireResponse()
+		defer fasthttp.ReleaseRequest(req)
+		defer fasthttp.ReleaseResponse(resp)
+		req.SetRequestURI("http://" + addr + path)
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.SetBody(body)
+		if err := fasthttp.DoTimeout(req, resp, callLimit); err != nil {
+			return errors.Wrapf(err, "fleet: post %s", path)
+		}
+		if resp.StatusCode() != fasthttp.StatusOK {
+			return errors.Errorf("fleet: post %s: status %d", path, resp.StatusCode())
+		}
+		return nil
+	})
+}
+
+// Get reads a path; a JSON body is decoded, and any status but 200 is an error.
+func Get[T any](addr, path string) (T, error) {
+	var value T
+	code, body, err := fasthttp.GetTimeout(nil, "http://"+addr+path, callLimit)
+	if err != nil {
+		return value, err
+	}
+	if code != fasthttp.StatusOK {
+		return value, errors.Errorf("status %d", code)
+	}
+	if len(body) > 0 && (body[0] == '{' || body[0] == '[') {
+		err = json.Unmarshal(body, &value)
+	}
+	return value, err
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,271 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"junctioncross/config"
+	"junctioncross/intent"
+	"junctioncross/keys"
+	"junctioncross/member"
+	"junctioncross/operator"
+)
+
+// OperatorName is the holder of the operator's certificate of a fleet.
+const OperatorName = "operator"
+
+// Entry is one entry instance of a fleet.
+type Entry struct {
+	Process *Process
+	Name    string
+	Domain  string
+	Callers string
+	Ops     string
+	Peers   string
+	Health  string
+}
+
+// Engine is one model engine of a fleet.
+type Engine struct {
+	Process *Process
+	Name    string
+	Domain  string
+	Kind    string
+	Addr    string
+}
+
+// Service is one process of a plain service.
+type Service struct {
+	Process *Process
+	Name    string
+	Addr    string
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	spec     Spec
+	bin      string
+	dir      string
+	starter  *starter
+	kv       string
+	list     string
+	weights  string
+	entries  []*Entry
+	engines  []*Engine
+	services []*Service
+}
+
+// Start starts every process of a fleet with the programs in bin, and puts its first configuration in force; on an error
+// everything that was started is stopped.
+func Start(spec Spec, bin string) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "jxfleet-")
+	if err != nil {
+		return nil, errors.Wrap(err, "fleet: directory")
+	}
+	f := &Fleet{spec: spec, bin: bin, dir: dir, starter: newStarter(dir)}
+	for _, step := range []func() error{f.startPlatform, f.startEngines, f.startServices, f.startEntries, f.configure, f.awaitServing} {
+		if err := step(); err != nil {
+			f.Stop()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// Stop ends every process of the fleet and removes its files.
+func (f *Fleet) Stop() {
+	f.starter.stopAll()
+	if os.Getenv("JX_KEEP") == "" {
+		_ = os.RemoveAll(f.dir)
+	}
+}
+
+// Dir returns the directory of logs, settings and keys.
+func (f *Fleet) Dir() string { return f.dir }
+
+// Entries returns the entry instances.
+func (f *Fleet) Entries() []*Entry { return f.entries }
+
+// Engines returns the model engines.
+func (f *Fleet) Engines() []*Engine { return f.engines }
+
+// Services returns the processes of plain services.
+func (f *Fleet) Services() []*Service { return f.services }
+
+// KVAddr returns the address of the key-value service.
+func (f *Fleet) KVAddr() string { return f.kv }
+
+// Spec returns the description the fleet was started from.
+func (f *Fleet) Spec() Spec { return f.spec }
+
+func (f *Fleet) program(name string) string { return filepath.Join(f.bin, name) }
+
+func (f *Fleet) startPlatform() error {
+	addrs, err := freeAddrs(3)
+	if err != nil {
+		return err
+	}
+	f.kv, f.list, f.weights = addrs[0], addrs[1], addrs[2]
+	fake := f.program("jxfake")
+	if _, err := f.starter.start("kv", fake, "kv", "--listen", f.kv); err != nil {
+		return err
+	}
+	if _, err := f.starter.start("list", fake, "list", "--listen", f.list, "--lag", f.spec.ListLag.String()); err != nil {
+		return err
+	}
+	_, err = f.starter.start("weights", fake, "weights", "--listen", f.weights, "--per-layer", f.spec.LayerLoad.String())
+	return err
+}
+
+func (f *Fleet) startEngines() error {
+	addrs, err := freeAddrs(len(f.spec.Domains) * len(f.spec.Engines))
+	if err != nil {
+		return err
+	}
+	for _, domain := range f.spec.Domains {
+		for i, kind := range f.spec.Engines {
+			e := &Engine{Name: fmt.Sprintf("%s-%s%d", domain, kind, i), Domain: domain, Kind: kind, Addr: addrs[len(f.engines)]}
+			if err := f.StartEngine(e); err != nil {
+				return err
+			}
+			f.engines = append(f.engines, e)
+		}
+	}
+	return nil
+}
+
+// StartEngine starts the process of an engine, for the first time or anew.
+func (f *Fleet) StartEngine(e *Engine) error {
+	k := f.kind(e.Kind)
+	p, err := f.starter.start(e.Name, f.program("jxfake"), "engine", "--listen", e.Addr, "--name", e.Name, "--weights", f.weights,
+		"--layer-micros", fmt.Sprint(k.LayerMicros), "--sequence-micros", fmt.Sprint(k.SequenceMicros), "--max-batch", fmt.Sprint(k.MaxBatch))
+	e.Process = p
+	return err
+}
+
+func (f *Fleet) kind(name string) intent.Kind {
+	for _, k := range f.spec.Kinds {
+		if k.Name == name {
+			return k
+		}
+	}
+	return intent.Kind{}
+}
+
+func (f *Fleet) startServices() error {
+	for _, s := range f.spec.Services {
+		addrs, err := freeAddrs(s.Count)
+		if err != nil {
+			return err
+		}
+		for i, addr := range addrs {
+			name := fmt.Sprintf("%s-%d", s.Name, i)
+			p, err := f.starter.start(name, f.program("jxfake"), "service", "--listen", addr, "--name", s.Name)
+			if err != nil {
+				return err
+			}
+			f.services = append(f.services, &Service{Process: p, Name: s.Name, Addr: addr})
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startEntries() error {
+	for d, domain := range f.spec.Domains {
+		for i := range f.spec.Entries[d] {
+			addrs, err := freeAddrs(4)
+			if err != nil {
+				return err
+			}
+			f.entries = append(f.entries, &Entry{
+				Name: fmt.Sprintf("%s-%d", domain, i), Domain: domain,
+				Callers: addrs[0], Ops: addrs[1], Peers: addrs[2], Health: addrs[3],
+			})
+		}
+	}
+	if err := f.makeKeys(); err != nil {
+		return err
+	}
+	if err := f.SetList(nil); err != nil {
+		return err
+	}
+	for _, e := range f.entries {
+		if err := f.StartEntry(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) keyDir() string { return filepath.Join(f.dir, "keys") }
+
+func (f *Fleet) makeKeys() error {
+	now := time.Now()
+	a, err := keys.NewAuthority(now)
+	if err != nil {
+		return err
+	}
+	if err := a.Write(f.keyDir()); err != nil {
+		return err
+	}
+	for _, e := range f.entries {
+		if err := a.Issue(f.keyDir(), keys.NewIdentity(keys.RoleInstance, e.Domain, e.Name), now); err != nil {
+			return err
+		}
+	}
+	return a.Issue(f.keyDir(), keys.NewIdentity(keys.RoleOperator, "", OperatorName), now)
+}
+
+// SetList gives the platform's list every instance, those named in leaving as leaving.
+func (f *Fleet) SetList(leaving map[string]bool) error {
+	var lines []member.Listed
+	for _, e := range f.entries {
+		lines = append(lines, member.Listed{Name: e.Name, Addr: e.Peers, Domain: e.Domain, Role: member.RoleEntry, Leaving: leaving[e.Name]})
+	}
+	for _, e := range f.engines {
+		lines = append(lines, member.Listed{Name: e.Name, Addr: e.Addr, Domain: e.Domain, Role: member.RoleBackend, Leaving: leaving[e.Name]})
+	}
+	return Post(f.list, member.PathInstances, lines)
+}
+
+// StartEntry starts the process of an entry instance, for the first time or anew.
+func (f *Fleet) StartEntry(e *Entry) error {
+	set := config.Default()
+	set.Instance = config.Instance{Name: e.Name, Domain: e.Domain}
+	set.Listen = config.Listen{Callers: e.Callers, Operators: e.Ops, Peers: e.Peers, Health: e.Health}
+	set.Platform = config.Platform{KV: f.kv, Instances: f.list}
+	set.Keys = config.Keys{
+		Authority:   filepath.Join(f.keyDir(), keys.FileAuthority),
+		Certificate: filepath.Join(f.keyDir(), e.Name+".pem"),
+		Key:         filepath.Join(f.keyDir(), e.Name+"-key.pem"),
+	}
+	set.Limits.QueueWait = f.spec.QueueWait
+	body, err := yaml.Marshal(set)
+	if err != nil {
+		return errors.Wrap(err, "fleet: settings")
+	}
+	path := filepath.Join(f.dir, e.Name+".yaml")
+	if err := os.WriteFile(path, body, 0o600); err != nil {
+		return errors.Wrap(err, "fleet: settings")
+	}
+	e.Process, err = f.starter.start(e.Name, f.program("jxd"), "run", path)
+	return err
+}
+
+// Operator returns an operator's client of an entry instance.
+func (f *Fleet) Operator(e *Entry) (*operator.Client, error) {
+	ring, err := keys.NewRing(keys.Files{
+		Authority:   filepath.Join(f.keyDir(), keys.FileAuthority),
+		Certificate: filepath.Join(f.keyDir(), OperatorName+".pem"),
+		Key:         filepath.Join(f.keyDir(), OperatorName+"-key.pem"),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewClient(e.Ops, ring), nil
+}
--- /dev/null
+++ b/fleet/spec.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"junctioncross/intent"
+)
+
+// Spec describes a fleet.
+type Spec struct {
+	// Domains are the failure domains.
+	Domains []string
+	// Entries is the number of entry instances in each domain, in the domains' order.
+	Entries  []int
+	Models   []intent.Model
+	Groups   []intent.Group
+	Accounts []AccountSpec
+	Kinds    []intent.Kind
+	// Engines lists the kinds of the engines of each domain.
+	Engines  []string
+	Services []ServiceSpec
+	// ListLag is how old the platform's list is.
+	ListLag time.Duration
+	// LayerLoad is the weight store's time for one layer.
+	LayerLoad time.Duration
+	// QueueWait is the instances' limit on the predicted wait.
+	QueueWait time.Duration
+}
+
+// AccountSpec is a client account with its bearer key.
+type AccountSpec struct {
+	Name   string
+	Group  string
+	Key    string
+	Weight float64
+}
+
+// ServiceSpec is a plain service.
+type ServiceSpec struct {
+	Name  string
+	Count int
+	Calls []intent.Call
+}
+
+// Names of the shape that Users returns.
+const (
+	ModelCounter   = "counter-assistant"
+	ModelQuotes    = "quote-writer"
+	AccountCounter = "arcade"
+	AccountQuotes  = "erdenet"
+	KeyCounter     = "sk-arcade"
+	KeyQuotes      = "sk-erdenet"
+	ServiceCards   = "cards"
+	ServiceBooking = "bookings"
+)
+
+// Users returns the shape of the two users of today: three failure domains, eight entry instances, engines of five kinds
+// and plain services.
+func Users() Spec {
+	return Spec{
+		Domains: []string{"fukuoka", "kumamoto", "kagoshima"},
+		Entries: []int{3, 3, 2},
+		Models: []intent.Model{
+			{Name: ModelCounter, Layers: 24, Version: "v1"},
+			{Name: ModelQuotes, Layers: 32, Version: "v1"},
+		},
+		Groups: []intent.Group{
+			{Name: "counter", Weight: 1, Models: []string{ModelCounter}},
+			{Name: "quotes", Weight: 1, Models: []string{ModelQuotes}},
+		},
+		Accounts:  accounts(),
+		Kinds:     Kinds(),
+		Engines:   []string{"a", "a", "b", "b", "c", "c", "d", "e"},
+		Services:  services(),
+		ListLag:   5 * time.Second,
+		LayerLoad: 2 * time.Millisecond,
+		QueueWait: 2 * time.Second,
+	}
+}
+
+// Kinds returns the five kinds of accelerators, from fast to slow.
+func Kinds() []intent.Kind {
+	return []intent.Kind{
+		{Name: "a", LayerMicros: 150, SequenceMicros: 8, MaxBatch: 16, MaxLayers: 24},
+		{Name: "b", LayerMicros: 200, SequenceMicros: 10, MaxBatch: 16, MaxLayers: 20},
+		{Name: "c", LayerMicros: 250, SequenceMicros: 14, MaxBatch: 12, MaxLayers: 20},
+		{Name: "d", LayerMicros: 320, SequenceMicros: 18, MaxBatch: 8, MaxLayers: 16},
+		{Name: "e", LayerMicros: 400, SequenceMicros: 25, MaxBatch: 8, MaxLayers: 16},
+	}
+}
+
+func accounts() []AccountSpec {
+	out := []AccountSpec{
+		{Name: AccountCounter, Group: "counter", Key: KeyCounter, Weight: 1},
+		{Name: AccountQuotes, Group: "quotes", Key: KeyQuotes, Weight: 1},
+	}
+	for i := range 9 {
+		out = append(out,
+			AccountSpec{Name: fmt.Sprintf("title-%d", i), Group: "counter", Key: fmt.Sprintf("sk-title-%d", i), Weight: 1},
+			AccountSpec{Name: fmt.Sprintf("agent-%d", i), Group: "quotes", Key: fmt.Sprintf("sk-agent-%d", i), Weight: 1})
+	}
+	return out
+}
+
+func services() []ServiceSpec {
+	return []ServiceSpec{
+		{Name: ServiceCards, Count: 2, Calls: []intent.Call{{Method: "GET", Path: "/", Repeatable: true}}},
+		{Name: ServiceBooking, Count: 2, Calls: []intent.Call{
+			{Method: "GET", Path: "/rates", Repeatable: true},
+			{Method: "POST", Path: "/confirm", Repeatable: false},
+		}},
+	}
+}
--- /dev/null
+++ b/gossip/table.go
@@ -0,0 +1,173 @@
+package gossip
+
+import (
+	"bytes"
+	"sort"
+	"time"
+)
+
+// Entry is one fact that an origin states about itself or about what it sees.
+type Entry struct {
+	Key     string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	Body    []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// Known is how far the statements of an origin are known.
+type Known struct {
+	Incarnation uint64 `cbor:"1,keyasint"`
+	Version     uint64 `cbor:"2,keyasint"`
+}
+
+// Digest says for each origin how far its statements are known.
+type Digest map[string]Known
+
+// Update carries the statements of one origin that the receiver lacks.
+type Update struct {
+	Origin  string  `cbor:"1,keyasint"`
+	Known   Known   `cbor:"2,keyasint"`
+	Entries []Entry `cbor:"3,keyasint,omitempty"`
+}
+
+type origin struct {
+	known   Known
+	entries map[string]Entry
+	seen    time.Time
+}
+
+// Table holds what an instance knows of the origins of its domain.
+type Table struct {
+	self    string
+	origins map[string]*origin
+}
+
+// New returns a Table for the instance of that name; incarnation must grow with every start of it.
+func New(self string, incarnation uint64, now time.Time) *Table {
+	t := &Table{self: self, origins: map[string]*origin{}}
+	t.origins[self] = &origin{known: Known{Incarnation: incarnation}, entries: map[string]Entry{}, seen: now}
+	return t
+}
+
+// Set states a fact about this instance; an unchanged body is not stated again.
+func (t *Table) Set(key string, body []byte) {
+	own := t.origins[t.self]
+	if old, ok := own.entries[key]; ok && bytes.Equal(old.Body, body) {
+		return
+	}
+	own.known.Version++
+	own.entries[key] = Entry{Key: key, Version: own.known.Version, Body: body}
+}
+
+// Beat shows the others that this instance lives.
+func (t *Table) Beat(now time.Time) {
+	own := t.origins[t.self]
+	own.known.Version++
+	own.seen = now
+}
+
+// Digest returns how far every origin is known here.
+func (t *Table) Digest() Digest {
+	d := make(Digest, len(t.origins))
+	for name, o := range t.origins {
+		d[name] = o.known
+	}
+	return d
+}
+
+// Delta returns what the holder of a digest lacks.
+func (t *Table) Delta(theirs Digest) []Update {
+	var out []Update
+	for name, o := range t.origins {
+		known := theirs[name]
+		if !newer(o.known, known) {
+			continue
+		}
+		u := Update{Origin: name, Known: o.known}
+		for _, e := range o.entries {
+			if known.Incarnation != o.known.Incarnation || e.Version > known.Version {
+				u.Entries = append(u.Entries, e)
+			}
+		}
+		out = append(out, u)
+	}
+	return out
+}
+
+func newer(a, b Known) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Version > b.Version
+}
+
+// Merge takes updates in and reports whether any entry changed; updates about this instance itself are ignored.
+func (t *Table) Merge(updates []Update, now time.Time) bool {
+	changed := false
+	for _, u := range updates {
+		if u.Origin == t.self {
+			continue
+		}
+		o := t.origins[u.Origin]
+		if o != nil && !newer(u.Known, o.known) {
+			continue
+		}
+		if o == nil || o.known.Incarnation != u.Known.Incarnation {
+			o = &origin{entries: map[string]Entry{}}
+			t.origins[u.Origin] = o
+			changed = true
+		}
+		o.seen = now
+		o.known = u.Known
+		for _, e := range u.Entries {
+			if e.Version > o.entries[e.Key].Version {
+				o.entries[e.Key] = e
+				changed = true
+			}
+		}
+	}
+	return changed
+}
+
+// Forget drops the origins that were silent for longer than limit.
+func (t *Table) Forget(now time.Time, limit time.Duration) {
+	for name, o := range t.origins {
+		if name != t.self && now.Sub(o.seen) > limit {
+			delete(t.origins, name)
+		}
+	}
+}
+
+// Origin is what is known of one instance.
+type Origin struct {
+	Name        string
+	Incarnation uint64
+	Silent      time.Duration
+	entries     map[string]Entry
+}
+
+// Entry returns the body of an entry.
+func (o Origin) Entry(key string) ([]byte, bool) {
+	e, ok := o.entries[key]
+	return e.Body, ok
+}
+
+// Each calls fn for every entry.
+func (o Origin) Each(fn func(key string, body []byte)) {
+	for k, e := range o.entries {
+		fn(k, e.Body)
+	}
+}
+
+// Origins returns what is known of every instance, in order of name.
+func (t *Table) Origins(now time.Time) []Origin {
+	out := make([]Origin, 0, len(t.origins))
+	for name, o := range t.origins {
+		silent := now.Sub(o.seen)
+		if name == t.self {
+			silent = 0
+		}
+		out = append(out, Origin{Name: name, Incarnation: o.known.Incarnation, Silent: silent, entries: o.entries})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- /dev/null
+++ b/keys/authority.go
@@ -0,0 +1,109 @@
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	authorityLife   = 10 * 365 * 24 * time.Hour
+	certificateLife = 365 * 24 * time.Hour
+	backdate        = time.Hour
+	serialBits      = 128
+	fileMode        = 0o600
+	dirMode         = 0o700
+)
+
+// Names of the files that Write makes.
+const (
+	FileAuthority = "ca.pem"
+	suffixCert    = ".pem"
+	suffixKey     = "-key.pem"
+)
+
+// Authority signs certificates for development and tests.
+type Authority struct {
+	cert *x509.Certificate
+	der  []byte
+	key  *ecdsa.PrivateKey
+}
+
+// NewAuthority returns an authority with a fresh key.
+func NewAuthority(now time.Time) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "keys: generate")
+	}
+	template := &x509.Certificate{
+		SerialNumber: serial(), Subject: pkix.Name{CommonName: "junctioncross development authority"},
+		NotBefore: now.Add(-backdate), NotAfter: now.Add(authorityLife),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.Wrap(err, "keys: sign authority")
+	}
+	cert, err := x509.ParseCertificate(der)
+	return &Authority{cert: cert, der: der, key: key}, errors.Wrap(err, "keys: parse authority")
+}
+
+func serial() *big.Int {
+	n, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
+
+// Write puts the authority's certificate into a directory.
+func (a *Authority) Write(dir string) error {
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return errors.Wrap(err, "keys")
+	}
+	return writePEM(filepath.Join(dir, FileAuthority), "CERTIFICATE", a.der)
+}
+
+// Issue writes a certificate and key for an identity into a directory, as NAME.pem and NAME-key.pem.
+func (a *Authority) Issue(dir string, id Identity, now time.Time) error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return errors.Wrap(err, "keys: generate")
+	}
+	template := &x509.Certificate{
+		SerialNumber: serial(), Subject: pkix.Name{CommonName: id.name},
+		NotBefore: now.Add(-backdate), NotAfter: now.Add(certificateLife),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		URIs:        []*url.URL{id.uri()},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return errors.Wrap(err, "keys: sign")
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return errors.Wrap(err, "keys: encode key")
+	}
+	if err := writePEM(filepath.Join(dir, id.name+suffixKey), "PRIVATE KEY", private); err != nil {
+		return err
+	}
+	return writePEM(filepath.Join(dir, id.name+suffixCert), "CERTIFICATE", der)
+}
+
+func writePEM(path, kind string, der []byte) error {
+	body := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	return errors.Wrap(os.WriteFile(path, body, fileMode), "keys: write")
+}
--- /dev/null
+++ b/keys/doc.go
@@ -0,0 +1,2 @@
+// Package keys makes and loads the certificates by which instances and operators know each other.
+package keys
--- /dev/null
+++ b/keys/identity.go
@@ -0,0 +1,57 @@
+package keys
+
+import (
+	"crypto/x509"
+	"net/url"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Role says what the holder of a certificate may do.
+type Role string
+
+// Roles of certificate holders.
+const (
+	RoleInstance Role = "instance"
+	RoleOperator Role = "operator"
+	RoleViewer   Role = "viewer"
+)
+
+const scheme = "jx"
+
+// Identity is the holder of a certificate, kept in it as a URI such as jx://instance/east/a1.
+type Identity struct {
+	role   Role
+	domain string
+	name   string
+}
+
+// NewIdentity returns an identity; domain is empty but for instances.
+func NewIdentity(role Role, domain, name string) Identity {
+	return Identity{role: role, domain: domain, name: name}
+}
+
+// Role returns what the holder may do.
+func (i Identity) Role() Role { return i.role }
+
+// Domain returns the failure domain of an instance.
+func (i Identity) Domain() string { return i.domain }
+
+// Name returns the holder's name.
+func (i Identity) Name() string { return i.name }
+
+func (i Identity) uri() *url.URL {
+	return &url.URL{Scheme: scheme, Host: string(i.role), Path: "/" + i.domain + "/" + i.name}
+}
+
+// IdentityOf reads the identity from a verified certificate.
+func IdentityOf(c *x509.Certificate) (Identity, error) {
+	for _, u := range c.URIs {
+		parts := strings.Split(strings.TrimPrefix(u.Path, "/"), "/")
+		if u.Scheme == scheme && len(parts) == 2 {
+			return Identity{role: Role(u.Host), domain: parts[0], name: parts[1]}, nil
+		}
+	}
+	return Identity{}, errors.New("keys: certificate names no holder")
+}
--- /dev/null
+++ b/link/client.go
@@ -0,0 +1,122 @@
+package link
+
+import (
+	"context"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+
+	"junctioncross/keys"
+	"junctioncross/metrics"
+)
+
+// Client calls other instances and keeps its connections while they are in use.
+type Client struct {
+	ring  *keys.Ring
+	stats *metrics.Registry
+
+	mu    sync.Mutex
+	conns map[string]*quic.Conn
+}
+
+// NewClient returns a Client that shows the ring's certificate.
+func NewClient(ring *keys.Ring, stats *metrics.Registry) *Client {
+	return &Client{ring: ring, stats: stats, conns: map[string]*quic.Conn{}}
+}
+
+// Call sends a question to the instance at addr; it returns ErrUnreachable, ErrLost or ErrRefused.
+func Call[Q, A any](ctx context.Context, c *Client, addr string, kind Kind, q Q) (A, error) {
+	var answer A
+	body, err := cbor.Marshal(q)
+	if err != nil {
+		return answer, errors.Wrap(ErrRefused, err.Error())
+	}
+	a, err := c.exchange(ctx, addr, question{Kind: kind, Body: body})
+	if err != nil {
+		return answer, err
+	}
+	if a.Refused != "" {
+		return answer, errors.Wrap(ErrRefused, a.Refused)
+	}
+	if err := cbor.Unmarshal(a.Body, &answer); err != nil {
+		return answer, errors.Wrap(ErrLost, err.Error())
+	}
+	return answer, nil
+}
+
+func (c *Client) exchange(ctx context.Context, addr string, q question) (reply, error) {
+	conn, err := c.connect(ctx, addr)
+	if err != nil {
+		return reply{}, errors.Wrap(ErrUnreachable, err.Error())
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		c.drop(addr, conn)
+		return reply{}, errors.Wrap(ErrUnreachable, err.Error())
+	}
+	// Without this an abandoned call would hold its stream until the connection ends.
+	stop := context.AfterFunc(ctx, func() {
+		stream.CancelRead(0)
+		stream.CancelWrite(0)
+	})
+	defer stop()
+	if err := writeMessage(stream, q); err != nil {
+		c.drop(addr, conn)
+		return reply{}, errors.Wrap(ErrLost, err.Error())
+	}
+	if err := stream.Close(); err != nil {
+		return reply{}, errors.Wrap(ErrLost, err.Error())
+	}
+	c.stats.Counter("link_calls_made_total").Inc(1)
+	c.stats.Counter("link_bytes_sent_total").Inc(int64(len(q.Body)))
+	a, err := readMessage[reply](stream)
+	if err != nil {
+		c.drop(addr, conn)
+		return a, errors.Wrap(ErrLost, err.Error())
+	}
+	c.stats.Counter("link_bytes_received_total").Inc(int64(len(a.Body)))
+	return a, nil
+}
+
+func (c *Client) connect(ctx context.Context, addr string) (*quic.Conn, error) {
+	c.mu.Lock()
+	conn := c.conns[addr]
+	c.mu.Unlock()
+	if conn != nil && conn.Context().Err() == nil {
+		return conn, nil
+	}
+	conn, err := quic.DialAddr(ctx, addr, c.ring.Client(protocol), settings())
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other := c.conns[addr]; other != nil && other.Context().Err() == nil {
+		_ = conn.CloseWithError(0, "second connection")
+		return other, nil
+	}
+	c.conns[addr] = conn
+	return conn, nil
+}
+
+// drop closes a connection on which a call failed, so that the next call opens a fresh one.
+func (c *Client) drop(addr string, conn *quic.Conn) {
+	_ = conn.CloseWithError(0, "call failed")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[addr] == conn {
+		delete(c.conns, addr)
+	}
+}
+
+// Close ends every connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		_ = conn.CloseWithError(0, "closing")
+	}
+	c.conns = map[string]*quic.Conn{}
+}
--- /dev/null
+++ b/link/server.go
@@ -0,0 +1,124 @@
+package link
+
+import (
+	"context"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/sirupsen/logrus"
+
+	"junctioncross/keys"
+	"junctioncross/metrics"
+)
+
+type handler func(ctx context.Context, from keys.Identity, body []byte) (any, error)
+
+// Mux maps calls to their handlers; all are added before the server starts.
+type Mux struct {
+	handlers map[Kind]handler
+}
+
+// NewMux returns an empty Mux.
+func NewMux() *Mux { return &Mux{handlers: map[Kind]handler{}} }
+
+// Handle adds the handler of a call.
+func Handle[Q, A any](m *Mux, kind Kind, fn func(ctx context.Context, from keys.Identity, q Q) (A, error)) {
+	m.handlers[kind] = func(ctx context.Context, from keys.Identity, body []byte) (any, error) {
+		var q Q
+		if err := cbor.Unmarshal(body, &q); err != nil {
+			return nil, errors.Wrap(err, "decode call")
+		}
+		return fn(ctx, from, q)
+	}
+}
+
+// Server answers calls from other instances.
+type Server struct {
+	listener *quic.Listener
+	mux      *Mux
+	stats    *metrics.Registry
+	log      *logrus.Logger
+}
+
+// Listen starts a Server on addr, an IP number and UDP port.
+func Listen(addr string, ring *keys.Ring, mux *Mux, stats *metrics.Registry, log *logrus.Logger) (*Server, error) {
+	listener, err := quic.ListenAddr(addr, ring.Server(protocol), settings())
+	if err != nil {
+		return nil, errors.Wrapf(err, "link: listen on %s", addr)
+	}
+	s := &Server{listener: listener, mux: mux, stats: stats, log: log}
+	go func() { s.accept() }()
+	return s, nil
+}
+
+// Close ends the server and its connections.
+func (s *Server) Close() error { return s.listener.Close() }
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.listener.Accept(context.Background())
+		if err != nil {
+			return
+		}
+		go func() { s.serveConnection(conn) }()
+	}
+}
+
+func (s *Server) serveConnection(conn *quic.Conn) {
+	from, err := identify(conn)
+	if err != nil {
+		s.stats.Counter("link_refused_total").Inc(1)
+		s.log.WithError(err).Warn("link peer refused")
+		_ = conn.CloseWithError(1, "unknown holder")
+		return
+	}
+	for {
+		stream, err := conn.AcceptStream(conn.Context())
+		if err != nil {
+			return
+		}
+		go func() { s.serveStream(conn.Context(), from, stream) }()
+	}
+}
+
+func identify(conn *quic.Conn) (keys.Identity, error) {
+	chain := conn.ConnectionState().TLS.PeerCertificates
+	if len(chain) == 0 {
+		return keys.Identity{}, errors.New("link: no certificate")
+	}
+	id, err := keys.IdentityOf(chain[0])
+	if err == nil && id.Role() != keys.RoleInstance {
+		return id, errors.Errorf("link: role %s is no instance", id.Role())
+	}
+	return id, err
+}
+
+func (s *Server) serveStream(ctx context.Context, from keys.Identity, stream *quic.Stream) {
+	defer stream.Close()
+	q, err := readMessage[question](stream)
+	if err != nil {
+		return
+	}
+	s.stats.Counter("link_calls_served_total").Inc(1)
+	s.stats.Counter("link_bytes_received_total").Inc(int64(len(q.Body)))
+	a := s.run(ctx, from, q)
+	s.stats.Counter("link_bytes_sent_total").Inc(int64(len(a.Body)))
+	_ = writeMessage(stream, a)
+}
+
+func (s *Server) run(ctx context.Context, from keys.Identity, q question) reply {
+	h := s.mux.handlers[q.Kind]
+	if h == nil {
+		return reply{Refused: "unknown call"}
+	}
+	value, err := h(ctx, from, q.Body)
+	if err != nil {
+		return reply{Refused: err.Error()}
+	}
+	body, err := cbor.Marshal(value)
+	if err != nil {
+		return reply{Refused: err.Error()}
+	}
+	return reply{Body: body}
+}
--- /dev/null
+++ b/member/listed.go
@@ -0,0 +1,22 @@
+package member
+
+// PathInstances is the path of the platform's instance list.
+const PathInstances = "/instances"
+
+// Role says what an instance is for.
+type Role string
+
+// Roles of instances.
+const (
+	RoleEntry   Role = "entry"
+	RoleBackend Role = "backend"
+)
+
+// Listed is one line of the platform's instance list.
+type Listed struct {
+	Name    string `json:"name"`
+	Addr    string `json:"addr"`
+	Domain  string `json:"domain"`
+	Role    Role   `json:"role"`
+	Leaving bool   `json:"leaving"`
+}
--- /dev/null
+++ b/models/doc.go
@@ -0,0 +1,2 @@
+// Package models holds the small value types that the other packages share.
+package models
--- /dev/null
+++ b/models/layers.go
@@ -0,0 +1,27 @@
+package models
+
+import "fmt"
+
+// Layers is a half-open range [First, End) of a model's layers.
+type Layers struct {
+	First int `cbor:"1,keyasint" json:"first"`
+	End   int `cbor:"2,keyasint" json:"end"`
+}
+
+// Count returns the number of layers in the range.
+func (l Layers) Count() int { return l.End - l.First }
+
+// String returns the range in interval notation.
+func (l Layers) String() string { return fmt.Sprintf("[%d,%d)", l.First, l.End) }
+
+// Tile reports whether the ranges cover [0, total) exactly once and in order.
+func Tile(ranges []Layers, total int) bool {
+	next := 0
+	for _, r := range ranges {
+		if r.First != next || r.End <= r.First {
+			return false
+		}
+		next = r.End
+	}
+	return next == total
+}
--- /dev/null
+++ b/order/leader.go
@@ -0,0 +1,154 @@
+package order
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"junctioncross/engine"
+	"junctioncross/metrics"
+	"junctioncross/timer"
+)
+
+const (
+	// Period is how often the leader compares plan and servers.
+	Period       = 500 * time.Millisecond
+	callTimeout  = time.Second
+	orderTimeout = 700 * time.Millisecond
+	maxMoves     = 2
+	// unfencedWait keeps a new leader from servers that take any order until a former leader's last one has arrived.
+	unfencedWait = leaseTTL + orderTimeout
+	// settleTime is how long the news that a server is moving may take to reach every instance of the domain.
+	settleTime = 3 * time.Second
+)
+
+// Fleet is what the leader knows of its domain.
+type Fleet interface {
+	// Chosen reports whether this instance is the one to lead.
+	Chosen() bool
+	// Targets returns the servers of the domain with what they should hold.
+	Targets() []Target
+	// Seen returns what the servers were last known to hold.
+	Seen() map[string]Seen
+	// SetMoving names the servers that must get no new work until they have taken their order.
+	SetMoving(names []string)
+}
+
+// Leader gives the orders of one failure domain while it holds the lease.
+type Leader struct {
+	fleet  Fleet
+	lease  *Lease
+	caller *engine.Caller
+	clock  *timer.Service
+	stats  *metrics.Registry
+	log    *logrus.Logger
+	leads  atomic.Bool
+	// moving holds when each server's drain began; it belongs to the leader's goroutine.
+	moving map[string]time.Time
+}
+
+// New returns a Leader and starts it; it stops when ctx ends.
+func New(ctx context.Context, fleet Fleet, lease *Lease, caller *engine.Caller, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger) *Leader {
+	l := &Leader{
+		fleet: fleet, lease: lease, caller: caller, clock: clock, stats: stats, log: log,
+		moving: map[string]time.Time{},
+	}
+	ticks := clock.Subscribe(Period)
+	go func() {
+		defer ticks.Stop()
+		for {
+			select {
+			case <-ticks.C():
+				l.Step(ctx)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return l
+}
+
+// Leads reports whether the last step held the lease.
+func (l *Leader) Leads() bool { return l.leads.Load() }
+
+// Step keeps the lease when this instance is to lead, and gives the orders that are due.
+func (l *Leader) Step(ctx context.Context) {
+	if !l.fleet.Chosen() {
+		l.rest()
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := l.lease.Keep(ctx); err != nil {
+		l.stats.Counter("lease_errors_total").Inc(1)
+	}
+	fence, since, held := l.lease.Held()
+	l.leads.Store(held)
+	if !held {
+		return
+	}
+	l.giveOrders(fence, since)
+}
+
+func (l *Leader) rest() {
+	if l.leads.Swap(false) {
+		l.lease.GiveUp()
+		l.fleet.SetMoving(nil)
+	}
+}
+
+func (l *Leader) giveOrders(fence uint64, since time.Duration) {
+	d := Decide(l.fleet.Targets(), l.fleet.Seen(), maxMoves)
+	l.startMoves(d.Drain)
+	for _, t := range d.Drain {
+		if l.clock.Since(l.moving[t.Name]) >= settleTime && l.empty(t) {
+			d.Send = append(d.Send, t)
+		}
+	}
+	for _, t := range d.Send {
+		if t.ChecksFence || since >= unfencedWait {
+			l.send(t, fence)
+		}
+	}
+}
+
+// startMoves tells the domain which servers are drained and remembers since when.
+func (l *Leader) startMoves(drains []Target) {
+	moving := make(map[string]time.Time, len(drains))
+	names := make([]string, 0, len(drains))
+	for _, t := range drains {
+		since, ok := l.moving[t.Name]
+		if !ok {
+			since = l.clock.Now()
+		}
+		moving[t.Name] = since
+		names = append(names, t.Name)
+	}
+	l.moving = moving
+	l.fleet.SetMoving(names)
+}
+
+// empty reports whether a drained server holds no attempt any more.
+func (l *Leader) empty(t Target) bool {
+	report, err := l.caller.Report(t.Addr, orderTimeout)
+	return err == nil && report.Held == 0 && report.Running == 0 && report.Waiting == 0
+}
+
+func (l *Leader) send(t Target, fence uint64) {
+	if _, _, held := l.lease.Held(); !held {
+		return
+	}
+	err := l.caller.Order(t.Addr, engine.Order{
+		Fence: fence, Model: t.Model, Version: t.Version, Layers: t.Layers, Total: t.Total,
+	}, orderTimeout)
+	l.stats.Counter("orders_total").Inc(1)
+	fields := l.log.WithFields(logrus.Fields{"server": t.Name, "model": t.Model, "layers": t.Layers.String(), "fence": fence})
+	if err != nil {
+		l.stats.Counter("orders_failed_total").Inc(1)
+		fields.WithError(err).Warn("order failed")
+		return
+	}
+	fields.Info("order given")
+}
--- /dev/null
+++ b/order/lease.go
@@ -0,0 +1,106 @@
+package order
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/kv"
+	"junctioncross/timer"
+)
+
+const (
+	leaseTTL = 5 * time.Second
+	// leaseMargin is how much earlier than the service the holder considers its lease over.
+	leaseMargin = 1500 * time.Millisecond
+	prefixLease = "lead/"
+)
+
+// Lease is the right to give orders in one failure domain.
+type Lease struct {
+	store  kv.Store
+	clock  *timer.Service
+	key    string
+	holder string
+
+	mu       sync.Mutex
+	revision kv.Revision
+	fence    uint64
+	until    time.Time
+	since    time.Time
+}
+
+// NewLease returns a lease that is not held; holder names this process and incarnation.
+func NewLease(store kv.Store, clock *timer.Service, domain, holder string) *Lease {
+	return &Lease{store: store, clock: clock, key: prefixLease + domain, holder: holder}
+}
+
+// Held returns the fence while the lease is surely held, and for how long it has been.
+func (l *Lease) Held() (fence uint64, since time.Duration, held bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	if l.fence == 0 || !now.Before(l.until) {
+		return 0, 0, false
+	}
+	return l.fence, now.Sub(l.since), true
+}
+
+// Keep takes or renews the lease; it returns the service's error, after which Held tells the truth.
+func (l *Lease) Keep(ctx context.Context) error {
+	before := l.clock.Now()
+	l.mu.Lock()
+	expect := l.revision
+	l.mu.Unlock()
+	revision, err := l.store.Write(ctx, kv.Put{Key: l.key, Value: []byte(l.holder), Expect: expect, TTL: leaseTTL})
+	switch {
+	case err == nil:
+		l.granted(revision, expect, before)
+		return nil
+	case errors.Is(err, kv.ErrConflict), errors.Is(err, kv.ErrUnsure):
+		return l.readBack(ctx, before)
+	default:
+		return err
+	}
+}
+
+func (l *Lease) granted(revision, expect kv.Revision, before time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if expect == 0 || l.fence == 0 {
+		l.fence = uint64(revision)
+		l.since = before
+	}
+	l.revision = revision
+	l.until = before.Add(leaseTTL - leaseMargin)
+}
+
+// readBack settles a write whose answer was lost, or that another holder won.
+func (l *Lease) readBack(ctx context.Context, before time.Time) error {
+	record, err := l.store.Get(ctx, l.key)
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil || string(record.Value) != l.holder {
+		l.revision, l.fence = 0, 0
+		return nil
+	}
+	if l.fence != uint64(record.Created) {
+		l.fence = uint64(record.Created)
+		l.since = before
+	}
+	l.revision = record.Revision
+	// The write may have taken effect at any moment up to now, so only what was known before counts for the end.
+	return nil
+}
+
+// GiveUp forgets the lease, which then ends by itself.
+func (l *Lease) GiveUp() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.revision, l.fence = 0, 0
+}
--- /dev/null
+++ b/plan/compare.go
@@ -0,0 +1,29 @@
+package plan
+
+import (
+	"fmt"
+
+	"junctioncross/intent"
+)
+
+// Compare returns, for each model, what the change does to the throughput that the hardware allows and to the shares.
+func Compare(before, after *intent.Document) []string {
+	var out []string
+	for _, m := range after.Models {
+		was, will := Bound(before, m.Name), Bound(after, m.Name)
+		if was != will {
+			out = append(out, fmt.Sprintf("model %s: bound %.0f -> %.0f tokens a second", m.Name, was, will))
+		}
+	}
+	total := 0.0
+	for _, g := range after.Groups {
+		total += g.Weight
+	}
+	for _, g := range after.Groups {
+		old := before.Group(g.Name)
+		if old == nil || old.Weight != g.Weight {
+			out = append(out, fmt.Sprintf("group %s: share %.1f%%", g.Name, 100*g.Weight/total))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/plan/place.go
@@ -0,0 +1,181 @@
+package plan
+
+import (
+	"fmt"
+	"sort"
+
+	"junctioncross/intent"
+	"junctioncross/models"
+)
+
+// maxSegments bounds the search over the number of cuts of a model.
+const maxSegments = 16
+
+// Place returns the document with layers on every backend server that has none yet, and what it did in words.
+//
+// Every model is cut at the same layers within one failure domain, so that any server of a segment can stand in for any
+// other; the cuts and the servers are chosen so that the slowest segment is as fast as can be.
+func Place(d *intent.Document) (*intent.Document, []string) {
+	next := d.Clone()
+	var effects []string
+	weights := modelWeights(next)
+	for _, domain := range domainsOf(next) {
+		effects = append(effects, placeDomain(next, domain, weights)...)
+	}
+	return next, effects
+}
+
+// modelWeights returns what each model is owed: the weights of the groups that use it, split over their models.
+func modelWeights(d *intent.Document) map[string]float64 {
+	out := map[string]float64{}
+	for _, g := range d.Groups {
+		for _, m := range g.Models {
+			out[m] += g.Weight / float64(len(g.Models))
+		}
+	}
+	return out
+}
+
+func domainsOf(d *intent.Document) []string {
+	seen := map[string]bool{}
+	var out []string
+	for _, b := range d.Backends {
+		if !seen[b.Domain] {
+			seen[b.Domain] = true
+			out = append(out, b.Domain)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// node is a backend server that can take layers.
+type node struct {
+	backend   *intent.Backend
+	rate      float64
+	maxLayers int
+}
+
+func freeNodes(d *intent.Document, domain string) []node {
+	var out []node
+	for i := range d.Backends {
+		b := &d.Backends[i]
+		if b.Domain != domain || b.Retiring || b.Model != "" {
+			continue
+		}
+		k := d.Kind(b.Kind)
+		out = append(out, node{backend: b, rate: LayerRate(k), maxLayers: k.MaxLayers})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].rate != out[j].rate {
+			return out[i].rate > out[j].rate
+		}
+		return out[i].backend.Name < out[j].backend.Name
+	})
+	return out
+}
+
+// placeDomain gives the free servers of one domain to the models.
+func placeDomain(d *intent.Document, domain string, weights map[string]float64) []string {
+	free := freeNodes(d, domain)
+	if len(free) == 0 {
+		return nil
+	}
+	var effects []string
+	shares := shareNodes(d, domain, free, weights)
+	for _, m := range d.Models {
+		nodes := shares[m.Name]
+		if len(nodes) == 0 {
+			continue
+		}
+		effects = append(effects, placeModel(d, domain, &m, nodes)...)
+	}
+	return effects
+}
+
+// shareNodes deals the servers out, the fastest first, each to the model that has least for its weight.
+func shareNodes(d *intent.Document, domain string, free []node, weights map[string]float64) map[string][]node {
+	have := map[string]float64{}
+	for i := range d.Backends {
+		if b := &d.Backends[i]; b.Domain == domain && b.Model != "" && !b.Retiring {
+			have[b.Model] += LayerRate(d.Kind(b.Kind))
+		}
+	}
+	out := map[string][]node{}
+	for _, n := range free {
+		best := ""
+		lowest := 0.0
+		for _, m := range d.Models {
+			w := weights[m.Name]
+			if w == 0 {
+				continue
+			}
+			load := have[m.Name] / (w * float64(m.Layers))
+			if best == "" || load < lowest {
+				best, lowest = m.Name, load
+			}
+		}
+		if best != "" {
+			have[best] += n.rate
+			out[best] = append(out[best], n)
+		}
+	}
+	return out
+}
+
+func placeModel(d *intent.Document, domain string, m *intent.Model, nodes []node) []string {
+	if cuts := existingCuts(d, domain, m); cuts != nil {
+		return fillCuts(d, domain, m, cuts, nodes)
+	}
+	best := searchCuts(m.Layers, nodes)
+	if best == nil {
+		return []string{fmt.Sprintf("will not place model %s in %s: %d free servers cannot hold %d layers",
+			m.Name, domain, len(nodes), m.Layers)}
+	}
+	best.apply(m.Name)
+	return []string{fmt.Sprintf("place model %s in %s on %d servers in %d segments, %.0f tokens a second",
+		m.Name, domain, len(nodes), len(best.cuts), best.throughput())}
+}
+
+// existingCuts returns the segments by which the model is already placed in the domain, or nil.
+func existingCuts(d *intent.Document, domain string, m *intent.Model) []models.Layers {
+	seen := map[models.Layers]bool{}
+	for _, b := range d.Backends {
+		if b.Domain == domain && b.Model == m.Name {
+			seen[b.Layers] = true
+		}
+	}
+	cuts := make([]models.Layers, 0, len(seen))
+	for l := range seen {
+		cuts = append(cuts, l)
+	}
+	sort.Slice(cuts, func(i, j int) bool { return cuts[i].First < cuts[j].First })
+	if !models.Tile(cuts, m.Layers) {
+		return nil
+	}
+	return cuts
+}
+
+// fillCuts adds servers to the segments of a model that is already placed, the slowest segment first.
+func fillCuts(d *intent.Document, domain string, m *intent.Model, cuts []models.Layers, nodes []node) []string {
+	l := newLayout(cuts)
+	for i := range d.Backends {
+		b := &d.Backends[i]
+		if b.Domain == domain && b.Model == m.Name && !b.Retiring {
+			l.rates[l.indexOf(b.Layers)] += LayerRate(d.Kind(b.Kind)) / float64(b.Layers.Count())
+		}
+	}
+	var effects []string
+	for _, n := range nodes {
+		if !l.add(n) {
+			effects = append(effects, fmt.Sprintf("will not place backend server %s: too small for model %s", n.backend.Name, m.Name))
+		}
+	}
+	l.apply(m.Name)
+	for _, n := range nodes {
+		if n.backend.Model != "" {
+			effects = append(effects, fmt.Sprintf("backend server %s loads %s layers %s", n.backend.Name, m.Name, n.backend.Layers))
+		}
+	}
+	return effects
+}
--- /dev/null
+++ b/plan/rate.go
@@ -0,0 +1,33 @@
+package plan
+
+import "junctioncross/intent"
+
+const microsPerSecond = 1e6
+
+// LayerRate returns how many layers times tokens a kind can run in a second with full batches.
+func LayerRate(k *intent.Kind) float64 {
+	batch := float64(k.MaxBatch)
+	return batch * microsPerSecond / (k.LayerMicros + k.SequenceMicros*batch)
+}
+
+// StepMicros returns the time of one step over that many layers and sequences, in microseconds.
+func StepMicros(k *intent.Kind, layers, sequences int) float64 {
+	return float64(layers) * (k.LayerMicros + k.SequenceMicros*float64(sequences))
+}
+
+// Bound returns the tokens a second that the placed backend servers could deliver for one model if work could be split
+// without loss: all their layer rates together over the layers of the model.
+func Bound(d *intent.Document, model string) float64 {
+	m := d.Model(model)
+	if m == nil {
+		return 0
+	}
+	total := 0.0
+	for i := range d.Backends {
+		b := &d.Backends[i]
+		if k := d.Kind(b.Kind); k != nil && b.Model == model && !b.Retiring {
+			total += LayerRate(k)
+		}
+	}
+	return total / float64(m.Layers)
+}
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,127 @@
+package pool
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"junctioncross/engine"
+	"junctioncross/metrics"
+	"junctioncross/retry"
+	"junctioncross/route"
+	"junctioncross/timer"
+)
+
+const (
+	// progressPeriod is how often stalled servers are looked for.
+	progressPeriod = 10 * time.Millisecond
+	budgetShare    = 0.1
+	budgetMost     = 20
+)
+
+// Spec describes a server that the pool should hold.
+type Spec struct {
+	Name   string
+	Addr   string
+	Domain string
+}
+
+// Pool holds the servers by index; indexes are never used again.
+type Pool struct {
+	caller *engine.Caller
+	clock  *timer.Service
+	stats  *metrics.Registry
+	list   atomic.Pointer[[]*Server]
+
+	mu     sync.Mutex
+	byName map[string]int
+}
+
+// New returns an empty Pool and starts the search for stalled servers.
+func New(caller *engine.Caller, clock *timer.Service, stats *metrics.Registry) *Pool {
+	p := &Pool{caller: caller, clock: clock, stats: stats, byName: map[string]int{}}
+	p.list.Store(&[]*Server{})
+	ticks := clock.Subscribe(progressPeriod)
+	go func() {
+		for range ticks.C() {
+			p.checkProgress()
+		}
+	}()
+	return p
+}
+
+func (p *Pool) checkProgress() {
+	now := p.clock.Now()
+	for _, s := range *p.list.Load() {
+		if s != nil {
+			s.gatherer.CheckProgress(now)
+		}
+	}
+}
+
+// Ensure returns the index of the server of that name and address, adding it when it is new.
+func (p *Pool) Ensure(spec Spec) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	servers := *p.list.Load()
+	if i, ok := p.byName[spec.Name]; ok && servers[i].addr == spec.Addr {
+		return i
+	}
+	next := append(append([]*Server(nil), servers...), &Server{
+		name: spec.Name, addr: spec.Addr, domain: spec.Domain,
+		gatherer: engine.NewGatherer(p.caller, p.clock, spec.Addr, p.stats),
+		budget:   retry.NewBudget(budgetShare, budgetMost),
+	})
+	p.byName[spec.Name] = len(next) - 1
+	p.list.Store(&next)
+	return len(next) - 1
+}
+
+// Server returns the server at an index.
+func (p *Pool) Server(i int) *Server { return (*p.list.Load())[i] }
+
+// Caller returns the means of single calls to servers.
+func (p *Pool) Caller() *engine.Caller { return p.caller }
+
+// Choose returns a path through the graph that avoids the servers in avoid.
+func (p *Pool) Choose(g *route.Graph, avoid []int) ([]route.Node, bool) {
+	l := loads{servers: *p.list.Load(), now: p.clock.Now(), avoid: avoid}
+	path, ok := route.Choose(g, l, random{}, make([]route.Node, 0, 8))
+	if !ok && len(avoid) > 0 {
+		l.avoid = nil
+		path, ok = route.Choose(g, l, random{}, path[:0])
+	}
+	if !ok {
+		return nil, false
+	}
+	for _, n := range path {
+		l.servers[n.Server].Chosen()
+	}
+	return path, true
+}
+
+// loads shows the servers at one moment to the choice of a route.
+type loads struct {
+	servers []*Server
+	now     time.Time
+	avoid   []int
+}
+
+// InFlight implements route.Loads.
+func (l loads) InFlight(i int) int { return l.servers[i].gatherer.InFlight() }
+
+// Usable implements route.Loads.
+func (l loads) Usable(i int) bool {
+	for _, a := range l.avoid {
+		if a == i {
+			return false
+		}
+	}
+	return l.servers[i].Usable(l.now)
+}
+
+type random struct{}
+
+// Float64 implements route.Random.
+func (random) Float64() float64 { return rand.Float64() }
--- /dev/null
+++ b/pool/server.go
@@ -0,0 +1,78 @@
+package pool
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"junctioncross/engine"
+	"junctioncross/retry"
+)
+
+// Server is one backend server.
+type Server struct {
+	name     string
+	addr     string
+	domain   string
+	gatherer *engine.Gatherer
+	// closed to new work by what instances and reports say, as opposed to the server's own answers.
+	barred atomic.Bool
+
+	mu      sync.Mutex
+	circuit retry.Circuit
+	budget  *retry.Budget
+}
+
+// Name returns the server's name.
+func (s *Server) Name() string { return s.name }
+
+// Addr returns the server's IP number and port.
+func (s *Server) Addr() string { return s.addr }
+
+// Domain returns the server's failure domain.
+func (s *Server) Domain() string { return s.domain }
+
+// Engine returns the sender of frames.
+func (s *Server) Engine() *engine.Gatherer { return s.gatherer }
+
+// Bar closes the server to new work or opens it again.
+func (s *Server) Bar(barred bool) { s.barred.Store(barred) }
+
+// Usable reports whether the server may get new work.
+func (s *Server) Usable(now time.Time) bool {
+	if s.barred.Load() || s.gatherer.Leaving() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.circuit.Open(now)
+}
+
+// Chosen tells the circuit that a new attempt goes to the server.
+func (s *Server) Chosen() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.circuit.Admit()
+}
+
+// Failed tells the circuit that a frame failed.
+func (s *Server) Failed(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.circuit.Failed(now)
+}
+
+// Succeeded tells the circuit and the budget that a frame was answered.
+func (s *Server) Succeeded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.circuit.Succeeded()
+	s.budget.Succeeded()
+}
+
+// Settled tells the circuit that an attempt ended without a verdict on the server.
+func (s *Server) Settled() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.circuit.Settled()
+}
--- /dev/null
+++ b/retry/circuit.go
@@ -0,0 +1,44 @@
+package retry
+
+import "time"
+
+const (
+	firstOpen = 250 * time.Millisecond
+	longest   = 8 * time.Second
+)
+
+// Circuit keeps work away from a backend server that has failed, and lets a single trial through after a while.
+type Circuit struct {
+	failures int
+	until    time.Time
+	trial    bool
+}
+
+// Failed records a failure; the pause doubles with each one in a row.
+func (c *Circuit) Failed(now time.Time) {
+	pause := firstOpen << min(c.failures, 5)
+	c.failures++
+	c.until = now.Add(min(pause, longest))
+	c.trial = false
+}
+
+// Succeeded closes the circuit.
+func (c *Circuit) Succeeded() { *c = Circuit{} }
+
+// Open reports whether the server gets no work now.
+func (c *Circuit) Open(now time.Time) bool {
+	if c.failures == 0 {
+		return false
+	}
+	return now.Before(c.until) || c.trial
+}
+
+// Admit takes the single trial of a circuit whose pause is over; it does nothing to a closed one.
+func (c *Circuit) Admit() {
+	if c.failures > 0 {
+		c.trial = true
+	}
+}
+
+// Settled gives the trial back when its outcome says nothing about the server.
+func (c *Circuit) Settled() { c.trial = false }
--- /dev/null
+++ b/revision/store.go
@@ -0,0 +1,268 @@
+package revision
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/intent"
+	"junctioncross/kv"
+	"junctioncross/timer"
+)
+
+const (
+	confirmTries = 6
+	confirmPause = 150 * time.Millisecond
+)
+
+// Store reads and moves the configuration in the key-value service.
+type Store struct {
+	kv    kv.Store
+	clock *timer.Service
+}
+
+// NewStore returns a Store over the key-value service.
+func NewStore(store kv.Store, clock *timer.Service) *Store { return &Store{kv: store, clock: clock} }
+
+// Head returns the accepted head and the service's revision of it; an empty service gives an empty head.
+func (s *Store) Head(ctx context.Context) (Head, kv.Revision, error) {
+	record, err := s.kv.Get(ctx, KeyHead)
+	if errors.Is(err, kv.ErrNotFound) {
+		return Head{Segments: map[string]string{}}, 0, nil
+	}
+	if err != nil {
+		return Head{}, 0, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	head, err := DecodeHead(record.Value)
+	return head, record.Revision, err
+}
+
+// WaitHead returns the head once the service's revision of it is above after.
+func (s *Store) WaitHead(ctx context.Context, after kv.Revision) (Head, kv.Revision, error) {
+	record, err := s.kv.Wait(ctx, KeyHead, after)
+	if err != nil {
+		return Head{}, 0, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	head, err := DecodeHead(record.Value)
+	return head, record.Revision, err
+}
+
+// DecodeHead reads a head from its stored form.
+func DecodeHead(body []byte) (Head, error) {
+	var h Head
+	if err := json.Unmarshal(body, &h); err != nil {
+		return h, errors.Wrap(err, "revision: decode head")
+	}
+	return h, nil
+}
+
+// Segment returns the body of a segment and checks it against its hash.
+func (s *Store) Segment(ctx context.Context, hash string) ([]byte, error) {
+	record, err := s.kv.Get(ctx, prefixSegment+hash)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	if HashOf(record.Value) != hash {
+		return nil, errors.Wrap(ErrUnavailable, "segment does not match its hash")
+	}
+	return record.Value, nil
+}
+
+// Document returns the document that a head names.
+func (s *Store) Document(ctx context.Context, head Head) (*intent.Document, error) {
+	bodies := map[string][]byte{}
+	for name, hash := range head.Segments {
+		body, err := s.Segment(ctx, hash)
+		if err != nil {
+			return nil, err
+		}
+		bodies[name] = body
+	}
+	return Join(bodies)
+}
+
+// AddIntent keeps an intent.
+func (s *Store) AddIntent(ctx context.Context, i Intent) error {
+	return s.create(ctx, prefixIntent+i.ID, i)
+}
+
+// Intent returns a kept intent or ErrNoIntent.
+func (s *Store) Intent(ctx context.Context, id string) (Intent, error) {
+	return load[Intent](ctx, s.kv, prefixIntent+id, ErrNoIntent)
+}
+
+// Plan returns a kept plan or ErrNoPlan.
+func (s *Store) Plan(ctx context.Context, id string) (Plan, error) {
+	return load[Plan](ctx, s.kv, prefixPlan+id, ErrNoPlan)
+}
+
+// AddPlan keeps the segments that the head lacks and then the plan, which changes nothing yet.
+func (s *Store) AddPlan(ctx context.Context, p Plan, head Head, d *intent.Document) (Plan, error) {
+	segments, err := Split(d)
+	if err != nil {
+		return p, err
+	}
+	known := map[string]bool{}
+	for _, hash := range head.Segments {
+		known[hash] = true
+	}
+	p.Segments = map[string]string{}
+	for _, segment := range segments {
+		p.Segments[segment.name] = segment.hash
+		if known[segment.hash] {
+			continue
+		}
+		if err := s.createBytes(ctx, prefixSegment+segment.hash, segment.body); err != nil {
+			return p, err
+		}
+	}
+	return p, s.create(ctx, prefixPlan+p.ID, p)
+}
+
+func (s *Store) create(ctx context.Context, key string, value any) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "revision: encode")
+	}
+	return s.createBytes(ctx, key, body)
+}
+
+// createBytes creates a record whose key stands for its content, so that finding it there already is success.
+func (s *Store) createBytes(ctx context.Context, key string, body []byte) error {
+	_, err := s.kv.Write(ctx, kv.Put{Key: key, Value: body})
+	if err == nil || errors.Is(err, kv.ErrConflict) {
+		return nil
+	}
+	return errors.Wrap(ErrUnavailable, err.Error())
+}
+
+// Confirm moves the head to the plan; it is idempotent by the plan's id and settles lost answers by reading back.
+func (s *Store) Confirm(ctx context.Context, id, who string) (Entry, error) {
+	plan, err := s.Plan(ctx, id)
+	if err != nil {
+		return Entry{}, err
+	}
+	written := false
+	for range confirmTries {
+		entry, err := s.tryConfirm(ctx, plan, who)
+		if err == nil || !retryConfirm(err) {
+			return entry, err
+		}
+		written = written || errors.Is(err, ErrUnsure)
+		select {
+		case <-s.clock.After(confirmPause):
+		case <-ctx.Done():
+			return Entry{}, outcome(written)
+		}
+	}
+	return Entry{}, outcome(written)
+}
+
+func retryConfirm(err error) bool {
+	return errors.Is(err, ErrUnsure) || errors.Is(err, ErrUnavailable)
+}
+
+func outcome(written bool) error {
+	if written {
+		return ErrUnsure
+	}
+	return ErrUnavailable
+}
+
+func (s *Store) tryConfirm(ctx context.Context, plan Plan, who string) (Entry, error) {
+	head, at, err := s.Head(ctx)
+	if err != nil {
+		return Entry{}, err
+	}
+	if entry, ok := head.accepted(plan.ID); ok {
+		return entry, nil
+	}
+	if entry, ok := s.inHistory(ctx, plan); ok {
+		return entry, nil
+	}
+	if head.Revision != plan.Base {
+		return Entry{}, &ConflictError{base: plan.Base, head: head.Revision, meantime: head.since(plan.Base)}
+	}
+	entry := Entry{
+		Revision: head.Revision + 1, Plan: plan.ID, Who: who, When: s.clock.Now().UTC(),
+		Why: plan.Why, Changes: plan.Changes,
+	}
+	return entry, s.move(ctx, head, at, plan, entry)
+}
+
+// inHistory looks for the plan's confirmation behind the head's own list.
+func (s *Store) inHistory(ctx context.Context, plan Plan) (Entry, bool) {
+	entry, err := load[Entry](ctx, s.kv, historyKey(plan.Base+1), ErrNoPlan)
+	return entry, err == nil && entry.Plan == plan.ID
+}
+
+func (s *Store) move(ctx context.Context, head Head, at kv.Revision, plan Plan, entry Entry) error {
+	next := Head{Revision: entry.Revision, Segments: plan.Segments, Recent: append(head.Recent, entry)}
+	if len(next.Recent) > recentEntries {
+		if err := s.archive(ctx, next.Recent[0]); err != nil {
+			return err
+		}
+		next.Recent = next.Recent[1:]
+	}
+	body, err := json.Marshal(next)
+	if err != nil {
+		return errors.Wrap(err, "revision: encode head")
+	}
+	_, err = s.kv.Write(ctx, kv.Put{Key: KeyHead, Value: body, Expect: at})
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, kv.ErrConflict), errors.Is(err, kv.ErrUnsure):
+		return errors.Wrap(ErrUnsure, err.Error())
+	default:
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+}
+
+// archive keeps an entry before it leaves the head's list, so that no confirmation is ever forgotten.
+func (s *Store) archive(ctx context.Context, e Entry) error {
+	return s.create(ctx, historyKey(e.Revision), e)
+}
+
+func historyKey(n Number) string { return fmt.Sprintf("%s%012d", prefixHistory, n) }
+
+// History returns all confirmations, the newest first.
+func (s *Store) History(ctx context.Context) ([]Entry, error) {
+	head, _, err := s.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	records, err := s.kv.List(ctx, prefixHistory)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	out := append([]Entry(nil), head.Recent...)
+	for _, r := range records {
+		var e Entry
+		if err := json.Unmarshal(r.Value, &e); err != nil {
+			return nil, errors.Wrap(err, "revision: decode history")
+		}
+		out = append(out, e)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Revision > out[j].Revision })
+	return out, nil
+}
+
+func load[T any](ctx context.Context, store kv.Store, key string, missing error) (T, error) {
+	var value T
+	record, err := store.Get(ctx, key)
+	if errors.Is(err, kv.ErrNotFound) {
+		return value, missing
+	}
+	if err != nil {
+		return value, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	if err := json.Unmarshal(record.Value, &value); err != nil {
+		return value, errors.Wrap(err, "revision: decode "+key)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/route/choose.go
@@ -0,0 +1,88 @@
+package route
+
+// Loads tells the state of the servers at the moment of a choice.
+type Loads interface {
+	// InFlight returns the frames under way to a server.
+	InFlight(server int) int
+	// Usable reports whether the server may get new work.
+	Usable(server int) bool
+}
+
+// Random is a source of numbers uniform in [0, 1).
+type Random interface{ Float64() float64 }
+
+// Choose appends to path the servers of one path through the graph and reports whether there is one.
+//
+// At each layer boundary it draws two candidates by weight and takes the one with less work for its speed.
+func Choose(g *Graph, loads Loads, random Random, path []Node) ([]Node, bool) {
+	if g.Empty() {
+		return path, false
+	}
+	start := len(path)
+	for at := 0; at < g.layers; {
+		n, ok := chooseNext(g.starts[at], loads, random)
+		if !ok {
+			return search(g, loads, path[:start], 0)
+		}
+		path = append(path, n)
+		at = n.Layers.End
+	}
+	return path, true
+}
+
+func chooseNext(c *candidates, loads Loads, random Random) (Node, bool) {
+	if c == nil {
+		return Node{}, false
+	}
+	a := c.nodes[c.pick(random.Float64())]
+	b := c.nodes[c.pick(random.Float64())]
+	usableA, usableB := loads.Usable(a.Server), loads.Usable(b.Server)
+	switch {
+	case usableA && usableB:
+		if pressure(loads, b) < pressure(loads, a) {
+			return b, true
+		}
+		return a, true
+	case usableA:
+		return a, true
+	case usableB:
+		return b, true
+	default:
+		return leastLoaded(c, loads)
+	}
+}
+
+// pressure returns the work of a server, with one more frame, for its speed.
+func pressure(loads Loads, n Node) float64 {
+	return float64(loads.InFlight(n.Server)+1) / n.Weight
+}
+
+func leastLoaded(c *candidates, loads Loads) (Node, bool) {
+	best, found := Node{}, false
+	for _, n := range c.nodes {
+		if loads.Usable(n.Server) && (!found || pressure(loads, n) < pressure(loads, best)) {
+			best, found = n, true
+		}
+	}
+	return best, found
+}
+
+// search finds any path of usable servers, for graphs in which the quick choice ran into a dead end.
+func search(g *Graph, loads Loads, path []Node, at int) ([]Node, bool) {
+	if at == g.layers {
+		return path, true
+	}
+	c := g.starts[at]
+	if c == nil {
+		return path, false
+	}
+	for _, n := range c.nodes {
+		if !loads.Usable(n.Server) {
+			continue
+		}
+		if found, ok := search(g, loads, append(path, n), n.Layers.End); ok {
+			return found, true
+		}
+	}
+	return path, false
+}
--- /dev/null
+++ b/service/forward.go
@@ -0,0 +1,134 @@
+package service
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"junctioncross/intent"
+	"junctioncross/metrics"
+	"junctioncross/models"
+	"junctioncross/retry"
+)
+
+const (
+	dialTimeout = 300 * time.Millisecond
+	// CallTimeout bounds one call to a plain service.
+	CallTimeout = 5 * time.Second
+	maxTries    = 3
+)
+
+// Errors of this layer.
+var (
+	// ErrNeverSent means that no byte of the call left for any backend server.
+	ErrNeverSent = errors.New("service: call never sent")
+	// ErrUnsure means that a backend server may have run the call.
+	ErrUnsure = errors.New("service: outcome unsure")
+)
+
+// Forwarder sends calls to the backend servers of plain services.
+type Forwarder struct {
+	stats *metrics.Registry
+	// reusing keeps connections between calls; single opens one for each call, so that a failure to send is certain.
+	reusing *fasthttp.Client
+	single  *fasthttp.Client
+}
+
+// New returns a Forwarder.
+func New(stats *metrics.Registry) *Forwarder {
+	return &Forwarder{stats: stats, reusing: newClient(), single: newClient()}
+}
+
+func newClient() *fasthttp.Client {
+	dialer := &fasthttp.TCPDialer{}
+	return &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		NoDefaultUserAgentHeader:  true,
+		Dial:                      func(addr string) (net.Conn, error) { return dialer.DialTimeout(addr, dialTimeout) },
+	}
+}
+
+// Repeatable reports whether the service's settings let the call be repeated.
+func Repeatable(s *intent.Service, method, path string) bool {
+	for _, c := range s.Calls {
+		if c.Method == method && strings.HasPrefix(path, c.Path) {
+			return c.Repeatable
+		}
+	}
+	return false
+}
+
+// Forward sends the call and fills resp; it returns ErrNeverSent or ErrUnsure.
+//
+// A call that may not be repeated goes to another server only after a failure to connect, when no byte has left.
+func (f *Forwarder) Forward(ctx context.Context, s *intent.Service, req *fasthttp.Request, resp *fasthttp.Response, repeatable bool) error {
+	start := rand.IntN(len(s.Addrs))
+	sent := false
+	for try := range min(maxTries, max(len(s.Addrs), 2)) {
+		req.SetHost(s.Addrs[(start+try)%len(s.Addrs)])
+		err := f.once(ctx, req, resp, repeatable)
+		if err == nil && !retryable(resp, repeatable) {
+			return nil
+		}
+		neverSent := err != nil && isDialError(err)
+		sent = sent || !neverSent
+		if !repeatable && sent {
+			return errors.Wrap(ErrUnsure, err.Error())
+		}
+		f.stats.Retried(reasonOf(neverSent))
+		if !wait(ctx, retry.Pause(try, rand.Float64())) {
+			break
+		}
+	}
+	if sent {
+		return ErrUnsure
+	}
+	return ErrNeverSent
+}
+
+func (f *Forwarder) once(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, repeatable bool) error {
+	deadline := time.Now().Add(CallTimeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if repeatable {
+		return f.reusing.DoDeadline(req, resp, deadline)
+	}
+	req.SetConnectionClose()
+	return f.single.DoDeadline(req, resp, deadline)
+}
+
+// retryable reports whether an answer asks for another try.
+func retryable(resp *fasthttp.Response, repeatable bool) bool {
+	return repeatable && resp.StatusCode() == fasthttp.StatusServiceUnavailable
+}
+
+func reasonOf(neverSent bool) models.Reason {
+	if neverSent {
+		return models.RetryUnreachable
+	}
+	return models.RetryTimeout
+}
+
+func wait(ctx context.Context, pause time.Duration) bool {
+	select {
+	case <-time.After(pause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return true
+	}
+	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns)
+}
--- /dev/null
+++ b/share/queue.go
@@ -0,0 +1,40 @@
+package share
+
+type ordered interface {
+	cost() float64
+	setIndex(i int)
+}
+
+func (p *party) cost() float64  { return p.used }
+func (p *party) setIndex(i int) { p.index = i }
+
+// queue is a heap of parties, the one with the least used cost first.
+type queue[T ordered] []T
+
+// Len implements heap.Interface.
+func (q queue[T]) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q queue[T]) Less(i, j int) bool { return q[i].cost() < q[j].cost() }
+
+// Swap implements heap.Interface.
+func (q queue[T]) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].setIndex(i)
+	q[j].setIndex(j)
+}
+
+// Push implements heap.Interface.
+func (q *queue[T]) Push(x any) {
+	item := x.(T)
+	item.setIndex(len(*q))
+	*q = append(*q, item)
+}
+
+// Pop implements heap.Interface.
+func (q *queue[T]) Pop() any {
+	old := *q
+	item := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return item
+}
--- /dev/null
+++ b/share/scheduler.go
@@ -0,0 +1,165 @@
+package share
+
+import "container/heap"
+
+// Costs of tokens, in units of one generated token.
+const (
+	// PromptCost is the cost of a prompt token, which runs in one batch with the others of its prompt.
+	PromptCost = 0.05
+	// TokenCost is the cost of a generated token.
+	TokenCost = 1.0
+)
+
+// Waiter is one request in the queue.
+type Waiter struct {
+	account *account
+	next    *Waiter
+	dropped bool
+	// Admitted is called by the owner when the request is chosen.
+	Admitted func()
+}
+
+// party is a group or an account with its used cost divided by its weight.
+type party struct {
+	name   string
+	weight float64
+	used   float64
+	index  int
+	count  int
+}
+
+type account struct {
+	party
+	group       *group
+	first, last *Waiter
+}
+
+type group struct {
+	party
+	accounts map[string]*account
+	waiting  queue[*account]
+}
+
+// Scheduler orders waiting requests by the used shares of their groups and accounts.
+type Scheduler struct {
+	groups  map[string]*group
+	waiting queue[*group]
+	length  int
+}
+
+// New returns an empty Scheduler.
+func New() *Scheduler { return &Scheduler{groups: map[string]*group{}} }
+
+// Len returns the number of waiting requests.
+func (s *Scheduler) Len() int { return s.length }
+
+// Owner names the account that a request belongs to.
+type Owner struct {
+	Group         string
+	GroupWeight   float64
+	Account       string
+	AccountWeight float64
+}
+
+// Enqueue adds a request; an owner that had nothing waiting starts level with the least served one that has.
+func (s *Scheduler) Enqueue(o Owner, admitted func()) *Waiter {
+	a := s.account(o)
+	w := &Waiter{account: a, Admitted: admitted}
+	if a.last == nil {
+		a.first = w
+	} else {
+		a.last.next = w
+	}
+	a.last = w
+	s.length++
+	s.raise(a)
+	return w
+}
+
+// raise counts the new request of the account and puts its parties into the queues.
+func (s *Scheduler) raise(a *account) {
+	g := a.group
+	a.count++
+	if a.count == 1 {
+		if len(g.waiting) > 0 {
+			a.used = max(a.used, g.waiting[0].used)
+		}
+		heap.Push(&g.waiting, a)
+	}
+	g.count++
+	if g.count == 1 {
+		if len(s.waiting) > 0 {
+			g.used = max(g.used, s.waiting[0].used)
+		}
+		heap.Push(&s.waiting, g)
+	}
+}
+
+// Next removes and returns the request that is due, or nil.
+func (s *Scheduler) Next() *Waiter {
+	for len(s.waiting) > 0 {
+		a := s.waiting[0].waiting[0]
+		w := a.first
+		a.first = w.next
+		if a.first == nil {
+			a.last = nil
+		}
+		s.lower(a)
+		if !w.dropped {
+			s.length--
+			return w
+		}
+	}
+	return nil
+}
+
+func (s *Scheduler) lower(a *account) {
+	g := a.group
+	a.count--
+	if a.count == 0 {
+		heap.Remove(&g.waiting, a.index)
+	}
+	g.count--
+	if g.count == 0 {
+		heap.Remove(&s.waiting, g.index)
+	}
+}
+
+// Drop takes a request that gave up out of the order.
+func (s *Scheduler) Drop(w *Waiter) {
+	if !w.dropped {
+		w.dropped = true
+		s.length--
+	}
+}
+
+// Charge adds used cost to the owner; it applies to requests that run here or, as a delta, on another instance.
+func (s *Scheduler) Charge(o Owner, cost float64) {
+	a := s.account(o)
+	a.used += cost / a.weight
+	a.group.used += cost / a.group.weight
+	if a.count > 0 {
+		heap.Fix(&a.group.waiting, a.index)
+	}
+	if a.group.count > 0 {
+		heap.Fix(&s.waiting, a.group.index)
+	}
+}
+
+func (s *Scheduler) account(o Owner) *account {
+	g := s.groups[o.Group]
+	if g == nil {
+		g = &group{party: party{name: o.Group}, accounts: map[string]*account{}}
+		s.groups[o.Group] = g
+	}
+	g.weight = max(o.GroupWeight, minWeight)
+	a := g.accounts[o.Account]
+	if a == nil {
+		a = &account{party: party{name: o.Account}, group: g}
+		g.accounts[o.Account] = a
+	}
+	a.weight = max(o.AccountWeight, minWeight)
+	return a
+}
+
+const minWeight = 1e-6
--- /dev/null
+++ b/standin/compute.go
@@ -0,0 +1,85 @@
+package standin
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	vocabulary = 8192
+	// endEvery makes about one token in that many end the answer.
+	endEvery = 512
+)
+
+// Model describes what a stand-in model computes.
+type Model struct {
+	name    string
+	version string
+	layers  int
+}
+
+// NewModel returns the model of that name and version with that number of layers.
+func NewModel(name, version string, layers int) Model {
+	return Model{name: name, version: version, layers: layers}
+}
+
+func (m Model) seed() uint64 { return xxhash.Sum64String(m.name + "@" + m.version) }
+
+// Tokens splits a text into token ids, at least one.
+func Tokens(text string) []uint64 {
+	words := strings.Fields(text)
+	out := make([]uint64, 0, len(words)+1)
+	out = append(out, 1)
+	for _, w := range words {
+		out = append(out, xxhash.Sum64String(w)%vocabulary)
+	}
+	return out
+}
+
+// Piece returns the text of a token.
+func Piece(token uint64) string { return " w" + strconv.FormatUint(token, 36) }
+
+// Ends reports whether the token ends an answer.
+func Ends(token uint64) bool { return token%endEvery == endEvery-1 }
+
+// Answer computes the whole answer apart from any pipeline: its text, its number of tokens and whether it ended by itself.
+func (m Model) Answer(prompt string, limit int) (text string, tokens int, ended bool) {
+	cache := make([]uint64, m.layers)
+	var act uint64
+	for _, t := range Tokens(prompt) {
+		act = m.run(cache, 0, t)
+	}
+	var b strings.Builder
+	for n := 1; ; n++ {
+		token := act % vocabulary
+		if Ends(token) {
+			return b.String(), n - 1, true
+		}
+		b.WriteString(Piece(token))
+		if n == limit {
+			return b.String(), n, false
+		}
+		act = m.run(cache, 0, token)
+	}
+}
+
+// run passes one position through the layers that begin at first, one cache entry for each layer.
+func (m Model) run(cache []uint64, first int, act uint64) uint64 {
+	seed := m.seed()
+	for i := range cache {
+		layer := uint64(first + i + 1)
+		cache[i] = scramble(cache[i] ^ act ^ layer*0x9e3779b97f4a7c15)
+		act = scramble(act ^ cache[i] ^ seed ^ layer)
+	}
+	return act
+}
+
+// scramble is the finalizer of the splitmix64 generator.
+func scramble(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,365 @@
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"junctioncross/engine"
+	"junctioncross/models"
+)
+
+// EngineSettings describes one stand-in engine.
+type EngineSettings struct {
+	Name string
+	// LayerMicros is the time of one layer for an empty batch, in microseconds.
+	LayerMicros float64
+	// SequenceMicros is added for each layer and sequence of the batch, in microseconds.
+	SequenceMicros float64
+	// PrefillMicros is added for each layer and position beyond the first of a sequence, in microseconds.
+	PrefillMicros float64
+	MaxBatch      int
+	// ReportLag is how old the load report is.
+	ReportLag time.Duration
+	// Fetch blocks until the weights of n layers have come from the weight store.
+	Fetch func(layers int)
+	// IgnoreFence makes the engine take orders with any fence.
+	IgnoreFence bool
+}
+
+type attemptState struct {
+	cache    []uint64
+	position int
+}
+
+type work struct {
+	frame  engine.Frame
+	result engine.Result
+	done   *sync.WaitGroup
+}
+
+// Engine is a stand-in model engine that holds a range of layers and batches continuously.
+type Engine struct {
+	set         EngineSettings
+	incarnation uint64
+
+	mu       sync.Mutex
+	model    Model
+	layers   models.Layers
+	state    engine.State
+	fence    uint64
+	loads    int
+	states   map[engine.AttemptID]*attemptState
+	leaving  bool
+	newAfter int
+	waiting  []*work
+	step     time.Duration
+	running  int
+	sequence uint64
+	old      engine.Report
+	oldAt    time.Time
+	slow     float64
+	hung     bool
+	ran      map[string]int
+	wake     chan struct{}
+}
+
+// NewEngine returns an empty engine and starts its batch loop.
+func NewEngine(set EngineSettings) *Engine {
+	e := &Engine{
+		set:         set,
+		incarnation: uint64(time.Now().UnixNano()),
+		state:       engine.StateEmpty,
+		states:      map[engine.AttemptID]*attemptState{},
+		ran:         map[string]int{},
+		slow:        1,
+		wake:        make(chan struct{}, 1),
+	}
+	go func() { e.loop() }()
+	return e
+}
+
+// Submit queues frames and returns their results once all of them ran or were refused.
+func (e *Engine) Submit(frames []engine.Frame) engine.StepReply {
+	var done sync.WaitGroup
+	items := make([]*work, len(frames))
+	for i := range frames {
+		items[i] = &work{frame: frames[i], done: &done}
+	}
+	done.Add(len(items))
+	e.mu.Lock()
+	e.waiting = append(e.waiting, items...)
+	e.mu.Unlock()
+	e.signal()
+	done.Wait()
+	reply := engine.StepReply{Results: make([]engine.Result, len(items))}
+	for i, w := range items {
+		reply.Results[i] = w.result
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	reply.StepMicros = e.step.Microseconds()
+	reply.Leaving = e.leaving
+	return reply
+}
+
+func (e *Engine) signal() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) loop() {
+	for range e.wake {
+		for {
+			batch := e.take()
+			if len(batch) == 0 {
+				break
+			}
+			e.runBatch(batch)
+		}
+	}
+}
+
+// take removes the next batch from the queue, higher priorities first.
+func (e *Engine) take() []*work {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.hung || len(e.waiting) == 0 {
+		return nil
+	}
+	batch := make([]*work, 0, e.set.MaxBatch)
+	rest := make([]*work, 0, len(e.waiting))
+	best := highestPriority(e.waiting)
+	for _, w := range e.waiting {
+		if len(batch) < e.set.MaxBatch && w.frame.Priority == best {
+			batch = append(batch, w)
+			continue
+		}
+		rest = append(rest, w)
+	}
+	for len(batch) < e.set.MaxBatch && len(rest) > 0 {
+		batch = append(batch, rest[0])
+		rest = rest[1:]
+	}
+	e.waiting = rest
+	e.running = len(batch)
+	return batch
+}
+
+func highestPriority(queue []*work) int {
+	best := queue[0].frame.Priority
+	for _, w := range queue {
+		best = max(best, w.frame.Priority)
+	}
+	return best
+}
+
+func (e *Engine) runBatch(batch []*work) {
+	step := e.stepTime(batch)
+	time.Sleep(step)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.step = step
+	e.running = 0
+	for _, w := range batch {
+		w.result = e.run(&w.frame)
+		w.done.Done()
+	}
+}
+
+func (e *Engine) stepTime(batch []*work) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	prefill := 0
+	for _, w := range batch {
+		prefill += max(len(w.frame.Input), len(w.frame.Text)/4) - 1
+	}
+	perLayer := e.set.LayerMicros + e.set.SequenceMicros*float64(len(batch)) + e.set.PrefillMicros*float64(max(prefill, 0))
+	return time.Duration(perLayer * e.slow * float64(e.layers.Count()) * float64(time.Microsecond))
+}
+
+// run computes one frame; the caller holds the lock.
+func (e *Engine) run(f *engine.Frame) engine.Result {
+	result := engine.Result{Request: f.Request, Attempt: f.Attempt, Position: f.Position, Layers: f.Layers}
+	if e.state != engine.StateReady || f.Model != e.model.name || f.Layers != e.layers {
+		result.Code = engine.CodeNotStarted
+		return result
+	}
+	id := engine.AttemptID{Request: f.Request, Attempt: f.Attempt}
+	s := e.states[id]
+	if s == nil && f.Position == 0 {
+		s = e.start(id)
+	}
+	if s == nil || s.position != f.Position {
+		result.Code = engine.CodeOutOfOrder
+		return result
+	}
+	input := f.Input
+	if f.Text != "" {
+		input = Tokens(f.Text)
+		result.Tokens = input
+	}
+	e.compute(s, input, &result)
+	return result
+}
+
+func (e *Engine) start(id engine.AttemptID) *attemptState {
+	s := &attemptState{cache: make([]uint64, e.layers.Count())}
+	e.states[id] = s
+	e.ran[id.Request]++
+	if e.leaving {
+		e.newAfter++
+	}
+	return s
+}
+
+func (e *Engine) compute(s *attemptState, input []uint64, result *engine.Result) {
+	output := make([]uint64, len(input))
+	for i, act := range input {
+		output[i] = e.model.run(s.cache, e.layers.First, act)
+		s.position++
+	}
+	result.Code = engine.CodeDone
+	if e.layers.End < e.model.layers {
+		result.Output = output
+		return
+	}
+	token := output[len(output)-1] % vocabulary
+	result.Output = []uint64{token}
+	result.Piece = Piece(token)
+	result.End = Ends(token)
+}
+
+// Cancel forgets attempts.
+func (e *Engine) Cancel(c engine.Cancel) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, id := range c.Attempts {
+		delete(e.states, id)
+	}
+}
+
+// Report returns the state as it was a lag ago; leaving shows at once.
+func (e *Engine) Report(now time.Time) engine.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Sub(e.oldAt) >= e.set.ReportLag {
+		e.sequence++
+		e.oldAt = now
+		e.old = engine.Report{
+			Name: e.set.Name, Incarnation: e.incarnation, Sequence: e.sequence,
+			State: e.state, Model: e.model.name, Version: e.model.version, Layers: e.layers,
+			Leaving: e.leaving, Running: e.running, Waiting: len(e.waiting),
+			StepMicros: e.step.Microseconds(), Fence: e.fence,
+		}
+	}
+	report := e.old
+	report.Held = len(e.states)
+	report.Leaving = e.leaving
+	return report
+}
+
+// Order takes an order unless a higher fence was seen; it reports whether it was taken.
+func (e *Engine) Order(o engine.Order) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Fence < e.fence && !e.set.IgnoreFence {
+		return false
+	}
+	e.fence = max(e.fence, o.Fence)
+	if e.model.name == o.Model && e.model.version == o.Version && e.layers == o.Layers && e.state != engine.StateEmpty {
+		return true
+	}
+	e.model = NewModel(o.Model, o.Version, o.Total)
+	e.layers = o.Layers
+	e.state = engine.StateLoading
+	e.states = map[engine.AttemptID]*attemptState{}
+	e.loads++
+	load := e.loads
+	go func() {
+		e.set.Fetch(o.Layers.Count())
+		e.loaded(load)
+	}()
+	return true
+}
+
+func (e *Engine) loaded(load int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.loads == load {
+		e.state = engine.StateReady
+	}
+}
+
+// Export returns the cache of an attempt.
+func (e *Engine) Export(id engine.AttemptID) (engine.Snapshot, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.states[id]
+	if s == nil {
+		return engine.Snapshot{}, false
+	}
+	return engine.Snapshot{
+		ID: id, Model: e.model.name, Layers: e.layers, Position: s.position,
+		Cache: append([]uint64(nil), s.cache...),
+	}, true
+}
+
+// Import takes the cache of an attempt when it fits the layers held here.
+func (e *Engine) Import(s engine.Snapshot) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state != engine.StateReady || s.Layers != e.layers || s.Model != e.model.name || len(s.Cache) != e.layers.Count() {
+		return false
+	}
+	e.states[s.ID] = &attemptState{cache: append([]uint64(nil), s.Cache...), position: s.Position}
+	return true
+}
+
+// EngineFault is a fault that a test brings about.
+type EngineFault struct {
+	// Leaving starts the engine's leave.
+	Leaving bool `json:"leaving"`
+	// Hung stops the batch loop while connections stay open.
+	Hung bool `json:"hung"`
+	// Slow multiplies the step time; zero means one.
+	Slow float64 `json:"slow"`
+}
+
+// SetFault brings a fault about or ends it.
+func (e *Engine) SetFault(f EngineFault) {
+	e.mu.Lock()
+	if f.Leaving && !e.leaving {
+		e.newAfter = 0
+	}
+	e.leaving = f.Leaving
+	e.hung = f.Hung
+	e.slow = max(f.Slow, 1)
+	if f.Slow > 0 && f.Slow < 1 {
+		e.slow = f.Slow
+	}
+	e.mu.Unlock()
+	e.signal()
+}
+
+// EngineTally is what the engine recorded of its work.
+type EngineTally struct {
+	// Requests counts the attempts that were started here for each request.
+	Requests map[string]int `json:"requests"`
+	// NewSinceLeaving counts the attempts started since the engine said that it is leaving.
+	NewSinceLeaving int `json:"new_since_leaving"`
+	// Held counts the attempts whose cache is held.
+	Held int `json:"held"`
+}
+
+// Tally returns the record of the engine's work.
+func (e *Engine) Tally() EngineTally {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ran := make(map[string]int, len(e.ran))
+	for k, v := range e.ran {
+		ran[k] = v
+	}
+	return EngineTally{Requests: ran, NewSinceLeaving: e.newAfter, Held: len(e.states)}
+}
--- /dev/null
+++ b/standin/kv.go
@@ -0,0 +1,132 @@
+package standin
+
+import (
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"junctioncross/kv"
+)
+
+type stored struct {
+	record  kv.Record
+	expires time.Time
+}
+
+// Keys is the memory of the key-value service: records with revisions, leases and watches.
+type Keys struct {
+	mu       sync.Mutex
+	revision kv.Revision
+	records  map[string]*stored
+	changed  chan struct{}
+	now      func() time.Time
+}
+
+// NewKeys returns an empty store that reads the time from now.
+func NewKeys(now func() time.Time) *Keys {
+	return &Keys{records: map[string]*stored{}, changed: make(chan struct{}), now: now}
+}
+
+// Get returns the record under key.
+func (k *Keys) Get(key string) (kv.Record, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.live(key)
+	if s == nil {
+		return kv.Record{}, false
+	}
+	return s.record, true
+}
+
+// List returns the records under prefix, in order of key.
+func (k *Keys) List(prefix string) []kv.Record {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := []kv.Record{}
+	for key := range k.records {
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		if s := k.live(key); s != nil {
+			out = append(out, s.record)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out
+}
+
+// Write stores a value when the record has the expected revision and reports whether it did.
+func (k *Keys) Write(put kv.Put) (kv.Record, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.live(put.Key)
+	var have kv.Revision
+	if s != nil {
+		have = s.record.Revision
+	}
+	if have != put.Expect {
+		return kv.Record{}, false
+	}
+	k.revision++
+	next := &stored{record: kv.Record{Key: put.Key, Value: put.Value, Revision: k.revision, Created: k.revision}}
+	if s != nil {
+		next.record.Created = s.record.Created
+	}
+	if put.TTL > 0 {
+		next.expires = k.now().Add(put.TTL)
+	}
+	k.records[put.Key] = next
+	k.wake()
+	return next.record, true
+}
+
+// Delete removes a record that has the expected revision and reports whether it did.
+func (k *Keys) Delete(key string, expect kv.Revision) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.live(key)
+	if s == nil || s.record.Revision != expect {
+		return false
+	}
+	delete(k.records, key)
+	k.revision++
+	k.wake()
+	return true
+}
+
+// Wait returns the record once its revision is above after, or false when the time is over.
+func (k *Keys) Wait(key string, after kv.Revision, limit <-chan time.Time) (kv.Record, bool) {
+	for {
+		k.mu.Lock()
+		s := k.live(key)
+		changed := k.changed
+		k.mu.Unlock()
+		if s != nil && s.record.Revision > after {
+			return s.record, true
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			return kv.Record{}, false
+		}
+	}
+}
+
+// live returns the record under key unless its lease has ended; the caller holds the lock.
+func (k *Keys) live(key string) *stored {
+	s := k.records[key]
+	if s == nil {
+		return nil
+	}
+	if !s.expires.IsZero() && k.now().After(s.expires) {
+		delete(k.records, key)
+		return nil
+	}
+	return s
+}
+
+func (k *Keys) wake() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
--- /dev/null
+++ b/strict/doc.go
@@ -0,0 +1,2 @@
+// Package strict decodes YAML into settings types and reports every mistake at once, each with file, line and key.
+package strict
--- /dev/null
+++ b/view/snapshot.go
@@ -0,0 +1,107 @@
+package view
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sync/atomic"
+
+	"junctioncross/intent"
+	"junctioncross/revision"
+	"junctioncross/route"
+	"junctioncross/share"
+)
+
+// Account is a client account with the group it belongs to.
+type Account struct {
+	name  string
+	group *intent.Group
+	owner share.Owner
+}
+
+// Name returns the account's name.
+func (a *Account) Name() string { return a.name }
+
+// Owner returns the account as the shares see it.
+func (a *Account) Owner() share.Owner { return a.owner }
+
+// Models returns the names of the models that the account may use.
+func (a *Account) Models() []string { return a.group.Models }
+
+// Allows reports whether the account may use the model.
+func (a *Account) Allows(model string) bool { return a.group.Allows(model) }
+
+// Index finds accounts and services in one configuration.
+type Index struct {
+	revision revision.Number
+	document *intent.Document
+	accounts map[string]*Account
+}
+
+// NewIndex returns the index of a configuration.
+func NewIndex(f *revision.InForce) *Index {
+	d := f.Document()
+	x := &Index{revision: f.Head().Revision, document: d, accounts: make(map[string]*Account, len(d.Accounts))}
+	groups := map[string]*intent.Group{}
+	for i := range d.Groups {
+		groups[d.Groups[i].Name] = &d.Groups[i]
+	}
+	for i := range d.Accounts {
+		a := &d.Accounts[i]
+		g := groups[a.Group]
+		x.accounts[a.KeyHash] = &Account{
+			name: a.Name, group: g,
+			owner: share.Owner{Group: g.Name, GroupWeight: g.Weight, Account: a.Name, AccountWeight: a.Weight},
+		}
+	}
+	return x
+}
+
+// Revision returns the configuration's number.
+func (x *Index) Revision() revision.Number { return x.revision }
+
+// Document returns the configuration, which must not be changed.
+func (x *Index) Document() *intent.Document { return x.document }
+
+// Account returns the account of a bearer key or nil.
+func (x *Index) Account(key string) *Account { return x.accounts[HashKey(key)] }
+
+// HashKey returns the form in which a bearer key is kept.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Snapshot is what the request path knows at one moment.
+type Snapshot struct {
+	index  *Index
+	graphs map[string]*route.Graph
+}
+
+// NewSnapshot joins a configuration's index with the graphs of the models' servers.
+func NewSnapshot(index *Index, graphs map[string]*route.Graph) *Snapshot {
+	return &Snapshot{index: index, graphs: graphs}
+}
+
+// Index returns the configuration's index, nil before there is one.
+func (s *Snapshot) Index() *Index { return s.index }
+
+// Graph returns the graph of a model's servers or nil.
+func (s *Snapshot) Graph(model string) *route.Graph { return s.graphs[model] }
+
+// Board holds the current snapshot.
+type Board struct {
+	current atomic.Pointer[Snapshot]
+}
+
+// NewBoard returns a Board with an empty snapshot.
+func NewBoard() *Board {
+	b := &Board{}
+	b.current.Store(&Snapshot{})
+	return b
+}
+
+// Current returns the current snapshot.
+func (b *Board) Current() *Snapshot { return b.current.Load() }
+
+// Publish replaces the snapshot.
+func (b *Board) Publish(s *Snapshot) { b.current.Store(s) }
