all: add property and failure tests of the decisions

Found and mended on the way: a planner that left servers unplaced which a second run would place; a segment that hung on one server; an answer that failed while every circuit of a segment was open although its servers were back (the choice now falls back to servers with open circuits, never to barred ones).

--- a/control/members.go
+++ b/control/members.go
@@ -24,7 +24,11 @@
 
 func decode[T any](body []byte) (T, bool) {
 	var value T
-	return value, len(body) > 0 && cbor.Unmarshal(body, &value) == nil
+	if len(body) == 0 {
+		return value, false
+	}
+	err := cbor.Unmarshal(body, &value)
+	return value, err == nil
 }
 
 // status returns what an origin says about itself.
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,77 @@
+package link_test
+
+import (
+	"context"
+	"io"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/keys"
+	"junctioncross/link"
+	"junctioncross/metrics"
+)
+
+// ring returns a holder's keys signed by an authority.
+func ring(t *testing.T, a *keys.Authority, role keys.Role, name string) *keys.Ring {
+	dir := t.TempDir()
+	require.NoError(t, a.Write(dir))
+	require.NoError(t, a.Issue(dir, keys.NewIdentity(role, "east", name), time.Now()))
+	r, err := keys.NewRing(keys.Files{
+		Authority: filepath.Join(dir, keys.FileAuthority), Certificate: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+"-key.pem"),
+	})
+	require.NoError(t, err)
+	return r
+}
+
+func authority(t *testing.T) *keys.Authority {
+	a, err := keys.NewAuthority(time.Now())
+	require.NoError(t, err)
+	return a
+}
+
+const addr = "127.0.0.1:39417"
+
+func listen(t *testing.T, r *keys.Ring) {
+	mux := link.NewMux()
+	link.Handle(mux, link.KindHead, func(_ context.Context, from keys.Identity, q string) (string, error) {
+		if q == "bad" {
+			return "", errors.New("no")
+		}
+		return from.Domain() + "/" + from.Name() + " said " + q, nil
+	})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s, err := link.Listen(addr, r, mux, metrics.New(), log)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+}
+
+func call(t *testing.T, r *keys.Ring, kind link.Kind, q string) (string, error) {
+	c := link.NewClient(r, metrics.New())
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	return link.Call[string, string](ctx, c, addr, kind, q)
+}
+
+func TestInstancesKnowEachOtherAndNobodyElseIsServed(t *testing.T) {
+	a := authority(t)
+	listen(t, ring(t, a, keys.RoleInstance, "b"))
+	got, err := call(t, ring(t, a, keys.RoleInstance, "a"), link.KindHead, "hello")
+	require.NoError(t, err)
+	require.Equal(t, "east/a said hello", got)
+
+	_, err = call(t, ring(t, a, keys.RoleInstance, "a"), link.KindHead, "bad")
+	require.ErrorIs(t, err, link.ErrRefused)
+	_, err = call(t, ring(t, a, keys.RoleInstance, "a"), link.KindClaim, "x")
+	require.ErrorIs(t, err, link.ErrRefused, "unknown call")
+	_, err = call(t, ring(t, a, keys.RoleOperator, "op"), link.KindHead, "hello")
+	require.Error(t, err, "an operator is no instance")
+	_, err = call(t, ring(t, authority(t), keys.RoleInstance, "a"), link.KindHead, "hello")
+	require.Error(t, err, "another authority")
+}
--- /dev/null
+++ b/pipeline/runner_test.go
@@ -0,0 +1,203 @@
+package pipeline_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+	"pgregory.net/rapid"
+
+	"junctioncross/engine"
+	"junctioncross/metrics"
+	"junctioncross/models"
+	"junctioncross/pipeline"
+	"junctioncross/pool"
+	"junctioncross/route"
+	"junctioncross/standin"
+	"junctioncross/timer"
+)
+
+const (
+	modelName = "m"
+	layers    = 8
+)
+
+var model = standin.NewModel(modelName, "v", layers)
+
+// server is a stand-in engine on loopback that can break in several ways.
+type server struct {
+	engine   *standin.Engine
+	http     *fasthttp.Server
+	addr     string
+	lose     atomic.Int32
+	cross    atomic.Int32
+	deadFrom atomic.Int32
+	calls    atomic.Int32
+}
+
+func startServer(t testing.TB, r models.Layers) *server {
+	s := &server{engine: standin.NewEngine(standin.EngineSettings{Name: r.String(), LayerMicros: 5, MaxBatch: 8, Fetch: func(int) {}})}
+	s.engine.Order(engine.Order{Fence: 1, Model: modelName, Version: "v", Layers: r, Total: layers})
+	require.Eventually(t, func() bool { return s.engine.Report(time.Now()).State == engine.StateReady }, 5*time.Second, time.Millisecond)
+	inner := standin.EngineHandler(s.engine)
+	s.http = &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { s.serve(ctx, inner) }}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.addr = listener.Addr().String()
+	go func() { _ = s.http.Serve(listener) }()
+	t.Cleanup(func() { _ = s.http.Shutdown() })
+	return s
+}
+
+// serve answers a call, loses its answer, crosses its results or refuses the connection, as told.
+func (s *server) serve(ctx *fasthttp.RequestCtx, inner fasthttp.RequestHandler) {
+	if string(ctx.Path()) != engine.PathStep {
+		inner(ctx)
+		return
+	}
+	n := s.calls.Add(1)
+	if from := s.deadFrom.Load(); from > 0 && n >= from {
+		hangUp(ctx)
+		return
+	}
+	inner(ctx)
+	if s.lose.Load() == n {
+		hangUp(ctx)
+	}
+	if s.cross.Load() == n {
+		reply, _ := engine.Decode[engine.StepReply](ctx.Response.Body())
+		for i := range reply.Results {
+			reply.Results[i].Request = "another"
+		}
+		body, _ := engine.Encode(reply)
+		ctx.SetBody(body)
+	}
+}
+
+func hangUp(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+}
+
+type bed struct {
+	servers []*server
+	graph   *route.Graph
+	runner  *pipeline.Runner
+	stats   *metrics.Registry
+}
+
+// newBed starts two servers for each half of the model.
+func newBed(t testing.TB) *bed {
+	b := &bed{stats: metrics.New()}
+	clock := timer.NewReal()
+	p := pool.New(engine.NewCaller(), clock, b.stats)
+	var nodes []route.Node
+	for i, r := range []models.Layers{{First: 0, End: 4}, {First: 4, End: 8}, {First: 0, End: 4}, {First: 4, End: 8}} {
+		s := startServer(t, r)
+		b.servers = append(b.servers, s)
+		nodes = append(nodes, route.Node{Server: p.Ensure(pool.Spec{Name: string(rune('a' + i)), Addr: s.addr}), Layers: r, Weight: 1})
+	}
+	b.graph = route.NewGraph(layers, nodes)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	b.runner = pipeline.New(p, clock, b.stats, log)
+	return b
+}
+
+func (b *bed) run(id, prompt string, limit int) (string, error) {
+	var text strings.Builder
+	q := &pipeline.Request{ID: id, Model: modelName, Prompt: prompt, Limit: limit, Graph: func() *route.Graph { return b.graph }}
+	err := b.runner.Run(context.Background(), q, func(t pipeline.Token) error {
+		text.WriteString(t.Piece)
+		return nil
+	})
+	return text.String(), err
+}
+
+func want(prompt string, limit int) string {
+	text, _, _ := model.Answer(prompt, limit)
+	return text
+}
+
+// TestAnswersAreWholeWhateverBreaksOnce breaks single calls in every way at random places.
+func TestAnswersAreWholeWhateverBreaksOnce(t *testing.T) {
+	b := newBed(t)
+	rapid.Check(t, func(rt *rapid.T) {
+		for _, s := range b.servers {
+			s.calls.Store(0)
+			s.lose.Store(int32(rapid.IntRange(0, 20).Draw(rt, "lose")))
+			s.cross.Store(int32(rapid.IntRange(0, 20).Draw(rt, "cross")))
+		}
+		got, err := b.run("r", "one two three", 12)
+		require.NoError(rt, err)
+		require.Equal(rt, want("one two three", 12), got)
+	})
+}
+
+func TestAStageThatDiesIsReplaced(t *testing.T) {
+	for victim := range 4 {
+		b := newBed(t)
+		b.servers[victim].deadFrom.Store(3)
+		for i := 0; i < 200 && b.stats.Counter("recoveries_total").Count() == 0; i++ {
+			got, err := b.run(fmt.Sprint(i), "hello there", 10)
+			require.NoError(t, err)
+			require.Equal(t, want("hello there", 10), got)
+		}
+		require.Positive(t, b.stats.Counter("recoveries_total").Count())
+	}
+}
+
+func TestFailuresSayTheTruthAboutTheRun(t *testing.T) {
+	t.Run("nothing was sent", func(t *testing.T) {
+		b := newBed(t)
+		for _, s := range b.servers {
+			require.NoError(t, s.http.Shutdown())
+		}
+		_, err := b.run("r", "x", 3)
+		require.Equal(t, models.FateNotRun, fate(t, err))
+	})
+	t.Run("the first half ran", func(t *testing.T) {
+		b := newBed(t)
+		require.NoError(t, b.servers[1].http.Shutdown())
+		require.NoError(t, b.servers[3].http.Shutdown())
+		_, err := b.run("r", "x", 3)
+		require.Equal(t, models.FateUnknown, fate(t, err))
+	})
+	t.Run("no path", func(t *testing.T) {
+		b := newBed(t)
+		b.graph = route.NewGraph(layers, nil)
+		_, err := b.run("r", "x", 3)
+		require.Equal(t, models.FateNotRun, fate(t, err))
+	})
+}
+
+func fate(t *testing.T, err error) models.Fate {
+	var f *pipeline.Failure
+	require.True(t, errors.As(err, &f), "%v", err)
+	return f.Fate()
+}
+
+func TestACallerThatLeavesEndsTheRunAndFreesTheServers(t *testing.T) {
+	b := newBed(t)
+	q := &pipeline.Request{ID: "r", Model: modelName, Prompt: "x", Limit: 50, Graph: func() *route.Graph { return b.graph }}
+	err := b.runner.Run(t.Context(), q, func(pipeline.Token) error { return errors.New("gone") })
+	var f *pipeline.Failure
+	require.True(t, errors.As(err, &f))
+	require.Equal(t, models.ReasonCallerGone, f.Reason())
+	require.Eventually(t, func() bool {
+		held := 0
+		for _, s := range b.servers {
+			held += s.engine.Tally().Held
+		}
+		return held == 0
+	}, 10*time.Second, time.Millisecond)
+}
--- a/plan/layout.go
+++ b/plan/layout.go
@@ -50,6 +50,30 @@
 	return lowest
 }
 
+// afterLoss returns the tokens a second that are left when the worst single server is lost.
+func (l *layout) afterLoss() float64 {
+	lowest := l.throughput()
+	for i, nodes := range l.nodes {
+		for _, n := range nodes {
+			lowest = min(lowest, l.rates[i]-n.rate/float64(l.cuts[i].Count()))
+		}
+	}
+	return max(lowest, 0)
+}
+
+// score weighs the throughput of today against that after a fault, so that a segment does not hang on one server where
+// there are enough of them.
+func (l *layout) score() float64 { return l.throughput() + l.afterLoss() }
+
+// servers returns the number of servers that have a segment.
+func (l *layout) servers() int {
+	total := 0
+	for _, nodes := range l.nodes {
+		total += len(nodes)
+	}
+	return total
+}
+
 func (l *layout) apply(model string) {
 	for i, nodes := range l.nodes {
 		for _, n := range nodes {
@@ -65,7 +89,7 @@
 	var best *layout
 	for s := 1; s <= min(maxSegments, layers, len(nodes)); s++ {
 		l := improve(fill(equalCuts(layers, s), nodes), nodes)
-		if l.throughput() > 0 && (best == nil || l.throughput() > best.throughput()) {
+		if l.throughput() > 0 && (best == nil || l.score() > best.score()) {
 			best = l
 		}
 	}
@@ -88,7 +112,7 @@
 	return l
 }
 
-// improve moves one boundary by one layer at a time as long as the slowest segment gains.
+// improve moves one boundary by one layer at a time as long as the score gains.
 func improve(l *layout, nodes []node) *layout {
 	for {
 		better := bestShift(l, nodes)
@@ -101,15 +125,15 @@
 
 func bestShift(l *layout, nodes []node) *layout {
 	var best *layout
-	limit := l.throughput()
+	limit := l.score()
 	for i := 0; i+1 < len(l.cuts); i++ {
 		for _, step := range []int{-1, 1} {
 			cuts := shifted(l.cuts, i, step)
 			if cuts == nil {
 				continue
 			}
-			if next := fill(cuts, nodes); next.throughput() > limit {
-				best, limit = next, next.throughput()
+			if next := fill(cuts, nodes); next.score() > limit {
+				best, limit = next, next.score()
 			}
 		}
 	}
--- a/plan/place.go
+++ b/plan/place.go
@@ -75,22 +75,44 @@
 	return out
 }
 
-// placeDomain gives the free servers of one domain to the models.
+// placeDomain gives the free servers of one domain to the models, until a whole round places none.
 func placeDomain(d *intent.Document, domain string, weights map[string]float64) []string {
-	free := freeNodes(d, domain)
-	if len(free) == 0 {
-		return nil
-	}
 	var effects []string
-	shares := shareNodes(d, domain, free, weights)
-	for _, m := range d.Models {
-		nodes := shares[m.Name]
-		if len(nodes) == 0 {
-			continue
+	for {
+		placed, refused := placeRound(d, domain, weights)
+		effects = append(effects, placed...)
+		if len(placed) == 0 {
+			return append(effects, refused...)
 		}
-		effects = append(effects, placeModel(d, domain, &m, nodes)...)
 	}
-	return effects
+}
+
+// placeRound deals the free servers out; what a model cannot use is dealt again to the others. It returns what was placed
+// and what will not be.
+func placeRound(d *intent.Document, domain string, weights map[string]float64) (placed, refused []string) {
+	left := map[string]float64{}
+	for m, w := range weights {
+		left[m] = w
+	}
+	for len(left) > 0 {
+		free := freeNodes(d, domain)
+		if len(free) == 0 {
+			return placed, nil
+		}
+		shares := shareNodes(d, domain, free, left)
+		for i := range d.Models {
+			m := &d.Models[i]
+			nodes := shares[m.Name]
+			effects, ok := placeModel(d, domain, m, nodes)
+			if ok {
+				placed = append(placed, effects...)
+				continue
+			}
+			delete(left, m.Name)
+			refused = append(refused, effects...)
+		}
+	}
+	return placed, refused
 }
 
 // shareNodes deals the servers out, the fastest first, each to the model that has least for its weight.
@@ -123,18 +145,22 @@
 	return out
 }
 
-func placeModel(d *intent.Document, domain string, m *intent.Model, nodes []node) []string {
+// placeModel gives servers to a model and reports whether any was placed.
+func placeModel(d *intent.Document, domain string, m *intent.Model, nodes []node) ([]string, bool) {
+	if len(nodes) == 0 {
+		return nil, false
+	}
 	if cuts := existingCuts(d, domain, m); cuts != nil {
 		return fillCuts(d, domain, m, cuts, nodes)
 	}
 	best := searchCuts(m.Layers, nodes)
 	if best == nil {
 		return []string{fmt.Sprintf("will not place model %s in %s: %d free servers cannot hold %d layers",
-			m.Name, domain, len(nodes), m.Layers)}
+			m.Name, domain, len(nodes), m.Layers)}, false
 	}
 	best.apply(m.Name)
 	return []string{fmt.Sprintf("place model %s in %s on %d servers in %d segments, %.0f tokens a second",
-		m.Name, domain, len(nodes), len(best.cuts), best.throughput())}
+		m.Name, domain, best.servers(), len(best.cuts), best.throughput())}, true
 }
 
 // existingCuts returns the segments by which the model is already placed in the domain, or nil.
@@ -156,8 +182,9 @@
 	return cuts
 }
 
-// fillCuts adds servers to the segments of a model that is already placed, the slowest segment first.
-func fillCuts(d *intent.Document, domain string, m *intent.Model, cuts []models.Layers, nodes []node) []string {
+// fillCuts adds servers to the segments of a model that is already placed, the slowest segment first, and reports whether
+// any was placed.
+func fillCuts(d *intent.Document, domain string, m *intent.Model, cuts []models.Layers, nodes []node) ([]string, bool) {
 	l := newLayout(cuts)
 	for i := range d.Backends {
 		b := &d.Backends[i]
@@ -165,17 +192,20 @@
 			l.rates[l.indexOf(b.Layers)] += LayerRate(d.Kind(b.Kind)) / float64(b.Layers.Count())
 		}
 	}
-	var effects []string
 	for _, n := range nodes {
-		if !l.add(n) {
-			effects = append(effects, fmt.Sprintf("will not place backend server %s: too small for model %s", n.backend.Name, m.Name))
-		}
+		l.add(n)
 	}
 	l.apply(m.Name)
+	var placed, refused []string
 	for _, n := range nodes {
-		if n.backend.Model != "" {
-			effects = append(effects, fmt.Sprintf("backend server %s loads %s layers %s", n.backend.Name, m.Name, n.backend.Layers))
+		if n.backend.Model == "" {
+			refused = append(refused, fmt.Sprintf("will not place backend server %s: too small for model %s", n.backend.Name, m.Name))
+			continue
 		}
+		placed = append(placed, fmt.Sprintf("backend server %s loads %s layers %s", n.backend.Name, m.Name, n.backend.Layers))
+	}
+	if len(placed) == 0 {
+		return refused, false
 	}
-	return effects
+	return placed, true
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -18,6 +18,8 @@
 	progressPeriod = 10 * time.Millisecond
 	budgetShare    = 0.1
 	budgetMost     = 20
+	// pathLength is the number of stages that a path has room for at first.
+	pathLength = 8
 )
 
 // Spec describes a server that the pool should hold.
@@ -87,11 +89,17 @@
 // Choose returns a path through the graph that avoids the servers in avoid.
 func (p *Pool) Choose(g *route.Graph, avoid []int) ([]route.Node, bool) {
 	l := loads{servers: *p.list.Load(), now: p.clock.Now(), avoid: avoid}
-	path, ok := route.Choose(g, l, random{}, make([]route.Node, 0, 8))
-	if !ok && len(avoid) > 0 {
+	path := make([]route.Node, 0, pathLength)
+	path, ok := route.Choose(g, l, random{}, path)
+	if !ok {
 		l.avoid = nil
 		path, ok = route.Choose(g, l, random{}, path[:0])
 	}
+	// A failed server is worth a trial when the only other answer is a refusal.
+	if !ok {
+		l.despite = true
+		path, ok = route.Choose(g, l, random{}, path[:0])
+	}
 	if !ok {
 		return nil, false
 	}
@@ -106,6 +114,8 @@
 	servers []*Server
 	now     time.Time
 	avoid   []int
+	// despite counts servers with open circuits as usable.
+	despite bool
 }
 
 // InFlight implements route.Loads.
@@ -118,6 +128,9 @@
 			return false
 		}
 	}
+	if l.despite {
+		return !l.servers[i].Barred()
+	}
 	return l.servers[i].Usable(l.now)
 }
 
--- a/pool/server.go
+++ b/pool/server.go
@@ -38,9 +38,12 @@
 // Bar closes the server to new work or opens it again.
 func (s *Server) Bar(barred bool) { s.barred.Store(barred) }
 
+// Barred reports whether the server must get no new work, whatever else there is.
+func (s *Server) Barred() bool { return s.barred.Load() || s.gatherer.Leaving() }
+
 // Usable reports whether the server may get new work.
 func (s *Server) Usable(now time.Time) bool {
-	if s.barred.Load() || s.gatherer.Leaving() {
+	if s.Barred() {
 		return false
 	}
 	s.mu.Lock()
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,63 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"junctioncross/retry"
+)
+
+func TestBudgetBoundsRetriesByTheShareOfSuccesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const share, most = 0.1, 5.0
+		b := retry.NewBudget(share, most)
+		successes, retries := 0, 0
+		for range rapid.IntRange(0, 300).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "success") {
+				b.Succeeded()
+				successes++
+			} else if b.Take() {
+				retries++
+			}
+		}
+		require.LessOrEqual(t, float64(retries), most+share*float64(successes))
+	})
+}
+
+func TestCircuitOpensLongerWithEachFailureAndLetsOneTrialThrough(t *testing.T) {
+	now := time.Unix(100, 0)
+	var c retry.Circuit
+	require.False(t, c.Open(now))
+	last := time.Duration(0)
+	for range 8 {
+		c.Failed(now)
+		pause := time.Duration(0)
+		for c.Open(now.Add(pause)) {
+			pause += 10 * time.Millisecond
+		}
+		require.GreaterOrEqual(t, pause, last)
+		last = pause
+		now = now.Add(pause)
+		c.Admit()
+		require.True(t, c.Open(now), "a second trial at the same time")
+	}
+	c.Settled()
+	require.False(t, c.Open(now))
+	c.Succeeded()
+	require.False(t, c.Open(time.Unix(0, 0)))
+}
+
+func TestPauseGrowsAndStaysBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 100).Draw(t, "retry")
+		p := retry.Pause(n, rapid.Float64Range(0, 0.999).Draw(t, "random"))
+		require.GreaterOrEqual(t, p, time.Duration(0))
+		require.LessOrEqual(t, p, 500*time.Millisecond)
+		if n == 0 {
+			require.Zero(t, p)
+		}
+	})
+}
--- a/revision/segment.go
+++ b/revision/segment.go
@@ -23,6 +23,9 @@
 	body []byte
 }
 
+// Name returns the segment's name within its document.
+func (s Segment) Name() string { return s.name }
+
 // Hash returns the content hash, in hexadecimal digits.
 func (s Segment) Hash() string { return s.hash }
 
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,114 @@
+package route_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"junctioncross/models"
+	"junctioncross/route"
+)
+
+type state struct {
+	inFlight []int
+	usable   []bool
+}
+
+func (s state) InFlight(i int) int { return s.inFlight[i] }
+func (s state) Usable(i int) bool  { return s.usable[i] }
+
+func drawNodes(t *rapid.T, layers int) ([]route.Node, state) {
+	var nodes []route.Node
+	var s state
+	for i := range rapid.IntRange(0, 20).Draw(t, "servers") {
+		first := rapid.IntRange(0, layers-1).Draw(t, "first")
+		end := rapid.IntRange(first+1, layers).Draw(t, "end")
+		nodes = append(nodes, route.Node{
+			Server: i, Layers: models.Layers{First: first, End: end}, Weight: rapid.Float64Range(0.5, 50).Draw(t, "weight"),
+		})
+		s.inFlight = append(s.inFlight, rapid.IntRange(0, 9).Draw(t, "in flight"))
+		s.usable = append(s.usable, rapid.Bool().Draw(t, "usable"))
+	}
+	return nodes, s
+}
+
+// pathExists searches by brute force.
+func pathExists(nodes []route.Node, s state, at, layers int) bool {
+	if at == layers {
+		return true
+	}
+	for _, n := range nodes {
+		if n.Layers.First == at && s.usable[n.Server] && pathExists(nodes, s, n.Layers.End, layers) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestChooseFindsAPathOfUsableServersWheneverThereIsOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		layers := rapid.IntRange(1, 6).Draw(t, "layers")
+		nodes, s := drawNodes(t, layers)
+		path, ok := route.Choose(route.NewGraph(layers, nodes), s, rand.New(rand.NewPCG(1, 1)), nil)
+		require.Equal(t, pathExists(nodes, s, 0, layers), ok)
+		if !ok {
+			return
+		}
+		ranges := make([]models.Layers, len(path))
+		for i, n := range path {
+			require.True(t, s.usable[n.Server])
+			ranges[i] = n.Layers
+		}
+		require.True(t, models.Tile(ranges, layers))
+	})
+}
+
+func TestChooseSpreadsWorkByWeight(t *testing.T) {
+	whole := models.Layers{First: 0, End: 4}
+	g := route.NewGraph(4, []route.Node{{Server: 0, Layers: whole, Weight: 30}, {Server: 1, Layers: whole, Weight: 10}})
+	s := state{inFlight: []int{0, 0}, usable: []bool{true, true}}
+	random := rand.New(rand.NewPCG(2, 2))
+	for range 400 {
+		path, ok := route.Choose(g, s, random, nil)
+		require.True(t, ok)
+		s.inFlight[path[0].Server]++
+	}
+	require.InDelta(t, 300, s.inFlight[0], 15)
+}
+
+// fleetGraph is one domain's share of a model at the size of two years on, and more.
+func fleetGraph(segments, perSegment int) (*route.Graph, state) {
+	var nodes []route.Node
+	var s state
+	for i := range segments * perSegment {
+		first := i % segments * 10
+		nodes = append(nodes, route.Node{Server: i, Layers: models.Layers{First: first, End: first + 10}, Weight: float64(10 + i%5)})
+		s.inFlight = append(s.inFlight, i%7)
+		s.usable = append(s.usable, true)
+	}
+	return route.NewGraph(segments*10, nodes), s
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, per := range []int{4, 20, 150, 600} {
+		g, s := fleetGraph(4, per)
+		b.Run("servers="+itoa(4*per), func(b *testing.B) {
+			random := rand.New(rand.NewPCG(3, 3))
+			path := make([]route.Node, 0, 8)
+			var loads route.Loads = s
+			b.ReportAllocs()
+			for b.Loop() {
+				path, _ = route.Choose(g, loads, random, path[:0])
+			}
+		})
+	}
+}
+
+func itoa(n int) string {
+	if n < 10 {
+		return string(rune('0' + n))
+	}
+	return itoa(n/10) + string(rune('0'+n%10))
+}
--- a/strict/decode.go
+++ b/strict/decode.go
@@ -14,7 +14,7 @@
 // Decode reads a YAML body into out, a pointer to a struct, and checks its validate tags; the error is an *Error.
 func Decode(file string, body []byte, out any) error {
 	d := &decoder{file: file, lines: map[string]int{}, keys: map[string]string{}, failed: map[string]bool{}}
-	tree, err := parser.ParseBytes(body, 0)
+	tree, err := parser.ParseBytes(body, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		return newError([]Problem{d.syntax(err)})
 	}
