--- a/admit/gate.go
+++ b/admit/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 	"time"
 
@@ -35,14 +36,16 @@
 	running int
 	service time.Duration
 	order   *share.Scheduler
-	usage   map[share.Owner]float64
+	// usage holds the cost used here since the start, and recent that since the last TakeTop.
+	usage  map[share.Owner]float64
+	recent map[share.Owner]float64
 }
 
 // New returns a Gate that refuses a request when its predicted wait is longer than maxWait.
 func New(clock *timer.Service, maxWait time.Duration) *Gate {
 	return &Gate{
 		clock: clock, maxWait: maxWait, limit: 1, service: initialService,
-		order: share.New(), usage: map[share.Owner]float64{},
+		order: share.New(), usage: map[share.Owner]float64{}, recent: map[share.Owner]float64{},
 	}
 }
 
@@ -154,6 +157,7 @@
 	defer g.mu.Unlock()
 	g.order.Charge(t.owner, cost)
 	g.usage[t.owner] += cost
+	g.recent[t.owner] += cost
 }
 
 // Leave gives the place back; further calls do nothing.
@@ -168,12 +172,26 @@
 	})
 }
 
-// TakeUsage returns the cost used here since the last call, by owner.
-func (g *Gate) TakeUsage() map[share.Owner]float64 {
+// Usage is the cost that an owner has used on one instance since that started.
+type Usage struct {
+	Owner share.Owner `cbor:"1,keyasint"`
+	Cost  float64     `cbor:"2,keyasint"`
+}
+
+// TakeTop returns the owners that used most since the last call, at most count, with all that they have used.
+func (g *Gate) TakeTop(count int) []Usage {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := g.usage
-	g.usage = map[share.Owner]float64{}
+	out := make([]Usage, 0, len(g.recent))
+	for o, cost := range g.recent {
+		out = append(out, Usage{Owner: o, Cost: cost})
+	}
+	g.recent = map[share.Owner]float64{}
+	sort.Slice(out, func(i, j int) bool { return out[i].Cost > out[j].Cost })
+	out = out[:min(count, len(out))]
+	for i := range out {
+		out[i].Cost = g.usage[out[i].Owner]
+	}
 	return out
 }
 
--- a/app/provide.go
+++ b/app/provide.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"go.uber.org/dig"
@@ -54,7 +55,7 @@
 	log := logrus.New()
 	log.SetOutput(os.Stderr)
 	log.SetLevel(level)
-	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	log.AddHook(instanceHook{name: set.Instance.Name, domain: set.Instance.Domain})
 	return log, nil
 }
@@ -84,8 +85,12 @@
 }
 
 func newSelf(set *config.Settings, clock *timer.Service) control.Self {
+	addr := set.Listen.Peers
+	if set.Listen.Advertised != "" {
+		addr = set.Listen.Advertised
+	}
 	return control.Self{
-		Name: set.Instance.Name, Domain: set.Instance.Domain, PeerAddr: set.Listen.Peers,
+		Name: set.Instance.Name, Domain: set.Instance.Domain, PeerAddr: addr,
 		Incarnation: uint64(clock.Now().UnixNano()), Seeds: set.Peers, ListAddr: set.Platform.Instances,
 	}
 }
--- /dev/null
+++ b/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench measures fleets on loopback and prints the figures.
+package bench
--- a/cmd/jxload/main.go
+++ b/cmd/jxload/main.go
@@ -8,8 +8,9 @@
 type commands struct {
 	Bin string `default:"bin" help:"Directory of the programs."`
 
-	Run  runCommand  `cmd:"" help:"Start the users' fleet and keep it until Ctrl-C."`
-	Demo demoCommand `cmd:"" help:"Start the users' fleet, check what it promises and stop it."`
+	Run   runCommand   `cmd:"" help:"Start the users' fleet and keep it until Ctrl-C."`
+	Demo  demoCommand  `cmd:"" help:"Start the users' fleet, check what it promises and stop it."`
+	Bench benchCommand `cmd:"" help:"Take one measurement and print its figures."`
 }
 
 func main() {
--- a/config/listen.go
+++ b/config/listen.go
@@ -8,6 +8,8 @@
 	Operators string `yaml:"operators" validate:"ipport"`
 	// Peers is the IP number and UDP port for other instances.
 	Peers string `yaml:"peers" validate:"ipport"`
+	// Advertised is the address under which other instances reach Peers, when that differs.
+	Advertised string `yaml:"advertised" validate:"omitempty,ipport"`
 	// Health is the IP number and port of health checks and metrics.
 	Health string `yaml:"health" validate:"ipport"`
 }
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -23,6 +23,7 @@
 	link.Handle(m, link.KindExchange, l.serveExchange)
 	link.Handle(m, link.KindUpdates, l.serveUpdates)
 	link.Handle(m, link.KindHead, l.serveHead)
+	link.Handle(m, link.KindNews, l.serveNews)
 	link.Handle(m, link.KindSegment, l.serveSegment)
 	link.Handle(m, link.KindStatus, func(context.Context, keys.Identity, none) ([]InstanceStatus, error) {
 		return l.Statuses(), nil
@@ -54,6 +55,15 @@
 	return f.Head(), nil
 }
 
+func (l *Loop) serveNews(_ context.Context, _ keys.Identity, q newsQuestion) (newsAnswer, error) {
+	f := l.deps.Keeper.InForce()
+	if f == nil || f.Head().Revision <= q.Above {
+		return newsAnswer{}, nil
+	}
+	head := f.Head()
+	return newsAnswer{Head: &head}, nil
+}
+
 func (l *Loop) serveSegment(_ context.Context, _ keys.Identity, hash string) ([]byte, error) {
 	body, ok := l.deps.Keeper.Body(hash)
 	if !ok {
--- a/control/loop.go
+++ b/control/loop.go
@@ -70,6 +70,8 @@
 	fetching atomic.Bool
 	alone    atomic.Bool
 	leads    atomic.Bool
+	// hearsKV is false while the last call to the key-value service failed.
+	hearsKV atomic.Bool
 
 	// The fields below belong to the control goroutine.
 	table     *gossip.Table
@@ -81,6 +83,7 @@
 	leaves    bool
 	nextPeer  int
 	polls     map[string]*poll
+	charged   map[chargedKey]float64
 	relayNews map[string]relayNews
 }
 
@@ -100,11 +103,13 @@
 		backends:  map[string]*backend{},
 		leftList:  map[string]bool{},
 		polls:     map[string]*poll{},
+		charged:   map[chargedKey]float64{},
 		relayNews: map[string]relayNews{},
 	}
 	go func() { l.run(ctx) }()
 	go func() { l.watch(ctx) }()
 	go func() { l.pollList(ctx) }()
+	go func() { l.askOthers(ctx) }()
 	return l
 }
 
@@ -163,6 +168,7 @@
 	l.table.Forget(now, forgetLimit)
 	l.refreshMembers()
 	l.stateStatus()
+	l.stateUsage()
 	l.mergeBackends()
 	l.publish()
 }
@@ -203,6 +209,7 @@
 		return
 	}
 	l.refreshMembers()
+	l.chargeRemote()
 	if l.mergeBackends() {
 		l.publish()
 	}
--- /dev/null
+++ b/control/others.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"junctioncross/link"
+	"junctioncross/member"
+)
+
+const (
+	// othersPeriod is how often a relay that does not hear the key-value service asks another domain.
+	othersPeriod  = 500 * time.Millisecond
+	othersTimeout = 700 * time.Millisecond
+)
+
+// askOthers carries configurations past a cut between this domain and the key-value service: its relays ask instances of
+// other domains, one at a time.
+func (l *Loop) askOthers(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.sleep(ctx, jittered(othersPeriod))
+		if !l.relay.Load() || l.hearsKV.Load() {
+			continue
+		}
+		if addr := l.otherDomainAddr(); addr != "" {
+			l.askOther(ctx, addr)
+		}
+	}
+}
+
+// otherDomainAddr returns the address of a random instance of another domain, from the list as it was last read.
+func (l *Loop) otherDomainAddr() string {
+	var addrs []string
+	for _, line := range l.Listed() {
+		if line.Role == member.RoleEntry && line.Domain != l.self.Domain {
+			addrs = append(addrs, line.Addr)
+		}
+	}
+	if len(addrs) == 0 {
+		return ""
+	}
+	return addrs[rand.IntN(len(addrs))]
+}
+
+func (l *Loop) askOther(ctx context.Context, addr string) {
+	call, cancel := context.WithTimeout(ctx, othersTimeout)
+	defer cancel()
+	q := newsQuestion{Above: l.deps.Keeper.Revision()}
+	a, err := link.Call[newsQuestion, newsAnswer](call, l.deps.Links, addr, link.KindNews, q)
+	if err != nil || a.Head == nil {
+		return
+	}
+	changed, err := l.deps.Keeper.Offer(*a.Head, l.segmentFrom(ctx, addr))
+	if err != nil {
+		l.deps.Stats.Counter("config_fetch_failed_total").Inc(1)
+	}
+	if changed {
+		l.post(configured{})
+	}
+}
--- a/control/relay.go
+++ b/control/relay.go
@@ -47,16 +47,17 @@
 
 // watchOnce waits for the next head; it returns the number of failures in a row.
 func (l *Loop) watchOnce(ctx context.Context, at *kv.Revision, failures int) int {
-	started := l.deps.Clock.Now()
-	head, revision, err := l.deps.Store.WaitHead(ctx, *at)
+	head, written, err := l.deps.Store.WaitHead(ctx, *at)
 	if err == nil {
-		*at = revision
+		*at = written
 		l.offer(ctx, head)
 	}
-	if err == nil || l.deps.Clock.Since(started) > askPeriod {
+	if err == nil || errors.Is(err, revision.ErrNoNews) {
+		l.hearsKV.Store(true)
 		l.post(heard{})
 		return 0
 	}
+	l.hearsKV.Store(false)
 	l.sleep(ctx, pauseAfter(failures))
 	return failures + 1
 }
@@ -65,13 +66,14 @@
 func (l *Loop) askOnce(ctx context.Context, at *kv.Revision, failures int) int {
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	head, revision, err := l.deps.Store.Head(call)
+	head, written, err := l.deps.Store.Head(call)
+	l.hearsKV.Store(err == nil)
 	if err != nil {
 		l.sleep(ctx, pauseAfter(failures))
 		return failures + 1
 	}
 	l.post(heard{})
-	*at = revision
+	*at = written
 	if head.Revision == 0 {
 		l.sleep(ctx, jittered(watchPause))
 		return 0
@@ -159,15 +161,20 @@
 	if err != nil {
 		return err
 	}
-	changed, err := l.deps.Keeper.Offer(head, func(hash string) ([]byte, error) {
+	changed, err := l.deps.Keeper.Offer(head, l.segmentFrom(ctx, addr))
+	if changed {
+		l.post(configured{})
+	}
+	return err
+}
+
+// segmentFrom returns a function that fetches segments from an instance, or from the service when that has none.
+func (l *Loop) segmentFrom(ctx context.Context, addr string) func(hash string) ([]byte, error) {
+	return func(hash string) ([]byte, error) {
 		body, err := link.Call[string, []byte](ctx, l.deps.Links, addr, link.KindSegment, hash)
 		if errors.Is(err, link.ErrUnreachable) || errors.Is(err, link.ErrRefused) {
 			return l.deps.Store.Segment(ctx, hash)
 		}
 		return body, err
-	})
-	if changed {
-		l.post(configured{})
 	}
-	return err
 }
--- a/control/wire.go
+++ b/control/wire.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"junctioncross/admit"
 	"junctioncross/engine"
 	"junctioncross/gossip"
 	"junctioncross/models"
@@ -12,6 +13,7 @@
 	entryStatus   = "status"
 	entryLeaving  = "leaving"
 	entryMoving   = "moving"
+	entryUsage    = "usage"
 	prefixBackend = "backend/"
 )
 
@@ -75,5 +77,21 @@
 	Updates []gossip.Update `cbor:"1,keyasint"`
 }
 
+// newsQuestion asks an instance of another domain for a configuration above a revision.
+type newsQuestion struct {
+	Above revision.Number `cbor:"1,keyasint"`
+}
+
+// newsAnswer holds the head when it is newer.
+type newsAnswer struct {
+	Head *revision.Head `cbor:"1,keyasint,omitempty"`
+}
+
+// modelUsage is the usage of one model's heaviest owners on one instance.
+type modelUsage struct {
+	Model string        `cbor:"1,keyasint"`
+	Top   []admit.Usage `cbor:"2,keyasint"`
+}
+
 // none is the empty question or answer.
 type none struct{}
--- /dev/null
+++ b/fault/udp.go
@@ -0,0 +1,134 @@
+package fault
+
+import (
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const datagram = 64 << 10
+
+// UDP is a proxy in front of one UDP address.
+type UDP struct {
+	socket   *net.UDPConn
+	upstream *net.UDPAddr
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	loss    float64
+	delay   time.Duration
+	cut     bool
+	clients map[string]*net.UDPConn
+}
+
+// NewUDP starts a proxy of the address upstream on a free loopback port; seed makes its losses repeatable.
+func NewUDP(upstream string, seed uint64) (*UDP, error) {
+	target, err := net.ResolveUDPAddr("udp4", upstream)
+	if err != nil {
+		return nil, errors.Wrap(err, "fault: upstream")
+	}
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, errors.Wrap(err, "fault: listen")
+	}
+	u := &UDP{socket: socket, upstream: target, random: rand.New(rand.NewPCG(seed, seed)), clients: map[string]*net.UDPConn{}}
+	go func() { u.forward() }()
+	return u, nil
+}
+
+// Addr returns the address to send to.
+func (u *UDP) Addr() string { return u.socket.LocalAddr().String() }
+
+// Set makes the proxy lose a share of the datagrams and delay the others.
+func (u *UDP) Set(loss float64, delay time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.loss, u.delay = loss, delay
+}
+
+// Cut loses every datagram until Heal.
+func (u *UDP) Cut() { u.setCut(true) }
+
+// Heal ends a cut.
+func (u *UDP) Heal() { u.setCut(false) }
+
+func (u *UDP) setCut(cut bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.cut = cut
+}
+
+// Close ends the proxy.
+func (u *UDP) Close() {
+	_ = u.socket.Close()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.clients {
+		_ = c.Close()
+	}
+}
+
+// pass sends a datagram on, late or not at all.
+func (u *UDP) pass(send func()) {
+	u.mu.Lock()
+	lost := u.cut || u.random.Float64() < u.loss
+	delay := u.delay
+	u.mu.Unlock()
+	switch {
+	case lost:
+	case delay > 0:
+		time.AfterFunc(delay, send)
+	default:
+		send()
+	}
+}
+
+func (u *UDP) forward() {
+	buffer := make([]byte, datagram)
+	for {
+		n, from, err := u.socket.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		client, err := u.client(from)
+		if err != nil {
+			continue
+		}
+		body := append([]byte(nil), buffer[:n]...)
+		u.pass(func() { _, _ = client.Write(body) })
+	}
+}
+
+// client returns the socket that stands for a sender towards the upstream.
+func (u *UDP) client(from *net.UDPAddr) (*net.UDPConn, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if c := u.clients[from.String()]; c != nil {
+		return c, nil
+	}
+	c, err := net.DialUDP("udp4", nil, u.upstream)
+	if err != nil {
+		return nil, err
+	}
+	u.clients[from.String()] = c
+	go func() { u.backward(c, from) }()
+	return c, nil
+}
+
+func (u *UDP) backward(c *net.UDPConn, to *net.UDPAddr) {
+	buffer := make([]byte, datagram)
+	for {
+		n, err := c.Read(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		body := append([]byte(nil), buffer[:n]...)
+		u.pass(func() { _, _ = u.socket.WriteToUDP(body, to) })
+	}
+}
--- a/fleet/configure.go
+++ b/fleet/configure.go
@@ -45,7 +45,7 @@
 		add("account", intent.Account{Name: a.Name, Group: a.Group, Weight: a.Weight, KeyHash: view.HashKey(a.Key)})
 	}
 	for _, e := range f.engines {
-		add("add_backend", intent.Backend{Name: e.Name, Addr: e.Addr, Domain: e.Domain, Kind: e.Kind, ChecksFence: true})
+		add("add_backend", intent.Backend{Name: e.Name, Addr: e.served, Domain: e.Domain, Kind: e.Kind, ChecksFence: true, LinkMicros: e.link})
 	}
 	for _, s := range f.spec.Services {
 		add("service", intent.Service{Name: s.Name, Addrs: f.addrsOf(s.Name), Calls: s.Calls})
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,6 +28,8 @@
 	Ops     string
 	Peers   string
 	Health  string
+	// advertised is the address under which other instances reach Peers.
+	advertised string
 }
 
 // Engine is one model engine of a fleet.
@@ -37,6 +39,9 @@
 	Domain  string
 	Kind    string
 	Addr    string
+	link    float64
+	// served is the address under which entry instances reach the engine.
+	served string
 }
 
 // Service is one process of a plain service.
@@ -52,6 +57,7 @@
 	bin      string
 	dir      string
 	starter  *starter
+	faults   *Faults
 	kv       string
 	list     string
 	weights  string
@@ -67,7 +73,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "fleet: directory")
 	}
-	f := &Fleet{spec: spec, bin: bin, dir: dir, starter: newStarter(dir)}
+	f := &Fleet{spec: spec, bin: bin, dir: dir, starter: newStarter(dir), faults: newFaults(spec.Proxied)}
 	for _, step := range []func() error{f.startPlatform, f.startEngines, f.startServices, f.startEntries, f.configure, f.awaitServing} {
 		if err := step(); err != nil {
 			f.Stop()
@@ -80,6 +86,7 @@
 // Stop ends every process of the fleet and removes its files.
 func (f *Fleet) Stop() {
 	f.starter.stopAll()
+	f.faults.close()
 	if os.Getenv("JX_KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
 	}
@@ -100,6 +107,9 @@
 // KVAddr returns the address of the key-value service.
 func (f *Fleet) KVAddr() string { return f.kv }
 
+// Faults returns the proxies between the fleet's processes.
+func (f *Fleet) Faults() *Faults { return f.faults }
+
 // Spec returns the description the fleet was started from.
 func (f *Fleet) Spec() Spec { return f.spec }
 
@@ -128,23 +138,54 @@
 		return err
 	}
 	for _, domain := range f.spec.Domains {
+		first := len(f.engines)
 		for i, kind := range f.spec.Engines {
 			e := &Engine{Name: fmt.Sprintf("%s-%s%d", domain, kind, i), Domain: domain, Kind: kind, Addr: addrs[len(f.engines)]}
-			if err := f.StartEngine(e); err != nil {
+			if n := len(f.spec.LinkMicros); n > 0 {
+				e.link = f.spec.LinkMicros[i%n]
+			}
+			if e.served, err = f.faults.engine(e); err != nil {
 				return err
 			}
 			f.engines = append(f.engines, e)
 		}
+		if err := f.startDomainEngines(f.engines[first:]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startDomainEngines(engines []*Engine) error {
+	if f.spec.SharedEngines && len(engines) > 0 {
+		return f.startEngineProcess(engines...)
+	}
+	for _, e := range engines {
+		if err := f.startEngineProcess(e); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
-// StartEngine starts the process of an engine, for the first time or anew.
-func (f *Fleet) StartEngine(e *Engine) error {
-	k := f.kind(e.Kind)
-	p, err := f.starter.start(e.Name, f.program("jxfake"), "engine", "--listen", e.Addr, "--name", e.Name, "--weights", f.weights,
-		"--layer-micros", fmt.Sprint(k.LayerMicros), "--sequence-micros", fmt.Sprint(k.SequenceMicros), "--max-batch", fmt.Sprint(k.MaxBatch))
-	e.Process = p
+// StartEngine starts the process of an engine anew.
+func (f *Fleet) StartEngine(e *Engine) error { return f.startEngineProcess(e) }
+
+// startEngineProcess starts one process for engines of the first one's kind and link.
+func (f *Fleet) startEngineProcess(engines ...*Engine) error {
+	k := f.kind(engines[0].Kind)
+	args := []string{
+		"engine", "--weights", f.weights, "--layer-micros", fmt.Sprint(k.LayerMicros),
+		"--sequence-micros", fmt.Sprint(k.SequenceMicros), "--max-batch", fmt.Sprint(k.MaxBatch),
+		"--link", time.Duration(engines[0].link * float64(time.Microsecond)).String(),
+	}
+	for _, e := range engines {
+		args = append(args, "--listen", e.Addr, "--name", e.Name)
+	}
+	p, err := f.starter.start(engines[0].Name, f.program("jxfake"), args...)
+	for _, e := range engines {
+		e.Process = p
+	}
 	return err
 }
 
@@ -182,10 +223,14 @@
 			if err != nil {
 				return err
 			}
-			f.entries = append(f.entries, &Entry{
+			e := &Entry{
 				Name: fmt.Sprintf("%s-%d", domain, i), Domain: domain,
 				Callers: addrs[0], Ops: addrs[1], Peers: addrs[2], Health: addrs[3],
-			})
+			}
+			if e.advertised, err = f.faults.entry(e); err != nil {
+				return err
+			}
+			f.entries = append(f.entries, e)
 		}
 	}
 	if err := f.makeKeys(); err != nil {
@@ -225,7 +270,7 @@
 func (f *Fleet) SetList(leaving map[string]bool) error {
 	var lines []member.Listed
 	for _, e := range f.entries {
-		lines = append(lines, member.Listed{Name: e.Name, Addr: e.Peers, Domain: e.Domain, Role: member.RoleEntry, Leaving: leaving[e.Name]})
+		lines = append(lines, member.Listed{Name: e.Name, Addr: e.advertised, Domain: e.Domain, Role: member.RoleEntry, Leaving: leaving[e.Name]})
 	}
 	for _, e := range f.engines {
 		lines = append(lines, member.Listed{Name: e.Name, Addr: e.Addr, Domain: e.Domain, Role: member.RoleBackend, Leaving: leaving[e.Name]})
@@ -238,7 +283,14 @@
 	set := config.Default()
 	set.Instance = config.Instance{Name: e.Name, Domain: e.Domain}
 	set.Listen = config.Listen{Callers: e.Callers, Operators: e.Ops, Peers: e.Peers, Health: e.Health}
-	set.Platform = config.Platform{KV: f.kv, Instances: f.list}
+	if e.advertised != e.Peers {
+		set.Listen.Advertised = e.advertised
+	}
+	kv, list, err := f.faults.platform(e.Domain, f.kv, f.list)
+	if err != nil {
+		return err
+	}
+	set.Platform = config.Platform{KV: kv, Instances: list}
 	set.Keys = config.Keys{
 		Authority:   filepath.Join(f.keyDir(), keys.FileAuthority),
 		Certificate: filepath.Join(f.keyDir(), e.Name+".pem"),
--- a/fleet/ports.go
+++ b/fleet/ports.go
@@ -1,32 +1,50 @@
 package fleet
 
 import (
+	"fmt"
 	"net"
+	"os"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
 
+// The ports lie below those that the kernel gives to outgoing connections, so that nothing takes one between the moment
+// it is found free and the moment its process listens.
+const (
+	firstPort = 12_000
+	portCount = 18_000
+	portStep  = 7
+)
+
+var nextPort atomic.Int64
+
 // freeAddrs returns that many loopback addresses whose TCP and UDP ports are free.
 func freeAddrs(count int) ([]string, error) {
-	var held []interface{ Close() error }
-	defer func() {
-		for _, h := range held {
-			_ = h.Close()
-		}
-	}()
+	nextPort.CompareAndSwap(0, int64(os.Getpid()*portStep%portCount)+1)
 	out := make([]string, 0, count)
-	for len(out) < count {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "fleet: find a port")
+	for range portCount {
+		if len(out) == count {
+			return out, nil
 		}
-		held = append(held, l)
-		u, err := net.ListenPacket("udp4", l.Addr().String())
-		if err != nil {
-			continue
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+int(nextPort.Add(1))%portCount)
+		if isFree(addr) {
+			out = append(out, addr)
 		}
-		held = append(held, u)
-		out = append(out, l.Addr().String())
 	}
-	return out, nil
+	return nil, errors.New("fleet: no free ports")
+}
+
+func isFree(addr string) bool {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return false
+	}
+	defer l.Close()
+	u, err := net.ListenPacket("udp4", addr)
+	if err != nil {
+		return false
+	}
+	defer u.Close()
+	return true
 }
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -20,6 +20,13 @@
 	// Engines lists the kinds of the engines of each domain.
 	Engines  []string
 	Services []ServiceSpec
+	// SharedEngines runs all engines of a domain in one process, for large fleets of idle ones.
+	SharedEngines bool
+	// LinkMicros is the one-way delay of the engines' links by their place in Engines, in microseconds; shorter lists start
+	// again.
+	LinkMicros []float64
+	// Proxied puts fault proxies in front of the key-value service and list, for each domain, and of engines and peers.
+	Proxied bool
 	// ListLag is how old the platform's list is.
 	ListLag time.Duration
 	// LayerLoad is the weight store's time for one layer.
--- a/link/wire.go
+++ b/link/wire.go
@@ -26,6 +26,7 @@
 	KindSegment
 	KindStatus
 	KindClaim
+	KindNews
 )
 
 // Errors of this layer.
--- a/revision/errors.go
+++ b/revision/errors.go
@@ -13,6 +13,8 @@
 	ErrNoPlan = errors.New("revision: no such plan")
 	// ErrNoIntent means that there is no intent of that id.
 	ErrNoIntent = errors.New("revision: no such intent")
+	// ErrNoNews means that a watch ended without a newer head.
+	ErrNoNews = errors.New("revision: no news")
 	// ErrUnavailable means that the key-value service did not answer; nothing was changed.
 	ErrUnavailable = errors.New("revision: key-value service unavailable")
 	// ErrUnsure means that a confirmation may have taken effect; confirming the same plan again settles it.
--- a/revision/store.go
+++ b/revision/store.go
@@ -41,9 +41,12 @@
 	return head, record.Revision, err
 }
 
-// WaitHead returns the head once the service's revision of it is above after.
+// WaitHead returns the head once the service's revision of it is above after, or ErrNoNews when the watch ended before.
 func (s *Store) WaitHead(ctx context.Context, after kv.Revision) (Head, kv.Revision, error) {
 	record, err := s.kv.Wait(ctx, KeyHead, after)
+	if errors.Is(err, kv.ErrNotFound) {
+		return Head{}, 0, ErrNoNews
+	}
 	if err != nil {
 		return Head{}, 0, errors.Wrap(ErrUnavailable, err.Error())
 	}
--- a/share/scheduler.go
+++ b/share/scheduler.go
@@ -55,10 +55,10 @@
 
 // Owner names the account that a request belongs to.
 type Owner struct {
-	Group         string
-	GroupWeight   float64
-	Account       string
-	AccountWeight float64
+	Group         string  `cbor:"1,keyasint"`
+	GroupWeight   float64 `cbor:"2,keyasint"`
+	Account       string  `cbor:"3,keyasint"`
+	AccountWeight float64 `cbor:"4,keyasint"`
 }
 
 // Enqueue adds a request; an owner that had nothing waiting starts level with the least served one that has.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -22,6 +22,8 @@
 	ReportLag time.Duration
 	// Fetch blocks until the weights of n layers have come from the weight store.
 	Fetch func(layers int)
+	// Link is the one-way delay of the engine's link.
+	Link time.Duration
 	// IgnoreFence makes the engine take orders with any fence.
 	IgnoreFence bool
 }
@@ -80,6 +82,8 @@
 
 // Submit queues frames and returns their results once all of them ran or were refused.
 func (e *Engine) Submit(frames []engine.Frame) engine.StepReply {
+	time.Sleep(e.set.Link)
+	defer time.Sleep(e.set.Link)
 	var done sync.WaitGroup
 	items := make([]*work, len(frames))
 	for i := range frames {
