control: bound what news cost and let instances that start apart meet

Cause: with 343 backend servers a domain, control took 3.9% of a core, 39 MB and 145 KB/s on each of 8 instances, and 64 instances could not start: every report was followed at once and spread to all neighbours with a whole digest, ranks were sorted four times a second for every server, and all senders ran although most servers get no work. A profile named ranks and decoding first. Instances that started together also stayed in separate groups for good (seen as two leaders asking for one lease): news went only among known neighbours.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 build:
 	@mkdir -p $(BIN)
-	$(GO) build -o $(BIN)/ $(PROGRAMS:%=./cmd/%)
+	$(GO) build -trimpath -ldflags '-s -w' -o $(BIN)/ $(PROGRAMS:%=./cmd/%)
 
 run: build
 	$(BIN)/jxload --bin $(BIN) run
--- a/app/health.go
+++ b/app/health.go
@@ -1,16 +1,18 @@
 package app
 
 import (
+	"strings"
 	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
 
 	"junctioncross/entry"
 	"junctioncross/metrics"
 	"junctioncross/view"
 )
 
-// health answers the balancer's checks and the scrapes of metrics.
+// health answers the balancer's checks, the scrapes of metrics and profiles.
 type health struct {
 	board   *view.Board
 	entry   *entry.Handler
@@ -26,6 +28,10 @@
 func (h *health) leave() { h.leaving.Store(true) }
 
 func (h *health) handle(ctx *fasthttp.RequestCtx) {
+	if strings.HasPrefix(string(ctx.Path()), "/debug/pprof/") {
+		pprofhandler.PprofHandler(ctx)
+		return
+	}
 	switch string(ctx.Path()) {
 	case "/health/live":
 		ctx.SetBodyString("live\n")
--- a/app/run.go
+++ b/app/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +28,7 @@
 const (
 	writeTimeout = time.Minute
 	operatorBody = 4 << 20
+	gcPercent    = 50
 	statePeriod  = 500 * time.Millisecond
 )
 
@@ -49,6 +51,8 @@
 
 // Run starts an instance and returns when it has stopped after stop was closed, or could not start.
 func Run(set *config.Settings, stop <-chan struct{}) error {
+	// Instances are small: a tight heap is worth more than the processor time that it costs.
+	debug.SetGCPercent(gcPercent)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c, err := container(ctx, set)
--- a/bench/config.go
+++ b/bench/config.go
@@ -38,6 +38,7 @@
 		spec.Engines = append(spec.Engines, "a")
 	}
 	spec.SharedEngines = true
+	spec.LayerLoad = 100 * time.Microsecond
 	return spec
 }
 
--- a/cmd/jxload/bench.go
+++ b/cmd/jxload/bench.go
@@ -14,8 +14,8 @@
 func (b *benchCommand) Run(c *commands) error {
 	p := bench.NewPrinter(os.Stdout)
 	switch b.Name {
-	case "config":
-		return bench.Config(c.Bin, p)
+	case "control":
+		return bench.Control(c.Bin, p)
 	default:
 		return bench.Config(c.Bin, p)
 	}
--- a/control/backends.go
+++ b/control/backends.go
@@ -5,6 +5,7 @@
 
 	"junctioncross/chart"
 	"junctioncross/engine"
+	"junctioncross/gossip"
 	"junctioncross/intent"
 	"junctioncross/models"
 	"junctioncross/order"
@@ -57,10 +58,9 @@
 		if !keep[name] {
 			l.deps.Pool.Server(b.index).Bar(true)
 			delete(l.backends, name)
-			delete(l.polls, name)
-			l.table.Set(prefixBackend+name, nil)
 		}
 	}
+	l.assignPolls()
 }
 
 // mergeBackends joins what all instances state about the servers and reports whether any server's state changed.
@@ -69,17 +69,15 @@
 	movingNow := map[string]bool{}
 	listedLeaving := map[string]bool{}
 	for _, o := range l.table.Origins(l.deps.Clock.Now()) {
-		o.Each(func(key string, body []byte) {
-			name, isBackend := strings.CutPrefix(key, prefixBackend)
-			switch {
-			case isBackend:
-				collect(newest, name, body)
-			case key == entryMoving && o.Silent < silentLimit:
-				addNames(movingNow, body)
-			case key == entryLeaving && o.Silent < silentLimit:
-				addNames(listedLeaving, body)
+		o.Each(func(e gossip.Entry) {
+			if name, ok := strings.CutPrefix(e.Key, prefixBackend); ok {
+				l.collect(newest, name, o, e.Key)
 			}
 		})
+		if o.Silent < silentLimit {
+			l.addNames(movingNow, o, entryMoving)
+			l.addNames(listedLeaving, o, entryLeaving)
+		}
 	}
 	changed := false
 	for name, b := range l.backends {
@@ -90,15 +88,15 @@
 	return changed
 }
 
-func addNames(set map[string]bool, body []byte) {
-	names, _ := decode[[]string](body)
+func (l *Loop) addNames(set map[string]bool, o gossip.Origin, key string) {
+	names, _ := l.namesCache.get(o, key)
 	for _, n := range names {
 		set[n] = true
 	}
 }
 
-func collect(newest map[string]backendStatus, name string, body []byte) {
-	s, ok := decode[backendStatus](body)
+func (l *Loop) collect(newest map[string]backendStatus, name string, o gossip.Origin, key string) {
+	s, ok := l.backendCache.get(o, key)
 	if !ok {
 		return
 	}
--- /dev/null
+++ b/control/cache.go
@@ -0,0 +1,38 @@
+package control
+
+import "junctioncross/gossip"
+
+type entryKey struct {
+	origin string
+	key    string
+}
+
+type decoded[T any] struct {
+	known gossip.Known
+	value T
+	ok    bool
+}
+
+// cache keeps the decoded bodies of gossip entries, which are read far more often than they change.
+type cache[T any] struct {
+	bodies map[entryKey]decoded[T]
+}
+
+func newCache[T any]() *cache[T] { return &cache[T]{bodies: map[entryKey]decoded[T]{}} }
+
+// get returns the decoded body of an origin's entry.
+func (c *cache[T]) get(o gossip.Origin, key string) (T, bool) {
+	e, ok := o.Entry(key)
+	if !ok {
+		var none T
+		return none, false
+	}
+	at := entryKey{origin: o.Name, key: key}
+	known := gossip.Known{Incarnation: o.Incarnation, Version: e.Version}
+	if d, ok := c.bodies[at]; ok && d.known == known {
+		return d.value, d.ok
+	}
+	value, ok := decode[T](e.Body)
+	c.bodies[at] = decoded[T]{known: known, value: value, ok: ok}
+	return value, ok
+}
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -14,7 +14,11 @@
 	"junctioncross/revision"
 )
 
-const exchangeTimeout = 1500 * time.Millisecond
+const (
+	exchangeTimeout = 1500 * time.Millisecond
+	// strangerShare is how many exchanges there are for one with an unknown instance, while there are any.
+	strangerShare = 2
+)
 
 var errOtherDomain = errors.New("control: caller stands in another domain")
 
@@ -72,14 +76,28 @@
 	return body, nil
 }
 
-// startExchange exchanges news with the next neighbour.
+// startExchange exchanges news with a neighbour, or with an instance that the platform lists but nobody here has heard of:
+// two groups of instances that started apart would otherwise never meet.
 func (l *Loop) startExchange() {
 	addrs := l.neighbourAddrs()
-	if len(addrs) == 0 {
-		return
+	if strangers := l.strangerAddrs(); len(strangers) > 0 && rand.IntN(strangerShare) == 0 {
+		addrs = strangers
+	}
+	if len(addrs) > 0 {
+		l.exchange(addrs[rand.IntN(len(addrs))])
 	}
-	l.nextPeer++
-	l.exchange(addrs[l.nextPeer%len(addrs)])
+}
+
+// strangerAddrs returns the listed instances of the domain that are not among the known ones.
+func (l *Loop) strangerAddrs() []string {
+	var out []string
+	for _, line := range l.listed {
+		_, known := l.members.statuses[line.Name]
+		if line.Role == member.RoleEntry && line.Domain == l.self.Domain && !line.Leaving && !known {
+			out = append(out, line.Addr)
+		}
+	}
+	return out
 }
 
 // exchangeWithAll spreads news at once instead of at the next ticks.
@@ -91,15 +109,9 @@
 
 // neighbourAddrs returns the addresses to exchange news with; an instance that knows no other asks its seeds.
 func (l *Loop) neighbourAddrs() []string {
-	addrs := map[string]string{}
-	for _, o := range l.table.Origins(l.deps.Clock.Now()) {
-		if s, ok := status(o); ok && o.Name != l.self.Name {
-			addrs[o.Name] = s.Addr
-		}
-	}
 	var out []string
-	for _, n := range member.Neighbours(l.live(), l.self.Name) {
-		if addr := addrs[n]; addr != "" {
+	for _, n := range l.members.neighbours {
+		if addr := l.members.statuses[n].Addr; addr != "" && n != l.self.Name {
 			out = append(out, addr)
 		}
 	}
@@ -111,17 +123,12 @@
 
 // seedAddr returns one address from the settings or the platform's list.
 func (l *Loop) seedAddr() []string {
-	var out []string
+	out := l.strangerAddrs()
 	for _, addr := range l.self.Seeds {
 		if addr != l.self.PeerAddr {
 			out = append(out, addr)
 		}
 	}
-	for _, line := range l.listed {
-		if line.Role == member.RoleEntry && line.Domain == l.self.Domain && line.Name != l.self.Name {
-			out = append(out, line.Addr)
-		}
-	}
 	if len(out) == 0 {
 		return nil
 	}
--- a/control/limits.go
+++ b/control/limits.go
@@ -12,7 +12,7 @@
 		return
 	}
 	others := l.othersDemand()
-	peers := max(len(l.live()), 1)
+	peers := max(len(l.members.live), 1)
 	for _, m := range l.index.Document().Models {
 		g := l.deps.Gates.Gate(m.Name)
 		places := l.places(m.Name)
@@ -24,14 +24,12 @@
 
 func (l *Loop) othersDemand() map[string]int {
 	out := map[string]int{}
-	for _, o := range l.table.Origins(l.deps.Clock.Now()) {
-		if o.Name == l.self.Name || o.Silent > silentLimit {
+	for _, name := range l.members.live {
+		if name == l.self.Name {
 			continue
 		}
-		if s, ok := status(o); ok {
-			for model, d := range s.Demand {
-				out[model] += d
-			}
+		for model, d := range l.members.statuses[name].Demand {
+			out[model] += d
 		}
 	}
 	return out
--- a/control/loop.go
+++ b/control/loop.go
@@ -21,11 +21,20 @@
 )
 
 const (
-	fastPeriod  = 250 * time.Millisecond
-	slowPeriod  = time.Second
+	// newsPeriod gathers news of backend servers before they are spread.
+	newsPeriod = 100 * time.Millisecond
+	fastPeriod = 250 * time.Millisecond
+	slowPeriod = time.Second
+	// beatTicks is the number of slow ticks from one sign of life to the next.
+	beatTicks = 2
+	// mergeTicks is the number of slow ticks after which servers are looked at again although nothing was stated: what an
+	// instance said that has gone silent no longer counts.
+	mergeTicks  = 5
 	inboxLength = 1024
+	// exchangeTicks is the number of fast ticks from one exchange to the next when there is no news.
+	exchangeTicks = 4
 	// silentLimit is the time without news after which an instance is not counted on.
-	silentLimit = 5 * time.Second
+	silentLimit = 12 * time.Second
 	forgetLimit = 5 * time.Minute
 )
 
@@ -74,14 +83,22 @@
 	hearsKV atomic.Bool
 
 	// The fields below belong to the control goroutine.
-	table     *gossip.Table
-	index     *view.Index
-	backends  map[string]*backend
-	listed    []member.Listed
-	leftList  map[string]bool
-	heard     uint64
-	leaves    bool
-	nextPeer  int
+	table        *gossip.Table
+	members      members
+	statusCache  *cache[InstanceStatus]
+	backendCache *cache[backendStatus]
+	namesCache   *cache[[]string]
+	usageCache   *cache[[]modelUsage]
+	index        *view.Index
+	backends     map[string]*backend
+	listed       []member.Listed
+	leftList     map[string]bool
+	heard        uint64
+	leaves       bool
+	ticks        int
+	beats        int
+	// newsDue delivers when news that were gathered are to be followed and spread; it is nil while there are none.
+	newsDue   <-chan time.Time
 	polls     map[string]*poll
 	charged   map[chargedKey]float64
 	relayNews map[string]relayNews
@@ -97,14 +114,18 @@
 	now := deps.Clock.Now()
 	l := &Loop{
 		self: self, deps: deps, inbox: make(chan message, inboxLength),
-		http:      &http.Client{Timeout: 2 * time.Second},
-		stopped:   make(chan struct{}),
-		table:     gossip.New(self.Name, self.Incarnation, now),
-		backends:  map[string]*backend{},
-		leftList:  map[string]bool{},
-		polls:     map[string]*poll{},
-		charged:   map[chargedKey]float64{},
-		relayNews: map[string]relayNews{},
+		http:         &http.Client{Timeout: 2 * time.Second},
+		stopped:      make(chan struct{}),
+		table:        gossip.New(self.Name, self.Incarnation, now),
+		backends:     map[string]*backend{},
+		statusCache:  newCache[InstanceStatus](),
+		backendCache: newCache[backendStatus](),
+		namesCache:   newCache[[]string](),
+		usageCache:   newCache[[]modelUsage](),
+		leftList:     map[string]bool{},
+		polls:        map[string]*poll{},
+		charged:      map[chargedKey]float64{},
+		relayNews:    map[string]relayNews{},
 	}
 	go func() { l.run(ctx) }()
 	go func() { l.watch(ctx) }()
@@ -146,6 +167,8 @@
 		select {
 		case m := <-l.inbox:
 			l.handle(m)
+		case <-l.newsDue:
+			l.spreadNews()
 		case <-fast.C():
 			l.fastTick()
 		case <-slow.C():
@@ -156,21 +179,45 @@
 	}
 }
 
+// gatherNews makes news be followed and spread soon, together with what else comes until then.
+func (l *Loop) gatherNews() {
+	if l.newsDue == nil {
+		l.newsDue = l.deps.Clock.After(newsPeriod)
+	}
+}
+
+// spreadNews follows the gathered news and passes them on to one neighbour, as that will to one of its own: they reach all
+// in a number of periods that grows with the logarithm of their number, at a cost that does not grow with the news.
+func (l *Loop) spreadNews() {
+	l.newsDue = nil
+	if l.mergeBackends() {
+		l.publish()
+	}
+	l.startExchange()
+}
+
 func (l *Loop) fastTick() {
 	l.setLimits()
 	l.startPolls()
-	l.startExchange()
+	l.ticks++
+	if l.ticks%exchangeTicks == 0 {
+		l.startExchange()
+	}
 }
 
 func (l *Loop) slowTick() {
 	now := l.deps.Clock.Now()
-	l.table.Beat(now)
+	l.beats++
+	if l.beats%beatTicks == 0 {
+		l.table.Beat(now)
+	}
 	l.table.Forget(now, forgetLimit)
 	l.refreshMembers()
 	l.stateStatus()
 	l.stateUsage()
-	l.mergeBackends()
-	l.publish()
+	if l.beats%mergeTicks == 0 && l.mergeBackends() {
+		l.publish()
+	}
 }
 
 func (l *Loop) handle(m message) {
@@ -191,7 +238,7 @@
 		l.heard++
 	case moving:
 		l.table.Set(entryMoving, encode(m.names))
-		l.mergeBackends()
+		l.gatherNews()
 	case statusAsked:
 		m.answer <- l.statuses()
 	case listAsked:
@@ -210,9 +257,7 @@
 	}
 	l.refreshMembers()
 	l.chargeRemote()
-	if l.mergeBackends() {
-		l.publish()
-	}
+	l.gatherNews()
 	l.fetchNewer()
 }
 
--- a/control/members.go
+++ b/control/members.go
@@ -1,9 +1,10 @@
 package control
 
 import (
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 
-	"junctioncross/gossip"
 	"junctioncross/member"
 )
 
@@ -31,35 +32,51 @@
 	return value, err == nil
 }
 
-// status returns what an origin says about itself.
-func status(o gossip.Origin) (InstanceStatus, bool) {
-	body, _ := o.Entry(entryStatus)
-	return decode[InstanceStatus](body)
+// members is what this instance knows of the instances of its domain; it is replaced when that changes.
+type members struct {
+	// live holds the names of the instances that can be counted on, this one included unless it leaves.
+	live []string
+	// statuses holds what the instances say about themselves, by name.
+	statuses map[string]InstanceStatus
+	// neighbours holds the names of the instances to exchange news with.
+	neighbours []string
 }
 
-// live returns the names of the instances that can be counted on, this one included unless it leaves.
-func (l *Loop) live() []string {
-	var names []string
+// refreshMembers derives the live instances, and this one's roles among them, from the table.
+func (l *Loop) refreshMembers() {
+	m := members{statuses: map[string]InstanceStatus{}}
 	for _, o := range l.table.Origins(l.deps.Clock.Now()) {
-		s, ok := status(o)
+		s, ok := l.statusCache.get(o, entryStatus)
 		if o.Name == l.self.Name {
-			s, ok = InstanceStatus{Leaving: l.leaves}, true
+			s.Leaving, ok = l.leaves, true
 		}
-		if ok && !s.Leaving && o.Silent < silentLimit {
-			names = append(names, o.Name)
+		if !ok {
+			continue
 		}
+		s.SilentMS = o.Silent.Milliseconds()
+		m.statuses[o.Name] = s
+		if !s.Leaving && o.Silent < silentLimit {
+			m.live = append(m.live, o.Name)
+		}
+	}
+	same := slices.Equal(m.live, l.members.live)
+	m.neighbours = l.members.neighbours
+	l.members = m
+	if !same || m.neighbours == nil {
+		l.assignRoles()
 	}
-	return names
 }
 
-// refreshMembers derives this instance's roles from the live members.
-func (l *Loop) refreshMembers() {
-	names := l.live()
+// assignRoles follows a change of the live instances.
+func (l *Loop) assignRoles() {
+	names := l.members.live
 	at := member.Position(names, subjectRelay, l.self.Name)
 	l.relay.Store(at >= 0 && at < relays)
 	l.chosen.Store(member.Position(names, subjectLead, l.self.Name) == 0)
 	l.alone.Store(len(names) <= 1)
+	l.members.neighbours = member.Neighbours(names, l.self.Name)
 	l.deps.Stats.Gauge("members_live").Update(int64(len(names)))
+	l.assignPolls()
 }
 
 // stateStatus states what is true of this instance.
@@ -85,12 +102,10 @@
 // statuses lists the instances of the domain.
 func (l *Loop) statuses() []InstanceStatus {
 	l.stateStatus()
-	var out []InstanceStatus
-	for _, o := range l.table.Origins(l.deps.Clock.Now()) {
-		if s, ok := status(o); ok {
-			s.SilentMS = o.Silent.Milliseconds()
-			out = append(out, s)
-		}
+	l.refreshMembers()
+	out := make([]InstanceStatus, 0, len(l.members.statuses))
+	for _, s := range l.members.statuses {
+		out = append(out, s)
 	}
 	return out
 }
--- a/control/poll.go
+++ b/control/poll.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"sort"
 	"time"
 
 	"junctioncross/engine"
@@ -12,7 +13,7 @@
 )
 
 const (
-	pollPeriod  = 500 * time.Millisecond
+	pollPeriod  = 1200 * time.Millisecond
 	pollTimeout = 700 * time.Millisecond
 	// pollers is the number of instances that poll one backend server.
 	pollers = 2
@@ -29,30 +30,40 @@
 	last     backendStatus
 }
 
-// startPolls asks the servers that this instance is responsible for and whose time has come.
-func (l *Loop) startPolls() {
-	now := l.deps.Clock.Now()
-	names := l.live()
+// assignPolls decides which servers of the domain this instance polls.
+func (l *Loop) assignPolls() {
+	mine := map[string]bool{}
 	for name, b := range l.backends {
 		if b.spec.Domain != l.self.Domain {
 			continue
 		}
-		at := member.Position(names, name, l.self.Name)
+		at := member.Position(l.members.live, name, l.self.Name)
 		if at < 0 || at >= pollers {
-			l.stopPoll(name)
 			continue
 		}
-		p := l.polls[name]
-		if p == nil {
-			p = &poll{}
-			l.polls[name] = p
+		mine[name] = true
+		if l.polls[name] == nil {
+			l.polls[name] = &poll{due: l.deps.Clock.Now().Add(jittered(pollPeriod / 2))}
+		}
+	}
+	for name := range l.polls {
+		if !mine[name] {
+			delete(l.polls, name)
+			l.table.Set(prefixBackend+name, nil)
 		}
+	}
+}
+
+// startPolls asks the servers whose time has come.
+func (l *Loop) startPolls() {
+	now := l.deps.Clock.Now()
+	for name, p := range l.polls {
 		if p.running || now.Before(p.due) {
 			continue
 		}
 		p.running = true
 		p.due = now.Add(pollPeriod)
-		addr := b.spec.Addr
+		addr := l.backends[name].spec.Addr
 		go func() {
 			report, err := l.deps.Caller.Report(addr, pollTimeout)
 			l.post(reportArrived{name: name, report: report, err: err})
@@ -60,13 +71,6 @@
 	}
 }
 
-func (l *Loop) stopPoll(name string) {
-	if l.polls[name] != nil {
-		delete(l.polls, name)
-		l.table.Set(prefixBackend+name, nil)
-	}
-}
-
 // reported states what a poll showed, when that has changed.
 func (l *Loop) reported(m reportArrived) {
 	p := l.polls[m.name]
@@ -87,10 +91,7 @@
 	}
 	p.last = next
 	l.table.Set(prefixBackend+m.name, encode(next))
-	if l.mergeBackends() {
-		l.publish()
-	}
-	l.exchangeWithAll()
+	l.gatherNews()
 }
 
 func statusOf(r engine.Report) backendStatus {
@@ -149,8 +150,7 @@
 	for n := range l.leftList {
 		names = append(names, n)
 	}
+	sort.Strings(names)
 	l.table.Set(entryLeaving, encode(names))
-	if l.mergeBackends() {
-		l.publish()
-	}
+	l.gatherNews()
 }
--- a/control/relay.go
+++ b/control/relay.go
@@ -137,8 +137,8 @@
 // fetchNewer takes a newer configuration from the instance that has it.
 func (l *Loop) fetchNewer() {
 	best := InstanceStatus{Revision: l.deps.Keeper.Revision()}
-	for _, o := range l.table.Origins(l.deps.Clock.Now()) {
-		if s, ok := status(o); ok && s.Revision > best.Revision && o.Name != l.self.Name {
+	for name, s := range l.members.statuses {
+		if s.Revision > best.Revision && name != l.self.Name {
 			best = s
 		}
 	}
--- a/control/usage.go
+++ b/control/usage.go
@@ -20,7 +20,7 @@
 
 // stateUsage states the usage of the heaviest owners of this instance.
 func (l *Loop) stateUsage() {
-	count := max(usageTotal/max(len(l.live()), 1), usageLeast)
+	count := max(usageTotal/max(len(l.members.live), 1), usageLeast)
 	var all []modelUsage
 	l.deps.Gates.Each(func(model string, g gate) {
 		if top := g.TakeTop(count); len(top) > 0 {
@@ -38,8 +38,7 @@
 		if o.Name == l.self.Name {
 			continue
 		}
-		body, _ := o.Entry(entryUsage)
-		all, _ := decode[[]modelUsage](body)
+		all, _ := l.usageCache.get(o, entryUsage)
 		for _, u := range all {
 			gate := l.deps.Gates.Gate(u.Model)
 			for _, top := range u.Top {
--- a/engine/gather.go
+++ b/engine/gather.go
@@ -49,14 +49,17 @@
 	slots    chan struct{}
 	stop     chan struct{}
 	stopOnce sync.Once
-	leaving  atomic.Bool
+	// busy is called when a frame begins while none is under way.
+	busy    func()
+	leaving atomic.Bool
 
 	mu          sync.Mutex
 	outstanding map[*pending]struct{}
 }
 
-// NewGatherer returns a Gatherer for the backend server at addr and starts its sender.
-func NewGatherer(caller *Caller, clock *timer.Service, addr string, stats *metrics.Registry) *Gatherer {
+// NewGatherer returns a Gatherer for the backend server at addr and starts its sender; busy is called whenever a frame
+// begins while none is under way.
+func NewGatherer(caller *Caller, clock *timer.Service, addr string, stats *metrics.Registry, busy func()) *Gatherer {
 	g := &Gatherer{
 		caller:      caller,
 		clock:       clock,
@@ -66,6 +69,7 @@
 		queue:       make(chan *pending, maxFramesPerCall*maxCallsInFlight),
 		slots:       make(chan struct{}, maxCallsInFlight),
 		stop:        make(chan struct{}),
+		busy:        busy,
 		outstanding: map[*pending]struct{}{},
 	}
 	go func() { g.send() }()
@@ -93,7 +97,9 @@
 }
 
 func (g *Gatherer) enter(p *pending) {
-	g.progress.begin(positionsOf(p.frame), g.clock.Now())
+	if g.progress.begin(positionsOf(p.frame), g.clock.Now()) {
+		g.busy()
+	}
 	g.mu.Lock()
 	g.outstanding[p] = struct{}{}
 	g.mu.Unlock()
--- a/engine/progress.go
+++ b/engine/progress.go
@@ -27,7 +27,8 @@
 	step      time.Duration
 }
 
-func (p *Progress) begin(positions int, now time.Time) {
+// begin counts a frame and reports whether it is the only one under way.
+func (p *Progress) begin(positions int, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.frames == 0 {
@@ -35,6 +36,7 @@
 	}
 	p.frames++
 	p.positions += positions
+	return p.frames == 1
 }
 
 func (p *Progress) end(positions int) {
--- a/fleet/configure.go
+++ b/fleet/configure.go
@@ -163,7 +163,7 @@
 	if code != fasthttp.StatusOK {
 		return value, errors.Errorf("status %d", code)
 	}
-	if len(body) > 0 && (body[0] == '{' || body[0] == '[') {
+	if json.Valid(body) {
 		err = json.Unmarshal(body, &value)
 	}
 	return value, err
--- a/fleet/ports.go
+++ b/fleet/ports.go
@@ -40,11 +40,11 @@
 	if err != nil {
 		return false
 	}
-	defer l.Close()
+	_ = l.Close()
 	u, err := net.ListenPacket("udp4", addr)
 	if err != nil {
 		return false
 	}
-	defer u.Close()
+	_ = u.Close()
 	return true
 }
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -24,6 +24,9 @@
 // Name returns the name it was started under.
 func (p *Process) Name() string { return p.name }
 
+// ID returns the process id.
+func (p *Process) ID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -145,16 +145,16 @@
 	entries     map[string]Entry
 }
 
-// Entry returns the body of an entry.
-func (o Origin) Entry(key string) ([]byte, bool) {
+// Entry returns an entry by its key.
+func (o Origin) Entry(key string) (Entry, bool) {
 	e, ok := o.entries[key]
-	return e.Body, ok
+	return e, ok
 }
 
 // Each calls fn for every entry.
-func (o Origin) Each(fn func(key string, body []byte)) {
-	for k, e := range o.entries {
-		fn(k, e.Body)
+func (o Origin) Each(fn func(e Entry)) {
+	for _, e := range o.entries {
+		fn(e)
 	}
 }
 
--- a/gossip/table_test.go
+++ b/gossip/table_test.go
@@ -64,7 +64,7 @@
 				require.NoError(t, err)
 				require.Equal(t, incarnations[origin], o.Incarnation)
 				got := map[string]string{}
-				o.Each(func(k string, body []byte) { got[k] = string(body) })
+				o.Each(func(e gossip.Entry) { got[e.Key] = string(e.Body) })
 				require.Equal(t, truth[origin], got)
 			}
 		}
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -33,14 +33,15 @@
 // Handler answers operators.
 type Handler struct {
 	store   *revision.Store
+	keeper  *revision.Keeper
 	cluster *Cluster
 	clock   *timer.Service
 	log     *logrus.Logger
 }
 
 // New returns a Handler.
-func New(store *revision.Store, cluster *Cluster, clock *timer.Service, log *logrus.Logger) *Handler {
-	return &Handler{store: store, cluster: cluster, clock: clock, log: log}
+func New(store *revision.Store, keeper *revision.Keeper, cluster *Cluster, clock *timer.Service, log *logrus.Logger) *Handler {
+	return &Handler{store: store, keeper: keeper, cluster: cluster, clock: clock, log: log}
 }
 
 // Routes returns the handler of all operators' paths.
@@ -174,7 +175,7 @@
 	if err != nil {
 		return nil, err
 	}
-	before, err := h.store.Document(ctx, head)
+	before, err := h.store.Document(ctx, head, h.keeper.Body)
 	if err != nil {
 		return nil, err
 	}
--- a/order/lease.go
+++ b/order/lease.go
@@ -15,6 +15,8 @@
 	leaseTTL = 5 * time.Second
 	// leaseMargin is how much earlier than the service the holder considers its lease over.
 	leaseMargin = 1500 * time.Millisecond
+	// renewAfter is how long a lease is used before it is renewed.
+	renewAfter  = 1200 * time.Millisecond
 	prefixLease = "lead/"
 )
 
@@ -53,7 +55,11 @@
 	before := l.clock.Now()
 	l.mu.Lock()
 	expect := l.revision
+	fresh := l.fence != 0 && l.until.Sub(before) > leaseTTL-leaseMargin-renewAfter
 	l.mu.Unlock()
+	if fresh {
+		return nil
+	}
 	revision, err := l.store.Write(ctx, kv.Put{Key: l.key, Value: []byte(l.holder), Expect: expect, TTL: leaseTTL})
 	switch {
 	case err == nil:
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -35,6 +35,7 @@
 	clock  *timer.Service
 	stats  *metrics.Registry
 	list   atomic.Pointer[[]*Server]
+	busy   chan struct{}
 
 	mu     sync.Mutex
 	byName map[string]int
@@ -42,24 +43,39 @@
 
 // New returns an empty Pool and starts the search for stalled servers.
 func New(caller *engine.Caller, clock *timer.Service, stats *metrics.Registry) *Pool {
-	p := &Pool{caller: caller, clock: clock, stats: stats, byName: map[string]int{}}
+	p := &Pool{caller: caller, clock: clock, stats: stats, byName: map[string]int{}, busy: make(chan struct{}, 1)}
 	p.list.Store(&[]*Server{})
-	ticks := clock.Subscribe(progressPeriod)
-	go func() {
-		for range ticks.C() {
-			p.checkProgress()
-		}
-	}()
+	go func() { p.watchProgress() }()
 	return p
 }
 
-func (p *Pool) checkProgress() {
+// wake starts the search for stalled servers, which rests while no frame is under way.
+func (p *Pool) wake() {
+	select {
+	case p.busy <- struct{}{}:
+	default:
+	}
+}
+
+func (p *Pool) watchProgress() {
+	for range p.busy {
+		for p.checkProgress() {
+			<-p.clock.After(progressPeriod)
+		}
+	}
+}
+
+// checkProgress looks for stalled servers and reports whether any frame is under way.
+func (p *Pool) checkProgress() bool {
 	now := p.clock.Now()
+	busy := false
 	for _, s := range *p.list.Load() {
-		if s != nil {
-			s.gatherer.CheckProgress(now)
+		if g := s.gatherer.Load(); g != nil {
+			g.CheckProgress(now)
+			busy = busy || g.InFlight() > 0
 		}
 	}
+	return busy
 }
 
 // Ensure returns the index of the server of that name and address, adding it when it is new.
@@ -72,8 +88,8 @@
 	}
 	next := append(append([]*Server(nil), servers...), &Server{
 		name: spec.Name, addr: spec.Addr, domain: spec.Domain,
-		gatherer: engine.NewGatherer(p.caller, p.clock, spec.Addr, p.stats),
-		budget:   retry.NewBudget(budgetShare, budgetMost),
+		open:   func() *engine.Gatherer { return engine.NewGatherer(p.caller, p.clock, spec.Addr, p.stats, p.wake) },
+		budget: retry.NewBudget(budgetShare, budgetMost),
 	})
 	p.byName[spec.Name] = len(next) - 1
 	p.list.Store(&next)
@@ -119,7 +135,7 @@
 }
 
 // InFlight implements route.Loads.
-func (l loads) InFlight(i int) int { return l.servers[i].gatherer.InFlight() }
+func (l loads) InFlight(i int) int { return l.servers[i].inFlight() }
 
 // Usable implements route.Loads.
 func (l loads) Usable(i int) bool {
--- a/pool/server.go
+++ b/pool/server.go
@@ -11,10 +11,12 @@
 
 // Server is one backend server.
 type Server struct {
-	name     string
-	addr     string
-	domain   string
-	gatherer *engine.Gatherer
+	name   string
+	addr   string
+	domain string
+	// open starts the sender of frames, which servers that get no work do without.
+	open     func() *engine.Gatherer
+	gatherer atomic.Pointer[engine.Gatherer]
 	// closed to new work by what instances and reports say, as opposed to the server's own answers.
 	barred atomic.Bool
 
@@ -32,14 +34,37 @@
 // Domain returns the server's failure domain.
 func (s *Server) Domain() string { return s.domain }
 
-// Engine returns the sender of frames.
-func (s *Server) Engine() *engine.Gatherer { return s.gatherer }
+// Engine returns the sender of frames and starts it when there is none.
+func (s *Server) Engine() *engine.Gatherer {
+	if g := s.gatherer.Load(); g != nil {
+		return g
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.gatherer.Load(); g != nil {
+		return g
+	}
+	g := s.open()
+	s.gatherer.Store(g)
+	return g
+}
+
+// inFlight returns the number of frames under way.
+func (s *Server) inFlight() int {
+	if g := s.gatherer.Load(); g != nil {
+		return g.InFlight()
+	}
+	return 0
+}
 
 // Bar closes the server to new work or opens it again.
 func (s *Server) Bar(barred bool) { s.barred.Store(barred) }
 
 // Barred reports whether the server must get no new work, whatever else there is.
-func (s *Server) Barred() bool { return s.barred.Load() || s.gatherer.Leaving() }
+func (s *Server) Barred() bool {
+	g := s.gatherer.Load()
+	return s.barred.Load() || g != nil && g.Leaving()
+}
 
 // Usable reports whether the server may get new work.
 func (s *Server) Usable(now time.Time) bool {
--- a/revision/keeper.go
+++ b/revision/keeper.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 
-	"github.com/pkg/errors"
-
 	"junctioncross/intent"
 )
 
@@ -60,26 +58,18 @@
 	if head.Revision <= k.Revision() {
 		return false, nil
 	}
-	byName := map[string][]byte{}
-	byHash := map[string][]byte{}
-	for name, hash := range head.Segments {
-		body, ok := k.Body(hash)
-		if !ok {
-			var err error
-			if body, err = fetch(hash); err != nil {
-				return false, err
-			}
-		}
-		if HashOf(body) != hash {
-			return false, errors.Errorf("revision: segment %s does not match its hash", name)
-		}
-		byName[name] = body
-		byHash[hash] = body
+	byName, err := gather(head, k.Body, fetch)
+	if err != nil {
+		return false, err
 	}
 	document, err := Join(byName)
 	if err != nil {
 		return false, err
 	}
+	byHash := make(map[string][]byte, len(byName))
+	for name, hash := range head.Segments {
+		byHash[hash] = byName[name]
+	}
 	return k.put(&InForce{head: head, document: document, bodies: byHash}), nil
 }
 
--- a/revision/store.go
+++ b/revision/store.go
@@ -75,15 +75,11 @@
 	return record.Value, nil
 }
 
-// Document returns the document that a head names.
-func (s *Store) Document(ctx context.Context, head Head) (*intent.Document, error) {
-	bodies := map[string][]byte{}
-	for name, hash := range head.Segments {
-		body, err := s.Segment(ctx, hash)
-		if err != nil {
-			return nil, err
-		}
-		bodies[name] = body
+// Document returns the document that a head names; segments that held has are not read from the service.
+func (s *Store) Document(ctx context.Context, head Head, held func(hash string) ([]byte, bool)) (*intent.Document, error) {
+	bodies, err := gather(head, held, func(hash string) ([]byte, error) { return s.Segment(ctx, hash) })
+	if err != nil {
+		return nil, err
 	}
 	return Join(bodies)
 }
@@ -184,10 +180,10 @@
 	if entry, ok := head.accepted(plan.ID); ok {
 		return entry, nil
 	}
-	if entry, ok := s.inHistory(ctx, plan); ok {
-		return entry, nil
-	}
 	if head.Revision != plan.Base {
+		if entry, ok := s.inHistory(ctx, plan); ok {
+			return entry, nil
+		}
 		return Entry{}, &ConflictError{base: plan.Base, head: head.Revision, meantime: head.since(plan.Base)}
 	}
 	entry := Entry{
