route: send sequences along lanes so that batches stay full

Sequences were mixed at every stage, so a server began its next step with the few that had come back by then. Ruled out: idle engines (busy 1.0), refusals (0).

Servers that report steps three times as long as expected are left.

--- /dev/null
+++ b/bench/pool.go
@@ -0,0 +1,89 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"junctioncross/fleet"
+	"junctioncross/intent"
+	"junctioncross/load"
+	"junctioncross/plan"
+	"junctioncross/standin"
+)
+
+// benchLayers is the number of layers of the model that throughput and recovery are measured with.
+const benchLayers = 24
+
+// poolSpec describes one domain with ten engines of five kinds on links from 20 microseconds to 2 milliseconds, slow
+// enough that eight cores carry the stand-ins, the instances and the callers.
+func poolSpec(entries int) fleet.Spec {
+	spec := fleet.Users()
+	spec.Domains, spec.Entries = []string{"d"}, []int{entries}
+	spec.Models = []intent.Model{{Name: fleet.ModelCounter, Layers: benchLayers, Version: "v1"}}
+	spec.Groups = []intent.Group{{Name: "counter", Weight: 1, Models: []string{fleet.ModelCounter}}}
+	spec.Accounts = []fleet.AccountSpec{{Name: fleet.AccountCounter, Group: "counter", Key: fleet.KeyCounter, Weight: 1}}
+	for i := range 9 {
+		spec.Accounts = append(spec.Accounts, fleet.AccountSpec{Name: fmt.Sprint("t", i), Group: "counter", Key: fmt.Sprint("sk-t", i), Weight: 1})
+	}
+	spec.Kinds = slowKinds()
+	spec.Engines = []string{"a", "a", "b", "b", "c", "c", "d", "d", "e", "e"}
+	spec.LinkMicros = []float64{20, 200, 20, 1000, 100, 20, 500, 20, 2000, 50}
+	spec.Services = nil
+	spec.QueueWait = 20 * time.Second
+	return spec
+}
+
+// slowKinds returns the five kinds with steps of 10 to 20 milliseconds for a third of the layers.
+func slowKinds() []intent.Kind {
+	return []intent.Kind{
+		{Name: "a", LayerMicros: 900, SequenceMicros: 25, MaxBatch: 16, MaxLayers: 12},
+		{Name: "b", LayerMicros: 1000, SequenceMicros: 30, MaxBatch: 16, MaxLayers: 12},
+		{Name: "c", LayerMicros: 1100, SequenceMicros: 40, MaxBatch: 12, MaxLayers: 12},
+		{Name: "d", LayerMicros: 1300, SequenceMicros: 60, MaxBatch: 8, MaxLayers: 12},
+		{Name: "e", LayerMicros: 1500, SequenceMicros: 80, MaxBatch: 8, MaxLayers: 12},
+	}
+}
+
+// boundOf returns the tokens a second that the hardware of the fleet allows for the model.
+func boundOf(spec fleet.Spec) float64 {
+	d := &intent.Document{Models: spec.Models, Kinds: spec.Kinds}
+	for range spec.Domains {
+		for _, kind := range spec.Engines {
+			d.Backends = append(d.Backends, intent.Backend{Kind: kind, Model: spec.Models[0].Name})
+		}
+	}
+	return plan.Bound(d, spec.Models[0].Name)
+}
+
+// checker compares answers with those computed apart.
+func checker(spec fleet.Spec) load.Check {
+	m := spec.Models[0]
+	model := standin.NewModel(m.Name, m.Version, m.Layers)
+	return func(a load.Ask, r *load.Reply) bool {
+		text, _, _ := model.Answer(load.PromptText(a.Prompt), a.Limit)
+		return text == r.Text
+	}
+}
+
+// asks returns a function that spreads requests over the instances.
+func asks(f *fleet.Fleet, limit int) func(n int) load.Ask {
+	return func(n int) load.Ask {
+		e := f.Entries()[n%len(f.Entries())]
+		return load.Ask{
+			Addr: e.Callers, Key: fleet.KeyCounter, Model: fleet.ModelCounter,
+			Prompt: fmt.Sprintf("question %d about a bundle", n), Limit: limit,
+		}
+	}
+}
+
+// printTally prints what became of the requests.
+func printTally(p *Printer, prefix string, t load.Tally) {
+	p.Figure(prefix+"requests", float64(t.Asked), "count")
+	p.Figure(prefix+"whole", float64(t.Whole), "count")
+	p.Figure(prefix+"refused", float64(t.Refused), "count")
+	p.Figure(prefix+"lost", float64(t.Lost), "count")
+	p.Figure(prefix+"wrong", float64(t.Wrong), "count")
+	for reason, n := range t.Reasons {
+		p.Figure(prefix+"reason_"+string(reason), float64(n), "count")
+	}
+}
--- /dev/null
+++ b/bench/throughput.go
@@ -0,0 +1,111 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"junctioncross/fleet"
+	"junctioncross/load"
+	"junctioncross/standin"
+)
+
+const (
+	throughputWarm   = 3 * time.Second
+	throughputWindow = 12 * time.Second
+	churnPeriod      = 5 * time.Second
+	churnWindow      = 16 * time.Second
+	saturation       = 260
+	answerTokens     = 40
+)
+
+// Throughput measures delivered tokens against the bound of the hardware, undisturbed and while engines are killed, slowed
+// and started again.
+func Throughput(bin string, p *Printer) error {
+	spec := poolSpec(3)
+	f, err := fleet.Start(spec, bin)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	bound := boundOf(spec)
+	p.Figure("bound_tokens_s", bound, "tokens/s")
+	before, err := sampleControl(f)
+	if err != nil {
+		return err
+	}
+	rate, tally := saturate(f, throughputWindow, nil)
+	after, err := sampleControl(f)
+	if err != nil {
+		return err
+	}
+	p.Figure("tokens_s", rate, "tokens/s")
+	p.Figure("throughput_ratio", rate/bound, "ratio")
+	cores := (after.cpu - before.cpu).Seconds()
+	p.Figure("tokens_per_core_s", float64(tally.Tokens)/cores, "tokens/core-s")
+	p.Figure("gap_ms_p95", millis(quantile(tally.Gaps, 0.95)), "ms")
+	p.Figure("first_ms_p50", millis(quantile(tally.First, 0.5)), "ms")
+	printTally(p, "saturated_", tally)
+	if err := printEngines(f, p); err != nil {
+		return err
+	}
+	rate, tally = saturate(f, churnWindow, churn)
+	p.Figure("throughput_ratio_churn", rate/bound, "ratio")
+	printTally(p, "churn_", tally)
+	return nil
+}
+
+// printEngines prints how busy each engine was, over its busiest possible time, and how full its batches were.
+func printEngines(f *fleet.Fleet, p *Printer) error {
+	for _, e := range f.Engines() {
+		t, err := fleet.EngineTally(e)
+		if err != nil {
+			return err
+		}
+		r, err := fleet.EngineReport(e.Addr)
+		if err != nil {
+			return err
+		}
+		busy := float64(t.BusyMicros) / float64((throughputWarm + throughputWindow).Microseconds())
+		p.Note("engine %s layers %s busy %.2f batch %.1f", e.Name, r.Layers, busy, float64(t.Sequences)/float64(max(t.Steps, 1)))
+	}
+	return nil
+}
+
+// saturate keeps more requests under way than the engines can batch and returns the tokens a second within the window.
+func saturate(f *fleet.Fleet, window time.Duration, disturb func(ctx context.Context, f *fleet.Fleet)) (float64, load.Tally) {
+	ctx, cancel := context.WithTimeout(context.Background(), throughputWarm+window)
+	defer cancel()
+	var meter tokenMeter
+	next := asks(f, answerTokens)
+	start := time.Now().Add(throughputWarm)
+	if disturb != nil {
+		go disturb(ctx, f)
+	}
+	result := load.RunClosed(ctx, saturation, func(n int) load.Ask {
+		a := next(n)
+		a.OnToken = func(int) { meter.count(start, window) }
+		return a
+	}, checker(f.Spec()))
+	return meter.rate(window), result.Tally()
+}
+
+// churn kills, revives and slows an engine in turn.
+func churn(ctx context.Context, f *fleet.Fleet) {
+	engines := f.Engines()
+	for n := 0; ; n++ {
+		select {
+		case <-time.After(churnPeriod):
+		case <-ctx.Done():
+			return
+		}
+		victim := engines[(2*n+1)%len(engines)]
+		switch n % 2 {
+		case 0:
+			victim.Process.Kill()
+			time.AfterFunc(churnPeriod/2, func() { _ = f.StartEngine(victim) })
+		default:
+			_ = fleet.SetEngineFault(victim, standin.EngineFault{Slow: 10})
+			time.AfterFunc(churnPeriod/2, func() { _ = fleet.SetEngineFault(victim, standin.EngineFault{}) })
+		}
+	}
+}
--- a/cmd/jxload/bench.go
+++ b/cmd/jxload/bench.go
@@ -16,6 +16,8 @@
 	switch b.Name {
 	case "control":
 		return bench.Control(c.Bin, p)
+	case "throughput":
+		return bench.Throughput(c.Bin, p)
 	default:
 		return bench.Config(c.Bin, p)
 	}
--- a/control/backends.go
+++ b/control/backends.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"junctioncross/chart"
 	"junctioncross/engine"
@@ -80,11 +81,16 @@
 		}
 	}
 	changed := false
+	serving := 0
 	for name, b := range l.backends {
 		changed = b.follow(newest[name], listedLeaving[name]) || changed
 		barred := b.spec.Retiring || movingNow[name] || b.chart.State() == "leaving" || b.chart.State() == "suspect"
 		l.deps.Pool.Server(b.index).Bar(barred)
+		if b.chart.State() == "serving" && !barred {
+			serving++
+		}
 	}
+	l.deps.Stats.Gauge("servers_serving").Update(int64(serving))
 	return changed
 }
 
@@ -167,7 +173,12 @@
 }
 
 func (b *backend) node(layers models.Layers) route.Node {
-	return route.Node{Server: b.index, Layers: layers, Weight: plan.LayerRate(b.kind) / float64(max(layers.Count(), 1))}
+	count := max(layers.Count(), 1)
+	step := plan.StepMicros(b.kind, count, b.kind.MaxBatch) + 2*b.spec.LinkMicros
+	return route.Node{
+		Server: b.index, Layers: layers, Weight: plan.LayerRate(b.kind) / float64(count),
+		Step: time.Duration(step * float64(time.Microsecond)),
+	}
 }
 
 // orders lists the servers of the own domain, as planned and as seen.
--- a/control/limits.go
+++ b/control/limits.go
@@ -1,11 +1,16 @@
 package control
 
 import (
+	"time"
+
 	"junctioncross/admit"
 )
 
 type gate = *admit.Gate
 
+// gapTarget is the mean time between tokens that admission aims at; 95 in 100 are to stay within 67 ms.
+const gapTarget = 56 * time.Millisecond
+
 // setLimits divides the places of each model among the live instances of the domain by their demand.
 func (l *Loop) setLimits() {
 	if l.index == nil {
@@ -35,14 +40,15 @@
 	return out
 }
 
-// places returns the sequences that the model's servers can work on at once: each is in exactly one stage at a time, so
-// that all servers together are busy when every batch is full.
+// places returns the sequences that the model's lanes should carry at once. While a batch is in a step of each server, one
+// more has to wait for the next step, or servers start with batches that are not full; but a token must not take longer
+// than gapTarget.
 func (l *Loop) places(model string) int {
-	total := 0
-	for _, b := range l.backends {
-		if b.serving(model) && b.kind != nil {
-			total += b.kind.MaxBatch
-		}
+	total := 0.0
+	for _, lane := range l.deps.Board.Current().Graph(model).Lanes() {
+		stages := float64(len(lane.Path()))
+		cycle := lane.Cycle().Seconds() * (stages + 1) / stages
+		total += lane.Rate() * min(cycle, gapTarget.Seconds())
 	}
-	return total
+	return int(total + 0.5)
 }
--- a/control/poll.go
+++ b/control/poll.go
@@ -8,6 +8,8 @@
 	"sort"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"junctioncross/engine"
 	"junctioncross/member"
 )
@@ -15,6 +17,8 @@
 const (
 	pollPeriod  = 1200 * time.Millisecond
 	pollTimeout = 700 * time.Millisecond
+	// unreadyPeriod is how often a server that is not ready is polled.
+	unreadyPeriod = 300 * time.Millisecond
 	// pollers is the number of instances that poll one backend server.
 	pollers = 2
 	// silentPolls is the number of failed polls in a row after which a server is suspect.
@@ -78,10 +82,13 @@
 		return
 	}
 	p.running = false
+	if m.err != nil || m.report.State != engine.StateReady {
+		p.due = l.deps.Clock.Now().Add(unreadyPeriod)
+	}
 	next := p.last
 	if m.err != nil {
 		p.failures++
-		next.Silent = p.failures >= silentPolls
+		next.Silent = p.failures >= silentPolls || errors.Is(m.err, engine.ErrUnreachable)
 	} else {
 		p.failures = 0
 		next = statusOf(m.report)
--- a/engine/gather.go
+++ b/engine/gather.go
@@ -11,8 +11,12 @@
 )
 
 const (
-	maxCallsInFlight = 4
-	maxFramesPerCall = 64
+	maxCallsInFlight = 16
+	// maxFramesPerCall keeps a call from being split over several steps, of which the last would hold all its answers up.
+	maxFramesPerCall = 12
+	// windowShare is the share of a step for which a call waits for more frames, as a divisor.
+	windowShare = 50
+	maxWindow   = 300 * time.Microsecond
 	// callLimit bounds one call whatever the progress of its server.
 	callLimit = 5 * time.Second
 )
@@ -134,6 +138,10 @@
 // StepTime returns the expected time from call to answer, zero while unknown.
 func (g *Gatherer) StepTime() time.Duration { return g.progress.stepTime() }
 
+// Slow reports whether the server's last steps took much longer than expected, by its own word, so that waiting in its
+// queue does not count.
+func (g *Gatherer) Slow(expected time.Duration) bool { return g.progress.slow(expected) }
+
 // Leaving reports whether the backend server has said in an answer that it is leaving.
 func (g *Gatherer) Leaving() bool { return g.leaving.Load() }
 
@@ -168,11 +176,14 @@
 	case <-g.stop:
 		return nil
 	}
+	// Sequences that came out of a step together arrive one after the other within this window. Sent apart, the first would
+	// start a step of the next server alone, and the others would wait for its end.
+	window := g.clock.After(min(g.StepTime()/windowShare, maxWindow))
 	for len(batch) < maxFramesPerCall {
 		select {
 		case p := <-g.queue:
 			batch = append(batch, p)
-		default:
+		case <-window:
 			return batch
 		}
 	}
@@ -203,6 +214,7 @@
 	reply, err := g.caller.Step(g.addr, call, callLimit)
 	if err == nil {
 		g.progress.answered(g.clock.Now(), g.clock.Since(start), decoding)
+		g.progress.reported(time.Duration(reply.StepMicros) * time.Microsecond)
 		g.leaving.Store(reply.Leaving)
 	}
 	for i := range batch {
--- a/engine/progress.go
+++ b/engine/progress.go
@@ -13,6 +13,10 @@
 	maxStall     = 3 * time.Second
 	// positionsPerStep lengthens the limit by one expected step for that many positions under way beyond one a frame.
 	positionsPerStep = 32
+	// slowSteps is the number of reported steps in a row that must be slow before the server counts as slow.
+	slowSteps = 2
+	// slowFactor is how many times longer than expected a slow step is.
+	slowFactor = 3
 	// smoothing is the weight of the newest step time in the running mean, as a divisor.
 	smoothing = 8
 )
@@ -25,6 +29,8 @@
 	positions int
 	last      time.Time
 	step      time.Duration
+	// steps holds the lengths of the last steps that the server reported, the newest first.
+	steps [slowSteps]time.Duration
 }
 
 // begin counts a frame and reports whether it is the only one under way.
@@ -60,6 +66,26 @@
 	p.step += (took - p.step) / smoothing
 }
 
+// reported takes in the length of a step as the server gave it.
+func (p *Progress) reported(step time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	copy(p.steps[1:], p.steps[:])
+	p.steps[0] = step
+}
+
+// slow reports whether all of the last steps took much longer than expected.
+func (p *Progress) slow(expected time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.steps {
+		if s <= slowFactor*expected {
+			return false
+		}
+	}
+	return expected > 0
+}
+
 func (p *Progress) stalled(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/fleet/configure.go
+++ b/fleet/configure.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	startLimit = 30 * time.Second
+	startLimit = 40 * time.Second
 	tryPause   = 50 * time.Millisecond
 	callLimit  = 2 * time.Second
 )
@@ -106,6 +106,10 @@
 			if _, err := Get[any](e.Health, "/health/ready"); err != nil {
 				return errors.Wrapf(err, "fleet: %s is not ready", e.Name)
 			}
+			serving, err := Metric(e.Health, "jx_servers_serving")
+			if err != nil || int(serving) < len(f.spec.Engines) {
+				return errors.Errorf("fleet: %s knows %d serving engines: %v", e.Name, serving, err)
+			}
 		}
 		for _, e := range f.engines {
 			r, err := EngineReport(e.Addr)
--- a/models/fate.go
+++ b/models/fate.go
@@ -54,4 +54,5 @@
 	RetryTimeout     Reason = "timeout"
 	RetryRefused     Reason = "refused_by_backend"
 	RetryOutOfOrder  Reason = "out_of_order_frame"
+	RetrySlow        Reason = "slow_backend"
 )
--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -94,6 +94,9 @@
 	brokeAt time.Time
 }
 
+// errSlow means that the attempt leaves a path on which a server has become slow.
+var errSlow = errors.New("pipeline: a server has become slow")
+
 // errNoPath means that no path of usable servers exists.
 var errNoPath = errors.New("pipeline: no path of usable servers")
 
@@ -122,6 +125,9 @@
 		if done || err != nil {
 			return err
 		}
+		if a.leaveSlow() {
+			return errSlow
+		}
 	}
 }
 
@@ -191,6 +197,22 @@
 	return nil
 }
 
+// leaveSlow reports whether a server of the path has become slow while others could take its place.
+func (a *attempt) leaveSlow() bool {
+	if a.retries >= maxAttempts/2 {
+		return false
+	}
+	for _, n := range a.path {
+		server := a.runner.pool.Server(n.Server)
+		if server.Engine().Slow(n.Step) {
+			server.Failed(a.runner.clock.Now())
+			a.avoid = append(a.avoid, n.Server)
+			return a.runner.pool.HasPath(a.request.Graph(), a.avoid)
+		}
+	}
+	return false
+}
+
 // learnPrompt keeps the prompt's token ids, which the first stage reports for a text.
 func (a *attempt) learnPrompt(result engine.Result) {
 	a.tokens = append(a.tokens[:0], result.Tokens...)
@@ -228,10 +250,12 @@
 		a.runner.stats.Counter("attempts_cancelled_total").Inc(1)
 	}
 	servers := a.runner.pool
+	for _, n := range path {
+		servers.Server(n.Server).Settled()
+	}
 	go func() {
 		for _, n := range path {
 			s := servers.Server(n.Server)
-			s.Settled()
 			if err := servers.Caller().Cancel(s.Addr(), cancel, cancelTimeout); err != nil {
 				a.runner.stats.Counter("cancels_lost_total").Inc(1)
 			}
@@ -295,6 +319,8 @@
 
 func retryReason(err error) models.Reason {
 	switch {
+	case errors.Is(err, errSlow):
+		return models.RetrySlow
 	case errors.Is(err, engine.ErrUnreachable):
 		return models.RetryUnreachable
 	case errors.Is(err, engine.ErrTimeout), errors.Is(err, engine.ErrLost):
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -125,6 +125,12 @@
 	return path, true
 }
 
+// HasPath reports whether there is a path of usable servers that avoids those in avoid.
+func (p *Pool) HasPath(g *route.Graph, avoid []int) bool {
+	_, ok := route.Choose(g, loads{servers: *p.list.Load(), now: p.clock.Now(), avoid: avoid}, random{}, make([]route.Node, 0, pathLength))
+	return ok
+}
+
 // loads shows the servers at one moment to the choice of a route.
 type loads struct {
 	servers []*Server
@@ -134,8 +140,8 @@
 	despite bool
 }
 
-// InFlight implements route.Loads.
-func (l loads) InFlight(i int) int { return l.servers[i].inFlight() }
+// Assigned implements route.Loads.
+func (l loads) Assigned(i int) int { return int(l.servers[i].assigned.Load()) }
 
 // Usable implements route.Loads.
 func (l loads) Usable(i int) bool {
--- a/pool/server.go
+++ b/pool/server.go
@@ -19,6 +19,8 @@
 	gatherer atomic.Pointer[engine.Gatherer]
 	// closed to new work by what instances and reports say, as opposed to the server's own answers.
 	barred atomic.Bool
+	// assigned counts the attempts of this instance that pass through the server.
+	assigned atomic.Int64
 
 	mu      sync.Mutex
 	circuit retry.Circuit
@@ -49,14 +51,6 @@
 	return g
 }
 
-// inFlight returns the number of frames under way.
-func (s *Server) inFlight() int {
-	if g := s.gatherer.Load(); g != nil {
-		return g.InFlight()
-	}
-	return 0
-}
-
 // Bar closes the server to new work or opens it again.
 func (s *Server) Bar(barred bool) { s.barred.Store(barred) }
 
@@ -76,8 +70,9 @@
 	return !s.circuit.Open(now)
 }
 
-// Chosen tells the circuit that a new attempt goes to the server.
+// Chosen tells the server that a new attempt passes through it.
 func (s *Server) Chosen() {
+	s.assigned.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.circuit.Admit()
@@ -98,8 +93,9 @@
 	s.budget.Succeeded()
 }
 
-// Settled tells the circuit that an attempt ended without a verdict on the server.
+// Settled tells the server that an attempt no longer passes through it.
 func (s *Server) Settled() {
+	s.assigned.Add(-1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.circuit.Settled()
--- a/route/choose.go
+++ b/route/choose.go
@@ -2,8 +2,8 @@
 
 // Loads tells the state of the servers at the moment of a choice.
 type Loads interface {
-	// InFlight returns the frames under way to a server.
-	InFlight(server int) int
+	// Assigned returns the attempts that this instance has under way on a server.
+	Assigned(server int) int
 	// Usable reports whether the server may get new work.
 	Usable(server int) bool
 }
@@ -13,11 +13,14 @@
 
 // Choose appends to path the servers of one path through the graph and reports whether there is one.
 //
-// At each layer boundary it draws two candidates by weight and takes the one with less work for its speed.
+// It takes the lane with the least work for its speed; when no lane is wholly usable it goes from server to server.
 func Choose(g *Graph, loads Loads, random Random, path []Node) ([]Node, bool) {
 	if g.Empty() {
 		return path, false
 	}
+	if lane := chooseLane(g.lanes, loads, random); lane >= 0 {
+		return append(path, g.lanes[lane].path...), true
+	}
 	start := len(path)
 	for at := 0; at < g.layers; {
 		n, ok := chooseNext(g.starts[at], loads, random)
@@ -30,6 +33,32 @@
 	return path, true
 }
 
+// chooseLane returns the index of the usable lane with the least pressure, or -1.
+func chooseLane(lanes []Lane, loads Loads, random Random) int {
+	best, lowest := -1, 0.0
+	for i := range lanes {
+		// The random part spreads the first attempts of many instances over the lanes by their rates.
+		p, ok := lanePressure(&lanes[i], loads, random.Float64())
+		if ok && (best < 0 || p < lowest) {
+			best, lowest = i, p
+		}
+	}
+	return best
+}
+
+// lanePressure returns the work for its speed of the lane's busiest server, and false when one may get no work.
+func lanePressure(l *Lane, loads Loads, random float64) (float64, bool) {
+	highest := random / l.rate
+	for _, n := range l.path {
+		if !loads.Usable(n.Server) {
+			return 0, false
+		}
+		highest = max(highest, (float64(loads.Assigned(n.Server))+random)/n.Weight)
+	}
+	return highest, true
+}
+
+// chooseNext draws two candidates by weight and takes the one with less work for its speed.
 func chooseNext(c *candidates, loads Loads, random Random) (Node, bool) {
 	if c == nil {
 		return Node{}, false
@@ -52,9 +81,9 @@
 	}
 }
 
-// pressure returns the work of a server, with one more frame, for its speed.
+// pressure returns the work of a server, with one more attempt, for its speed.
 func pressure(loads Loads, n Node) float64 {
-	return float64(loads.InFlight(n.Server)+1) / n.Weight
+	return float64(loads.Assigned(n.Server)+1) / n.Weight
 }
 
 func leastLoaded(c *candidates, loads Loads) (Node, bool) {
--- a/route/graph.go
+++ b/route/graph.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"junctioncross/models"
 )
@@ -13,6 +14,8 @@
 	Layers models.Layers
 	// Weight is the server's speed: tokens a second through its layers.
 	Weight float64
+	// Step is the time of one step with a full batch.
+	Step time.Duration
 }
 
 // Graph holds the servers of one model that lie on some path from the first layer to the last.
@@ -20,6 +23,15 @@
 	layers int
 	// starts lists the candidates by the layer at which they begin.
 	starts map[int]*candidates
+	lanes  []Lane
+}
+
+// Lanes returns the lanes, the widest first.
+func (g *Graph) Lanes() []Lane {
+	if g == nil {
+		return nil
+	}
+	return g.lanes
 }
 
 type candidates struct {
@@ -33,11 +45,16 @@
 	g := &Graph{layers: layers, starts: map[int]*candidates{}}
 	fromStart := reachable(nodes, 0, func(n Node) (int, int) { return n.Layers.First, n.Layers.End })
 	toEnd := reachable(nodes, layers, func(n Node) (int, int) { return n.Layers.End, n.Layers.First })
+	useful := make([]Node, 0, len(nodes))
 	for _, n := range nodes {
 		if !fromStart[n.Layers.First] || !toEnd[n.Layers.End] || n.Weight <= 0 {
 			continue
 		}
 		g.add(n)
+		useful = append(useful, n)
+	}
+	if len(useful) > 0 {
+		g.lanes = lanesOf(layers, useful)
 	}
 	return g
 }
--- /dev/null
+++ b/route/lanes.go
@@ -0,0 +1,88 @@
+package route
+
+import (
+	"sort"
+	"time"
+)
+
+// maxLanes bounds the lanes of one graph.
+const maxLanes = 1024
+
+// Lane is a path with the tokens a second that it can carry beside the other lanes.
+type Lane struct {
+	path []Node
+	rate float64
+}
+
+// Path returns the servers of the lane.
+func (l Lane) Path() []Node { return l.path }
+
+// Rate returns the lane's share of its servers, in tokens a second.
+func (l Lane) Rate() float64 { return l.rate }
+
+// Cycle returns the time of one token with full batches, without waiting.
+func (l Lane) Cycle() time.Duration {
+	total := time.Duration(0)
+	for _, n := range l.path {
+		total += n.Step
+	}
+	return total
+}
+
+// lanesOf splits the speed of the servers into paths, the widest path first, until no path is left.
+//
+// Sequences that share a whole lane come out of every step together and so fill the next server's batch together; paths
+// chosen server by server mix them, and batches stay half empty.
+func lanesOf(layers int, nodes []Node) []Lane {
+	sorted := append([]Node(nil), nodes...)
+	sort.Slice(sorted, func(i, j int) bool {
+		if sorted[i].Layers.First != sorted[j].Layers.First {
+			return sorted[i].Layers.First < sorted[j].Layers.First
+		}
+		return sorted[i].Server < sorted[j].Server
+	})
+	left := make([]float64, len(sorted))
+	for i, n := range sorted {
+		left[i] = n.Weight
+	}
+	var lanes []Lane
+	for len(lanes) < maxLanes {
+		lane, ok := widest(layers, sorted, left)
+		if !ok {
+			return lanes
+		}
+		lanes = append(lanes, lane)
+	}
+	return lanes
+}
+
+// widest finds the path with the most speed left and takes that from its servers.
+func widest(layers int, nodes []Node, left []float64) (Lane, bool) {
+	const least = 1e-6
+	width := make([]float64, layers+1)
+	from := make([]int, layers+1)
+	for i := range from {
+		from[i] = -1
+	}
+	width[0] = left[0] + 1
+	for i := range nodes {
+		width[0] = max(width[0], left[i]+1)
+	}
+	for i, n := range nodes {
+		if w := min(width[n.Layers.First], left[i]); w > least && w > width[n.Layers.End] {
+			width[n.Layers.End] = w
+			from[n.Layers.End] = i
+		}
+	}
+	if from[layers] < 0 {
+		return Lane{}, false
+	}
+	lane := Lane{rate: width[layers]}
+	for at := layers; at > 0; {
+		i := from[at]
+		lane.path = append([]Node{nodes[i]}, lane.path...)
+		left[i] -= lane.rate
+		at = nodes[i].Layers.First
+	}
+	return lane, true
+}
