retry: count failures at one moment once

Cause: a killed engine came back after 2.5 s but got no work for 4 s more: each of the 40 attempts under way counted as a failure in a row, so that its circuit stayed open for the longest pause.

Change: failures while the circuit is open do not count; a new process of the server closes it.

--- a/bench/meter.go
+++ b/bench/meter.go
@@ -7,13 +7,27 @@
 
 // tokenMeter counts the tokens that arrive within a window.
 type tokenMeter struct {
-	tokens atomic.Int64
+	tokens  atomic.Int64
+	seconds [maxSeconds]atomic.Int64
 }
 
+// maxSeconds is the number of seconds that are counted one by one.
+const maxSeconds = 60
+
 func (m *tokenMeter) count(start time.Time, window time.Duration) {
 	if since := time.Since(start); since >= 0 && since < window {
 		m.tokens.Add(1)
+		m.seconds[min(int(since.Seconds()), maxSeconds-1)].Add(1)
+	}
+}
+
+// perSecond returns the tokens of each second of the window.
+func (m *tokenMeter) perSecond(window time.Duration) []int64 {
+	out := make([]int64, int(window.Seconds()))
+	for i := range out {
+		out[i] = m.seconds[i].Load()
 	}
+	return out
 }
 
 func (m *tokenMeter) rate(window time.Duration) float64 {
--- a/bench/throughput.go
+++ b/bench/throughput.go
@@ -6,6 +6,7 @@
 
 	"junctioncross/fleet"
 	"junctioncross/load"
+	"junctioncross/models"
 	"junctioncross/standin"
 )
 
@@ -33,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	rate, tally := saturate(f, throughputWindow, nil)
+	rate, tally := saturate(p, f, throughputWindow, nil)
 	after, err := sampleControl(f)
 	if err != nil {
 		return err
@@ -48,9 +49,24 @@
 	if err := printEngines(f, p); err != nil {
 		return err
 	}
-	rate, tally = saturate(f, churnWindow, churn)
+	rate, tally = saturate(p, f, churnWindow, churn)
 	p.Figure("throughput_ratio_churn", rate/bound, "ratio")
 	printTally(p, "churn_", tally)
+	return printRetries(f, p)
+}
+
+// printRetries prints what the instances retried and why.
+func printRetries(f *fleet.Fleet, p *Printer) error {
+	for _, reason := range []models.Reason{models.RetryUnreachable, models.RetryTimeout, models.RetryRefused, models.RetryOutOfOrder, models.RetrySlow} {
+		total := int64(0)
+		for _, e := range f.Entries() {
+			n, err := fleet.Metric(e.Health, `jx_retries_total{reason="`+string(reason)+`"}`)
+			if err == nil {
+				total += n
+			}
+		}
+		p.Figure("retries_"+string(reason), float64(total), "count")
+	}
 	return nil
 }
 
@@ -72,7 +88,7 @@
 }
 
 // saturate keeps more requests under way than the engines can batch and returns the tokens a second within the window.
-func saturate(f *fleet.Fleet, window time.Duration, disturb func(ctx context.Context, f *fleet.Fleet)) (float64, load.Tally) {
+func saturate(p *Printer, f *fleet.Fleet, window time.Duration, disturb func(ctx context.Context, f *fleet.Fleet)) (float64, load.Tally) {
 	ctx, cancel := context.WithTimeout(context.Background(), throughputWarm+window)
 	defer cancel()
 	var meter tokenMeter
@@ -86,6 +102,7 @@
 		a.OnToken = func(int) { meter.count(start, window) }
 		return a
 	}, checker(f.Spec()))
+	p.Note("tokens in each second %v", meter.perSecond(window))
 	return meter.rate(window), result.Tally()
 }
 
--- a/control/backends.go
+++ b/control/backends.go
@@ -83,6 +83,9 @@
 	changed := false
 	serving := 0
 	for name, b := range l.backends {
+		if s := newest[name]; b.known && s.Incarnation > b.status.Incarnation {
+			l.deps.Pool.Server(b.index).Restarted()
+		}
 		changed = b.follow(newest[name], listedLeaving[name]) || changed
 		barred := b.spec.Retiring || movingNow[name] || b.chart.State() == "leaving" || b.chart.State() == "suspect"
 		l.deps.Pool.Server(b.index).Bar(barred)
--- a/pool/server.go
+++ b/pool/server.go
@@ -93,6 +93,13 @@
 	s.budget.Succeeded()
 }
 
+// Restarted tells the circuit that the server's process is a new one.
+func (s *Server) Restarted() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.circuit.Succeeded()
+}
+
 // Settled tells the server that an attempt no longer passes through it.
 func (s *Server) Settled() {
 	s.assigned.Add(-1)
--- a/retry/circuit.go
+++ b/retry/circuit.go
@@ -14,8 +14,12 @@
 	trial    bool
 }
 
-// Failed records a failure; the pause doubles with each one in a row.
+// Failed records a failure; the pause doubles with each one in a row. Failures of work that was under way when the
+// circuit opened say nothing new.
 func (c *Circuit) Failed(now time.Time) {
+	if now.Before(c.until) {
+		return
+	}
 	pause := firstOpen << min(c.failures, 5)
 	c.failures++
 	c.until = now.Add(min(pause, longest))
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -47,6 +47,11 @@
 	c.Settled()
 	require.False(t, c.Open(now))
 	c.Succeeded()
+	for range 100 {
+		c.Failed(now)
+	}
+	require.False(t, c.Open(now.Add(time.Second)), "failures at the same time count once")
+	c.Succeeded()
 	require.False(t, c.Open(time.Unix(0, 0)))
 }
 
