control: meet listed strangers at once

Change: every instance reads the list once at its start and exchanges news with up to three strangers at once; while there are strangers it exchanges every 250 ms.

--- a/bench/config.go
+++ b/bench/config.go
@@ -20,7 +20,7 @@
 const (
 	configChanges  = 12
 	configPause    = 300 * time.Millisecond
-	configSettle   = 4 * time.Second
+	configSettle   = 2500 * time.Millisecond
 	configCut      = 20 * time.Second
 	slowAnswerMS   = 400
 	inForceMessage = "configuration in force"
--- a/bench/control.go
+++ b/bench/control.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	controlSettle = 4 * time.Second
-	controlWindow = 5 * time.Second
+	controlSettle = 3 * time.Second
+	controlWindow = 4 * time.Second
 	// domainBackends is the number of backend servers of one domain at the design size: 600 replicas of four stages over
 	// seven domains.
 	domainBackends = 343
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -18,6 +18,8 @@
 	exchangeTimeout = 1500 * time.Millisecond
 	// strangerShare is how many exchanges there are for one with an unknown instance, while there are any.
 	strangerShare = 2
+	// strangersAtOnce bounds the unknown instances that are asked when the list has been read.
+	strangersAtOnce = 3
 )
 
 var errOtherDomain = errors.New("control: caller stands in another domain")
@@ -88,6 +90,15 @@
 	}
 }
 
+// meetStrangers exchanges news at once with some listed instances that are not known yet.
+func (l *Loop) meetStrangers() {
+	addrs := l.strangerAddrs()
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	for _, addr := range addrs[:min(len(addrs), strangersAtOnce)] {
+		l.exchange(addr)
+	}
+}
+
 // strangerAddrs returns the listed instances of the domain that are not among the known ones.
 func (l *Loop) strangerAddrs() []string {
 	var out []string
--- a/control/loop.go
+++ b/control/loop.go
@@ -200,7 +200,7 @@
 	l.setLimits()
 	l.startPolls()
 	l.ticks++
-	if l.ticks%exchangeTicks == 0 {
+	if l.ticks%exchangeTicks == 0 || len(l.strangerAddrs()) > 0 {
 		l.startExchange()
 	}
 }
--- a/control/poll.go
+++ b/control/poll.go
@@ -108,10 +108,10 @@
 	}
 }
 
-// pollList reads the platform's instance list, on relays and on instances that know no others.
+// pollList reads the platform's instance list: once at the start, then on relays and on instances that know no others.
 func (l *Loop) pollList(ctx context.Context) {
-	for {
-		if l.relay.Load() || l.alone.Load() {
+	for first := true; ; first = false {
+		if first || l.relay.Load() || l.alone.Load() {
 			if lines, err := l.readList(ctx); err == nil {
 				l.post(listArrived{lines: lines})
 			} else {
@@ -145,6 +145,7 @@
 // listChanged keeps the list; a mark of leaving in it is kept for as long as the server's process lives.
 func (l *Loop) listChanged(lines []member.Listed) {
 	l.listed = lines
+	l.meetStrangers()
 	for _, line := range lines {
 		if line.Role == member.RoleBackend && line.Leaving {
 			l.leftList[line.Name] = true
--- a/load/client.go
+++ b/load/client.go
@@ -49,9 +49,11 @@
 	Status int
 	Fate   models.Fate
 	Reason models.Reason
-	First  time.Duration
-	Gaps   []time.Duration
-	Total  time.Duration
+	// RequestID is the id that the instance gave the request.
+	RequestID string
+	First     time.Duration
+	Gaps      []time.Duration
+	Total     time.Duration
 }
 
 // Whole reports whether the answer came to its end.
@@ -109,7 +111,7 @@
 		return &Reply{}, errors.Wrap(err, "load: no answer")
 	}
 	defer resp.Body.Close()
-	r := &Reply{Status: resp.StatusCode}
+	r := &Reply{Status: resp.StatusCode, RequestID: resp.Header.Get(models.HeaderRequestID)}
 	if resp.StatusCode != http.StatusOK {
 		err = r.readError(resp.Body)
 		return r, err
