capacity: work docs/CAPACITY.md out from measured figures

Cause: the users ask for the page now, and its numbers have to follow from measurements.

Claims go to one writer of each domain and partition, because 410 writers would read each other's records 90,000 times a second by the formula. Under overload the longest queue makes room, and a queue that runs empty keeps up to 500 token costs of credit.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GO ?= go
 PROGRAMS := jxd jxctl jxload jxfake
 
-.PHONY: all build run test demo lint format unit clean
+.PHONY: all build run test demo lint format unit clean capacity bench-config bench-control bench-decisions bench-overload bench-recovery bench-state bench-throughput
 
 all: build
 
@@ -20,6 +20,26 @@
 demo: build
 	$(BIN)/jxload --bin $(BIN) demo
 
+# Each bench prints its figures and keeps them for the page on capacity.
+BENCHES := config control overload recovery state throughput
+FIGURES := docs/figures
+
+$(BENCHES:%=bench-%): bench-%: build
+	@mkdir -p $(FIGURES)
+	$(BIN)/jxload --bin $(BIN) bench $* > $(FIGURES)/$*.new || { cat $(FIGURES)/$*.new; exit 1; }
+	mv $(FIGURES)/$*.new $(FIGURES)/$*.txt
+	@cat $(FIGURES)/$*.txt
+
+bench-decisions:
+	@mkdir -p $(FIGURES)
+	$(GO) test -run '^$$' -bench . -benchtime 200ms ./route ./share > $(FIGURES)/decisions.new
+	awk -f docs/figures/decisions.awk $(FIGURES)/decisions.new > $(FIGURES)/decisions.txt
+	rm $(FIGURES)/decisions.new
+	@cat $(FIGURES)/decisions.txt
+
+capacity: build
+	$(BIN)/jxload capacity
+
 test: lint unit
 
 # Packages with property tests take a fixed seed; the flag exists in these only.
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -39,6 +39,8 @@
 	// usage holds the cost used here since the start, and recent that since the last TakeTop.
 	usage  map[share.Owner]float64
 	recent map[share.Owner]float64
+	// refusals tells waiting requests that they had to make room.
+	refusals map[*share.Waiter]chan struct{}
 }
 
 // New returns a Gate that refuses a request when its predicted wait is longer than maxWait.
@@ -46,6 +48,7 @@
 	return &Gate{
 		clock: clock, maxWait: maxWait, limit: 1, service: initialService,
 		order: share.New(), usage: map[share.Owner]float64{}, recent: map[share.Owner]float64{},
+		refusals: map[*share.Waiter]chan struct{}{},
 	}
 }
 
@@ -83,14 +86,19 @@
 func (g *Gate) Enter(ctx context.Context, owner share.Owner) (*Ticket, error) {
 	admitted := make(chan struct{})
 	g.mu.Lock()
-	if g.predictedWait() > g.maxWait {
+	if g.predictedWait() > g.maxWait && !g.makeRoom(owner) {
 		g.mu.Unlock()
 		return nil, ErrOverloaded
 	}
 	w := g.order.Enqueue(owner, func() { close(admitted) })
+	refused := make(chan struct{})
+	g.refusals[w] = refused
 	g.admit()
 	g.mu.Unlock()
+	defer g.forget(w)
 	select {
+	case <-refused:
+		return nil, ErrOverloaded
 	case <-admitted:
 		return &Ticket{gate: g, owner: owner, start: g.clock.Now()}, nil
 	case <-ctx.Done():
@@ -107,6 +115,29 @@
 	return max(g.predictedWait(), time.Second)
 }
 
+// makeRoom refuses the newest request of the account that has most waiting in favour of an owner that has less, so that
+// an account that asks too much is the one to be refused; it reports false when that is the owner itself. The caller holds
+// the lock.
+func (g *Gate) makeRoom(owner share.Owner) bool {
+	w := g.order.Longest(owner)
+	if w == nil {
+		return false
+	}
+	g.order.Drop(w)
+	if refused, ok := g.refusals[w]; ok {
+		close(refused)
+		delete(g.refusals, w)
+	}
+	return true
+}
+
+// forget ends the bookkeeping of a request that has left the queue.
+func (g *Gate) forget(w *share.Waiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.refusals, w)
+}
+
 // predictedWait returns how long a new request would wait; the caller holds the lock.
 func (g *Gate) predictedWait() time.Duration {
 	ahead := g.running + g.order.Len() + 1 - g.limit
--- /dev/null
+++ b/app/claims.go
@@ -0,0 +1,45 @@
+package app
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/claim"
+	"junctioncross/config"
+	"junctioncross/control"
+	"junctioncross/keys"
+	"junctioncross/kv"
+	"junctioncross/link"
+	"junctioncross/metrics"
+	"junctioncross/timer"
+)
+
+func newKeeper(set *config.Settings, self control.Self, store kv.Store, clock *timer.Service, stats *metrics.Registry) *claim.Keeper {
+	writer := fmt.Sprintf("%s/%d", self.Name, self.Incarnation)
+	return claim.NewKeeper(store, clock, stats, writer, set.Limits.ClaimPartitions)
+}
+
+// newClaims settles claims on the instances that write them, over the links between instances.
+func newClaims(keeper *claim.Keeper, loop *control.Loop, links *link.Client, mux *link.Mux, stats *metrics.Registry) claim.Asker {
+	link.Handle(mux, link.KindClaim, func(ctx context.Context, _ keys.Identity, c claim.Claim) (claim.Answer, error) {
+		v, err := keeper.Ask(ctx, c)
+		return claim.ToAnswer(v), err
+	})
+	return claim.NewRouter(keeper, loop, forwardClaim(links), stats)
+}
+
+func forwardClaim(links *link.Client) claim.Forward {
+	return func(ctx context.Context, addr string, c claim.Claim) (claim.Verdict, bool, error) {
+		a, err := link.Call[claim.Claim, claim.Answer](ctx, links, addr, link.KindClaim, c)
+		if err != nil {
+			return nil, !errors.Is(err, link.ErrUnreachable), err
+		}
+		v := a.Verdict()
+		if v == nil {
+			return nil, true, errors.New("app: unknown verdict")
+		}
+		return v, true, nil
+	}
+}
--- a/app/provide.go
+++ b/app/provide.go
@@ -35,7 +35,7 @@
 	constructors := []any{
 		func() context.Context { return ctx },
 		func() *config.Settings { return set },
-		timer.NewReal, metrics.New, newLog, newRing, newStore, newSelf, newGates, newClaims, newEntry, newCluster, newLeader, newLoop,
+		timer.NewReal, metrics.New, newLog, newRing, newStore, newSelf, newGates, newKeeper, newClaims, newEntry, newCluster, newLeader, newLoop,
 		revision.NewStore, revision.NewKeeper, view.NewBoard, engine.NewCaller, pool.New, pipeline.New,
 		service.New, link.NewMux, link.NewClient, operator.New,
 	}
@@ -99,11 +99,6 @@
 	return admit.NewGates(clock, set.Limits.QueueWait)
 }
 
-func newClaims(set *config.Settings, self control.Self, store kv.Store, clock *timer.Service, stats *metrics.Registry) claim.Asker {
-	writer := fmt.Sprintf("%s/%d", self.Name, self.Incarnation)
-	return claim.NewKeeper(store, clock, stats, writer, set.Limits.ClaimPartitions)
-}
-
 // entryParts are the parts that answer callers.
 type entryParts struct {
 	dig.In
--- a/cmd/jxd/main.go
+++ b/cmd/jxd/main.go
@@ -6,8 +6,9 @@
 )
 
 type commands struct {
-	Run   runCommand   `cmd:"" help:"Run an entry instance until it is told to stop."`
-	Check checkCommand `cmd:"" help:"Check a settings file without starting."`
+	Run       runCommand       `cmd:"" help:"Run an entry instance until it is told to stop."`
+	Check     checkCommand     `cmd:"" help:"Check a settings file without starting."`
+	Reference referenceCommand `cmd:"" help:"Print the description of every setting."`
 }
 
 func main() {
--- a/cmd/jxload/bench.go
+++ b/cmd/jxload/bench.go
@@ -7,7 +7,7 @@
 )
 
 type benchCommand struct {
-	Name string `arg:"" enum:"config,control,recovery,state,throughput" help:"Which measurement: config, control, recovery, state or throughput."`
+	Name string `arg:"" enum:"config,control,overload,recovery,state,throughput" help:"Which measurement: config, control, overload, recovery, state or throughput."`
 }
 
 // Run takes the measurement and prints its figures.
@@ -16,6 +16,8 @@
 	switch b.Name {
 	case "control":
 		return bench.Control(c.Bin, p)
+	case "overload":
+		return bench.Overload(c.Bin, p)
 	case "recovery":
 		return bench.Recovery(c.Bin, p)
 	case "state":
--- a/cmd/jxload/main.go
+++ b/cmd/jxload/main.go
@@ -8,9 +8,10 @@
 type commands struct {
 	Bin string `default:"bin" help:"Directory of the programs."`
 
-	Run   runCommand   `cmd:"" help:"Start the users' fleet and keep it until Ctrl-C."`
-	Demo  demoCommand  `cmd:"" help:"Start the users' fleet, check what it promises and stop it."`
-	Bench benchCommand `cmd:"" help:"Take one measurement and print its figures."`
+	Run      runCommand      `cmd:"" help:"Start the users' fleet and keep it until Ctrl-C."`
+	Demo     demoCommand     `cmd:"" help:"Start the users' fleet, check what it promises and stop it."`
+	Bench    benchCommand    `cmd:"" help:"Take one measurement and print its figures."`
+	Capacity capacityCommand `cmd:"" help:"Write docs/CAPACITY.md from the measured figures."`
 }
 
 func main() {
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,45 @@
+package config_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/config"
+)
+
+const good = `instance: {name: a1, domain: east}
+listen: {callers: "127.0.0.1:1", operators: "127.0.0.1:2", peers: "127.0.0.1:3", health: "127.0.0.1:4"}
+platform: {kv: "127.0.0.1:5", instances: "127.0.0.1:6"}
+keys: {authority: ca.pem, certificate: a1.pem, key: a1-key.pem}
+`
+
+func TestDefaultsHoldWhereTheFileIsSilent(t *testing.T) {
+	s, err := config.Parse("f", []byte(good+"limits: {queue_wait: 3s}\n"))
+	require.NoError(t, err)
+	require.Equal(t, 3*time.Second, s.Limits.QueueWait)
+	require.Equal(t, config.Default().Limits.BodyBytes, s.Limits.BodyBytes)
+	require.Equal(t, "info", s.Log.Level)
+}
+
+func TestEveryMistakeIsNamedWithItsLine(t *testing.T) {
+	_, err := config.Parse("jxd.yaml", []byte(good+"limits: {queue_wait: soon, body_bytes: 3}\nlog: {level: loud}\nlimit: {}\n"))
+	for _, want := range []string{
+		"jxd.yaml:5: limits.queue_wait: is not a duration such as 250ms or 2s",
+		"jxd.yaml:5: limits.body_bytes: accepted: at least 1024",
+		"jxd.yaml:6: log.level: accepted: one of debug, info, warn, error",
+		"jxd.yaml:7: limit: unknown key; accepted: instance, listen, platform, peers, keys, limits, drain, log",
+	} {
+		require.ErrorContains(t, err, want)
+	}
+}
+
+func TestThePageDescribesTheTypes(t *testing.T) {
+	want, err := config.Reference()
+	require.NoError(t, err)
+	got, err := os.ReadFile("../docs/CONFIGURATION.md")
+	require.NoError(t, err)
+	require.Equal(t, want, string(got), "run jxd reference > docs/CONFIGURATION.md")
+}
--- /dev/null
+++ b/config/reference.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"embed"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"reflect"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+//go:embed instance.go listen.go platform.go keys.go limits.go drain.go log.go settings.go
+var sources embed.FS
+
+const referenceHead = `# Settings of jxd
+
+Written by ` + "`jxd reference > docs/CONFIGURATION.md`" + ` from the settings' types; a test compares the two. The file is YAML.
+Unknown keys, wrong types and values that are not accepted are refused, all at once, each with its line;
+` + "`jxd check FILE`" + ` does that without starting.
+
+| key | type | accepted | default | meaning |
+|---|---|---|---|---|
+`
+
+// Reference returns the page that describes every setting.
+func Reference() (string, error) {
+	comments, err := fieldComments()
+	if err != nil {
+		return "", err
+	}
+	var out strings.Builder
+	out.WriteString(referenceHead)
+	writeFields(&out, "", reflect.ValueOf(Default()), comments)
+	return out.String(), nil
+}
+
+func writeFields(out *strings.Builder, prefix string, section reflect.Value, comments map[string]string) {
+	t := section.Type()
+	for i := range t.NumField() {
+		f := t.Field(i)
+		key := prefix + f.Tag.Get("yaml")
+		if f.Type.Kind() == reflect.Struct {
+			writeFields(out, key+".", section.Field(i), comments)
+			continue
+		}
+		value := fmt.Sprint(section.Field(i).Interface())
+		if section.Field(i).IsZero() {
+			value = ""
+		}
+		fmt.Fprintf(out, "| `%s` | %s | %s | %s | %s |\n", key, f.Type, f.Tag.Get("validate"), value, comments[t.Name()+"."+f.Name])
+	}
+}
+
+// fieldComments returns the doc comments of all settings, by type and field.
+func fieldComments() (map[string]string, error) {
+	out := map[string]string{}
+	entries, err := sources.ReadDir(".")
+	if err != nil {
+		return nil, errors.Wrap(err, "config: reference")
+	}
+	for _, e := range entries {
+		body, err := sources.ReadFile(e.Name())
+		if err != nil {
+			return nil, errors.Wrap(err, "config: reference")
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), e.Name(), body, parser.ParseComments)
+		if err != nil {
+			return nil, errors.Wrap(err, "config: reference")
+		}
+		ast.Inspect(file, func(n ast.Node) bool { return collectComments(n, out) })
+	}
+	return out, nil
+}
+
+func collectComments(n ast.Node, out map[string]string) bool {
+	spec, ok := n.(*ast.TypeSpec)
+	if !ok {
+		return true
+	}
+	fields, ok := spec.Type.(*ast.StructType)
+	if !ok {
+		return false
+	}
+	for _, f := range fields.Fields.List {
+		for _, name := range f.Names {
+			out[spec.Name.Name+"."+name.Name] = strings.Join(strings.Fields(f.Doc.Text()), " ")
+		}
+	}
+	return false
+}
--- a/config/settings.go
+++ b/config/settings.go
@@ -13,11 +13,12 @@
 	Instance Instance `yaml:"instance"`
 	Listen   Listen   `yaml:"listen"`
 	Platform Platform `yaml:"platform"`
-	Peers    []string `yaml:"peers" validate:"dive,ipport"`
-	Keys     Keys     `yaml:"keys"`
-	Limits   Limits   `yaml:"limits"`
-	Drain    Drain    `yaml:"drain"`
-	Log      Log      `yaml:"log"`
+	// Peers holds addresses of instances to ask first, beside those of the platform's list.
+	Peers  []string `yaml:"peers" validate:"dive,ipport"`
+	Keys   Keys     `yaml:"keys"`
+	Limits Limits   `yaml:"limits"`
+	Drain  Drain    `yaml:"drain"`
+	Log    Log      `yaml:"log"`
 }
 
 // Default returns the settings that hold where the file is silent.
--- a/control/loop.go
+++ b/control/loop.go
@@ -80,7 +80,8 @@
 	alone    atomic.Bool
 	leads    atomic.Bool
 	// hearsKV is false while the last call to the key-value service failed.
-	hearsKV atomic.Bool
+	hearsKV   atomic.Bool
+	directory atomic.Pointer[directory]
 
 	// The fields below belong to the control goroutine.
 	table        *gossip.Table
@@ -127,6 +128,8 @@
 		charged:      map[chargedKey]float64{},
 		relayNews:    map[string]relayNews{},
 	}
+	// The helpers start with this instance's roles, which it has alone until it hears of others.
+	l.refreshMembers()
 	go func() { l.run(ctx) }()
 	go func() { l.watch(ctx) }()
 	go func() { l.pollList(ctx) }()
@@ -162,7 +165,6 @@
 	slow := l.deps.Clock.Subscribe(slowPeriod)
 	defer fast.Stop()
 	defer slow.Stop()
-	l.refreshMembers()
 	for {
 		select {
 		case m := <-l.inbox:
--- a/control/members.go
+++ b/control/members.go
@@ -62,6 +62,7 @@
 	same := slices.Equal(m.live, l.members.live)
 	m.neighbours = l.members.neighbours
 	l.members = m
+	l.publishDirectory()
 	if !same || m.neighbours == nil {
 		l.assignRoles()
 	}
--- a/fleet/configure.go
+++ b/fleet/configure.go
@@ -99,8 +99,8 @@
 	return client.MakePlan(id)
 }
 
-// awaitServing waits until every entry instance is ready and every engine has loaded its layers.
-func (f *Fleet) awaitServing() error {
+// AwaitServing waits until every entry instance is ready and every engine has loaded its layers.
+func (f *Fleet) AwaitServing() error {
 	return Eventually(startLimit, func() error {
 		for _, e := range f.entries {
 			if _, err := Get[any](e.Health, "/health/ready"); err != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -74,7 +74,7 @@
 		return nil, errors.Wrap(err, "fleet: directory")
 	}
 	f := &Fleet{spec: spec, bin: bin, dir: dir, starter: newStarter(dir), faults: newFaults(spec.Proxied)}
-	for _, step := range []func() error{f.startPlatform, f.startEngines, f.startServices, f.startEntries, f.configure, f.awaitServing} {
+	for _, step := range []func() error{f.startPlatform, f.startEngines, f.startServices, f.startEntries, f.configure, f.AwaitServing} {
 		if err := step(); err != nil {
 			f.Stop()
 			return nil, err
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,14 +1,21 @@
 package fleet_test
 
 import (
+	"fmt"
+	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/fault"
 	"junctioncross/fleet"
+	"junctioncross/load"
+	"junctioncross/models"
+	"junctioncross/standin"
 )
 
 const patience = 40 * time.Second
@@ -52,3 +59,129 @@
 		return nil
 	}))
 }
+
+// ask sends one request and returns its reply, checked against the computed answer.
+func ask(t *testing.T, f *fleet.Fleet, e *fleet.Entry, prompt string, onToken func(int)) *load.Reply {
+	const limit = 30
+	m := f.Spec().Models[0]
+	r, err := load.NewClient().Stream(t.Context(), load.Ask{
+		Addr: e.Callers, Key: fleet.KeyCounter, Model: m.Name, Prompt: prompt, Limit: limit, OnToken: onToken,
+	})
+	require.NoError(t, err)
+	require.Equal(t, 200, r.Status, "%s", r.Reason)
+	want, _, _ := standin.NewModel(m.Name, m.Version, m.Layers).Answer(load.PromptText(prompt), limit)
+	require.Equal(t, want, r.Text)
+	return r
+}
+
+// TestAnswersAreWholeWhileStagesDieHangAndLoseConnections breaks each engine in turn in the middle of an answer.
+func TestAnswersAreWholeWhileStagesDieHangAndLoseConnections(t *testing.T) {
+	spec := small(2, "a", "a", "b", "b", "c", "c")
+	spec.Models = spec.Models[:1]
+	spec.Groups = spec.Groups[:1]
+	spec.Accounts = spec.Accounts[:1]
+	spec.Proxied = true
+	f := start(t, spec)
+	faults := []struct {
+		name  string
+		begin func(e *fleet.Engine) error
+		end   func(e *fleet.Engine) error
+	}{
+		{"killed", func(e *fleet.Engine) error { e.Process.Kill(); return nil }, f.StartEngine},
+		{
+			"hung",
+			func(e *fleet.Engine) error { return fleet.SetEngineFault(e, standin.EngineFault{Hung: true}) },
+			func(e *fleet.Engine) error { return fleet.SetEngineFault(e, standin.EngineFault{}) },
+		},
+		{
+			"cut",
+			func(e *fleet.Engine) error { f.Faults().Engine(e.Name).Cut(); return nil },
+			func(e *fleet.Engine) error { return f.Faults().Engine(e.Name).Heal() },
+		},
+		{
+			"resets",
+			func(e *fleet.Engine) error { return f.Faults().Engine(e.Name).Add(fault.Reset(1, 300)) },
+			func(e *fleet.Engine) error { return f.Faults().Engine(e.Name).Remove("reset") },
+		},
+	}
+	for i, tt := range faults {
+		for j, e := range f.Engines() {
+			t.Run(tt.name+" "+e.Name, func(t *testing.T) {
+				begun := false
+				ask(t, f, f.Entries()[(i+j)%2], fmt.Sprint("question ", i, j), func(n int) {
+					if n == 1 {
+						begun = true
+						require.NoError(t, tt.begin(e))
+					}
+				})
+				require.True(t, begun, "the answer ended before the fault")
+				require.NoError(t, tt.end(e))
+			})
+		}
+		require.NoError(t, f.AwaitServing())
+	}
+}
+
+// TestAPaymentRunsOnceWhileTheServiceLosesAnswers repeats keyed calls on all instances while claims' answers are lost.
+func TestAPaymentRunsOnceWhileTheServiceLosesAnswers(t *testing.T) {
+	spec := small(3, "a", "a")
+	f := start(t, spec)
+	require.NoError(t, fleet.Post(f.KVAddr(), "/faults", standin.Faults{LoseAnswers: 4}))
+	accepted := map[string]int{}
+	for n := range 12 {
+		key := fmt.Sprint("key-", n/3)
+		status, fate := pay(t, f.Entries()[n%3], key)
+		if status == http.StatusOK {
+			accepted[key]++
+			continue
+		}
+		require.Contains(t, []int{http.StatusConflict, http.StatusServiceUnavailable}, status)
+		if status == http.StatusConflict {
+			require.NotEqual(t, models.FateNotRun, fate)
+		}
+	}
+	for key, n := range accepted {
+		require.Equal(t, 1, n, key)
+	}
+	total := map[string]int{}
+	for _, s := range f.Services() {
+		tally, err := fleet.Get[map[string]int](s.Addr, "/test/tally")
+		require.NoError(t, err)
+		for key, n := range tally {
+			total[key] += n
+		}
+	}
+	require.Equal(t, accepted, total)
+}
+
+func pay(t *testing.T, e *fleet.Entry, key string) (int, models.Fate) {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+e.Callers+"/services/bookings/confirm", strings.NewReader("{}"))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+fleet.KeyCounter)
+	req.Header.Set(models.HeaderIdempotencyKey, key)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	return resp.StatusCode, models.Fate(resp.Header.Get(models.HeaderFate))
+}
+
+// TestADomainCutFromTheServiceStillHearsOfChanges cuts one domain from the platform but not from the other domain.
+func TestADomainCutFromTheServiceStillHearsOfChanges(t *testing.T) {
+	spec := small(2)
+	spec.Domains = []string{"d", "e"}
+	spec.Entries = []int{2, 2}
+	spec.Proxied = true
+	f := start(t, spec)
+	f.Faults().KV("e").Cut()
+	f.Faults().List("e").Cut()
+	entry, err := f.Apply("test", map[string]any{"share": map[string]any{"group": "counter", "weight": 5}})
+	require.NoError(t, err)
+	require.NoError(t, fleet.Eventually(patience, func() error {
+		for _, e := range f.Entries() {
+			if have, err := fleet.Metric(e.Health, "jx_revision"); err != nil || have < int64(entry.Revision) {
+				return errors.Errorf("%s has revision %d: %v", e.Name, have, err)
+			}
+		}
+		return nil
+	}))
+}
--- a/share/scheduler.go
+++ b/share/scheduler.go
@@ -8,13 +8,15 @@
 	PromptCost = 0.05
 	// TokenCost is the cost of a generated token.
 	TokenCost = 1.0
+	// creditCost is the cost that an owner can be behind others when it comes back.
+	creditCost = 500.0
 )
 
 // Waiter is one request in the queue.
 type Waiter struct {
-	account *account
-	next    *Waiter
-	dropped bool
+	account    *account
+	next, prev *Waiter
+	dropped    bool
 	// Admitted is called by the owner when the request is chosen.
 	Admitted func()
 }
@@ -32,6 +34,8 @@
 	party
 	group       *group
 	first, last *Waiter
+	// live is the number of waiters that have not been dropped.
+	live int
 }
 
 type group struct {
@@ -61,7 +65,8 @@
 	AccountWeight float64 `cbor:"4,keyasint"`
 }
 
-// Enqueue adds a request; an owner that had nothing waiting starts level with the least served one that has.
+// Enqueue adds a request. An owner that had nothing waiting starts at most creditCost behind the least served one that has:
+// long silence earns no more, but a queue that runs empty for a moment costs nothing.
 func (s *Scheduler) Enqueue(o Owner, admitted func()) *Waiter {
 	a := s.account(o)
 	w := &Waiter{account: a, Admitted: admitted}
@@ -69,8 +74,10 @@
 		a.first = w
 	} else {
 		a.last.next = w
+		w.prev = a.last
 	}
 	a.last = w
+	a.live++
 	s.length++
 	s.raise(a)
 	return w
@@ -82,14 +89,14 @@
 	a.count++
 	if a.count == 1 {
 		if len(g.waiting) > 0 {
-			a.used = max(a.used, g.waiting[0].used)
+			a.used = max(a.used, g.waiting[0].used-creditCost/a.weight)
 		}
 		heap.Push(&g.waiting, a)
 	}
 	g.count++
 	if g.count == 1 {
 		if len(s.waiting) > 0 {
-			g.used = max(g.used, s.waiting[0].used)
+			g.used = max(g.used, s.waiting[0].used-creditCost/g.weight)
 		}
 		heap.Push(&s.waiting, g)
 	}
@@ -103,9 +110,12 @@
 		a.first = w.next
 		if a.first == nil {
 			a.last = nil
+		} else {
+			a.first.prev = nil
 		}
 		s.lower(a)
 		if !w.dropped {
+			a.live--
 			s.length--
 			return w
 		}
@@ -129,10 +139,35 @@
 func (s *Scheduler) Drop(w *Waiter) {
 	if !w.dropped {
 		w.dropped = true
+		w.account.live--
 		s.length--
 	}
 }
 
+// Longest returns the newest request of the account that has the most waiting for its weight, or nil when that is not more
+// than the owner would have with one more: then the owner itself is the one to be refused.
+func (s *Scheduler) Longest(o Owner) *Waiter {
+	own := s.account(o)
+	most := float64(own.live+1) / (own.weight * own.group.weight)
+	var longest *account
+	for _, g := range s.waiting {
+		for _, a := range g.waiting {
+			if n := float64(a.live) / (a.weight * g.weight); n > most {
+				most, longest = n, a
+			}
+		}
+	}
+	if longest == nil {
+		return nil
+	}
+	for w := longest.last; w != nil; w = w.prev {
+		if !w.dropped {
+			return w
+		}
+	}
+	return nil
+}
+
 // Charge adds used cost to the owner; it applies to requests that run here or, as a delta, on another instance.
 func (s *Scheduler) Charge(o Owner, cost float64) {
 	a := s.account(o)
--- a/share/scheduler_test.go
+++ b/share/scheduler_test.go
@@ -85,6 +85,24 @@
 	require.InDelta(t, 300, served["g1a1"], 2)
 }
 
+func TestTheLongestQueueMakesRoom(t *testing.T) {
+	s := share.New()
+	weights := []float64{1}
+	var heavy []*share.Waiter
+	for range 5 {
+		heavy = append(heavy, s.Enqueue(owner(0, 0, weights), func() {}))
+	}
+	require.Nil(t, s.Longest(owner(0, 0, weights)), "the heaviest owner makes no room for itself")
+	w := s.Longest(owner(0, 1, weights))
+	require.Equal(t, heavy[4], w, "the newest goes first")
+	s.Drop(w)
+	require.Equal(t, heavy[3], s.Longest(owner(0, 1, weights)))
+	for range 3 {
+		s.Enqueue(owner(0, 1, weights), func() {})
+	}
+	require.Nil(t, s.Longest(owner(0, 1, weights)), "as many as the other would have")
+}
+
 func TestAGroupThatWasIdleGetsNoCredit(t *testing.T) {
 	s := share.New()
 	weights := []float64{1, 1}
