demo: require that a killed stage was recovered from

Cause: the check would have passed had the killed engine held no part of the answer. Change: the instance's own counter of recoveries must have moved; control ticks every 400 ms.

--- a/control/loop.go
+++ b/control/loop.go
@@ -23,7 +23,7 @@
 const (
 	// newsPeriod gathers news of backend servers before they are spread.
 	newsPeriod = 100 * time.Millisecond
-	fastPeriod = 250 * time.Millisecond
+	fastPeriod  = 400 * time.Millisecond
 	slowPeriod = time.Second
 	// beatTicks is the number of slow ticks from one sign of life to the next.
 	beatTicks = 2
@@ -32,7 +32,7 @@
 	mergeTicks  = 5
 	inboxLength = 1024
 	// exchangeTicks is the number of fast ticks from one exchange to the next when there is no news.
-	exchangeTicks = 4
+	exchangeTicks = 3
 	// silentLimit is the time without news after which an instance is not counted on.
 	silentLimit = 12 * time.Second
 	forgetLimit = 5 * time.Minute
--- a/demo/answers.go
+++ b/demo/answers.go
@@ -112,6 +112,10 @@
 	if err != nil {
 		return "", err
 	}
+	recovered, metricErr := fleet.Metric(entry.Health, "jx_recoveries_total")
+	if metricErr != nil || recovered == 0 {
+		return "", errors.Errorf("%s was killed, but the answer did not recover from anything: %v", killed, metricErr)
+	}
 	longest := time.Duration(0)
 	for _, g := range r.Gaps {
 		longest = max(longest, g)
