--- a/control/loop.go
+++ b/control/loop.go
@@ -23,7 +23,7 @@
 const (
 	// newsPeriod gathers news of backend servers before they are spread.
 	newsPeriod = 100 * time.Millisecond
-	fastPeriod  = 400 * time.Millisecond
+	fastPeriod = 400 * time.Millisecond
 	slowPeriod = time.Second
 	// beatTicks is the number of slow ticks from one sign of life to the next.
 	beatTicks = 2
