forward: keep events whole across servers and stop without cutting streams

Ruled out: wrong ids after a resume; the ids rose as they should. Change: a new attempt forgets the unfinished event; after the signal only what can be finished is taken, the rest is refused at once with a true not-run. Expected answers mix the caller's hint with the usual answer.

--- a/forward/events.go
+++ b/forward/events.go
@@ -89,3 +89,6 @@
 }
 
 func parseID(text string) (int64, error) { return strconv.ParseInt(text, 10, 64) }
+
+// restart forgets the part of an event that a former server did not finish.
+func (e *events) restart() { e.pending = e.pending[:0] }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -51,9 +51,10 @@
 
 	mu      sync.Mutex
 	windows map[string]*retry.Window
-	// stopBy is when the process must have ended; zero while it is not told to stop.
-	stopBy time.Time
-	peers  peers
+	// stopTold is when the process was told to stop, and stopBy when it must have ended; zero before.
+	stopTold time.Time
+	stopBy   time.Time
+	peers    peers
 }
 
 // New returns a Handler and starts to look for streams that stand still; it stops when ctx ends.
@@ -128,6 +129,10 @@
 		r.account = account.Name
 	}
 	r.group = snapshot.Group(r.route.Pick(rand.Float64()))
+	if !h.finishes(r) {
+		h.refuse(r, models.ReasonDraining, 0)
+		return false
+	}
 	r.deadline = r.x.Arrived().Add(r.route.Timeout)
 	if r.meta.Wait > 0 && r.meta.Wait < r.route.Timeout {
 		r.deadline = r.x.Arrived().Add(r.meta.Wait)
@@ -165,20 +170,6 @@
 	return w
 }
 
-// StopBy tells the Handler when the process will have ended, so that it takes nothing that would not be done by then.
-func (h *Handler) StopBy(at time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.stopBy = at
-}
-
-// stopping returns when the process must have ended, and whether it was told to stop.
-func (h *Handler) stopping() (time.Time, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.stopBy, !h.stopBy.IsZero()
-}
-
 func (h *Handler) observeHeld(r *request) {
 	h.stats.Histogram("held_ms").Update(h.clock.Since(r.x.Arrived()).Milliseconds())
 }
--- /dev/null
+++ b/forward/stop.go
@@ -0,0 +1,54 @@
+package forward
+
+import (
+	"time"
+
+	"junctioncross/chain"
+)
+
+const (
+	// noticeTime is how long after the signal the balancer may go on sending connections: two of its checks, one a second.
+	noticeTime = 2500 * time.Millisecond
+	// plainSlack is how many times its objective a plain request may take on a stopping instance.
+	plainSlack = 4
+	// streamSlack covers answers that are longer and steps that are slower than expected.
+	streamSlack = 2.0
+	// guessStep is the time between tokens while no path says better.
+	guessStep = 30 * time.Millisecond
+)
+
+// StopBy tells the Handler that the process was told to stop now and will have ended at a moment, so that it takes nothing
+// that would not be done by then.
+func (h *Handler) StopBy(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopTold, h.stopBy = h.clock.Now(), at
+}
+
+// finishes reports whether the request would be done before the process ends.
+func (h *Handler) finishes(r *request) bool {
+	h.mu.Lock()
+	told, by := h.stopTold, h.stopBy
+	h.mu.Unlock()
+	if by.IsZero() {
+		return true
+	}
+	now := h.clock.Now()
+	if r.group.Graph() == nil {
+		return now.Add(plainSlack * r.route.Objective).Before(by)
+	}
+	if now.Sub(told) > noticeTime {
+		return false
+	}
+	need := h.needOf(r)
+	step := guessStep
+	if path, ok := h.choosePath(&flight{r: r, need: need}, nil); ok {
+		step = path.Step
+	}
+	return now.Add(answerTime(need, step)).Before(by)
+}
+
+// answerTime returns how long a stream may take.
+func answerTime(need chain.Need, step time.Duration) time.Duration {
+	return time.Duration(streamSlack * float64(need.Tokens-need.Prompt) * float64(step))
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http/httputil"
 	"strings"
 	"sync"
@@ -97,16 +98,25 @@
 	if prompt == 0 {
 		prompt = engine.UsualPrompt
 	}
-	answer := r.meta.HintTokens
-	if answer == 0 {
-		answer = engine.UsualAnswer
-	}
+	answer := expectedAnswer(r.meta.HintTokens, engine.UsualAnswer)
 	if r.meta.AnswerTokens > 0 {
 		answer = min(answer, r.meta.AnswerTokens)
 	}
 	return chain.Need{Prompt: prompt, Tokens: prompt + answer, Domain: h.terms.Domain}
 }
 
+// hintTrust is the weight of a caller's estimate against the usual answer, on a scale of orders of magnitude: estimates are
+// right in the middle, but often off by half, while answers differ by as much as their length.
+const hintTrust = 0.7
+
+// expectedAnswer returns the tokens that an answer is expected to have.
+func expectedAnswer(hint, usual int) int {
+	if hint < 1 || usual < 1 {
+		return max(hint, usual)
+	}
+	return int(math.Pow(float64(hint), hintTrust) * math.Pow(float64(usual), 1-hintTrust))
+}
+
 // awaitPath returns the path for the next attempt and waits for a little while there is none.
 func (h *Handler) awaitPath(ctx context.Context, f *flight) (chain.Path, bool) {
 	r := f.r
@@ -187,6 +197,7 @@
 	defer f.release()
 	f.first = r.group.Servers()[path.Hops[0].Server]
 	f.expected = path.Read + path.Step
+	f.events.restart()
 	f.first.Chosen()
 	h.record.Routine(r.meta.ID, "sent", h.fields(r, decision.Fields{
 		"server": f.first.ID(), "attempt": attempt, "path": f.describe(), "predicted_step_us": path.Step.Microseconds(),
