chain: split servers' memory into lanes and draw them by width and load

Cause: all instances chose the path with the least predicted time, which was the same one for all; at 1.2 times the calm load 31 requests were preempted and 6% came late. Change: lanes within each domain, then across; two are drawn by width, the less loaded is taken; load is what the first part last said plus own changes since.

--- a/backend/server.go
+++ b/backend/server.go
@@ -35,6 +35,8 @@
 	layers  atomic.Pointer[models.Layers]
 	// running counts the requests of this instance on the server, as the first or any other part.
 	running atomic.Int64
+	// starting counts those of which the server is the first part.
+	starting atomic.Int64
 	// reserved is the memory that these will need, in tokens times layers.
 	reserved atomic.Int64
 
@@ -44,6 +46,8 @@
 	aside  time.Time
 	load   call.Load
 	loadAt time.Time
+	// startingAtLoad is the number of own requests that the load included.
+	startingAtLoad int64
 	// failRate is the share of the latest requests that failed.
 	failRate float64
 	idle     []*idleConn
@@ -197,7 +201,22 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.load, s.loadAt = l, now
+	s.load, s.loadAt, s.startingAtLoad = l, now, s.starting.Load()
+}
+
+// Start counts one more request of which the server is the first part, or with -1 one less.
+func (s *Server) Start(n int) { s.starting.Add(int64(n)) }
+
+// Sequences returns the number of requests of which the server is the first part, for all instances: what it last said, if
+// that is no older than age, and how the own requests have changed since.
+func (s *Server) Sequences(now time.Time, age time.Duration) float64 {
+	own := s.starting.Load()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.load.Known || now.Sub(s.loadAt) > age {
+		return float64(own)
+	}
+	return max(float64(int64(s.load.Running+s.load.Waiting)+own-s.startingAtLoad), float64(own))
 }
 
 // Load returns what the server last said of its work, and when.
--- /dev/null
+++ b/chain/lanes.go
@@ -0,0 +1,141 @@
+package chain
+
+import (
+	"time"
+
+	"junctioncross/models"
+)
+
+const (
+	// mostLanes bounds the lanes of a graph.
+	mostLanes = 64
+	// narrowest is the number of sequences below which a lane is not worth having.
+	narrowest = 4.0
+)
+
+// Lane is a path with the number of sequences that it has memory for beside the other lanes.
+type Lane struct {
+	Path
+	// Sequences is the lane's part of the memory of its servers.
+	Sequences float64
+	// Domain is the failure domain of all its servers, or empty when it crosses.
+	Domain string
+}
+
+// Lanes splits the memory of the usable servers into paths, the widest first: within each domain as far as that goes, then
+// across domains from what is left. Need tells the tokens of a usual request.
+//
+// Instances that do not talk to each other spread their work evenly when each draws lanes by their width.
+func Lanes(g *Graph, usable func(server int) bool, need Need) []Lane {
+	s := newSplit(g, usable, need)
+	var lanes []Lane
+	for d := range g.domains {
+		lanes = s.take(lanes, d)
+	}
+	return s.take(lanes, allDomains)
+}
+
+const allDomains = -1
+
+// split is the state of the division of memory.
+type split struct {
+	graph *Graph
+	need  Need
+	// left is the memory of each node that no lane has, in tokens times layers.
+	left []float64
+}
+
+func newSplit(g *Graph, usable func(server int) bool, need Need) *split {
+	s := &split{graph: g, need: need, left: make([]float64, len(g.nodes))}
+	for i, n := range g.nodes {
+		if usable(n.Server) {
+			s.left[i] = Room(g.engine, n.Kind, n.Layers.Count())
+		}
+	}
+	return s
+}
+
+// take adds the lanes within one domain, or across all.
+func (s *split) take(lanes []Lane, domain int) []Lane {
+	for len(lanes) < mostLanes {
+		lane, ok := s.widest(domain)
+		if !ok {
+			return lanes
+		}
+		lanes = append(lanes, lane)
+	}
+	return lanes
+}
+
+// width is the best known way to the boundary before a layer.
+type width struct {
+	sequences float64
+	cost      time.Duration
+	node      int
+	from      int
+}
+
+// widest returns the lane with memory for the most sequences, the fastest one of several, and takes its memory.
+func (s *split) widest(domain int) (Lane, bool) {
+	best := make([]width, s.graph.engine.Layers+1)
+	best[0] = width{sequences: float64(s.graph.engine.BatchSize), node: -1}
+	if best[0].sequences == 0 {
+		best[0].sequences = 1e9
+	}
+	for at := range s.graph.engine.Layers {
+		if best[at].sequences < narrowest {
+			continue
+		}
+		for _, n := range s.graph.holders[at] {
+			if domain == allDomains || s.graph.domain[n] == domain {
+				s.extend(best, n, at)
+			}
+		}
+	}
+	return s.cut(best, domain)
+}
+
+// extend goes through node n from the boundary at.
+func (s *split) extend(best []width, n, at int) {
+	node := &s.graph.nodes[n]
+	layers := node.Layers.End - at
+	w := min(best[at].sequences, s.left[n]/float64(layers*max(s.need.Tokens, 1)))
+	if w < narrowest {
+		return
+	}
+	cost := best[at].cost + StepTime(s.graph.engine, node.Kind, layers, w, float64(s.need.Tokens)) + handOff
+	if best[at].node >= 0 && s.graph.domain[best[at].node] != s.graph.domain[n] {
+		cost += s.graph.delay[s.graph.domain[best[at].node]][s.graph.domain[n]] + crossing
+	}
+	to := &best[node.Layers.End]
+	// Widths within a tenth of each other count as the same, so that rounding does not decide between fast and slow.
+	const same = 1.1
+	if w > to.sequences*same || w > to.sequences/same && cost < to.cost {
+		*to = width{sequences: w, cost: cost, node: n, from: at}
+	}
+}
+
+// cut takes the memory of the best lane off its servers.
+func (s *split) cut(best []width, domain int) (Lane, bool) {
+	end := s.graph.engine.Layers
+	if best[end].sequences < narrowest {
+		return Lane{}, false
+	}
+	lane := Lane{Sequences: best[end].sequences}
+	lane.Step = best[end].cost
+	for at := end; at > 0; at = best[at].from {
+		b := best[at]
+		node := &s.graph.nodes[b.node]
+		lane.Sequences = min(lane.Sequences, s.left[b.node]/float64((at-b.from)*max(s.need.Tokens, 1)))
+		lane.Hops = append([]Hop{{Server: node.Server, Layers: models.Layers{First: b.from, End: at}}}, lane.Hops...)
+		lane.Read += ReadTime(s.graph.engine, node.Kind, at-b.from, s.need.Prompt)
+	}
+	for at := end; at > 0; at = best[at].from {
+		b := best[at]
+		s.left[b.node] -= lane.Sequences * float64((at-b.from)*s.need.Tokens)
+	}
+	if domain != allDomains {
+		lane.Domain = s.graph.domains[domain]
+	}
+	return lane, lane.Sequences >= narrowest
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -51,6 +51,7 @@
 
 	mu      sync.Mutex
 	windows map[string]*retry.Window
+	lanes   map[string]*laneBook
 	// stopTold is when the process was told to stop, and stopBy when it must have ended; zero before.
 	stopTold time.Time
 	stopBy   time.Time
@@ -64,7 +65,7 @@
 ) *Handler {
 	h := &Handler{
 		terms: terms, board: board, codec: codec, caller: caller, clock: clock, stats: stats, record: record,
-		windows: map[string]*retry.Window{}, peers: peers{factor: peersAtFirst},
+		windows: map[string]*retry.Window{}, lanes: map[string]*laneBook{}, peers: peers{factor: peersAtFirst},
 	}
 	h.watch = newWatcher(ctx, h)
 	return h
--- /dev/null
+++ b/forward/lanes.go
@@ -0,0 +1,119 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"junctioncross/backend"
+	"junctioncross/chain"
+)
+
+const (
+	// laneAge is how long lanes are kept although servers were set aside or came back meanwhile.
+	laneAge = 50 * time.Millisecond
+	// localShare is the part of a domain's own lanes that is filled before requests cross to other domains.
+	localShare = 0.85
+	// fullShare is the part of a lane's memory that is used: answers differ from what was expected.
+	fullShare = 1.0
+	// wordAge is how old a server's word on its work may be; after that only the own work counts.
+	wordAge = 5 * time.Second
+)
+
+// laneBook keeps the lanes of one service's servers.
+type laneBook struct {
+	mu     sync.Mutex
+	group  *backend.Group
+	usable []bool
+	lanes  []chain.Lane
+	at     time.Time
+}
+
+// get returns the lanes of the servers that are usable now.
+func (b *laneBook) get(group *backend.Group, now time.Time) []chain.Lane {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.group == group && now.Sub(b.at) < laneAge {
+		return b.lanes
+	}
+	usable := make([]bool, len(group.Servers()))
+	same := b.group == group
+	for i, s := range group.Servers() {
+		usable[i] = s.Usable(now)
+		same = same && usable[i] == b.usable[i]
+	}
+	b.at = now
+	if same {
+		return b.lanes
+	}
+	engine := group.Graph().Engine()
+	need := chain.Need{Prompt: engine.UsualPrompt, Tokens: engine.UsualPrompt + engine.UsualAnswer}
+	b.group, b.usable = group, usable
+	b.lanes = chain.Lanes(group.Graph(), func(i int) bool { return usable[i] }, need)
+	return b.lanes
+}
+
+// laneChoice draws lanes for one request.
+type laneChoice struct {
+	group  *backend.Group
+	lanes  []chain.Lane
+	domain string
+	now    time.Time
+	// load holds the part of each lane's memory that is taken, as far as known.
+	load []float64
+}
+
+func newLaneChoice(group *backend.Group, lanes []chain.Lane, domain string, now time.Time) *laneChoice {
+	c := &laneChoice{group: group, lanes: lanes, domain: domain, now: now, load: make([]float64, len(lanes))}
+	width := map[int]float64{}
+	for _, l := range lanes {
+		width[l.Hops[0].Server] += l.Sequences
+	}
+	for i, l := range lanes {
+		first := l.Hops[0].Server
+		c.load[i] = group.Servers()[first].Sequences(now, wordAge) / width[first]
+	}
+	return c
+}
+
+// pick returns the index of a lane with room, or -1: one of the own domain while these are not nearly full.
+func (c *laneChoice) pick() int {
+	if i := c.draw(localShare, func(l *chain.Lane) bool { return l.Domain == c.domain }); i >= 0 {
+		return i
+	}
+	return c.draw(fullShare, func(*chain.Lane) bool { return true })
+}
+
+// draw takes the less loaded of two lanes that are drawn by their width, among those below a load.
+func (c *laneChoice) draw(below float64, allowed func(*chain.Lane) bool) int {
+	total := 0.0
+	for i := range c.lanes {
+		if c.load[i] < below && allowed(&c.lanes[i]) {
+			total += c.lanes[i].Sequences
+		}
+	}
+	if total == 0 {
+		return -1
+	}
+	a := c.at(rand.Float64()*total, below, allowed)
+	b := c.at(rand.Float64()*total, below, allowed)
+	if c.load[b] < c.load[a] {
+		return b
+	}
+	return a
+}
+
+// at returns the lane at a point of the summed widths.
+func (c *laneChoice) at(point, below float64, allowed func(*chain.Lane) bool) int {
+	last := -1
+	for i := range c.lanes {
+		if c.load[i] >= below || !allowed(&c.lanes[i]) {
+			continue
+		}
+		last = i
+		if point -= c.lanes[i].Sequences; point < 0 {
+			return i
+		}
+	}
+	return last
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -122,7 +122,7 @@
 	r := f.r
 	until := r.x.Arrived().Add(time.Duration(roomWait * float64(r.route.Objective)))
 	for {
-		path, ok := h.choosePath(f, nil)
+		path, ok := h.choosePath(f)
 		if ok || !h.clock.Now().Before(until) && !f.begun {
 			return path, ok
 		}
@@ -137,16 +137,34 @@
 	}
 }
 
-// choosePath returns a path through all layers, or through those behind first when that is given.
-func (h *Handler) choosePath(f *flight, first *chain.Hop) (chain.Path, bool) {
-	group := f.r.group
-	state := &chainState{servers: group.Servers(), engine: group.Graph().Engine(), now: h.clock.Now(), factor: h.peersFactor()}
-	if first != nil {
-		return chain.Extend(group.Graph(), state, f.need, *first)
+// choosePath returns a path for a whole stream: a lane with room, or when there is none because servers are missing, any
+// path whose servers are thought to have room.
+func (h *Handler) choosePath(f *flight) (chain.Path, bool) {
+	group, now := f.r.group, h.clock.Now()
+	lanes := h.laneBook(group.Service().Name).get(group, now)
+	if len(lanes) > 0 {
+		choice := newLaneChoice(group, lanes, h.terms.Domain, now)
+		i := choice.pick()
+		if i < 0 {
+			return chain.Path{}, false
+		}
+		return lanes[i].Path, true
 	}
+	state := &chainState{servers: group.Servers(), engine: group.Graph().Engine(), now: now, factor: h.peersFactor()}
 	return chain.Choose(group.Graph(), state, f.need)
 }
 
+func (h *Handler) laneBook(service string) *laneBook {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.lanes[service]
+	if b == nil {
+		b = &laneBook{}
+		h.lanes[service] = b
+	}
+	return b
+}
+
 func (h *Handler) peersFactor() float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -198,6 +216,8 @@
 	f.first = r.group.Servers()[path.Hops[0].Server]
 	f.expected = path.Read + path.Step
 	f.events.restart()
+	f.first.Start(1)
+	defer f.first.Start(-1)
 	f.first.Chosen()
 	h.record.Routine(r.meta.ID, "sent", h.fields(r, decision.Fields{
 		"server": f.first.ID(), "attempt": attempt, "path": f.describe(), "predicted_step_us": path.Step.Microseconds(),
--- a/giver/work.go
+++ b/giver/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +46,8 @@
 	known   map[string]bool
 	changed time.Time
 	waiting time.Time
+	// coverage is the last coverage that was logged.
+	coverage []placement.Coverage
 }
 
 func newWork(g *Giver) *work {
@@ -73,13 +76,29 @@
 		}
 		seen = append(seen, w.view(engine, s))
 	}
+	w.logCoverage(engine, seen)
 	if !w.calm(seen) {
 		return
 	}
-	orders := placement.Decide(engine, seen, placement.Sequences)
+	orders := placement.Decide(engine, seen)
 	w.give(ctx, engine, orders, byID)
 }
 
+// logCoverage writes a line for each change of what is known of the holders.
+func (w *work) logCoverage(engine *catalog.Engine, servers []placement.Server) {
+	coverage := placement.Summary(engine, servers)
+	if slices.Equal(coverage, w.coverage) {
+		return
+	}
+	w.coverage = coverage
+	for _, c := range coverage {
+		w.giver.log.WithFields(logrus.Fields{
+			"model": engine.Model, "of_domain": c.Domain, "missing": c.Missing, "room": c.Room, "servers": c.Servers,
+			"empty": c.Empty, "orders_under_way": len(w.pending),
+		}).Info("coverage")
+	}
+}
+
 // view returns a server as it will be when the orders under way are done.
 func (w *work) view(engine *catalog.Engine, s *backend.Server) placement.Server {
 	v := placement.Server{ID: s.ID(), Domain: s.Domain(), Kind: engine.Kind(s.Kind()), Layers: s.Layers(), Settled: true}
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -4,12 +4,16 @@
 	"sort"
 
 	"junctioncross/catalog"
+	"junctioncross/chain"
 	"junctioncross/models"
 )
 
-// Sequences is the number of sequences that a server should have memory for. More of them leave less memory for layers,
-// and so fewer copies of the model.
-const Sequences = 96
+const (
+	// wantedSequences is the number of sequences that a server should have memory for beside its layers. More leave less
+	// memory for layers: measured, one bare copy of the model in each domain (about 200 sequences) did far worse than this,
+	// since the loss of one server sent all paths of its domain over the links between domains.
+	wantedSequences = 96
+)
 
 // Server is a server as the decision sees it.
 type Server struct {
@@ -30,94 +34,118 @@
 	Moves bool
 }
 
+// tokens returns the tokens that a usual request holds at its end.
+func tokens(e *catalog.Engine) float64 { return float64(max(e.UsualPrompt+e.UsualAnswer, 1)) }
+
 // LayersOf returns how many layers a server of a kind should hold so that its memory has room for the sequences.
 func LayersOf(e *catalog.Engine, k *catalog.Kind, sequences int) int {
-	tokens := float64(e.UsualPrompt + e.UsualAnswer)
-	perLayer := e.LayerMB + float64(sequences)*tokens*e.LayerBytes()/1e6
+	perLayer := e.LayerMB + float64(sequences)*tokens(e)*e.LayerBytes()/1e6
 	return min(max(int(k.MemoryMB/perLayer), 1), e.Layers, int(k.MemoryMB/e.LayerMB))
 }
 
-// cover counts the holders of each layer, in all and by domain.
+// sequencesOf returns the number of usual sequences that a server has memory for beside that many layers.
+func sequencesOf(e *catalog.Engine, k *catalog.Kind, layers int) float64 {
+	if k == nil || layers < 1 {
+		return 0
+	}
+	return chain.Room(e, k, layers) / (tokens(e) * float64(layers))
+}
+
+// cover holds for each layer the number of sequences that its holders have memory for, in all and by domain.
 type cover struct {
-	all    []int
-	domain map[string][]int
-	layers int
+	engine *catalog.Engine
+	all    []float64
+	domain map[string][]float64
 }
 
-func newCover(layers int, servers []Server) *cover {
-	c := &cover{all: make([]int, layers), domain: map[string][]int{}, layers: layers}
+func newCover(e *catalog.Engine, servers []Server) *cover {
+	c := &cover{engine: e, all: make([]float64, e.Layers), domain: map[string][]float64{}}
 	for i := range servers {
-		c.add(servers[i].Domain, servers[i].Layers, 1)
+		c.add(&servers[i], servers[i].Layers, 1)
 	}
 	return c
 }
 
-func (c *cover) in(domain string) []int {
+func (c *cover) in(domain string) []float64 {
 	d := c.domain[domain]
 	if d == nil {
-		d = make([]int, c.layers)
+		d = make([]float64, c.engine.Layers)
 		c.domain[domain] = d
 	}
 	return d
 }
 
-func (c *cover) add(domain string, r models.Layers, n int) {
-	d := c.in(domain)
-	for l := max(r.First, 0); l < min(r.End, c.layers); l++ {
-		c.all[l] += n
-		d[l] += n
+// add counts a server as a holder of a range; sign -1 takes it off again.
+func (c *cover) add(s *Server, r models.Layers, sign float64) {
+	d := c.in(s.Domain)
+	room := sign * max(sequencesOf(c.engine, s.Kind, r.Count()), 1)
+	for l := max(r.First, 0); l < min(r.End, c.engine.Layers); l++ {
+		c.all[l] += room
+		d[l] += room
 	}
 }
 
 const (
-	// missingEverywhere, missingHere and spare weigh what another holder of a layer is worth: a layer without any holder
-	// stops all answers, one without a holder in the domain makes paths cross, and every further holder counts less.
+	// missingEverywhere and missingHere weigh a layer that has no holder at all, or none in the domain, against one whose
+	// holders have room for wantedSequences, which counts about 1: without any holder nothing is answered, without one in
+	// the domain paths cross.
 	missingEverywhere = 10000.0
 	missingHere       = 100.0
-	spare             = 10.0
+	// least is what is left by rounding where there is no holder.
+	least = 0.5
 )
 
-// value returns what a holder of layer l in the domain would add.
-func (c *cover) value(domain []int, l int) float64 {
+// value returns what another holder of layer l in the domain would add: the less the more room its holders have.
+func (c *cover) value(domain []float64, l int) float64 {
 	switch {
-	case c.all[l] == 0:
+	case c.all[l] < least:
 		return missingEverywhere
-	case domain[l] == 0:
+	case domain[l] < least:
 		return missingHere
 	default:
-		return spare / float64(domain[l]*domain[l])
+		share := domain[l]/wantedSequences + 0.1
+		return 1 / (share * share)
 	}
 }
 
 // best returns the range of n layers that adds most in the domain, the first one where several do.
 func (c *cover) best(domain string, n int) (models.Layers, float64) {
 	d := c.in(domain)
-	values := make([]float64, c.layers+1)
-	for l := range c.layers {
-		values[l+1] = values[l] + c.value(d, l)
+	sums := make([]float64, c.engine.Layers+1)
+	for l := range c.engine.Layers {
+		sums[l+1] = sums[l] + c.value(d, l)
 	}
 	best, highest := 0, -1.0
-	for first := 0; first+n <= c.layers; first++ {
+	for first := 0; first+n <= c.engine.Layers; first++ {
 		// The small difference keeps the first of several equal ranges, in spite of rounding.
-		if v := values[first+n] - values[first]; v > highest+1e-6 {
+		if v := sums[first+n] - sums[first]; v > highest+1e-6 {
 			best, highest = first, v
 		}
 	}
 	return models.Layers{First: best, End: best + n}, highest
 }
 
+// rangeValue returns what the holder of a range adds.
+func (c *cover) rangeValue(domain string, r models.Layers) float64 {
+	d := c.in(domain)
+	total := 0.0
+	for l := max(r.First, 0); l < min(r.End, c.engine.Layers); l++ {
+		total += c.value(d, l)
+	}
+	return total
+}
+
 // Decide returns the orders that bring the servers nearer to what they should hold.
-func Decide(e *catalog.Engine, servers []Server, sequences int) []Order {
-	c := newCover(e.Layers, servers)
-	orders := fill(e, c, servers, sequences)
-	if len(orders) > 0 {
+func Decide(e *catalog.Engine, servers []Server) []Order {
+	c := newCover(e, servers)
+	if orders := fill(e, c, servers); len(orders) > 0 {
 		return orders
 	}
 	return move(e, c, servers)
 }
 
 // fill gives layers to the servers that hold none, the largest first.
-func fill(e *catalog.Engine, c *cover, servers []Server, sequences int) []Order {
+func fill(e *catalog.Engine, c *cover, servers []Server) []Order {
 	type empty struct {
 		server *Server
 		layers int
@@ -125,10 +153,11 @@
 	var free []empty
 	for i := range servers {
 		s := &servers[i]
-		if s.Settled && s.Layers.Count() == 0 && s.Kind != nil {
-			if n := LayersOf(e, s.Kind, sequences); n > 0 {
-				free = append(free, empty{s, n})
-			}
+		if !s.Settled || s.Layers.Count() > 0 || s.Kind == nil {
+			continue
+		}
+		if n := LayersOf(e, s.Kind, wantedSequences); n > 0 {
+			free = append(free, empty{s, n})
 		}
 	}
 	sort.Slice(free, func(i, j int) bool {
@@ -140,7 +169,7 @@
 	orders := make([]Order, 0, len(free))
 	for _, f := range free {
 		r, _ := c.best(f.server.Domain, f.layers)
-		c.add(f.server.Domain, r, 1)
+		c.add(f.server, r, 1)
 		orders = append(orders, Order{ID: f.server.ID, Layers: r})
 	}
 	return orders
@@ -152,30 +181,20 @@
 	highest := 0.0
 	for i := range servers {
 		s := &servers[i]
-		if !s.Settled || s.Layers.Count() == 0 {
+		if !s.Settled || s.Layers.Count() == 0 || s.Kind == nil {
 			continue
 		}
-		c.add(s.Domain, s.Layers, -1)
-		_, stays := c.rangeValue(s.Domain, s.Layers)
+		c.add(s, s.Layers, -1)
+		stays := c.rangeValue(s.Domain, s.Layers)
 		r, moved := c.best(s.Domain, s.Layers.Count())
 		// Only a missing layer is worth a load and the work that is cut short for it.
 		if moved-stays >= missingHere && moved-stays > highest {
 			best, highest = Order{ID: s.ID, Layers: r, Moves: true}, moved-stays
 		}
-		c.add(s.Domain, s.Layers, 1)
+		c.add(s, s.Layers, 1)
 	}
 	if highest == 0 {
 		return nil
 	}
 	return []Order{best}
 }
-
-// rangeValue returns what the holder of a range adds, with the range itself.
-func (c *cover) rangeValue(domain string, r models.Layers) (models.Layers, float64) {
-	d := c.in(domain)
-	total := 0.0
-	for l := max(r.First, 0); l < min(r.End, c.layers); l++ {
-		total += c.value(d, l)
-	}
-	return r, total
-}
