placement: move spare servers only, and cross domains only where bandwidth allows

Ruled out: a lack of holders; two domains held every layer all the time. Change: only servers whose layers all have another holder in the domain move, the least load first; lanes that cross get a part of the links; whole lanes of other domains go before mixed ones.

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -22,6 +22,8 @@
 	TokenBytes float64
 	// ActivationBytes is what one token sends from a part to the next.
 	ActivationBytes float64
+	// PipeMbps is the bandwidth between two failure domains in megabits a second, shared by all paths; 0 means no limit.
+	PipeMbps float64
 	// BatchSize is the number of requests that a server runs at once as the first part of their paths.
 	BatchSize int
 	// Step is the time of one token step over all layers at pace 1.
--- a/chain/graph.go
+++ b/chain/graph.go
@@ -23,6 +23,8 @@
 	domains []string
 	// domain holds the index into domains of each node.
 	domain []int
+	// domainOf holds the same by server.
+	domainOf map[int]int
 	// delay holds the time between domains, by index.
 	delay [][]time.Duration
 	// holders lists the nodes that hold each layer.
@@ -31,7 +33,7 @@
 
 // NewGraph returns the graph of the servers of an engine; nodes without layers are left out.
 func NewGraph(engine *catalog.Engine, nodes []Node) *Graph {
-	g := &Graph{engine: engine, holders: make([][]int, engine.Layers)}
+	g := &Graph{engine: engine, domainOf: map[int]int{}, holders: make([][]int, engine.Layers)}
 	index := map[string]int{}
 	for _, n := range nodes {
 		if n.Kind == nil || n.Layers.Count() < 1 || n.Layers.First < 0 || n.Layers.End > engine.Layers {
@@ -48,6 +50,7 @@
 		}
 		g.nodes = append(g.nodes, n)
 		g.domain = append(g.domain, d)
+		g.domainOf[n.Server] = d
 	}
 	g.delay = make([][]time.Duration, len(g.domains))
 	for a := range g.domains {
--- a/chain/lanes.go
+++ b/chain/lanes.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"math"
 	"time"
 
 	"junctioncross/models"
@@ -20,6 +21,8 @@
 	Sequences float64
 	// Domain is the failure domain of all its servers, or empty when it crosses.
 	Domain string
+	// Crossings is the number of times that it passes from one domain to another.
+	Crossings int
 }
 
 // Lanes splits the memory of the usable servers into paths, the widest first: within each domain as far as that goes, then
@@ -45,10 +48,18 @@
 	need  Need
 	// left is the memory of each node that no lane has, in tokens times layers.
 	left []float64
+	// pipes holds what no lane has of the bandwidth between two domains, in bytes a second, by index.
+	pipes [][]float64
 }
 
 func newSplit(g *Graph, usable func(server int) bool, pace func(server int) float64, need Need) *split {
-	s := &split{graph: g, need: need, left: make([]float64, len(g.nodes))}
+	s := &split{graph: g, need: need, left: make([]float64, len(g.nodes)), pipes: make([][]float64, len(g.domains))}
+	for d := range s.pipes {
+		s.pipes[d] = make([]float64, len(g.domains))
+		for e := range s.pipes[d] {
+			s.pipes[d][e] = pipeBytes(g)
+		}
+	}
 	for i, n := range g.nodes {
 		if usable(n.Server) {
 			s.left[i] = Room(g.engine, n.Kind, n.Layers.Count()) / pace(n.Server)
@@ -57,6 +68,27 @@
 	return s
 }
 
+const (
+	// pipeShare is the part of the bandwidth between domains that lanes may plan with: prompts come in bursts, and a pipe
+	// that is full holds up every sequence that crosses it, and with it the memory of all its servers.
+	pipeShare = 0.4
+	megabit   = 1e6 / 8
+)
+
+// pipeBytes returns the bytes a second that lanes may send between two domains.
+func pipeBytes(g *Graph) float64 {
+	if g.engine.PipeMbps == 0 {
+		return math.Inf(1)
+	}
+	return pipeShare * g.engine.PipeMbps * megabit
+}
+
+// crossingBytes returns the bytes a second that one sequence sends over each crossing, on the mean over its life.
+func (s *split) crossingBytes(step, read time.Duration) float64 {
+	life := time.Duration(s.graph.engine.UsualAnswer)*step + read
+	return s.graph.engine.ActivationBytes * float64(s.need.Tokens) / max(life, time.Millisecond).Seconds()
+}
+
 // take adds the lanes within one domain, or across all.
 func (s *split) take(lanes []Lane, domain int) []Lane {
 	for len(lanes) < mostLanes {
@@ -132,6 +164,7 @@
 		lane.Hops = append([]Hop{{Server: node.Server, Layers: models.Layers{First: b.from, End: at}}}, lane.Hops...)
 		lane.Read += ReadTime(s.graph.engine, node.Kind, at-b.from, s.need.Prompt)
 	}
+	s.fitPipes(&lane)
 	for at := end; at > 0; at = best[at].from {
 		b := best[at]
 		s.left[b.node] -= lane.Sequences * float64((at-b.from)*s.need.Tokens)
@@ -141,3 +174,24 @@
 	}
 	return lane, lane.Sequences >= narrowest
 }
+
+// fitPipes narrows a lane to the bandwidth that is left where it crosses, and takes that.
+func (s *split) fitPipes(lane *Lane) {
+	bytes := s.crossingBytes(lane.Step, lane.Read)
+	for i := 1; i < len(lane.Hops); i++ {
+		a, b := s.domainOf(lane.Hops[i-1]), s.domainOf(lane.Hops[i])
+		if a != b {
+			lane.Crossings++
+			lane.Sequences = min(lane.Sequences, s.pipes[a][b]/bytes)
+		}
+	}
+	for i := 1; i < len(lane.Hops); i++ {
+		a, b := s.domainOf(lane.Hops[i-1]), s.domainOf(lane.Hops[i])
+		if a != b {
+			s.pipes[a][b] -= lane.Sequences * bytes
+			s.pipes[b][a] = s.pipes[a][b]
+		}
+	}
+}
+
+func (s *split) domainOf(hop Hop) int { return s.graph.domainOf[hop.Server] }
--- a/forward/lanes.go
+++ b/forward/lanes.go
@@ -84,11 +84,15 @@
 	return c
 }
 
-// pick returns the index of a lane with room, or -1: one of the own domain while these are not nearly full.
+// pick returns the index of a lane with room, or -1: one of the own domain while these are not nearly full, then one that
+// lies within another domain, and only then one that crosses, since every crossing carries all activations.
 func (c *laneChoice) pick() int {
 	if i := c.draw(localShare, func(l *chain.Lane) bool { return l.Domain == c.domain }); i >= 0 {
 		return i
 	}
+	if i := c.draw(fullShare, func(l *chain.Lane) bool { return l.Crossings == 0 }); i >= 0 {
+		return i
+	}
 	return c.draw(fullShare, func(*chain.Lane) bool { return true })
 }
 
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -91,6 +91,9 @@
 	// the domain paths cross.
 	missingEverywhere = 10000.0
 	missingHere       = 100.0
+	// loadCost weighs a layer that has to be loaded: seconds of one server, against a missing layer that sends all paths of
+	// its domain elsewhere.
+	loadCost = 2.0
 	// least is what is left by rounding where there is no holder.
 	least = 0.5
 )
@@ -175,21 +178,25 @@
 	return orders
 }
 
-// move lets one server give up layers that have other holders, for a layer that has none.
+// move lets one server give up layers that have other holders, for layers that have none: the one that covers most of
+// them, and of several the one that loads least.
+//
+// A server that holds the only copy of a layer in its domain stays where it is, whatever it could cover: its layers would be
+// missing for as long as the new ones load.
 func move(e *catalog.Engine, c *cover, servers []Server) []Order {
+	live := liveCover(e, servers)
 	var best Order
 	highest := 0.0
 	for i := range servers {
 		s := &servers[i]
-		if !s.Settled || s.Layers.Count() == 0 || s.Kind == nil {
+		if !s.Settled || s.Layers.Count() == 0 || s.Kind == nil || !live.spares(s) {
 			continue
 		}
 		c.add(s, s.Layers, -1)
-		stays := c.rangeValue(s.Domain, s.Layers)
-		r, moved := c.best(s.Domain, s.Layers.Count())
-		// Only a missing layer is worth a load and the work that is cut short for it.
-		if moved-stays >= missingHere && moved-stays > highest {
-			best, highest = Order{ID: s.ID, Layers: r, Moves: true}, moved-stays
+		r, gain := c.best(s.Domain, s.Layers.Count())
+		gain -= c.rangeValue(s.Domain, s.Layers) + loadCost*float64(r.Count())
+		if gain >= missingHere/2 && gain > highest {
+			best, highest = Order{ID: s.ID, Layers: r, Moves: true}, gain
 		}
 		c.add(s, s.Layers, 1)
 	}
@@ -198,3 +205,26 @@
 	}
 	return []Order{best}
 }
+
+// liveCover counts only what servers hold now.
+func liveCover(e *catalog.Engine, servers []Server) *cover {
+	settled := make([]Server, 0, len(servers))
+	for _, s := range servers {
+		if s.Settled {
+			settled = append(settled, s)
+		}
+	}
+	return newCover(e, settled)
+}
+
+// spares reports whether every layer of a server has another holder in its domain.
+func (c *cover) spares(s *Server) bool {
+	d := c.in(s.Domain)
+	own := max(sequencesOf(c.engine, s.Kind, s.Layers.Count()), 1)
+	for l := max(s.Layers.First, 0); l < min(s.Layers.End, c.engine.Layers); l++ {
+		if d[l]-own < least {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/placement/decide_test.go
@@ -0,0 +1,132 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"junctioncross/catalog"
+	"junctioncross/models"
+	"junctioncross/placement"
+)
+
+func engine() *catalog.Engine {
+	return &catalog.Engine{
+		Layers: 80, LayerMB: 1750, TokenBytes: 590000, Step: time.Millisecond, ReadPerSecond: 196000,
+		UsualPrompt: 772, UsualAnswer: 172, LoadTime: 14 * time.Second,
+		Kinds: []catalog.Kind{
+			{Name: "big", MemoryMB: 72000, StepPace: 1.4, ReadPace: 1}, {Name: "mid", MemoryMB: 36000, StepPace: 3.1, ReadPace: 3.2},
+			{Name: "small", MemoryMB: 21600, StepPace: 16, ReadPace: 8.2}, {Name: "tiny", MemoryMB: 14400, StepPace: 15, ReadPace: 15},
+		},
+	}
+}
+
+func servers(e *catalog.Engine, domain string, kinds ...string) []placement.Server {
+	var out []placement.Server
+	for i, k := range kinds {
+		out = append(out, placement.Server{ID: fmt.Sprintf("%s%02d", domain, i), Domain: domain, Kind: e.Kind(k), Settled: true})
+	}
+	return out
+}
+
+func apply(all []placement.Server, orders []placement.Order) {
+	for _, o := range orders {
+		for i := range all {
+			if all[i].ID == o.ID {
+				all[i].Layers = o.Layers
+			}
+		}
+	}
+}
+
+func missing(e *catalog.Engine, all []placement.Server, domain string) int {
+	held := make([]bool, e.Layers)
+	for _, s := range all {
+		if s.Domain == domain {
+			for l := s.Layers.First; l < s.Layers.End; l++ {
+				held[l] = true
+			}
+		}
+	}
+	n := 0
+	for _, h := range held {
+		if !h {
+			n++
+		}
+	}
+	return n
+}
+
+func hall(e *catalog.Engine) []placement.Server {
+	return servers(e, "a", "mid", "mid", "small", "small", "small", "small", "tiny", "tiny", "tiny", "tiny", "tiny", "tiny", "tiny")
+}
+
+func TestEachDomainThatCanGetsAWholeCopy(t *testing.T) {
+	e := engine()
+	all := append(hall(e), servers(e, "b", "big", "mid", "small", "small", "small", "small", "small", "tiny", "tiny", "tiny")...)
+	apply(all, placement.Decide(e, all))
+	require.Zero(t, missing(e, all, "a"))
+	require.Zero(t, missing(e, all, "b"))
+	require.Empty(t, placement.Decide(e, all), "nothing is left to do")
+}
+
+func TestNoServerIsOrderedToHoldMoreThanFits(t *testing.T) {
+	e := engine()
+	rapid.Check(t, func(t *rapid.T) {
+		var kinds []string
+		for range rapid.IntRange(1, 30).Draw(t, "servers") {
+			kinds = append(kinds, rapid.SampledFrom([]string{"big", "mid", "small", "tiny"}).Draw(t, "kind"))
+		}
+		all := servers(e, "a", kinds...)
+		for _, o := range placement.Decide(e, all) {
+			for _, s := range all {
+				if s.ID == o.ID {
+					require.LessOrEqual(t, float64(o.Layers.Count())*e.LayerMB, s.Kind.MemoryMB)
+				}
+			}
+			require.GreaterOrEqual(t, o.Layers.First, 0)
+			require.LessOrEqual(t, o.Layers.End, e.Layers)
+		}
+	})
+}
+
+// TestAHoleIsFilledBySpareServersOnly loses each server of a hall in turn; a move must not open another hole.
+func TestAHoleIsFilledBySpareServersOnly(t *testing.T) {
+	e := engine()
+	full := hall(e)
+	apply(full, placement.Decide(e, full))
+	for lost := range full {
+		all := append([]placement.Server(nil), full[:lost]...)
+		all = append(all, full[lost+1:]...)
+		before := missing(e, all, "a")
+		for range 5 {
+			orders := placement.Decide(e, all)
+			for _, o := range orders {
+				require.True(t, o.Moves)
+				for i := range all {
+					if all[i].ID == o.ID {
+						others := append(append([]placement.Server(nil), all[:i]...), all[i+1:]...)
+						require.Equal(t, missing(e, all, "a"), missing(e, others, "a"), "%s held the only copy of a layer", o.ID)
+					}
+				}
+			}
+			apply(all, orders)
+		}
+		require.LessOrEqual(t, missing(e, all, "a"), before)
+	}
+}
+
+func TestAServerThatComesBackTakesWhatIsMissing(t *testing.T) {
+	e := engine()
+	all := hall(e)
+	apply(all, placement.Decide(e, all))
+	all[2].Layers = models.Layers{}
+	orders := placement.Decide(e, all)
+	require.Len(t, orders, 1)
+	require.False(t, orders[0].Moves)
+	apply(all, orders)
+	require.Zero(t, missing(e, all, "a"))
+}
