placement: tile a domain anew that lost servers for good; look at all parts of a still path

Change: the ranges of such a domain are shifted by a few layers each, a layer is given up only when another server holds it; lanes cross at most four times and keep within the bandwidth for each crossing; streams that stand still for half of the accepted pause are looked at by asking all parts of their path at once; what does not answer is taken as gone by the giver too; an instance without a whole path is not ready; news of servers are gathered for 250 ms.

--- a/app/checks.go
+++ b/app/checks.go
@@ -23,6 +23,7 @@
 	terms   forward.Terms
 	board   *follow.Board
 	front   *front.Server
+	handler *forward.Handler
 	clock   *timer.Service
 	stats   *metrics.Registry
 	log     *logrus.Logger
@@ -31,8 +32,11 @@
 	ready atomic.Bool
 }
 
-func newChecks(set *config.Hosted, terms forward.Terms, board *follow.Board, server *front.Server, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger) *checks {
-	return &checks{set: set, terms: terms, board: board, front: server, clock: clock, stats: stats, log: log}
+func newChecks(
+	set *config.Hosted, terms forward.Terms, board *follow.Board, server *front.Server, handler *forward.Handler,
+	clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
+) *checks {
+	return &checks{set: set, terms: terms, board: board, front: server, handler: handler, clock: clock, stats: stats, log: log}
 }
 
 // leave makes the balancer's check fail from now on.
@@ -76,9 +80,11 @@
 		return "no configuration", false
 	case c.terms.KeysAge > 0 && current.NeedsKeys() && c.board.KeysAge(c.clock.Now()) > c.terms.KeysAge:
 		return "keys not confirmed", false
-	default:
-		return "ready", true
 	}
+	if service := c.handler.Pathless(); service != "" {
+		return "no whole path for " + service, false
+	}
+	return "ready", true
 }
 
 func (c *checks) scrape(ctx *fasthttp.RequestCtx) {
--- a/backend/report.go
+++ b/backend/report.go
@@ -13,6 +13,8 @@
 var (
 	// ErrNoAnswer means that no answer came; an order may have been taken or may be later.
 	ErrNoAnswer = errors.New("backend: no answer")
+	// ErrNotThere means that nothing listens at the address; it comes together with ErrNoAnswer.
+	ErrNotThere = errors.New("backend: nothing listens there")
 	// ErrStale means that the server is not in the state that the order was decided on.
 	ErrStale = errors.New("backend: order does not fit the server's state")
 	// ErrUnknown means that the server does not know the request.
@@ -38,6 +40,18 @@
 	Stalled []Suspect
 }
 
+// notThere is both ErrNoAnswer and ErrNotThere.
+type notThere struct{ cause error }
+
+// NotThere returns the error of a call whose connection was refused.
+func NotThere(cause error) error { return notThere{cause: cause} }
+
+// Error implements error.
+func (e notThere) Error() string { return ErrNotThere.Error() + ": " + e.cause.Error() }
+
+// Is implements the test of package errors.
+func (notThere) Is(target error) bool { return target == ErrNoAnswer || target == ErrNotThere }
+
 // Suspect is a server that stands still, as another one sees it.
 type Suspect struct {
 	ID   string
--- a/backend/server.go
+++ b/backend/server.go
@@ -50,9 +50,11 @@
 	mu      sync.Mutex
 	circuit retry.Circuit
 	// aside is when the server may get work again.
-	aside  time.Time
-	load   call.Load
-	loadAt time.Time
+	aside time.Time
+	// suspect is until when the server is taken as gone because it did not answer.
+	suspect time.Time
+	load    call.Load
+	loadAt  time.Time
 	// refusals counts the refusals since the last success.
 	refusals int
 	// pace is how many times slower than usual the server said to be, at paceAt.
@@ -137,6 +139,21 @@
 	s.reserved.Add(-int64(memory))
 }
 
+// Suspect takes the server as gone until a moment, since it did not answer.
+func (s *Server) Suspect(until time.Time) {
+	s.mu.Lock()
+	s.suspect = until
+	s.mu.Unlock()
+	s.SetAside(until)
+}
+
+// Suspected reports whether the server is taken as gone.
+func (s *Server) Suspected(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.suspect)
+}
+
 // SetAside keeps new work away from the server until a moment.
 func (s *Server) SetAside(until time.Time) {
 	s.mu.Lock()
--- a/chain/lanes.go
+++ b/chain/lanes.go
@@ -49,15 +49,14 @@
 	// left is the memory of each node that no lane has, in tokens times layers.
 	left []float64
 	// pipes holds what no lane has of the bandwidth between two domains, in bytes a second, by index.
-	pipes [][]float64
+	pipes map[[2]int]float64
 }
 
 func newSplit(g *Graph, usable func(server int) bool, pace func(server int) float64, need Need) *split {
-	s := &split{graph: g, need: need, left: make([]float64, len(g.nodes)), pipes: make([][]float64, len(g.domains))}
-	for d := range s.pipes {
-		s.pipes[d] = make([]float64, len(g.domains))
-		for e := range s.pipes[d] {
-			s.pipes[d][e] = pipeBytes(g)
+	s := &split{graph: g, need: need, left: make([]float64, len(g.nodes)), pipes: map[[2]int]float64{}}
+	for a := range g.domains {
+		for b := a + 1; b < len(g.domains); b++ {
+			s.pipes[[2]int{a, b}] = pipeBytes(g)
 		}
 	}
 	for i, n := range g.nodes {
@@ -107,8 +106,22 @@
 	cost      time.Duration
 	node      int
 	from      int
+	crossings int
 }
 
+const (
+	// crossingWorth multiplies what a way is worth with each crossing, so that a narrow way with few goes before a wide one
+	// with many: each carries all activations.
+	crossingWorth = 0.5
+	// mostCrossings bounds the crossings of a lane.
+	mostCrossings = 4
+	// same is how much wider a way must be to count as wider; rounding shall not decide between fast and slow.
+	same = 1.1
+)
+
+// worth is what a way is compared by.
+func (w *width) worth() float64 { return w.sequences * math.Pow(crossingWorth, float64(w.crossings)) }
+
 // widest returns the lane with memory for the most sequences, the fastest one of several, and takes its memory.
 func (s *split) widest(domain int) (Lane, bool) {
 	best := make([]width, s.graph.engine.Layers+1)
@@ -137,15 +150,18 @@
 	if w < narrowest {
 		return
 	}
-	cost := best[at].cost + StepTime(s.graph.engine, node.Kind, layers, w, float64(s.need.Tokens)) + handOff
-	if best[at].node >= 0 && s.graph.domain[best[at].node] != s.graph.domain[n] {
-		cost += s.graph.delay[s.graph.domain[best[at].node]][s.graph.domain[n]] + crossing
+	way := width{sequences: w, node: n, from: at, crossings: best[at].crossings}
+	way.cost = best[at].cost + StepTime(s.graph.engine, node.Kind, layers, w, float64(s.need.Tokens)) + handOff
+	if last := best[at].node; last >= 0 && s.graph.domain[last] != s.graph.domain[n] {
+		way.cost += s.graph.delay[s.graph.domain[last]][s.graph.domain[n]] + crossing
+		way.crossings++
 	}
 	to := &best[node.Layers.End]
-	// Widths within a tenth of each other count as the same, so that rounding does not decide between fast and slow.
-	const same = 1.1
-	if w > to.sequences*same || w > to.sequences/same && cost < to.cost {
-		*to = width{sequences: w, cost: cost, node: n, from: at}
+	if way.crossings > mostCrossings {
+		return
+	}
+	if way.worth() > to.worth()*same || way.worth() > to.worth()/same && way.cost < to.cost {
+		*to = way
 	}
 }
 
@@ -178,19 +194,19 @@
 // fitPipes narrows a lane to the bandwidth that is left where it crosses, and takes that.
 func (s *split) fitPipes(lane *Lane) {
 	bytes := s.crossingBytes(lane.Step, lane.Read)
+	times := map[[2]int]float64{}
 	for i := 1; i < len(lane.Hops); i++ {
 		a, b := s.domainOf(lane.Hops[i-1]), s.domainOf(lane.Hops[i])
 		if a != b {
 			lane.Crossings++
-			lane.Sequences = min(lane.Sequences, s.pipes[a][b]/bytes)
+			times[[2]int{min(a, b), max(a, b)}]++
 		}
 	}
-	for i := 1; i < len(lane.Hops); i++ {
-		a, b := s.domainOf(lane.Hops[i-1]), s.domainOf(lane.Hops[i])
-		if a != b {
-			s.pipes[a][b] -= lane.Sequences * bytes
-			s.pipes[b][a] = s.pipes[a][b]
-		}
+	for pipe, n := range times {
+		lane.Sequences = min(lane.Sequences, s.pipes[pipe]/(bytes*n))
+	}
+	for pipe, n := range times {
+		s.pipes[pipe] -= lane.Sequences * bytes * n
 	}
 }
 
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -15,6 +15,9 @@
 	readTime = 2 * time.Second
 	// answerTime is how long after the end of its wait a watch may be answered.
 	answerTime = 1200 * time.Millisecond
+	// gatherTime is how long news of servers may wait for others: a small part of the time within which a leaving server
+	// must get no new work.
+	gatherTime = 250 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed call; short, since the store takes thousands of reads a
 	// second and an instance that is behind serves old configurations.
 	firstPause   = 100 * time.Millisecond
@@ -77,6 +80,20 @@
 			continue
 		}
 		p.failures = 0
+		if p.feed == FeedServers {
+			p.gather(ctx, heard)
+		}
+	}
+}
+
+// gather waits a little after news of servers, so that those that come together cost one call.
+func (p *pump) gather(ctx context.Context, heard Heard) {
+	if h, ok := heard.(heardChanges); !ok || len(h.changes) == 0 {
+		return
+	}
+	select {
+	case <-p.clock.After(gatherTime):
+	case <-ctx.Done():
 	}
 }
 
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -171,7 +171,7 @@
 
 func (l *Loop) logServer(e backend.Entry, message string) {
 	l.log.WithFields(logrus.Fields{
-		"server": e.ID, "address": e.Addr, "service": e.Service, "domain": e.Domain, "kind": e.Kind, "leaving": e.Leaving,
+		"server": e.ID, "address": e.Addr, "service": e.Service, "server_domain": e.Domain, "kind": e.Kind, "leaving": e.Leaving,
 		"layers": e.Layers.String(), "revision": e.Revision,
 	}).Info(message)
 }
--- a/forward/inquire.go
+++ b/forward/inquire.go
@@ -39,7 +39,7 @@
 	now := h.clock.Now()
 	fields := decision.Fields{"server": server.ID(), "address": server.Addr(), "why": why}
 	if err != nil {
-		server.SetAside(now.Add(suspectTime))
+		server.Suspect(now.Add(suspectTime))
 		fields["error"] = err.Error()
 		h.record.Failure("", "server does not answer", fields)
 		return
--- a/forward/lanes.go
+++ b/forward/lanes.go
@@ -15,8 +15,9 @@
 	laneAge = 50 * time.Millisecond
 	// localShare is the part of a domain's own lanes that is filled before requests cross to other domains.
 	localShare = 0.85
-	// fullShare is the part of a lane's memory that is used: answers differ from what was expected.
-	fullShare = 1.0
+	// fullShare is the part of a lane's memory that is used, counted in whole answers: on the mean, half of an answer has not
+	// been written yet.
+	fullShare = 1.05
 	// wordAge is how old a server's word on its work may be; after that only the own work counts.
 	wordAge = 5 * time.Second
 )
@@ -28,6 +29,8 @@
 	states []serverState
 	lanes  []chain.Lane
 	at     time.Time
+	// without is since when there has been no lane, as far as asked.
+	without time.Time
 }
 
 // serverState is what the lanes depend on beside the group.
@@ -129,3 +132,35 @@
 	}
 	return last
 }
+
+// pathlessTime is how long a service may lack a whole path before the instance asks for no more callers: repairs and loads
+// of spare servers take about as long.
+const pathlessTime = time.Second
+
+// Pathless returns the name of a service that has had no whole path for a while, or an empty string.
+func (h *Handler) Pathless() string {
+	now := h.clock.Now()
+	for name, group := range h.board.Current().Groups() {
+		if group.Graph() == nil {
+			continue
+		}
+		if h.laneBook(name).pathless(group, now) {
+			return name
+		}
+	}
+	return ""
+}
+
+func (b *laneBook) pathless(group *backend.Group, now time.Time) bool {
+	lanes := b.get(group, now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(lanes) > 0 {
+		b.without = time.Time{}
+		return false
+	}
+	if b.without.IsZero() {
+		b.without = now
+	}
+	return now.Sub(b.without) >= pathlessTime
+}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -38,7 +38,7 @@
 			break
 		}
 		if len(tried) > 0 && !h.mayRepeat(r) {
-			h.stats.Counter("repeats_out_of_budget_total").Inc(1)
+			last = h.outOfBudget(r, last)
 			break
 		}
 		tried = append(tried, server)
@@ -50,6 +50,18 @@
 	h.conclude(ctx, r, last)
 }
 
+// outOfBudget keeps how the last attempt ended and names the budget as the reason that there is no other.
+func (h *Handler) outOfBudget(r *request, last outcome) outcome {
+	h.stats.Counter("repeats_out_of_budget_total").Inc(1)
+	h.record.Failure(r.meta.ID, "no repeat", h.fields(r, decision.Fields{
+		"reason": models.ReasonNoBudget, "instances": h.census.Instances(),
+	}))
+	if _, ok := last.(notRun); ok {
+		return notRun{reason: models.ReasonNoBudget}
+	}
+	return last
+}
+
 // again reports whether an attempt that ended so may be followed by another.
 func (h *Handler) again(r *request, last outcome, sends int) bool {
 	switch o := last.(type) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -50,8 +50,6 @@
 	hops    []chain.Hop
 	servers []*backend.Server
 	need    chain.Need
-	// looked is when the path was last looked at for standing still.
-	looked  time.Time
 	repairs int
 }
 
@@ -69,7 +67,7 @@
 			break
 		}
 		if attempt > 1 && !h.mayRepeat(r) {
-			h.stats.Counter("repeats_out_of_budget_total").Inc(1)
+			last = h.outOfBudget(r, last)
 			break
 		}
 		last = h.fly(ctx, f, path, attempt)
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -15,19 +14,21 @@
 )
 
 const (
-	// watchPeriod is how often streams are looked at; a part of the shortest time that counts as standing still.
-	watchPeriod = 50 * time.Millisecond
-	// stillAfter is the pause after which a stream may stand still: several times the usual pause between events.
-	stillAfter = 250 * time.Millisecond
-	// lookAgain is how long after a look the next one may follow: reports are as old as that.
-	lookAgain = 200 * time.Millisecond
-	// lookTime bounds the question to a path's first part.
-	lookTime = 300 * time.Millisecond
+	// watchPeriod is how often streams are looked at; a part of the shortest pause that counts as standing still.
+	watchPeriod = 25 * time.Millisecond
+	// stillShare is the part of the pause that callers accept after which a stream may stand still: the rest is what a
+	// repair takes. leastStill is several times the usual time between events.
+	stillShare = 0.55
+	leastStill = 90 * time.Millisecond
+	// firstStill is how much longer than predicted the first event may take.
+	firstStill = 200 * time.Millisecond
+	// lookAgain is how long after a look at a path the next one may follow: reports are as old as that.
+	lookAgain = 250 * time.Millisecond
 	// repairTime bounds a repair.
 	repairTime = 400 * time.Millisecond
 	// mostRepairs bounds the repairs of one stream.
 	mostRepairs = 6
-	// suspectTime is how long a server that stands still gets no new work, if its entry does not vanish before.
+	// suspectTime is how long a server that does not answer gets no new work, if its entry does not vanish before.
 	suspectTime = 3 * time.Second
 )
 
@@ -38,12 +39,12 @@
 
 	mu      sync.Mutex
 	flights map[*flight]struct{}
-	// looking holds the first parts that are being asked.
-	looking map[*backend.Server]bool
+	// looked holds when the paths that start at a server were last looked at.
+	looked map[*backend.Server]time.Time
 }
 
 func newWatcher(ctx context.Context, h *Handler) *watcher {
-	w := &watcher{handler: h, start: h.clock.Now(), flights: map[*flight]struct{}{}, looking: map[*backend.Server]bool{}}
+	w := &watcher{handler: h, start: h.clock.Now(), flights: map[*flight]struct{}{}, looked: map[*backend.Server]time.Time{}}
 	ticks := h.clock.Subscribe(watchPeriod)
 	go func() {
 		defer ticks.Stop()
@@ -73,9 +74,9 @@
 
 // still reports whether the flight has not moved for longer than it should.
 func (w *watcher) still(f *flight, now time.Time) bool {
-	limit := stillAfter
+	limit := max(time.Duration(stillShare*float64(f.r.route.PauseObjective)), leastStill)
 	if !f.began.Load() {
-		limit += f.expected
+		limit = firstStill + f.expected
 	}
 	return now.Sub(w.start)-time.Duration(f.lastAt.Load()) > limit
 }
@@ -87,76 +88,76 @@
 	defer w.mu.Unlock()
 	still := map[*backend.Server][]*flight{}
 	for f := range w.flights {
-		if w.still(f, now) && now.Sub(f.looked) >= lookAgain {
+		if w.still(f, now) {
 			still[f.first] = append(still[f.first], f)
 		}
 	}
 	for first, flights := range still {
-		if w.looking[first] {
+		if now.Sub(w.looked[first]) < lookAgain {
 			continue
 		}
-		w.looking[first] = true
-		for _, f := range flights {
-			f.looked = now
+		w.looked[first] = now
+		go func() { w.look(ctx, first, flights) }()
+	}
+	for first, at := range w.looked {
+		if now.Sub(at) > suspectTime {
+			delete(w.looked, first)
 		}
-		go func() {
-			w.look(ctx, first, flights)
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			delete(w.looking, first)
-		}()
 	}
 }
 
-// look asks a first part what its streams wait for and repairs their paths.
+// look asks the parts of streams that stand still how they are, and repairs the paths that pass one that does not answer.
 func (w *watcher) look(ctx context.Context, first *backend.Server, flights []*flight) {
 	h := w.handler
 	h.stats.Counter("looks_total").Inc(1)
-	ask, cancel := context.WithTimeout(ctx, lookTime)
-	report, err := h.caller.Report(ask, first.Addr())
-	cancel()
-	if err != nil {
-		w.lose(first, flights, err)
-		return
-	}
 	group := h.board.Current().Group(first.Service())
 	if group == nil {
 		return
 	}
-	until := h.clock.Now().Add(suspectTime)
-	for _, s := range report.Stalled {
-		if server := group.ByAddr(s.Addr); server != nil && (s.ID == "" || s.ID == server.ID()) {
-			server.SetAside(until)
-		}
+	found := w.ask(ctx, first, group, partsOf(flights))
+	if found.dead[first] {
+		w.lose(first, flights)
+		return
 	}
-	first.SetPace(report.Pace, h.clock.Now())
 	for _, f := range flights {
-		if w.stalledBy(f, report.Stalled) {
+		if f.passes(found.dead) {
 			w.repair(ctx, f, group)
-			continue
 		}
-		w.inquire(f)
 	}
 }
 
-// inquire asks the parts behind the first why a stream is slow.
-func (w *watcher) inquire(f *flight) {
+// partsOf returns the servers that the flights pass.
+func partsOf(flights []*flight) map[*backend.Server]bool {
+	out := map[*backend.Server]bool{}
+	for _, f := range flights {
+		f.mu.Lock()
+		for _, s := range f.servers {
+			out[s] = true
+		}
+		f.mu.Unlock()
+	}
+	return out
+}
+
+// passes reports whether the path has one of the servers, or one whose entry has vanished.
+func (f *flight) passes(servers map[*backend.Server]bool) bool {
 	f.mu.Lock()
-	servers := slices.Clone(f.servers)
-	f.mu.Unlock()
-	for _, s := range servers[min(1, len(servers)):] {
-		w.handler.inquire(s, "slow stream")
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if servers[s] || s.Gone() {
+			return true
+		}
 	}
+	return false
 }
 
 // lose gives up a first part that does not answer: its streams are resumed at others.
-func (w *watcher) lose(first *backend.Server, flights []*flight, err error) {
+func (w *watcher) lose(first *backend.Server, flights []*flight) {
 	h := w.handler
-	first.SetAside(h.clock.Now().Add(suspectTime))
 	h.stats.Counter("first_parts_lost_total").Inc(1)
 	for _, f := range flights {
 		h.record.Failure(f.r.meta.ID, "first part is silent", decision.Fields{
-			"server": first.ID(), "address": first.Addr(), "error": err.Error(), "still_ms": w.stillFor(f).Milliseconds(),
+			"server": first.ID(), "address": first.Addr(), "still_ms": w.stillFor(f).Milliseconds(),
 		})
 		_ = f.conn.Close()
 	}
@@ -166,23 +167,6 @@
 	return w.handler.clock.Since(w.start) - time.Duration(f.lastAt.Load())
 }
 
-// stalledBy reports whether the flight's path passes a server that stands still, is leaving or is gone.
-func (w *watcher) stalledBy(f *flight, stalled []backend.Suspect) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, server := range f.servers {
-		if server.Gone() {
-			return true
-		}
-		for _, s := range stalled {
-			if s.Addr == server.Addr() {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // repair gives a stream a new path behind its first part.
 func (w *watcher) repair(ctx context.Context, f *flight, group *backend.Group) {
 	h := w.handler
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -65,7 +65,8 @@
 
 // Answer sends a whole answer; head holds the status line and the headers that do not frame the body.
 func (x *Exchange) Answer(head, body []byte) {
-	out := append(x.head[:0], head...)
+	out := x.head[:0]
+	out = append(out, head...)
 	out = append(out, "Content-Length: "...)
 	out = strconv.AppendInt(out, int64(len(body)), 10)
 	out = append(out, "\r\n"...)
@@ -78,7 +79,8 @@
 
 // BeginStream sends the head of a stream together with its first bytes.
 func (x *Exchange) BeginStream(head, first []byte) {
-	out := append(x.head[:0], head...)
+	out := x.head[:0]
+	out = append(out, head...)
 	out = append(out, "Transfer-Encoding: chunked\r\n"...)
 	out = x.appendClose(out)
 	out = appendChunk(out, first)
@@ -99,8 +101,9 @@
 	if len(p) > 0 {
 		out = appendChunk(out, p)
 	}
-	x.head = append(out, "0\r\n\r\n"...)
-	x.write(x.head)
+	out = append(out, "0\r\n\r\n"...)
+	x.head = out
+	x.write(out)
 	x.whole = true
 }
 
--- a/giver/lease.go
+++ b/giver/lease.go
@@ -38,12 +38,12 @@
 }
 
 const (
-	// leaseTime is how long a giver that died keeps others from giving orders: the time of a few heartbeats.
-	leaseTime = 3 * time.Second
+	// leaseTime is how long a giver that died keeps others from giving orders: a few renewals.
+	leaseTime = 2 * time.Second
 	// leaseMargin is how much earlier than the store a holder takes its lease as over.
-	leaseMargin = 500 * time.Millisecond
+	leaseMargin = 300 * time.Millisecond
 	// keepPeriod is how often a lease is renewed.
-	keepPeriod = time.Second
+	keepPeriod = 500 * time.Millisecond
 )
 
 // lease is the right as its holder sees it; until is measured from before the call that gave it.
--- a/giver/work.go
+++ b/giver/work.go
@@ -71,7 +71,7 @@
 	var seen []placement.Server
 	for _, s := range servers {
 		byID[s.ID()] = s
-		if s.Leaving() {
+		if s.Leaving() || s.Suspected(w.giver.clock.Now()) {
 			continue
 		}
 		seen = append(seen, w.view(engine, s))
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -144,7 +144,10 @@
 	if orders := fill(e, c, servers); len(orders) > 0 {
 		return orders
 	}
-	return move(e, c, servers)
+	if orders := move(e, c, servers); len(orders) > 0 {
+		return orders
+	}
+	return retile(e, servers)
 }
 
 // fill gives layers to the servers that hold none, the largest first.
@@ -219,12 +222,5 @@
 
 // spares reports whether every layer of a server has another holder in its domain.
 func (c *cover) spares(s *Server) bool {
-	d := c.in(s.Domain)
-	own := max(sequencesOf(c.engine, s.Kind, s.Layers.Count()), 1)
-	for l := max(s.Layers.First, 0); l < min(s.Layers.End, c.engine.Layers); l++ {
-		if d[l]-own < least {
-			return false
-		}
-	}
-	return true
+	return c.covers(s, models.Layers{})
 }
--- a/placement/decide_test.go
+++ b/placement/decide_test.go
@@ -18,8 +18,10 @@
 		Layers: 80, LayerMB: 1750, TokenBytes: 590000, Step: time.Millisecond, ReadPerSecond: 196000,
 		UsualPrompt: 772, UsualAnswer: 172, LoadTime: 14 * time.Second,
 		Kinds: []catalog.Kind{
-			{Name: "big", MemoryMB: 72000, StepPace: 1.4, ReadPace: 1}, {Name: "mid", MemoryMB: 36000, StepPace: 3.1, ReadPace: 3.2},
-			{Name: "small", MemoryMB: 21600, StepPace: 16, ReadPace: 8.2}, {Name: "tiny", MemoryMB: 14400, StepPace: 15, ReadPace: 15},
+			{Name: "big", MemoryMB: 72000, StepPace: 1.4, ReadPace: 1},
+			{Name: "mid", MemoryMB: 36000, StepPace: 3.1, ReadPace: 3.2},
+			{Name: "small", MemoryMB: 21600, StepPace: 16, ReadPace: 8.2},
+			{Name: "tiny", MemoryMB: 14400, StepPace: 15, ReadPace: 15},
 		},
 	}
 }
@@ -130,3 +132,28 @@
 	apply(all, orders)
 	require.Zero(t, missing(e, all, "a"))
 }
+
+// TestADomainThatLostServersForGoodIsTiledAnew takes servers away until there are none to spare, and follows the orders
+// until nothing is left to do; no layer may lose its last holder on the way.
+func TestADomainThatLostServersForGoodIsTiledAnew(t *testing.T) {
+	e := engine()
+	rapid.Check(t, func(t *rapid.T) {
+		all := hall(e)
+		apply(all, placement.Decide(e, all))
+		for range rapid.IntRange(1, 3).Draw(t, "lost") {
+			i := rapid.IntRange(2, len(all)-1).Draw(t, "server")
+			all = append(append([]placement.Server(nil), all[:i]...), all[i+1:]...)
+		}
+		for range 60 {
+			orders := placement.Decide(e, all)
+			if len(orders) == 0 {
+				break
+			}
+			before := missing(e, all, "a")
+			apply(all, orders)
+			require.LessOrEqual(t, missing(e, all, "a"), before)
+		}
+		require.Empty(t, placement.Decide(e, all))
+		require.Zero(t, missing(e, all, "a"))
+	})
+}
--- /dev/null
+++ b/placement/retile.go
@@ -0,0 +1,136 @@
+package placement
+
+import (
+	"math"
+	"sort"
+
+	"junctioncross/catalog"
+	"junctioncross/models"
+)
+
+// leastRetiled is the number of sequences that servers of a domain must still have memory for when they are tiled anew.
+const leastRetiled = 24
+
+// retile returns the orders that bring the servers of a domain with missing layers to a tiling of the whole model, with as
+// much memory for sequences as that leaves. It is the last resort, for domains that have lost servers for good and have none
+// to spare: ranges are shifted by a few layers each, and a server gives a layer up only when another one holds it.
+func retile(e *catalog.Engine, servers []Server) []Order {
+	live := liveCover(e, servers)
+	planned := newCover(e, servers)
+	var orders []Order
+	for domain, members := range settledByDomain(servers) {
+		if !misses(planned.in(domain)) {
+			continue
+		}
+		for _, o := range tiling(e, members) {
+			s := o.server
+			if o.layers == s.Layers {
+				continue
+			}
+			if order, ok := step(e, live, s, o.layers); ok {
+				orders = append(orders, order)
+			}
+		}
+	}
+	sort.Slice(orders, func(i, j int) bool { return orders[i].ID < orders[j].ID })
+	return orders
+}
+
+func misses(domain []float64) bool {
+	for _, room := range domain {
+		if room < least {
+			return true
+		}
+	}
+	return false
+}
+
+// settledByDomain returns the servers by domain; a domain with orders under way is left out until they are done.
+func settledByDomain(servers []Server) map[string][]*Server {
+	out := map[string][]*Server{}
+	busy := map[string]bool{}
+	for i := range servers {
+		s := &servers[i]
+		if s.Kind == nil {
+			continue
+		}
+		busy[s.Domain] = busy[s.Domain] || !s.Settled
+		out[s.Domain] = append(out[s.Domain], s)
+	}
+	for domain := range busy {
+		if busy[domain] {
+			delete(out, domain)
+		}
+	}
+	return out
+}
+
+// tile is the range that a server should hold in the end.
+type tile struct {
+	server *Server
+	layers models.Layers
+}
+
+// tiling cuts the model among the servers in the order of what they hold now; it is empty when they are too small.
+func tiling(e *catalog.Engine, members []*Server) []tile {
+	sequences := 0
+	for s := leastRetiled; s <= wantedSequences && sizes(e, members, s) >= e.Layers; s += 4 {
+		sequences = s
+	}
+	if sequences == 0 {
+		return nil
+	}
+	sort.SliceStable(members, func(i, j int) bool {
+		a, b := members[i].Layers, members[j].Layers
+		if a.First+a.End != b.First+b.End {
+			return a.First+a.End < b.First+b.End
+		}
+		return members[i].ID < members[j].ID
+	})
+	total := float64(sizes(e, members, sequences))
+	tiles := make([]tile, 0, len(members))
+	sum := 0.0
+	for _, s := range members {
+		n := LayersOf(e, s.Kind, sequences)
+		// What the servers hold beyond one copy is spread evenly as overlaps.
+		first := int(math.Floor(sum * float64(e.Layers) / total))
+		first = min(first, e.Layers-n)
+		tiles = append(tiles, tile{server: s, layers: models.Layers{First: first, End: first + n}})
+		sum += float64(n)
+	}
+	return tiles
+}
+
+func sizes(e *catalog.Engine, members []*Server, sequences int) int {
+	total := 0
+	for _, s := range members {
+		total += LayersOf(e, s.Kind, sequences)
+	}
+	return total
+}
+
+// step returns the next order on the way from what a server holds to a range: the range itself when every layer that it
+// gives up has another holder, otherwise both together when they fit.
+func step(e *catalog.Engine, live *cover, s *Server, to models.Layers) (Order, bool) {
+	if live.covers(s, to) {
+		live.add(s, s.Layers, -1)
+		return Order{ID: s.ID, Layers: to, Moves: true}, true
+	}
+	both := models.Layers{First: min(s.Layers.First, to.First), End: max(s.Layers.End, to.End)}
+	if both != s.Layers && sequencesOf(e, s.Kind, both.Count()) >= leastRetiled/2 {
+		return Order{ID: s.ID, Layers: both, Moves: true}, true
+	}
+	return Order{}, false
+}
+
+// covers reports whether every layer that the server would give up for a range has another holder in its domain.
+func (c *cover) covers(s *Server, to models.Layers) bool {
+	d := c.in(s.Domain)
+	own := max(sequencesOf(c.engine, s.Kind, s.Layers.Count()), 1)
+	for l := s.Layers.First; l < s.Layers.End; l++ {
+		if (l < to.First || l >= to.End) && d[l]-own < least {
+			return false
+		}
+	}
+	return true
+}
