--- a/census/census.go
+++ b/census/census.go
@@ -17,9 +17,10 @@
 	// divided by them, and long records cost few calls.
 	recordTime = 60 * time.Second
 	// firstSpread spreads the first calls of instances that start together.
-	firstSpread = 2 * time.Second
-	// settleTime is how long after joining the others are counted first, so that those who started together are there.
-	settleTime = 3 * time.Second
+	firstSpread = time.Second
+	// settleTime is how long after joining the others are counted again, when those who started together are there. An
+	// instance that comes later finds them at once.
+	settleTime = 2500 * time.Millisecond
 	// countPeriod is how often the records are counted and the own one is renewed.
 	countPeriod = 15 * time.Second
 	// retryPause is the pause after a failed call.
@@ -79,7 +80,7 @@
 			return retryPause
 		}
 		c.lease = lease
-		return settleTime
+		return c.recount(ctx, settleTime)
 	}
 	if err := c.register.Renew(ctx, c.lease); err != nil {
 		// The next step writes a new record; two records of one instance only make limits smaller for a while.
@@ -87,6 +88,11 @@
 		c.log.WithError(err).Warn("record of the instance not renewed")
 		return retryPause
 	}
+	return c.recount(ctx, countPeriod)
+}
+
+// recount counts the records and returns when to go on: after next, or soon when that failed.
+func (c *Census) recount(ctx context.Context, next time.Duration) time.Duration {
 	n, err := c.register.Count(ctx)
 	if err != nil {
 		c.log.WithError(err).Warn("instances not counted")
@@ -96,7 +102,7 @@
 		c.stats.Gauge("instances_counted").Update(int64(n))
 		c.log.WithFields(logrus.Fields{"instances": n, "before": old}).Info("instances counted")
 	}
-	return countPeriod
+	return next
 }
 
 func (c *Census) pause(ctx context.Context, d time.Duration) {
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"junctioncross/backend"
+	"junctioncross/models"
 )
 
 const (
@@ -22,12 +23,14 @@
 type findings struct {
 	mu   sync.Mutex
 	dead map[*backend.Server]bool
+	// holds tells the layers of the servers that answered.
+	holds map[*backend.Server]models.Layers
 }
 
 // ask asks servers how they are, all at once. Those that refuse the connection, stay silent twice, or are named by the
 // first part as what it waits for, are dead.
 func (w *watcher) ask(ctx context.Context, first *backend.Server, group *backend.Group, servers map[*backend.Server]bool) *findings {
-	found := &findings{dead: map[*backend.Server]bool{}}
+	found := &findings{dead: map[*backend.Server]bool{}, holds: map[*backend.Server]models.Layers{}}
 	var all sync.WaitGroup
 	for s := range servers {
 		if s != first && !s.MayAsk(w.handler.clock.Now()) {
@@ -54,6 +57,9 @@
 		found.add(s)
 		return
 	}
+	found.mu.Lock()
+	found.holds[s] = report.Layers
+	found.mu.Unlock()
 	if !first {
 		return
 	}
@@ -78,3 +84,19 @@
 	defer f.mu.Unlock()
 	f.dead[s] = true
 }
+
+// broken reports whether a path passes a server that is dead or no longer holds its part, or one whose entry has vanished.
+func (f *findings) broken(flight *flight) bool {
+	flight.mu.Lock()
+	defer flight.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, s := range flight.servers {
+		part := flight.hops[i].Layers
+		held, known := f.holds[s]
+		if f.dead[s] || s.Gone() || known && (held.First > part.First || held.End < part.End) {
+			return true
+		}
+	}
+	return false
+}
--- a/forward/lanes.go
+++ b/forward/lanes.go
@@ -31,6 +31,8 @@
 	at     time.Time
 	// without is since when there has been no lane, as far as asked.
 	without time.Time
+	// had is true once there was a lane.
+	had bool
 }
 
 // serverState is what the lanes depend on beside the group.
@@ -133,34 +135,57 @@
 	return last
 }
 
-// pathlessTime is how long a service may lack a whole path before the instance asks for no more callers: repairs and loads
-// of spare servers take about as long.
-const pathlessTime = time.Second
+const (
+	// pathlessTime is how long a service may lack a whole path before the instance asks for no more callers: repairs and
+	// loads of spare servers take about as long.
+	pathlessTime = time.Second
+	// firstPathTime is how long an instance that has started waits for a first path before it takes callers without one.
+	firstPathTime = 5 * time.Second
+)
 
-// Pathless returns the name of a service that has had no whole path for a while, or an empty string.
+// Pathless returns the name of a service that callers had better ask for elsewhere, or an empty string: one for which the
+// instance has had no path since its start, or has none because it reaches no server of any other domain.
 func (h *Handler) Pathless() string {
 	now := h.clock.Now()
+	starting := now.Sub(h.watch.start) < firstPathTime
 	for name, group := range h.board.Current().Groups() {
 		if group.Graph() == nil {
 			continue
 		}
-		if h.laneBook(name).pathless(group, now) {
+		without, had := h.laneBook(name).pathless(group, now)
+		if !had && starting || had && without >= pathlessTime && h.cutOff(group, now) {
 			return name
 		}
 	}
 	return ""
 }
 
-func (b *laneBook) pathless(group *backend.Group, now time.Time) bool {
+// cutOff reports whether no server of another domain can be used, although there are some.
+func (h *Handler) cutOff(group *backend.Group, now time.Time) bool {
+	others := false
+	for _, s := range group.Servers() {
+		if s.Domain() == h.terms.Domain || s.Leaving() {
+			continue
+		}
+		if s.Usable(now) {
+			return false
+		}
+		others = true
+	}
+	return others
+}
+
+// pathless returns for how long there has been no lane, as far as asked, and whether there ever was one.
+func (b *laneBook) pathless(group *backend.Group, now time.Time) (without time.Duration, had bool) {
 	lanes := b.get(group, now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(lanes) > 0 {
-		b.without = time.Time{}
-		return false
+		b.without, b.had = time.Time{}, true
+		return 0, true
 	}
 	if b.without.IsZero() {
 		b.without = now
 	}
-	return now.Sub(b.without) >= pathlessTime
+	return now.Sub(b.without), b.had
 }
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -120,7 +120,7 @@
 		return
 	}
 	for _, f := range flights {
-		if f.passes(found.dead) {
+		if found.broken(f) {
 			w.repair(ctx, f, group)
 		}
 	}
@@ -139,18 +139,6 @@
 	return out
 }
 
-// passes reports whether the path has one of the servers, or one whose entry has vanished.
-func (f *flight) passes(servers map[*backend.Server]bool) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, s := range f.servers {
-		if servers[s] || s.Gone() {
-			return true
-		}
-	}
-	return false
-}
-
 // lose gives up a first part that does not answer: its streams are resumed at others.
 func (w *watcher) lose(first *backend.Server, flights []*flight) {
 	h := w.handler
