app: reload settings on SIGHUP

Ruled out: a crash; the processes' last lines were ordinary and no memory limit was near. Change: the settings are read again; what can change at run time is taken over, a file that cannot be used changes nothing.

--- a/app/checks.go
+++ b/app/checks.go
@@ -20,7 +20,6 @@
 // checks answers the balancer's checks and the scrapes of metrics and profiles of a hosted instance.
 type checks struct {
 	set     *config.Hosted
-	terms   forward.Terms
 	board   *follow.Board
 	front   *front.Server
 	handler *forward.Handler
@@ -33,10 +32,10 @@
 }
 
 func newChecks(
-	set *config.Hosted, terms forward.Terms, board *follow.Board, server *front.Server, handler *forward.Handler,
+	set *config.Hosted, board *follow.Board, server *front.Server, handler *forward.Handler,
 	clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
 ) *checks {
-	return &checks{set: set, terms: terms, board: board, front: server, handler: handler, clock: clock, stats: stats, log: log}
+	return &checks{set: set, board: board, front: server, handler: handler, clock: clock, stats: stats, log: log}
 }
 
 // leave makes the balancer's check fail from now on.
@@ -78,7 +77,7 @@
 		return "leaving", false
 	case current == nil:
 		return "no configuration", false
-	case c.terms.KeysAge > 0 && current.NeedsKeys() && c.board.KeysAge(c.clock.Now()) > c.terms.KeysAge:
+	case c.handler.KeysAge() > 0 && current.NeedsKeys() && c.board.KeysAge(c.clock.Now()) > c.handler.KeysAge():
 		return "keys not confirmed", false
 	}
 	if service := c.handler.Pathless(); service != "" {
--- a/app/hosted.go
+++ b/app/hosted.go
@@ -60,8 +60,22 @@
 	Log     *logrus.Logger
 }
 
-// RunHosted starts an instance and returns when it has stopped after stop was closed, or could not start.
-func RunHosted(set *config.Hosted, stop <-chan struct{}) error {
+// Reload carries new settings, or the reason why they cannot be used.
+type Reload struct {
+	Settings *config.Hosted
+	Err      error
+}
+
+// Signals are what the process is told from outside.
+type Signals struct {
+	// Stop is closed when the instance is to stop.
+	Stop <-chan struct{}
+	// Reload delivers settings that have changed.
+	Reload <-chan Reload
+}
+
+// RunHosted starts an instance and returns when it has stopped after it was told to, or could not start.
+func RunHosted(set *config.Hosted, signals Signals) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(set.Memory.Megabytes) * (1 << 20)))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -70,7 +84,7 @@
 		return errors.Wrap(err, "app: wire")
 	}
 	var failed error
-	err = c.Invoke(func(i hosted) { failed = i.run(stop) })
+	err = c.Invoke(func(i hosted) { failed = i.run(signals) })
 	if err != nil {
 		return errors.Wrap(dig.RootCause(err), "app: start")
 	}
@@ -154,7 +168,7 @@
 	return giver.New(ctx, claim, holder, board, caller, clock, stats, log)
 }
 
-func (i *hosted) run(stop <-chan struct{}) error {
+func (i *hosted) run(signals Signals) error {
 	defer i.Queue.Flush()
 	machine := chart.New(chart.MustLoad("instance"))
 	i.Log.WithFields(logrus.Fields{"callers": i.Set.Listen.Callers, "store": i.Set.Store.Addr}).Info("started")
@@ -165,9 +179,26 @@
 	if err := i.Checks.listen(); err != nil {
 		return err
 	}
-	<-stop
-	i.fire(machine, "stop")
-	return i.leave(machine)
+	for {
+		select {
+		case r := <-signals.Reload:
+			i.reload(r)
+		case <-signals.Stop:
+			i.fire(machine, "stop")
+			return i.leave(machine)
+		}
+	}
+}
+
+// reload takes over the settings that can change while the instance runs; the others need a restart.
+func (i *hosted) reload(r Reload) {
+	if r.Err != nil {
+		i.Log.WithError(r.Err).Error("settings not reloaded, the former ones stay in force")
+		return
+	}
+	restart := r.Settings.Listen != i.Set.Listen || r.Settings.Store != i.Set.Store || r.Settings.Instance != i.Set.Instance
+	i.Handler.SetTerms(hostedTerms(r.Settings))
+	i.Log.WithField("needs_restart", restart).Info("settings reloaded")
 }
 
 func (i *hosted) fire(m *chart.Machine, e chart.Event) {
--- a/cmd/jxd/serve.go
+++ b/cmd/jxd/serve.go
@@ -19,7 +19,22 @@
 	if err != nil {
 		return err
 	}
-	return app.RunHosted(set, untilTold())
+	return app.RunHosted(set, app.Signals{Stop: untilTold(), Reload: c.reloads()})
+}
+
+// reloads delivers the settings each time that SIGHUP says that they have changed; a file that cannot be used comes as an
+// error and changes nothing.
+func (c *serveCommand) reloads() <-chan app.Reload {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	out := make(chan app.Reload)
+	go func() {
+		for range signals {
+			set, err := config.LoadHosted(c.Settings)
+			out <- app.Reload{Settings: set, Err: err}
+		}
+	}()
+	return out
 }
 
 // untilTold returns a channel that is closed by SIGTERM or SIGINT.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -43,7 +44,7 @@
 
 // Handler answers requests; it implements front.Handler.
 type Handler struct {
-	terms  Terms
+	terms  atomic.Pointer[Terms]
 	board  *follow.Board
 	codec  call.Codec
 	caller backend.Caller
@@ -68,13 +69,20 @@
 	stats *metrics.Registry, record *decision.Recorder, instances Instances,
 ) *Handler {
 	h := &Handler{
-		terms: terms, board: board, codec: codec, caller: caller, clock: clock, stats: stats, record: record, census: instances,
+		board: board, codec: codec, caller: caller, clock: clock, stats: stats, record: record, census: instances,
 		windows: map[string]*retry.Window{}, lanes: map[string]*laneBook{}, peers: peers{factor: peersAtFirst},
 	}
+	h.SetTerms(terms)
 	h.watch = newWatcher(ctx, h)
 	return h
 }
 
+// SetTerms replaces the bounds under which the Handler works.
+func (h *Handler) SetTerms(terms Terms) { h.terms.Store(&terms) }
+
+// KeysAge returns how long ago the keys may have been confirmed for keyed requests to be accepted; 0 means any time.
+func (h *Handler) KeysAge() time.Duration { return h.terms.Load().KeysAge }
+
 // request is what the parts of a Handler know of one request.
 type request struct {
 	x       *front.Exchange
@@ -122,7 +130,7 @@
 		return false
 	}
 	if c.NeedsKeys() && !r.route.Public {
-		if h.terms.KeysAge > 0 && age > h.terms.KeysAge {
+		if limit := h.KeysAge(); limit > 0 && age > limit {
 			h.refuse(r, models.ReasonKeysUnconfirmed, soon)
 			return false
 		}
@@ -161,7 +169,7 @@
 func (h *Handler) mayRepeat(r *request) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.window(r).Take(h.clock.Now(), h.terms.RepeatSlack/float64(h.census.Instances()))
+	return h.window(r).Take(h.clock.Now(), h.terms.Load().RepeatSlack/float64(h.census.Instances()))
 }
 
 // window returns the service's allowance; the caller holds the lock.
@@ -169,7 +177,7 @@
 	name := r.group.Service().Name
 	w := h.windows[name]
 	if w == nil {
-		w = retry.NewWindow(h.terms.RepeatWindow, h.terms.RepeatShare, h.clock.Now())
+		w = retry.NewWindow(h.terms.Load().RepeatWindow, h.terms.Load().RepeatShare, h.clock.Now())
 		h.windows[name] = w
 	}
 	return w
--- a/forward/lanes.go
+++ b/forward/lanes.go
@@ -164,7 +164,7 @@
 func (h *Handler) cutOff(group *backend.Group, now time.Time) bool {
 	others := false
 	for _, s := range group.Servers() {
-		if s.Domain() == h.terms.Domain || s.Leaving() {
+		if s.Domain() == h.terms.Load().Domain || s.Leaving() {
 			continue
 		}
 		if s.Usable(now) {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -149,7 +149,7 @@
 		work = max(work, float64(load.Running+load.Waiting))
 	}
 	cost := (work + rand.Float64()) / float64(max(s.Slots(), 1))
-	if s.Domain() != h.terms.Domain {
+	if s.Domain() != h.terms.Load().Domain {
 		cost += farCost
 	}
 	return cost + failCost*s.FailRate()
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -17,7 +17,7 @@
 // later returns when a caller may come back that was refused for want of room: the mean answer has ended by then, and a
 // random part keeps those refused together from coming back together.
 func later() time.Duration {
-	const least, spread = 1500 * time.Millisecond, 2500 * time.Millisecond
+	const least, spread = 2 * time.Second, 4 * time.Second
 	return least + time.Duration(rand.Float64()*float64(spread))
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -100,7 +100,7 @@
 	if r.meta.AnswerTokens > 0 {
 		answer = min(answer, r.meta.AnswerTokens)
 	}
-	return chain.Need{Prompt: prompt, Tokens: prompt + answer, Domain: h.terms.Domain}
+	return chain.Need{Prompt: prompt, Tokens: prompt + answer, Domain: h.terms.Load().Domain}
 }
 
 // hintTrust is the weight of a caller's estimate against the usual answer, on a scale of orders of magnitude: estimates are
@@ -141,7 +141,7 @@
 	group, now := f.r.group, h.clock.Now()
 	lanes := h.laneBook(group.Service().Name).get(group, now)
 	if len(lanes) > 0 {
-		choice := newLaneChoice(group, lanes, h.terms.Domain, now)
+		choice := newLaneChoice(group, lanes, h.terms.Load().Domain, now)
 		i := choice.pick()
 		if i < 0 {
 			return chain.Path{}, false
@@ -305,8 +305,8 @@
 	h.turnedAway(f.r, server, s)
 	h.inquire(server, "refusal")
 	waited := h.clock.Since(h.watch.start) - time.Duration(f.lastAt.Load())
-	if waited >= h.terms.StallTime/2 {
-		server.SetAside(h.clock.Now().Add(h.terms.StallTime))
+	if waited >= h.terms.Load().StallTime/2 {
+		server.SetAside(h.clock.Now().Add(h.terms.Load().StallTime))
 	}
 }
 
