--- a/cmd/jxctl/main.go
+++ b/cmd/jxctl/main.go
@@ -15,13 +15,15 @@
 	Keys    string `default:"keys" env:"JX_KEYS" help:"Directory with ca.pem and the operator's certificate and key."`
 	As      string `default:"operator" env:"JX_AS" help:"Name of the operator's certificate in the directory."`
 
-	Intent  intentCommand  `cmd:"" help:"State an intent; nothing changes."`
-	Plan    planCommand    `cmd:"" help:"Make or show the plan for an intent; nothing changes."`
-	Confirm confirmCommand `cmd:"" help:"Confirm a plan: its configuration comes into force."`
-	Status  statusCommand  `cmd:"" help:"Show every instance with the revision that it has in force."`
-	History historyCommand `cmd:"" help:"Show the confirmed plans, the newest first."`
-	Certify certifyCommand `cmd:"" help:"Make an authority, certificates and keys for development."`
-	Hash    hashCommand    `cmd:"" help:"Print the form in which a client account's key is kept."`
+	Intent   intentCommand   `cmd:"" help:"State an intent; nothing changes."`
+	Plan     planCommand     `cmd:"" help:"Make or show the plan for an intent; nothing changes."`
+	Confirm  confirmCommand  `cmd:"" help:"Confirm a plan: its configuration comes into force."`
+	Status   statusCommand   `cmd:"" help:"Show every instance with the revision that it has in force."`
+	History  historyCommand  `cmd:"" help:"Show the confirmed plans, the newest first."`
+	Certify  certifyCommand  `cmd:"" help:"Make an authority, certificates and keys for development."`
+	Why      whyCommand      `cmd:"" help:"Tell from logs what happened to a request, and why."`
+	Timeline timelineCommand `cmd:"" help:"Tell from logs what an instance did and believed."`
+	Hash     hashCommand     `cmd:"" help:"Print the form in which a client account's key is kept."`
 }
 
 func (c *commands) client() (*operator.Client, error) {
--- /dev/null
+++ b/cmd/jxctl/why.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/story"
+)
+
+// logFiles names the logs that a command reads.
+type logFiles struct {
+	Logs []string `arg:"" optional:"" type:"existingfile" help:"Log files of any number of instances; standard input when there are none."`
+}
+
+func (f *logFiles) read() ([]story.Line, error) {
+	if len(f.Logs) == 0 {
+		lines, _, err := story.Read(os.Stdin)
+		return lines, err
+	}
+	var all []story.Line
+	for _, name := range f.Logs {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "jxctl: open log")
+		}
+		lines, skipped, err := story.Read(file)
+		_ = file.Close()
+		if err != nil {
+			return nil, err
+		}
+		if skipped > 0 {
+			fmt.Fprintf(os.Stderr, "%s: %d lines are not JSON and were left out\n", name, skipped)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+type whyCommand struct {
+	Request string `arg:"" help:"Id of the request."`
+	logFiles
+}
+
+// Run prints the story of one request and its cause.
+func (c *whyCommand) Run() error {
+	lines, err := c.read()
+	if err != nil {
+		return err
+	}
+	if !story.Why(os.Stdout, lines, c.Request) {
+		return errors.Errorf("jxctl: no line on request %s", c.Request)
+	}
+	return nil
+}
+
+type timelineCommand struct {
+	Instance string `arg:"" help:"Name of the instance."`
+	logFiles
+}
+
+// Run prints what an instance did and believed beside its requests.
+func (c *timelineCommand) Run() error {
+	lines, err := c.read()
+	if err != nil {
+		return err
+	}
+	if !story.Timeline(os.Stdout, lines, c.Instance) {
+		return errors.Errorf("jxctl: no line of instance %s", c.Instance)
+	}
+	return nil
+}
--- a/forward/lanes.go
+++ b/forward/lanes.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// laneAge is how long lanes are kept although servers were set aside or came back meanwhile.
-	laneAge = 50 * time.Millisecond
 	// localShare is the part of a domain's own lanes that is filled before requests cross to other domains.
 	localShare = 0.85
 	// fullShare is the part of a lane's memory that is used, counted in whole answers: on the mean, half of an answer has not
@@ -27,8 +25,9 @@
 	mu     sync.Mutex
 	group  *backend.Group
 	states []serverState
-	lanes  []chain.Lane
-	at     time.Time
+	// spare is memory for the next states.
+	spare []serverState
+	lanes []chain.Lane
 	// without is since when there has been no lane, as far as asked.
 	without time.Time
 	// had is true once there was a lane.
@@ -45,21 +44,17 @@
 func (b *laneBook) get(group *backend.Group, now time.Time) []chain.Lane {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.group == group && now.Sub(b.at) < laneAge {
-		return b.lanes
-	}
-	states := make([]serverState, len(group.Servers()))
-	for i, s := range group.Servers() {
-		states[i] = serverState{usable: s.Usable(now), pace: s.Pace(now)}
+	states := b.spare[:0]
+	for _, s := range group.Servers() {
+		states = append(states, serverState{usable: s.Usable(now), pace: s.Pace(now)})
 	}
-	same := b.group == group && slices.Equal(states, b.states)
-	b.at = now
-	if same {
+	if b.group == group && slices.Equal(states, b.states) {
+		b.spare = states
 		return b.lanes
 	}
 	engine := group.Graph().Engine()
 	need := chain.Need{Prompt: engine.UsualPrompt, Tokens: engine.UsualPrompt + engine.UsualAnswer}
-	b.group, b.states = group, states
+	b.group, b.states, b.spare = group, states, b.states
 	b.lanes = chain.Lanes(
 		group.Graph(), func(i int) bool { return states[i].usable }, func(i int) float64 { return states[i].pace }, need,
 	)
--- /dev/null
+++ b/forward/lanes_test.go
@@ -0,0 +1,57 @@
+package forward
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
+	"junctioncross/catalog"
+	"junctioncross/models"
+)
+
+// twoCopies returns a group with two copies of a model in one domain, each of two servers.
+func twoCopies() *backend.Group {
+	service := &catalog.Service{Name: "s", Engine: &catalog.Engine{
+		Layers: 8, LayerMB: 100, TokenBytes: 8000, Step: time.Millisecond, ReadPerSecond: 1e5, UsualPrompt: 100, UsualAnswer: 40,
+		Kinds: []catalog.Kind{{Name: "k", MemoryMB: 1000, StepPace: 1, ReadPace: 1}},
+	}}
+	var servers []*backend.Server
+	for i, layers := range []models.Layers{{First: 0, End: 4}, {First: 4, End: 8}, {First: 0, End: 4}, {First: 4, End: 8}} {
+		servers = append(servers, backend.NewServer(backend.Entry{
+			ID: fmt.Sprint("s", i), Service: "s", Addr: fmt.Sprint("127.0.0.1:", i+1), Domain: "a", Kind: "k", Layers: layers,
+		}))
+	}
+	return backend.NewGroup(service, servers)
+}
+
+func TestLanesAvoidAServerFromTheMomentThatItTurnsWorkAway(t *testing.T) {
+	g := twoCopies()
+	var b laneBook
+	now := time.Unix(100, 0)
+	require.Len(t, b.get(g, now), 2)
+	g.Servers()[1].WasFull(now)
+	lanes := b.get(g, now)
+	require.Len(t, lanes, 1)
+	for _, h := range lanes[0].Hops {
+		require.NotEqual(t, 1, h.Server)
+	}
+	require.Len(t, b.get(g, now.Add(time.Minute)), 2, "it gets work again after a while")
+}
+
+func TestRequestsStayInTheirDomainUntilItIsNearlyFull(t *testing.T) {
+	g := twoCopies()
+	now := time.Unix(100, 0)
+	var b laneBook
+	lanes := b.get(g, now)
+	near := newLaneChoice(g, lanes, "a", now)
+	require.GreaterOrEqual(t, near.pick(), 0)
+	for i := range near.load {
+		near.load[i] = fullShare
+	}
+	require.Equal(t, -1, near.pick(), "a full fleet has no lane")
+	far := newLaneChoice(g, lanes, "b", now)
+	require.GreaterOrEqual(t, far.pick(), 0, "another domain's lanes are used when there is none in the own")
+}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -119,7 +119,7 @@
 		w.lose(first, flights)
 		return
 	}
-	for _, f := range flights {
+	for _, f := range w.onward(first, flights) {
 		if found.broken(f) {
 			w.repair(ctx, f, group)
 		}
@@ -139,11 +139,24 @@
 	return out
 }
 
+// onward returns those of the flights that still start at first: a stream may have been resumed elsewhere meanwhile.
+func (w *watcher) onward(first *backend.Server, flights []*flight) []*flight {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*flight
+	for _, f := range flights {
+		if _, flying := w.flights[f]; flying && f.first == first {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // lose gives up a first part that does not answer: its streams are resumed at others.
 func (w *watcher) lose(first *backend.Server, flights []*flight) {
 	h := w.handler
 	h.stats.Counter("first_parts_lost_total").Inc(1)
-	for _, f := range flights {
+	for _, f := range w.onward(first, flights) {
 		h.record.Failure(f.r.meta.ID, "first part is silent", decision.Fields{
 			"server": first.ID(), "address": first.Addr(), "still_ms": w.stillFor(f).Milliseconds(),
 		})
--- /dev/null
+++ b/story/line.go
@@ -0,0 +1,103 @@
+package story
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// longestLine bounds one line of a log.
+const longestLine = 1 << 20
+
+// Line is one line of an instance's log.
+type Line struct {
+	at       time.Time
+	instance string
+	request  string
+	message  string
+	fields   map[string]any
+}
+
+// Request returns the id of the request that the line is about, or an empty text.
+func (l Line) Request() string { return l.request }
+
+// Instance returns the name of the instance that wrote the line.
+func (l Line) Instance() string { return l.instance }
+
+// Message returns the decision or belief that the line tells.
+func (l Line) Message() string { return l.message }
+
+// Text returns a field as text, or an empty text.
+func (l Line) Text(field string) string {
+	v, ok := l.fields[field]
+	if !ok {
+		return ""
+	}
+	return fmt.Sprint(v)
+}
+
+// Read returns the lines of a log; what stands before the first brace of a line is left out, and lines that are no JSON
+// objects are counted as skipped.
+func Read(from io.Reader) (lines []Line, skipped int, err error) {
+	scanner := bufio.NewScanner(from)
+	scanner.Buffer(make([]byte, 64<<10), longestLine)
+	for scanner.Scan() {
+		start := bytes.IndexByte(scanner.Bytes(), '{')
+		if start < 0 {
+			skipped++
+			continue
+		}
+		line, err := parse(scanner.Bytes()[start:])
+		if err != nil {
+			skipped++
+			continue
+		}
+		lines = append(lines, line)
+	}
+	return lines, skipped, errors.Wrap(scanner.Err(), "story: read log")
+}
+
+func parse(body []byte) (Line, error) {
+	fields := map[string]any{}
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return Line{}, err
+	}
+	line := Line{fields: fields}
+	line.instance, line.request, line.message = line.Text("instance"), line.Text("request"), line.Text("msg")
+	at, err := time.Parse(time.RFC3339Nano, line.Text("time"))
+	line.at = at
+	return line, err
+}
+
+// hidden fields stand elsewhere in a printed line, or say nothing of the decision.
+var hidden = map[string]bool{"time": true, "msg": true, "request": true, "instance": true, "domain": true, "level": true}
+
+// String returns the line for people, its time counted from start.
+func (l Line) format(start time.Time) string {
+	names := make([]string, 0, len(l.fields))
+	for name := range l.fields {
+		if !hidden[name] {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	var out strings.Builder
+	fmt.Fprintf(&out, "%+9.3fs  %-24s %s", l.at.Sub(start).Seconds(), l.instance, l.message)
+	for _, name := range names {
+		fmt.Fprintf(&out, " %s=%s", name, l.Text(name))
+	}
+	return out.String()
+}
+
+func sorted(lines []Line) []Line {
+	out := append([]Line(nil), lines...)
+	sort.SliceStable(out, func(i, j int) bool { return out[i].at.Before(out[j].at) })
+	return out
+}
