--- a/cmd/jxd/check.go
+++ b/cmd/jxd/check.go
@@ -8,13 +8,23 @@
 
 type checkCommand struct {
 	Settings string `arg:"" type:"existingfile" help:"Settings file."`
+	Serve    bool   `help:"The file is one for jxd serve."`
 }
 
 // Run reads and checks the file; every mistake is printed with its line.
 func (c *checkCommand) Run() error {
-	if _, err := config.Load(c.Settings); err != nil {
+	if err := c.load(); err != nil {
 		return err
 	}
 	fmt.Println(c.Settings + ": ok")
 	return nil
 }
+
+func (c *checkCommand) load() error {
+	if c.Serve {
+		_, err := config.LoadHosted(c.Settings)
+		return err
+	}
+	_, err := config.Load(c.Settings)
+	return err
+}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -43,3 +45,46 @@
 	require.NoError(t, err)
 	require.Equal(t, want, string(got), "run jxd reference > docs/CONFIGURATION.md")
 }
+
+const goodHosted = `instance: {name: a1, domain: east}
+listen: {callers: "127.0.0.1:1", readiness: "127.0.0.1:2", metrics: "127.0.0.1:3"}
+store: {addr: "127.0.0.1:4"}
+`
+
+func TestHostedDefaultsHoldWhereTheFileIsSilent(t *testing.T) {
+	s, err := config.ParseHosted("f", []byte(goodHosted+"stop: {grace: 8s}\n"))
+	require.NoError(t, err)
+	require.Equal(t, 8*time.Second, s.Stop.Grace)
+	require.Equal(t, config.DefaultHosted().Repeats, s.Repeats)
+}
+
+func TestEveryMistakeOfAHostedFileIsNamedWithItsLine(t *testing.T) {
+	_, err := config.ParseHosted("f.yaml", []byte(goodHosted+"repeats: {share: 3, window: soon}\nmemory: {megabytes: 1}\nkey: {}\n"))
+	for _, want := range []string{"f.yaml:4: repeats.share", "f.yaml:4: repeats.window", "f.yaml:5: memory.megabytes", "f.yaml:6: key: unknown key"} {
+		require.ErrorContains(t, err, want)
+	}
+}
+
+// TestTheTemplateOfTheSettingsIsSoundOnceItsGapsAreFilled fills every gap of the platform's template with a plain value.
+func TestTheTemplateOfTheSettingsIsSoundOnceItsGapsAreFilled(t *testing.T) {
+	body, err := os.ReadFile("../deploy/settings.yaml")
+	require.NoError(t, err)
+	filled := regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllStringFunc(string(body), func(gap string) string {
+		switch {
+		case strings.Contains(gap, "addr"):
+			return "127.0.0.1:1"
+		case strings.Contains(gap, "strict"):
+			return "true"
+		case strings.Contains(gap, "ratio"):
+			return "0.2"
+		case strings.Contains(gap, "_ms"):
+			return "2000"
+		case strings.Contains(gap, "_mb"):
+			return "284"
+		default:
+			return "8"
+		}
+	})
+	_, err = config.ParseHosted("settings.yaml", []byte(filled))
+	require.NoError(t, err)
+}
--- a/config/reference.go
+++ b/config/reference.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 )
 
-//go:embed instance.go listen.go platform.go keys.go limits.go drain.go log.go settings.go
+//go:embed instance.go listen.go platform.go keys.go limits.go drain.go log.go settings.go hosted.go
 var sources embed.FS
 
 const referenceHead = `# Settings of jxd
@@ -25,6 +25,15 @@
 |---|---|---|---|---|
 `
 
+const hostedHead = `
+## Settings of jxd serve
+
+` + "`jxd check --serve FILE`" + ` checks such a file. ` + "`deploy/settings.yaml`" + ` is the template that the platform fills.
+
+| key | type | accepted | default | meaning |
+|---|---|---|---|---|
+`
+
 // Reference returns the page that describes every setting.
 func Reference() (string, error) {
 	comments, err := fieldComments()
@@ -34,6 +43,8 @@
 	var out strings.Builder
 	out.WriteString(referenceHead)
 	writeFields(&out, "", reflect.ValueOf(Default()), comments)
+	out.WriteString(hostedHead)
+	writeFields(&out, "", reflect.ValueOf(DefaultHosted()), comments)
 	return out.String(), nil
 }
 
