--- a/forward/stream.go
+++ b/forward/stream.go
@@ -139,7 +139,7 @@
 // path whose servers are thought to have room.
 func (h *Handler) choosePath(f *flight) (chain.Path, bool) {
 	group, now := f.r.group, h.clock.Now()
-	lanes := h.laneBook(group.Service().Name).get(group, now)
+	lanes := h.lanesOf(group, now)
 	if len(lanes) > 0 {
 		choice := newLaneChoice(group, lanes, h.terms.Load().Domain, now)
 		i := choice.pick()
