--- a/forward/watch.go
+++ b/forward/watch.go
@@ -145,7 +145,7 @@
 	defer w.mu.Unlock()
 	var out []*flight
 	for _, f := range flights {
-		if _, flying := w.flights[f]; flying && f.first == first {
+		if w.startsAt(f, first) {
 			out = append(out, f)
 		}
 	}
@@ -156,14 +156,27 @@
 func (w *watcher) lose(first *backend.Server, flights []*flight) {
 	h := w.handler
 	h.stats.Counter("first_parts_lost_total").Inc(1)
-	for _, f := range w.onward(first, flights) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, f := range flights {
+		if !w.startsAt(f, first) {
+			continue
+		}
 		h.record.Failure(f.r.meta.ID, "first part is silent", decision.Fields{
 			"server": first.ID(), "address": first.Addr(), "still_ms": w.stillFor(f).Milliseconds(),
 		})
+		// Closing under the lock makes sure that it is still the connection to that server.
 		_ = f.conn.Close()
 	}
 }
 
+// startsAt reports whether a stream is under way at a first part: it may have been resumed elsewhere meanwhile. The caller
+// holds the lock.
+func (w *watcher) startsAt(f *flight, first *backend.Server) bool {
+	_, flying := w.flights[f]
+	return flying && f.first == first
+}
+
 func (w *watcher) stillFor(f *flight) time.Duration {
 	return w.handler.clock.Since(w.start) - time.Duration(f.lastAt.Load())
 }
