--- /dev/null
+++ b/forward/flight.go
@@ -0,0 +1,111 @@
+package forward
+
+import (
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"junctioncross/backend"
+	"junctioncross/call"
+	"junctioncross/chain"
+)
+
+// flight is one stream on its way through a path.
+type flight struct {
+	r      *request
+	events events
+	// begun is true once the head was passed on.
+	begun bool
+
+	first *backend.Server
+	conn  *backend.Conn
+	// lastAt is when the last event came, or the request was sent, in nanoseconds since the handler's start.
+	lastAt atomic.Int64
+	// expected is how long after the sending the first event is due.
+	expected time.Duration
+	// moved is true once a server has sent an event.
+	moved atomic.Bool
+
+	mu sync.Mutex
+	// hops and servers are the path, which a repair may change; they are nil when no attempt is under way.
+	hops    []chain.Hop
+	servers []*backend.Server
+	need    chain.Need
+	repairs int
+}
+
+func resumeFrom(id string) int64 {
+	if id == "" {
+		return -1
+	}
+	last, err := parseID(id)
+	if err != nil {
+		return -1
+	}
+	return last
+}
+
+// assign reserves the path for the flight and gives back what it had before.
+func (f *flight) assign(group *backend.Group, hops []chain.Hop) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.releaseLocked()
+	f.hops = hops
+	f.servers = make([]*backend.Server, len(hops))
+	for i, hop := range hops {
+		f.servers[i] = group.Servers()[hop.Server]
+		f.servers[i].Reserve(f.need.Tokens * hop.Layers.Count())
+	}
+}
+
+func (f *flight) release() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.releaseLocked()
+}
+
+func (f *flight) releaseLocked() {
+	for i, s := range f.servers {
+		s.Release(f.need.Tokens * f.hops[i].Layers.Count())
+	}
+	f.hops, f.servers = nil, nil
+}
+
+// parts returns the path as it is sent.
+func (f *flight) parts() []call.Part {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]call.Part, len(f.hops))
+	for i, hop := range f.hops {
+		out[i] = call.Part{Addr: f.servers[i].Addr(), Layers: hop.Layers}
+	}
+	return out
+}
+
+// tookWork notes that every part of the path has taken the request.
+func (f *flight) tookWork() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		s.TookWork()
+	}
+}
+
+// touch notes that the stream moved.
+func (f *flight) touch(h *Handler) { f.lastAt.Store(int64(h.clock.Since(h.watch.start))) }
+
+// describe returns the path for a log line.
+func (f *flight) describe() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var b strings.Builder
+	for i, hop := range f.hops {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(f.servers[i].ID())
+		b.WriteString(hop.Layers.String())
+	}
+	return b.String()
+}
--- a/forward/lanes.go
+++ b/forward/lanes.go
@@ -8,7 +8,6 @@
 
 	"junctioncross/backend"
 	"junctioncross/chain"
-	"junctioncross/decision"
 )
 
 const (
@@ -187,54 +186,3 @@
 	}
 	return now.Sub(b.without), b.had
 }
-
-// tellPeriod bounds the lines on lanes; servers that are set aside and come back change them several times a second.
-const tellPeriod = time.Second
-
-// lanes returns the lanes of a group and writes a line when they have changed.
-func (h *Handler) lanesOf(group *backend.Group, now time.Time) []chain.Lane {
-	name := group.Service().Name
-	b := h.laneBook(name)
-	before := b.current()
-	lanes := b.get(group, now)
-	if !slices.EqualFunc(before, lanes, sameLane) && b.mayTell(now) {
-		h.tellLanes(name, lanes)
-	}
-	return lanes
-}
-
-func sameLane(a, b chain.Lane) bool { return a.Sequences == b.Sequences && a.Domain == b.Domain }
-
-func (b *laneBook) current() []chain.Lane {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.lanes
-}
-
-func (b *laneBook) mayTell(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if now.Sub(b.told) < tellPeriod {
-		return false
-	}
-	b.told = now
-	return true
-}
-
-// tellLanes writes how many sequences the lanes of the own domain, of others, and those that cross have memory for.
-func (h *Handler) tellLanes(service string, lanes []chain.Lane) {
-	own, others, crossing := 0.0, 0.0, 0.0
-	for i := range lanes {
-		switch {
-		case lanes[i].Domain == h.terms.Load().Domain:
-			own += lanes[i].Sequences
-		case lanes[i].Crossings == 0:
-			others += lanes[i].Sequences
-		default:
-			crossing += lanes[i].Sequences
-		}
-	}
-	h.record.Routine("", "lanes", decision.Fields{
-		"service": service, "lanes": len(lanes), "own_domain": int(own), "other_domains": int(others), "crossing": int(crossing),
-	})
-}
--- /dev/null
+++ b/forward/pass.go
@@ -0,0 +1,79 @@
+package forward
+
+import (
+	"io"
+	"net/http/httputil"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// passEvents passes whole events on as they come; nil means that the stream ended as it should.
+func (h *Handler) passEvents(f *flight, s *sent) error {
+	if s.head.ContentLength() != -1 {
+		return errMalformed
+	}
+	reader := httputil.NewChunkedReader(s.conn.Reader)
+	buffer := make([]byte, streamBuffer)
+	for {
+		n, err := reader.Read(buffer)
+		out, bad := f.events.feed(buffer[:n])
+		if n > 0 {
+			h.observePause(f)
+			f.touch(h)
+		}
+		if len(out) > 0 {
+			h.pass(f, s, out)
+		}
+		switch {
+		case bad != nil:
+			return bad
+		case f.r.x.Failed():
+			return errCallerGone
+		case err == io.EOF:
+			return h.endStream(f, s)
+		case err != nil:
+			return err
+		}
+	}
+}
+
+var errCallerGone = errors.New("forward: caller cannot be reached")
+
+// observePause keeps the distributions of first events and pauses.
+func (h *Handler) observePause(f *flight) {
+	waited := h.clock.Since(h.watch.start) - time.Duration(f.lastAt.Load())
+	if f.moved.Swap(true) {
+		h.stats.Histogram("pause_ms").Update(waited.Milliseconds())
+		return
+	}
+	h.stats.Histogram("first_event_ms").Update(h.clock.Since(f.r.x.Arrived()).Milliseconds())
+	h.stats.Histogram("first_event_predicted_ms").Update(f.expected.Milliseconds())
+}
+
+func (h *Handler) pass(f *flight, s *sent, out []byte) {
+	if f.begun {
+		f.r.x.Stream(out)
+		return
+	}
+	f.begun = true
+	f.r.x.BeginStream(h.codec.AppendAnswer(nil, &s.head), out)
+}
+
+// endStream ends the answer after the last chunk of the server; a part of an event that is left means that it broke off.
+func (h *Handler) endStream(f *flight, s *sent) error {
+	if len(f.events.pending) > 0 {
+		return errMalformed
+	}
+	if err := endChunks(s.conn.Reader); err != nil {
+		return err
+	}
+	if !f.begun {
+		return errMalformed
+	}
+	f.r.x.EndStream(nil)
+	if f.r.x.Failed() {
+		return errCallerGone
+	}
+	return nil
+}
--- /dev/null
+++ b/forward/path.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"junctioncross/chain"
+)
+
+// needOf returns what the request asks of a path.
+func (h *Handler) needOf(r *request) chain.Need {
+	engine := r.group.Graph().Engine()
+	prompt := r.meta.PromptTokens
+	if prompt == 0 {
+		prompt = engine.UsualPrompt
+	}
+	answer := expectedAnswer(r.meta.HintTokens, engine.UsualAnswer)
+	if r.meta.AnswerTokens > 0 {
+		answer = min(answer, r.meta.AnswerTokens)
+	}
+	return chain.Need{Prompt: prompt, Tokens: prompt + answer, Domain: h.terms.Load().Domain}
+}
+
+// hintTrust is the weight of a caller's estimate against the usual answer, on a scale of orders of magnitude: estimates are
+// right in the middle, but often off by half, while answers differ by as much as their length.
+const hintTrust = 0.7
+
+// expectedAnswer returns the tokens that an answer is expected to have.
+func expectedAnswer(hint, usual int) int {
+	if hint < 1 || usual < 1 {
+		return max(hint, usual)
+	}
+	return int(math.Pow(float64(hint), hintTrust) * math.Pow(float64(usual), 1-hintTrust))
+}
+
+// awaitPath returns the path for the next attempt and waits for a little while there is none.
+func (h *Handler) awaitPath(ctx context.Context, f *flight) (chain.Path, bool) {
+	r := f.r
+	until := r.x.Arrived().Add(time.Duration(roomWait * float64(r.route.Objective)))
+	for {
+		path, ok := h.choosePath(f)
+		if ok || !h.clock.Now().Before(until) && !f.begun {
+			return path, ok
+		}
+		select {
+		case <-h.clock.After(roomPoll):
+		case <-ctx.Done():
+			return path, false
+		}
+		if group := h.board.Current().Group(r.group.Service().Name); group != nil {
+			r.group = group
+		}
+	}
+}
+
+// choosePath returns a path for a whole stream: a lane with room, or when there is none because servers are missing, any
+// path whose servers are thought to have room.
+func (h *Handler) choosePath(f *flight) (chain.Path, bool) {
+	group, now := f.r.group, h.clock.Now()
+	lanes := h.lanesOf(group, now)
+	if len(lanes) > 0 {
+		choice := newLaneChoice(group, lanes, h.terms.Load().Domain, now)
+		i := choice.pick()
+		if i < 0 {
+			return chain.Path{}, false
+		}
+		return lanes[i].Path, true
+	}
+	state := &chainState{servers: group.Servers(), engine: group.Graph().Engine(), now: now, factor: h.peersFactor()}
+	return chain.Choose(group.Graph(), state, f.need)
+}
+
+func (h *Handler) laneBook(service string) *laneBook {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.lanes[service]
+	if b == nil {
+		b = &laneBook{}
+		h.lanes[service] = b
+	}
+	return b
+}
+
+func (h *Handler) peersFactor() float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.peers.factor
+}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -75,7 +75,7 @@
 // still reports whether the flight has not moved for longer than it should.
 func (w *watcher) still(f *flight, now time.Time) bool {
 	limit := max(time.Duration(stillShare*float64(f.r.route.PauseObjective)), leastStill)
-	if !f.began.Load() {
+	if !f.moved.Load() {
 		limit = firstStill + f.expected
 	}
 	return now.Sub(w.start)-time.Duration(f.lastAt.Load()) > limit
