--- /dev/null
+++ b/follow/follow_test.go
@@ -0,0 +1,192 @@
+package follow_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
+	"junctioncross/catalog"
+	"junctioncross/follow"
+	"junctioncross/metrics"
+	"junctioncross/timer"
+)
+
+// patience bounds waits that end within some seconds on a sound machine.
+const patience = 30 * time.Second
+
+// source is a Source that a test feeds.
+type source struct {
+	mu      sync.Mutex
+	at      follow.Position
+	config  follow.Change
+	servers map[string]follow.Change
+	news    map[follow.Feed][]follow.Change
+	down    bool
+	changed chan struct{}
+}
+
+func newSource() *source {
+	return &source{at: 1, servers: map[string]follow.Change{}, news: map[follow.Feed][]follow.Change{}, changed: make(chan struct{})}
+}
+
+// tell adds a change; a whole reading holds it as well.
+func (s *source) tell(feed follow.Feed, c follow.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch c := c.(type) {
+	case follow.Configured:
+		s.config = c
+	case follow.ServerSeen:
+		s.servers[c.Entry.ID] = c
+	case follow.ServerGone:
+		delete(s.servers, c.ID)
+	case follow.Unreadable:
+	}
+	s.at++
+	s.news[feed] = append(s.news[feed], c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *source) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Read implements follow.Source.
+func (s *source) Read(_ context.Context, feed follow.Feed) ([]follow.Change, follow.Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, follow.ErrUnavailable
+	}
+	s.news[feed] = nil
+	if feed == follow.FeedConfig {
+		if s.config == nil {
+			return nil, s.at, nil
+		}
+		return []follow.Change{s.config}, s.at, nil
+	}
+	var all []follow.Change
+	for _, c := range s.servers {
+		all = append(all, c)
+	}
+	return all, s.at, nil
+}
+
+// Next implements follow.Source.
+func (s *source) Next(ctx context.Context, feed follow.Feed, _ follow.Position, wait time.Duration) ([]follow.Change, follow.Position, error) {
+	end := time.After(wait)
+	for {
+		s.mu.Lock()
+		news, at, changed, down := s.news[feed], s.at, s.changed, s.down
+		s.news[feed] = nil
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, 0, errors.Wrap(follow.ErrUnavailable, "down")
+		case len(news) > 0:
+			return news, at, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, at, nil
+		case <-ctx.Done():
+			return nil, 0, follow.ErrUnavailable
+		}
+	}
+}
+
+type few struct{}
+
+func (few) Instances() int { return 1 }
+
+func start(t *testing.T, s *source) *follow.Board {
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	board := follow.NewBoard()
+	follow.New(t.Context(), s, few{}, board, timer.NewReal(), metrics.New(), log)
+	return board
+}
+
+func configured(t *testing.T, version int64) follow.Configured {
+	c, err := catalog.New(&catalog.Content{Version: version, Services: []catalog.Service{{Name: "s"}}})
+	require.NoError(t, err)
+	return follow.Configured{Catalog: c}
+}
+
+func seen(id string, leaving bool) follow.ServerSeen {
+	return follow.ServerSeen{Entry: backend.Entry{ID: id, Service: "s", Addr: "127.0.0.1:1", Leaving: leaving}}
+}
+
+func version(b *follow.Board) int64 {
+	if c := b.Current().Catalog(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
+
+func servers(b *follow.Board) int {
+	if g := b.Current().Group("s"); g != nil {
+		return len(g.Servers())
+	}
+	return 0
+}
+
+func soon(t *testing.T, what func() bool) { require.Eventually(t, what, patience, 5*time.Millisecond) }
+
+func TestAConfigurationNeverGoesBackAndABadOneChangesNothing(t *testing.T) {
+	s := newSource()
+	b := start(t, s)
+	s.tell(follow.FeedConfig, configured(t, 5))
+	soon(t, func() bool { return version(b) == 5 })
+	s.tell(follow.FeedConfig, configured(t, 3))
+	s.tell(follow.FeedConfig, follow.Unreadable{Key: "k", Err: errors.New("bad")})
+	s.tell(follow.FeedConfig, configured(t, 9))
+	soon(t, func() bool { return version(b) != 5 })
+	require.EqualValues(t, 9, version(b))
+}
+
+func TestServersComeLeaveAndGo(t *testing.T) {
+	s := newSource()
+	b := start(t, s)
+	s.tell(follow.FeedConfig, configured(t, 1))
+	s.tell(follow.FeedServers, seen("a", false))
+	soon(t, func() bool { return servers(b) == 1 })
+	server := b.Current().Group("s").Servers()[0]
+	s.tell(follow.FeedServers, seen("a", true))
+	soon(t, server.Leaving)
+	s.tell(follow.FeedServers, follow.ServerGone{ID: "a"})
+	soon(t, func() bool { return servers(b) == 0 })
+	require.True(t, server.Gone())
+}
+
+// TestAnEntryThatVanishesWithTheStoreIsKeptUntilItWouldBeBack lets two entries lapse in an outage; one comes back.
+func TestAnEntryThatVanishesWithTheStoreIsKeptUntilItWouldBeBack(t *testing.T) {
+	s := newSource()
+	b := start(t, s)
+	s.tell(follow.FeedConfig, configured(t, 1))
+	s.tell(follow.FeedServers, seen("back", false))
+	s.tell(follow.FeedServers, seen("gone", false))
+	soon(t, func() bool { return servers(b) == 2 })
+	s.setDown(true)
+	age := b.Confirmed()
+	time.Sleep(300 * time.Millisecond)
+	s.tell(follow.FeedServers, follow.ServerGone{ID: "back"})
+	s.tell(follow.FeedServers, follow.ServerGone{ID: "gone"})
+	s.setDown(false)
+	soon(t, func() bool { return b.Confirmed().After(age) })
+	s.tell(follow.FeedServers, seen("back", false))
+	soon(t, func() bool { return servers(b) == 1 })
+	require.Equal(t, "back", b.Current().Group("s").Servers()[0].ID())
+}
--- /dev/null
+++ b/front/front_test.go
@@ -0,0 +1,159 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/catalog"
+	"junctioncross/front"
+	"junctioncross/metrics"
+	"junctioncross/platform"
+	"junctioncross/timer"
+)
+
+// patience bounds waits that end at once on a sound machine.
+const patience = 20 * time.Second
+
+// handler answers as its function says.
+type handler func(ctx context.Context, x *front.Exchange)
+
+// Handle implements front.Handler.
+func (h handler) Handle(ctx context.Context, x *front.Exchange) { h(ctx, x) }
+
+var limits = catalog.Limits{HeaderBytes: 4096, BodyBytes: 1000, HeaderTime: patience, IdleTime: patience}
+
+func serve(t *testing.T, h handler) *front.Server {
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	s := front.New(platform.Codec{}, h, func() catalog.Limits { return limits }, timer.NewReal(), metrics.New(), log)
+	require.NoError(t, s.Listen("127.0.0.1:0"))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func dial(t *testing.T, s *front.Server) (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp4", s.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+	return c, bufio.NewReader(c)
+}
+
+func echo(_ context.Context, x *front.Exchange) {
+	x.Answer([]byte("HTTP/1.1 200 OK\r\n"), []byte(x.Meta().ID+":"+string(x.Body())))
+}
+
+func request(id, body string) string {
+	return fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func answer(t *testing.T, r *bufio.Reader) (int, string) {
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode, string(body)
+}
+
+func TestRequestsOfOneConnectionAreAnsweredInOrder(t *testing.T) {
+	c, r := dial(t, serve(t, echo))
+	_, err := io.WriteString(c, request("r1", "one")+request("r2", "two")+
+		"POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nthr\r\n2\r\nee\r\n0\r\n\r\n")
+	require.NoError(t, err)
+	for _, want := range []string{"r1:one", "r2:two", "r3:three"} {
+		_, body := answer(t, r)
+		require.Equal(t, want, body)
+	}
+}
+
+func TestTheHandlerIsToldWhenItsCallerLeaves(t *testing.T) {
+	left := make(chan struct{})
+	s := serve(t, func(ctx context.Context, _ *front.Exchange) {
+		<-ctx.Done()
+		close(left)
+	})
+	c, _ := dial(t, s)
+	_, err := io.WriteString(c, request("r1", ""))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.Running() == 1 }, patience, time.Millisecond)
+	require.NoError(t, c.Close())
+	select {
+	case <-left:
+	case <-time.After(patience):
+		t.Fatal("the handler was not told")
+	}
+}
+
+func TestAnAnswerThatIsNotWholeDoesNotLookWhole(t *testing.T) {
+	c, r := dial(t, serve(t, func(_ context.Context, x *front.Exchange) {
+		x.BeginStream([]byte("HTTP/1.1 200 OK\r\n"), []byte("first"))
+	}))
+	_, err := io.WriteString(c, request("r1", ""))
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+func TestAStreamComesWholeAndTheConnectionStays(t *testing.T) {
+	c, r := dial(t, serve(t, func(_ context.Context, x *front.Exchange) {
+		x.BeginStream([]byte("HTTP/1.1 200 OK\r\n"), []byte("a"))
+		x.Stream([]byte("b"))
+		x.EndStream([]byte("c"))
+	}))
+	for range 2 {
+		_, err := io.WriteString(c, request("r1", ""))
+		require.NoError(t, err)
+		_, body := answer(t, r)
+		require.Equal(t, "abc", body)
+	}
+}
+
+func TestWhatCannotBeReadIsRefusedAndNotHandled(t *testing.T) {
+	s := serve(t, func(context.Context, *front.Exchange) { t.Error("handled") })
+	for name, one := range map[string]struct {
+		send   string
+		status int
+	}{
+		"large head": {"GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + strings.Repeat("x", 5000) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"large body": {request("r1", strings.Repeat("x", 1001)), http.StatusRequestEntityTooLarge},
+		"no id":      {"GET / HTTP/1.1\r\nHost: h\r\n\r\n", http.StatusBadRequest},
+		"no HTTP":    {"hello\r\n\r\n", http.StatusBadRequest},
+	} {
+		c, r := dial(t, s)
+		_, err := io.WriteString(c, one.send)
+		require.NoError(t, err, name)
+		status, _ := answer(t, r)
+		require.Equal(t, one.status, status, name)
+	}
+}
+
+func TestAServerThatIsLeavingAnswersAndTellsItsCallersToGo(t *testing.T) {
+	s := serve(t, echo)
+	s.Leave()
+	c, r := dial(t, s)
+	_, err := io.WriteString(c, request("r1", "one"))
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.True(t, resp.Close)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "r1:one", string(body))
+	_, err = r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
