--- a/app/hosted.go
+++ b/app/hosted.go
@@ -21,7 +21,7 @@
 	"junctioncross/follow"
 	"junctioncross/forward"
 	"junctioncross/front"
-	"junctioncross/giver"
+	"junctioncross/leader"
 	"junctioncross/metrics"
 	"junctioncross/platform"
 	"junctioncross/timer"
@@ -53,7 +53,7 @@
 	Front   *front.Server
 	Handler *forward.Handler
 	Loop    *follow.Loop
-	Giver   *giver.Giver
+	Leader  *leader.Leader
 	Checks  *checks
 	Queue   *decision.Queue
 	Clock   *timer.Service
@@ -100,13 +100,13 @@
 		func() *platform.Store { return platform.NewStore(set.Store.Addr) },
 		func() call.Codec { return platform.Codec{} },
 		func(s *platform.Store) follow.Source { return platform.NewFeeds(s) },
-		func(s *platform.Store) giver.Claim { return platform.NewClaims(s) },
+		func(s *platform.Store) leader.Claim { return platform.NewClaims(s) },
 		func(s *platform.Store) census.Register { return platform.NewRegisters(s) },
 		func(c *census.Census) forward.Instances { return c },
 		func(c *census.Census) follow.Instances { return c },
 		func() backend.Caller { return platform.NewEngines() },
 		timer.NewReal, metrics.New, follow.NewBoard, follow.New, newQueue, newHostedLog, decision.NewRecorder, hostedTerms,
-		forward.New, newFront, newGiver, newChecks, newCensus,
+		forward.New, newFront, newOrderLeader, newChecks, newCensus,
 	}
 	for _, fn := range constructors {
 		if err := c.Provide(fn); err != nil {
@@ -161,12 +161,12 @@
 	return census.New(ctx, register, set.Instance.Name, clock, stats, log)
 }
 
-func newGiver(
-	ctx context.Context, set *config.Hosted, claim giver.Claim, board *follow.Board, caller backend.Caller, clock *timer.Service,
+func newOrderLeader(
+	ctx context.Context, set *config.Hosted, claim leader.Claim, board *follow.Board, caller backend.Caller, clock *timer.Service,
 	stats *metrics.Registry, log *logrus.Logger,
-) *giver.Giver {
+) *leader.Leader {
 	holder := set.Instance.Name + "/" + strconv.FormatInt(clock.Now().UnixNano(), 36)
-	return giver.New(ctx, claim, holder, board, caller, clock, stats, log)
+	return leader.New(ctx, claim, holder, board, caller, clock, stats, log)
 }
 
 func (i *hosted) run(signals Signals) error {
@@ -216,7 +216,7 @@
 	i.Checks.leave()
 	i.Front.Leave()
 	i.Handler.StopBy(end)
-	i.Giver.Stop()
+	i.Leader.Stop()
 	event := chart.Event("expired")
 	for i.Clock.Now().Before(end) {
 		if i.Clock.Since(begun) >= noticeTime && i.Front.Running() == 0 {
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -86,13 +86,13 @@
 }
 
 // broken reports whether a path passes a server that is dead or no longer holds its part, or one whose entry has vanished.
-func (f *findings) broken(flight *flight) bool {
-	flight.mu.Lock()
-	defer flight.mu.Unlock()
+func (f *findings) broken(one *inflight) bool {
+	one.mu.Lock()
+	defer one.mu.Unlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for i, s := range flight.servers {
-		part := flight.hops[i].Layers
+	for i, s := range one.servers {
+		part := one.hops[i].Layers
 		held, known := f.holds[s]
 		if f.dead[s] || s.Gone() || known && (held.First > part.First || held.End < part.End) {
 			return true
--- a/forward/flight.go
+++ b/forward/inflight.go
@@ -11,8 +11,8 @@
 	"junctioncross/chain"
 )
 
-// flight is one stream on its way through a path.
-type flight struct {
+// inflight is one stream on its way through a path.
+type inflight struct {
 	r      *request
 	events events
 	// begun is true once the head was passed on.
@@ -46,8 +46,8 @@
 	return last
 }
 
-// assign reserves the path for the flight and gives back what it had before.
-func (f *flight) assign(group *backend.Group, hops []chain.Hop) {
+// assign reserves the path for the stream and gives back what it had before.
+func (f *inflight) assign(group *backend.Group, hops []chain.Hop) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.releaseLocked()
@@ -59,13 +59,13 @@
 	}
 }
 
-func (f *flight) release() {
+func (f *inflight) release() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.releaseLocked()
 }
 
-func (f *flight) releaseLocked() {
+func (f *inflight) releaseLocked() {
 	for i, s := range f.servers {
 		s.Release(f.need.Tokens * f.hops[i].Layers.Count())
 	}
@@ -73,7 +73,7 @@
 }
 
 // parts returns the path as it is sent.
-func (f *flight) parts() []call.Part {
+func (f *inflight) parts() []call.Part {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make([]call.Part, len(f.hops))
@@ -84,7 +84,7 @@
 }
 
 // tookWork notes that every part of the path has taken the request.
-func (f *flight) tookWork() {
+func (f *inflight) tookWork() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.servers {
@@ -93,10 +93,10 @@
 }
 
 // touch notes that the stream moved.
-func (f *flight) touch(h *Handler) { f.lastAt.Store(int64(h.clock.Since(h.watch.start))) }
+func (f *inflight) touch(h *Handler) { f.lastAt.Store(int64(h.clock.Since(h.watch.start))) }
 
 // describe returns the path for a log line.
-func (f *flight) describe() string {
+func (f *inflight) describe() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var b strings.Builder
--- a/forward/pass.go
+++ b/forward/pass.go
@@ -9,7 +9,7 @@
 )
 
 // passEvents passes whole events on as they come; nil means that the stream ended as it should.
-func (h *Handler) passEvents(f *flight, s *sent) error {
+func (h *Handler) passEvents(f *inflight, s *sent) error {
 	if s.head.ContentLength() != -1 {
 		return errMalformed
 	}
@@ -41,7 +41,7 @@
 var errCallerGone = errors.New("forward: caller cannot be reached")
 
 // observePause keeps the distributions of first events and pauses.
-func (h *Handler) observePause(f *flight) {
+func (h *Handler) observePause(f *inflight) {
 	waited := h.clock.Since(h.watch.start) - time.Duration(f.lastAt.Load())
 	if f.moved.Swap(true) {
 		h.stats.Histogram("pause_ms").Update(waited.Milliseconds())
@@ -51,7 +51,7 @@
 	h.stats.Histogram("first_event_predicted_ms").Update(f.expected.Milliseconds())
 }
 
-func (h *Handler) pass(f *flight, s *sent, out []byte) {
+func (h *Handler) pass(f *inflight, s *sent, out []byte) {
 	if f.begun {
 		f.r.x.Stream(out)
 		return
@@ -61,7 +61,7 @@
 }
 
 // endStream ends the answer after the last chunk of the server; a part of an event that is left means that it broke off.
-func (h *Handler) endStream(f *flight, s *sent) error {
+func (h *Handler) endStream(f *inflight, s *sent) error {
 	if len(f.events.pending) > 0 {
 		return errMalformed
 	}
--- a/forward/path.go
+++ b/forward/path.go
@@ -35,7 +35,7 @@
 }
 
 // awaitPath returns the path for the next attempt and waits for a little while there is none.
-func (h *Handler) awaitPath(ctx context.Context, f *flight) (chain.Path, bool) {
+func (h *Handler) awaitPath(ctx context.Context, f *inflight) (chain.Path, bool) {
 	r := f.r
 	until := r.x.Arrived().Add(time.Duration(roomWait * float64(r.route.Objective)))
 	for {
@@ -56,7 +56,7 @@
 
 // choosePath returns a path for a whole stream: a lane with room, or when there is none because servers are missing, any
 // path whose servers are thought to have room.
-func (h *Handler) choosePath(f *flight) (chain.Path, bool) {
+func (h *Handler) choosePath(f *inflight) (chain.Path, bool) {
 	group, now := f.r.group, h.clock.Now()
 	lanes := h.lanesOf(group, now)
 	if len(lanes) > 0 {
--- a/forward/stop.go
+++ b/forward/stop.go
@@ -42,7 +42,7 @@
 	}
 	need := h.needOf(r)
 	step := guessStep
-	if path, ok := h.choosePath(&flight{r: r, need: need}); ok {
+	if path, ok := h.choosePath(&inflight{r: r, need: need}); ok {
 		step = path.Step
 	}
 	return now.Add(answerTime(need, step)).Before(by)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -24,7 +24,7 @@
 
 // stream answers a request of a chained engine.
 func (h *Handler) stream(ctx context.Context, r *request) {
-	f := &flight{r: r, events: events{last: resumeFrom(r.meta.ResumeAfter)}}
+	f := &inflight{r: r, events: events{last: resumeFrom(r.meta.ResumeAfter)}}
 	f.need = h.needOf(r)
 	var last outcome
 	for attempt := 1; ; attempt++ {
@@ -39,7 +39,7 @@
 			last = h.outOfBudget(r, last)
 			break
 		}
-		last = h.fly(ctx, f, path, attempt)
+		last = h.attempt(ctx, f, path, attempt)
 		if !h.again(r, last, attempt) {
 			break
 		}
@@ -47,8 +47,8 @@
 	h.concludeStream(ctx, f, last)
 }
 
-// fly sends the request along a path and passes its events on until the answer ends.
-func (h *Handler) fly(ctx context.Context, f *flight, path chain.Path, attempt int) outcome {
+// attempt sends the request along a path and passes its events on until the answer ends.
+func (h *Handler) attempt(ctx context.Context, f *inflight, path chain.Path, attempt int) outcome {
 	r := f.r
 	f.assign(r.group, path.Hops)
 	defer f.release()
@@ -76,15 +76,15 @@
 	}
 	if err != nil {
 		h.finish(s, false)
-		return h.brokenFlight(ctx, f, err)
+		return h.brokenStream(ctx, f, err)
 	}
 	h.observeLoad(f, s)
 	if s.info.Status != fasthttp.StatusOK {
-		return h.refusedFlight(f, s)
+		return h.refusedStream(f, s)
 	}
 	if !s.info.Sealed {
 		h.finish(s, false)
-		return h.brokenFlight(ctx, f, errMalformed)
+		return h.brokenStream(ctx, f, errMalformed)
 	}
 	r.runs++
 	f.tookWork()
@@ -92,22 +92,22 @@
 	h.finish(s, err == nil)
 	if err != nil {
 		r.runs--
-		return h.brokenFlight(ctx, f, err)
+		return h.brokenStream(ctx, f, err)
 	}
 	f.first.Observe(true)
 	f.first.Succeeded()
 	return delivered{}
 }
 
-func (h *Handler) observeLoad(f *flight, s *sent) {
+func (h *Handler) observeLoad(f *inflight, s *sent) {
 	f.first.SetLoad(s.info.Load, h.clock.Now())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.peers.observe(s.info.Load, f.first.Running())
 }
 
-// refusedFlight judges an answer that is not a stream.
-func (h *Handler) refusedFlight(f *flight, s *sent) outcome {
+// refusedStream judges an answer that is not a stream.
+func (h *Handler) refusedStream(f *inflight, s *sent) outcome {
 	body, err := readWhole(s)
 	h.finish(s, err == nil)
 	if s.info.NotRun {
@@ -124,7 +124,7 @@
 }
 
 // blame keeps new work away from the server that was the reason for a refusal.
-func (h *Handler) blame(f *flight, s *sent) {
+func (h *Handler) blame(f *inflight, s *sent) {
 	server := f.first
 	if s.info.Fault != "" {
 		if at := f.r.group.ByAddr(s.info.Fault); at != nil {
@@ -139,8 +139,8 @@
 	}
 }
 
-// brokenFlight judges an attempt whose connection or stream broke.
-func (h *Handler) brokenFlight(ctx context.Context, f *flight, err error) outcome {
+// brokenStream judges an attempt whose connection or stream broke.
+func (h *Handler) brokenStream(ctx context.Context, f *inflight, err error) outcome {
 	f.r.runs++
 	if ctx.Err() != nil || f.r.x.Failed() {
 		f.first.Settled()
@@ -155,7 +155,7 @@
 }
 
 // concludeStream tells the caller how the stream ended; one that has begun and cannot go on is broken off.
-func (h *Handler) concludeStream(ctx context.Context, f *flight, last outcome) {
+func (h *Handler) concludeStream(ctx context.Context, f *inflight, last outcome) {
 	r := f.r
 	if _, whole := last.(delivered); whole || !f.begun {
 		h.conclude(ctx, r, last)
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -38,13 +38,13 @@
 	start   time.Time
 
 	mu      sync.Mutex
-	flights map[*flight]struct{}
+	streams map[*inflight]struct{}
 	// looked holds when the paths that start at a server were last looked at.
 	looked map[*backend.Server]time.Time
 }
 
 func newWatcher(ctx context.Context, h *Handler) *watcher {
-	w := &watcher{handler: h, start: h.clock.Now(), flights: map[*flight]struct{}{}, looked: map[*backend.Server]time.Time{}}
+	w := &watcher{handler: h, start: h.clock.Now(), streams: map[*inflight]struct{}{}, looked: map[*backend.Server]time.Time{}}
 	ticks := h.clock.Subscribe(watchPeriod)
 	go func() {
 		defer ticks.Stop()
@@ -60,20 +60,20 @@
 	return w
 }
 
-func (w *watcher) add(f *flight) {
+func (w *watcher) add(f *inflight) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.flights[f] = struct{}{}
+	w.streams[f] = struct{}{}
 }
 
-func (w *watcher) remove(f *flight) {
+func (w *watcher) remove(f *inflight) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.flights, f)
+	delete(w.streams, f)
 }
 
-// still reports whether the flight has not moved for longer than it should.
-func (w *watcher) still(f *flight, now time.Time) bool {
+// still reports whether the stream has not moved for longer than it should.
+func (w *watcher) still(f *inflight, now time.Time) bool {
 	limit := max(time.Duration(stillShare*float64(f.r.route.PauseObjective)), leastStill)
 	if !f.moved.Load() {
 		limit = firstStill + f.expected
@@ -86,18 +86,18 @@
 	now := w.handler.clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	still := map[*backend.Server][]*flight{}
-	for f := range w.flights {
+	still := map[*backend.Server][]*inflight{}
+	for f := range w.streams {
 		if w.still(f, now) {
 			still[f.first] = append(still[f.first], f)
 		}
 	}
-	for first, flights := range still {
+	for first, streams := range still {
 		if now.Sub(w.looked[first]) < lookAgain {
 			continue
 		}
 		w.looked[first] = now
-		go func() { w.look(ctx, first, flights) }()
+		go func() { w.look(ctx, first, streams) }()
 	}
 	for first, at := range w.looked {
 		if now.Sub(at) > suspectTime {
@@ -107,29 +107,29 @@
 }
 
 // look asks the parts of streams that stand still how they are, and repairs the paths that pass one that does not answer.
-func (w *watcher) look(ctx context.Context, first *backend.Server, flights []*flight) {
+func (w *watcher) look(ctx context.Context, first *backend.Server, streams []*inflight) {
 	h := w.handler
 	h.stats.Counter("looks_total").Inc(1)
 	group := h.board.Current().Group(first.Service())
 	if group == nil {
 		return
 	}
-	found := w.ask(ctx, first, group, partsOf(flights))
+	found := w.ask(ctx, first, group, partsOf(streams))
 	if found.dead[first] {
-		w.lose(first, flights)
+		w.lose(first, streams)
 		return
 	}
-	for _, f := range w.onward(first, flights) {
+	for _, f := range w.onward(first, streams) {
 		if found.broken(f) {
 			w.repair(ctx, f, group)
 		}
 	}
 }
 
-// partsOf returns the servers that the flights pass.
-func partsOf(flights []*flight) map[*backend.Server]bool {
+// partsOf returns the servers that the streams pass.
+func partsOf(streams []*inflight) map[*backend.Server]bool {
 	out := map[*backend.Server]bool{}
-	for _, f := range flights {
+	for _, f := range streams {
 		f.mu.Lock()
 		for _, s := range f.servers {
 			out[s] = true
@@ -139,12 +139,12 @@
 	return out
 }
 
-// onward returns those of the flights that still start at first: a stream may have been resumed elsewhere meanwhile.
-func (w *watcher) onward(first *backend.Server, flights []*flight) []*flight {
+// onward returns those of the streams that still start at first: a stream may have been resumed elsewhere meanwhile.
+func (w *watcher) onward(first *backend.Server, streams []*inflight) []*inflight {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var out []*flight
-	for _, f := range flights {
+	var out []*inflight
+	for _, f := range streams {
 		if w.startsAt(f, first) {
 			out = append(out, f)
 		}
@@ -153,12 +153,12 @@
 }
 
 // lose gives up a first part that does not answer: its streams are resumed at others.
-func (w *watcher) lose(first *backend.Server, flights []*flight) {
+func (w *watcher) lose(first *backend.Server, streams []*inflight) {
 	h := w.handler
 	h.stats.Counter("first_parts_lost_total").Inc(1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, f := range flights {
+	for _, f := range streams {
 		if !w.startsAt(f, first) {
 			continue
 		}
@@ -172,17 +172,17 @@
 
 // startsAt reports whether a stream is under way at a first part: it may have been resumed elsewhere meanwhile. The caller
 // holds the lock.
-func (w *watcher) startsAt(f *flight, first *backend.Server) bool {
-	_, flying := w.flights[f]
+func (w *watcher) startsAt(f *inflight, first *backend.Server) bool {
+	_, flying := w.streams[f]
 	return flying && f.first == first
 }
 
-func (w *watcher) stillFor(f *flight) time.Duration {
+func (w *watcher) stillFor(f *inflight) time.Duration {
 	return w.handler.clock.Since(w.start) - time.Duration(f.lastAt.Load())
 }
 
 // repair gives a stream a new path behind its first part.
-func (w *watcher) repair(ctx context.Context, f *flight, group *backend.Group) {
+func (w *watcher) repair(ctx context.Context, f *inflight, group *backend.Group) {
 	h := w.handler
 	f.mu.Lock()
 	if len(f.hops) == 0 || f.repairs >= mostRepairs {
@@ -214,7 +214,7 @@
 }
 
 // newHops returns the first part and a new path behind it.
-func (w *watcher) newHops(f *flight, group *backend.Group, first chain.Hop, server *backend.Server) ([]chain.Hop, bool) {
+func (w *watcher) newHops(f *inflight, group *backend.Group, first chain.Hop, server *backend.Server) ([]chain.Hop, bool) {
 	index := -1
 	for i, s := range group.Servers() {
 		if s == server {
--- a/giver/giver.go
+++ b/leader/leader.go
@@ -1,4 +1,4 @@
-package giver
+package leader
 
 import (
 	"context"
@@ -31,8 +31,8 @@
 	patience = 1500 * time.Millisecond
 )
 
-// Giver takes part in choosing who gives orders and gives them while it is chosen.
-type Giver struct {
+// Leader takes part in choosing who gives orders and gives them while it is chosen.
+type Leader struct {
 	claim  Claim
 	holder string
 	board  *follow.Board
@@ -48,12 +48,12 @@
 	work  *work
 }
 
-// New returns a Giver and starts it; it ends when ctx ends or Stop is called. Holder names this start of the instance.
+// New returns a Leader and starts it; it ends when ctx ends or Stop is called. Holder names this start of the instance.
 func New(
 	ctx context.Context, claim Claim, holder string, board *follow.Board, caller backend.Caller, clock *timer.Service,
 	stats *metrics.Registry, log *logrus.Logger,
-) *Giver {
-	g := &Giver{
+) *Leader {
+	g := &Leader{
 		claim: claim, holder: holder, board: board, caller: caller, clock: clock, stats: stats, log: log,
 		stop: make(chan struct{}), done: make(chan struct{}), lease: lease{clock: clock},
 	}
@@ -71,15 +71,15 @@
 }
 
 // Gives reports whether this instance gives orders at present.
-func (g *Giver) Gives() bool { return g.gives.Load() }
+func (g *Leader) Gives() bool { return g.gives.Load() }
 
 // Stop gives the right back and returns when that is done.
-func (g *Giver) Stop() {
+func (g *Leader) Stop() {
 	close(g.stop)
 	<-g.done
 }
 
-func (g *Giver) run(ctx context.Context) {
+func (g *Leader) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if g.lease.held() {
 			g.serve(ctx)
@@ -90,7 +90,7 @@
 }
 
 // contend waits for the right to become free and tries to take it.
-func (g *Giver) contend(ctx context.Context) {
+func (g *Leader) contend(ctx context.Context) {
 	g.gives.Store(false)
 	wait, cancel := context.WithTimeout(ctx, awaitTime+claimTime)
 	free, err := g.claim.Await(wait, awaitTime)
@@ -117,12 +117,12 @@
 	}
 	g.lease.taken(grant, before)
 	g.work = newWork(g)
-	g.stats.Counter("giver_terms_total").Inc(1)
+	g.stats.Counter("leader_terms_total").Inc(1)
 	g.log.WithFields(logrus.Fields{"holder": g.holder, "lease": grant.Lease}).Info("gives orders")
 }
 
 // serve keeps the right and gives orders, one round of both.
-func (g *Giver) serve(ctx context.Context) {
+func (g *Leader) serve(ctx context.Context) {
 	g.gives.Store(true)
 	if g.clock.Since(g.lease.kept) >= keepPeriod {
 		g.keep(ctx)
@@ -139,7 +139,7 @@
 	g.pause(ctx, period)
 }
 
-func (g *Giver) keep(ctx context.Context) {
+func (g *Leader) keep(ctx context.Context) {
 	before := g.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, claimTime)
 	defer cancel()
@@ -155,7 +155,7 @@
 }
 
 // resign gives the right back, so that another instance takes over at once.
-func (g *Giver) resign() {
+func (g *Leader) resign() {
 	if g.lease.grant.Lease == 0 {
 		return
 	}
@@ -167,7 +167,7 @@
 	g.gives.Store(false)
 }
 
-func (g *Giver) pause(ctx context.Context, d time.Duration) {
+func (g *Leader) pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-g.clock.After(d):
 	case <-ctx.Done():
--- a/giver/lease.go
+++ b/leader/lease.go
@@ -1,4 +1,4 @@
-package giver
+package leader
 
 import (
 	"context"
@@ -12,11 +12,11 @@
 // Errors of a Claim.
 var (
 	// ErrTaken means that another instance holds the right to give orders.
-	ErrTaken = errors.New("giver: right is taken")
+	ErrTaken = errors.New("leader: right is taken")
 	// ErrOver means that the right has ended.
-	ErrOver = errors.New("giver: right has ended")
+	ErrOver = errors.New("leader: right has ended")
 	// ErrUnavailable means that the store did not answer or turned the call away.
-	ErrUnavailable = errors.New("giver: store is not available")
+	ErrUnavailable = errors.New("leader: store is not available")
 )
 
 // Grant is the right to give orders.
@@ -38,7 +38,7 @@
 }
 
 const (
-	// leaseTime is how long a giver that died keeps others from giving orders: a few renewals.
+	// leaseTime is how long a leader that died keeps others from giving orders: a few renewals.
 	leaseTime = 2 * time.Second
 	// leaseMargin is how much earlier than the store a holder takes its lease as over.
 	leaseMargin = 300 * time.Millisecond
--- a/giver/work.go
+++ b/leader/work.go
@@ -1,4 +1,4 @@
-package giver
+package leader
 
 import (
 	"context"
@@ -36,9 +36,9 @@
 	unsure bool
 }
 
-// work is what a giver remembers of its orders; it ends with its term.
+// work is what a leader remembers of its orders; it ends with its term.
 type work struct {
-	giver   *Giver
+	leader  *Leader
 	pending map[string]*pending
 	// orders holds the number of orders that each server is known to have taken; a fresh start has taken none.
 	orders map[string]int64
@@ -50,12 +50,12 @@
 	coverage []placement.Coverage
 }
 
-func newWork(g *Giver) *work {
-	return &work{giver: g, pending: map[string]*pending{}, orders: map[string]int64{}, known: map[string]bool{}, changed: g.clock.Now()}
+func newWork(g *Leader) *work {
+	return &work{leader: g, pending: map[string]*pending{}, orders: map[string]int64{}, known: map[string]bool{}, changed: g.clock.Now()}
 }
 
 func (w *work) round(ctx context.Context) {
-	snapshot := w.giver.board.Current()
+	snapshot := w.leader.board.Current()
 	for _, group := range snapshot.Groups() {
 		if engine := group.Service().Engine; engine != nil {
 			w.place(ctx, engine, group.Servers())
@@ -71,7 +71,7 @@
 	var seen []placement.Server
 	for _, s := range servers {
 		byID[s.ID()] = s
-		if s.Leaving() || s.Suspected(w.giver.clock.Now()) {
+		if s.Leaving() || s.Suspected(w.leader.clock.Now()) {
 			continue
 		}
 		seen = append(seen, w.view(engine, s))
@@ -92,7 +92,7 @@
 	}
 	w.coverage = coverage
 	for _, c := range coverage {
-		w.giver.log.WithFields(logrus.Fields{
+		w.leader.log.WithFields(logrus.Fields{
 			"model": engine.Model, "of_domain": c.Domain, "missing": c.Missing, "room": c.Room, "servers": c.Servers,
 			"empty": c.Empty, "orders_under_way": len(w.pending),
 		}).Info("coverage")
@@ -110,7 +110,7 @@
 
 // noteChanges remembers when servers last came or went.
 func (w *work) noteChanges(servers []*backend.Server) {
-	now := w.giver.clock.Now()
+	now := w.leader.clock.Now()
 	present := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		present[s.ID()] = true
@@ -130,7 +130,7 @@
 
 // calm reports whether empty servers may get layers now, or have waited long enough.
 func (w *work) calm(servers []placement.Server) bool {
-	now := w.giver.clock.Now()
+	now := w.leader.clock.Now()
 	empty := false
 	for _, s := range servers {
 		empty = empty || s.Settled && s.Layers.Count() == 0
@@ -147,7 +147,7 @@
 
 // settle forgets orders that show in the servers' entries or took too long.
 func (w *work) settle(ctx context.Context, servers []*backend.Server) {
-	now := w.giver.clock.Now()
+	now := w.leader.clock.Now()
 	for _, s := range servers {
 		p := w.pending[s.ID()]
 		switch {
@@ -162,7 +162,7 @@
 
 // ask finds out what became of an order.
 func (w *work) ask(ctx context.Context, s *backend.Server, p *pending) {
-	g := w.giver
+	g := w.leader
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
 	report, err := g.caller.Report(ctx, s.Addr())
@@ -206,7 +206,7 @@
 func (w *work) send(ctx context.Context, s *backend.Server, o placement.Order) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
-	return w.giver.caller.Place(ctx, s.Addr(), s.ID(), backend.PlaceOrder{Layers: o.Layers, ExpectOrders: w.expected(s)})
+	return w.leader.caller.Place(ctx, s.Addr(), s.ID(), backend.PlaceOrder{Layers: o.Layers, ExpectOrders: w.expected(s)})
 }
 
 // expected returns the number of orders that the server is known to have taken.
@@ -214,7 +214,7 @@
 
 // note remembers an order and its outcome.
 func (w *work) note(ctx context.Context, engine *catalog.Engine, s *backend.Server, o placement.Order, err error) {
-	g := w.giver
+	g := w.leader
 	g.stats.Counter("orders_total").Inc(1)
 	load := time.Duration(float64(engine.LoadTime) * float64(o.Layers.Count()) / float64(engine.Layers))
 	p := &pending{layers: o.Layers, at: g.clock.Now(), patience: 2*load + settleSlack}
