revision: let the model of confirmations leave open what an unknown answer leaves open

Cause: the check demanded that a confirmation whose answer is not known took effect whenever the head stood at its base. Change: a nondeterministic model, stricter in one point: an answer that says that nothing was done now allows only that.

--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -95,32 +96,50 @@
 	base revision.Number
 }
 
+// confirmOutput is what an operator is told: accepted, refused for a conflict, surely not done, or neither of these, which
+// means that it may have been.
 type confirmOutput struct {
 	accepted bool
-	unknown  bool
+	conflict bool
+	notDone  bool
 }
 
-// headModel is the head as one register: a plan is accepted when the register stands at its base, or at once again.
-var headModel = porcupine.Model{
-	Init: func() any { return []string{} },
-	Step: func(state, input, output any) (bool, any) {
-		accepted := state.([]string)
-		in, out := input.(confirmInput), output.(confirmOutput)
-		for _, p := range accepted {
-			if p == in.plan {
-				return out.accepted || out.unknown, accepted
-			}
+// headModel is the head as one register: a plan is accepted when the register stands at its base, or at once again. An answer
+// that is not known leaves both possible, and one that says that nothing was done allows only that.
+var headModel = porcupine.NondeterministicModel{
+	Init:  func() []any { return []any{[]string{}} },
+	Step:  stepHead,
+	Equal: func(a, b any) bool { return fmt.Sprint(a) == fmt.Sprint(b) },
+}
+
+func stepHead(state, input, output any) []any {
+	accepted := state.([]string)
+	in, out := input.(confirmInput), output.(confirmOutput)
+	unchanged := []any{accepted}
+	if out.notDone {
+		return unchanged
+	}
+	if slices.Contains(accepted, in.plan) {
+		if out.conflict {
+			return nil
 		}
-		if revision.Number(len(accepted)) == in.base {
-			next := append(append([]string{}, accepted...), in.plan)
-			if out.unknown {
-				return true, next
-			}
-			return out.accepted, next
+		return unchanged
+	}
+	if revision.Number(len(accepted)) != in.base {
+		if out.accepted {
+			return nil
 		}
-		return !out.accepted, accepted
-	},
-	Equal: func(a, b any) bool { return fmt.Sprint(a) == fmt.Sprint(b) },
+		return unchanged
+	}
+	next := append(append([]string{}, accepted...), in.plan)
+	switch {
+	case out.accepted:
+		return []any{next}
+	case out.conflict:
+		return nil
+	default:
+		return []any{next, accepted}
+	}
 }
 
 // TestConfirmationsUnderLostAnswersAreLinearizable lets operators confirm rival plans, each twice, while the service loses
@@ -140,7 +159,7 @@
 			plans := addPlans(t, sound, head, round)
 			history, id = confirmAll(store, clock, plans, history, id)
 		}
-		require.True(t, porcupine.CheckEvents(headModel, history), "seed %d", seed)
+		require.True(t, porcupine.CheckEvents(headModel.ToModel(), history), "seed %d", seed)
 	}
 }
 
@@ -172,7 +191,9 @@
 		all.Go(func() {
 			_, err := store.Confirm(context.Background(), p.ID, "op")
 			var conflict *revision.ConflictError
-			out := confirmOutput{accepted: err == nil, unknown: err != nil && !errors.As(err, &conflict)}
+			out := confirmOutput{
+				accepted: err == nil, conflict: errors.As(err, &conflict), notDone: errors.Is(err, revision.ErrUnavailable),
+			}
 			record(porcupine.Event{ClientId: call, Kind: porcupine.ReturnEvent, Id: call, Value: out})
 		})
 	}
