all: make one piece of what stood twice, and keep a hot path from allocating

Ruled out as the same logic: the error lists of the store's clients, which only look alike; order.Lease and leader, whose stores differ; the fake platform's store and standin.Keys, since only one has transactions, leases of many keys and history.

--- a/app/checks.go
+++ b/app/checks.go
@@ -77,7 +77,7 @@
 		return "leaving", false
 	case current == nil:
 		return "no configuration", false
-	case c.handler.KeysAge() > 0 && current.NeedsKeys() && c.board.KeysAge(c.clock.Now()) > c.handler.KeysAge():
+	case current.NeedsKeys() && !c.handler.KeysConfirmed():
 		return "keys not confirmed", false
 	}
 	if service := c.handler.Pathless(); service != "" {
--- a/app/hosted.go
+++ b/app/hosted.go
@@ -93,8 +93,7 @@
 
 // hostedContainer provides every part of a hosted instance.
 func hostedContainer(ctx context.Context, set *config.Hosted) (*dig.Container, error) {
-	c := dig.New()
-	constructors := []any{
+	return provide(
 		func() context.Context { return ctx },
 		func() *config.Hosted { return set },
 		func() *platform.Store { return platform.NewStore(set.Store.Addr) },
@@ -102,18 +101,11 @@
 		func(s *platform.Store) follow.Source { return platform.NewFeeds(s) },
 		func(s *platform.Store) leader.Claim { return platform.NewClaims(s) },
 		func(s *platform.Store) census.Register { return platform.NewRegisters(s) },
-		func(c *census.Census) forward.Instances { return c },
 		func(c *census.Census) follow.Instances { return c },
 		func() backend.Caller { return platform.NewEngines() },
 		timer.NewReal, metrics.New, follow.NewBoard, follow.New, newQueue, newHostedLog, decision.NewRecorder, hostedTerms,
 		forward.New, newFront, newOrderLeader, newChecks, newCensus,
-	}
-	for _, fn := range constructors {
-		if err := c.Provide(fn); err != nil {
-			return nil, err
-		}
-	}
-	return c, nil
+	)
 }
 
 func newQueue(clock *timer.Service, stats *metrics.Registry) *decision.Queue {
@@ -121,16 +113,7 @@
 }
 
 func newHostedLog(set *config.Hosted, queue *decision.Queue) (*logrus.Logger, error) {
-	level, err := logrus.ParseLevel(set.Log.Level)
-	if err != nil {
-		return nil, err
-	}
-	log := logrus.New()
-	log.SetOutput(queue)
-	log.SetLevel(level)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	log.AddHook(instanceHook{name: set.Instance.Name, domain: set.Instance.Domain})
-	return log, nil
+	return newLogger(queue, set.Log, instanceHook{name: set.Instance.Name, domain: set.Instance.Domain})
 }
 
 func hostedTerms(set *config.Hosted) forward.Terms {
@@ -144,14 +127,14 @@
 	return terms
 }
 
-func newFront(codec call.Codec, handler *forward.Handler, board *follow.Board, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger) *front.Server {
+func newFront(codec call.Codec, handler *forward.Handler, board *follow.Board, clock *timer.Service, stats *metrics.Registry) *front.Server {
 	limits := func() catalog.Limits {
 		if c := board.Current().Catalog(); c != nil {
 			return c.Limits()
 		}
 		return catalog.Limits{}
 	}
-	return front.New(codec, handler, limits, clock, stats, log)
+	return front.New(codec, handler, limits, clock, stats)
 }
 
 func newCensus(
@@ -185,7 +168,7 @@
 		case r := <-signals.Reload:
 			i.reload(r)
 		case <-signals.Stop:
-			i.fire(machine, "stop")
+			fire(i.Log, machine, "stop")
 			return i.leave(machine)
 		}
 	}
@@ -202,12 +185,6 @@
 	i.Log.WithField("needs_restart", restart).Info("settings reloaded")
 }
 
-func (i *hosted) fire(m *chart.Machine, e chart.Event) {
-	if err := m.Fire(e); err != nil {
-		i.Log.WithError(err).Error("unexpected event")
-	}
-}
-
 // leave finishes the requests under way and ends before the grace time does.
 func (i *hosted) leave(m *chart.Machine) error {
 	begun := i.Clock.Now()
@@ -225,7 +202,7 @@
 		}
 		<-i.Clock.After(stopPeriod)
 	}
-	i.fire(m, event)
+	fire(i.Log, m, event)
 	i.Log.WithFields(logrus.Fields{"running": i.Front.Running(), "took_ms": i.Clock.Since(begun).Milliseconds()}).Info("stopped")
 	return nil
 }
--- a/app/provide.go
+++ b/app/provide.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"time"
 
@@ -30,14 +31,18 @@
 
 // container provides every part of an instance.
 func container(ctx context.Context, set *config.Settings) (*dig.Container, error) {
-	c := dig.New()
-	constructors := []any{
+	return provide(
 		func() context.Context { return ctx },
 		func() *config.Settings { return set },
 		timer.NewReal, metrics.New, newLog, newRing, newStore, newSelf, newGates, newKeeper, newClaims, newEntry, newCluster, newLeader, newLoop,
 		revision.NewStore, revision.NewKeeper, view.NewBoard, engine.NewCaller, pool.New, pipeline.New,
 		service.New, link.NewMux, link.NewClient, operator.New,
-	}
+	)
+}
+
+// provide returns a container of the constructors.
+func provide(constructors ...any) (*dig.Container, error) {
+	c := dig.New()
 	for _, fn := range constructors {
 		if err := c.Provide(fn); err != nil {
 			return nil, err
@@ -47,15 +52,20 @@
 }
 
 func newLog(set *config.Settings) (*logrus.Logger, error) {
-	level, err := logrus.ParseLevel(set.Log.Level)
+	return newLogger(os.Stderr, set.Log, instanceHook{name: set.Instance.Name, domain: set.Instance.Domain})
+}
+
+// newLogger returns a logger that writes JSON lines with the instance that they are of.
+func newLogger(out io.Writer, set config.Log, instance instanceHook) (*logrus.Logger, error) {
+	level, err := logrus.ParseLevel(set.Level)
 	if err != nil {
 		return nil, err
 	}
 	log := logrus.New()
-	log.SetOutput(os.Stderr)
+	log.SetOutput(out)
 	log.SetLevel(level)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	log.AddHook(instanceHook{name: set.Instance.Name, domain: set.Instance.Domain})
+	log.AddHook(instance)
 	return log, nil
 }
 
--- a/app/run.go
+++ b/app/run.go
@@ -81,7 +81,7 @@
 	}
 	i.Log.Info("started")
 	i.serveUntil(stop, machine)
-	i.fire(machine, "stop")
+	fire(i.Log, machine, "stop")
 	health.leave()
 	i.Loop.Leave()
 	i.Log.Info("stopping")
@@ -91,7 +91,7 @@
 	if !idle {
 		event = "expired"
 	}
-	i.fire(machine, event)
+	fire(i.Log, machine, event)
 	for _, s := range servers {
 		_ = s.ShutdownWithContext(expiring(ctx))
 	}
@@ -99,9 +99,10 @@
 	return nil
 }
 
-func (i *instance) fire(m *chart.Machine, e chart.Event) {
+// fire moves an instance's chart along; an event that it does not know is a fault of ours and is logged.
+func fire(log *logrus.Logger, m *chart.Machine, e chart.Event) {
 	if err := m.Fire(e); err != nil {
-		i.Log.WithError(err).Error("unexpected event")
+		log.WithError(err).Error("unexpected event")
 	}
 }
 
@@ -121,7 +122,7 @@
 		case <-ticks.C():
 			i.Loop.SetLeads(i.Leader.Leads())
 			if m.Can("configured") && i.Board.Current().Index() != nil {
-				i.fire(m, "configured")
+				fire(i.Log, m, "configured")
 				i.Log.Info("serving")
 			}
 		case <-stop:
--- a/backend/server.go
+++ b/backend/server.go
@@ -110,9 +110,6 @@
 // Leaving reports whether the server takes no new work.
 func (s *Server) Leaving() bool { return s.leaving.Load() || s.gone.Load() }
 
-// Leave marks the server as leaving for good.
-func (s *Server) Leave() { s.leaving.Store(true) }
-
 // Remove marks the server as gone and closes the connections that rest.
 func (s *Server) Remove() {
 	s.gone.Store(true)
--- a/backend/standing.go
+++ b/backend/standing.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"junctioncross/call"
+	"junctioncross/retry"
 )
 
 // Suspect takes the server as gone until a moment, since it did not answer.
@@ -39,7 +40,7 @@
 // WasFull keeps new work away from a server that had no room, longer each time until it takes work again.
 func (s *Server) WasFull(now time.Time) {
 	s.mu.Lock()
-	pause := min(fullTime<<min(s.refusals, 4), longestFull)
+	pause := retry.Doubled(fullTime, longestFull, s.refusals)
 	if !now.Before(s.aside) {
 		s.refusals++
 	}
--- a/census/census.go
+++ b/census/census.go
@@ -46,7 +46,6 @@
 type Census struct {
 	register Register
 	name     string
-	clock    *timer.Service
 	stats    *metrics.Registry
 	log      *logrus.Logger
 	count    atomic.Int64
@@ -55,12 +54,12 @@
 
 // New returns a Census and starts it; it stops when ctx ends. Name is unique among the instances.
 func New(ctx context.Context, register Register, name string, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger) *Census {
-	c := &Census{register: register, name: name, clock: clock, stats: stats, log: log}
+	c := &Census{register: register, name: name, stats: stats, log: log}
 	c.count.Store(Unknown)
 	go func() {
-		c.pause(ctx, time.Duration(rand.Float64()*float64(firstSpread)))
+		clock.Sleep(ctx, time.Duration(rand.Float64()*float64(firstSpread)))
 		for ctx.Err() == nil {
-			c.pause(ctx, c.step(ctx))
+			clock.Sleep(ctx, c.step(ctx))
 		}
 	}()
 	return c
@@ -104,10 +103,3 @@
 	}
 	return next
 }
-
-func (c *Census) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-c.clock.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/config/hosted.go
+++ b/config/hosted.go
@@ -1,13 +1,6 @@
 package config
 
-import (
-	"os"
-	"time"
-
-	"github.com/pkg/errors"
-
-	"junctioncross/strict"
-)
+import "time"
 
 // Hosted is the settings file of jxd serve, which runs in front of a platform's backend servers.
 type Hosted struct {
@@ -98,19 +91,9 @@
 }
 
 // LoadHosted reads the settings file of jxd serve; the error lists every mistake with file, line, key and what is accepted.
-func LoadHosted(path string) (*Hosted, error) {
-	body, err := os.ReadFile(path)
-	if err != nil {
-		return nil, errors.Wrap(err, "config: read settings")
-	}
-	return ParseHosted(path, body)
-}
+func LoadHosted(path string) (*Hosted, error) { return load(path, ParseHosted) }
 
 // ParseHosted reads the settings of jxd serve from YAML; name stands for the file in errors.
 func ParseHosted(name string, body []byte) (*Hosted, error) {
-	s := DefaultHosted()
-	if err := strict.Decode(name, body, &s); err != nil {
-		return nil, err
-	}
-	return &s, nil
+	return decode(name, body, DefaultHosted())
 }
--- a/config/settings.go
+++ b/config/settings.go
@@ -27,19 +27,26 @@
 }
 
 // Load reads a file; the error lists every mistake with file, line, key and what is accepted.
-func Load(path string) (*Settings, error) {
+func Load(path string) (*Settings, error) { return load(path, Parse) }
+
+// load reads a file and parses it.
+func load[T any](path string, parse func(name string, body []byte) (*T, error)) (*T, error) {
 	body, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "config: read settings")
 	}
-	return Parse(path, body)
+	return parse(path, body)
 }
 
 // Parse reads settings from YAML; name stands for the file in errors.
 func Parse(name string, body []byte) (*Settings, error) {
-	s := Default()
-	if err := strict.Decode(name, body, &s); err != nil {
+	return decode(name, body, Default())
+}
+
+// decode reads settings from YAML over those that hold where the file is silent.
+func decode[T any](name string, body []byte, settings T) (*T, error) {
+	if err := strict.Decode(name, body, &settings); err != nil {
 		return nil, err
 	}
-	return &s, nil
+	return &settings, nil
 }
--- a/control/others.go
+++ b/control/others.go
@@ -19,7 +19,7 @@
 // other domains, one at a time.
 func (l *Loop) askOthers(ctx context.Context) {
 	for ctx.Err() == nil {
-		l.sleep(ctx, jittered(othersPeriod))
+		l.deps.Clock.Sleep(ctx, jittered(othersPeriod))
 		if !l.relay.Load() || l.hearsKV.Load() {
 			continue
 		}
--- a/control/poll.go
+++ b/control/poll.go
@@ -119,9 +119,7 @@
 			}
 		}
 		pause := time.Duration(float64(listPeriod) * (0.5 + rand.Float64()/2))
-		select {
-		case <-l.deps.Clock.After(pause):
-		case <-ctx.Done():
+		if !l.deps.Clock.Sleep(ctx, pause) {
 			return
 		}
 	}
--- a/control/relay.go
+++ b/control/relay.go
@@ -9,6 +9,7 @@
 
 	"junctioncross/kv"
 	"junctioncross/link"
+	"junctioncross/retry"
 	"junctioncross/revision"
 )
 
@@ -38,9 +39,9 @@
 			failures = l.askOnce(ctx, &at, failures)
 		case l.deps.Keeper.Revision() == 0 || !l.relayHears():
 			_ = l.askOnce(ctx, &at, failures)
-			l.sleep(ctx, jittered(askPeriod))
+			l.deps.Clock.Sleep(ctx, jittered(askPeriod))
 		default:
-			l.sleep(ctx, checkPeriod)
+			l.deps.Clock.Sleep(ctx, checkPeriod)
 		}
 	}
 }
@@ -58,7 +59,7 @@
 		return 0
 	}
 	l.hearsKV.Store(false)
-	l.sleep(ctx, pauseAfter(failures))
+	l.deps.Clock.Sleep(ctx, pauseAfter(failures))
 	return failures + 1
 }
 
@@ -69,13 +70,13 @@
 	head, written, err := l.deps.Store.Head(call)
 	l.hearsKV.Store(err == nil)
 	if err != nil {
-		l.sleep(ctx, pauseAfter(failures))
+		l.deps.Clock.Sleep(ctx, pauseAfter(failures))
 		return failures + 1
 	}
 	l.post(heard{})
 	*at = written
 	if head.Revision == 0 {
-		l.sleep(ctx, jittered(watchPause))
+		l.deps.Clock.Sleep(ctx, jittered(watchPause))
 		return 0
 	}
 	l.offer(ctx, head)
@@ -83,20 +84,13 @@
 }
 
 func pauseAfter(failures int) time.Duration {
-	return jittered(min(watchPause<<min(failures, 6), longestPause))
+	return jittered(retry.Doubled(watchPause, longestPause, failures))
 }
 
 func jittered(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.5 + rand.Float64()))
 }
 
-func (l *Loop) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-l.deps.Clock.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // offer puts a head from the service in force.
 func (l *Loop) offer(ctx context.Context, head revision.Head) {
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"junctioncross/retry"
 	"junctioncross/timer"
 )
 
@@ -89,10 +90,7 @@
 	if h, ok := heard.(heardChanges); !ok || len(h.changes) == 0 {
 		return
 	}
-	select {
-	case <-p.clock.After(p.rhythm().gather):
-	case <-ctx.Done():
-	}
+	p.clock.Sleep(ctx, p.rhythm().gather)
 }
 
 func (p *pump) step(ctx context.Context) Heard {
@@ -132,12 +130,9 @@
 }
 
 func (p *pump) pause(ctx context.Context) {
-	full := min(firstPause<<min(p.failures, 8), longestPause)
+	full := retry.Doubled(firstPause, longestPause, p.failures)
 	p.failures++
 	// Half of the pause is random, so that instances which failed together do not come back together.
 	pause := full/2 + time.Duration(rand.Float64()*float64(full/2))
-	select {
-	case <-p.clock.After(pause):
-	case <-ctx.Done():
-	}
+	p.clock.Sleep(ctx, pause)
 }
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -78,14 +78,12 @@
 	switch h := h.(type) {
 	case heardAll:
 		l.regained(h.feed)
-		if h.feed == FeedServers {
-			l.dropUnlisted(h.changes)
-		}
-		l.apply(h.changes)
+		dropped := h.feed == FeedServers && l.dropUnlisted(h.changes)
+		l.show(l.apply(h.changes) || dropped)
 		l.confirm(h.feed, h.asked)
 	case heardChanges:
 		l.regained(h.feed)
-		l.apply(h.changes)
+		l.show(l.apply(h.changes))
 		l.confirm(h.feed, h.known)
 	case heardFailure:
 		l.failure(h)
@@ -114,8 +112,8 @@
 	}
 }
 
-// apply takes changes over in order and shows the result at once, never a part of it.
-func (l *Loop) apply(changes []Change) {
+// apply takes changes over in order and reports whether any made a difference.
+func (l *Loop) apply(changes []Change) bool {
 	changed := false
 	for _, c := range changes {
 		switch c := c.(type) {
@@ -130,9 +128,7 @@
 			l.log.WithField("key", c.Key).WithError(c.Err).Error("value not readable, the former one stays in force")
 		}
 	}
-	if changed {
-		l.publish()
-	}
+	return changed
 }
 
 func (l *Loop) configure(c *catalog.Catalog) bool {
@@ -204,8 +200,8 @@
 	delete(l.missing, id)
 }
 
-// dropUnlisted takes the servers as gone that a whole reading does not list.
-func (l *Loop) dropUnlisted(changes []Change) {
+// dropUnlisted takes the servers as gone that a whole reading does not list, and reports whether there were any.
+func (l *Loop) dropUnlisted(changes []Change) bool {
 	listed := make(map[string]bool, len(changes))
 	for _, c := range changes {
 		if s, ok := c.(ServerSeen); ok {
@@ -218,9 +214,7 @@
 			dropped = l.miss(id) || dropped
 		}
 	}
-	if dropped {
-		l.publish()
-	}
+	return dropped
 }
 
 // tidy drops servers that did not come back after an outage, and connections that have rested too long.
@@ -233,17 +227,15 @@
 			dropped = true
 		}
 	}
-	if dropped {
-		l.publish()
-	}
+	l.show(dropped)
 	for _, s := range l.servers {
 		s.CloseExpired(now)
 	}
 }
 
-// publish replaces the snapshot.
-func (l *Loop) publish() {
-	if l.catalog == nil {
+// show replaces the snapshot after a change, as a whole and never with a part of what was heard.
+func (l *Loop) show(changed bool) {
+	if !changed || l.catalog == nil {
 		return
 	}
 	byService := map[string][]*backend.Server{}
--- a/follow/rhythm.go
+++ b/follow/rhythm.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Instances tells how many instances follow the same source.
+// Instances tells how many instances there are, which share the source and the limits.
 type Instances interface{ Instances() int }
 
 // rhythm is how a feed is followed.
--- a/forward/events.go
+++ b/forward/events.go
@@ -88,7 +88,5 @@
 	return strconv.FormatInt(e.last, 10)
 }
 
-func parseID(text string) (int64, error) { return strconv.ParseInt(text, 10, 64) }
-
 // restart forgets the part of an event that a former server did not finish.
 func (e *events) restart() { e.pending = e.pending[:0] }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -36,9 +36,6 @@
 	StallTime time.Duration
 }
 
-// Instances tells how many instances share the limits.
-type Instances interface{ Instances() int }
-
 // freshAge is how old the configuration may be for a refusal that says that a route or key does not exist.
 const freshAge = 2500 * time.Millisecond
 
@@ -51,7 +48,7 @@
 	clock  *timer.Service
 	stats  *metrics.Registry
 	record *decision.Recorder
-	census Instances
+	census follow.Instances
 	watch  *watcher
 
 	mu      sync.Mutex
@@ -66,7 +63,7 @@
 // New returns a Handler and starts to look for streams that stand still; it stops when ctx ends.
 func New(
 	ctx context.Context, terms Terms, board *follow.Board, codec call.Codec, caller backend.Caller, clock *timer.Service,
-	stats *metrics.Registry, record *decision.Recorder, instances Instances,
+	stats *metrics.Registry, record *decision.Recorder, instances follow.Instances,
 ) *Handler {
 	h := &Handler{
 		board: board, codec: codec, caller: caller, clock: clock, stats: stats, record: record, census: instances,
@@ -80,8 +77,11 @@
 // SetTerms replaces the bounds under which the Handler works.
 func (h *Handler) SetTerms(terms Terms) { h.terms.Store(&terms) }
 
-// KeysAge returns how long ago the keys may have been confirmed for keyed requests to be accepted; 0 means any time.
-func (h *Handler) KeysAge() time.Duration { return h.terms.Load().KeysAge }
+// KeysConfirmed reports whether the keys were confirmed lately enough for keyed requests to be accepted.
+func (h *Handler) KeysConfirmed() bool {
+	limit := h.terms.Load().KeysAge
+	return limit == 0 || h.board.KeysAge(h.clock.Now()) <= limit
+}
 
 // request is what the parts of a Handler know of one request.
 type request struct {
@@ -130,7 +130,7 @@
 		return false
 	}
 	if c.NeedsKeys() && !r.route.Public {
-		if limit := h.KeysAge(); limit > 0 && age > limit {
+		if !h.KeysConfirmed() {
 			h.refuse(r, models.ReasonKeysUnconfirmed, soon)
 			return false
 		}
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,8 +16,6 @@
 type inflight struct {
 	r      *request
 	events events
-	// begun is true once the head was passed on.
-	begun bool
 
 	first *backend.Server
 	conn  *backend.Conn
@@ -35,11 +34,9 @@
 	repairs int
 }
 
+// resumeFrom returns the id of the last event that the caller has, -1 when it has none.
 func resumeFrom(id string) int64 {
-	if id == "" {
-		return -1
-	}
-	last, err := parseID(id)
+	last, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
 		return -1
 	}
@@ -95,6 +92,11 @@
 // touch notes that the stream moved.
 func (f *inflight) touch(h *Handler) { f.lastAt.Store(int64(h.clock.Since(h.watch.start))) }
 
+// pause returns for how long the stream has not moved.
+func (f *inflight) pause(h *Handler) time.Duration {
+	return h.clock.Since(h.watch.start) - time.Duration(f.lastAt.Load())
+}
+
 // describe returns the path for a log line.
 func (f *inflight) describe() string {
 	f.mu.Lock()
--- a/forward/lanelog.go
+++ b/forward/lanelog.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"slices"
 	"time"
 
 	"junctioncross/backend"
@@ -16,9 +15,8 @@
 func (h *Handler) lanesOf(group *backend.Group, now time.Time) []chain.Lane {
 	name := group.Service().Name
 	b := h.laneBook(name)
-	before := b.current()
-	lanes := b.get(group, now)
-	if !slices.EqualFunc(before, lanes, sameLane) && b.mayTell(now) {
+	lanes, changed := b.get(group, now)
+	if changed && b.mayTell(now) {
 		h.tellLanes(name, lanes)
 	}
 	return lanes
@@ -26,12 +24,6 @@
 
 func sameLane(a, b chain.Lane) bool { return a.Sequences == b.Sequences && a.Domain == b.Domain }
 
-func (b *laneBook) current() []chain.Lane {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.lanes
-}
-
 func (b *laneBook) mayTell(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/forward/lanes.go
+++ b/forward/lanes.go
@@ -42,8 +42,8 @@
 	pace   float64
 }
 
-// get returns the lanes of the servers that are usable now.
-func (b *laneBook) get(group *backend.Group, now time.Time) []chain.Lane {
+// get returns the lanes of the servers that are usable now, and whether they differ from those of the last call.
+func (b *laneBook) get(group *backend.Group, now time.Time) (lanes []chain.Lane, changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	states := b.spare[:0]
@@ -52,15 +52,16 @@
 	}
 	if b.group == group && slices.Equal(states, b.states) {
 		b.spare = states
-		return b.lanes
+		return b.lanes, false
 	}
 	engine := group.Graph().Engine()
 	need := chain.Need{Prompt: engine.UsualPrompt, Tokens: engine.UsualPrompt + engine.UsualAnswer}
 	b.group, b.states, b.spare = group, states, b.states
+	former := b.lanes
 	b.lanes = chain.Lanes(
 		group.Graph(), func(i int) bool { return states[i].usable }, func(i int) float64 { return states[i].pace }, need,
 	)
-	return b.lanes
+	return b.lanes, !slices.EqualFunc(former, b.lanes, sameLane)
 }
 
 // laneChoice draws lanes for one request.
@@ -174,7 +175,7 @@
 
 // pathless returns for how long there has been no lane, as far as asked, and whether there ever was one.
 func (b *laneBook) pathless(group *backend.Group, now time.Time) (without time.Duration, had bool) {
-	lanes := b.get(group, now)
+	lanes, _ := b.get(group, now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(lanes) > 0 {
--- a/forward/lanes_test.go
+++ b/forward/lanes_test.go
@@ -31,21 +31,25 @@
 	g := twoCopies()
 	var b laneBook
 	now := time.Unix(100, 0)
-	require.Len(t, b.get(g, now), 2)
+	lanes, changed := b.get(g, now)
+	require.Len(t, lanes, 2)
+	require.True(t, changed)
 	g.Servers()[1].WasFull(now)
-	lanes := b.get(g, now)
+	lanes, changed = b.get(g, now)
+	require.True(t, changed)
 	require.Len(t, lanes, 1)
 	for _, h := range lanes[0].Hops {
 		require.NotEqual(t, 1, h.Server)
 	}
-	require.Len(t, b.get(g, now.Add(time.Minute)), 2, "it gets work again after a while")
+	lanes, _ = b.get(g, now.Add(time.Minute))
+	require.Len(t, lanes, 2, "it gets work again after a while")
 }
 
 func TestRequestsStayInTheirDomainUntilItIsNearlyFull(t *testing.T) {
 	g := twoCopies()
 	now := time.Unix(100, 0)
 	var b laneBook
-	lanes := b.get(g, now)
+	lanes, _ := b.get(g, now)
 	near := newLaneChoice(g, lanes, "a", now)
 	require.GreaterOrEqual(t, near.pick(), 0)
 	for i := range near.load {
--- a/forward/pass.go
+++ b/forward/pass.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http/httputil"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -42,7 +41,7 @@
 
 // observePause keeps the distributions of first events and pauses.
 func (h *Handler) observePause(f *inflight) {
-	waited := h.clock.Since(h.watch.start) - time.Duration(f.lastAt.Load())
+	waited := f.pause(h)
 	if f.moved.Swap(true) {
 		h.stats.Histogram("pause_ms").Update(waited.Milliseconds())
 		return
@@ -52,11 +51,10 @@
 }
 
 func (h *Handler) pass(f *inflight, s *sent, out []byte) {
-	if f.begun {
+	if f.r.x.Begun() {
 		f.r.x.Stream(out)
 		return
 	}
-	f.begun = true
 	f.r.x.BeginStream(h.codec.AppendAnswer(nil, &s.head), out)
 }
 
@@ -68,7 +66,7 @@
 	if err := endChunks(s.conn.Reader); err != nil {
 		return err
 	}
-	if !f.begun {
+	if !f.r.x.Begun() {
 		return errMalformed
 	}
 	f.r.x.EndStream(nil)
--- a/forward/path.go
+++ b/forward/path.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"junctioncross/backend"
 	"junctioncross/chain"
 )
 
@@ -40,12 +41,10 @@
 	until := r.x.Arrived().Add(time.Duration(roomWait * float64(r.route.Objective)))
 	for {
 		path, ok := h.choosePath(f)
-		if ok || !h.clock.Now().Before(until) && !f.begun {
+		if ok || !h.clock.Now().Before(until) && !r.x.Begun() {
 			return path, ok
 		}
-		select {
-		case <-h.clock.After(roomPoll):
-		case <-ctx.Done():
+		if !h.clock.Sleep(ctx, roomPoll) {
 			return path, false
 		}
 		if group := h.board.Current().Group(r.group.Service().Name); group != nil {
@@ -67,8 +66,7 @@
 		}
 		return lanes[i].Path, true
 	}
-	state := &chainState{servers: group.Servers(), engine: group.Graph().Engine(), now: now, factor: h.peersFactor()}
-	return chain.Choose(group.Graph(), state, f.need)
+	return chain.Choose(group.Graph(), h.chainState(group, now), f.need)
 }
 
 func (h *Handler) laneBook(service string) *laneBook {
@@ -82,8 +80,9 @@
 	return b
 }
 
-func (h *Handler) peersFactor() float64 {
+// chainState returns what is known of the servers of a group.
+func (h *Handler) chainState(group *backend.Group, now time.Time) *chainState {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.peers.factor
+	return &chainState{servers: group.Servers(), engine: group.Graph().Engine(), now: now, factor: h.peers.factor}
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -122,7 +123,7 @@
 	var best *backend.Server
 	lowest := 0.0
 	for _, s := range g.Servers() {
-		if contains(tried, s) || !s.Usable(now) {
+		if slices.Contains(tried, s) || !s.Usable(now) {
 			continue
 		}
 		if c := h.plainCost(s, now); best == nil || c < lowest {
@@ -132,15 +133,6 @@
 	return best
 }
 
-func contains(servers []*backend.Server, s *backend.Server) bool {
-	for _, t := range servers {
-		if t == s {
-			return true
-		}
-	}
-	return false
-}
-
 // plainCost weighs a server's work for its slots, its distance and its failures; a small random part spreads the requests
 // of instances that know the same.
 func (h *Handler) plainCost(s *backend.Server, now time.Time) float64 {
--- a/forward/stop.go
+++ b/forward/stop.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// noticeTime is how long after the signal the balancer may go on sending connections: two of its checks, one a second.
-	noticeTime = 2500 * time.Millisecond
+	// streamsTime is how long after the signal streams are taken: until the balancer has missed two checks, one a second. What
+	// comes later would hardly be done in time.
+	streamsTime = 2500 * time.Millisecond
 	// plainSlack is how many times its objective a plain request may take on a stopping instance.
 	plainSlack = 4
 	// streamSlack covers answers that are longer and steps that are slower than expected.
@@ -37,7 +38,7 @@
 	if r.group.Graph() == nil {
 		return now.Add(plainSlack * r.route.Objective).Before(by)
 	}
-	if now.Sub(told) > noticeTime {
+	if now.Sub(told) > streamsTime {
 		return false
 	}
 	need := h.needOf(r)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -86,14 +86,13 @@
 		h.finish(s, false)
 		return h.brokenStream(ctx, f, errMalformed)
 	}
-	r.runs++
 	f.tookWork()
 	err = h.passEvents(f, s)
 	h.finish(s, err == nil)
 	if err != nil {
-		r.runs--
 		return h.brokenStream(ctx, f, err)
 	}
+	r.runs++
 	f.first.Observe(true)
 	f.first.Succeeded()
 	return delivered{}
@@ -117,7 +116,7 @@
 	f.first.Observe(false)
 	f.first.Settled()
 	f.r.runs++
-	if err != nil || f.begun {
+	if err != nil || f.r.x.Begun() {
 		return failed{reason: models.ReasonServiceFailed}
 	}
 	return failed{reason: models.ReasonServiceFailed, answer: h.failureAnswer(s, body)}
@@ -133,8 +132,7 @@
 	}
 	h.turnedAway(f.r, server, s)
 	h.inquire(server, "refusal")
-	waited := h.clock.Since(h.watch.start) - time.Duration(f.lastAt.Load())
-	if waited >= h.terms.Load().StallTime/2 {
+	if f.pause(h) >= h.terms.Load().StallTime/2 {
 		server.SetAside(h.clock.Now().Add(h.terms.Load().StallTime))
 	}
 }
@@ -157,7 +155,7 @@
 // concludeStream tells the caller how the stream ended; one that has begun and cannot go on is broken off.
 func (h *Handler) concludeStream(ctx context.Context, f *inflight, last outcome) {
 	r := f.r
-	if _, whole := last.(delivered); whole || !f.begun {
+	if _, whole := last.(delivered); whole || !r.x.Begun() {
 		h.conclude(ctx, r, last)
 		return
 	}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,12 +74,12 @@
 }
 
 // still reports whether the stream has not moved for longer than it should.
-func (w *watcher) still(f *inflight, now time.Time) bool {
+func (w *watcher) still(f *inflight) bool {
 	limit := max(time.Duration(stillShare*float64(f.r.route.PauseObjective)), leastStill)
 	if !f.moved.Load() {
 		limit = firstStill + f.expected
 	}
-	return now.Sub(w.start)-time.Duration(f.lastAt.Load()) > limit
+	return f.pause(w.handler) > limit
 }
 
 // scan starts a look at each first part that has streams which stand still.
@@ -88,7 +89,7 @@
 	defer w.mu.Unlock()
 	still := map[*backend.Server][]*inflight{}
 	for f := range w.streams {
-		if w.still(f, now) {
+		if w.still(f) {
 			still[f.first] = append(still[f.first], f)
 		}
 	}
@@ -163,7 +164,7 @@
 			continue
 		}
 		h.record.Failure(f.r.meta.ID, "first part is silent", decision.Fields{
-			"server": first.ID(), "address": first.Addr(), "still_ms": w.stillFor(f).Milliseconds(),
+			"server": first.ID(), "address": first.Addr(), "still_ms": f.pause(h).Milliseconds(),
 		})
 		// Closing under the lock makes sure that it is still the connection to that server.
 		_ = f.conn.Close()
@@ -177,10 +178,6 @@
 	return flying && f.first == first
 }
 
-func (w *watcher) stillFor(f *inflight) time.Duration {
-	return w.handler.clock.Since(w.start) - time.Duration(f.lastAt.Load())
-}
-
 // repair gives a stream a new path behind its first part.
 func (w *watcher) repair(ctx context.Context, f *inflight, group *backend.Group) {
 	h := w.handler
@@ -203,7 +200,7 @@
 	err := h.caller.Repair(ask, server.Addr(), f.r.meta.ID, f.parts())
 	cancel()
 	h.stats.Counter("repairs_total").Inc(1)
-	fields := decision.Fields{"old_path": old, "path": f.describe(), "still_ms": w.stillFor(f).Milliseconds()}
+	fields := decision.Fields{"old_path": old, "path": f.describe(), "still_ms": f.pause(h).Milliseconds()}
 	if err != nil {
 		h.stats.Counter("repairs_failed_total").Inc(1)
 		fields["error"] = err.Error()
@@ -215,18 +212,11 @@
 
 // newHops returns the first part and a new path behind it.
 func (w *watcher) newHops(f *inflight, group *backend.Group, first chain.Hop, server *backend.Server) ([]chain.Hop, bool) {
-	index := -1
-	for i, s := range group.Servers() {
-		if s == server {
-			index = i
-		}
-	}
-	if index < 0 {
+	first.Server = slices.Index(group.Servers(), server)
+	if first.Server < 0 {
 		return nil, false
 	}
-	first.Server = index
-	h := w.handler
-	state := &chainState{servers: group.Servers(), engine: group.Graph().Engine(), now: h.clock.Now(), factor: h.peersFactor()}
+	state := w.handler.chainState(group, w.handler.clock.Now())
 	path, ok := chain.Extend(group.Graph(), state, f.need, first)
 	if !ok {
 		state.regardless = true
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -24,7 +24,6 @@
 	head    []byte
 	begun   bool
 	whole   bool
-	stream  bool
 	failed  bool
 }
 
@@ -39,7 +38,7 @@
 func releaseExchange(x *Exchange) {
 	x.request.Reset()
 	x.conn, x.meta, x.arrived, x.head = nil, call.Meta{}, time.Time{}, x.head[:0]
-	x.begun, x.whole, x.stream, x.failed = false, false, false, false
+	x.begun, x.whole, x.failed = false, false, false
 	exchanges.Put(x)
 }
 
@@ -85,7 +84,6 @@
 	out = x.appendClose(out)
 	out = appendChunk(out, first)
 	x.head = out
-	x.stream = true
 	x.write(out)
 }
 
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"junctioncross/catalog"
@@ -33,9 +32,7 @@
 var limits = catalog.Limits{HeaderBytes: 4096, BodyBytes: 1000, HeaderTime: patience, IdleTime: patience}
 
 func serve(t *testing.T, h handler) *front.Server {
-	log := logrus.New()
-	log.SetOutput(t.Output())
-	s := front.New(platform.Codec{}, h, func() catalog.Limits { return limits }, timer.NewReal(), metrics.New(), log)
+	s := front.New(platform.Codec{}, h, func() catalog.Limits { return limits }, timer.NewReal(), metrics.New())
 	require.NoError(t, s.Listen("127.0.0.1:0"))
 	t.Cleanup(s.Close)
 	return s
--- a/front/server.go
+++ b/front/server.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 
 	"junctioncross/call"
 	"junctioncross/catalog"
@@ -29,7 +28,6 @@
 	limits  func() catalog.Limits
 	clock   *timer.Service
 	stats   *metrics.Registry
-	log     *logrus.Logger
 	leaving atomic.Bool
 	running atomic.Int64
 
@@ -39,9 +37,9 @@
 }
 
 // New returns a Server that hands requests to handler; limits tells the bounds on callers that are in force.
-func New(codec call.Codec, handler Handler, limits func() catalog.Limits, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger) *Server {
+func New(codec call.Codec, handler Handler, limits func() catalog.Limits, clock *timer.Service, stats *metrics.Registry) *Server {
 	return &Server{
-		codec: codec, handler: handler, limits: limits, clock: clock, stats: stats, log: log, conns: map[*conn]struct{}{},
+		codec: codec, handler: handler, limits: limits, clock: clock, stats: stats, conns: map[*conn]struct{}{},
 	}
 }
 
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,7 +41,6 @@
 	log    *logrus.Logger
 	stop   chan struct{}
 	done   chan struct{}
-	gives  atomic.Bool
 
 	lease lease
 	work  *work
@@ -70,9 +68,6 @@
 	return g
 }
 
-// Gives reports whether this instance gives orders at present.
-func (g *Leader) Gives() bool { return g.gives.Load() }
-
 // Stop gives the right back and returns when that is done.
 func (g *Leader) Stop() {
 	close(g.stop)
@@ -91,18 +86,17 @@
 
 // contend waits for the right to become free and tries to take it.
 func (g *Leader) contend(ctx context.Context) {
-	g.gives.Store(false)
 	wait, cancel := context.WithTimeout(ctx, awaitTime+claimTime)
 	free, err := g.claim.Await(wait, awaitTime)
 	cancel()
 	if err != nil {
-		g.pause(ctx, claimTime)
+		g.clock.Sleep(ctx, claimTime)
 		return
 	}
 	if !free {
 		return
 	}
-	g.pause(ctx, time.Duration(rand.Float64()*float64(startSpread)))
+	g.clock.Sleep(ctx, time.Duration(rand.Float64()*float64(startSpread)))
 	before := g.clock.Now()
 	take, cancel := context.WithTimeout(ctx, claimTime)
 	grant, err := g.claim.Take(take, g.holder, leaseTime)
@@ -112,7 +106,7 @@
 		return
 	case err != nil:
 		g.log.WithError(err).Warn("right to give orders not taken")
-		g.pause(ctx, claimTime)
+		g.clock.Sleep(ctx, claimTime)
 		return
 	}
 	g.lease.taken(grant, before)
@@ -123,7 +117,6 @@
 
 // serve keeps the right and gives orders, one round of both.
 func (g *Leader) serve(ctx context.Context) {
-	g.gives.Store(true)
 	if g.clock.Since(g.lease.kept) >= keepPeriod {
 		g.keep(ctx)
 	}
@@ -131,12 +124,11 @@
 		g.work.round(ctx)
 	}
 	if !g.lease.held() {
-		g.gives.Store(false)
 		g.log.WithField("holder", g.holder).Warn("no longer gives orders")
 		g.lease.drop()
 		return
 	}
-	g.pause(ctx, period)
+	g.clock.Sleep(ctx, period)
 }
 
 func (g *Leader) keep(ctx context.Context) {
@@ -164,12 +156,4 @@
 	if err := g.claim.End(ctx, g.lease.grant); err != nil {
 		g.log.WithError(err).Warn("right to give orders not given back, it ends by itself")
 	}
-	g.gives.Store(false)
-}
-
-func (g *Leader) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-g.clock.After(d):
-	case <-ctx.Done():
-	}
 }
--- a/metrics/registry.go
+++ b/metrics/registry.go
@@ -38,7 +38,12 @@
 
 // Histogram returns the distribution of that name and creates it when there is none; it keeps a sample of bounded size.
 func (r *Registry) Histogram(name string) gometrics.Histogram {
-	return gometrics.GetOrRegisterHistogram(name, r.inner, gometrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	return r.inner.GetOrRegister(name, newHistogram).(gometrics.Histogram)
+}
+
+// newHistogram is called only for a name that is not there yet, since a sample is large.
+func newHistogram() gometrics.Histogram {
+	return gometrics.NewHistogram(gometrics.NewExpDecaySample(sampleSize, sampleAlpha))
 }
 
 // Refused counts one refusal with its reason and fate.
--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -284,13 +284,11 @@
 	a.runner.stats.Retried(retryReason(cause))
 	pause := retry.Pause(a.retries, rand.Float64())
 	a.retries++
-	select {
-	case <-a.runner.clock.After(pause):
-		a.fire("again")
-		return nil
-	case <-ctx.Done():
+	if !a.runner.clock.Sleep(ctx, pause) {
 		return a.fail("gone", models.ReasonCallerGone, cause)
 	}
+	a.fire("again")
+	return nil
 }
 
 func (a *attempt) fail(event chart.Event, reason models.Reason, cause error) error {
--- a/retry/circuit.go
+++ b/retry/circuit.go
@@ -20,9 +20,8 @@
 	if now.Before(c.until) {
 		return
 	}
-	pause := firstOpen << min(c.failures, 5)
+	c.until = now.Add(Doubled(firstOpen, longest, c.failures))
 	c.failures++
-	c.until = now.Add(min(pause, longest))
 	c.trial = false
 }
 
--- a/revision/store.go
+++ b/revision/store.go
@@ -152,10 +152,8 @@
 			return entry, err
 		}
 		written = written || errors.Is(err, ErrUnsure)
-		select {
-		case <-s.clock.After(confirmPause):
-		case <-ctx.Done():
-			return Entry{}, outcome(written)
+		if !s.clock.Sleep(ctx, confirmPause) {
+			break
 		}
 	}
 	return Entry{}, outcome(written)
--- a/timer/service.go
+++ b/timer/service.go
@@ -1,6 +1,7 @@
 package timer
 
 import (
+	"context"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -26,6 +27,16 @@
 // After delivers the time once, when d has passed.
 func (s *Service) After(d time.Duration) <-chan time.Time { return s.clock.After(d) }
 
+// Sleep waits until d has passed and reports true, or false when ctx ends first.
+func (s *Service) Sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-s.clock.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Subscribe delivers the time every period until the subscription is stopped.
 func (s *Service) Subscribe(period time.Duration) *Subscription {
 	return &Subscription{ticker: s.clock.NewTicker(period)}
