relay: let one instance of each domain watch the store for the others

Change: package relay, over the existing QUIC links; the fleet's key and the records of instances in the store; whole reads of newcomers from relays; hung calls end when another call fails; only those that follow the store contend for giving orders. Conclusion: kept; below 24 instances each still watches for itself.

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -21,9 +21,12 @@
 	"junctioncross/follow"
 	"junctioncross/forward"
 	"junctioncross/front"
+	"junctioncross/keys"
 	"junctioncross/leader"
+	"junctioncross/link"
 	"junctioncross/metrics"
 	"junctioncross/platform"
+	"junctioncross/relay"
 	"junctioncross/timer"
 )
 
@@ -54,6 +57,10 @@
 	Handler *forward.Handler
 	Loop    *follow.Loop
 	Leader  *leader.Leader
+	Relay   *relay.Source
+	Links   *link.Client
+	Trust   link.Trust
+	Stats   *metrics.Registry
 	Checks  *checks
 	Queue   *decision.Queue
 	Clock   *timer.Service
@@ -98,13 +105,17 @@
 		func() *config.Hosted { return set },
 		func() *platform.Store { return platform.NewStore(set.Store.Addr) },
 		func() call.Codec { return platform.Codec{} },
-		func(s *platform.Store) follow.Source { return platform.NewFeeds(s) },
+		func(s *platform.Store) relay.Store { return platform.NewFeeds(s) },
+		func(s *relay.Source) follow.Source { return s },
+		func(s *relay.Source) leader.Place { return s },
 		func(s *platform.Store) leader.Claim { return platform.NewClaims(s) },
 		func(s *platform.Store) census.Register { return platform.NewRegisters(s) },
-		func(c *census.Census) follow.Instances { return c },
+		func(c *census.Census) forward.Instances { return c },
+		func(c *census.Census) relay.Fleet { return c },
+		func(c *census.Census) link.Trust { return keys.NewFleetKeyFrom(c.Key) },
 		func() backend.Caller { return platform.NewEngines() },
 		timer.NewReal, metrics.New, follow.NewBoard, follow.New, newQueue, newHostedLog, decision.NewRecorder, hostedTerms,
-		forward.New, newFront, newOrderLeader, newChecks, newCensus,
+		forward.New, newFront, newOrderLeader, newChecks, newCensus, newRelay, link.NewClient,
 	)
 }
 
@@ -141,15 +152,27 @@
 	ctx context.Context, set *config.Hosted, register census.Register, clock *timer.Service, stats *metrics.Registry,
 	log *logrus.Logger,
 ) *census.Census {
-	return census.New(ctx, register, set.Instance.Name, clock, stats, log)
+	self := census.Instance{
+		Name: set.Instance.Name, Domain: set.Instance.Domain, Addr: set.Listen.Peers, Power: set.Instance.Power,
+	}
+	newKey := func() ([]byte, error) { return keys.NewFleetKey(clock.Now()) }
+	return census.New(ctx, register, self, newKey, clock, stats, log)
+}
+
+func newRelay(
+	set *config.Hosted, store relay.Store, fleet relay.Fleet, links *link.Client, clock *timer.Service, stats *metrics.Registry,
+	log *logrus.Logger,
+) *relay.Source {
+	self := relay.Self{Name: set.Instance.Name, Domain: set.Instance.Domain, From: set.Relays.From}
+	return relay.New(self, store, fleet, links, clock, stats, log)
 }
 
 func newOrderLeader(
-	ctx context.Context, set *config.Hosted, claim leader.Claim, board *follow.Board, caller backend.Caller, clock *timer.Service,
-	stats *metrics.Registry, log *logrus.Logger,
+	ctx context.Context, set *config.Hosted, claim leader.Claim, place leader.Place, board *follow.Board, caller backend.Caller,
+	clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
 ) *leader.Leader {
 	holder := set.Instance.Name + "/" + strconv.FormatInt(clock.Now().UnixNano(), 36)
-	return leader.New(ctx, claim, holder, board, caller, clock, stats, log)
+	return leader.New(ctx, claim, place, holder, board, caller, clock, stats, log)
 }
 
 func (i *hosted) run(signals Signals) error {
@@ -163,6 +186,11 @@
 	if err := i.Checks.listen(); err != nil {
 		return err
 	}
+	peers, err := i.listenPeers()
+	if err != nil {
+		return err
+	}
+	defer peers()
 	for {
 		select {
 		case r := <-signals.Reload:
@@ -174,6 +202,23 @@
 	}
 }
 
+// listenPeers starts to answer other instances and returns what ends that; without an address there are none.
+func (i *hosted) listenPeers() (func(), error) {
+	if i.Set.Listen.Peers == "" {
+		return func() {}, nil
+	}
+	mux := link.NewMux()
+	i.Relay.Register(mux)
+	server, err := link.Listen(i.Set.Listen.Peers, i.Trust, mux, i.Stats, i.Log)
+	if err != nil {
+		return nil, err
+	}
+	return func() {
+		i.Links.Close()
+		_ = server.Close()
+	}, nil
+}
+
 // reload takes over the settings that can change while the instance runs; the others need a restart.
 func (i *hosted) reload(r Reload) {
 	if r.Err != nil {
@@ -191,6 +236,7 @@
 	end := begun.Add(i.Set.Stop.Grace - stopMargin)
 	i.Log.WithFields(logrus.Fields{"running": i.Front.Running(), "grace_ms": i.Set.Stop.Grace.Milliseconds()}).Info("stopping")
 	i.Checks.leave()
+	i.Relay.Stop()
 	i.Front.Leave()
 	i.Handler.StopBy(end)
 	i.Leader.Stop()
--- a/app/provide.go
+++ b/app/provide.go
@@ -34,7 +34,7 @@
 	return provide(
 		func() context.Context { return ctx },
 		func() *config.Settings { return set },
-		timer.NewReal, metrics.New, newLog, newRing, newStore, newSelf, newGates, newKeeper, newClaims, newEntry, newCluster, newLeader, newLoop,
+		timer.NewReal, metrics.New, newLog, newRing, func(r *keys.Ring) link.Trust { return r }, newStore, newSelf, newGates, newKeeper, newClaims, newEntry, newCluster, newLeader, newLoop,
 		revision.NewStore, revision.NewKeeper, view.NewBoard, engine.NewCaller, pool.New, pipeline.New,
 		service.New, link.NewMux, link.NewClient, operator.New,
 	)
--- /dev/null
+++ b/census/census_test.go
@@ -0,0 +1,103 @@
+package census_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/census"
+	"junctioncross/metrics"
+	"junctioncross/timer"
+)
+
+const patience = 30 * time.Second
+
+// register is a census.Register in memory.
+type register struct {
+	mu      sync.Mutex
+	members map[int64]census.Instance
+	key     []byte
+	next    int64
+	founded int
+	down    bool
+}
+
+// Join implements census.Register.
+func (r *register) Join(_ context.Context, self census.Instance, _ time.Duration) (int64, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next++
+	r.members[r.next] = self
+	return r.next, nil
+}
+
+// Renew implements census.Register.
+func (r *register) Renew(_ context.Context, lease int64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.members[lease]; !ok {
+		return census.ErrOver
+	}
+	return nil
+}
+
+// List implements census.Register.
+func (r *register) List(context.Context) (census.Roll, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return census.Roll{}, errors.New("down")
+	}
+	roll := census.Roll{Key: r.key}
+	for _, m := range r.members {
+		roll.Members = append(roll.Members, m)
+	}
+	return roll, nil
+}
+
+// Found implements census.Register.
+func (r *register) Found(_ context.Context, key []byte) ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.key == nil {
+		r.key = key
+		r.founded++
+	}
+	return r.key, nil
+}
+
+func start(t *testing.T, r *register, n int) []*census.Census {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	out := make([]*census.Census, n)
+	for i := range out {
+		self := census.Instance{Name: fmt.Sprint("i-", i), Domain: "east", Addr: fmt.Sprint("addr-", i)}
+		newKey := func() ([]byte, error) { return []byte(self.Name), nil }
+		out[i] = census.New(t.Context(), r, self, newKey, timer.NewReal(), metrics.New(), log)
+	}
+	return out
+}
+
+func TestInstancesCountEachOtherAndShareOneKey(t *testing.T) {
+	r := &register{members: map[int64]census.Instance{}}
+	all := start(t, r, 4)
+	require.Equal(t, census.Unknown, all[0].Instances(), "nobody assumes to be alone before the first count")
+	for _, c := range all {
+		require.Eventually(t, func() bool { return c.Instances() == 4 && len(c.Key()) > 0 }, patience, 20*time.Millisecond)
+		require.Equal(t, all[0].Key(), c.Key())
+	}
+	require.Equal(t, 1, r.founded)
+}
+
+func TestOneThatComesLaterKnowsTheOthersAtOnce(t *testing.T) {
+	r := &register{members: map[int64]census.Instance{1: {Name: "old"}, 2: {Name: "older"}}, next: 2, key: []byte("k")}
+	late := start(t, r, 1)[0]
+	require.Eventually(t, func() bool { return len(late.Members()) >= 2 && string(late.Key()) == "k" }, patience, time.Millisecond)
+}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -73,6 +73,8 @@
 		switch {
 		case strings.Contains(gap, "addr"):
 			return "127.0.0.1:1"
+		case strings.Contains(gap, "node_ip"):
+			return "127.0.0.1"
 		case strings.Contains(gap, "strict"):
 			return "true"
 		case strings.Contains(gap, "ratio"):
--- a/config/hosted.go
+++ b/config/hosted.go
@@ -12,6 +12,7 @@
 	Repeats  HostedRepeats  `yaml:"repeats"`
 	Stop     HostedStop     `yaml:"stop"`
 	Engines  HostedEngines  `yaml:"engines"`
+	Relays   HostedRelays   `yaml:"relays"`
 	Log      Log            `yaml:"log"`
 }
 
@@ -21,6 +22,8 @@
 	Name string `yaml:"name" validate:"required"`
 	// Domain is the failure domain that the instance stands in.
 	Domain string `yaml:"domain" validate:"required"`
+	// Power is the processor power of the instance against that of others; the most powerful of a domain is its relay.
+	Power float64 `yaml:"power" validate:"min=0"`
 }
 
 // HostedListen holds the addresses that the instance answers on.
@@ -31,6 +34,8 @@
 	Readiness string `yaml:"readiness" validate:"ipport"`
 	// Metrics is the IP number and port of counters, distributions and profiles.
 	Metrics string `yaml:"metrics" validate:"ipport"`
+	// Peers is the IP number and UDP port for other instances; without one there are no relays.
+	Peers string `yaml:"peers" validate:"omitempty,ipport"`
 	// ReadyPath is the path of the balancer's check.
 	ReadyPath string `yaml:"ready_path" validate:"required"`
 }
@@ -77,16 +82,24 @@
 	StallTime time.Duration `yaml:"stall_time" validate:"min=100ms,max=1m"`
 }
 
+// HostedRelays says when one instance of each domain watches the store for the others.
+type HostedRelays struct {
+	// From is the number of instances from which relays are used; with fewer, each watches the store itself.
+	From int `yaml:"from" validate:"min=2"`
+}
+
 // DefaultHosted returns the settings that hold where the file is silent.
 func DefaultHosted() Hosted {
 	return Hosted{
-		Listen:  HostedListen{ReadyPath: "/ready"},
-		Memory:  HostedMemory{Megabytes: 256},
-		Keys:    HostedKeys{RevokeTime: 5 * time.Second},
-		Repeats: HostedRepeats{Window: 10 * time.Second, Share: 0.2, Slack: 100},
-		Stop:    HostedStop{Grace: 10 * time.Second},
-		Engines: HostedEngines{StallTime: 2 * time.Second},
-		Log:     defaultLog(),
+		Instance: HostedInstance{Power: 1},
+		Listen:   HostedListen{ReadyPath: "/ready"},
+		Memory:   HostedMemory{Megabytes: 256},
+		Keys:     HostedKeys{RevokeTime: 5 * time.Second},
+		Repeats:  HostedRepeats{Window: 10 * time.Second, Share: 0.2, Slack: 100},
+		Stop:     HostedStop{Grace: 10 * time.Second},
+		Engines:  HostedEngines{StallTime: 2 * time.Second},
+		Relays:   HostedRelays{From: 24},
+		Log:      defaultLog(),
 	}
 }
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -63,59 +63,63 @@
 }
 
 // Read implements follow.Source.
-func (s *source) Read(_ context.Context, feed follow.Feed) ([]follow.Change, follow.Position, error) {
+func (s *source) Read(_ context.Context, feed follow.Feed) (follow.News, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, 0, follow.ErrUnavailable
+		return follow.News{}, follow.ErrUnavailable
 	}
 	s.news[feed] = nil
 	if feed == follow.FeedConfig {
 		if s.config == nil {
-			return nil, s.at, nil
+			return s.told(), nil
 		}
-		return []follow.Change{s.config}, s.at, nil
+		return s.told(s.config), nil
 	}
 	var all []follow.Change
 	for _, c := range s.servers {
 		all = append(all, c)
 	}
-	return all, s.at, nil
+	return s.told(all...), nil
 }
 
+// told returns news as of now; the caller holds the lock.
+func (s *source) told(changes ...follow.Change) follow.News {
+	return follow.News{Changes: changes, At: s.at, Known: time.Now()}
+}
+
+// wait is how long Next waits for news.
+const wait = time.Second
+
 // Next implements follow.Source.
-func (s *source) Next(ctx context.Context, feed follow.Feed, _ follow.Position, wait time.Duration) ([]follow.Change, follow.Position, error) {
+func (s *source) Next(ctx context.Context, feed follow.Feed, _ follow.Position) (follow.News, error) {
 	end := time.After(wait)
 	for {
 		s.mu.Lock()
-		news, at, changed, down := s.news[feed], s.at, s.changed, s.down
+		news, changed, down := s.told(s.news[feed]...), s.changed, s.down
 		s.news[feed] = nil
 		s.mu.Unlock()
 		switch {
 		case down:
-			return nil, 0, errors.Wrap(follow.ErrUnavailable, "down")
-		case len(news) > 0:
-			return news, at, nil
+			return follow.News{}, errors.Wrap(follow.ErrUnavailable, "down")
+		case len(news.Changes) > 0:
+			return news, nil
 		}
 		select {
 		case <-changed:
 		case <-end:
-			return nil, at, nil
+			return news, nil
 		case <-ctx.Done():
-			return nil, 0, follow.ErrUnavailable
+			return follow.News{}, follow.ErrUnavailable
 		}
 	}
 }
 
-type few struct{}
-
-func (few) Instances() int { return 1 }
-
 func start(t *testing.T, s *source) *follow.Board {
 	log := logrus.New()
 	log.SetOutput(t.Output())
 	board := follow.NewBoard()
-	follow.New(t.Context(), s, few{}, board, timer.NewReal(), metrics.New(), log)
+	follow.New(t.Context(), s, board, timer.NewReal(), metrics.New(), log)
 	return board
 }
 
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -45,8 +45,7 @@
 
 // New returns a Loop and starts it; it stops when ctx ends.
 func New(
-	ctx context.Context, source Source, instances Instances, board *Board, clock *timer.Service, stats *metrics.Registry,
-	log *logrus.Logger,
+	ctx context.Context, source Source, board *Board, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
 ) *Loop {
 	l := &Loop{
 		board: board, clock: clock, stats: stats, log: log, heard: make(chan Heard, heardQueue),
@@ -54,7 +53,6 @@
 	}
 	for _, feed := range []Feed{FeedConfig, FeedServers} {
 		p := &pump{source: source, clock: clock, feed: feed, out: l.heard}
-		p.rhythm = func() rhythm { return rhythmOf(feed, instances.Instances()) }
 		go func() { p.run(ctx) }()
 	}
 	ticks := clock.Subscribe(houseKeeping)
@@ -78,13 +76,13 @@
 	switch h := h.(type) {
 	case heardAll:
 		l.regained(h.feed)
-		dropped := h.feed == FeedServers && l.dropUnlisted(h.changes)
-		l.show(l.apply(h.changes) || dropped)
-		l.confirm(h.feed, h.asked)
+		dropped := h.feed == FeedServers && l.dropUnlisted(h.Changes)
+		l.show(l.apply(h.Changes) || dropped)
+		l.confirm(h.feed, h.Known)
 	case heardChanges:
 		l.regained(h.feed)
-		l.show(l.apply(h.changes))
-		l.confirm(h.feed, h.known)
+		l.show(l.apply(h.Changes))
+		l.confirm(h.feed, h.Known)
 	case heardFailure:
 		l.failure(h)
 	}
--- a/follow/source.go
+++ b/follow/source.go
@@ -64,11 +64,21 @@
 func (ServerGone) change() {}
 func (Unreadable) change() {}
 
+// News is what one question to a Source brought.
+type News struct {
+	// Changes are in the order in which they happened.
+	Changes []Change
+	// At is where to go on from.
+	At Position
+	// Known is the moment up to which nothing else has changed.
+	Known time.Time
+}
+
 // Source tells what the fleet looks like and how it changes.
 type Source interface {
-	// Read returns everything that the feed holds, and where to go on from; it returns ErrUnavailable.
-	Read(ctx context.Context, feed Feed) ([]Change, Position, error)
-	// Next returns what changed after a position, with none when wait has passed without a change; it returns
+	// Read returns everything that the feed holds; it returns ErrUnavailable.
+	Read(ctx context.Context, feed Feed) (News, error)
+	// Next waits for what changes after a position and returns it, or nothing after a while without a change; it returns
 	// ErrHistoryGone or ErrUnavailable.
-	Next(ctx context.Context, feed Feed, after Position, wait time.Duration) ([]Change, Position, error)
+	Next(ctx context.Context, feed Feed, after Position) (News, error)
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -36,6 +36,9 @@
 	StallTime time.Duration
 }
 
+// Instances tells how many instances there are, which share the limits.
+type Instances interface{ Instances() int }
+
 // freshAge is how old the configuration may be for a refusal that says that a route or key does not exist.
 const freshAge = 2500 * time.Millisecond
 
@@ -48,7 +51,7 @@
 	clock  *timer.Service
 	stats  *metrics.Registry
 	record *decision.Recorder
-	census follow.Instances
+	census Instances
 	watch  *watcher
 
 	mu      sync.Mutex
@@ -63,7 +66,7 @@
 // New returns a Handler and starts to look for streams that stand still; it stops when ctx ends.
 func New(
 	ctx context.Context, terms Terms, board *follow.Board, codec call.Codec, caller backend.Caller, clock *timer.Service,
-	stats *metrics.Registry, record *decision.Recorder, instances follow.Instances,
+	stats *metrics.Registry, record *decision.Recorder, instances Instances,
 ) *Handler {
 	h := &Handler{
 		board: board, codec: codec, caller: caller, clock: clock, stats: stats, record: record, census: instances,
--- a/keys/authority.go
+++ b/keys/authority.go
@@ -81,14 +81,7 @@
 	if err != nil {
 		return errors.Wrap(err, "keys: generate")
 	}
-	template := &x509.Certificate{
-		SerialNumber: serial(), Subject: pkix.Name{CommonName: id.name},
-		NotBefore: now.Add(-backdate), NotAfter: now.Add(certificateLife),
-		KeyUsage:    x509.KeyUsageDigitalSignature,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		URIs:        []*url.URL{id.uri()},
-	}
+	template := holder(id, now)
 	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
 	if err != nil {
 		return errors.Wrap(err, "keys: sign")
@@ -103,6 +96,18 @@
 	return writePEM(filepath.Join(dir, id.name+suffixCert), "CERTIFICATE", der)
 }
 
+// holder returns the template of an identity's certificate.
+func holder(id Identity, now time.Time) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: serial(), Subject: pkix.Name{CommonName: id.name},
+		NotBefore: now.Add(-backdate), NotAfter: now.Add(certificateLife),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		URIs:        []*url.URL{id.uri()},
+	}
+}
+
 func writePEM(path, kind string, der []byte) error {
 	body := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
 	return errors.Wrap(os.WriteFile(path, body, fileMode), "keys: write")
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -17,8 +17,11 @@
 const (
 	// period is how often holdings are compared with what is wanted.
 	period = 200 * time.Millisecond
-	// awaitTime bounds one wait for the right to become free.
-	awaitTime = 10 * time.Second
+	// awaitTime bounds one wait for the right to become free. A wait that hangs in an outage ends so much later at most, and
+	// few instances wait.
+	awaitTime = 4 * time.Second
+	// standBack is how often an instance that hears of the fleet through another one looks whether it still does.
+	standBack = 500 * time.Millisecond
 	// claimTime bounds a call that takes or keeps the right.
 	claimTime = 800 * time.Millisecond
 	// startSpread keeps instances that start together from all asking for the right at once.
@@ -30,9 +33,17 @@
 	patience = 1500 * time.Millisecond
 )
 
+// Place tells where an instance stands in the fleet.
+type Place interface {
+	// Direct reports whether the instance follows the platform's store itself. Others leave it to those that do to give
+	// orders: they know first what changes, and each waiting call has its price.
+	Direct() bool
+}
+
 // Leader takes part in choosing who gives orders and gives them while it is chosen.
 type Leader struct {
 	claim  Claim
+	place  Place
 	holder string
 	board  *follow.Board
 	caller backend.Caller
@@ -48,11 +59,11 @@
 
 // New returns a Leader and starts it; it ends when ctx ends or Stop is called. Holder names this start of the instance.
 func New(
-	ctx context.Context, claim Claim, holder string, board *follow.Board, caller backend.Caller, clock *timer.Service,
+	ctx context.Context, claim Claim, place Place, holder string, board *follow.Board, caller backend.Caller, clock *timer.Service,
 	stats *metrics.Registry, log *logrus.Logger,
 ) *Leader {
 	g := &Leader{
-		claim: claim, holder: holder, board: board, caller: caller, clock: clock, stats: stats, log: log,
+		claim: claim, place: place, holder: holder, board: board, caller: caller, clock: clock, stats: stats, log: log,
 		stop: make(chan struct{}), done: make(chan struct{}), lease: lease{clock: clock},
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -86,6 +97,10 @@
 
 // contend waits for the right to become free and tries to take it.
 func (g *Leader) contend(ctx context.Context) {
+	if !g.place.Direct() {
+		g.clock.Sleep(ctx, standBack)
+		return
+	}
 	wait, cancel := context.WithTimeout(ctx, awaitTime+claimTime)
 	free, err := g.claim.Await(wait, awaitTime)
 	cancel()
--- a/link/client.go
+++ b/link/client.go
@@ -8,22 +8,21 @@
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 
-	"junctioncross/keys"
 	"junctioncross/metrics"
 )
 
 // Client calls other instances and keeps its connections while they are in use.
 type Client struct {
-	ring  *keys.Ring
+	trust Trust
 	stats *metrics.Registry
 
 	mu    sync.Mutex
 	conns map[string]*quic.Conn
 }
 
-// NewClient returns a Client that shows the ring's certificate.
-func NewClient(ring *keys.Ring, stats *metrics.Registry) *Client {
-	return &Client{ring: ring, stats: stats, conns: map[string]*quic.Conn{}}
+// NewClient returns a Client that shows the instance's certificate.
+func NewClient(trust Trust, stats *metrics.Registry) *Client {
+	return &Client{trust: trust, stats: stats, conns: map[string]*quic.Conn{}}
 }
 
 // Call sends a question to the instance at addr; it returns ErrUnreachable, ErrLost or ErrRefused.
@@ -87,7 +86,7 @@
 	if conn != nil && conn.Context().Err() == nil {
 		return conn, nil
 	}
-	conn, err := quic.DialAddr(ctx, addr, c.ring.Client(protocol), settings())
+	conn, err := quic.DialAddr(ctx, addr, c.trust.Client(protocol), settings())
 	if err != nil {
 		return nil, err
 	}
--- a/link/server.go
+++ b/link/server.go
@@ -42,8 +42,8 @@
 }
 
 // Listen starts a Server on addr, an IP number and UDP port.
-func Listen(addr string, ring *keys.Ring, mux *Mux, stats *metrics.Registry, log *logrus.Logger) (*Server, error) {
-	listener, err := quic.ListenAddr(addr, ring.Server(protocol), settings())
+func Listen(addr string, trust Trust, mux *Mux, stats *metrics.Registry, log *logrus.Logger) (*Server, error) {
+	listener, err := quic.ListenAddr(addr, trust.Server(protocol), settings())
 	if err != nil {
 		return nil, errors.Wrapf(err, "link: listen on %s", addr)
 	}
--- a/link/wire.go
+++ b/link/wire.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"crypto/tls"
 	"io"
 	"time"
 
@@ -15,6 +16,14 @@
 	idle       = 20 * time.Second
 )
 
+// Trust holds what an instance proves itself with and decides whose proof it accepts.
+type Trust interface {
+	// Server returns settings for a listener that demands a proof of its callers.
+	Server(protocols ...string) *tls.Config
+	// Client returns settings for connections to instances, whatever their address.
+	Client(protocols ...string) *tls.Config
+}
+
 // Kind names a call.
 type Kind uint8
 
@@ -27,6 +36,7 @@
 	KindStatus
 	KindClaim
 	KindNews
+	KindFollow
 )
 
 // Errors of this layer.
--- /dev/null
+++ b/relay/poll.go
@@ -0,0 +1,116 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/follow"
+	"junctioncross/keys"
+	"junctioncross/link"
+)
+
+const (
+	// peerWait is the longest that a relay holds a question: a relay that has died is noticed that much later at most.
+	peerWait = 800 * time.Millisecond
+	// peerAnswer is how much longer the answer may take: many times what a call within the building takes on a slow machine.
+	peerAnswer = 400 * time.Millisecond
+	// freshTime is how long ago a relay's configuration may have been confirmed: a whole wait at the store and its answer.
+	freshTime = configWait + 600*time.Millisecond
+)
+
+// Reasons for which a relay does not serve.
+var (
+	errNotDirect = errors.New("relay: does not follow the store itself")
+	errBehind    = errors.New("relay: history does not reach back that far")
+)
+
+// poll asks a relay for news.
+type poll struct {
+	Feed  follow.Feed     `cbor:"1,keyasint"`
+	After follow.Position `cbor:"2,keyasint"`
+	// Whole asks for everything that the feed holds.
+	Whole bool `cbor:"3,keyasint,omitempty"`
+}
+
+// told answers a poll.
+type told struct {
+	Records []Record        `cbor:"1,keyasint,omitempty"`
+	At      follow.Position `cbor:"2,keyasint"`
+	// Known is the moment up to which nothing else has changed, as time since the poll arrived; it may be negative.
+	Known time.Duration `cbor:"3,keyasint"`
+	// Behind is true when the relay's history does not reach back to the position.
+	Behind bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Register adds the relay's call to those that the instance answers.
+func (s *Source) Register(mux *link.Mux) {
+	link.Handle(mux, link.KindFollow, func(ctx context.Context, _ keys.Identity, p poll) (told, error) {
+		return s.serve(ctx, p)
+	})
+}
+
+// serve holds a poll until there is news or peerWait has passed.
+func (s *Source) serve(ctx context.Context, p poll) (told, error) {
+	if p.Feed < 0 || int(p.Feed) >= len(s.logs) {
+		return told{}, errors.New("relay: unknown feed")
+	}
+	arrived := s.clock.Now()
+	if p.Whole {
+		return s.serveWhole(p.Feed, arrived)
+	}
+	wait := s.clock.After(peerWait)
+	for {
+		v := s.logs[p.Feed].since(p.After)
+		switch {
+		case s.stopped.Load() || !v.direct || !s.fresh():
+			return told{}, errNotDirect
+		case !v.whole:
+			return told{Behind: true}, nil
+		case len(v.records) > 0:
+			return answerOf(v, arrived), nil
+		}
+		select {
+		case <-v.changed:
+		case <-wait:
+			return answerOf(s.logs[p.Feed].since(p.After), arrived), nil
+		case <-ctx.Done():
+			return told{}, ctx.Err()
+		}
+	}
+}
+
+func (s *Source) serveWhole(feed follow.Feed, arrived time.Time) (told, error) {
+	v := s.logs[feed].all()
+	if s.stopped.Load() || !v.direct || !s.fresh() {
+		return told{}, errNotDirect
+	}
+	return answerOf(v, arrived), nil
+}
+
+func answerOf(v view, arrived time.Time) told {
+	return told{Records: v.records, At: v.at, Known: v.known.Sub(arrived)}
+}
+
+// fresh reports whether the configuration was confirmed lately, which tells that the store still answers.
+func (s *Source) fresh() bool {
+	return s.clock.Since(s.logs[follow.FeedConfig].since(0).known) <= freshTime
+}
+
+// ask polls the relay at addr.
+func (s *Source) ask(ctx context.Context, addr string, p poll) (heard, error) {
+	s.stats.Counter("relay_polls_total").Inc(1)
+	ctx, cancel := context.WithTimeout(ctx, peerWait+peerAnswer)
+	defer cancel()
+	asked := s.clock.Now()
+	t, err := link.Call[poll, told](ctx, s.links, addr, link.KindFollow, p)
+	if err != nil {
+		return heard{}, errors.Wrap(follow.ErrUnavailable, err.Error())
+	}
+	if t.Behind {
+		return heard{}, errors.Wrap(follow.ErrUnavailable, errBehind.Error())
+	}
+	// The poll arrived after it was sent, so that the relay's word is counted a little too old rather than too new.
+	return heard{records: t.Records, at: t.At, known: asked.Add(t.Known)}, nil
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,293 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/census"
+	"junctioncross/follow"
+	"junctioncross/keys"
+	"junctioncross/link"
+	"junctioncross/metrics"
+	"junctioncross/relay"
+	"junctioncross/timer"
+)
+
+// patience bounds waits that end within some seconds on a sound machine.
+const patience = 30 * time.Second
+
+// store is a relay.Store that a test writes to and counts the calls of.
+type store struct {
+	mu      sync.Mutex
+	at      follow.Position
+	records []relay.Record
+	changed chan struct{}
+	calls   map[string]int
+	// silent names the callers that get no answer.
+	silent map[string]bool
+}
+
+func newStore() *store {
+	return &store{at: 1, changed: make(chan struct{}), calls: map[string]int{}, silent: map[string]bool{}}
+}
+
+// put adds a change of the servers.
+func (s *store) put(key string, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	s.records = append(s.records, relay.Record{Key: key, Revision: s.at, Gone: gone})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) count(caller string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[caller]
+}
+
+func (s *store) silence(caller string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[caller] = silent
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// view is the store as one instance sees it.
+type view struct {
+	*store
+	caller string
+}
+
+func (v view) enter() (silent bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.calls[v.caller]++
+	return v.silent[v.caller]
+}
+
+// ReadFeed implements relay.Store.
+func (v view) ReadFeed(ctx context.Context, feed follow.Feed) ([]relay.Record, follow.Position, error) {
+	if v.enter() {
+		<-ctx.Done()
+		return nil, 0, follow.ErrUnavailable
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if feed == follow.FeedConfig {
+		return nil, v.at, nil
+	}
+	return append([]relay.Record(nil), v.records...), v.at, nil
+}
+
+// WatchFeed implements relay.Store.
+func (v view) WatchFeed(
+	ctx context.Context, feed follow.Feed, after follow.Position, wait time.Duration,
+) ([]relay.Record, follow.Position, error) {
+	v.enter()
+	end := time.After(wait)
+	for {
+		v.mu.Lock()
+		var news []relay.Record
+		for _, r := range v.records {
+			if r.Revision > after && feed == follow.FeedServers {
+				news = append(news, r)
+			}
+		}
+		at, changed, silent := v.at, v.changed, v.silent[v.caller]
+		v.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return nil, 0, follow.ErrUnavailable
+		}
+		if len(news) > 0 {
+			return news, at, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, at, nil
+		case <-ctx.Done():
+			return nil, 0, follow.ErrUnavailable
+		}
+	}
+}
+
+// Decode implements relay.Store.
+func (view) Decode(records []relay.Record) []follow.Change {
+	var out []follow.Change
+	for _, r := range records {
+		out = append(out, follow.ServerGone{ID: r.Key})
+	}
+	return out
+}
+
+// fleet is the same list of instances for all.
+type fleet struct{ members []census.Instance }
+
+// Members implements relay.Fleet.
+func (f fleet) Members() []census.Instance { return f.members }
+
+// instance follows the servers and remembers what it heard, and when it last knew that nothing else had changed.
+type instance struct {
+	*relay.Source
+	mu    sync.Mutex
+	heard []string
+	known time.Time
+	stop  func()
+}
+
+func (i *instance) has(n int) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.heard) == n
+}
+
+func (i *instance) age() time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return time.Since(i.known)
+}
+
+// follow runs the instance's feeds; heard holds the servers' changes, known the configuration's last confirmation.
+func (i *instance) follow(ctx context.Context, feed follow.Feed) {
+	news, err := i.Read(ctx, feed)
+	for ctx.Err() == nil {
+		if err == nil {
+			i.take(feed, news)
+		} else {
+			time.Sleep(50 * time.Millisecond)
+		}
+		news, err = i.Next(ctx, feed, news.At)
+	}
+}
+
+func (i *instance) take(feed follow.Feed, news follow.News) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if feed == follow.FeedConfig {
+		i.known = news.Known
+		return
+	}
+	for _, c := range news.Changes {
+		i.heard = append(i.heard, c.(follow.ServerGone).ID)
+	}
+}
+
+func freeUDP(t *testing.T) string {
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
+// run starts instances of one domain over real links.
+func run(t *testing.T, s *store, n int) []*instance {
+	key, err := keys.NewFleetKey(time.Now())
+	require.NoError(t, err)
+	trust := keys.NewFleetKeyFrom(func() []byte { return key })
+	f := fleet{}
+	for i := range n {
+		f.members = append(f.members, census.Instance{
+			Name: fmt.Sprint("i-", i), Domain: "east", Addr: freeUDP(t), Power: float64(n - i),
+		})
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	out := make([]*instance, n)
+	for i, m := range f.members {
+		clock, stats := timer.NewReal(), metrics.New()
+		links := link.NewClient(trust, stats)
+		self := relay.Self{Name: m.Name, Domain: m.Domain, From: 2}
+		one := &instance{Source: relay.New(self, view{store: s, caller: m.Name}, f, links, clock, stats, log)}
+		mux := link.NewMux()
+		one.Register(mux)
+		server, err := link.Listen(m.Addr, trust, mux, stats, log)
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		one.stop = func() {
+			cancel()
+			links.Close()
+			_ = server.Close()
+		}
+		t.Cleanup(one.stop)
+		go func() { one.follow(ctx, follow.FeedConfig) }()
+		go func() { one.follow(ctx, follow.FeedServers) }()
+		out[i] = one
+	}
+	return out
+}
+
+func soon(t *testing.T, what func() bool) { require.Eventually(t, what, patience, 10*time.Millisecond) }
+
+// TestOneInstanceAsksTheStoreForAll also checks that what the others know is as new as the relay's own knowledge allows.
+func TestOneInstanceAsksTheStoreForAll(t *testing.T) {
+	s := newStore()
+	all := run(t, s, 4)
+	soon(t, func() bool { return all[0].Direct() && !all[3].Direct() })
+	soon(t, func() bool { return all[3].age() < time.Second })
+	before := s.count("i-3")
+	for n := range 5 {
+		s.put(fmt.Sprint("s-", n), false)
+		for _, i := range all {
+			soon(t, func() bool { return i.has(n + 1) })
+		}
+	}
+	require.Equal(t, before, s.count("i-3"), "an instance with a relay leaves the store alone")
+}
+
+func TestWhenTheRelayEndsTheOthersAskElsewhere(t *testing.T) {
+	s := newStore()
+	all := run(t, s, 3)
+	soon(t, func() bool { return all[0].Direct() })
+	all[0].Stop()
+	all[0].stop()
+	s.put("news", false)
+	for _, i := range all[1:] {
+		soon(t, func() bool { return i.has(1) })
+		soon(t, func() bool { return i.age() < 2*time.Second })
+	}
+}
+
+// TestARelayThatHearsNothingDoesNotServe cuts the relay from the store: it must not pass on what it has as if it were new, and
+// it hears by others itself.
+func TestARelayThatHearsNothingDoesNotServe(t *testing.T) {
+	s := newStore()
+	all := run(t, s, 3)
+	soon(t, func() bool { return all[0].Direct() && all[2].age() < time.Second })
+	s.silence("i-0", true)
+	s.put("news", false)
+	for _, i := range all[1:] {
+		soon(t, func() bool { return i.has(1) && i.age() < 2*time.Second })
+	}
+	s.silence("i-0", false)
+	soon(t, func() bool { return all[0].has(1) })
+}
+
+// TestNobodyClaimsToKnowMoreThanTheStoreTold freezes the store's word: once all calls hang, the moment up to which instances
+// know must not move on, however they ask each other.
+func TestNobodyClaimsToKnowMoreThanTheStoreTold(t *testing.T) {
+	s := newStore()
+	all := run(t, s, 4)
+	soon(t, func() bool { return all[3].age() < time.Second })
+	for n := range all {
+		s.silence(fmt.Sprint("i-", n), true)
+	}
+	cut := time.Now()
+	time.Sleep(2 * time.Second)
+	for _, i := range all {
+		i.mu.Lock()
+		require.False(t, i.known.After(cut), "known %s after the store fell silent", i.known.Sub(cut))
+		i.mu.Unlock()
+	}
+}
