forward: repair lost parts only, for all streams at once, and end looks in time

Three reasons: a question to a dark server hung for the client's 0.5 s of dialling although it was allowed 0.1 s; a repair replaced the whole path, so that hundreds of streams read their tokens anew on the same fast servers and over the links between domains; only the streams that stood still together with the first one were repaired, one after the other. Change: chain.Mend fills the gaps of a path, in the domain where it can; what a look finds serves all streams; servers that have just moved a stream are not asked; the second question follows after 25 ms and both end after 75 ms. The line 'finished' of a stream tells its first event, longest pause and repairs. Tests: forward/watch_test.go, chain/mend_test.go; three of them failed before the change.

--- a/chain/graph.go
+++ b/chain/graph.go
@@ -62,6 +62,14 @@
 	return g
 }
 
+// domainOfServer returns the index of a server's domain, -1 for one that is not in the graph.
+func (g *Graph) domainOfServer(server int) int {
+	if d, ok := g.domainOf[server]; ok {
+		return d
+	}
+	return -1
+}
+
 // Engine returns the cost model of the graph's servers.
 func (g *Graph) Engine() *catalog.Engine { return g.engine }
 
--- /dev/null
+++ b/chain/mend_test.go
@@ -0,0 +1,110 @@
+package chain_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"junctioncross/catalog"
+	"junctioncross/chain"
+	"junctioncross/models"
+)
+
+// roomy is a chain.State of servers with room; those that are named have none.
+type roomy struct{ full map[int]bool }
+
+func (roomy) Usable(int) bool       { return true }
+func (roomy) Sequences(int) float64 { return 0 }
+func (roomy) Penalty(int) float64   { return 1 }
+func (p roomy) Room(s int) float64 {
+	if p.full[s] {
+		return 0
+	}
+	return 1e12
+}
+
+func mendEngine() *catalog.Engine {
+	return &catalog.Engine{
+		Layers: 12, LayerMB: 100, TokenBytes: 8000, Step: time.Millisecond, ReadPerSecond: 1e5, UsualPrompt: 100, UsualAnswer: 40,
+		ActivationBytes: 29500, PipeMbps: 4000, Kinds: []catalog.Kind{{Name: "k", MemoryMB: 1000, StepPace: 1, ReadPace: 1}},
+	}
+}
+
+func node(e *catalog.Engine, server int, domain string, first, end int) chain.Node {
+	return chain.Node{Server: server, Domain: domain, Kind: &e.Kinds[0], Layers: models.Layers{First: first, End: end}}
+}
+
+func evenly() float64 { return 1 }
+
+func hop(server, first, end int) chain.Hop {
+	return chain.Hop{Server: server, Layers: models.Layers{First: first, End: end}}
+}
+
+// TestARepairKeepsTheSoundPartsAndStaysInTheDomain loses the middle part of three; the fastest way would be elsewhere.
+func TestARepairKeepsTheSoundPartsAndStaysInTheDomain(t *testing.T) {
+	e := mendEngine()
+	e.Kinds = append(e.Kinds, catalog.Kind{Name: "fast", MemoryMB: 1000, StepPace: 0.01, ReadPace: 0.01})
+	fast := node(e, 4, "b", 0, 12)
+	fast.Kind = &e.Kinds[1]
+	g := chain.NewGraph(e, []chain.Node{
+		node(e, 0, "a", 0, 4), node(e, 1, "a", 4, 8), node(e, 2, "a", 8, 12), node(e, 3, "a", 3, 9), fast,
+	})
+	r := chain.Repair{
+		Hops: []chain.Hop{hop(0, 0, 4), hop(1, 4, 8), hop(2, 8, 12)}, Lost: func(s int) bool { return s == 1 }, Tokens: 500, Spread: evenly,
+	}
+	hops, ok := chain.Mend(g, roomy{}, r)
+	require.True(t, ok)
+	require.Equal(t, []chain.Hop{hop(0, 0, 4), hop(3, 4, 8), hop(2, 8, 12)}, hops)
+
+	hops, ok = chain.Mend(g, roomy{full: map[int]bool{3: true}}, r)
+	require.True(t, ok)
+	require.Equal(t, []chain.Hop{hop(0, 0, 4), hop(4, 4, 8), hop(2, 8, 12)}, hops, "another domain when the own has no room")
+
+	_, ok = chain.Mend(g, roomy{full: map[int]bool{3: true, 4: true}}, r)
+	require.False(t, ok)
+}
+
+// TestRepairedPathsTileTheModel draws servers, a path and losses.
+func TestRepairedPathsTileTheModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := mendEngine()
+		var nodes []chain.Node
+		for s := range rapid.IntRange(4, 30).Draw(t, "servers") {
+			first := rapid.IntRange(0, 11).Draw(t, "first")
+			end := rapid.IntRange(first+1, 12).Draw(t, "end")
+			nodes = append(nodes, node(e, s, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"), first, end))
+		}
+		g := chain.NewGraph(e, nodes)
+		path, ok := chain.Choose(g, roomy{}, chain.Need{Prompt: 10, Tokens: 20, Domain: "a"})
+		if !ok {
+			return
+		}
+		lost := map[int]bool{}
+		for _, s := range rapid.SliceOf(rapid.IntRange(0, len(nodes)-1)).Draw(t, "lost") {
+			lost[s] = true
+		}
+		r := chain.Repair{Hops: path.Hops, Lost: func(s int) bool { return lost[s] }, Tokens: 100, Spread: evenly}
+		hops, ok := chain.Mend(g, roomy{}, r)
+		if !ok {
+			return
+		}
+		at, seen := 0, map[int]bool{}
+		for _, h := range hops {
+			require.Equal(t, at, h.Layers.First)
+			require.Greater(t, h.Layers.End, h.Layers.First)
+			held := nodes[h.Server].Layers
+			require.True(t, held.First <= h.Layers.First && h.Layers.End <= held.End, "a part runs only layers that it holds")
+			require.False(t, seen[h.Server], "no server twice")
+			require.False(t, lost[h.Server])
+			seen[h.Server], at = true, h.Layers.End
+		}
+		require.Equal(t, e.Layers, at)
+		for _, h := range path.Hops {
+			if !lost[h.Server] {
+				require.Contains(t, hops, h, "sound parts keep their layers")
+			}
+		}
+	})
+}
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -12,15 +12,16 @@
 )
 
 const (
-	// quickAnswer is how long the first question to a part may take: many times what one takes in the same building.
-	quickAnswer = 50 * time.Millisecond
-	// sureAnswer is how long the second question may take, which is asked so that one lost packet does not make a sound
-	// server look dead.
-	sureAnswer = 60 * time.Millisecond
+	// secondQuestion is how long after the first question to a part it is asked again, on another connection, so that one lost
+	// packet does not make a sound server look dead.
+	secondQuestion = 25 * time.Millisecond
+	// answerLimit is how long both may take: many times what an answer takes in the same building.
+	answerLimit = 75 * time.Millisecond
 )
 
 // findings is what a look at some servers found.
 type findings struct {
+	now  time.Time
 	mu   sync.Mutex
 	dead map[*backend.Server]bool
 	// holds tells the layers of the servers that answered.
@@ -30,17 +31,15 @@
 // ask asks servers how they are, all at once. Those that refuse the connection, stay silent twice, or are named by the
 // first part as what it waits for, are dead.
 func (w *watcher) ask(ctx context.Context, first *backend.Server, group *backend.Group, servers map[*backend.Server]bool) *findings {
-	found := &findings{dead: map[*backend.Server]bool{}, holds: map[*backend.Server]models.Layers{}}
+	found := &findings{
+		now: w.handler.clock.Now(), dead: map[*backend.Server]bool{}, holds: map[*backend.Server]models.Layers{},
+	}
+	servers[first] = true
 	var all sync.WaitGroup
 	for s := range servers {
-		if s != first && !s.MayAsk(w.handler.clock.Now()) {
-			continue
+		if s == first || s.MayAsk(found.now) {
+			all.Go(func() { w.askOne(ctx, found, s, group, s == first) })
 		}
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			w.askOne(ctx, found, s, group, s == first)
-		}()
 	}
 	all.Wait()
 	return found
@@ -48,10 +47,7 @@
 
 func (w *watcher) askOne(ctx context.Context, found *findings, s *backend.Server, group *backend.Group, first bool) {
 	h := w.handler
-	report, err := w.question(ctx, s, quickAnswer)
-	if errors.Is(err, backend.ErrNoAnswer) && !errors.Is(err, backend.ErrNotThere) {
-		report, err = w.question(ctx, s, sureAnswer)
-	}
+	report, err := w.questions(ctx, s)
 	h.believe(s, report, err, "slow stream")
 	if err != nil {
 		found.add(s)
@@ -72,11 +68,42 @@
 	}
 }
 
-func (w *watcher) question(ctx context.Context, s *backend.Server, limit time.Duration) (backend.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+// answered is what one question brought.
+type answered struct {
+	report backend.Report
+	err    error
+}
+
+// questions asks a server, a second time when the first question stays open, and returns the first answer.
+func (w *watcher) questions(ctx context.Context, s *backend.Server) (backend.Report, error) {
+	h := w.handler
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
-	w.handler.stats.Counter("inquiries_total{reason=\"slow stream\"}").Inc(1)
-	return w.handler.caller.Report(ctx, s.Addr())
+	// A call may outlast its context while it opens a connection; the answer is not waited for then.
+	answers := make(chan answered, 2)
+	ask := func() {
+		h.stats.Counter("inquiries_total{reason=\"slow stream\"}").Inc(1)
+		report, err := h.caller.Report(ctx, s.Addr())
+		answers <- answered{report, err}
+	}
+	go ask()
+	select {
+	case a := <-answers:
+		return a.report, a.err
+	case <-h.clock.After(secondQuestion):
+	}
+	go ask()
+	for range 2 {
+		select {
+		case a := <-answers:
+			if a.err == nil || errors.Is(a.err, backend.ErrNotThere) {
+				return a.report, a.err
+			}
+		case <-ctx.Done():
+			return backend.Report{}, errors.Wrap(backend.ErrNoAnswer, ctx.Err().Error())
+		}
+	}
+	return backend.Report{}, errors.Wrap(backend.ErrNoAnswer, "asked twice")
 }
 
 func (f *findings) add(s *backend.Server) {
@@ -85,18 +112,32 @@
 	f.dead[s] = true
 }
 
-// broken reports whether a path passes a server that is dead or no longer holds its part, or one whose entry has vanished.
-func (f *findings) broken(one *inflight) bool {
-	one.mu.Lock()
-	defer one.mu.Unlock()
+// lost returns the servers that are dead.
+func (f *findings) lost() []*backend.Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for i, s := range one.servers {
-		part := one.hops[i].Layers
-		held, known := f.holds[s]
-		if f.dead[s] || s.Gone() || known && (held.First > part.First || held.End < part.End) {
+	out := make([]*backend.Server, 0, len(f.dead))
+	for s := range f.dead {
+		out = append(out, s)
+	}
+	return out
+}
+
+// broken reports whether a path passes a server that is dead or no longer holds its part, or one whose entry has vanished.
+func (f *findings) broken(one *inflight) bool {
+	c := one.course()
+	for i, s := range c.servers {
+		if f.lacks(s, c.hops[i].Layers) {
 			return true
 		}
 	}
 	return false
 }
+
+// lacks reports whether a server is dead or does not hold some layers.
+func (f *findings) lacks(s *backend.Server, part models.Layers) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	held, known := f.holds[s]
+	return f.dead[s] || s.Gone() || s.Suspected(f.now) || known && (held.First > part.First || held.End < part.End)
+}
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,6 +24,9 @@
 	lastAt atomic.Int64
 	// expected is how long after the sending the first event is due.
 	expected time.Duration
+	// firstEvent is how long after the request's arrival its first event came, and longestPause the longest time between two.
+	firstEvent   time.Duration
+	longestPause time.Duration
 	// moved is true once a server has sent an event.
 	moved atomic.Bool
 
@@ -32,6 +36,8 @@
 	servers []*backend.Server
 	need    chain.Need
 	repairs int
+	// repairing is true while a repair is under way.
+	repairing bool
 }
 
 // resumeFrom returns the id of the last event that the caller has, -1 when it has none.
@@ -47,13 +53,47 @@
 func (f *inflight) assign(group *backend.Group, hops []chain.Hop) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.setLocked(newCourse(group, hops))
+}
+
+func (f *inflight) setLocked(c course) {
 	f.releaseLocked()
-	f.hops = hops
-	f.servers = make([]*backend.Server, len(hops))
+	f.hops, f.servers = c.hops, c.servers
+	for i, s := range f.servers {
+		s.Reserve(f.need.Tokens * f.hops[i].Layers.Count())
+	}
+}
+
+// course is a path with the servers that its indices stand for.
+type course struct {
+	hops    []chain.Hop
+	servers []*backend.Server
+}
+
+func newCourse(group *backend.Group, hops []chain.Hop) course {
+	c := course{hops: hops, servers: make([]*backend.Server, len(hops))}
 	for i, hop := range hops {
-		f.servers[i] = group.Servers()[hop.Server]
-		f.servers[i].Reserve(f.need.Tokens * hop.Layers.Count())
+		c.servers[i] = group.Servers()[hop.Server]
 	}
+	return c
+}
+
+// course returns the present path; it is empty when no attempt is under way.
+func (f *inflight) course() course {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return course{hops: f.hops, servers: f.servers}
+}
+
+// replace reserves another path if the present one is still what it was, and reports whether it is.
+func (f *inflight) replace(was, by course) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.servers) == 0 || !slices.Equal(f.servers, was.servers) {
+		return false
+	}
+	f.setLocked(by)
+	return true
 }
 
 func (f *inflight) release() {
@@ -69,13 +109,21 @@
 	f.hops, f.servers = nil, nil
 }
 
-// parts returns the path as it is sent.
-func (f *inflight) parts() []call.Part {
+// parts returns the servers that the stream passes.
+func (f *inflight) parts() []*backend.Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make([]call.Part, len(f.hops))
-	for i, hop := range f.hops {
-		out[i] = call.Part{Addr: f.servers[i].Addr(), Layers: hop.Layers}
+	return append([]*backend.Server(nil), f.servers...)
+}
+
+// path returns the path as it is sent.
+func (f *inflight) path() []call.Part { return f.course().parts() }
+
+// parts returns the path as it is sent.
+func (c course) parts() []call.Part {
+	out := make([]call.Part, len(c.hops))
+	for i, hop := range c.hops {
+		out[i] = call.Part{Addr: c.servers[i].Addr(), Layers: hop.Layers}
 	}
 	return out
 }
--- a/forward/pass.go
+++ b/forward/pass.go
@@ -43,10 +43,12 @@
 func (h *Handler) observePause(f *inflight) {
 	waited := f.pause(h)
 	if f.moved.Swap(true) {
+		f.longestPause = max(f.longestPause, waited)
 		h.stats.Histogram("pause_ms").Update(waited.Milliseconds())
 		return
 	}
-	h.stats.Histogram("first_event_ms").Update(h.clock.Since(f.r.x.Arrived()).Milliseconds())
+	f.firstEvent = h.clock.Since(f.r.x.Arrived())
+	h.stats.Histogram("first_event_ms").Update(f.firstEvent.Milliseconds())
 	h.stats.Histogram("first_event_predicted_ms").Update(f.expected.Milliseconds())
 }
 
--- /dev/null
+++ b/forward/repair.go
@@ -0,0 +1,159 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/backend"
+	"junctioncross/chain"
+	"junctioncross/decision"
+	"junctioncross/models"
+)
+
+const (
+	// repairTime bounds one call for a repair.
+	repairTime = 400 * time.Millisecond
+	// mostRepairs bounds the calls for repairs of one stream.
+	mostRepairs = 8
+	// repairTries bounds the calls that follow each other at once, each without the servers that had no room.
+	repairTries = 3
+	// repairSpread is how far the weights of servers are spread, so that instances that repair together choose differently.
+	repairSpread = 0.5
+)
+
+// repair gives a stream a new path behind its first part.
+func (w *watcher) repair(ctx context.Context, f *inflight, group *backend.Group, found *findings) {
+	if !f.startRepair() {
+		return
+	}
+	defer f.repaired()
+	for range repairTries {
+		again := w.repairOnce(ctx, f, group, found)
+		if !again || !f.countRepair() {
+			return
+		}
+	}
+}
+
+// repairOnce asks for one new path and reports whether another one is worth asking for.
+func (w *watcher) repairOnce(ctx context.Context, f *inflight, group *backend.Group, found *findings) (again bool) {
+	h := w.handler
+	was := f.course()
+	old, ok := indexed(group, was)
+	if !ok {
+		return false
+	}
+	hops, ok := w.newHops(f, group, old, was, found)
+	if !ok {
+		h.record.Failure(f.r.meta.ID, "no path for a repair", decision.Fields{"path": f.describe()})
+		return false
+	}
+	fields := decision.Fields{"old_path": f.describe()}
+	now := newCourse(group, hops)
+	if !f.replace(was, now) {
+		return false
+	}
+	fields["path"] = f.describe()
+	ask, cancel := context.WithTimeout(ctx, repairTime)
+	err := h.caller.Repair(ask, now.servers[0].Addr(), f.r.meta.ID, now.parts())
+	cancel()
+	h.stats.Counter("repairs_total").Inc(1)
+	h.stats.Retried(models.RetryTimeout)
+	fields["still_ms"] = f.pause(h).Milliseconds()
+	if err == nil {
+		h.record.Failure(f.r.meta.ID, "repaired", fields)
+		return false
+	}
+	h.stats.Counter("repairs_failed_total").Inc(1)
+	fields["error"] = err.Error()
+	h.record.Failure(f.r.meta.ID, "not repaired", fields)
+	f.replace(now, was)
+	return w.blame(group, old, hops, err)
+}
+
+// newHops returns a path with other servers in place of the lost ones: with memory as far as known, or else regardless of it,
+// or else with all parts but the first replaced.
+func (w *watcher) newHops(f *inflight, group *backend.Group, old []chain.Hop, was course, found *findings) ([]chain.Hop, bool) {
+	state := w.handler.chainState(group, w.handler.clock.Now())
+	lost := make(map[int]bool, len(old))
+	for i, hop := range old {
+		lost[hop.Server] = found.lacks(was.servers[i], hop.Layers)
+	}
+	r := chain.Repair{
+		Hops: old, Tokens: f.need.Tokens, Lost: func(server int) bool { return lost[server] },
+		Spread: func() float64 { return 1 - repairSpread + 2*repairSpread*rand.Float64() },
+	}
+	if hops, ok := chain.Mend(group.Graph(), state, r); ok {
+		return hops, true
+	}
+	state.regardless = true
+	if hops, ok := chain.Mend(group.Graph(), state, r); ok {
+		return hops, true
+	}
+	path, ok := chain.Extend(group.Graph(), state, f.need, old[0])
+	return append([]chain.Hop{old[0]}, path.Hops...), ok
+}
+
+// blame keeps new work away from the servers that a repair failed for, and reports whether there were any.
+func (w *watcher) blame(group *backend.Group, old, hops []chain.Hop, err error) bool {
+	var refused *backend.RepairError
+	if !errors.As(err, &refused) {
+		return false
+	}
+	now := w.handler.clock.Now()
+	if server := group.ByAddr(refused.Addr); server != nil {
+		server.WasFull(now)
+		return true
+	}
+	// The answer names no server when one has no room; it is one of the new ones.
+	for _, h := range hops {
+		if !slices.Contains(old, h) {
+			group.Servers()[h.Server].WasFull(now)
+		}
+	}
+	return true
+}
+
+// startRepair reports whether the stream may be repaired now; repaired must be called after it.
+func (f *inflight) startRepair() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.hops) == 0 || f.repairs >= mostRepairs || f.repairing {
+		return false
+	}
+	f.repairs++
+	f.repairing = true
+	return true
+}
+
+// countRepair counts a further call and reports whether it is allowed.
+func (f *inflight) countRepair() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.repairs++
+	return f.repairs <= mostRepairs
+}
+
+// repaired says that a repair has ended.
+func (f *inflight) repaired() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.repairing = false
+}
+
+// indexed returns a path by the indices of a group, which may be newer than the one that the path was chosen from; false when
+// the group lacks the first server, without which nothing can be repaired. Others that it lacks get an index of none.
+func indexed(group *backend.Group, c course) ([]chain.Hop, bool) {
+	if len(c.hops) == 0 {
+		return nil, false
+	}
+	out := make([]chain.Hop, len(c.hops))
+	for i, s := range c.servers {
+		out[i] = chain.Hop{Server: slices.Index(group.Servers(), s), Layers: c.hops[i].Layers}
+	}
+	return out, out[0].Server >= 0
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -62,7 +62,7 @@
 		"server": f.first.ID(), "attempt": attempt, "path": f.describe(), "predicted_step_us": path.Step.Microseconds(),
 		"predicted_read_us": path.Read.Microseconds(), "tokens": f.need.Tokens, "resume_after": f.events.resumeAfter(),
 	}))
-	s, err := h.send(ctx, r, f.first, &call.Send{Path: f.parts(), ResumeAfter: f.events.resumeAfter()}, !r.route.MayRepeat())
+	s, err := h.send(ctx, r, f.first, &call.Send{Path: f.path(), ResumeAfter: f.events.resumeAfter()}, !r.route.MayRepeat())
 	if s == nil {
 		f.first.Failed(h.clock.Now())
 		return notRun{reason: models.RetryUnreachable}
@@ -155,7 +155,14 @@
 // concludeStream tells the caller how the stream ended; one that has begun and cannot go on is broken off.
 func (h *Handler) concludeStream(ctx context.Context, f *inflight, last outcome) {
 	r := f.r
-	if _, whole := last.(delivered); whole || !r.x.Begun() {
+	if _, whole := last.(delivered); whole {
+		h.record.Routine(r.meta.ID, "finished", h.fields(r, decision.Fields{
+			"outcome": "whole", "first_event_ms": f.firstEvent.Milliseconds(), "longest_pause_ms": f.longestPause.Milliseconds(),
+			"repairs": f.repairs, "events": f.events.last + 1,
+		}))
+		return
+	}
+	if !r.x.Begun() {
 		h.conclude(ctx, r, last)
 		return
 	}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -2,16 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"junctioncross/backend"
-	"junctioncross/chain"
 	"junctioncross/decision"
-	"junctioncross/models"
 )
 
 const (
@@ -25,10 +20,6 @@
 	firstStill = 200 * time.Millisecond
 	// lookAgain is how long after a look at a path the next one may follow: reports are as old as that.
 	lookAgain = 250 * time.Millisecond
-	// repairTime bounds a repair.
-	repairTime = 400 * time.Millisecond
-	// mostRepairs bounds the repairs of one stream.
-	mostRepairs = 6
 	// suspectTime is how long a server that does not answer gets no new work, if its entry does not vanish before.
 	suspectTime = 3 * time.Second
 )
@@ -97,8 +88,12 @@
 		if now.Sub(w.looked[first]) < lookAgain {
 			continue
 		}
+		group := w.handler.board.Current().Group(first.Service())
+		if group == nil {
+			continue
+		}
 		w.looked[first] = now
-		go func() { w.look(ctx, first, streams) }()
+		go func() { w.look(ctx, first, group, streams) }()
 	}
 	for first, at := range w.looked {
 		if now.Sub(at) > suspectTime {
@@ -107,46 +102,69 @@
 	}
 }
 
-// look asks the parts of streams that stand still how they are, and repairs the paths that pass one that does not answer.
-func (w *watcher) look(ctx context.Context, first *backend.Server, streams []*inflight) {
-	h := w.handler
-	h.stats.Counter("looks_total").Inc(1)
-	group := h.board.Current().Group(first.Service())
-	if group == nil {
-		return
-	}
-	found := w.ask(ctx, first, group, partsOf(streams))
-	if found.dead[first] {
-		w.lose(first, streams)
-		return
+// look asks the servers that may hold up streams that stand still how they are. What it finds serves all streams: those that
+// pass a dead server get a new path although they have not stood still for long themselves.
+func (w *watcher) look(ctx context.Context, first *backend.Server, group *backend.Group, streams []*inflight) {
+	w.handler.stats.Counter("looks_total").Inc(1)
+	found := w.ask(ctx, first, group, w.suspects(streams))
+	for _, s := range found.lost() {
+		w.lose(s, w.startingAt(s))
 	}
-	for _, f := range w.onward(first, streams) {
+	var all sync.WaitGroup
+	for _, f := range w.flying() {
 		if found.broken(f) {
-			w.repair(ctx, f, group)
+			all.Go(func() { w.repair(ctx, f, group, found) })
 		}
 	}
+	all.Wait()
 }
 
-// partsOf returns the servers that the streams pass.
-func partsOf(streams []*inflight) map[*backend.Server]bool {
+// soundTime is how long ago a server must have moved a stream to be taken as sound. It is less than the time from a death to
+// the first look, which is the shortest pause that counts as standing still less the usual time between events.
+const soundTime = 45 * time.Millisecond
+
+// suspects returns the servers that the streams pass, but for those that have just moved other streams.
+func (w *watcher) suspects(streams []*inflight) map[*backend.Server]bool {
+	moved := map[*backend.Server]int64{}
+	for _, f := range w.flying() {
+		at := f.lastAt.Load()
+		if !f.moved.Load() {
+			continue
+		}
+		for _, s := range f.parts() {
+			moved[s] = max(moved[s], at)
+		}
+	}
 	out := map[*backend.Server]bool{}
+	limit := int64(w.handler.clock.Since(w.start) - soundTime)
 	for _, f := range streams {
-		f.mu.Lock()
-		for _, s := range f.servers {
-			out[s] = true
+		for _, s := range f.parts() {
+			if moved[s] < limit {
+				out[s] = true
+			}
 		}
-		f.mu.Unlock()
 	}
 	return out
 }
 
-// onward returns those of the streams that still start at first: a stream may have been resumed elsewhere meanwhile.
-func (w *watcher) onward(first *backend.Server, streams []*inflight) []*inflight {
+// flying returns the streams under way.
+func (w *watcher) flying() []*inflight {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make([]*inflight, 0, len(w.streams))
+	for f := range w.streams {
+		out = append(out, f)
+	}
+	return out
+}
+
+// startingAt returns the streams under way whose first part is a server.
+func (w *watcher) startingAt(first *backend.Server) []*inflight {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var out []*inflight
-	for _, f := range streams {
-		if w.startsAt(f, first) {
+	for f := range w.streams {
+		if f.first == first {
 			out = append(out, f)
 		}
 	}
@@ -177,61 +195,3 @@
 	_, flying := w.streams[f]
 	return flying && f.first == first
 }
-
-// repair gives a stream a new path behind its first part.
-func (w *watcher) repair(ctx context.Context, f *inflight, group *backend.Group) {
-	h := w.handler
-	f.mu.Lock()
-	if len(f.hops) == 0 || f.repairs >= mostRepairs {
-		f.mu.Unlock()
-		return
-	}
-	f.repairs++
-	first, server := f.hops[0], f.servers[0]
-	f.mu.Unlock()
-	hops, ok := w.newHops(f, group, first, server)
-	if !ok {
-		h.record.Failure(f.r.meta.ID, "no path for a repair", decision.Fields{"path": f.describe()})
-		return
-	}
-	old := f.describe()
-	f.assign(group, hops)
-	ask, cancel := context.WithTimeout(ctx, repairTime)
-	err := h.caller.Repair(ask, server.Addr(), f.r.meta.ID, f.parts())
-	cancel()
-	h.stats.Counter("repairs_total").Inc(1)
-	fields := decision.Fields{"old_path": old, "path": f.describe(), "still_ms": f.pause(h).Milliseconds()}
-	if err != nil {
-		h.stats.Counter("repairs_failed_total").Inc(1)
-		fields["error"] = err.Error()
-		w.blame(group, err)
-	}
-	h.stats.Retried(models.RetryTimeout)
-	h.record.Failure(f.r.meta.ID, "repaired", fields)
-}
-
-// newHops returns the first part and a new path behind it.
-func (w *watcher) newHops(f *inflight, group *backend.Group, first chain.Hop, server *backend.Server) ([]chain.Hop, bool) {
-	first.Server = slices.Index(group.Servers(), server)
-	if first.Server < 0 {
-		return nil, false
-	}
-	state := w.handler.chainState(group, w.handler.clock.Now())
-	path, ok := chain.Extend(group.Graph(), state, f.need, first)
-	if !ok {
-		state.regardless = true
-		path, ok = chain.Extend(group.Graph(), state, f.need, first)
-	}
-	return append([]chain.Hop{first}, path.Hops...), ok
-}
-
-// blame keeps new work away from the server that a repair failed for.
-func (w *watcher) blame(group *backend.Group, err error) {
-	var refused *backend.RepairError
-	if !errors.As(err, &refused) {
-		return
-	}
-	if server := group.ByAddr(refused.Addr); server != nil {
-		server.WasFull(w.handler.clock.Now())
-	}
-}
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -1,18 +1,26 @@
 package forward
 
 import (
+	"context"
+	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"junctioncross/backend"
+	"junctioncross/call"
+	"junctioncross/catalog"
+	"junctioncross/chain"
 	"junctioncross/decision"
 	"junctioncross/follow"
 	"junctioncross/metrics"
+	"junctioncross/models"
 	"junctioncross/timer"
 )
 
@@ -20,18 +28,71 @@
 
 func (oneInstance) Instances() int { return 1 }
 
-func testHandler(t *testing.T) *Handler {
-	clock, stats := timer.New(clockwork.NewFakeClock()), metrics.New()
+// engines is a backend.Caller that knows which servers are dead and notes the repairs and questions.
+type engines struct {
+	mu   sync.Mutex
+	dead map[string]bool
+	// dark servers let calls hang until end is closed, whatever the context says.
+	dark    map[string]bool
+	end     chan struct{}
+	holds   map[string]models.Layers
+	asked   map[string]int
+	repairs map[string][]call.Part
+}
+
+func newEngines(g *backend.Group, dead ...int) *engines {
+	e := &engines{dead: map[string]bool{}, holds: map[string]models.Layers{}, asked: map[string]int{}, repairs: map[string][]call.Part{}}
+	for _, s := range g.Servers() {
+		e.holds[s.Addr()] = s.Layers()
+	}
+	for _, i := range dead {
+		e.dead[g.Servers()[i].Addr()] = true
+	}
+	return e
+}
+
+// Report implements backend.Caller.
+func (e *engines) Report(_ context.Context, addr string) (backend.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked[addr]++
+	if e.dark[addr] {
+		e.mu.Unlock()
+		<-e.end
+		e.mu.Lock()
+		return backend.Report{}, backend.ErrNoAnswer
+	}
+	if e.dead[addr] {
+		return backend.Report{}, backend.NotThere(errors.New("refused"))
+	}
+	return backend.Report{Layers: e.holds[addr], Pace: 1}, nil
+}
+
+// Place implements backend.Caller.
+func (*engines) Place(context.Context, string, string, backend.PlaceOrder) error { return nil }
+
+// Repair implements backend.Caller.
+func (e *engines) Repair(_ context.Context, _, requestID string, path []call.Part) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.repairs[requestID] = path
+	return nil
+}
+
+func testHandler(t *testing.T, caller backend.Caller) (*Handler, *clockwork.FakeClock) {
+	fake := clockwork.NewFakeClock()
+	clock, stats := timer.New(fake), metrics.New()
 	log := logrus.New()
 	log.SetOutput(t.Output())
-	return New(t.Context(), Terms{Domain: "a", RepeatWindow: 10 * time.Second}, follow.NewBoard(), nil, nil, clock, stats,
+	h := New(t.Context(), Terms{Domain: "a", RepeatWindow: 10 * time.Second}, follow.NewBoard(), nil, caller, clock, stats,
 		decision.NewRecorder(log, clock, stats), oneInstance{})
+	return h, fake
 }
 
 // TestAStreamThatWentOnElsewhereIsNotCutForItsFormerFirstPart looks at a stream, lets it be resumed at another server, and
 // only then finds that the first one is dead.
 func TestAStreamThatWentOnElsewhereIsNotCutForItsFormerFirstPart(t *testing.T) {
-	h := testHandler(t)
+	h, _ := testHandler(t, nil)
 	servers := twoCopies().Servers()
 	ours, theirs := net.Pipe()
 	defer theirs.Close()
@@ -42,3 +103,111 @@
 	h.watch.lose(servers[2], []*inflight{f})
 	require.Error(t, ours.SetDeadline(time.Time{}), "the connection to a dead first part is closed")
 }
+
+// flying returns a stream that is under way along a path of a group, and last moved at a moment after the handler's start.
+func flying(h *Handler, g *backend.Group, id string, lastAt time.Duration, path ...int) *inflight {
+	hops := make([]chain.Hop, len(path))
+	for i, n := range path {
+		hops[i] = chain.Hop{Server: n, Layers: g.Servers()[n].Layers()}
+	}
+	route := &catalog.Route{PauseObjective: 200 * time.Millisecond}
+	f := &inflight{
+		r: &request{group: g, route: route, meta: call.Meta{ID: id}}, first: g.Servers()[path[0]],
+		need: chain.Need{Prompt: 10, Tokens: 20},
+	}
+	f.moved.Store(true)
+	f.lastAt.Store(int64(lastAt))
+	f.assign(g, hops)
+	h.watch.add(f)
+	return f
+}
+
+// TestADeadServerIsRepairedForAllStreamsOnceOneHasFoundIt lets two streams with different first parts pass a dead server; only
+// one of them has stood still for long enough to be looked at.
+func TestADeadServerIsRepairedForAllStreamsOnceOneHasFoundIt(t *testing.T) {
+	g := twoCopies()
+	e := newEngines(g, 1)
+	h, clock := testHandler(t, e)
+	still := flying(h, g, "still", 0, 0, 1)
+	flying(h, g, "shorter", 80*time.Millisecond, 2, 1)
+	clock.Advance(140 * time.Millisecond)
+	flying(h, g, "elsewhere", 80*time.Millisecond, 2, 3)
+	h.watch.look(t.Context(), still.first, g, []*inflight{still})
+	for _, id := range []string{"still", "shorter"} {
+		require.Len(t, e.repairs[id], 2, id)
+		require.Equal(t, g.Servers()[3].Addr(), e.repairs[id][1].Addr)
+	}
+	require.NotContains(t, e.repairs, "elsewhere")
+}
+
+// TestServersThatMoveOtherStreamsAreNotAsked lets another stream pass the first half of a path and move after the one that
+// stands still last did.
+func TestServersThatMoveOtherStreamsAreNotAsked(t *testing.T) {
+	g := fourStages()
+	e := newEngines(g, 3)
+	h, clock := testHandler(t, e)
+	still := flying(h, g, "still", 0, 0, 1, 2, 3)
+	flying(h, g, "moving", 110*time.Millisecond, 1, 2)
+	clock.Advance(140 * time.Millisecond)
+	h.watch.look(t.Context(), still.first, g, []*inflight{still})
+	require.Zero(t, e.asked[g.Servers()[1].Addr()])
+	require.Zero(t, e.asked[g.Servers()[2].Addr()])
+	require.NotZero(t, e.asked[g.Servers()[3].Addr()])
+	require.Len(t, e.repairs["still"], 4, "repaired with the other holder of the last part")
+}
+
+// fourStages returns a group with one copy of a model in four servers and a second holder of the last part.
+func fourStages() *backend.Group {
+	service := twoCopies().Service()
+	var servers []*backend.Server
+	for i, first := range []int{0, 2, 4, 6, 6} {
+		servers = append(servers, backend.NewServer(backend.Entry{
+			ID: fmt.Sprint("s", i), Service: "s", Addr: fmt.Sprint("127.0.0.1:", i+1), Domain: "a", Kind: "k",
+			Layers: models.Layers{First: first, End: first + 2},
+		}))
+	}
+	return backend.NewGroup(service, servers)
+}
+
+// TestAServerThatDiedJustAfterItMovedAStreamIsFoundAtTheNextLook moves another stream through the server that is to die a
+// moment before the first look.
+func TestAServerThatDiedJustAfterItMovedAStreamIsFoundAtTheNextLook(t *testing.T) {
+	g := twoCopies()
+	e := newEngines(g, 1)
+	h, clock := testHandler(t, e)
+	still := flying(h, g, "still", 0, 0, 1)
+	flying(h, g, "last", 130*time.Millisecond, 2, 1)
+	clock.Advance(140 * time.Millisecond)
+	h.watch.look(t.Context(), still.first, g, []*inflight{still})
+	require.Empty(t, e.repairs, "it looks sound")
+	clock.Advance(lookAgain)
+	h.watch.look(t.Context(), still.first, g, []*inflight{still})
+	require.Len(t, e.repairs, 2)
+}
+
+// TestALookDoesNotWaitForACallThatHangs lets the questions to a dark server hang for as long as the test runs, as calls do that
+// cannot open a connection.
+func TestALookDoesNotWaitForACallThatHangs(t *testing.T) {
+	g := twoCopies()
+	e := newEngines(g)
+	e.dark, e.end = map[string]bool{g.Servers()[1].Addr(): true}, make(chan struct{})
+	t.Cleanup(func() { close(e.end) })
+	h, clock := testHandler(t, e)
+	still := flying(h, g, "still", 0, 0, 1)
+	clock.Advance(140 * time.Millisecond)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.watch.look(t.Context(), still.first, g, []*inflight{still})
+	}()
+	require.Eventually(t, func() bool {
+		clock.Advance(secondQuestion)
+		select {
+		case <-done:
+			return true
+		default:
+			return false
+		}
+	}, 30*time.Second, 5*time.Millisecond)
+	require.Len(t, e.repairs["still"], 2)
+}
