leader: let a server that moves cut what passes it

Ruled out: lost orders (the entries of the servers and their reports agreed that the orders were taken and busy). Change: orders that give layers up say that what passes is cut; its streams go on with other holders, which a move requires.

--- a/leader/work.go
+++ b/leader/work.go
@@ -206,7 +206,10 @@
 func (w *work) send(ctx context.Context, s *backend.Server, o placement.Order) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
-	return w.leader.caller.Place(ctx, s.Addr(), s.ID(), backend.PlaceOrder{Layers: o.Layers, ExpectOrders: w.expected(s)})
+	// A server moves only to fill a hole that keeps its domain from serving. What passes it goes on elsewhere in a fraction of a
+	// second; waiting for it would leave the hole open for as long as the longest answer takes.
+	order := backend.PlaceOrder{Layers: o.Layers, ExpectOrders: w.expected(s), Cut: o.Moves}
+	return w.leader.caller.Place(ctx, s.Addr(), s.ID(), order)
 }
 
 // expected returns the number of orders that the server is known to have taken.
