soak: play random faults on real instances in front of the stand-in platform

Processes are killed, paused, stopped and reloaded by signals; each instance's way to the store is slowed, silenced in one direction, reset or cut by a proxy; replicas crash; configurations change and keys are revoked. Checked: whole answers to their own requests, true refusals, at most one run, revoked keys, planned stops and changes that cut nothing, service after the last fault.

--- a/cmd/jxload/main.go
+++ b/cmd/jxload/main.go
@@ -11,6 +11,7 @@
 	Run      runCommand      `cmd:"" help:"Start the users' fleet and keep it until Ctrl-C."`
 	Demo     demoCommand     `cmd:"" help:"Start the users' fleet, check what it promises and stop it."`
 	Bench    benchCommand    `cmd:"" help:"Take one measurement and print its figures."`
+	Soak     soakCommand     `cmd:"" help:"Play random faults on real instances in front of the stand-in platform."`
 	Capacity capacityCommand `cmd:"" help:"Write docs/CAPACITY.md from the measured figures."`
 }
 
--- /dev/null
+++ b/cmd/jxload/soak.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/platform/fake/soak"
+)
+
+type soakCommand struct {
+	First  uint64 `default:"1" help:"First seed."`
+	Seeds  uint64 `default:"10" help:"Number of seeds."`
+	Events int    `default:"24" help:"Faults and planned changes of each seed."`
+	Logs   string `default:"out/soak" help:"Directory for settings and logs; those of seeds that found something stay."`
+}
+
+// soakPatience bounds the wait for service at the start and after the last fault of a seed.
+const soakPatience = time.Minute
+
+// Run plays seeds one after the other and prints a line for each; it fails when one found something.
+func (s *soakCommand) Run(c *commands) error {
+	failed := 0
+	for seed := s.First; seed < s.First+s.Seeds; seed++ {
+		dir := filepath.Join(s.Logs, strconv.FormatUint(seed, 10))
+		if err := os.MkdirAll(dir, 0o750); err != nil {
+			return errors.Wrap(err, "soak")
+		}
+		r, err := soak.Run(soak.Options{Seed: seed, Bin: c.Bin, Dir: dir, Events: s.Events, Patience: soakPatience})
+		if err != nil {
+			return errors.Wrap(err, "soak")
+		}
+		fmt.Printf("seed %d: %d requests, %d whole, %d findings, %d events\n", seed, r.Requests, r.Whole, len(r.Faults), len(r.Played))
+		if len(r.Faults) == 0 {
+			if err := os.RemoveAll(dir); err != nil {
+				return errors.Wrap(err, "soak")
+			}
+			continue
+		}
+		failed++
+		fmt.Println("  played:", r.Played)
+		for _, f := range r.Faults {
+			fmt.Println("  ", f)
+		}
+	}
+	if failed > 0 {
+		return errors.Errorf("%d seeds found something; logs in %s", failed, s.Logs)
+	}
+	return nil
+}
--- a/fault/tcp.go
+++ b/fault/tcp.go
@@ -29,6 +29,12 @@
 	return Toxic{Name: "reset", Type: "limit_data", Stream: "downstream", Toxicity: share, Attributes: map[string]int64{"bytes": bytes}}
 }
 
+// Silence returns a fault that holds back every byte of one direction, "upstream" to the server or "downstream" from it, while
+// connections stay open.
+func Silence(stream string) Toxic {
+	return Toxic{Name: "silence-" + stream, Type: "timeout", Stream: stream, Toxicity: 1, Attributes: map[string]int64{"timeout": 0}}
+}
+
 // TCP is a proxy in front of one TCP address.
 type TCP struct {
 	inner *toxiproxy.Proxy
