--- a/backend/server.go
+++ b/backend/server.go
@@ -20,8 +20,9 @@
 	longestFull = 2 * time.Second
 	// paceAge is how long a server's word on its pace counts.
 	paceAge = 3 * time.Second
-	// askPeriod is how often a server may be asked for its state by one instance; each question has its price.
-	askPeriod = 500 * time.Millisecond
+	// askPeriod is how often a server may be asked for its state by one instance: each question has its price, and an answer is
+	// some 200 ms old, so that a second question within that time learns nothing new.
+	askPeriod = 240 * time.Millisecond
 	// staleTime is how long a server that did not hold its layers is left alone: until its entry tells what it holds.
 	staleTime = time.Second
 	// failWeight is the weight of the newest request in the share of failures: some ten requests tell a bad server.
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -139,5 +139,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	held, known := f.holds[s]
-	return f.dead[s] || s.Gone() || s.Suspected(f.now) || known && (held.First > part.First || held.End < part.End)
+	if !known {
+		// The entry may be older than an answer, but it is newer than the choice of a path.
+		held = s.Layers()
+	}
+	return f.dead[s] || s.Gone() || s.Suspected(f.now) || held.First > part.First || held.End < part.End
 }
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -211,3 +211,19 @@
 	}, 30*time.Second, 5*time.Millisecond)
 	require.Len(t, e.repairs["still"], 2)
 }
+
+// TestAServerThatWasMovedIsRepairedFromItsEntry lets the entry of a server tell that it holds other layers now, although it was
+// not asked.
+func TestAServerThatWasMovedIsRepairedFromItsEntry(t *testing.T) {
+	g := twoCopies()
+	e := newEngines(g)
+	h, clock := testHandler(t, e)
+	still := flying(h, g, "still", 0, 0, 1)
+	clock.Advance(140 * time.Millisecond)
+	moved := g.Servers()[1]
+	moved.MayAsk(clock.Now())
+	moved.Update(backend.Entry{Layers: models.Layers{First: 0, End: 4}})
+	h.watch.look(t.Context(), still.first, g, []*inflight{still})
+	require.Zero(t, e.asked[moved.Addr()])
+	require.Len(t, e.repairs["still"], 2)
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"sort"
 	"sync"
 	"time"
 
@@ -29,28 +30,57 @@
 
 func newFeedLog() *feedLog { return &feedLog{changed: make(chan struct{}), whole: map[string]Record{}} }
 
-// restart forgets the history, after the whole feed was read.
+// restart takes over a feed that was read whole. What differs from before is added to the history, so that others need not
+// read the store when it has forgotten its own.
 func (l *feedLog) restart(h heard, direct bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.history = nil
-	l.floor = h.at
-	l.whole = map[string]Record{}
-	l.put(h.records)
+	if l.at == 0 {
+		l.floor = h.at
+		l.put(h.records)
+		l.take(h, direct)
+		return
+	}
+	l.add(l.differences(h))
 	l.take(h, direct)
 }
 
+// differences returns the changes that lead from the present content to another; the caller holds the lock.
+func (l *feedLog) differences(h heard) []Record {
+	var out []Record
+	listed := make(map[string]bool, len(h.records))
+	for _, r := range h.records {
+		listed[r.Key] = true
+		if r.Revision > l.whole[r.Key].Revision {
+			out = append(out, r)
+		}
+	}
+	for key := range l.whole {
+		if !listed[key] {
+			// When exactly the key was removed is not known; it was no later than the reading.
+			out = append(out, Record{Key: key, Revision: h.at, Gone: true})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Revision < out[j].Revision })
+	return out
+}
+
 // extend adds what was heard.
 func (l *feedLog) extend(h heard, direct bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.history = append(l.history, h.records...)
-	l.put(h.records)
+	l.add(h.records)
+	l.take(h, direct)
+}
+
+// add adds changes to history and content; the caller holds the lock.
+func (l *feedLog) add(records []Record) {
+	l.history = append(l.history, records...)
+	l.put(records)
 	if over := len(l.history) - mostHistory; over > 0 {
 		l.floor = l.history[over-1].Revision
 		l.history = append([]Record(nil), l.history[over:]...)
 	}
-	l.take(h, direct)
 }
 
 // put brings the content up to date; the caller holds the lock.
