--- a/forward/path.go
+++ b/forward/path.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"junctioncross/backend"
+	"junctioncross/catalog"
 	"junctioncross/chain"
 )
 
@@ -39,9 +40,12 @@
 func (h *Handler) awaitPath(ctx context.Context, f *inflight) (chain.Path, bool) {
 	r := f.r
 	until := r.x.Arrived().Add(time.Duration(roomWait * float64(r.route.Objective)))
+	if r.x.Begun() {
+		until = h.clock.Now().Add(patienceOf(r.route) - f.pause(h))
+	}
 	for {
 		path, ok := h.choosePath(f)
-		if ok || !h.clock.Now().Before(until) && !r.x.Begun() {
+		if ok || !h.clock.Now().Before(until) {
 			return path, ok
 		}
 		if !h.clock.Sleep(ctx, roomPoll) {
@@ -53,6 +57,13 @@
 	}
 }
 
+// patienceOf returns how long callers wait for the next event before they leave; a stream that cannot go on within that time
+// is better broken off at once.
+func patienceOf(r *catalog.Route) time.Duration {
+	const least, objectives, pauses = 2 * time.Second, 4, 8
+	return max(least, objectives*r.Objective, pauses*r.PauseObjective)
+}
+
 // choosePath returns a path for a whole stream: a lane with room, or when there is none because servers are missing, any
 // path whose servers are thought to have room.
 func (h *Handler) choosePath(f *inflight) (chain.Path, bool) {
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -11,6 +11,7 @@
 
 const log = `  12.5000 east-1 {"instance":"east-1","msg":"sent","request":"r1","path":"s1[0,4) s2[4,8)","server":"s1","time":"2026-01-01T00:00:01Z","attempt":1}
 {"instance":"east-1","msg":"server does not answer","server":"s2","request":"","time":"2026-01-01T00:00:02Z"}
+{"instance":"east-1","msg":"not repaired","request":"r1","error":"no room","time":"2026-01-01T00:00:02.05Z"}
 {"instance":"east-1","msg":"repaired","request":"r1","still_ms":140,"path":"s1[0,4) s3[4,8)","time":"2026-01-01T00:00:02.1Z"}
 not a line of a log
 {"instance":"east-1","msg":"finished","outcome":"whole","request":"r1","held_ms":2000,"time":"2026-01-01T00:00:03Z"}
@@ -35,7 +36,7 @@
 	require.Contains(t, got, "repaired")
 	require.Contains(t, got, "belief")
 	require.NotContains(t, got, "west-1", "another instance's beliefs did not decide this request")
-	require.Contains(t, got, "cause: none: the answer was passed on whole after 2000 ms; on the way: path repaired after 140 ms")
+	require.Contains(t, got, "cause: none: the answer was passed on whole after 2000 ms; on the way: a repair was refused (no room), path repaired after 140 ms")
 }
 
 func TestWhyEndsWithTheCause(t *testing.T) {
--- a/story/why.go
+++ b/story/why.go
@@ -121,6 +121,8 @@
 			out = append(out, "first part "+l.Text("server")+" fell silent")
 		case "repaired":
 			out = append(out, "path repaired after "+l.Text("still_ms")+" ms without an event")
+		case "not repaired":
+			out = append(out, "a repair was refused ("+l.Text("error")+")")
 		case "no path for a repair":
 			out = append(out, "no path for a repair")
 		case "no repeat":
