--- a/cmd/jxctl/why.go
+++ b/cmd/jxctl/why.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/pkg/errors"
@@ -38,36 +39,30 @@
 	return all, nil
 }
 
-type whyCommand struct {
-	Request string `arg:"" help:"Id of the request."`
-	logFiles
-}
-
-// Run prints the story of one request and its cause.
-func (c *whyCommand) Run() error {
-	lines, err := c.read()
+// tell reads the logs and prints what fn finds in them; it fails when that is nothing.
+func (f *logFiles) tell(fn func(out io.Writer, lines []story.Line, name string) bool, kind, name string) error {
+	lines, err := f.read()
 	if err != nil {
 		return err
 	}
-	if !story.Why(os.Stdout, lines, c.Request) {
-		return errors.Errorf("jxctl: no line on request %s", c.Request)
+	if !fn(os.Stdout, lines, name) {
+		return errors.Errorf("jxctl: no line of %s %s", kind, name)
 	}
 	return nil
 }
 
+type whyCommand struct {
+	Request string `arg:"" help:"Id of the request."`
+	logFiles
+}
+
+// Run prints the story of one request and its cause.
+func (c *whyCommand) Run() error { return c.tell(story.Why, "request", c.Request) }
+
 type timelineCommand struct {
 	Instance string `arg:"" help:"Name of the instance."`
 	logFiles
 }
 
 // Run prints what an instance did and believed beside its requests.
-func (c *timelineCommand) Run() error {
-	lines, err := c.read()
-	if err != nil {
-		return err
-	}
-	if !story.Timeline(os.Stdout, lines, c.Instance) {
-		return errors.Errorf("jxctl: no line of instance %s", c.Instance)
-	}
-	return nil
-}
+func (c *timelineCommand) Run() error { return c.tell(story.Timeline, "instance", c.Instance) }
--- a/forward/path.go
+++ b/forward/path.go
@@ -57,11 +57,18 @@
 	}
 }
 
+const (
+	// Callers leave a stream after the longest of leastPatience, so many times the objective, and so many times the accepted
+	// pause without an event, as the users' clients do.
+	leastPatience      = 2 * time.Second
+	objectivesPatience = 4
+	pausesPatience     = 8
+)
+
 // patienceOf returns how long callers wait for the next event before they leave; a stream that cannot go on within that time
 // is better broken off at once.
 func patienceOf(r *catalog.Route) time.Duration {
-	const least, objectives, pauses = 2 * time.Second, 4, 8
-	return max(least, objectives*r.Objective, pauses*r.PauseObjective)
+	return max(leastPatience, objectivesPatience*r.Objective, pausesPatience*r.PauseObjective)
 }
 
 // choosePath returns a path for a whole stream: a lane with room, or when there is none because servers are missing, any
--- /dev/null
+++ b/relay/watch.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"junctioncross/follow"
+)
+
+const (
+	// answerTime is how long after the end of its wait a watch in the store may be answered.
+	answerTime = 1200 * time.Millisecond
+	// configWait is how long a watch on the configuration waits for news. An answer confirms that no key was taken away; the
+	// wait leaves more than a second of the time for which confirmed keys are accepted, also when a relay adds its own.
+	configWait = 1200 * time.Millisecond
+	// serversWait is the same for the servers, whose news confirm nothing that is needed often.
+	serversWait = 8 * time.Second
+	// doubtWait is how long any watch waits while the store is in doubt, so that its return is noticed.
+	doubtWait = time.Second
+	// hurriedWait is the shortest that the store accepts.
+	hurriedWait = time.Millisecond
+)
+
+// watch asks the store; the call ends early when another call finds that the store does not answer.
+func (s *Source) watch(ctx context.Context, feed follow.Feed, after follow.Position, hurry bool) (heard, error) {
+	epoch, doubt := s.epoch.current()
+	wait := waitOf(feed, doubt, hurry)
+	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
+	defer cancel()
+	defer context.AfterFunc(epoch, cancel)()
+	asked := s.clock.Now()
+	records, at, err := s.store.WatchFeed(ctx, feed, after, wait)
+	if err != nil {
+		return heard{}, err
+	}
+	s.epoch.sound()
+	known := asked
+	if len(records) == 0 && s.clock.Since(asked) >= wait {
+		// The store held the call for the whole wait and had nothing to say.
+		known = asked.Add(wait)
+	}
+	return heard{records: records, at: max(at, after), known: known}, nil
+}
+
+func waitOf(feed follow.Feed, doubt, hurry bool) time.Duration {
+	switch {
+	case hurry:
+		return hurriedWait
+	case doubt:
+		return doubtWait
+	case feed == follow.FeedServers:
+		return serversWait
+	default:
+		return configWait
+	}
+}
+
+// lost ends the calls that wait for the store, and the service to other instances.
+func (s *Source) lost() {
+	s.epoch.doubt()
+	for _, l := range s.logs {
+		l.lose()
+	}
+}
--- /dev/null
+++ b/relay/ways.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"junctioncross/follow"
+	"junctioncross/retry"
+)
+
+const (
+	// firstLeft is how long a way is left alone after a failure; the time doubles up to longestPeer, since the return must be
+	// noticed soon, and up to longestStore where relays do that and the store counts every call.
+	firstLeft    = 200 * time.Millisecond
+	longestPeer  = 800 * time.Millisecond
+	longestStore = 3 * time.Second
+)
+
+// rest says until when a way is left alone, and after how many failures in a row.
+type rest struct {
+	until    time.Time
+	failures int
+}
+
+// ways returns where to ask, or nil while the instances are not counted.
+func (s *Source) ways() []way {
+	members := s.fleet.Members()
+	switch {
+	case len(members) == 0:
+		return nil
+	case len(members) < s.self.From:
+		return []way{{}}
+	default:
+		return waysOf(s.self.Name, s.self.Domain, members)
+	}
+}
+
+// relay reports whether the instance is the one of its domain that follows the store for others.
+func (s *Source) relay() bool {
+	ways := s.ways()
+	return len(ways) > 0 && ways[0].direct()
+}
+
+// usable returns the ways that are not left alone after a failure.
+func (s *Source) usable() []way {
+	ways := s.ways()
+	if ways == nil {
+		ways = []way{{}}
+	}
+	if len(ways) == 1 {
+		return ways
+	}
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []way
+	for _, w := range ways {
+		if !now.Before(s.left[w.addr].until) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// failed leaves a way alone for a while and reports whether it is the first failure in a row. Calls that fail together count
+// once.
+func (s *Source) failed(w way) bool {
+	now, relay := s.clock.Now(), s.relay()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.left[w.addr]
+	if now.Before(r.until) {
+		return false
+	}
+	longest := longestPeer
+	if w.direct() && !relay {
+		longest = longestStore
+	}
+	s.left[w.addr] = rest{until: now.Add(retry.Doubled(firstLeft, longest, r.failures)), failures: r.failures + 1}
+	return r.failures == 0
+}
+
+// note keeps how a way was found, and logs when a feed is had from another place than before.
+func (s *Source) note(feed follow.Feed, w way, err error) {
+	if err != nil {
+		s.stats.Counter("feed_ways_failed_total").Inc(1)
+		if !s.failed(w) {
+			return
+		}
+		s.log.WithFields(logrus.Fields{"feed": feed.String(), "from": w.String()}).WithError(err).Warn("feed not heard")
+		return
+	}
+	s.mu.Lock()
+	delete(s.left, w.addr)
+	changed := s.using[feed] != w || s.since[feed].IsZero()
+	if changed {
+		s.using[feed], s.since[feed] = w, s.clock.Now()
+	}
+	s.mu.Unlock()
+	if changed {
+		s.log.WithFields(logrus.Fields{"feed": feed.String(), "from": w.String()}).Info("feed heard from elsewhere")
+	}
+}
