forward: replace also the part that a refused repair names

Change: the server that a refusal names counts as lost for this look. Test: TestARepairReplacesAlsoThePartThatItsRefusalNames failed before.

--- a/forward/repair.go
+++ b/forward/repair.go
@@ -72,7 +72,7 @@
 	fields["error"] = err.Error()
 	h.record.Failure(f.r.meta.ID, "not repaired", fields)
 	f.replace(now, was)
-	return w.blame(group, old, hops, err)
+	return w.blame(group, old, hops, found, err)
 }
 
 // newHops returns a path with other servers in place of the lost ones: with memory as far as known, or else regardless of it,
@@ -98,8 +98,10 @@
 	return append([]chain.Hop{old[0]}, path.Hops...), ok
 }
 
-// blame keeps new work away from the servers that a repair failed for, and reports whether there were any.
-func (w *watcher) blame(group *backend.Group, old, hops []chain.Hop, err error) bool {
+// blame keeps new work away from the servers that a repair failed for, and reports whether another path may do. A server that
+// the refusal names counts as lost, also when the path had it before: it has given its layers up, and neither its entry nor its
+// report tells yet.
+func (w *watcher) blame(group *backend.Group, old, hops []chain.Hop, found *findings, err error) bool {
 	var refused *backend.RepairError
 	if !errors.As(err, &refused) {
 		return false
@@ -107,7 +109,8 @@
 	now := w.handler.clock.Now()
 	if server := group.ByAddr(refused.Addr); server != nil {
 		server.WasFull(now)
-		return true
+		found.add(server)
+		return server != group.Servers()[old[0].Server]
 	}
 	// The answer names no server when one has no room; it is one of the new ones.
 	for _, h := range hops {
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -33,9 +33,11 @@
 	mu   sync.Mutex
 	dead map[string]bool
 	// dark servers let calls hang until end is closed, whatever the context says.
-	dark    map[string]bool
-	end     chan struct{}
-	holds   map[string]models.Layers
+	dark  map[string]bool
+	end   chan struct{}
+	holds map[string]models.Layers
+	// moved servers refuse to be on a path, although neither entry nor report tells yet that they hold other layers.
+	moved   map[string]bool
 	asked   map[string]int
 	repairs map[string][]call.Part
 }
@@ -75,6 +77,11 @@
 func (e *engines) Repair(_ context.Context, _, requestID string, path []call.Part) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	for _, p := range path {
+		if e.moved[p.Addr] {
+			return &backend.RepairError{Addr: p.Addr}
+		}
+	}
 	e.repairs[requestID] = path
 	return nil
 }
@@ -227,3 +234,27 @@
 	require.Zero(t, e.asked[moved.Addr()])
 	require.Len(t, e.repairs["still"], 2)
 }
+
+// TestARepairReplacesAlsoThePartThatItsRefusalNames lets a second part of the path have given its layers up without a word.
+func TestARepairReplacesAlsoThePartThatItsRefusalNames(t *testing.T) {
+	g := twoCopies()
+	service := g.Service()
+	var servers []*backend.Server
+	for i, first := range []int{0, 2, 5, 2, 5, 2} {
+		end := map[int]int{0: 2, 2: 5, 5: 8}[first]
+		servers = append(servers, backend.NewServer(backend.Entry{
+			ID: fmt.Sprint("s", i), Service: "s", Addr: fmt.Sprint("127.0.0.1:", i+1), Domain: "a", Kind: "k",
+			Layers: models.Layers{First: first, End: end},
+		}))
+	}
+	g = backend.NewGroup(service, servers)
+	e := newEngines(g, 2)
+	e.moved = map[string]bool{servers[1].Addr(): true}
+	h, clock := testHandler(t, e)
+	still := flying(h, g, "still", 0, 0, 1, 2)
+	clock.Advance(140 * time.Millisecond)
+	h.watch.look(t.Context(), still.first, g, []*inflight{still})
+	require.Len(t, e.repairs["still"], 3)
+	require.NotEqual(t, servers[1].Addr(), e.repairs["still"][1].Addr)
+	require.Equal(t, servers[4].Addr(), e.repairs["still"][2].Addr)
+}
