forward: let streams go on that their server has forgotten

Ruled out: a time-out alone (it would send queued requests again in an overload, and repeats have a budget). Change: a look at a stream that waits for its first event, with all parts of its path well, asks its first part once whether it knows the stream; one that is not known goes on elsewhere. Test: TestAStreamThatItsServerForgotGoesOnElsewhere.

--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -36,6 +36,8 @@
 	servers []*backend.Server
 	need    chain.Need
 	repairs int
+	// verified is true once the first part was asked whether it knows the stream.
+	verified bool
 	// repairing is true while a repair is under way.
 	repairing bool
 }
@@ -96,6 +98,17 @@
 	return true
 }
 
+// mayVerify reports whether the stream waits for its first event and its first part has not been asked about it yet.
+func (f *inflight) mayVerify() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.moved.Load() || f.verified || len(f.hops) == 0 {
+		return false
+	}
+	f.verified = true
+	return true
+}
+
 func (f *inflight) release() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"junctioncross/backend"
 	"junctioncross/decision"
 )
@@ -116,9 +118,31 @@
 			all.Go(func() { w.repair(ctx, f, group, found) })
 		}
 	}
+	for _, f := range streams {
+		if !found.broken(f) && f.mayVerify() {
+			all.Go(func() { w.verify(ctx, f) })
+		}
+	}
 	all.Wait()
 }
 
+// verify finds out whether the first part knows a stream whose first event is overdue, although all parts are well: some
+// servers take requests and forget them. Asking for the path that the stream has changes nothing at one that knows it.
+func (w *watcher) verify(ctx context.Context, f *inflight) {
+	h := w.handler
+	c := f.course()
+	if len(c.servers) == 0 {
+		return
+	}
+	ask, cancel := context.WithTimeout(ctx, repairTime)
+	defer cancel()
+	err := h.caller.Repair(ask, c.servers[0].Addr(), f.r.meta.ID, c.parts())
+	if errors.Is(err, backend.ErrUnknown) {
+		h.stats.Counter("requests_forgotten_total").Inc(1)
+		w.lose(c.servers[0], []*inflight{f})
+	}
+}
+
 // soundTime is how long ago a server must have moved a stream to be taken as sound. It is less than the time from a death to
 // the first look, which is the shortest pause that counts as standing still less the usual time between events.
 const soundTime = 45 * time.Millisecond
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -37,7 +37,9 @@
 	end   chan struct{}
 	holds map[string]models.Layers
 	// moved servers refuse to be on a path, although neither entry nor report tells yet that they hold other layers.
-	moved   map[string]bool
+	moved map[string]bool
+	// forgets names the requests that their first parts took and do not know.
+	forgets map[string]bool
 	asked   map[string]int
 	repairs map[string][]call.Part
 }
@@ -77,6 +79,9 @@
 func (e *engines) Repair(_ context.Context, _, requestID string, path []call.Part) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.forgets[requestID] {
+		return backend.ErrUnknown
+	}
 	for _, p := range path {
 		if e.moved[p.Addr] {
 			return &backend.RepairError{Addr: p.Addr}
@@ -258,3 +263,25 @@
 	require.NotEqual(t, servers[1].Addr(), e.repairs["still"][1].Addr)
 	require.Equal(t, servers[4].Addr(), e.repairs["still"][2].Addr)
 }
+
+// TestAStreamThatItsServerForgotGoesOnElsewhere lets two streams wait for their first events; the server knows one of them.
+func TestAStreamThatItsServerForgotGoesOnElsewhere(t *testing.T) {
+	g := twoCopies()
+	e := newEngines(g)
+	e.forgets = map[string]bool{"forgotten": true}
+	h, clock := testHandler(t, e)
+	conns := map[string]net.Conn{}
+	var streams []*inflight
+	for _, id := range []string{"forgotten", "queued"} {
+		f := flying(h, g, id, 0, 0, 1)
+		f.moved.Store(false)
+		ours, theirs := net.Pipe()
+		t.Cleanup(func() { _ = theirs.Close() })
+		f.conn, conns[id] = &backend.Conn{Conn: ours}, ours
+		streams = append(streams, f)
+	}
+	clock.Advance(time.Second)
+	h.watch.look(t.Context(), g.Servers()[0], g, streams)
+	require.Error(t, conns["forgotten"].SetDeadline(time.Time{}), "its connection is closed, so that it goes on elsewhere")
+	require.NoError(t, conns["queued"].SetDeadline(time.Time{}))
+}
