all: make one piece of what the change had written twice

No behaviour changes; every assertion stays. Processes with neighbouring ids look at ports further apart.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"junctioncross/keys"
 	"junctioncross/member"
 	"junctioncross/operator"
+	"junctioncross/ports"
 )
 
 // OperatorName is the holder of the operator's certificate of a fleet.
@@ -116,7 +117,7 @@
 func (f *Fleet) program(name string) string { return filepath.Join(f.bin, name) }
 
 func (f *Fleet) startPlatform() error {
-	addrs, err := freeAddrs(3)
+	addrs, err := ports.Free(3)
 	if err != nil {
 		return err
 	}
@@ -133,7 +134,7 @@
 }
 
 func (f *Fleet) startEngines() error {
-	addrs, err := freeAddrs(len(f.spec.Domains) * len(f.spec.Engines))
+	addrs, err := ports.Free(len(f.spec.Domains) * len(f.spec.Engines))
 	if err != nil {
 		return err
 	}
@@ -200,7 +201,7 @@
 
 func (f *Fleet) startServices() error {
 	for _, s := range f.spec.Services {
-		addrs, err := freeAddrs(s.Count)
+		addrs, err := ports.Free(s.Count)
 		if err != nil {
 			return err
 		}
@@ -219,7 +220,7 @@
 func (f *Fleet) startEntries() error {
 	for d, domain := range f.spec.Domains {
 		for i := range f.spec.Entries[d] {
-			addrs, err := freeAddrs(4)
+			addrs, err := ports.Free(4)
 			if err != nil {
 				return err
 			}
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -116,11 +118,7 @@
 func (f *findings) lost() []*backend.Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make([]*backend.Server, 0, len(f.dead))
-	for s := range f.dead {
-		out = append(out, s)
-	}
-	return out
+	return slices.Collect(maps.Keys(f.dead))
 }
 
 // broken reports whether a path passes a server that is dead or no longer holds its part, or one whose entry has vanished.
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -122,16 +122,6 @@
 	f.hops, f.servers = nil, nil
 }
 
-// parts returns the servers that the stream passes.
-func (f *inflight) parts() []*backend.Server {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return append([]*backend.Server(nil), f.servers...)
-}
-
-// path returns the path as it is sent.
-func (f *inflight) path() []call.Part { return f.course().parts() }
-
 // parts returns the path as it is sent.
 func (c course) parts() []call.Part {
 	out := make([]call.Part, len(c.hops))
@@ -159,15 +149,13 @@
 }
 
 // describe returns the path for a log line.
-func (f *inflight) describe() string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+func (c course) describe() string {
 	var b strings.Builder
-	for i, hop := range f.hops {
+	for i, hop := range c.hops {
 		if i > 0 {
 			b.WriteByte(' ')
 		}
-		b.WriteString(f.servers[i].ID())
+		b.WriteString(c.servers[i].ID())
 		b.WriteString(hop.Layers.String())
 	}
 	return b.String()
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -49,15 +49,14 @@
 	}
 	hops, ok := w.newHops(f, group, old, was, found)
 	if !ok {
-		h.record.Failure(f.r.meta.ID, "no path for a repair", decision.Fields{"path": f.describe()})
+		h.record.Failure(f.r.meta.ID, "no path for a repair", decision.Fields{"path": was.describe()})
 		return false
 	}
-	fields := decision.Fields{"old_path": f.describe()}
 	now := newCourse(group, hops)
 	if !f.replace(was, now) {
 		return false
 	}
-	fields["path"] = f.describe()
+	fields := decision.Fields{"old_path": was.describe(), "path": now.describe()}
 	ask, cancel := context.WithTimeout(ctx, repairTime)
 	err := h.caller.Repair(ask, now.servers[0].Addr(), f.r.meta.ID, now.parts())
 	cancel()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -59,10 +59,10 @@
 	defer f.first.Start(-1)
 	f.first.Chosen()
 	h.record.Routine(r.meta.ID, "sent", h.fields(r, decision.Fields{
-		"server": f.first.ID(), "attempt": attempt, "path": f.describe(), "predicted_step_us": path.Step.Microseconds(),
+		"server": f.first.ID(), "attempt": attempt, "path": f.course().describe(), "predicted_step_us": path.Step.Microseconds(),
 		"predicted_read_us": path.Read.Microseconds(), "tokens": f.need.Tokens, "resume_after": f.events.resumeAfter(),
 	}))
-	s, err := h.send(ctx, r, f.first, &call.Send{Path: f.path(), ResumeAfter: f.events.resumeAfter()}, !r.route.MayRepeat())
+	s, err := h.send(ctx, r, f.first, &call.Send{Path: f.course().parts(), ResumeAfter: f.events.resumeAfter()}, !r.route.MayRepeat())
 	if s == nil {
 		f.first.Failed(h.clock.Now())
 		return notRun{reason: models.RetryUnreachable}
@@ -147,7 +147,7 @@
 	f.first.Observe(false)
 	f.first.Failed(h.clock.Now())
 	h.record.Failure(f.r.meta.ID, "attempt broken", h.fields(f.r, decision.Fields{
-		"server": f.first.ID(), "address": f.first.Addr(), "path": f.describe(), "error": err.Error(), "last_event": f.events.last,
+		"server": f.first.ID(), "address": f.first.Addr(), "path": f.course().describe(), "error": err.Error(), "last_event": f.events.last,
 	}))
 	return failed{reason: models.RetryBroken}
 }
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -155,14 +155,14 @@
 		if !f.moved.Load() {
 			continue
 		}
-		for _, s := range f.parts() {
+		for _, s := range f.course().servers {
 			moved[s] = max(moved[s], at)
 		}
 	}
 	out := map[*backend.Server]bool{}
 	limit := int64(w.handler.clock.Since(w.start) - soundTime)
 	for _, f := range streams {
-		for _, s := range f.parts() {
+		for _, s := range f.course().servers {
 			if moved[s] < limit {
 				out[s] = true
 			}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -14,6 +14,7 @@
 	"junctioncross/keys"
 	"junctioncross/link"
 	"junctioncross/metrics"
+	"junctioncross/ports"
 )
 
 // ring returns a holder's keys signed by an authority.
@@ -34,9 +35,9 @@
 	return a
 }
 
-const addr = "127.0.0.1:39417"
-
-func listen(t *testing.T, r *keys.Ring) {
+func listen(t *testing.T, r *keys.Ring) string {
+	addrs, err := ports.Free(1)
+	require.NoError(t, err)
 	mux := link.NewMux()
 	link.Handle(mux, link.KindHead, func(_ context.Context, from keys.Identity, q string) (string, error) {
 		if q == "bad" {
@@ -46,12 +47,13 @@
 	})
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s, err := link.Listen(addr, r, mux, metrics.New(), log)
+	s, err := link.Listen(addrs[0], r, mux, metrics.New(), log)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = s.Close() })
+	return addrs[0]
 }
 
-func call(t *testing.T, r *keys.Ring, kind link.Kind, q string) (string, error) {
+func call(t *testing.T, addr string, r *keys.Ring, kind link.Kind, q string) (string, error) {
 	c := link.NewClient(r, metrics.New())
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -61,17 +63,17 @@
 
 func TestInstancesKnowEachOtherAndNobodyElseIsServed(t *testing.T) {
 	a := authority(t)
-	listen(t, ring(t, a, keys.RoleInstance, "b"))
-	got, err := call(t, ring(t, a, keys.RoleInstance, "a"), link.KindHead, "hello")
+	addr := listen(t, ring(t, a, keys.RoleInstance, "b"))
+	got, err := call(t, addr, ring(t, a, keys.RoleInstance, "a"), link.KindHead, "hello")
 	require.NoError(t, err)
 	require.Equal(t, "east/a said hello", got)
 
-	_, err = call(t, ring(t, a, keys.RoleInstance, "a"), link.KindHead, "bad")
+	_, err = call(t, addr, ring(t, a, keys.RoleInstance, "a"), link.KindHead, "bad")
 	require.ErrorIs(t, err, link.ErrRefused)
-	_, err = call(t, ring(t, a, keys.RoleInstance, "a"), link.KindClaim, "x")
+	_, err = call(t, addr, ring(t, a, keys.RoleInstance, "a"), link.KindClaim, "x")
 	require.ErrorIs(t, err, link.ErrRefused, "unknown call")
-	_, err = call(t, ring(t, a, keys.RoleOperator, "op"), link.KindHead, "hello")
+	_, err = call(t, addr, ring(t, a, keys.RoleOperator, "op"), link.KindHead, "hello")
 	require.Error(t, err, "an operator is no instance")
-	_, err = call(t, ring(t, authority(t), keys.RoleInstance, "a"), link.KindHead, "hello")
+	_, err = call(t, addr, ring(t, authority(t), keys.RoleInstance, "a"), link.KindHead, "hello")
 	require.Error(t, err, "another authority")
 }
--- a/fleet/ports.go
+++ b/ports/ports.go
@@ -1,4 +1,4 @@
-package fleet
+package ports
 
 import (
 	"fmt"
@@ -14,13 +14,14 @@
 const (
 	firstPort = 12_000
 	portCount = 18_000
-	portStep  = 7
+	// portStep keeps processes with neighbouring ids, which often start together, from looking at the same ports.
+	portStep = 131
 )
 
 var nextPort atomic.Int64
 
-// freeAddrs returns that many loopback addresses whose TCP and UDP ports are free.
-func freeAddrs(count int) ([]string, error) {
+// Free returns that many loopback addresses whose TCP and UDP ports are free.
+func Free(count int) ([]string, error) {
 	nextPort.CompareAndSwap(0, int64(os.Getpid()*portStep%portCount)+1)
 	out := make([]string, 0, count)
 	for range portCount {
@@ -32,7 +33,7 @@
 			out = append(out, addr)
 		}
 	}
-	return nil, errors.New("fleet: no free ports")
+	return nil, errors.New("ports: none is free")
 }
 
 func isFree(addr string) bool {
--- a/relay/log.go
+++ b/relay/log.go
@@ -114,6 +114,13 @@
 	l.changed = make(chan struct{})
 }
 
+// reached returns how far the feed is known, and the moment up to which nothing else has changed.
+func (l *feedLog) reached() (at follow.Position, known time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.at, l.known
+}
+
 // view is what a feedLog can tell at one moment.
 type view struct {
 	heard
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -95,7 +95,8 @@
 
 // fresh reports whether the configuration was confirmed lately, which tells that the store still answers.
 func (s *Source) fresh() bool {
-	return s.clock.Since(s.logs[follow.FeedConfig].since(0).known) <= freshTime
+	_, known := s.logs[follow.FeedConfig].reached()
+	return s.clock.Since(known) <= freshTime
 }
 
 // ask polls the relay at addr.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +16,7 @@
 	"junctioncross/keys"
 	"junctioncross/link"
 	"junctioncross/metrics"
+	"junctioncross/ports"
 	"junctioncross/relay"
 	"junctioncross/timer"
 )
@@ -184,22 +184,17 @@
 	}
 }
 
-func freeUDP(t *testing.T) string {
-	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer c.Close()
-	return c.LocalAddr().String()
-}
-
 // run starts instances of one domain over real links.
 func run(t *testing.T, s *store, n int) []*instance {
 	key, err := keys.NewFleetKey(time.Now())
 	require.NoError(t, err)
 	trust := keys.NewFleetKeyFrom(func() []byte { return key })
 	f := fleet{}
+	addrs, err := ports.Free(n)
+	require.NoError(t, err)
 	for i := range n {
 		f.members = append(f.members, census.Instance{
-			Name: fmt.Sprint("i-", i), Domain: "east", Addr: freeUDP(t), Power: float64(n - i),
+			Name: fmt.Sprint("i-", i), Domain: "east", Addr: addrs[i], Power: float64(n - i),
 		})
 	}
 	log := logrus.New()
--- a/relay/source.go
+++ b/relay/source.go
@@ -80,6 +80,11 @@
 // Stop makes the instance refuse the questions of others, so that they ask elsewhere at once.
 func (s *Source) Stop() {
 	s.stopped.Store(true)
+	s.refuse()
+}
+
+// refuse ends the service to other instances until the feeds are heard from the store again.
+func (s *Source) refuse() {
 	for _, l := range s.logs {
 		l.lose()
 	}
@@ -102,7 +107,7 @@
 // Read implements follow.Source. An instance that starts asks a relay; afterwards whole feeds are read from the store only,
 // since what another instance has may be older than what is known here.
 func (s *Source) Read(ctx context.Context, feed follow.Feed) (follow.News, error) {
-	if s.logs[feed].since(0).at == 0 {
+	if at, _ := s.logs[feed].reached(); at == 0 {
 		if h, ok := s.readRelay(ctx, feed); ok {
 			s.logs[feed].restart(h, false)
 			return s.news(h), nil
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -58,7 +58,5 @@
 // lost ends the calls that wait for the store, and the service to other instances.
 func (s *Source) lost() {
 	s.epoch.doubt()
-	for _, l := range s.logs {
-		l.lose()
-	}
+	s.refuse()
 }
