chain, backend, forward: prefer fast lanes, know the servers' memory, let requests wait their turn

Cause: servers of the new customer do not tell their load with answers, so that each instance saw only its own streams; lanes looked empty until servers turned work away, and each refusal removed all lanes through a server for up to two seconds. Lanes were chosen by width, so that answers took 78 ms an event and held memory for 4.3 s.

Change: lanes are the fastest of those not much narrower than the widest, drawn by free room, speed and place; instances ask the narrowest server of each lane for its memory under a limit for the whole fleet; a refusal fills a lane until the next report and does not remove it; requests wait in turn when the predicted wait fits into the objective, those who came back first, long answers least; a request that arrives before the first configuration waits for it for up to 120 ms.

--- /dev/null
+++ b/backend/memory.go
@@ -0,0 +1,54 @@
+package backend
+
+import "time"
+
+// memory is what a chained engine last said of the memory of its sequences, in tokens times layers.
+type memory struct {
+	used  float64
+	total float64
+	at    time.Time
+	// ownThen is what this instance had reserved on the server at that time.
+	ownThen int64
+	// refusedAt is when the server last turned work away for want of memory.
+	refusedAt time.Time
+}
+
+// SetMemory keeps what the server says of its memory, for all instances.
+func (s *Server) SetMemory(used, total float64, now time.Time) {
+	if total <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.memory.used, s.memory.total, s.memory.at, s.memory.ownThen = used, total, now, s.reserved.Load()
+}
+
+// NoRoom notes that the server turned work away for want of memory. It counts as full until there has been time for its report
+// to show what ended since.
+func (s *Server) NoRoom(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.memory.refusedAt = now
+}
+
+// Filled returns the part of the server's memory that is taken by all instances: what it last said, if that is no older than
+// age, and how the own reservations have changed since. False means that nothing is known.
+func (s *Server) Filled(now time.Time, age time.Duration) (float64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := &s.memory
+	if now.Sub(m.refusedAt) < fullTime {
+		return 1, true
+	}
+	if m.total <= 0 || now.Sub(m.at) > age {
+		return 0, false
+	}
+	return max(m.used+float64(s.reserved.Load()-m.ownThen), 0) / m.total, true
+}
+
+// MemoryAge returns how long ago the server told of its memory.
+func (s *Server) MemoryAge(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.memory.at)
+}
--- /dev/null
+++ b/backend/memory_test.go
@@ -0,0 +1,47 @@
+package backend_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
+)
+
+const age = 5 * time.Second
+
+// TestMemoryFollowsTheReportAndTheOwnReservationsSince reserves and releases after a report.
+func TestMemoryFollowsTheReportAndTheOwnReservationsSince(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := backend.NewServer(backend.Entry{ID: "s"})
+	_, known := s.Filled(now, age)
+	require.False(t, known)
+	s.Reserve(100)
+	s.SetMemory(500, 1000, now)
+	filled, known := s.Filled(now, age)
+	require.True(t, known)
+	require.InDelta(t, 0.5, filled, 1e-9, "the report includes the own reservation")
+	s.Reserve(200)
+	filled, _ = s.Filled(now, age)
+	require.InDelta(t, 0.7, filled, 1e-9)
+	s.Release(100)
+	filled, _ = s.Filled(now, age)
+	require.InDelta(t, 0.6, filled, 1e-9)
+	_, known = s.Filled(now.Add(age+1), age)
+	require.False(t, known, "the report is too old")
+}
+
+// TestAServerThatHadNoRoomIsFullUntilItsReportCanTell refuses work and reports room a moment later.
+func TestAServerThatHadNoRoomIsFullUntilItsReportCanTell(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := backend.NewServer(backend.Entry{ID: "s"})
+	s.SetMemory(100, 1000, now)
+	s.NoRoom(now)
+	filled, known := s.Filled(now, age)
+	require.True(t, known)
+	require.InDelta(t, 1, filled, 1e-9)
+	require.True(t, s.Usable(now), "repairs may still use it")
+	filled, _ = s.Filled(now.Add(time.Second), age)
+	require.InDelta(t, 0.1, filled, 1e-9)
+}
--- a/backend/server.go
+++ b/backend/server.go
@@ -57,6 +57,7 @@
 	suspect time.Time
 	load    call.Load
 	loadAt  time.Time
+	memory  memory
 	// refusals counts the refusals since the last success.
 	refusals int
 	// pace is how many times slower than usual the server said to be, at paceAt.
--- a/chain/graph.go
+++ b/chain/graph.go
@@ -23,8 +23,8 @@
 	domains []string
 	// domain holds the index into domains of each node.
 	domain []int
-	// domainOf holds the same by server.
-	domainOf map[int]int
+	// nodeOf holds the node of each server.
+	nodeOf map[int]int
 	// delay holds the time between domains, by index.
 	delay [][]time.Duration
 	// holders lists the nodes that hold each layer.
@@ -33,7 +33,7 @@
 
 // NewGraph returns the graph of the servers of an engine; nodes without layers are left out.
 func NewGraph(engine *catalog.Engine, nodes []Node) *Graph {
-	g := &Graph{engine: engine, domainOf: map[int]int{}, holders: make([][]int, engine.Layers)}
+	g := &Graph{engine: engine, nodeOf: map[int]int{}, holders: make([][]int, engine.Layers)}
 	index := map[string]int{}
 	for _, n := range nodes {
 		if n.Kind == nil || n.Layers.Count() < 1 || n.Layers.First < 0 || n.Layers.End > engine.Layers {
@@ -48,9 +48,9 @@
 		for l := n.Layers.First; l < n.Layers.End; l++ {
 			g.holders[l] = append(g.holders[l], len(g.nodes))
 		}
+		g.nodeOf[n.Server] = len(g.nodes)
 		g.nodes = append(g.nodes, n)
 		g.domain = append(g.domain, d)
-		g.domainOf[n.Server] = d
 	}
 	g.delay = make([][]time.Duration, len(g.domains))
 	for a := range g.domains {
@@ -64,8 +64,8 @@
 
 // domainOfServer returns the index of a server's domain, -1 for one that is not in the graph.
 func (g *Graph) domainOfServer(server int) int {
-	if d, ok := g.domainOf[server]; ok {
-		return d
+	if n, ok := g.nodeOf[server]; ok {
+		return g.domain[n]
 	}
 	return -1
 }
--- a/chain/lanes.go
+++ b/chain/lanes.go
@@ -25,8 +25,9 @@
 	Crossings int
 }
 
-// Lanes splits the memory of the usable servers into paths, the widest first: within each domain as far as that goes, then
-// across domains from what is left. Need tells the tokens of a usual request.
+// Lanes splits the memory of the usable servers into paths: within each domain as far as that goes, the fastest first of those
+// that are not much narrower than the widest, then across domains from what is left, the widest first. Need tells the tokens of
+// a usual request.
 //
 // Pace tells how many times slower than usual a server is: it gets that many times less.
 //
@@ -48,12 +49,16 @@
 	need  Need
 	// left is the memory of each node that no lane has, in tokens times layers.
 	left []float64
+	// pace is how many times slower than usual each node is.
+	pace []float64
 	// pipes holds what no lane has of the bandwidth between two domains, in bytes a second, by index.
 	pipes map[[2]int]float64
 }
 
 func newSplit(g *Graph, usable func(server int) bool, pace func(server int) float64, need Need) *split {
-	s := &split{graph: g, need: need, left: make([]float64, len(g.nodes)), pipes: map[[2]int]float64{}}
+	s := &split{
+		graph: g, need: need, left: make([]float64, len(g.nodes)), pace: make([]float64, len(g.nodes)), pipes: map[[2]int]float64{},
+	}
 	for a := range g.domains {
 		for b := a + 1; b < len(g.domains); b++ {
 			s.pipes[[2]int{a, b}] = pipeBytes(g)
@@ -61,7 +66,8 @@
 	}
 	for i, n := range g.nodes {
 		if usable(n.Server) {
-			s.left[i] = Room(g.engine, n.Kind, n.Layers.Count()) / pace(n.Server)
+			s.pace[i] = pace(n.Server)
+			s.left[i] = Room(g.engine, n.Kind, n.Layers.Count()) / s.pace[i]
 		}
 	}
 	return s
@@ -91,7 +97,7 @@
 // take adds the lanes within one domain, or across all.
 func (s *split) take(lanes []Lane, domain int) []Lane {
 	for len(lanes) < mostLanes {
-		lane, ok := s.widest(domain)
+		lane, ok := s.next(domain)
 		if !ok {
 			return lanes
 		}
@@ -100,77 +106,22 @@
 	return lanes
 }
 
-// width is the best known way to the boundary before a layer.
-type width struct {
-	sequences float64
-	cost      time.Duration
-	node      int
-	from      int
-	crossings int
-}
-
-const (
-	// crossingWorth multiplies what a way is worth with each crossing, so that a narrow way with few goes before a wide one
-	// with many: each carries all activations.
-	crossingWorth = 0.5
-	// mostCrossings bounds the crossings of a lane.
-	mostCrossings = 4
-	// same is how much wider a way must be to count as wider; rounding shall not decide between fast and slow.
-	same = 1.1
-)
-
-// worth is what a way is compared by.
-func (w *width) worth() float64 { return w.sequences * math.Pow(crossingWorth, float64(w.crossings)) }
-
-// widest returns the lane with memory for the most sequences, the fastest one of several, and takes its memory.
-func (s *split) widest(domain int) (Lane, bool) {
-	best := make([]width, s.graph.engine.Layers+1)
-	best[0] = width{sequences: float64(s.graph.engine.BatchSize), node: -1}
-	if best[0].sequences == 0 {
-		best[0].sequences = 1e9
-	}
-	for at := range s.graph.engine.Layers {
-		if best[at].sequences < narrowest {
-			continue
-		}
-		for _, n := range s.graph.holders[at] {
-			if domain == allDomains || s.graph.domain[n] == domain {
-				s.extend(best, n, at)
-			}
-		}
-	}
-	return s.cut(best, domain)
-}
-
-// extend goes through node n from the boundary at.
-func (s *split) extend(best []width, n, at int) {
-	node := &s.graph.nodes[n]
-	layers := node.Layers.End - at
-	w := min(best[at].sequences, s.left[n]/float64(layers*max(s.need.Tokens, 1)))
-	if w < narrowest {
-		return
-	}
-	way := width{sequences: w, node: n, from: at, crossings: best[at].crossings}
-	way.cost = best[at].cost + StepTime(s.graph.engine, node.Kind, layers, w, float64(s.need.Tokens)) + handOff
-	if last := best[at].node; last >= 0 && s.graph.domain[last] != s.graph.domain[n] {
-		way.cost += s.graph.delay[s.graph.domain[last]][s.graph.domain[n]] + crossing
-		way.crossings++
-	}
-	to := &best[node.Layers.End]
-	if way.crossings > mostCrossings {
-		return
+// next returns one lane within a domain, or across all, and takes its memory.
+func (s *split) next(domain int) (Lane, bool) {
+	ways := s.search(domain, narrowest, wider)
+	widest := ways[s.graph.engine.Layers].sequences
+	if widest < narrowest {
+		return Lane{}, false
 	}
-	if way.worth() > to.worth()*same || way.worth() > to.worth()/same && way.cost < to.cost {
-		*to = way
+	if domain != allDomains {
+		ways = s.search(domain, max(widthShare*widest, narrowest), faster)
 	}
+	return s.cut(ways, domain)
 }
 
 // cut takes the memory of the best lane off its servers.
-func (s *split) cut(best []width, domain int) (Lane, bool) {
+func (s *split) cut(best []way, domain int) (Lane, bool) {
 	end := s.graph.engine.Layers
-	if best[end].sequences < narrowest {
-		return Lane{}, false
-	}
 	lane := Lane{Sequences: best[end].sequences}
 	lane.Step = best[end].cost
 	for at := end; at > 0; at = best[at].from {
@@ -210,4 +161,4 @@
 	}
 }
 
-func (s *split) domainOf(hop Hop) int { return s.graph.domainOf[hop.Server] }
+func (s *split) domainOf(hop Hop) int { return s.graph.domainOfServer(hop.Server) }
--- /dev/null
+++ b/forward/choice.go
@@ -0,0 +1,100 @@
+package forward
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"junctioncross/backend"
+	"junctioncross/chain"
+)
+
+const (
+	// fullShare is the part of a lane's memory beyond which it gets no new streams. What is under way grows by about as much as
+	// what ends gives back; a server that is full turns work away or preempts the newest stream.
+	fullShare = 0.98
+	// localWorth is how many times more a lane of the own domain is worth: one elsewhere is lost when a domain is cut off.
+	localWorth = 3.0
+	// crossingLane is what a lane that crosses domains is worth: each crossing carries all activations.
+	crossingLane = 0.02
+	// speedPower says how much faster lanes are preferred: a stream takes memory for as long as it lasts, so that the same memory
+	// carries more streams on a fast lane.
+	speedPower = 2.0
+	// wordAge is how old a server's word on its work may be; after that only the own work counts.
+	wordAge = 5 * time.Second
+)
+
+// laneChoice draws a lane for one request.
+type laneChoice struct {
+	lanes  []chain.Lane
+	domain string
+	// load holds the part of each lane's memory that is taken, as far as known.
+	load []float64
+}
+
+func newLaneChoice(group *backend.Group, lanes []chain.Lane, domain string, now time.Time) *laneChoice {
+	c := &laneChoice{lanes: lanes, domain: domain, load: make([]float64, len(lanes))}
+	width := map[int]float64{}
+	for _, l := range lanes {
+		width[l.Hops[0].Server] += l.Sequences
+	}
+	for i, l := range lanes {
+		first := l.Hops[0].Server
+		c.load[i] = group.Servers()[first].Sequences(now, wordAge) / width[first]
+		for _, hop := range l.Hops {
+			if filled, known := group.Servers()[hop.Server].Filled(now, wordAge); known {
+				c.load[i] = max(c.load[i], filled)
+			}
+		}
+	}
+	return c
+}
+
+// pick returns the index of a lane that is drawn by what it is worth, or -1 when all are full. Instances that know the same
+// spread their streams in that way without talking to each other.
+func (c *laneChoice) pick() int {
+	worth := make([]float64, len(c.lanes))
+	total := 0.0
+	for i := range c.lanes {
+		worth[i] = c.worth(i)
+		total += worth[i]
+	}
+	point, last := rand.Float64()*total, -1
+	for i, w := range worth {
+		if w == 0 {
+			continue
+		}
+		last = i
+		if point -= w; point < 0 {
+			break
+		}
+	}
+	return last
+}
+
+// worth weighs the room that a lane has left, its speed and where it lies.
+func (c *laneChoice) worth(i int) float64 {
+	l := &c.lanes[i]
+	free := l.Sequences * (fullShare - c.load[i])
+	if free <= 0 {
+		return 0
+	}
+	w := free * math.Pow(float64(c.fastest())/float64(max(l.Step, 1)), speedPower)
+	switch {
+	case l.Crossings > 0:
+		return w * crossingLane
+	case l.Domain == c.domain:
+		return w * localWorth
+	default:
+		return w
+	}
+}
+
+// fastest returns the least time between tokens of any lane.
+func (c *laneChoice) fastest() time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for i := range c.lanes {
+		least = min(least, c.lanes[i].Step)
+	}
+	return least
+}
--- /dev/null
+++ b/forward/choice_test.go
@@ -0,0 +1,87 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/chain"
+	"junctioncross/models"
+)
+
+// shares draws many lanes and returns how often each was drawn.
+func shares(c *laneChoice) map[int]float64 {
+	const draws = 20000
+	out := map[int]float64{}
+	for range draws {
+		out[c.pick()] += 1.0 / draws
+	}
+	return out
+}
+
+func lane(domain string, step time.Duration, server int) chain.Lane {
+	hops := []chain.Hop{{Server: server, Layers: models.Layers{First: 0, End: 8}}}
+	return chain.Lane{Path: chain.Path{Hops: hops, Step: step}, Sequences: 100, Domain: domain}
+}
+
+func TestLanesAreDrawnByRoomSpeedAndPlace(t *testing.T) {
+	c := &laneChoice{domain: "a", load: make([]float64, 3), lanes: []chain.Lane{
+		lane("a", 10*time.Millisecond, 0), lane("b", 10*time.Millisecond, 1), lane("b", 20*time.Millisecond, 2),
+	}}
+	s := shares(c)
+	require.InDelta(t, localWorth, s[0]/s[1], 0.5, "the own domain first")
+	require.InDelta(t, 4, s[1]/s[2], 0.8, "half as fast is worth a quarter")
+	c.load[0] = fullShare
+	s = shares(c)
+	require.Zero(t, s[0], "a full lane gets nothing")
+	c.load[1], c.load[2] = 1, 1
+	require.Equal(t, -1, c.pick(), "a full fleet has no lane")
+}
+
+// TestAServerThatTurnsWorkAwayFillsItsLaneAndDoesNotRemoveIt lets one server of two lanes refuse work for want of memory.
+func TestAServerThatTurnsWorkAwayFillsItsLaneAndDoesNotRemoveIt(t *testing.T) {
+	g := twoCopies()
+	var b laneBook
+	now := time.Unix(100, 0)
+	lanes, _ := b.get(g, now)
+	require.Len(t, lanes, 2)
+	g.Servers()[1].NoRoom(now)
+	lanes, changed := b.get(g, now)
+	require.False(t, changed)
+	require.Len(t, lanes, 2)
+	picked := lanes[newLaneChoice(g, lanes, "a", now).pick()]
+	for _, h := range picked.Hops {
+		require.NotEqual(t, 1, h.Server)
+	}
+}
+
+// TestALaneIsAsFullAsItsFullestServer reports memory of one server; the work of other instances shows in no answer.
+func TestALaneIsAsFullAsItsFullestServer(t *testing.T) {
+	g := twoCopies()
+	var b laneBook
+	now := time.Unix(100, 0)
+	lanes, _ := b.get(g, now)
+	g.Servers()[lanes[0].Hops[1].Server].SetMemory(990, 1000, now)
+	c := newLaneChoice(g, lanes, "a", now)
+	require.InDelta(t, 0.99, c.load[0], 1e-9)
+	require.Zero(t, c.load[1])
+	require.Equal(t, 1, c.pick())
+}
+
+func TestAServerThatIsCrowdedOnlyByOthersIsAskedForItsMemory(t *testing.T) {
+	g := twoCopies()
+	e := newEngines(g)
+	h, clock := testHandler(t, e)
+	clock.Advance(time.Minute)
+	p := &prober{handler: h, allowed: 1}
+	p.probe(g)
+	require.Eventually(t, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return len(e.asked) == 1
+	}, 10*time.Second, time.Millisecond)
+	require.Less(t, p.allowed, 1.0)
+	p.probe(g)
+	require.Len(t, e.asked, 1, "no more than the instance's part of the questions")
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -57,23 +57,26 @@
 	mu      sync.Mutex
 	windows map[string]*retry.Window
 	lanes   map[string]*laneBook
+	queues  map[string]*queue
+	waits   waits
 	// stopTold is when the process was told to stop, and stopBy when it must have ended; zero before.
 	stopTold time.Time
 	stopBy   time.Time
 	peers    peers
 }
 
-// New returns a Handler and starts to look for streams that stand still; it stops when ctx ends.
+// New returns a Handler and starts to look for streams that stand still and to ask servers for their memory; it stops when ctx ends.
 func New(
 	ctx context.Context, terms Terms, board *follow.Board, codec call.Codec, caller backend.Caller, clock *timer.Service,
 	stats *metrics.Registry, record *decision.Recorder, instances Instances,
 ) *Handler {
 	h := &Handler{
 		board: board, codec: codec, caller: caller, clock: clock, stats: stats, record: record, census: instances,
-		windows: map[string]*retry.Window{}, lanes: map[string]*laneBook{}, peers: peers{factor: peersAtFirst},
+		windows: map[string]*retry.Window{}, lanes: map[string]*laneBook{}, queues: map[string]*queue{}, waits: waits{}, peers: peers{factor: peersAtFirst},
 	}
 	h.SetTerms(terms)
 	h.watch = newWatcher(ctx, h)
+	startProber(ctx, h)
 	return h
 }
 
@@ -104,7 +107,7 @@
 // Handle implements front.Handler.
 func (h *Handler) Handle(ctx context.Context, x *front.Exchange) {
 	r := &request{x: x, meta: x.Meta()}
-	if !h.accept(r) {
+	if !h.accept(ctx, r) {
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
@@ -119,8 +122,8 @@
 }
 
 // accept finds route, account and servers, or answers with the reason why not.
-func (h *Handler) accept(r *request) bool {
-	snapshot := h.board.Current()
+func (h *Handler) accept(ctx context.Context, r *request) bool {
+	snapshot := h.awaitCatalog(ctx)
 	c := snapshot.Catalog()
 	if c == nil {
 		h.refuse(r, models.ReasonNoConfiguration, soon)
@@ -156,6 +159,24 @@
 	return true
 }
 
+const (
+	// catalogWait is how long a request waits for the first configuration of an instance that has just started, which comes within
+	// some 50 ms: it is a quarter of the usual objective, so that a refusal still comes in time.
+	catalogWait = 120 * time.Millisecond
+	catalogPoll = 5 * time.Millisecond
+)
+
+// awaitCatalog returns the present snapshot, with a configuration if one comes within a short time.
+func (h *Handler) awaitCatalog(ctx context.Context) *follow.Snapshot {
+	until := h.clock.Now().Add(catalogWait)
+	for {
+		snapshot := h.board.Current()
+		if snapshot.Catalog() != nil || !h.clock.Now().Before(until) || !h.clock.Sleep(ctx, catalogPoll) {
+			return snapshot
+		}
+	}
+}
+
 // pathOf returns the path of a request's target as it was sent, without the query.
 func pathOf(target []byte) string {
 	path, _, _ := bytes.Cut(target, []byte("?"))
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -35,7 +35,9 @@
 	hops    []chain.Hop
 	servers []*backend.Server
 	need    chain.Need
-	repairs int
+	// returned is true when the caller has been refused before, or goes on with a stream that broke off.
+	returned bool
+	repairs  int
 	// verified is true once the first part was asked whether it knows the stream.
 	verified bool
 	// repairing is true while a repair is under way.
--- a/forward/inquire.go
+++ b/forward/inquire.go
@@ -11,10 +11,8 @@
 const (
 	// askTime bounds a question to a server; one that takes longer is as good as gone.
 	askTime = 300 * time.Millisecond
-	// fullMemory is the part of a server's memory beyond which it gets no new work.
+	// fullMemory is the part of a server's memory beyond which a line in the log says so.
 	fullMemory = 0.93
-	// fullPause is how long such a server gets no new work: some answers end meanwhile.
-	fullPause = 600 * time.Millisecond
 	// slowPace is how many times slower than usual a server has to be for a line in the log.
 	slowPace = 1.5
 )
@@ -45,6 +43,7 @@
 		return
 	}
 	server.SetPace(report.Pace, now)
+	server.SetMemory(report.Used, report.Total, now)
 	fields["pace"], fields["running"], fields["waiting"] = report.Pace, report.Running, report.Waiting
 	fields["memory_used"], fields["memory"], fields["layers"] = report.Used, report.Total, report.Layers.String()
 	switch {
@@ -52,7 +51,6 @@
 		server.WasStale(now)
 		h.record.Failure("", "server holds other layers", fields)
 	case report.Total > 0 && report.Used > fullMemory*report.Total:
-		server.SetAside(now.Add(fullPause))
 		h.record.Failure("", "server is full", fields)
 	case report.Pace >= slowPace:
 		h.record.Failure("", "server is slow", fields)
--- a/forward/lanes.go
+++ b/forward/lanes.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -10,16 +9,6 @@
 	"junctioncross/chain"
 )
 
-const (
-	// localShare is the part of a domain's own lanes that is filled before requests cross to other domains.
-	localShare = 0.85
-	// fullShare is the part of a lane's memory that is used, counted in whole answers: on the mean, half of an answer has not
-	// been written yet.
-	fullShare = 1.05
-	// wordAge is how old a server's word on its work may be; after that only the own work counts.
-	wordAge = 5 * time.Second
-)
-
 // laneBook keeps the lanes of one service's servers.
 type laneBook struct {
 	mu     sync.Mutex
@@ -64,75 +53,6 @@
 	return b.lanes, !slices.EqualFunc(former, b.lanes, sameLane)
 }
 
-// laneChoice draws lanes for one request.
-type laneChoice struct {
-	group  *backend.Group
-	lanes  []chain.Lane
-	domain string
-	now    time.Time
-	// load holds the part of each lane's memory that is taken, as far as known.
-	load []float64
-}
-
-func newLaneChoice(group *backend.Group, lanes []chain.Lane, domain string, now time.Time) *laneChoice {
-	c := &laneChoice{group: group, lanes: lanes, domain: domain, now: now, load: make([]float64, len(lanes))}
-	width := map[int]float64{}
-	for _, l := range lanes {
-		width[l.Hops[0].Server] += l.Sequences
-	}
-	for i, l := range lanes {
-		first := l.Hops[0].Server
-		c.load[i] = group.Servers()[first].Sequences(now, wordAge) / width[first]
-	}
-	return c
-}
-
-// pick returns the index of a lane with room, or -1: one of the own domain while these are not nearly full, then one that
-// lies within another domain, and only then one that crosses, since every crossing carries all activations.
-func (c *laneChoice) pick() int {
-	if i := c.draw(localShare, func(l *chain.Lane) bool { return l.Domain == c.domain }); i >= 0 {
-		return i
-	}
-	if i := c.draw(fullShare, func(l *chain.Lane) bool { return l.Crossings == 0 }); i >= 0 {
-		return i
-	}
-	return c.draw(fullShare, func(*chain.Lane) bool { return true })
-}
-
-// draw takes the less loaded of two lanes that are drawn by their width, among those below a load.
-func (c *laneChoice) draw(below float64, allowed func(*chain.Lane) bool) int {
-	total := 0.0
-	for i := range c.lanes {
-		if c.load[i] < below && allowed(&c.lanes[i]) {
-			total += c.lanes[i].Sequences
-		}
-	}
-	if total == 0 {
-		return -1
-	}
-	a := c.at(rand.Float64()*total, below, allowed)
-	b := c.at(rand.Float64()*total, below, allowed)
-	if c.load[b] < c.load[a] {
-		return b
-	}
-	return a
-}
-
-// at returns the lane at a point of the summed widths.
-func (c *laneChoice) at(point, below float64, allowed func(*chain.Lane) bool) int {
-	last := -1
-	for i := range c.lanes {
-		if c.load[i] >= below || !allowed(&c.lanes[i]) {
-			continue
-		}
-		last = i
-		if point -= c.lanes[i].Sequences; point < 0 {
-			return i
-		}
-	}
-	return last
-}
-
 const (
 	// pathlessTime is how long a service may lack a whole path before the instance asks for no more callers: repairs and
 	// loads of spare servers take about as long.
--- a/forward/path.go
+++ b/forward/path.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"math"
 	"time"
 
@@ -36,27 +35,6 @@
 	return int(math.Pow(float64(hint), hintTrust) * math.Pow(float64(usual), 1-hintTrust))
 }
 
-// awaitPath returns the path for the next attempt and waits for a little while there is none.
-func (h *Handler) awaitPath(ctx context.Context, f *inflight) (chain.Path, bool) {
-	r := f.r
-	until := r.x.Arrived().Add(time.Duration(roomWait * float64(r.route.Objective)))
-	if r.x.Begun() {
-		until = h.clock.Now().Add(patienceOf(r.route) - f.pause(h))
-	}
-	for {
-		path, ok := h.choosePath(f)
-		if ok || !h.clock.Now().Before(until) {
-			return path, ok
-		}
-		if !h.clock.Sleep(ctx, roomPoll) {
-			return path, false
-		}
-		if group := h.board.Current().Group(r.group.Service().Name); group != nil {
-			r.group = group
-		}
-	}
-}
-
 const (
 	// Callers leave a stream after the longest of leastPatience, so many times the objective, and so many times the accepted
 	// pause without an event, as the users' clients do.
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -233,6 +233,16 @@
 	return &heldAnswer{head: h.codec.AppendAnswer(nil, &s.head), body: body}
 }
 
+// noRoom notes that a server had no room. A plain service tells no more, so that its server is left alone for a while; the memory
+// of a chained engine is known from its reports.
+func (h *Handler) noRoom(r *request, server *backend.Server, now time.Time) {
+	if r.group.Graph() != nil {
+		server.NoRoom(now)
+		return
+	}
+	server.WasFull(now)
+}
+
 // turnedAway notes why a server did not take a request.
 func (h *Handler) turnedAway(r *request, server *backend.Server, s *sent) {
 	now := h.clock.Now()
@@ -240,7 +250,7 @@
 	if s.info.Status == fasthttp.StatusMisdirectedRequest {
 		server.WasStale(now)
 	} else {
-		server.WasFull(now)
+		h.noRoom(r, server, now)
 	}
 	h.record.Failure(r.meta.ID, "turned away", h.fields(r, decision.Fields{
 		"server": server.ID(), "address": server.Addr(), "status": s.info.Status, "fault": s.info.Fault,
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -107,14 +107,14 @@
 	}
 	now := w.handler.clock.Now()
 	if server := group.ByAddr(refused.Addr); server != nil {
-		server.WasFull(now)
+		server.NoRoom(now)
 		found.add(server)
 		return server != group.Servers()[old[0].Server]
 	}
 	// The answer names no server when one has no room; it is one of the new ones.
 	for _, h := range hops {
 		if !slices.Contains(old, h) {
-			group.Servers()[h.Server].WasFull(now)
+			group.Servers()[h.Server].NoRoom(now)
 		}
 	}
 	return true
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -12,20 +11,13 @@
 	"junctioncross/models"
 )
 
-const (
-	// roomWait is the part of the objective that a request may wait for room; a refusal within a quarter of the objective
-	// leaves its caller time to be served elsewhere.
-	roomWait = 0.2
-	// roomPoll is how often a waiting request looks for room.
-	roomPoll = 15 * time.Millisecond
-	// streamBuffer holds some events.
-	streamBuffer = 4 << 10
-)
+// streamBuffer holds some events.
+const streamBuffer = 4 << 10
 
 // stream answers a request of a chained engine.
 func (h *Handler) stream(ctx context.Context, r *request) {
 	f := &inflight{r: r, events: events{last: resumeFrom(r.meta.ResumeAfter)}}
-	f.need = h.needOf(r)
+	f.need, f.returned = h.needOf(r), h.hasReturned(r)
 	var last outcome
 	for attempt := 1; ; attempt++ {
 		path, ok := h.awaitPath(ctx, f)
@@ -95,6 +87,7 @@
 	r.runs++
 	f.first.Observe(true)
 	f.first.Succeeded()
+	h.queueOf(f.first.Service()).ended(h.clock.Since(r.x.Arrived()))
 	return delivered{}
 }
 
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -171,6 +171,13 @@
 	return out
 }
 
+// count returns the number of streams under way.
+func (w *watcher) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.streams)
+}
+
 // flying returns the streams under way.
 func (w *watcher) flying() []*inflight {
 	w.mu.Lock()
