placement, leader: place fast servers first, stand-ins wide, and wait for those who may still appear

Cause: slow cards held a third of the usual path; second holders covered no server whole; servers were placed as their entries came, the slow ones first; after a domain's cut its largest server was moved to fill a hole that its neighbours' returning entries were about to fill; a busy server was ordered again in each round.

Change: fill goes domain by domain and the fastest server first; a server whose layers all have another holder takes more layers with room for 48 sequences; a cold service waits 1.5 s for entries; moves wait while servers of the domain appear; a refused order of a busy server counts as under way until the server tells.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -31,6 +31,10 @@
 	calm = 400 * time.Millisecond
 	// patience is the longest that empty servers wait for calm.
 	patience = 1500 * time.Millisecond
+	// coldCalm and coldPatience are the same for a service of which no server holds anything: nothing is served meanwhile, and
+	// which server is fast shows only when all are known. Entries appear within a heartbeat of the platform, 1.2 s.
+	coldCalm     = 1500 * time.Millisecond
+	coldPatience = 4 * time.Second
 )
 
 // Place tells where an instance stands in the fleet.
--- a/leader/work.go
+++ b/leader/work.go
@@ -46,12 +46,17 @@
 	known   map[string]bool
 	changed time.Time
 	waiting time.Time
+	// arrivals holds when servers last appeared in each domain.
+	arrivals map[string]arrivals
 	// coverage is the last coverage that was logged.
 	coverage []placement.Coverage
 }
 
 func newWork(g *Leader) *work {
-	return &work{leader: g, pending: map[string]*pending{}, orders: map[string]int64{}, known: map[string]bool{}, changed: g.clock.Now()}
+	return &work{
+		leader: g, pending: map[string]*pending{}, orders: map[string]int64{}, known: map[string]bool{}, changed: g.clock.Now(),
+		arrivals: map[string]arrivals{},
+	}
 }
 
 func (w *work) round(ctx context.Context) {
@@ -105,6 +110,7 @@
 	if p := w.pending[s.ID()]; p != nil {
 		v.Layers, v.Settled = p.layers, false
 	}
+	v.Stays = w.arrivals[s.Domain()].underWay(w.leader.clock.Now())
 	return v
 }
 
@@ -117,6 +123,7 @@
 		if !w.known[s.ID()] {
 			w.known[s.ID()] = true
 			w.changed = now
+			w.arrivals[s.Domain()] = w.arrivals[s.Domain()].next(now)
 		}
 	}
 	for id := range w.known {
@@ -131,9 +138,10 @@
 // calm reports whether empty servers may get layers now, or have waited long enough.
 func (w *work) calm(servers []placement.Server) bool {
 	now := w.leader.clock.Now()
-	empty := false
+	empty, cold := false, true
 	for _, s := range servers {
 		empty = empty || s.Settled && s.Layers.Count() == 0
+		cold = cold && s.Layers.Count() == 0
 	}
 	if !empty {
 		w.waiting = time.Time{}
@@ -142,6 +150,9 @@
 	if w.waiting.IsZero() {
 		w.waiting = now
 	}
+	if cold {
+		return now.Sub(w.changed) >= coldCalm || now.Sub(w.waiting) >= coldPatience
+	}
 	return now.Sub(w.changed) >= calm || now.Sub(w.waiting) >= patience
 }
 
@@ -172,8 +183,13 @@
 		return
 	}
 	w.orders[s.ID()] = report.Orders
+	if report.Busy {
+		// Whether this order or another one is carried out shows at its end.
+		p.at = g.clock.Now()
+		return
+	}
 	p.unsure = false
-	if report.Busy || report.Layers == p.layers {
+	if report.Layers == p.layers {
 		p.at = g.clock.Now()
 		return
 	}
@@ -237,6 +253,9 @@
 	default:
 		g.stats.Counter("orders_refused_total").Inc(1)
 		g.log.WithFields(fields).WithError(err).Warn("order refused")
+		// A server that carries out an order of a former leader refuses all others until it has done so.
+		p.unsure = true
+		w.pending[s.ID()] = p
 		w.ask(ctx, s, p)
 	}
 }
--- /dev/null
+++ b/leader/work_test.go
@@ -0,0 +1,105 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
+	"junctioncross/call"
+	"junctioncross/catalog"
+	"junctioncross/metrics"
+	"junctioncross/models"
+	"junctioncross/timer"
+)
+
+// workers is a backend.Caller whose servers refuse orders while they are busy.
+type workers struct {
+	busy   map[string]bool
+	holds  map[string]models.Layers
+	placed map[string][]models.Layers
+}
+
+// Report implements backend.Caller.
+func (w *workers) Report(_ context.Context, addr string) (backend.Report, error) {
+	return backend.Report{Busy: w.busy[addr], Layers: w.holds[addr], Orders: 3}, nil
+}
+
+// Place implements backend.Caller.
+func (w *workers) Place(_ context.Context, addr, _ string, o backend.PlaceOrder) error {
+	w.placed[addr] = append(w.placed[addr], o.Layers)
+	if w.busy[addr] {
+		return backend.ErrStale
+	}
+	return nil
+}
+
+// Repair implements backend.Caller.
+func (*workers) Repair(context.Context, string, string, []call.Part) error { return nil }
+
+func engine() *catalog.Engine {
+	return &catalog.Engine{
+		Layers: 8, LayerMB: 100, TokenBytes: 8000, Step: time.Millisecond, ReadPerSecond: 1e5, UsualPrompt: 100, UsualAnswer: 40,
+		LoadTime: 4 * time.Second,
+		Kinds:    []catalog.Kind{{Name: "fast", MemoryMB: 1000, StepPace: 1, ReadPace: 1}, {Name: "slow", MemoryMB: 1000, StepPace: 9, ReadPace: 9}},
+	}
+}
+
+func server(n int, kind string, layers models.Layers) *backend.Server {
+	return backend.NewServer(backend.Entry{
+		ID: fmt.Sprint("s", n), Addr: fmt.Sprint("127.0.0.1:", n), Service: "m", Domain: "a", Kind: kind, Layers: layers,
+	})
+}
+
+func testWork(t *testing.T, caller backend.Caller) (*work, *clockwork.FakeClock) {
+	fake := clockwork.NewFakeClock()
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	return newWork(&Leader{caller: caller, clock: timer.New(fake), stats: metrics.New(), log: log}), fake
+}
+
+func newWorkers() *workers {
+	return &workers{busy: map[string]bool{}, holds: map[string]models.Layers{}, placed: map[string][]models.Layers{}}
+}
+
+// TestAServerThatIsBusyIsNotOrderedInEachRound gives orders to an empty server that carries out another one.
+func TestAServerThatIsBusyIsNotOrderedInEachRound(t *testing.T) {
+	caller := newWorkers()
+	w, clock := testWork(t, caller)
+	whole := server(1, "fast", models.Layers{First: 0, End: 8})
+	empty := server(2, "fast", models.Layers{})
+	caller.busy[empty.Addr()] = true
+	for range 10 {
+		w.place(t.Context(), engine(), []*backend.Server{whole, empty})
+		clock.Advance(period)
+	}
+	require.Len(t, caller.placed[empty.Addr()], 1)
+	caller.busy[empty.Addr()] = false
+	for range 20 {
+		w.place(t.Context(), engine(), []*backend.Server{whole, empty})
+		clock.Advance(period)
+	}
+	require.Len(t, caller.placed[empty.Addr()], 2, "it is ordered again once it is free")
+}
+
+// TestAColdServiceWaitsForItsFastServers lets a slow server appear a heartbeat before the fast one.
+func TestAColdServiceWaitsForItsFastServers(t *testing.T) {
+	caller := newWorkers()
+	w, clock := testWork(t, caller)
+	slow, fast := server(1, "slow", models.Layers{}), server(2, "fast", models.Layers{})
+	present := []*backend.Server{slow}
+	for elapsed := time.Duration(0); elapsed < 3*time.Second; elapsed += period {
+		if elapsed >= 1200*time.Millisecond {
+			present = []*backend.Server{slow, fast}
+		}
+		w.place(t.Context(), engine(), present)
+		clock.Advance(period)
+	}
+	require.Len(t, caller.placed[fast.Addr()], 1)
+	require.Equal(t, 0, caller.placed[fast.Addr()][0].First, "the fast server is first on the path")
+}
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -13,6 +13,9 @@
 	// memory for layers: measured, one bare copy of the model in each domain (about 200 sequences) did far worse than this,
 	// since the loss of one server sent all paths of its domain over the links between domains.
 	wantedSequences = 96
+	// standInSequences is the same for a server whose layers all have another holder in its domain: it stands in for servers that
+	// are lost and takes what they have no memory for, and covers more layers with less room.
+	standInSequences = 48
 )
 
 // Server is a server as the decision sees it.
@@ -24,6 +27,8 @@
 	Layers models.Layers
 	// Settled servers can take an order now.
 	Settled bool
+	// Stays is true for a server that shall not give up layers now.
+	Stays bool
 }
 
 // Order says what one server should hold from now on.
@@ -150,37 +155,47 @@
 	return retile(e, servers)
 }
 
-// fill gives layers to the servers that hold none, the largest first.
+// fill gives layers to the servers that hold none, domain by domain, since each shall have a whole copy, and the fastest first, so that slow ones only hold what is left and stand in for
+// others: every token passes each layer, and an answer that takes longer holds its memory for longer.
 func fill(e *catalog.Engine, c *cover, servers []Server) []Order {
-	type empty struct {
-		server *Server
-		layers int
-	}
-	var free []empty
+	var free []*Server
 	for i := range servers {
-		s := &servers[i]
-		if !s.Settled || s.Layers.Count() > 0 || s.Kind == nil {
-			continue
-		}
-		if n := LayersOf(e, s.Kind, wantedSequences); n > 0 {
-			free = append(free, empty{s, n})
+		if s := &servers[i]; s.Settled && s.Layers.Count() == 0 && s.Kind != nil {
+			free = append(free, s)
 		}
 	}
-	sort.Slice(free, func(i, j int) bool {
-		if free[i].layers != free[j].layers {
-			return free[i].layers > free[j].layers
-		}
-		return free[i].server.ID < free[j].server.ID
-	})
+	sort.Slice(free, func(i, j int) bool { return before(free[i], free[j]) })
 	orders := make([]Order, 0, len(free))
-	for _, f := range free {
-		r, _ := c.best(f.server.Domain, f.layers)
-		c.add(f.server, r, 1)
-		orders = append(orders, Order{ID: f.server.ID, Layers: r})
+	for _, s := range free {
+		sequences := wantedSequences
+		if !misses(c.in(s.Domain)) {
+			sequences = standInSequences
+		}
+		n := LayersOf(e, s.Kind, sequences)
+		if n == 0 {
+			continue
+		}
+		r, _ := c.best(s.Domain, n)
+		c.add(s, r, 1)
+		orders = append(orders, Order{ID: s.ID, Layers: r})
 	}
 	return orders
 }
 
+// before says which of two empty servers gets layers first.
+func before(a, b *Server) bool {
+	switch {
+	case a.Domain != b.Domain:
+		return a.Domain < b.Domain
+	case a.Kind.StepPace != b.Kind.StepPace:
+		return a.Kind.StepPace < b.Kind.StepPace
+	case a.Kind.MemoryMB != b.Kind.MemoryMB:
+		return a.Kind.MemoryMB > b.Kind.MemoryMB
+	default:
+		return a.ID < b.ID
+	}
+}
+
 // move lets one server give up layers that have other holders, for layers that have none: the one that covers most of
 // them, and of several the one that loads least.
 //
@@ -192,7 +207,7 @@
 	highest := 0.0
 	for i := range servers {
 		s := &servers[i]
-		if !s.Settled || s.Layers.Count() == 0 || s.Kind == nil || !live.spares(s) {
+		if !s.Settled || s.Stays || s.Layers.Count() == 0 || s.Kind == nil || !live.spares(s) {
 			continue
 		}
 		c.add(s, s.Layers, -1)
--- a/placement/retile.go
+++ b/placement/retile.go
@@ -45,7 +45,8 @@
 	return false
 }
 
-// settledByDomain returns the servers by domain; a domain with orders under way is left out until they are done.
+// settledByDomain returns the servers by domain; a domain with orders under way or with servers that
+// stay is left out.
 func settledByDomain(servers []Server) map[string][]*Server {
 	out := map[string][]*Server{}
 	busy := map[string]bool{}
@@ -54,7 +55,7 @@
 		if s.Kind == nil {
 			continue
 		}
-		busy[s.Domain] = busy[s.Domain] || !s.Settled
+		busy[s.Domain] = busy[s.Domain] || !s.Settled || s.Stays
 		out[s.Domain] = append(out[s.Domain], s)
 	}
 	for domain := range busy {
