--- a/relay/watch.go
+++ b/relay/watch.go
@@ -15,8 +15,11 @@
 	configWait = 1200 * time.Millisecond
 	// serversWait is the same for the servers, whose news confirm nothing that is needed often.
 	serversWait = 8 * time.Second
-	// doubtWait is how long any watch waits while the store is in doubt, so that its return is noticed.
+	// doubtWait is how long a watch on the servers waits while the store is in doubt, so that its return is noticed.
 	doubtWait = time.Second
+	// doubtAnswer is how long a watch on the configuration may take while the store is in doubt: twice what a slow store takes.
+	// It does not wait for news, since every moment counts until the keys are confirmed again.
+	doubtAnswer = 700 * time.Millisecond
 	// hurriedWait is the shortest that the store accepts.
 	hurriedWait = time.Millisecond
 )
@@ -25,7 +28,11 @@
 func (s *Source) watch(ctx context.Context, feed follow.Feed, after follow.Position, hurry bool) (heard, error) {
 	epoch, doubt := s.epoch.current()
 	wait := waitOf(feed, doubt, hurry)
-	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
+	limit := wait + answerTime
+	if doubt && feed == follow.FeedConfig {
+		limit = doubtAnswer
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	defer context.AfterFunc(epoch, cancel)()
 	asked := s.clock.Now()
@@ -44,7 +51,7 @@
 
 func waitOf(feed follow.Feed, doubt, hurry bool) time.Duration {
 	switch {
-	case hurry:
+	case hurry, doubt && feed == follow.FeedConfig:
 		return hurriedWait
 	case doubt:
 		return doubtWait
