forward, placement, backend: put fast servers back in place, leave questions and slow lanes that help nobody, evacuate early

Change: a server stands in only where another holder is as fast; no question while the first part says that requests wait; lanes on which an answer would not end in time count a hundredth; streams leave a part whose server has said that it leaves at once, at most 100 a second in all, where the domain has another holder.

--- a/backend/memory.go
+++ b/backend/memory.go
@@ -6,7 +6,9 @@
 type memory struct {
 	used  float64
 	total float64
-	at    time.Time
+	// waiting is the number of requests that waited for memory or a place in the batch.
+	waiting int
+	at      time.Time
 	// ownThen is what this instance had reserved on the server at that time.
 	ownThen int64
 	// refusedAt is when the server last turned work away for want of memory.
@@ -14,13 +16,14 @@
 }
 
 // SetMemory keeps what the server says of its memory, for all instances.
-func (s *Server) SetMemory(used, total float64, now time.Time) {
+func (s *Server) SetMemory(used, total float64, waiting int, now time.Time) {
 	if total <= 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.memory.used, s.memory.total, s.memory.at, s.memory.ownThen = used, total, now, s.reserved.Load()
+	s.memory.used, s.memory.total, s.memory.waiting = used, total, waiting
+	s.memory.at, s.memory.ownThen = now, s.reserved.Load()
 }
 
 // NoRoom notes that the server turned work away for want of memory. It counts as full until there has been time for its report
@@ -46,6 +49,13 @@
 	return max(m.used+float64(s.reserved.Load()-m.ownThen), 0) / m.total, true
 }
 
+// Crowded reports whether requests waited on the server when it last told, so that those which have not begun may be among them.
+func (s *Server) Crowded(now time.Time, age time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.memory.waiting > 0 && now.Sub(s.memory.at) <= age
+}
+
 // MemoryAge returns how long ago the server told of its memory.
 func (s *Server) MemoryAge(now time.Time) time.Duration {
 	s.mu.Lock()
--- a/backend/memory_test.go
+++ b/backend/memory_test.go
@@ -18,7 +18,7 @@
 	_, known := s.Filled(now, age)
 	require.False(t, known)
 	s.Reserve(100)
-	s.SetMemory(500, 1000, now)
+	s.SetMemory(500, 1000, 0, now)
 	filled, known := s.Filled(now, age)
 	require.True(t, known)
 	require.InDelta(t, 0.5, filled, 1e-9, "the report includes the own reservation")
@@ -36,7 +36,7 @@
 func TestAServerThatHadNoRoomIsFullUntilItsReportCanTell(t *testing.T) {
 	now := time.Unix(100, 0)
 	s := backend.NewServer(backend.Entry{ID: "s"})
-	s.SetMemory(100, 1000, now)
+	s.SetMemory(100, 1000, 0, now)
 	s.NoRoom(now)
 	filled, known := s.Filled(now, age)
 	require.True(t, known)
--- a/forward/choice.go
+++ b/forward/choice.go
@@ -17,6 +17,8 @@
 	localWorth = 3.0
 	// crossingLane is what a lane that crosses domains is worth: each crossing carries all activations.
 	crossingLane = 0.02
+	// tooSlow is what a lane is worth on which an answer is not expected to end in time.
+	tooSlow = 0.01
 	// speedPower says how much faster lanes are preferred: a stream takes memory for as long as it lasts, so that the same memory
 	// carries more streams on a fast lane.
 	speedPower = 2.0
@@ -28,6 +30,10 @@
 type laneChoice struct {
 	lanes  []chain.Lane
 	domain string
+	// steps is the number of tokens that the answer may have and left the time for them; a lane that is too slow gets nothing while
+	// another one is fast enough.
+	steps int
+	left  time.Duration
 	// load holds the part of each lane's memory that is taken, as far as known.
 	load []float64
 }
@@ -57,6 +63,9 @@
 	total := 0.0
 	for i := range c.lanes {
 		worth[i] = c.worth(i)
+		if c.lanes[i].Step*time.Duration(c.steps) > c.left {
+			worth[i] *= tooSlow
+		}
 		total += worth[i]
 	}
 	point, last := rand.Float64()*total, -1
--- a/forward/choice_test.go
+++ b/forward/choice_test.go
@@ -62,7 +62,7 @@
 	var b laneBook
 	now := time.Unix(100, 0)
 	lanes, _ := b.get(g, now)
-	g.Servers()[lanes[0].Hops[1].Server].SetMemory(990, 1000, now)
+	g.Servers()[lanes[0].Hops[1].Server].SetMemory(990, 1000, 0, now)
 	c := newLaneChoice(g, lanes, "a", now)
 	require.InDelta(t, 0.99, c.load[0], 1e-9)
 	require.Zero(t, c.load[1])
--- /dev/null
+++ b/forward/evacuate_test.go
@@ -0,0 +1,52 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
+	"junctioncross/models"
+)
+
+// leave lets a server say that it leaves.
+func leave(s *backend.Server) {
+	s.Update(backend.Entry{ID: s.ID(), Leaving: true, Layers: s.Layers()})
+}
+
+// TestAStreamGoesOnWithoutAServerThatLeaves lets the second part of a path leave while another server holds its layers.
+func TestAStreamGoesOnWithoutAServerThatLeaves(t *testing.T) {
+	g := twoCopies()
+	e := newEngines(g)
+	h, _ := testHandler(t, e)
+	f := flying(h, g, "one", 0, 0, 1)
+	require.Nil(t, f.leavingPart(), "nobody leaves yet")
+	leave(g.Servers()[1])
+	require.Equal(t, g.Servers()[1], f.leavingPart())
+	require.True(t, h.watch.evacuateOne(t.Context(), f, g))
+	require.Eventually(t, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return len(e.repairs["one"]) == 2 && e.repairs["one"][1].Addr == g.Servers()[3].Addr()
+	}, 10*time.Second, time.Millisecond)
+	require.Nil(t, f.leavingPart())
+}
+
+// TestAStreamStaysWhereOnlyAnotherDomainCouldTakeItsPart leaves no other holder in the domain.
+func TestAStreamStaysWhereOnlyAnotherDomainCouldTakeItsPart(t *testing.T) {
+	service := twoCopies().Service()
+	entry := func(id, domain string, first int) backend.Entry {
+		return backend.Entry{
+			ID: id, Service: "s", Addr: "127.0.0.1:" + id, Domain: domain, Kind: "k", Layers: models.Layers{First: first, End: first + 4},
+		}
+	}
+	g := backend.NewGroup(service, []*backend.Server{
+		backend.NewServer(entry("1", "a", 0)), backend.NewServer(entry("2", "a", 4)), backend.NewServer(entry("3", "b", 4)),
+	})
+	h, _ := testHandler(t, newEngines(g))
+	f := flying(h, g, "one", 0, 0, 1)
+	leave(g.Servers()[1])
+	require.False(t, h.watch.evacuateOne(t.Context(), f, g))
+	require.Zero(t, f.repairs, "looking for a path costs none of the stream's repairs")
+}
--- a/forward/inquire.go
+++ b/forward/inquire.go
@@ -43,7 +43,7 @@
 		return
 	}
 	server.SetPace(report.Pace, now)
-	server.SetMemory(report.Used, report.Total, now)
+	server.SetMemory(report.Used, report.Total, report.Waiting, now)
 	fields["pace"], fields["running"], fields["waiting"] = report.Pace, report.Running, report.Waiting
 	fields["memory_used"], fields["memory"], fields["layers"] = report.Used, report.Total, report.Layers.String()
 	switch {
--- a/forward/path.go
+++ b/forward/path.go
@@ -56,6 +56,7 @@
 	lanes := h.lanesOf(group, now)
 	if len(lanes) > 0 {
 		choice := newLaneChoice(group, lanes, h.terms.Load().Domain, now)
+		choice.steps, choice.left = int(streamSlack*float64(f.need.Tokens-f.need.Prompt)), h.remaining(f.r)
 		i := choice.pick()
 		if i < 0 {
 			return chain.Path{}, false
--- a/forward/queue_test.go
+++ b/forward/queue_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/chain"
 	"junctioncross/follow"
 )
 
@@ -43,3 +44,41 @@
 	}
 	require.Nil(t, (<-got).Catalog(), "without a configuration it is refused in time")
 }
+
+func TestCallersWhoCameBackGoFirst(t *testing.T) {
+	q := newQueue()
+	early, late := &inflight{}, &inflight{}
+	back, backLater := &inflight{returned: true}, &inflight{returned: true}
+	q.join(early)
+	require.Zero(t, q.join(back))
+	require.Equal(t, 1, q.join(backLater))
+	require.Equal(t, 3, q.join(late))
+	for _, f := range []*inflight{back, backLater, early, late} {
+		require.True(t, q.first(f))
+		q.leave(f)
+	}
+}
+
+func TestCallersWhoHaveUsedUpSomeOfTheirTimeHaveComeBack(t *testing.T) {
+	w := waits{}
+	require.False(t, w.returned("r", 20*time.Second))
+	require.True(t, w.returned("r", 16*time.Second))
+	require.False(t, w.returned("r", 19900*time.Millisecond), "it was sent again at once")
+	require.False(t, w.returned("other", 5*time.Second))
+	for range 2000 {
+		w.returned("r", 10*time.Second)
+	}
+	require.False(t, w.returned("r", 10*time.Second), "callers have become less patient")
+}
+
+func TestLongAnswersWaitLess(t *testing.T) {
+	g := twoCopies()
+	f := &inflight{r: &request{group: g}, need: chain.Need{Prompt: 100, Tokens: 140}}
+	require.InDelta(t, 1, f.patienceShare(), 1e-9, "the usual answer")
+	f.need.Tokens = 120
+	require.InDelta(t, 1, f.patienceShare(), 1e-9, "a short one")
+	f.need.Tokens = 180
+	require.InDelta(t, 0.5, f.patienceShare(), 1e-9)
+	f.need.Tokens = 5000
+	require.InDelta(t, leastShare, f.patienceShare(), 1e-9, "it is never left without a chance")
+}
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -32,6 +32,7 @@
 	}
 	defer f.repaired()
 	for range repairTries {
+		w.handler.stats.Retried(models.RetryTimeout)
 		again := w.repairOnce(ctx, f, group, found)
 		if !again || !f.countRepair() {
 			return
@@ -52,26 +53,34 @@
 		h.record.Failure(f.r.meta.ID, "no path for a repair", decision.Fields{"path": was.describe()})
 		return false
 	}
-	now := newCourse(group, hops)
+	err := w.reroute(ctx, f, was, newCourse(group, hops), "repaired")
+	return err != nil && w.blame(group, old, hops, found, err)
+}
+
+// errPathChanged means that a stream has another path meanwhile, or none.
+var errPathChanged = errors.New("forward: path has changed meanwhile")
+
+// reroute asks the first part of a stream's path to go on along another one; done is what the log says then.
+func (w *watcher) reroute(ctx context.Context, f *inflight, was, now course, done string) error {
+	h := w.handler
 	if !f.replace(was, now) {
-		return false
+		return errPathChanged
 	}
 	fields := decision.Fields{"old_path": was.describe(), "path": now.describe()}
 	ask, cancel := context.WithTimeout(ctx, repairTime)
+	defer cancel()
 	err := h.caller.Repair(ask, now.servers[0].Addr(), f.r.meta.ID, now.parts())
-	cancel()
 	h.stats.Counter("repairs_total").Inc(1)
-	h.stats.Retried(models.RetryTimeout)
 	fields["still_ms"] = f.pause(h).Milliseconds()
 	if err == nil {
-		h.record.Failure(f.r.meta.ID, "repaired", fields)
-		return false
+		h.record.Failure(f.r.meta.ID, done, fields)
+		return nil
 	}
 	h.stats.Counter("repairs_failed_total").Inc(1)
 	fields["error"] = err.Error()
-	h.record.Failure(f.r.meta.ID, "not repaired", fields)
+	h.record.Failure(f.r.meta.ID, "not "+done, fields)
 	f.replace(now, was)
-	return w.blame(group, old, hops, found, err)
+	return err
 }
 
 // newHops returns a path with other servers in place of the lost ones: with memory as far as known, or else regardless of it,
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -22,6 +22,8 @@
 	firstStill = 200 * time.Millisecond
 	// lookAgain is how long after a look at a path the next one may follow: reports are as old as that.
 	lookAgain = 250 * time.Millisecond
+	// crowdedAge is how old a server's word that requests wait on it may be: they wait for some hundred milliseconds.
+	crowdedAge = time.Second
 	// suspectTime is how long a server that does not answer gets no new work, if its entry does not vanish before.
 	suspectTime = 3 * time.Second
 )
@@ -35,6 +37,8 @@
 	streams map[*inflight]struct{}
 	// looked holds when the paths that start at a server were last looked at.
 	looked map[*backend.Server]time.Time
+	// evacuations is the number of streams that may leave parts of their paths now; it belongs to the watcher's goroutine.
+	evacuations float64
 }
 
 func newWatcher(ctx context.Context, h *Handler) *watcher {
@@ -46,6 +50,7 @@
 			select {
 			case <-ticks.C():
 				w.scan(ctx)
+				w.evacuate(ctx)
 			case <-ctx.Done():
 				return
 			}
@@ -119,7 +124,7 @@
 		}
 	}
 	for _, f := range streams {
-		if !found.broken(f) && f.mayVerify() {
+		if !found.broken(f) && !first.Crowded(found.now, crowdedAge) && f.mayVerify() {
 			all.Go(func() { w.verify(ctx, f) })
 		}
 	}
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -13,8 +13,8 @@
 	// memory for layers: measured, one bare copy of the model in each domain (about 200 sequences) did far worse than this,
 	// since the loss of one server sent all paths of its domain over the links between domains.
 	wantedSequences = 96
-	// standInSequences is the same for a server whose layers all have another holder in its domain: it stands in for servers that
-	// are lost and takes what they have no memory for, and covers more layers with less room.
+	// standInSequences is the same for a server whose layers all have another holder in its domain that is as fast: it stands in
+	// for servers that are lost and takes what they have no memory for, and covers more layers with less room.
 	standInSequences = 48
 )
 
@@ -61,10 +61,12 @@
 	engine *catalog.Engine
 	all    []float64
 	domain map[string][]float64
+	// fastest holds the step pace of the fastest server that was ever counted as a holder, by domain and layer; 0 means none.
+	fastest map[string][]float64
 }
 
 func newCover(e *catalog.Engine, servers []Server) *cover {
-	c := &cover{engine: e, all: make([]float64, e.Layers), domain: map[string][]float64{}}
+	c := &cover{engine: e, all: make([]float64, e.Layers), domain: map[string][]float64{}, fastest: map[string][]float64{}}
 	for i := range servers {
 		c.add(&servers[i], servers[i].Layers, 1)
 	}
@@ -76,6 +78,7 @@
 	if d == nil {
 		d = make([]float64, c.engine.Layers)
 		c.domain[domain] = d
+		c.fastest[domain] = make([]float64, c.engine.Layers)
 	}
 	return d
 }
@@ -87,6 +90,9 @@
 	for l := max(r.First, 0); l < min(r.End, c.engine.Layers); l++ {
 		c.all[l] += room
 		d[l] += room
+		if f := &c.fastest[s.Domain][l]; sign > 0 && s.Kind != nil && (*f == 0 || s.Kind.StepPace < *f) {
+			*f = s.Kind.StepPace
+		}
 	}
 }
 
@@ -167,21 +173,40 @@
 	sort.Slice(free, func(i, j int) bool { return before(free[i], free[j]) })
 	orders := make([]Order, 0, len(free))
 	for _, s := range free {
-		sequences := wantedSequences
-		if !misses(c.in(s.Domain)) {
-			sequences = standInSequences
-		}
-		n := LayersOf(e, s.Kind, sequences)
-		if n == 0 {
+		r, ok := c.choose(s)
+		if !ok {
 			continue
 		}
-		r, _ := c.best(s.Domain, n)
 		c.add(s, r, 1)
 		orders = append(orders, Order{ID: s.ID, Layers: r})
 	}
 	return orders
 }
 
+// choose returns the range that an empty server should hold.
+func (c *cover) choose(s *Server) (models.Layers, bool) {
+	n := LayersOf(c.engine, s.Kind, wantedSequences)
+	if n == 0 {
+		return models.Layers{}, false
+	}
+	r, _ := c.best(s.Domain, n)
+	if c.standsIn(s, r) {
+		r, _ = c.best(s.Domain, LayersOf(c.engine, s.Kind, standInSequences))
+	}
+	return r, true
+}
+
+// standsIn reports whether every layer of a range has another holder in the server's domain that is as fast.
+func (c *cover) standsIn(s *Server, r models.Layers) bool {
+	fastest := c.fastest[s.Domain]
+	for l := r.First; l < r.End; l++ {
+		if fastest[l] == 0 || fastest[l] > s.Kind.StepPace {
+			return false
+		}
+	}
+	return true
+}
+
 // before says which of two empty servers gets layers first.
 func before(a, b *Server) bool {
 	switch {
--- a/placement/decide_test.go
+++ b/placement/decide_test.go
@@ -163,3 +163,48 @@
 		require.Zero(t, missing(e, all, "a"))
 	})
 }
+
+// TestServersThatStayAreNotMoved opens a hole in a domain whose entries may still come back.
+func TestServersThatStayAreNotMoved(t *testing.T) {
+	e := engine()
+	full := hall(e)
+	apply(full, placement.Decide(e, full))
+	for lost := range full {
+		all := append([]placement.Server(nil), full[:lost]...)
+		all = append(all, full[lost+1:]...)
+		for i := range all {
+			all[i].Stays = true
+		}
+		require.Empty(t, placement.Decide(e, all))
+	}
+}
+
+// TestFastServersHoldTheUsualPath fills a hall whose fast servers can hold nearly the whole model.
+func TestFastServersHoldTheUsualPath(t *testing.T) {
+	e := engine()
+	all := servers(e, "a", "tiny", "small", "big", "tiny", "big", "small", "mid", "small")
+	apply(all, placement.Decide(e, all))
+	require.Zero(t, missing(e, all, "a"))
+	var fast []placement.Server
+	held := 0
+	for _, s := range all {
+		if s.Kind.Name == "big" || s.Kind.Name == "mid" {
+			fast = append(fast, s)
+			held += s.Layers.Count()
+		}
+	}
+	require.Equal(t, e.Layers-missing(e, fast, "a"), held, "no layer is held by two fast servers")
+	require.GreaterOrEqual(t, held, 60)
+}
+
+// TestAServerThatStandsInCoversMoreWithLessRoom adds a server to a domain that has a whole copy.
+func TestAServerThatStandsInCoversMoreWithLessRoom(t *testing.T) {
+	e := engine()
+	all := servers(e, "a", "big", "big", "big")
+	apply(all, placement.Decide(e, all))
+	require.Zero(t, missing(e, all, "a"))
+	extra := servers(e, "a", "small", "small", "small", "small")[3]
+	orders := placement.Decide(e, append(all, extra))
+	require.Len(t, orders, 1)
+	require.Greater(t, orders[0].Layers.Count(), placement.LayersOf(e, extra.Kind, 96))
+}
