follow, backend, leader: keep new work from servers whose entries vanish after an outage

Change: while few servers of a service are missing, those get no new work; when many are, their entries have lapsed and they serve on. A test that failed before.

--- a/backend/server.go
+++ b/backend/server.go
@@ -40,6 +40,8 @@
 
 	leaving atomic.Bool
 	gone    atomic.Bool
+	// doubted is true while it is not known whether the server leaves.
+	doubted atomic.Bool
 	layers  atomic.Pointer[models.Layers]
 	// running counts the requests of this instance on the server, as the first or any other part.
 	running atomic.Int64
@@ -118,6 +120,9 @@
 	s.closeIdle()
 }
 
+// Doubt keeps new work away from the server, or no longer.
+func (s *Server) Doubt(doubted bool) { s.doubted.Store(doubted) }
+
 // Gone reports whether the server's entry was removed.
 func (s *Server) Gone() bool { return s.gone.Load() }
 
--- a/backend/standing.go
+++ b/backend/standing.go
@@ -88,7 +88,7 @@
 
 // Usable reports whether the server may get new work.
 func (s *Server) Usable(now time.Time) bool {
-	if s.Leaving() {
+	if s.Leaving() || s.doubted.Load() {
 		return false
 	}
 	return !s.isAside(now) && !s.circuit.Open(now)
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -194,3 +194,45 @@
 	soon(t, func() bool { return servers(b) == 1 })
 	require.Equal(t, "back", b.Current().Group("s").Servers()[0].ID())
 }
+
+// TestAServerThatVanishesAfterAnOutageGetsNoNewWork lets one of many entries vanish just after the store came back: whether its
+// server leaves or its entry lapsed shows later. When most vanish, they have lapsed.
+func TestAServerThatVanishesAfterAnOutageGetsNoNewWork(t *testing.T) {
+	s := newSource()
+	b := start(t, s)
+	s.tell(follow.FeedConfig, configured(t, 1))
+	for _, id := range []string{"a", "b", "c", "d"} {
+		s.tell(follow.FeedServers, seen(id, false))
+	}
+	soon(t, func() bool { return usable(b) == 4 })
+	s.setDown(true)
+	age := b.Confirmed()
+	time.Sleep(300 * time.Millisecond)
+	s.setDown(false)
+	soon(t, func() bool { return b.Confirmed().After(age) })
+	s.tell(follow.FeedServers, follow.ServerGone{ID: "a"})
+	soon(t, func() bool { return usable(b) == 3 })
+	require.Equal(t, 4, servers(b), "it is kept until it would be back")
+	for _, id := range []string{"b", "c", "d"} {
+		s.tell(follow.FeedServers, follow.ServerGone{ID: id})
+	}
+	soon(t, func() bool { return usable(b) == 4 })
+	s.tell(follow.FeedServers, seen("a", false))
+	soon(t, func() bool { return servers(b) == 1 })
+	require.Equal(t, 1, usable(b))
+}
+
+// usable counts the servers of service s that may get new work.
+func usable(b *follow.Board) int {
+	group := b.Current().Group("s")
+	if group == nil {
+		return 0
+	}
+	n := 0
+	for _, s := range group.Servers() {
+		if s.Usable(time.Now()) {
+			n++
+		}
+	}
+	return n
+}
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -20,6 +20,9 @@
 	lapseGrace = 2200 * time.Millisecond
 	// outageEcho is how long after the last failed call a vanished entry is put down to the outage.
 	outageEcho = 3 * time.Second
+	// lapseShare is the part of a service's servers up to which vanished ones get no new work while they are kept: so few may
+	// as well be leaving, and the others can do without them. When more vanish, their entries have lapsed with the store.
+	lapseShare = 0.1
 	// heardQueue holds messages while the control goroutine is busy.
 	heardQueue = 16
 )
@@ -78,10 +81,12 @@
 		l.regained(h.feed)
 		dropped := h.feed == FeedServers && l.dropUnlisted(h.Changes)
 		l.show(l.apply(h.Changes) || dropped)
+		l.doubt()
 		l.confirm(h.feed, h.Known)
 	case heardChanges:
 		l.regained(h.feed)
 		l.show(l.apply(h.Changes))
+		l.doubt()
 		l.confirm(h.feed, h.Known)
 	case heardFailure:
 		l.failure(h)
@@ -226,11 +231,32 @@
 		}
 	}
 	l.show(dropped)
+	if dropped {
+		l.doubt()
+	}
 	for _, s := range l.servers {
 		s.CloseExpired(now)
 	}
 }
 
+// doubt keeps new work from servers whose entries have vanished while it is not known whether they leave, as long as these are
+// few of their service.
+func (l *Loop) doubt() {
+	all, missing := map[string]int{}, map[string]int{}
+	for id, s := range l.servers {
+		all[s.Service()]++
+		if _, ok := l.missing[id]; ok {
+			missing[s.Service()]++
+		}
+	}
+	for id, s := range l.servers {
+		_, gone := l.missing[id]
+		n := missing[s.Service()]
+		few := n < all[s.Service()] && float64(n) <= max(1, lapseShare*float64(all[s.Service()]))
+		s.Doubt(gone && few)
+	}
+}
+
 // show replaces the snapshot after a change, as a whole and never with a part of what was heard.
 func (l *Loop) show(changed bool) {
 	if !changed || l.catalog == nil {
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -152,7 +152,7 @@
 // Decide returns the orders that bring the servers nearer to what they should hold.
 func Decide(e *catalog.Engine, servers []Server) []Order {
 	c := newCover(e, servers)
-	if orders := fill(e, c, servers); len(orders) > 0 {
+	if orders := fill(c, servers); len(orders) > 0 {
 		return orders
 	}
 	if orders := move(e, c, servers); len(orders) > 0 {
@@ -163,7 +163,7 @@
 
 // fill gives layers to the servers that hold none, domain by domain, since each shall have a whole copy, and the fastest first, so that slow ones only hold what is left and stand in for
 // others: every token passes each layer, and an answer that takes longer holds its memory for longer.
-func fill(e *catalog.Engine, c *cover, servers []Server) []Order {
+func fill(c *cover, servers []Server) []Order {
 	var free []*Server
 	for i := range servers {
 		if s := &servers[i]; s.Settled && s.Layers.Count() == 0 && s.Kind != nil {
