forward, placement: whole copies before stand-ins, ask first who told longest ago, keep to the own domain

Change: stand-ins are only the servers left over when a domain holds as many whole copies as it can; an instance asks at least twice a second, the servers of its own domain three times sooner; the own domain counts 16 times (3 before). What has been added since a report counts twice, for the others; before any report, what is known counts for six instances. Lines tell how full a lane was thought to be, and why a request was not let wait.

--- a/backend/memory.go
+++ b/backend/memory.go
@@ -35,8 +35,9 @@
 }
 
 // Filled returns the part of the server's memory that is taken by all instances: what it last said, if that is no older than
-// age, and how the own reservations have changed since. False means that nothing is known.
-func (s *Server) Filled(now time.Time, age time.Duration) (float64, bool) {
+// age, and how the own reservations have changed since. What has been added counts for so many instances, since the others are
+// likely to have done the same. False means that nothing is known.
+func (s *Server) Filled(now time.Time, age time.Duration, instances float64) (float64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := &s.memory
@@ -46,7 +47,11 @@
 	if m.total <= 0 || now.Sub(m.at) > age {
 		return 0, false
 	}
-	return max(m.used+float64(s.reserved.Load()-m.ownThen), 0) / m.total, true
+	change := float64(s.reserved.Load() - m.ownThen)
+	if change > 0 {
+		change *= instances
+	}
+	return max(m.used+change, 0) / m.total, true
 }
 
 // Crowded reports whether requests waited on the server when it last told, so that those which have not begun may be among them.
--- a/backend/standing.go
+++ b/backend/standing.go
@@ -66,6 +66,13 @@
 	return true
 }
 
+// Askable reports whether the server may be asked for its state now.
+func (s *Server) Askable(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.asked) >= askPeriod
+}
+
 // SetPace keeps how many times slower than usual the server says to be.
 func (s *Server) SetPace(pace float64, now time.Time) {
 	s.mu.Lock()
--- a/forward/choice.go
+++ b/forward/choice.go
@@ -13,10 +13,17 @@
 	// fullShare is the part of a lane's memory beyond which it gets no new streams. What is under way grows by about as much as
 	// what ends gives back; a server that is full turns work away or preempts the newest stream.
 	fullShare = 0.98
-	// localWorth is how many times more a lane of the own domain is worth: one elsewhere is lost when a domain is cut off.
-	localWorth = 3.0
+	// localWorth is how many times more a lane of the own domain is worth: one elsewhere is lost when a domain is cut off, and needs
+	// a connection of its own that is rarely used again. A domain that is nearly full sends its streams elsewhere all the same.
+	localWorth = 16.0
 	// crossingLane is what a lane that crosses domains is worth: each crossing carries all activations.
 	crossingLane = 0.02
+	// mostAlike bounds the instances that are taken to have as much work on a server as this one while it has not told, as just
+	// after a start.
+	mostAlike = 6.0
+	// mostAdding bounds those that are taken to have added as much as this one since a server last told: the last half second of
+	// one says little of the others.
+	mostAdding = 2.0
 	// tooSlow is what a lane is worth on which an answer is not expected to end in time.
 	tooSlow = 0.01
 	// speedPower says how much faster lanes are preferred: a stream takes memory for as long as it lasts, so that the same memory
@@ -38,24 +45,40 @@
 	load []float64
 }
 
-func newLaneChoice(group *backend.Group, lanes []chain.Lane, domain string, now time.Time) *laneChoice {
+// newLaneChoice returns a choice of so many instances that choose alike.
+func newLaneChoice(group *backend.Group, lanes []chain.Lane, domain string, instances int, now time.Time) *laneChoice {
 	c := &laneChoice{lanes: lanes, domain: domain, load: make([]float64, len(lanes))}
 	width := map[int]float64{}
 	for _, l := range lanes {
 		width[l.Hops[0].Server] += l.Sequences
 	}
-	for i, l := range lanes {
-		first := l.Hops[0].Server
-		c.load[i] = group.Servers()[first].Sequences(now, wordAge) / width[first]
-		for _, hop := range l.Hops {
-			if filled, known := group.Servers()[hop.Server].Filled(now, wordAge); known {
-				c.load[i] = max(c.load[i], filled)
-			}
+	for i := range lanes {
+		l := &lanes[i]
+		own := group.Servers()[l.Hops[0].Server].Sequences(now, wordAge) / width[l.Hops[0].Server]
+		if filled, known := fullest(group, l, instances, now); known {
+			c.load[i] = max(own, filled)
+			continue
+		}
+		if load, _ := group.Servers()[l.Hops[0].Server].Load(); !load.Known {
+			own *= min(float64(instances), mostAlike)
 		}
+		c.load[i] = own
 	}
 	return c
 }
 
+// fullest returns the part of the memory that is taken on the fullest server of a lane; false means that none has told.
+func fullest(group *backend.Group, l *chain.Lane, instances int, now time.Time) (float64, bool) {
+	most, told := 0.0, false
+	for _, hop := range l.Hops {
+		filled, known := group.Servers()[hop.Server].Filled(now, wordAge, min(float64(instances), mostAdding))
+		if known {
+			most, told = max(most, filled), true
+		}
+	}
+	return most, told
+}
+
 // pick returns the index of a lane that is drawn by what it is worth, or -1 when all are full. Instances that know the same
 // spread their streams in that way without talking to each other.
 func (c *laneChoice) pick() int {
--- a/forward/choice_test.go
+++ b/forward/choice_test.go
@@ -30,8 +30,8 @@
 		lane("a", 10*time.Millisecond, 0), lane("b", 10*time.Millisecond, 1), lane("b", 20*time.Millisecond, 2),
 	}}
 	s := shares(c)
-	require.InDelta(t, localWorth, s[0]/s[1], 0.5, "the own domain first")
-	require.InDelta(t, 4, s[1]/s[2], 0.8, "half as fast is worth a quarter")
+	require.InEpsilon(t, localWorth, s[0]/s[1], 0.25, "the own domain first")
+	require.InEpsilon(t, 4, s[1]/s[2], 0.4, "half as fast is worth a quarter")
 	c.load[0] = fullShare
 	s = shares(c)
 	require.Zero(t, s[0], "a full lane gets nothing")
@@ -50,7 +50,7 @@
 	lanes, changed := b.get(g, now)
 	require.False(t, changed)
 	require.Len(t, lanes, 2)
-	picked := lanes[newLaneChoice(g, lanes, "a", now).pick()]
+	picked := lanes[newLaneChoice(g, lanes, "a", 1, now).pick()]
 	for _, h := range picked.Hops {
 		require.NotEqual(t, 1, h.Server)
 	}
@@ -63,7 +63,7 @@
 	now := time.Unix(100, 0)
 	lanes, _ := b.get(g, now)
 	g.Servers()[lanes[0].Hops[1].Server].SetMemory(990, 1000, 0, now)
-	c := newLaneChoice(g, lanes, "a", now)
+	c := newLaneChoice(g, lanes, "a", 1, now)
 	require.InDelta(t, 0.99, c.load[0], 1e-9)
 	require.Zero(t, c.load[1])
 	require.Equal(t, 1, c.pick())
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -35,6 +35,8 @@
 	hops    []chain.Hop
 	servers []*backend.Server
 	need    chain.Need
+	// laneLoad is the part of the lane's memory that was thought to be taken when the path was chosen.
+	laneLoad float64
 	// returned is true when the caller has been refused before, or goes on with a stream that broke off.
 	returned bool
 	repairs  int
--- a/forward/inquire.go
+++ b/forward/inquire.go
@@ -8,6 +8,9 @@
 	"junctioncross/decision"
 )
 
+// whyMemory is the reason of the questions that follow no event.
+const whyMemory = "memory"
+
 const (
 	// askTime bounds a question to a server; one that takes longer is as good as gone.
 	askTime = 300 * time.Millisecond
@@ -54,6 +57,8 @@
 		h.record.Failure("", "server is full", fields)
 	case report.Pace >= slowPace:
 		h.record.Failure("", "server is slow", fields)
+	case why == whyMemory:
+		// Told too often for a line each; the line of a stream tells what its choice went by.
 	default:
 		h.record.Routine("", "server is well", fields)
 	}
--- a/forward/lanes_test.go
+++ b/forward/lanes_test.go
@@ -50,12 +50,12 @@
 	now := time.Unix(100, 0)
 	var b laneBook
 	lanes, _ := b.get(g, now)
-	near := newLaneChoice(g, lanes, "a", now)
+	near := newLaneChoice(g, lanes, "a", 1, now)
 	require.GreaterOrEqual(t, near.pick(), 0)
 	for i := range near.load {
 		near.load[i] = fullShare
 	}
 	require.Equal(t, -1, near.pick(), "a full fleet has no lane")
-	far := newLaneChoice(g, lanes, "b", now)
+	far := newLaneChoice(g, lanes, "b", 1, now)
 	require.GreaterOrEqual(t, far.pick(), 0, "another domain's lanes are used when there is none in the own")
 }
--- a/forward/path.go
+++ b/forward/path.go
@@ -55,12 +55,13 @@
 	group, now := f.r.group, h.clock.Now()
 	lanes := h.lanesOf(group, now)
 	if len(lanes) > 0 {
-		choice := newLaneChoice(group, lanes, h.terms.Load().Domain, now)
+		choice := newLaneChoice(group, lanes, h.terms.Load().Domain, h.census.Instances(), now)
 		choice.steps, choice.left = int(streamSlack*float64(f.need.Tokens-f.need.Prompt)), h.remaining(f.r)
 		i := choice.pick()
 		if i < 0 {
 			return chain.Path{}, false
 		}
+		f.laneLoad = choice.load[i]
 		return lanes[i].Path, true
 	}
 	return chain.Choose(group.Graph(), h.chainState(group, now), f.need)
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -11,10 +11,16 @@
 const (
 	// probePeriod is how often an instance looks which servers it should ask for their memory.
 	probePeriod = 100 * time.Millisecond
-	// probesPerSecond bounds the questions of all instances together; each has its price.
+	// probesPerSecond is the number of questions that all instances together may ask in a second, and leastProbes what each of
+	// them may at least: each question has its price.
 	probesPerSecond = 40.0
+	leastProbes     = 2.0
+	// mostProbes bounds the questions of one round.
+	mostProbes = 4.0
 	// freshWord is how old a server's word on its memory may be before it is asked again.
 	freshWord = 500 * time.Millisecond
+	// ownDomain is how many times sooner the servers of the own domain are asked, which get most of the streams.
+	ownDomain = 3
 )
 
 // prober asks the servers that the lanes depend on for their memory. An instance knows only its own streams, and servers that
@@ -23,8 +29,6 @@
 	handler *Handler
 	// allowed is the number of questions that may be asked now.
 	allowed float64
-	// next is where the round over the lanes goes on.
-	next int
 }
 
 func startProber(ctx context.Context, h *Handler) {
@@ -46,8 +50,8 @@
 // round asks some servers of the services that have streams under way.
 func (p *prober) round() {
 	h := p.handler
-	p.allowed += probesPerSecond * probePeriod.Seconds() / float64(h.census.Instances())
-	p.allowed = min(p.allowed, mostProbes)
+	rate := max(probesPerSecond/float64(h.census.Instances()), leastProbes)
+	p.allowed = min(p.allowed+rate*probePeriod.Seconds(), mostProbes)
 	if h.watch.count() == 0 {
 		return
 	}
@@ -58,24 +62,35 @@
 	}
 }
 
-// mostProbes bounds the questions of one round.
-const mostProbes = 4.0
-
-// probe asks the servers that bound the lanes of a service, in turn.
+// probe asks the servers that bound the lanes of a service, those first that told longest ago.
 func (p *prober) probe(group *backend.Group) {
 	h, now := p.handler, p.handler.clock.Now()
 	lanes := h.lanesOf(group, now)
-	for range lanes {
-		if p.allowed < 1 {
+	for ; p.allowed >= 1; p.allowed-- {
+		server := p.stalest(group, lanes, now)
+		if server == nil {
 			return
 		}
-		lane := &lanes[p.next%len(lanes)]
-		p.next++
-		server := group.Servers()[chain.Narrowest(group.Graph(), lane.Hops)]
-		if server.MemoryAge(now) < freshWord {
+		h.inquire(server, whyMemory)
+	}
+}
+
+// stalest returns the server that should be asked first, or nil when all have told lately.
+func (p *prober) stalest(group *backend.Group, lanes []chain.Lane, now time.Time) *backend.Server {
+	var out *backend.Server
+	var oldest time.Duration
+	for i := range lanes {
+		server := group.Servers()[chain.Narrowest(group.Graph(), lanes[i].Hops)]
+		age := min(server.MemoryAge(now), wordAge)
+		if age < freshWord || !server.Askable(now) {
 			continue
 		}
-		p.allowed--
-		h.inquire(server, "memory")
+		if lanes[i].Domain == p.handler.terms.Load().Domain {
+			age *= ownDomain
+		}
+		if age > oldest {
+			out, oldest = server, age
+		}
 	}
+	return out
 }
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"junctioncross/chain"
+	"junctioncross/decision"
 )
 
 const (
@@ -104,7 +105,11 @@
 	if f.returned {
 		limit = max(limit, time.Duration(lastWait*float64(patienceOf(r.route))))
 	}
-	if share == roomWait && q.wait(before, h.watch.count()) > limit {
+	if wait := q.wait(before, h.watch.count()); share == roomWait && wait > limit {
+		h.record.Failure(r.meta.ID, "room would come too late", h.fields(r, decision.Fields{
+			"waiting": before, "streams": h.watch.count(), "predicted_wait_ms": wait.Milliseconds(), "limit_ms": limit.Milliseconds(),
+			"returned": f.returned,
+		}))
 		return chain.Path{}, false
 	}
 	return h.awaitRoom(ctx, f, func() bool { return q.first(f) }, r.x.Arrived().Add(limit))
--- a/forward/state.go
+++ b/forward/state.go
@@ -61,7 +61,7 @@
 	if s.regardless {
 		return room
 	}
-	if filled, known := server.Filled(s.now, wordAge); known {
+	if filled, known := server.Filled(s.now, wordAge, 1); known {
 		return room * (1 - filled)
 	}
 	return room - server.Reserved()*s.factor
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -52,7 +52,8 @@
 	f.first.Chosen()
 	h.record.Routine(r.meta.ID, "sent", h.fields(r, decision.Fields{
 		"server": f.first.ID(), "attempt": attempt, "path": f.course().describe(), "predicted_step_us": path.Step.Microseconds(),
-		"predicted_read_us": path.Read.Microseconds(), "tokens": f.need.Tokens, "resume_after": f.events.resumeAfter(),
+		"predicted_read_us": path.Read.Microseconds(), "tokens": f.need.Tokens, "lane_load": f.laneLoad, "returned": f.returned,
+		"resume_after": f.events.resumeAfter(),
 	}))
 	s, err := h.send(ctx, r, f.first, &call.Send{Path: f.course().parts(), ResumeAfter: f.events.resumeAfter()}, !r.route.MayRepeat())
 	if s == nil {
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -172,25 +172,55 @@
 	}
 	sort.Slice(free, func(i, j int) bool { return before(free[i], free[j]) })
 	orders := make([]Order, 0, len(free))
+	left := c.spareLayers(servers)
 	for _, s := range free {
-		r, ok := c.choose(s)
+		// The slowest servers come last; those that are left when as many whole copies as possible are placed may stand in.
+		mayStandIn := left.free[s.Domain] <= left.beyondCopies(s.Domain, c.engine.Layers)
+		r, ok := c.choose(s, mayStandIn)
 		if !ok {
 			continue
 		}
+		left.free[s.Domain] -= LayersOf(c.engine, s.Kind, wantedSequences)
 		c.add(s, r, 1)
 		orders = append(orders, Order{ID: s.ID, Layers: r})
 	}
 	return orders
 }
 
+// spare counts the layers that the servers of each domain have room for beside wantedSequences: all, and those of servers that
+// hold nothing yet.
+type spare struct {
+	all  map[string]int
+	free map[string]int
+}
+
+func (c *cover) spareLayers(servers []Server) spare {
+	out := spare{all: map[string]int{}, free: map[string]int{}}
+	for i := range servers {
+		s := &servers[i]
+		if s.Kind == nil {
+			continue
+		}
+		n := LayersOf(c.engine, s.Kind, wantedSequences)
+		out.all[s.Domain] += n
+		if s.Settled && s.Layers.Count() == 0 {
+			out.free[s.Domain] += n
+		}
+	}
+	return out
+}
+
+// beyondCopies returns how many layers of a domain's servers are left over when they hold as many whole copies as they can.
+func (s spare) beyondCopies(domain string, layers int) int { return s.all[domain] % layers }
+
 // choose returns the range that an empty server should hold.
-func (c *cover) choose(s *Server) (models.Layers, bool) {
+func (c *cover) choose(s *Server, mayStandIn bool) (models.Layers, bool) {
 	n := LayersOf(c.engine, s.Kind, wantedSequences)
 	if n == 0 {
 		return models.Layers{}, false
 	}
 	r, _ := c.best(s.Domain, n)
-	if c.standsIn(s, r) {
+	if mayStandIn && c.standsIn(s, r) {
 		r, _ = c.best(s.Domain, LayersOf(c.engine, s.Kind, standInSequences))
 	}
 	return r, true
--- a/placement/decide_test.go
+++ b/placement/decide_test.go
@@ -208,3 +208,21 @@
 	require.Len(t, orders, 1)
 	require.Greater(t, orders[0].Layers.Count(), placement.LayersOf(e, extra.Kind, 96))
 }
+
+// TestServersThatMakeUpAnotherCopyDoNotStandIn fills a domain with memory for two and a half copies.
+func TestServersThatMakeUpAnotherCopyDoNotStandIn(t *testing.T) {
+	e := engine()
+	all := servers(e, "a", "big", "big", "big", "big", "big", "big", "small", "small", "small", "small")
+	apply(all, placement.Decide(e, all))
+	usual := placement.LayersOf(e, e.Kind("big"), 96)
+	for _, s := range all[:6] {
+		require.Equal(t, usual, s.Layers.Count(), "the fast servers have room for the usual number of sequences")
+	}
+	wide := 0
+	for _, s := range all[6:] {
+		if s.Layers.Count() > placement.LayersOf(e, s.Kind, 96) {
+			wide++
+		}
+	}
+	require.Positive(t, wide, "what is left over stands in")
+}
