placement: no more stand-ins than are left over beyond whole copies

Change: the layers of stand-ins in a domain stay within what is left over when it holds as many whole copies as it can.

--- a/placement/decide.go
+++ b/placement/decide.go
@@ -174,28 +174,31 @@
 	orders := make([]Order, 0, len(free))
 	left := c.spareLayers(servers)
 	for _, s := range free {
-		// The slowest servers come last; those that are left when as many whole copies as possible are placed may stand in.
-		mayStandIn := left.free[s.Domain] <= left.beyondCopies(s.Domain, c.engine.Layers)
-		r, ok := c.choose(s, mayStandIn)
+		usual := LayersOf(c.engine, s.Kind, wantedSequences)
+		r, ok := c.choose(s, left.mayStandIn(s.Domain, usual, c.engine.Layers))
 		if !ok {
 			continue
 		}
-		left.free[s.Domain] -= LayersOf(c.engine, s.Kind, wantedSequences)
+		left.free[s.Domain] -= usual
+		if r.Count() > usual {
+			left.standing[s.Domain] += usual
+		}
 		c.add(s, r, 1)
 		orders = append(orders, Order{ID: s.ID, Layers: r})
 	}
 	return orders
 }
 
-// spare counts the layers that the servers of each domain have room for beside wantedSequences: all, and those of servers that
-// hold nothing yet.
+// spare counts the layers that the servers of each domain have room for beside wantedSequences: of all, of those that hold nothing
+// yet, and of those that stand in.
 type spare struct {
-	all  map[string]int
-	free map[string]int
+	all      map[string]int
+	free     map[string]int
+	standing map[string]int
 }
 
 func (c *cover) spareLayers(servers []Server) spare {
-	out := spare{all: map[string]int{}, free: map[string]int{}}
+	out := spare{all: map[string]int{}, free: map[string]int{}, standing: map[string]int{}}
 	for i := range servers {
 		s := &servers[i]
 		if s.Kind == nil {
@@ -203,15 +206,22 @@
 		}
 		n := LayersOf(c.engine, s.Kind, wantedSequences)
 		out.all[s.Domain] += n
-		if s.Settled && s.Layers.Count() == 0 {
+		switch held := s.Layers.Count(); {
+		case held > n:
+			out.standing[s.Domain] += n
+		case held == 0 && s.Settled:
 			out.free[s.Domain] += n
 		}
 	}
 	return out
 }
 
-// beyondCopies returns how many layers of a domain's servers are left over when they hold as many whole copies as they can.
-func (s spare) beyondCopies(domain string, layers int) int { return s.all[domain] % layers }
+// mayStandIn reports whether a server that has room for so many layers may stand in for others: only what is left over when the
+// domain holds as many whole copies as it can does, and the slowest servers, which come last.
+func (s spare) mayStandIn(domain string, usual, layers int) bool {
+	beyond := s.all[domain] % layers
+	return s.free[domain] <= beyond && s.standing[domain]+usual <= beyond
+}
 
 // choose returns the range that an empty server should hold.
 func (c *cover) choose(s *Server, mayStandIn bool) (models.Layers, bool) {
