placement, forward: split what had grown, bound what is remembered of routes

The longest waits of routes are forgotten beyond 4,096 routes, whose names change with configurations.

--- a/forward/returning.go
+++ b/forward/returning.go
@@ -8,6 +8,8 @@
 	returnedShare = 0.98
 	// forgetShare is what is left of the longest time after each request, so that it follows callers that become less patient.
 	forgetShare = 0.9995
+	// mostWaits bounds the routes that are remembered; their names change with configurations.
+	mostWaits = 4096
 )
 
 // waits keeps the longest time that callers of each route are ready to wait.
@@ -15,6 +17,9 @@
 
 // returned takes a caller's time into account and reports whether it is one that has come back.
 func (w waits) returned(route string, wait time.Duration) bool {
+	if len(w) >= mostWaits {
+		clear(w)
+	}
 	longest := max(time.Duration(float64(w[route])*forgetShare), wait)
 	w[route] = longest
 	return float64(wait) < returnedShare*float64(longest)
--- /dev/null
+++ b/placement/move.go
@@ -0,0 +1,31 @@
+package placement
+
+import "junctioncross/catalog"
+
+// move lets one server give up layers that have other holders, for layers that have none: the one that covers most of
+// them, and of several the one that loads least.
+//
+// A server that holds the only copy of a layer in its domain stays where it is, whatever it could cover: its layers would be
+// missing for as long as the new ones load.
+func move(e *catalog.Engine, c *cover, servers []Server) []Order {
+	live := liveCover(e, servers)
+	var best Order
+	highest := 0.0
+	for i := range servers {
+		s := &servers[i]
+		if !s.Settled || s.Stays || s.Layers.Count() == 0 || s.Kind == nil || !live.spares(s) {
+			continue
+		}
+		c.add(s, s.Layers, -1)
+		r, gain := c.best(s.Domain, s.Layers.Count())
+		gain -= c.rangeValue(s.Domain, s.Layers) + loadCost*float64(r.Count())
+		if gain >= missingHere/2 && gain > highest {
+			best, highest = Order{ID: s.ID, Layers: r, Moves: true}, gain
+		}
+		c.add(s, s.Layers, 1)
+	}
+	if highest == 0 {
+		return nil
+	}
+	return []Order{best}
+}
