--- a/forward/queue.go
+++ b/forward/queue.go
@@ -54,6 +54,12 @@
 	return at
 }
 
+func (q *queue) empty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting) == 0
+}
+
 func (q *queue) leave(f *inflight) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -91,12 +97,14 @@
 	if r.x.Begun() {
 		return h.awaitRoom(ctx, f, func() bool { return true }, h.clock.Now().Add(patienceOf(r.route)-f.pause(h)))
 	}
+	// While nobody waits there is nobody to go before: those that arrive together all take the room that there is.
+	if q.empty() {
+		if path, ok := h.choosePath(f); ok {
+			return path, true
+		}
+	}
 	before := q.join(f)
 	defer q.leave(f)
-	path, ok := h.choosePath(f)
-	if ok && before == 0 {
-		return path, ok
-	}
 	share := blindWait
 	if len(h.lanesOf(r.group, h.clock.Now())) > 0 {
 		share = roomWait
--- a/forward/queue_test.go
+++ b/forward/queue_test.go
@@ -1,13 +1,16 @@
 package forward
 
 import (
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/catalog"
 	"junctioncross/chain"
 	"junctioncross/follow"
+	"junctioncross/front"
 )
 
 func TestRequestsWaitInTheOrderInWhichTheyCame(t *testing.T) {
@@ -82,3 +85,24 @@
 	f.need.Tokens = 5000
 	require.InDelta(t, leastShare, f.patienceShare(), 1e-9, "it is never left without a chance")
 }
+
+// TestThoseWhoArriveTogetherTakeTheRoomThatThereIs lets requests arrive at an idle instance at one moment: nothing under way would
+// end soon, but there is room for all.
+func TestThoseWhoArriveTogetherTakeTheRoomThatThereIs(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	clock.Advance(time.Minute)
+	var all sync.WaitGroup
+	found := make([]bool, 20)
+	for n := range found {
+		all.Go(func() {
+			x := &front.Exchange{}
+			r := &request{x: x, group: g, route: &catalog.Route{Objective: 500 * time.Millisecond}, deadline: clock.Now().Add(time.Minute)}
+			_, found[n] = h.awaitPath(t.Context(), &inflight{r: r, need: chain.Need{Prompt: 10, Tokens: 20}})
+		})
+	}
+	all.Wait()
+	for _, ok := range found {
+		require.True(t, ok)
+	}
+}
