--- a/placement/decide_test.go
+++ b/placement/decide_test.go
@@ -62,6 +62,11 @@
 	return n
 }
 
+// without returns all servers but one.
+func without(all []placement.Server, i int) []placement.Server {
+	return append(append([]placement.Server(nil), all[:i]...), all[i+1:]...)
+}
+
 func overlap(a, b models.Layers) models.Layers {
 	return models.Layers{First: max(a.First, b.First), End: max(min(a.End, b.End), max(a.First, b.First))}
 }
@@ -105,8 +110,7 @@
 	full := hall(e)
 	apply(full, placement.Decide(e, full))
 	for lost := range full {
-		all := append([]placement.Server(nil), full[:lost]...)
-		all = append(all, full[lost+1:]...)
+		all := without(full, lost)
 		before := missing(e, all, "a")
 		for range 5 {
 			orders := placement.Decide(e, all)
@@ -148,7 +152,7 @@
 		apply(all, placement.Decide(e, all))
 		for range rapid.IntRange(1, 3).Draw(t, "lost") {
 			i := rapid.IntRange(2, len(all)-1).Draw(t, "server")
-			all = append(append([]placement.Server(nil), all[:i]...), all[i+1:]...)
+			all = without(all, i)
 		}
 		for range 60 {
 			orders := placement.Decide(e, all)
@@ -170,8 +174,7 @@
 	full := hall(e)
 	apply(full, placement.Decide(e, full))
 	for lost := range full {
-		all := append([]placement.Server(nil), full[:lost]...)
-		all = append(all, full[lost+1:]...)
+		all := without(full, lost)
 		for i := range all {
 			all[i].Stays = true
 		}
