placement, leader: order cards by their whole time, do not hold moves up for a release

(1) A release replaces servers a second apart; each arrival held the domain's moves up for 1.5 s, up to 4 s on end, while a hole sent all streams across domains. (2) Cards were ordered by their step alone: t4 (steps x 15, reading x 15) before l4 (x 16, x 8.2), though reading takes most of a busy card's time.

Change: moves wait for arrivals only where three servers appeared within a heartbeat, or one in a domain that lacks more than half of the model; cards are ordered by the time of a step with the usual sequences and their part of reading. Tests that failed before.

--- a/leader/work.go
+++ b/leader/work.go
@@ -81,7 +81,9 @@
 		}
 		seen = append(seen, w.view(engine, s))
 	}
-	w.logCoverage(engine, seen)
+	coverage := placement.Summary(engine, seen)
+	w.logCoverage(engine, coverage)
+	w.keepInPlace(engine, seen, coverage)
 	if !w.calm(seen) {
 		return
 	}
@@ -90,8 +92,7 @@
 }
 
 // logCoverage writes a line for each change of what is known of the holders.
-func (w *work) logCoverage(engine *catalog.Engine, servers []placement.Server) {
-	coverage := placement.Summary(engine, servers)
+func (w *work) logCoverage(engine *catalog.Engine, coverage []placement.Coverage) {
 	if slices.Equal(coverage, w.coverage) {
 		return
 	}
@@ -104,13 +105,24 @@
 	}
 }
 
+// keepInPlace marks the servers that shall not move, since others of their domain may be about to appear.
+func (w *work) keepInPlace(engine *catalog.Engine, servers []placement.Server, coverage []placement.Coverage) {
+	stays := map[string]bool{}
+	for _, c := range coverage {
+		missing := float64(c.Missing) / float64(engine.Layers)
+		stays[c.Domain] = w.arrivals[c.Domain].underWay(w.leader.clock.Now(), missing)
+	}
+	for i := range servers {
+		servers[i].Stays = stays[servers[i].Domain]
+	}
+}
+
 // view returns a server as it will be when the orders under way are done.
 func (w *work) view(engine *catalog.Engine, s *backend.Server) placement.Server {
 	v := placement.Server{ID: s.ID(), Domain: s.Domain(), Kind: engine.Kind(s.Kind()), Layers: s.Layers(), Settled: true}
 	if p := w.pending[s.ID()]; p != nil {
 		v.Layers, v.Settled = p.layers, false
 	}
-	v.Stays = w.arrivals[s.Domain()].underWay(w.leader.clock.Now())
 	return v
 }
 
--- a/placement/cover.go
+++ b/placement/cover.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"math"
+	"time"
+
 	"junctioncross/catalog"
 	"junctioncross/models"
 )
@@ -10,12 +13,12 @@
 	engine *catalog.Engine
 	all    []float64
 	domain map[string][]float64
-	// fastest holds the step pace of the fastest server that was ever counted as a holder, by domain and layer; 0 means none.
-	fastest map[string][]float64
+	// fastest holds the step time of the fastest server that was ever counted as a holder, by domain and layer; 0 means none.
+	fastest map[string][]time.Duration
 }
 
 func newCover(e *catalog.Engine, servers []Server) *cover {
-	c := &cover{engine: e, all: make([]float64, e.Layers), domain: map[string][]float64{}, fastest: map[string][]float64{}}
+	c := &cover{engine: e, all: make([]float64, e.Layers), domain: map[string][]float64{}, fastest: map[string][]time.Duration{}}
 	for i := range servers {
 		c.add(&servers[i], servers[i].Layers, 1)
 	}
@@ -27,7 +30,7 @@
 	if d == nil {
 		d = make([]float64, c.engine.Layers)
 		c.domain[domain] = d
-		c.fastest[domain] = make([]float64, c.engine.Layers)
+		c.fastest[domain] = make([]time.Duration, c.engine.Layers)
 	}
 	return d
 }
@@ -35,12 +38,16 @@
 // add counts a server as a holder of a range; sign -1 takes it off again.
 func (c *cover) add(s *Server, r models.Layers, sign float64) {
 	d := c.in(s.Domain)
+	own := time.Duration(math.MaxInt64)
+	if s.Kind != nil {
+		own = stepTime(c.engine, s.Kind)
+	}
 	room := sign * max(sequencesOf(c.engine, s.Kind, r.Count()), 1)
 	for l := max(r.First, 0); l < min(r.End, c.engine.Layers); l++ {
 		c.all[l] += room
 		d[l] += room
-		if f := &c.fastest[s.Domain][l]; sign > 0 && s.Kind != nil && (*f == 0 || s.Kind.StepPace < *f) {
-			*f = s.Kind.StepPace
+		if f := &c.fastest[s.Domain][l]; sign > 0 && (*f == 0 || own < *f) {
+			*f = own
 		}
 	}
 }
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"junctioncross/catalog"
 	"junctioncross/chain"
@@ -78,7 +79,7 @@
 			free = append(free, s)
 		}
 	}
-	sort.Slice(free, func(i, j int) bool { return before(free[i], free[j]) })
+	sort.Slice(free, func(i, j int) bool { return before(c.engine, free[i], free[j]) })
 	orders := make([]Order, 0, len(free))
 	left := c.spareLayers(servers)
 	for _, s := range free {
@@ -112,22 +113,30 @@
 
 // standsIn reports whether every layer of a range has another holder in the server's domain that is as fast.
 func (c *cover) standsIn(s *Server, r models.Layers) bool {
-	fastest := c.fastest[s.Domain]
+	fastest, own := c.fastest[s.Domain], stepTime(c.engine, s.Kind)
 	for l := r.First; l < r.End; l++ {
-		if fastest[l] == 0 || fastest[l] > s.Kind.StepPace {
+		if fastest[l] == 0 || fastest[l] > own {
 			return false
 		}
 	}
 	return true
 }
 
+// stepTime returns how long a token step of all layers keeps a kind busy with wantedSequences, with its part of reading: while each
+// answer goes on, the prompt of another one is read.
+func stepTime(e *catalog.Engine, k *catalog.Kind) time.Duration {
+	step := chain.StepTime(e, k, e.Layers, wantedSequences, tokens(e))
+	reading := chain.ReadTime(e, k, e.Layers, e.UsualPrompt)
+	return step + wantedSequences*reading/time.Duration(max(e.UsualAnswer, 1))
+}
+
 // before says which of two empty servers gets layers first.
-func before(a, b *Server) bool {
-	switch {
+func before(e *catalog.Engine, a, b *Server) bool {
+	switch timeA, timeB := stepTime(e, a.Kind), stepTime(e, b.Kind); {
 	case a.Domain != b.Domain:
 		return a.Domain < b.Domain
-	case a.Kind.StepPace != b.Kind.StepPace:
-		return a.Kind.StepPace < b.Kind.StepPace
+	case timeA != timeB:
+		return timeA < timeB
 	case a.Kind.MemoryMB != b.Kind.MemoryMB:
 		return a.Kind.MemoryMB > b.Kind.MemoryMB
 	default:
--- a/placement/decide_test.go
+++ b/placement/decide_test.go
@@ -229,3 +229,17 @@
 	}
 	require.Positive(t, wide, "what is left over stands in")
 }
+
+// TestCardsThatReadSlowlyComeLater fills a domain with two kinds of nearly the same step; one reads prompts half as fast.
+func TestCardsThatReadSlowlyComeLater(t *testing.T) {
+	e := engine()
+	all := servers(e, "a", "tiny", "tiny", "small", "small")
+	apply(all, placement.Decide(e, all))
+	for _, s := range all {
+		if s.Kind.Name == "small" {
+			require.Less(t, s.Layers.First, 16, "the kind that reads faster is placed first")
+		} else {
+			require.GreaterOrEqual(t, s.Layers.First, 16)
+		}
+	}
+}
