--- a/leader/work_test.go
+++ b/leader/work_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,6 +21,8 @@
 
 // workers is a backend.Caller whose servers refuse orders while they are busy.
 type workers struct {
+	mu sync.Mutex
+	// busy, holds and placed go by address.
 	busy   map[string]bool
 	holds  map[string]models.Layers
 	placed map[string][]models.Layers
@@ -32,6 +35,8 @@
 
 // Place implements backend.Caller.
 func (w *workers) Place(_ context.Context, addr, _ string, o backend.PlaceOrder) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.placed[addr] = append(w.placed[addr], o.Layers)
 	if w.busy[addr] {
 		return backend.ErrStale
