forward, backend: say once what a stream asks for without some parts of its path

Found on reading the whole change: evacuation built the same request to chain.Mend as repairs do; every lane of a draw looked for the fastest lane again, on each request; two functions tested the time between questions; one line of a constructor had grown over its neighbours' width. Behaviour, bounds and tests are as before.

--- a/backend/standing.go
+++ b/backend/standing.go
@@ -59,7 +59,7 @@
 func (s *Server) MayAsk(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Sub(s.asked) < askPeriod {
+	if !s.askableLocked(now) {
 		return false
 	}
 	s.asked = now
@@ -70,9 +70,11 @@
 func (s *Server) Askable(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.asked) >= askPeriod
+	return s.askableLocked(now)
 }
 
+func (s *Server) askableLocked(now time.Time) bool { return now.Sub(s.asked) >= askPeriod }
+
 // SetPace keeps how many times slower than usual the server says to be.
 func (s *Server) SetPace(pace float64, now time.Time) {
 	s.mu.Lock()
--- a/forward/choice.go
+++ b/forward/choice.go
@@ -83,9 +83,9 @@
 // spread their streams in that way without talking to each other.
 func (c *laneChoice) pick() int {
 	worth := make([]float64, len(c.lanes))
-	total := 0.0
+	total, fastest := 0.0, c.fastest()
 	for i := range c.lanes {
-		worth[i] = c.worth(i)
+		worth[i] = c.worth(i, fastest)
 		if c.lanes[i].Step*time.Duration(c.steps) > c.left {
 			worth[i] *= tooSlow
 		}
@@ -104,14 +104,14 @@
 	return last
 }
 
-// worth weighs the room that a lane has left, its speed and where it lies.
-func (c *laneChoice) worth(i int) float64 {
+// worth weighs the room that a lane has left, its speed against the fastest one's and where it lies.
+func (c *laneChoice) worth(i int, fastest time.Duration) float64 {
 	l := &c.lanes[i]
 	free := l.Sequences * (fullShare - c.load[i])
 	if free <= 0 {
 		return 0
 	}
-	w := free * math.Pow(float64(c.fastest())/float64(max(l.Step, 1)), speedPower)
+	w := free * math.Pow(float64(fastest)/float64(max(l.Step, 1)), speedPower)
 	switch {
 	case l.Crossings > 0:
 		return w * crossingLane
--- a/forward/evacuate.go
+++ b/forward/evacuate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 
 	"junctioncross/backend"
 	"junctioncross/chain"
@@ -77,14 +76,8 @@
 	if !ok {
 		return course{}, false
 	}
-	lost := make(map[int]bool, len(old))
-	for i, hop := range old {
-		lost[hop.Server] = i > 0 && was.servers[i].Leaving()
-	}
-	hops, ok := chain.Mend(group.Graph(), h.chainState(group, h.clock.Now()), chain.Repair{
-		Hops: old, Tokens: f.need.Tokens, Lost: func(server int) bool { return lost[server] },
-		Spread: func() float64 { return 1 - repairSpread + 2*repairSpread*rand.Float64() },
-	})
+	r := f.without(old, func(i int) bool { return i > 0 && was.servers[i].Leaving() })
+	hops, ok := chain.Mend(group.Graph(), h.chainState(group, h.clock.Now()), r)
 	if !ok {
 		return course{}, false
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -72,7 +72,8 @@
 ) *Handler {
 	h := &Handler{
 		board: board, codec: codec, caller: caller, clock: clock, stats: stats, record: record, census: instances,
-		windows: map[string]*retry.Window{}, lanes: map[string]*laneBook{}, queues: map[string]*queue{}, waits: waits{}, peers: peers{factor: peersAtFirst},
+		windows: map[string]*retry.Window{}, lanes: map[string]*laneBook{}, queues: map[string]*queue{}, waits: waits{},
+		peers: peers{factor: peersAtFirst},
 	}
 	h.SetTerms(terms)
 	h.watch = newWatcher(ctx, h)
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -87,14 +87,7 @@
 // or else with all parts but the first replaced.
 func (w *watcher) newHops(f *inflight, group *backend.Group, old []chain.Hop, was course, found *findings) ([]chain.Hop, bool) {
 	state := w.handler.chainState(group, w.handler.clock.Now())
-	lost := make(map[int]bool, len(old))
-	for i, hop := range old {
-		lost[hop.Server] = found.lacks(was.servers[i], hop.Layers)
-	}
-	r := chain.Repair{
-		Hops: old, Tokens: f.need.Tokens, Lost: func(server int) bool { return lost[server] },
-		Spread: func() float64 { return 1 - repairSpread + 2*repairSpread*rand.Float64() },
-	}
+	r := f.without(old, func(i int) bool { return found.lacks(was.servers[i], old[i].Layers) })
 	if hops, ok := chain.Mend(group.Graph(), state, r); ok {
 		return hops, true
 	}
@@ -106,6 +99,18 @@
 	return append([]chain.Hop{old[0]}, path.Hops...), ok
 }
 
+// without returns what a stream asks for in place of the parts of its path that are to be replaced.
+func (f *inflight) without(hops []chain.Hop, replace func(part int) bool) chain.Repair {
+	lost := make(map[int]bool, len(hops))
+	for i, hop := range hops {
+		lost[hop.Server] = replace(i)
+	}
+	return chain.Repair{
+		Hops: hops, Tokens: f.need.Tokens, Lost: func(server int) bool { return lost[server] },
+		Spread: func() float64 { return 1 - repairSpread + 2*repairSpread*rand.Float64() },
+	}
+}
+
 // blame keeps new work away from the servers that a repair failed for, and reports whether another path may do. A server that
 // the refusal names counts as lost, also when the path had it before: it has given its layers up, and neither its entry nor its
 // report tells yet.
