forward, backend: log for how long a server has been leaving, and why a stream is broken off

Cause: the logs could not tell whether a stream ended because its first part was never left, because it could not be repaired without an entry of that part, or because its runs or the limit on repeats were used up. No logic is changed.

--- a/backend/server.go
+++ b/backend/server.go
@@ -40,6 +40,8 @@
 
 	leaving atomic.Bool
 	gone    atomic.Bool
+	// leavingSince is when this instance first heard that the server leaves, in nanoseconds of the clock; 0 means that it has not.
+	leavingSince atomic.Int64
 	// doubted is true while it is not known whether the server leaves.
 	doubted atomic.Bool
 	layers  atomic.Pointer[models.Layers]
@@ -114,6 +116,18 @@
 // Leaving reports whether the server takes no new work.
 func (s *Server) Leaving() bool { return s.leaving.Load() || s.gone.Load() }
 
+// NoteLeaving keeps when the instance first heard that the server leaves; later calls change nothing.
+func (s *Server) NoteLeaving(now time.Time) { s.leavingSince.CompareAndSwap(0, now.UnixNano()) }
+
+// LeavingFor returns for how long the instance has known that the server leaves, 0 when it has not heard of it.
+func (s *Server) LeavingFor(now time.Time) time.Duration {
+	since := s.leavingSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, since))
+}
+
 // Remove marks the server as gone and closes the connections that rest.
 func (s *Server) Remove() {
 	s.gone.Store(true)
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -157,10 +157,12 @@
 	s := l.servers[e.ID]
 	if s == nil {
 		l.servers[e.ID] = backend.NewServer(e)
+		l.noteLeaving(e)
 		l.logServer(e, "server known")
 		return true
 	}
 	s.Update(e)
+	l.noteLeaving(e)
 	if old.Same(e) {
 		return false
 	}
@@ -168,6 +170,13 @@
 	return true
 }
 
+// noteLeaving keeps when a server was first heard to leave.
+func (l *Loop) noteLeaving(e backend.Entry) {
+	if e.Leaving {
+		l.servers[e.ID].NoteLeaving(l.clock.Now())
+	}
+}
+
 func (l *Loop) logServer(e backend.Entry, message string) {
 	l.log.WithFields(logrus.Fields{
 		"server": e.ID, "address": e.Addr, "service": e.Service, "server_domain": e.Domain, "kind": e.Kind, "leaving": e.Leaving,
@@ -195,6 +204,7 @@
 
 func (l *Loop) remove(id string) {
 	if s := l.servers[id]; s != nil {
+		s.NoteLeaving(l.clock.Now())
 		s.Remove()
 		l.log.WithFields(logrus.Fields{"server": id, "address": s.Addr()}).Info("server gone")
 	}
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -46,6 +46,9 @@
 	was := f.course()
 	old, ok := indexed(group, was)
 	if !ok {
+		h.record.Failure(f.r.meta.ID, "no path for a repair", decision.Fields{
+			"path": was.describe(), "reason": "first part has no entry", "still_ms": f.pause(h).Milliseconds(),
+		})
 		return false
 	}
 	hops, ok := w.newHops(f, group, old, was, found)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -142,6 +142,7 @@
 	f.first.Failed(h.clock.Now())
 	h.record.Failure(f.r.meta.ID, "attempt broken", h.fields(f.r, decision.Fields{
 		"server": f.first.ID(), "address": f.first.Addr(), "path": f.course().describe(), "error": err.Error(), "last_event": f.events.last,
+		"runs": f.r.runs, "gone": f.first.Gone(), "leaving_ms": f.first.LeavingFor(h.clock.Now()).Milliseconds(),
 	}))
 	return failed{reason: models.RetryBroken}
 }
@@ -166,7 +167,22 @@
 		return
 	}
 	h.stats.Refused(models.ReasonBroken, models.FateUnknown)
+	why := reasonOf(last)
+	h.stats.Counter("streams_broken_off_total{reason=\"" + string(why) + "\"}").Inc(1)
 	h.record.Failure(r.meta.ID, "broken off", h.fields(r, decision.Fields{
-		"reason": models.ReasonBroken, "last_event": f.events.last, "runs": r.runs,
+		"reason": models.ReasonBroken, "last_attempt": why, "last_event": f.events.last, "runs": r.runs,
+		"most_runs": r.route.MaxAttempts, "still_ms": f.pause(h).Milliseconds(), "patience_ms": patienceOf(r.route).Milliseconds(),
 	}))
 }
+
+// reasonOf returns why an attempt did not deliver, or an empty reason.
+func reasonOf(last outcome) models.Reason {
+	switch o := last.(type) {
+	case notRun:
+		return o.reason
+	case failed:
+		return o.reason
+	default:
+		return ""
+	}
+}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -218,7 +218,8 @@
 			continue
 		}
 		h.record.Failure(f.r.meta.ID, "first part is silent", decision.Fields{
-			"server": first.ID(), "address": first.Addr(), "still_ms": f.pause(h).Milliseconds(),
+			"server": first.ID(), "address": first.Addr(), "still_ms": f.pause(h).Milliseconds(), "gone": first.Gone(),
+			"leaving_ms": first.LeavingFor(h.clock.Now()).Milliseconds(),
 		})
 		// Closing under the lock makes sure that it is still the connection to that server.
 		_ = f.conn.Close()
