--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -168,6 +168,46 @@
 	require.Len(t, e.repairs["still"], 4, "repaired with the other holder of the last part")
 }
 
+// TestAStreamIsRepairedAlthoughItsFirstPartHasNoEntryAnyMore lets the first part leave without a word and serve on, and the second one die.
+func TestAStreamIsRepairedAlthoughItsFirstPartHasNoEntryAnyMore(t *testing.T) {
+	g := twoCopies()
+	e := newEngines(g, 1)
+	h, clock := testHandler(t, e)
+	still := flying(h, g, "still", 0, 0, 1)
+	clock.Advance(140 * time.Millisecond)
+	first := g.Servers()[0]
+	first.Remove()
+	now := backend.NewGroup(g.Service(), g.Servers()[1:])
+	h.watch.look(t.Context(), first, now, []*inflight{still})
+	require.Len(t, e.repairs["still"], 2)
+	require.Equal(t, first.Addr(), e.repairs["still"][0].Addr)
+	require.Equal(t, g.Servers()[3].Addr(), e.repairs["still"][1].Addr)
+}
+
+// TestARepairLeavesAllPartsThatLeave lets one part of a path die while another one, which still works, has said that it leaves: servers
+// refuse to be on a new path from then on.
+func TestARepairLeavesAllPartsThatLeave(t *testing.T) {
+	service := twoCopies().Service()
+	var servers []*backend.Server
+	for i, first := range []int{0, 2, 5, 2, 5} {
+		end := map[int]int{0: 2, 2: 5, 5: 8}[first]
+		servers = append(servers, backend.NewServer(backend.Entry{
+			ID: fmt.Sprint("s", i), Service: "s", Addr: fmt.Sprint("127.0.0.1:", i+1), Domain: "a", Kind: "k",
+			Layers: models.Layers{First: first, End: end},
+		}))
+	}
+	g := backend.NewGroup(service, servers)
+	e := newEngines(g, 2)
+	h, clock := testHandler(t, e)
+	still := flying(h, g, "still", 0, 0, 1, 2)
+	clock.Advance(140 * time.Millisecond)
+	leave(servers[1])
+	h.watch.look(t.Context(), still.first, g, []*inflight{still})
+	require.Len(t, e.repairs["still"], 3)
+	require.Equal(t, servers[3].Addr(), e.repairs["still"][1].Addr)
+	require.Equal(t, servers[4].Addr(), e.repairs["still"][2].Addr)
+}
+
 // fourStages returns a group with one copy of a model in four servers and a second holder of the last part.
 func fourStages() *backend.Group {
 	service := twoCopies().Service()
