forward: replace all parts that leave when a stream is repaired, also behind a first part without an entry

Cause: a server that leaves refuses to be on any new path. And a first part whose entry has vanished, which serves on, made repairs give up at once. Ruled out: first parts that leave refuse repairs themselves (never seen). Mended: a repair replaces every part behind the first that leaves or lacks its layers; the first part is kept also without an entry.

--- a/forward/ask.go
+++ b/forward/ask.go
@@ -121,11 +121,12 @@
 	return slices.Collect(maps.Keys(f.dead))
 }
 
-// broken reports whether a path passes a server that is dead or no longer holds its part, or one whose entry has vanished.
+// broken reports whether a path passes, behind its first part, a server that is dead or no longer holds its part, or one whose entry
+// has vanished. A repair cannot replace the first part; a stream whose first part is dead is given up by lose.
 func (f *findings) broken(one *inflight) bool {
 	c := one.course()
 	for i, s := range c.servers {
-		if f.lacks(s, c.hops[i].Layers) {
+		if i > 0 && f.lacks(s, c.hops[i].Layers) {
 			return true
 		}
 	}
--- a/forward/evacuate.go
+++ b/forward/evacuate.go
@@ -72,16 +72,16 @@
 // cross domains more often than before.
 func (w *watcher) withoutLeaving(f *inflight, group *backend.Group, was course) (course, bool) {
 	h := w.handler
-	old, ok := indexed(group, was)
-	if !ok {
+	old := indexed(group, was)
+	if len(old) == 0 {
 		return course{}, false
 	}
-	r := f.without(old, func(i int) bool { return i > 0 && was.servers[i].Leaving() })
+	r := f.without(old, func(i int) bool { return was.servers[i].Leaving() })
 	hops, ok := chain.Mend(group.Graph(), h.chainState(group, h.clock.Now()), r)
 	if !ok {
 		return course{}, false
 	}
-	now := newCourse(group, hops)
+	now := was.onward(group, hops)
 	return now, now.crossings() <= was.crossings()
 }
 
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -44,20 +44,19 @@
 func (w *watcher) repairOnce(ctx context.Context, f *inflight, group *backend.Group, found *findings) (again bool) {
 	h := w.handler
 	was := f.course()
-	old, ok := indexed(group, was)
-	if !ok {
-		h.record.Failure(f.r.meta.ID, "no path for a repair", decision.Fields{
-			"path": was.describe(), "reason": "first part has no entry", "still_ms": f.pause(h).Milliseconds(),
-		})
+	old := indexed(group, was)
+	if len(old) == 0 {
 		return false
 	}
 	hops, ok := w.newHops(f, group, old, was, found)
 	if !ok {
-		h.record.Failure(f.r.meta.ID, "no path for a repair", decision.Fields{"path": was.describe()})
+		h.record.Failure(f.r.meta.ID, "no path for a repair", decision.Fields{
+			"path": was.describe(), "still_ms": f.pause(h).Milliseconds(),
+		})
 		return false
 	}
-	err := w.reroute(ctx, f, was, newCourse(group, hops), "repaired")
-	return err != nil && w.blame(group, old, hops, found, err)
+	err := w.reroute(ctx, f, was, was.onward(group, hops), "repaired")
+	return err != nil && w.blame(group, was.servers[0], old, hops, found, err)
 }
 
 // errPathChanged means that a stream has another path meanwhile, or none.
@@ -86,11 +85,13 @@
 	return err
 }
 
-// newHops returns a path with other servers in place of the lost ones: with memory as far as known, or else regardless of it,
-// or else with all parts but the first replaced.
+// newHops returns a path with other servers in place of the lost ones and of those that leave, which refuse to be on a new path: with
+// memory as far as known, or else regardless of it, or else with all parts but the first replaced.
 func (w *watcher) newHops(f *inflight, group *backend.Group, old []chain.Hop, was course, found *findings) ([]chain.Hop, bool) {
 	state := w.handler.chainState(group, w.handler.clock.Now())
-	r := f.without(old, func(i int) bool { return found.lacks(was.servers[i], old[i].Layers) })
+	r := f.without(old, func(i int) bool {
+		return was.servers[i].Leaving() || found.lacks(was.servers[i], old[i].Layers)
+	})
 	if hops, ok := chain.Mend(group.Graph(), state, r); ok {
 		return hops, true
 	}
@@ -102,11 +103,11 @@
 	return append([]chain.Hop{old[0]}, path.Hops...), ok
 }
 
-// without returns what a stream asks for in place of the parts of its path that are to be replaced.
+// without returns what a stream asks for in place of the parts of its path that are to be replaced; a repair keeps the first.
 func (f *inflight) without(hops []chain.Hop, replace func(part int) bool) chain.Repair {
 	lost := make(map[int]bool, len(hops))
 	for i, hop := range hops {
-		lost[hop.Server] = replace(i)
+		lost[hop.Server] = i > 0 && replace(i)
 	}
 	return chain.Repair{
 		Hops: hops, Tokens: f.need.Tokens, Lost: func(server int) bool { return lost[server] },
@@ -117,7 +118,7 @@
 // blame keeps new work away from the servers that a repair failed for, and reports whether another path may do. A server that
 // the refusal names counts as lost, also when the path had it before: it has given its layers up, and neither its entry nor its
 // report tells yet.
-func (w *watcher) blame(group *backend.Group, old, hops []chain.Hop, found *findings, err error) bool {
+func (w *watcher) blame(group *backend.Group, first *backend.Server, old, hops []chain.Hop, found *findings, err error) bool {
 	var refused *backend.RepairError
 	if !errors.As(err, &refused) {
 		return false
@@ -126,11 +127,11 @@
 	if server := group.ByAddr(refused.Addr); server != nil {
 		server.NoRoom(now)
 		found.add(server)
-		return server != group.Servers()[old[0].Server]
+		return server.Addr() != first.Addr()
 	}
 	// The answer names no server when one has no room; it is one of the new ones.
 	for _, h := range hops {
-		if !slices.Contains(old, h) {
+		if !slices.Contains(old, h) && h.Server >= 0 {
 			group.Servers()[h.Server].NoRoom(now)
 		}
 	}
@@ -164,15 +165,33 @@
 	f.repairing = false
 }
 
-// indexed returns a path by the indices of a group, which may be newer than the one that the path was chosen from; false when
-// the group lacks the first server, without which nothing can be repaired. Others that it lacks get an index of none.
-func indexed(group *backend.Group, c course) ([]chain.Hop, bool) {
-	if len(c.hops) == 0 {
-		return nil, false
-	}
+// noEntry stands for the servers of a path that a group lacks, in place of an index; noFirst for its first part, which a repair keeps.
+const (
+	noEntry = -1
+	noFirst = -2
+)
+
+// indexed returns a path by the indices of a group, which may be newer than the one that the path was chosen from. A server that
+// leaves without a word serves on although the group lacks it.
+func indexed(group *backend.Group, c course) []chain.Hop {
 	out := make([]chain.Hop, len(c.hops))
 	for i, s := range c.servers {
 		out[i] = chain.Hop{Server: slices.Index(group.Servers(), s), Layers: c.hops[i].Layers}
+		if i == 0 && out[i].Server == noEntry {
+			out[i].Server = noFirst
+		}
+	}
+	return out
+}
+
+// onward returns the path that hops of a group describe, behind the same first part.
+func (c course) onward(group *backend.Group, hops []chain.Hop) course {
+	if hops[0].Server != noFirst {
+		return newCourse(group, hops)
+	}
+	rest := newCourse(group, hops[1:])
+	return course{
+		hops:    append([]chain.Hop{c.hops[0]}, rest.hops...),
+		servers: append([]*backend.Server{c.servers[0]}, rest.servers...),
 	}
-	return out, out[0].Server >= 0
 }
