forward: let a stream that has begun go on for as long as its caller waits

Cause: each run that ended counted against the attempts of the route, also when its server had ended by plan; a stream that found no room or no repeat left was broken off at once, or after a patience that is only a guess. Change: servers that have ended do not count (an announced leaving that is over, or nothing listens when asked); a stream that has begun waits for room, for its share of the limit on repeats and for servers that end, until its caller leaves or the deadline passes. It is broken off at once only where all servers that it ran on stand, since its caller may then be served elsewhere. The end of a server that leaves is no failure of that server. Tests: onward_test.go.

--- a/backend/server.go
+++ b/backend/server.go
@@ -40,6 +40,8 @@
 
 	leaving atomic.Bool
 	gone    atomic.Bool
+	// ended is true once nothing listens at the server's address any more, as far as known.
+	ended atomic.Bool
 	// leavingSince is when this instance first heard that the server leaves, in nanoseconds of the clock; 0 means that it has not.
 	leavingSince atomic.Int64
 	// doubted is true while it is not known whether the server leaves.
@@ -128,8 +130,18 @@
 	return now.Sub(time.Unix(0, since))
 }
 
-// Remove marks the server as gone and closes the connections that rest.
+// End notes that the server has ended, so that nothing is at work there.
+func (s *Server) End() { s.ended.Store(true) }
+
+// Ended reports whether the server has ended.
+func (s *Server) Ended() bool { return s.ended.Load() }
+
+// Remove marks the server as gone and closes the connections that rest. One that had said that it leaves has ended by then, while
+// one that leaves without a word serves on.
 func (s *Server) Remove() {
+	if s.leaving.Load() {
+		s.End()
+	}
 	s.gone.Store(true)
 	s.closeIdle()
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -101,6 +101,8 @@
 	deadline time.Time
 	// runs counts the servers that may have run the request.
 	runs int
+	// ran lists them.
+	ran []*backend.Server
 	// sends counts the servers that the request was sent to.
 	sends int
 }
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -22,6 +22,8 @@
 	conn  *backend.Conn
 	// lastAt is when the last event came, or the request was sent, in nanoseconds since the handler's start.
 	lastAt atomic.Int64
+	// turned counts the servers that have turned the stream away since one last took it.
+	turned int
 	// expected is how long after the sending the first event is due.
 	expected time.Duration
 	// firstEvent is how long after the request's arrival its first event came, and longestPause the longest time between two.
--- a/forward/inquire.go
+++ b/forward/inquire.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"junctioncross/backend"
 	"junctioncross/decision"
 )
@@ -22,8 +24,14 @@
 
 // inquire asks a server for its state, in the background and not too often, when it gave reason to doubt.
 func (h *Handler) inquire(server *backend.Server, why string) {
-	now := h.clock.Now()
-	if server.Leaving() || !server.MayAsk(now) {
+	if !server.Leaving() {
+		h.question(server, why)
+	}
+}
+
+// question asks a server for its state in the background, whether it leaves or not.
+func (h *Handler) question(server *backend.Server, why string) {
+	if server.Ended() || !server.MayAsk(h.clock.Now()) {
 		return
 	}
 	h.stats.Counter("inquiries_total{reason=\"" + why + "\"}").Inc(1)
@@ -41,6 +49,9 @@
 	fields := decision.Fields{"server": server.ID(), "address": server.Addr(), "why": why}
 	if err != nil {
 		server.Suspect(now.Add(suspectTime))
+		if errors.Is(err, backend.ErrNotThere) {
+			server.End()
+		}
 		fields["error"] = err.Error()
 		h.record.Failure("", "server does not answer", fields)
 		return
--- /dev/null
+++ b/forward/onward_test.go
@@ -0,0 +1,87 @@
+package forward
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
+	"junctioncross/catalog"
+	"junctioncross/front"
+	"junctioncross/models"
+)
+
+// begun returns a stream that has begun on some servers of a group, whose route lets so many servers run one request.
+func begun(g *backend.Group, attempts int, ran ...int) *inflight {
+	route := &catalog.Route{PauseObjective: 200 * time.Millisecond, Timeout: time.Minute, MaxAttempts: attempts}
+	f := &inflight{r: &request{x: &front.Exchange{}, group: g, route: route}}
+	for _, n := range ran {
+		f.r.ranOn(g.Servers()[n])
+	}
+	return f
+}
+
+// TestServersThatHaveEndedDoNotUseUpTheAttempts lets a stream run on two servers, of which one ends.
+func TestServersThatHaveEndedDoNotUseUpTheAttempts(t *testing.T) {
+	g := twoCopies()
+	h, _ := testHandler(t, newEngines(g, 0))
+	h.SetTerms(Terms{Domain: "a", RepeatWindow: 10 * time.Second, RepeatSlack: 10})
+	f := begun(g, 2, 0, 2)
+	_, obstacle := h.onward(f)
+	require.Equal(t, models.ReasonAttempts, obstacle)
+	require.True(t, h.mayStillEnd(t.Context(), f), "it shows when the servers are asked")
+	require.Equal(t, 1, f.r.standing())
+	_, obstacle = h.onward(f)
+	require.Empty(t, obstacle)
+	require.Equal(t, 2, f.r.runs, "the request may have run all the same")
+}
+
+// TestAnAnnouncedLeavingThatIsOverEndsAServer lets the entries of two servers go, of which one had said that it leaves.
+func TestAnAnnouncedLeavingThatIsOverEndsAServer(t *testing.T) {
+	servers := twoCopies().Servers()
+	leave(servers[0])
+	for _, s := range servers[:2] {
+		s.Remove()
+	}
+	require.True(t, servers[0].Ended())
+	require.False(t, servers[1].Ended(), "one that leaves without a word serves on")
+}
+
+// TestAStreamGoesOnWhenThereIsRoomAgain takes every lane away for longer than callers are thought to be patient.
+func TestAStreamGoesOnWhenThereIsRoomAgain(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	h.SetTerms(Terms{Domain: "a", RepeatWindow: 10 * time.Second, RepeatSlack: 10})
+	f := begun(g, 2, 0)
+	away := clock.Now().Add(4 * time.Second)
+	for _, s := range g.Servers() {
+		s.SetAside(away)
+	}
+	done := make(chan bool, 1)
+	go func() {
+		_, _, ok := h.awaitOnward(t.Context(), f)
+		done <- ok
+	}()
+	require.Eventually(t, func() bool {
+		clock.Advance(roomPoll)
+		select {
+		case ok := <-done:
+			require.True(t, ok)
+			return true
+		default:
+			return false
+		}
+	}, 30*time.Second, time.Millisecond)
+	require.False(t, clock.Now().Before(away), "there was no room before")
+}
+
+// TestAStreamWhoseServersAllStandIsBrokenOffAtOnce lets both servers that a stream ran on answer that they are well.
+func TestAStreamWhoseServersAllStandIsBrokenOffAtOnce(t *testing.T) {
+	g := twoCopies()
+	h, _ := testHandler(t, newEngines(g))
+	_, why, ok := h.awaitOnward(context.Background(), begun(g, 2, 0, 2))
+	require.False(t, ok)
+	require.Equal(t, models.ReasonAttempts, why)
+}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -70,7 +70,7 @@
 		h.stats.Retried(o.reason)
 		return sends < refusedSends+r.route.MaxAttempts
 	case failed:
-		if !r.route.MayRepeat() || r.runs >= r.route.MaxAttempts {
+		if !r.route.MayRepeat() || r.standing() >= r.route.MaxAttempts {
 			return false
 		}
 		h.stats.Retried(o.reason)
@@ -186,7 +186,7 @@
 func (h *Handler) broken(r *request, server *backend.Server, err error) outcome {
 	server.Observe(false)
 	server.Failed(h.clock.Now())
-	r.runs++
+	r.ranOn(server)
 	reason := models.RetryBroken
 	if errors.Is(err, errStray) {
 		reason = models.RetryOutOfOrder
@@ -206,17 +206,17 @@
 		return notRun{reason: models.RetryRefused}
 	case status < 300 && !s.info.Sealed:
 		server.Observe(false)
-		r.runs++
+		r.ranOn(server)
 		return failed{reason: models.RetryBroken}
 	case status >= 500:
 		server.Observe(false)
 		server.Settled()
-		r.runs++
+		r.ranOn(server)
 		return failed{reason: models.ReasonServiceFailed, answer: h.failureAnswer(s, body)}
 	}
 	server.Observe(true)
 	server.Succeeded()
-	r.runs++
+	r.ranOn(server)
 	r.x.Answer(h.codec.AppendAnswer(nil, &s.head), body)
 	if r.x.Failed() {
 		return callerGone{}
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -91,12 +91,9 @@
 }
 
 // awaitPath returns the path for the next attempt. A first attempt waits its turn for room, as long as that leaves time for the
-// answer to begin within its objective, and not at all when it would take longer. A stream that has begun goes first.
+// answer to begin within its objective, and not at all when it would take longer.
 func (h *Handler) awaitPath(ctx context.Context, f *inflight) (chain.Path, bool) {
 	r, q := f.r, h.queueOf(f.r.group.Service().Name)
-	if r.x.Begun() {
-		return h.awaitRoom(ctx, f, func() bool { return true }, h.clock.Now().Add(patienceOf(r.route)-f.pause(h)))
-	}
 	// While nobody waits there is nobody to go before: those that arrive together all take the room that there is.
 	if q.empty() {
 		if path, ok := h.choosePath(f); ok {
@@ -148,9 +145,7 @@
 		if !h.clock.Now().Before(until) || !h.clock.Sleep(ctx, roomPoll) {
 			return chain.Path{}, false
 		}
-		if group := h.board.Current().Group(f.r.group.Service().Name); group != nil {
-			f.r.group = group
-		}
+		h.refreshGroup(f)
 	}
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -5,6 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"junctioncross/backend"
 	"junctioncross/call"
 	"junctioncross/chain"
 	"junctioncross/decision"
@@ -20,25 +21,62 @@
 	f.need, f.returned = h.needOf(r), h.hasReturned(r)
 	var last outcome
 	for attempt := 1; ; attempt++ {
-		path, ok := h.awaitPath(ctx, f)
-		if !ok {
-			if last == nil {
-				last = notRun{reason: models.ReasonNoRoom}
-			}
-			break
-		}
-		if attempt > 1 && !h.mayRepeat(r) {
-			last = h.outOfBudget(r, last)
+		path, instead := h.nextPath(ctx, f, last, attempt)
+		if instead != nil {
+			last = instead
 			break
 		}
 		last = h.attempt(ctx, f, path, attempt)
-		if !h.again(r, last, attempt) {
+		if !h.goesOn(f, last, attempt) {
 			break
 		}
 	}
 	h.concludeStream(ctx, f, last)
 }
 
+// nextPath returns the path for the next attempt, or else how the stream ends instead.
+func (h *Handler) nextPath(ctx context.Context, f *inflight, last outcome, attempt int) (chain.Path, outcome) {
+	if f.r.x.Begun() {
+		path, obstacle, ok := h.awaitOnward(ctx, f)
+		if !ok {
+			return chain.Path{}, failed{reason: obstacle}
+		}
+		return path, nil
+	}
+	path, ok := h.awaitPath(ctx, f)
+	switch {
+	case !ok && last == nil:
+		return chain.Path{}, notRun{reason: models.ReasonNoRoom}
+	case !ok:
+		return chain.Path{}, last
+	case attempt > 1 && !h.mayRepeat(f.r):
+		return chain.Path{}, h.outOfBudget(f.r, last)
+	}
+	return path, nil
+}
+
+// goesOn reports whether an attempt that ended so is followed by another. A stream that has begun goes on for as long as its caller
+// waits, unless it must not run again; what it has to wait for is found out by awaitOnward.
+func (h *Handler) goesOn(f *inflight, last outcome, attempt int) bool {
+	if !f.r.x.Begun() {
+		return h.again(f.r, last, attempt)
+	}
+	switch o := last.(type) {
+	case notRun:
+		f.turned++
+		h.stats.Retried(o.reason)
+		return true
+	case failed:
+		if !f.r.route.MayRepeat() {
+			return false
+		}
+		h.stats.Retried(o.reason)
+		return true
+	default:
+		return false
+	}
+}
+
 // attempt sends the request along a path and passes its events on until the answer ends.
 func (h *Handler) attempt(ctx context.Context, f *inflight, path chain.Path, attempt int) outcome {
 	r := f.r
@@ -79,13 +117,14 @@
 		h.finish(s, false)
 		return h.brokenStream(ctx, f, errMalformed)
 	}
+	f.turned = 0
 	f.tookWork()
 	err = h.passEvents(f, s)
 	h.finish(s, err == nil)
 	if err != nil {
 		return h.brokenStream(ctx, f, err)
 	}
-	r.runs++
+	r.ranOn(f.first)
 	f.first.Observe(true)
 	f.first.Succeeded()
 	h.queueOf(f.first.Service()).ended(h.clock.Since(r.x.Arrived()))
@@ -109,7 +148,7 @@
 	}
 	f.first.Observe(false)
 	f.first.Settled()
-	f.r.runs++
+	f.r.ranOn(f.first)
 	if err != nil || f.r.x.Begun() {
 		return failed{reason: models.ReasonServiceFailed}
 	}
@@ -133,13 +172,12 @@
 
 // brokenStream judges an attempt whose connection or stream broke.
 func (h *Handler) brokenStream(ctx context.Context, f *inflight, err error) outcome {
-	f.r.runs++
+	f.r.ranOn(f.first)
 	if ctx.Err() != nil || f.r.x.Failed() {
 		f.first.Settled()
 		return callerGone{}
 	}
-	f.first.Observe(false)
-	f.first.Failed(h.clock.Now())
+	h.noteBreak(f.first)
 	h.record.Failure(f.r.meta.ID, "attempt broken", h.fields(f.r, decision.Fields{
 		"server": f.first.ID(), "address": f.first.Addr(), "path": f.course().describe(), "error": err.Error(), "last_event": f.events.last,
 		"runs": f.r.runs, "gone": f.first.Gone(), "leaving_ms": f.first.LeavingFor(h.clock.Now()).Milliseconds(),
@@ -147,6 +185,18 @@
 	return failed{reason: models.RetryBroken}
 }
 
+// noteBreak judges a server by a stream that broke; the end of one that leaves says nothing against it. Whether it has ended shows
+// when it is asked.
+func (h *Handler) noteBreak(server *backend.Server) {
+	if server.Leaving() {
+		server.Settled()
+	} else {
+		server.Observe(false)
+		server.Failed(h.clock.Now())
+	}
+	h.question(server, "broken stream")
+}
+
 // concludeStream tells the caller how the stream ended; one that has begun and cannot go on is broken off.
 func (h *Handler) concludeStream(ctx context.Context, f *inflight, last outcome) {
 	r := f.r
--- a/models/fate.go
+++ b/models/fate.go
@@ -50,6 +50,7 @@
 	ReasonNoServer         Reason = "no_server"
 	ReasonNoRoom           Reason = "no_room"
 	ReasonBroken           Reason = "broken"
+	ReasonAttempts         Reason = "attempts_used_up"
 	ReasonNoBudget         Reason = "repeat_budget_spent"
 )
 
