forward: leave first parts before their servers end, at an even pace

Cause: an answer that outlives the drain of its first part was cut by that server's end. Only parts behind the first were left, a few a second for all instances together, in no order; a first part that was silent was cut before there was anywhere to go. Change: streams that outlast a server that leaves (announced or by its vanished entry) or that gives layers up leave it within 1.6 s, less than the shortest notice of two seconds, at an even pace, the longest first; those that end before the drain does (a new setting, engines.drain_time) stay. A first part is handed over: the stream goes on at another one after its last event, only when there is a path, a repeat left and no more servers at work than the route allows. A silent first part is left only for another path.

--- a/config/hosted.go
+++ b/config/hosted.go
@@ -80,6 +80,8 @@
 type HostedEngines struct {
 	// StallTime is how long a path stands still for a part that is gone before it is cut.
 	StallTime time.Duration `yaml:"stall_time" validate:"min=100ms,max=1m"`
+	// DrainTime is how long a server that leaves goes on with what passes it.
+	DrainTime time.Duration `yaml:"drain_time" validate:"min=0s,max=1h"`
 }
 
 // HostedRelays says when one instance of each domain watches the store for the others.
@@ -97,7 +99,7 @@
 		Keys:     HostedKeys{RevokeTime: 5 * time.Second},
 		Repeats:  HostedRepeats{Window: 10 * time.Second, Share: 0.2, Slack: 100},
 		Stop:     HostedStop{Grace: 10 * time.Second},
-		Engines:  HostedEngines{StallTime: 2 * time.Second},
+		Engines:  HostedEngines{StallTime: 2 * time.Second, DrainTime: 2 * time.Second},
 		Relays:   HostedRelays{From: 24},
 		Log:      defaultLog(),
 	}
--- a/forward/evacuate.go
+++ b/forward/evacuate.go
@@ -1,50 +1,137 @@
 package forward
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"time"
 
 	"junctioncross/backend"
 	"junctioncross/chain"
+	"junctioncross/models"
 )
 
 const (
-	// evacuationsPerSecond bounds the streams of all instances that leave parts of their paths for others in a second: a slow
-	// server reads the tokens of about 180 streams through ten layers in that time, and serves others meanwhile.
-	evacuationsPerSecond = 100.0
-	// mostEvacuations bounds those that an instance may start at once.
-	mostEvacuations = 2.0
-	// mostTries bounds the streams that one round looks for another path for.
-	mostTries = 4
+	// evacuationTime is how long after a server was heard to leave the streams have left it that outlast it: less than the shortest
+	// notice that servers give, two seconds. They go at an even pace, since each of them has to be read anew by others.
+	evacuationTime = 1600 * time.Millisecond
+	// leastTime keeps the pace bounded for streams that found no other path in that time.
+	leastTime = 200 * time.Millisecond
+	// mostTries bounds the streams that one round looks for another path for, since each look searches all servers.
+	mostTries = 16
 )
 
-// evacuate lets streams go on without the servers that have said that they leave, a few at a time: a part that is replaced while
-// its server still works stands still only for the reading, while one that is replaced after the server's end stands still until
-// that is found, together with all others that passed it.
-func (w *watcher) evacuate(ctx context.Context) {
-	h := w.handler
-	w.evacuations += evacuationsPerSecond * watchPeriod.Seconds() / float64(h.census.Instances())
-	w.evacuations = min(w.evacuations, mostEvacuations)
+// departures holds for each server that leaves how many streams should have left it by now and have not.
+type departures map[*backend.Server]float64
+
+// evacuate lets streams go on without the servers that leave, or that give up layers, while these still work: a part that is replaced
+// stands still only for the reading, while one whose server has ended stands still until that is found, together with all others that
+// passed it. Streams that end before the server does stay.
+func (w *watcher) evacuate(ctx context.Context, owed departures, groupOf func(service string) *backend.Group) {
+	leaving := w.leaving()
+	for s := range owed {
+		if len(leaving[s]) == 0 {
+			delete(owed, s)
+		}
+	}
 	tries := 0
+	for s, streams := range leaving {
+		group := groupOf(s.Service())
+		if group == nil {
+			continue
+		}
+		owed[s] = min(owed[s]+w.pace(s, len(streams)), float64(len(streams)))
+		for _, f := range streams {
+			if owed[s] < 1 || tries == mostTries {
+				break
+			}
+			tries++
+			if w.leaveParts(ctx, f, group) {
+				owed[s]--
+			}
+		}
+	}
+}
+
+// pace returns how many of so many streams should leave a server in one round.
+func (w *watcher) pace(s *backend.Server, streams int) float64 {
+	left := evacuationTime - s.LeavingFor(w.handler.clock.Now())
+	return float64(streams) * watchPeriod.Seconds() / max(left, leastTime).Seconds()
+}
+
+// leaving returns the streams that have to leave a server, by the one that they pass and that has been leaving for longest; those that
+// would last longest come first.
+func (w *watcher) leaving() map[*backend.Server][]*inflight {
+	h := w.handler
+	out := map[*backend.Server][]*inflight{}
 	for _, f := range w.flying() {
-		if w.evacuations < 1 || tries == mostTries {
-			return
+		if s := h.partToLeave(f); s != nil {
+			out[s] = append(out[s], f)
+		}
+	}
+	for _, streams := range out {
+		left := make(map[*inflight]time.Duration, len(streams))
+		for _, f := range streams {
+			left[f] = f.left(h)
 		}
-		leaving := f.leavingPart()
-		if leaving == nil {
+		slices.SortFunc(streams, func(a, b *inflight) int { return cmp.Compare(left[b], left[a]) })
+	}
+	return out
+}
+
+// partToLeave returns the server of a stream's path that has been leaving for longest of those that will not last as long as the stream,
+// or nil. Streams that have not moved yet stay: they are being read.
+func (h *Handler) partToLeave(f *inflight) *backend.Server {
+	if !f.moved.Load() {
+		return nil
+	}
+	var out *backend.Server
+	longest := time.Duration(-1)
+	now := h.clock.Now()
+	c := f.course()
+	for i, s := range c.servers {
+		if !h.outlasts(f, s, c.hops[i].Layers) {
 			continue
 		}
-		tries++
-		if group := h.board.Current().Group(leaving.Service()); group != nil && w.evacuateOne(ctx, f, group) {
-			w.evacuations--
+		if since := s.LeavingFor(now); since > longest {
+			out, longest = s, since
 		}
 	}
+	return out
+}
+
+// outlasts reports whether a stream is expected to need a part of its path for longer than that server runs it.
+func (h *Handler) outlasts(f *inflight, s *backend.Server, part models.Layers) bool {
+	if s.Leaving() {
+		return f.left(h) > h.terms.Load().DrainTime-s.LeavingFor(h.clock.Now())
+	}
+	return givesUp(s, part)
 }
 
-// evacuateOne starts to give a stream a path without the servers that leave, and reports whether there is one.
+// givesUp reports whether a server no longer holds a part, as far as its entry tells.
+func givesUp(s *backend.Server, part models.Layers) bool {
+	held := s.Layers()
+	return held.First > part.First || held.End < part.End
+}
+
+// leaveParts lets a stream go on without the parts that will not last as long as it does, and reports whether it can.
+func (w *watcher) leaveParts(ctx context.Context, f *inflight, group *backend.Group) bool {
+	c := f.course()
+	if len(c.servers) == 0 {
+		return false
+	}
+	if first := c.servers[0]; w.handler.outlasts(f, first, c.hops[0].Layers) && w.handOver(f, first, group, "handed over") {
+		return true
+	}
+	return w.evacuateOne(ctx, f, group)
+}
+
+// evacuateOne starts to give a stream a path with others in place of the parts behind the first that leave, and reports whether there
+// is one.
 func (w *watcher) evacuateOne(ctx context.Context, f *inflight, group *backend.Group) bool {
 	was := f.course()
 	now, ok := w.withoutLeaving(f, group, was)
-	if !ok || !f.startRepair() {
+	if !ok || slices.Equal(was.servers, now.servers) || !f.startRepair() {
 		return false
 	}
 	go func() {
@@ -55,28 +142,16 @@
 	return true
 }
 
-// leavingPart returns a server of a stream's path, other than the first, that has said that it leaves.
-func (f *inflight) leavingPart() *backend.Server {
-	if !f.moved.Load() {
-		return nil
-	}
-	for i, s := range f.course().servers {
-		if i > 0 && s.Leaving() && !s.Gone() {
-			return s
-		}
-	}
-	return nil
-}
-
-// withoutLeaving returns a path with others in place of the servers that leave, if they have the memory and the path does not
-// cross domains more often than before.
+// withoutLeaving returns a path with others in place of the servers that leave, if they have the memory and the path does not cross
+// domains more often than before: a link between domains takes some 20 such streams a second, and all that cross it stand still
+// meanwhile. The server that starts in a release holds the part before the old one ends.
 func (w *watcher) withoutLeaving(f *inflight, group *backend.Group, was course) (course, bool) {
 	h := w.handler
 	old := indexed(group, was)
 	if len(old) == 0 {
 		return course{}, false
 	}
-	r := f.without(old, func(i int) bool { return was.servers[i].Leaving() })
+	r := f.without(old, func(i int) bool { return was.servers[i].Leaving() || givesUp(was.servers[i], old[i].Layers) })
 	hops, ok := chain.Mend(group.Graph(), h.chainState(group, h.clock.Now()), r)
 	if !ok {
 		return course{}, false
--- a/forward/evacuate_test.go
+++ b/forward/evacuate_test.go
@@ -21,16 +21,16 @@
 	e := newEngines(g)
 	h, _ := testHandler(t, e)
 	f := flying(h, g, "one", 0, 0, 1)
-	require.Nil(t, f.leavingPart(), "nobody leaves yet")
+	require.Nil(t, h.partToLeave(f), "nobody leaves yet")
 	leave(g.Servers()[1])
-	require.Equal(t, g.Servers()[1], f.leavingPart())
+	require.Equal(t, g.Servers()[1], h.partToLeave(f))
 	require.True(t, h.watch.evacuateOne(t.Context(), f, g))
 	require.Eventually(t, func() bool {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		return len(e.repairs["one"]) == 2 && e.repairs["one"][1].Addr == g.Servers()[3].Addr()
 	}, 10*time.Second, time.Millisecond)
-	require.Nil(t, f.leavingPart())
+	require.Nil(t, h.partToLeave(f))
 }
 
 // TestAStreamStaysWhereOnlyAnotherDomainCouldTakeItsPart leaves no other holder in the domain.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -32,6 +32,8 @@
 	RepeatWindow time.Duration
 	RepeatShare  float64
 	RepeatSlack  float64
+	// DrainTime is how long a server that leaves goes on with what passes it.
+	DrainTime time.Duration
 	// StallTime is how long a path stands still for a part that is gone before it is cut.
 	StallTime time.Duration
 }
--- /dev/null
+++ b/forward/handover.go
@@ -0,0 +1,105 @@
+package forward
+
+import (
+	"time"
+
+	"junctioncross/backend"
+	"junctioncross/chain"
+	"junctioncross/decision"
+	"junctioncross/models"
+)
+
+const (
+	// overdueShare is the part of its expected time that an answer is taken to last which has lasted for longer than expected.
+	overdueShare = 0.25
+)
+
+// placed is a path that was chosen for a stream from a group of servers.
+type placed struct {
+	group *backend.Group
+	path  chain.Path
+	// load is the part of the lane's memory that was thought to be taken.
+	load float64
+}
+
+// handOver lets a stream go on at another first part, after the last event that was passed on. It does so only when there is a path for
+// it and the request may run there, so that nothing is lost by leaving.
+func (w *watcher) handOver(f *inflight, first *backend.Server, group *backend.Group, why string) bool {
+	h := w.handler
+	if !f.r.route.MayRepeat() || !h.mayRunAgain(f) {
+		return false
+	}
+	next, ok := h.placeIn(f, group)
+	if !ok || newCourse(group, next.path.Hops).crossings() > f.course().crossings() {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.startsAt(f, first) || !h.mayRepeat(f.r) {
+		return false
+	}
+	f.next.Store(&next)
+	h.stats.Counter("streams_handed_over_total").Inc(1)
+	h.record.Failure(f.r.meta.ID, why, decision.Fields{
+		"server": first.ID(), "address": first.Addr(), "still_ms": f.pause(h).Milliseconds(), "gone": first.Gone(),
+		"leaving_ms": first.LeavingFor(h.clock.Now()).Milliseconds(), "expected_left_ms": f.left(h).Milliseconds(),
+		"next": group.Servers()[next.path.Hops[0].Server].ID(),
+	})
+	// Closing under the lock makes sure that it is still the connection to that server.
+	_ = f.conn.Close()
+	return true
+}
+
+// mayRunAgain reports whether a stream may run on one more server while the present one still stands. Servers that have had the time
+// to leave are asked whether they have ended.
+func (h *Handler) mayRunAgain(f *inflight) bool {
+	standing := 1
+	for _, s := range f.former() {
+		if s.Ended() {
+			continue
+		}
+		standing++
+		if s.LeavingFor(h.clock.Now()) > h.terms.Load().DrainTime {
+			h.question(s, "former run")
+		}
+	}
+	return standing < f.r.route.MaxAttempts
+}
+
+// former returns the servers that ran the stream before the present one.
+func (f *inflight) former() []*backend.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ranBefore
+}
+
+// begin notes that an attempt starts, and how long its answer is expected to take.
+func (f *inflight) begin(h *Handler, path chain.Path) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ranBefore = append([]*backend.Server(nil), f.r.ran...)
+	f.began = h.clock.Now()
+	f.life = path.Read + time.Duration(f.need.Tokens-f.need.Prompt)*path.Step
+}
+
+// left returns how much longer the stream is expected to last.
+func (f *inflight) left(h *Handler) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.life-h.clock.Since(f.began), time.Duration(overdueShare*float64(f.life)))
+}
+
+// takeNext returns the path on which a stream that was handed over goes on, or nil.
+func (f *inflight) takeNext() *placed { return f.next.Swap(nil) }
+
+// handedOverFrom ends an attempt whose stream goes on elsewhere. A server that neither leaves nor gives up its part was given up since
+// it is silent.
+func (h *Handler) handedOverFrom(f *inflight, part models.Layers) outcome {
+	f.r.ranOn(f.first)
+	if f.first.Leaving() || givesUp(f.first, part) {
+		f.first.Settled()
+	} else {
+		h.noteBreak(f.first)
+	}
+	return handedOver{}
+}
--- /dev/null
+++ b/forward/handover_test.go
@@ -0,0 +1,148 @@
+package forward
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
+)
+
+// spotNotice is the shortest notice that servers give before they end.
+const spotNotice = 2 * time.Second
+
+// connected returns a stream like flying, with a connection to its first part, and that connection.
+func connected(t *testing.T, h *Handler, g *backend.Group, id string, path ...int) (*inflight, net.Conn) {
+	f := flying(h, g, id, 0, path...)
+	ours, theirs := net.Pipe()
+	t.Cleanup(func() { _ = theirs.Close() })
+	f.conn = &backend.Conn{Conn: ours}
+	return f, ours
+}
+
+func isOpen(c net.Conn) bool { return c.SetDeadline(time.Time{}) == nil }
+
+// goodbye lets a server say that it leaves, at the present moment.
+func goodbye(s *backend.Server, clock *clockwork.FakeClock) {
+	leave(s)
+	s.NoteLeaving(clock.Now())
+}
+
+// TestAStreamIsHandedOverBeforeItsFirstPartEnds lets the first part of one stream leave, announced or not.
+func TestAStreamIsHandedOverBeforeItsFirstPartEnds(t *testing.T) {
+	for _, announced := range []bool{true, false} {
+		g := twoCopies()
+		h, clock := testHandler(t, newEngines(g))
+		f, conn := connected(t, h, g, "one", 0, 1)
+		first := g.Servers()[0]
+		group := g
+		if announced {
+			goodbye(first, clock)
+		} else {
+			first.NoteLeaving(clock.Now())
+			first.Remove()
+			group = backend.NewGroup(g.Service(), g.Servers()[1:])
+		}
+		leaving := departures{}
+		for range evacuationTime / watchPeriod {
+			clock.Advance(watchPeriod)
+			h.watch.evacuate(t.Context(), leaving, func(string) *backend.Group { return group })
+		}
+		require.False(t, isOpen(conn), "announced %v: the stream has left", announced)
+		next := f.takeNext()
+		require.NotNil(t, next)
+		require.Equal(t, g.Servers()[2], next.group.Servers()[next.path.Hops[0].Server])
+		require.IsType(t, handedOver{}, h.handedOverFrom(f, first.Layers()))
+	}
+}
+
+// TestAStreamThatEndsBeforeItsServerStays lets a stream have less to come than the server has time.
+func TestAStreamThatEndsBeforeItsServerStays(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	f, conn := connected(t, h, g, "one", 0, 1)
+	f.life = 2 * time.Second
+	goodbye(g.Servers()[0], clock)
+	leaving := departures{}
+	for range 40 {
+		clock.Advance(watchPeriod)
+		h.watch.evacuate(t.Context(), leaving, func(string) *backend.Group { return g })
+	}
+	require.True(t, isOpen(conn))
+}
+
+// TestAStreamStaysWithItsServerWhereItCannotGoOnElsewhere tries to hand streams over without another server, without a repeat left, and
+// with a former server that still stands.
+func TestAStreamStaysWithItsServerWhereItCannotGoOnElsewhere(t *testing.T) {
+	cases := map[string]func(h *Handler, f *inflight, g *backend.Group){
+		"no path": func(_ *Handler, _ *inflight, g *backend.Group) { leave(g.Servers()[2]) },
+		"no repeat": func(h *Handler, _ *inflight, _ *backend.Group) {
+			h.SetTerms(Terms{Domain: "a", RepeatWindow: time.Second})
+		},
+		"attempts": func(_ *Handler, f *inflight, g *backend.Group) { f.ranBefore = g.Servers()[3:] },
+	}
+	for name, arrange := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := twoCopies()
+			h, clock := testHandler(t, newEngines(g))
+			f, conn := connected(t, h, g, "one", 0, 1)
+			goodbye(g.Servers()[0], clock)
+			arrange(h, f, g)
+			require.False(t, h.watch.handOver(f, f.first, g, "handed over"))
+			require.True(t, isOpen(conn))
+			require.Nil(t, f.takeNext())
+		})
+	}
+}
+
+// TestStreamsLeaveAServerAtAnEvenPaceThoseThatLastLongestFirst lets forty streams with different times to come leave one first part.
+func TestStreamsLeaveAServerAtAnEvenPaceThoseThatLastLongestFirst(t *testing.T) {
+	const streams = 40
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	var all []*inflight
+	for n := range streams {
+		f, _ := connected(t, h, g, fmt.Sprint(n), 0, 1)
+		f.life = time.Minute + time.Duration(n)*time.Second
+		all = append(all, f)
+	}
+	goodbye(g.Servers()[0], clock)
+	leaving := departures{}
+	round := func() {
+		clock.Advance(watchPeriod)
+		h.watch.evacuate(t.Context(), leaving, func(string) *backend.Group { return g })
+		for _, f := range all {
+			if f.next.Load() != nil {
+				h.watch.remove(f)
+			}
+		}
+	}
+	for range evacuationTime / watchPeriod / 2 {
+		round()
+	}
+	require.InDelta(t, streams/2, streams-h.watch.count(), streams/8)
+	require.NotNil(t, all[streams-1].next.Load(), "the one that lasts longest has left")
+	require.Nil(t, all[0].next.Load(), "the one that ends first has not")
+	for range (spotNotice - evacuationTime/2) / watchPeriod {
+		round()
+	}
+	require.Zero(t, h.watch.count())
+}
+
+// TestASilentFirstPartIsLeftOnlyForAnotherPath lets a first part answer no question while its connections are open.
+func TestASilentFirstPartIsLeftOnlyForAnotherPath(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	_, conn := connected(t, h, g, "one", 0, 1)
+	clock.Advance(time.Second)
+	none := backend.NewGroup(g.Service(), g.Servers()[:2])
+	g.Servers()[0].SetAside(clock.Now().Add(time.Second))
+	h.watch.giveUp(g.Servers()[0], none)
+	require.True(t, isOpen(conn), "it may still go on")
+	h.watch.giveUp(g.Servers()[0], g)
+	require.False(t, isOpen(conn))
+}
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -32,7 +32,15 @@
 	// moved is true once a server has sent an event.
 	moved atomic.Bool
 
+	// next is the path on which the stream goes on once its present connection is closed; nil while it is not handed over.
+	next atomic.Pointer[placed]
+
 	mu sync.Mutex
+	// ranBefore lists the servers that ran the stream before the present attempt, which began at a time and was expected to last for
+	// life.
+	ranBefore []*backend.Server
+	began     time.Time
+	life      time.Duration
 	// hops and servers are the path, which a repair may change; they are nil when no attempt is under way.
 	hops    []chain.Hop
 	servers []*backend.Server
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -23,6 +23,9 @@
 	answer *heldAnswer
 }
 
+// handedOver means that the server was left on purpose and the stream goes on elsewhere.
+type handedOver struct{}
+
 // expired means that the deadline passed.
 type expired struct{}
 
@@ -30,6 +33,7 @@
 func (callerGone) outcome() {}
 func (notRun) outcome()     {}
 func (failed) outcome()     {}
+func (handedOver) outcome() {}
 func (expired) outcome()    {}
 
 // heldAnswer is a whole answer that has not been passed on.
--- a/forward/path.go
+++ b/forward/path.go
@@ -52,19 +52,28 @@
 // choosePath returns a path for a whole stream: a lane with room, or when there is none because servers are missing, any
 // path whose servers are thought to have room.
 func (h *Handler) choosePath(f *inflight) (chain.Path, bool) {
-	group, now := f.r.group, h.clock.Now()
+	p, ok := h.placeIn(f, f.r.group)
+	if ok {
+		f.laneLoad = p.load
+	}
+	return p.path, ok
+}
+
+// placeIn returns a path through the servers of a group.
+func (h *Handler) placeIn(f *inflight, group *backend.Group) (placed, bool) {
+	now := h.clock.Now()
 	lanes := h.lanesOf(group, now)
 	if len(lanes) > 0 {
 		choice := newLaneChoice(group, lanes, h.terms.Load().Domain, h.census.Instances(), now)
 		choice.steps, choice.left = int(streamSlack*float64(f.need.Tokens-f.need.Prompt)), h.remaining(f.r)
 		i := choice.pick()
 		if i < 0 {
-			return chain.Path{}, false
+			return placed{}, false
 		}
-		f.laneLoad = choice.load[i]
-		return lanes[i].Path, true
+		return placed{group: group, path: lanes[i].Path, load: choice.load[i]}, true
 	}
-	return chain.Choose(group.Graph(), h.chainState(group, now), f.need)
+	path, ok := chain.Choose(group.Graph(), h.chainState(group, now), f.need)
+	return placed{group: group, path: path}, ok
 }
 
 func (h *Handler) laneBook(service string) *laneBook {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -36,6 +36,10 @@
 
 // nextPath returns the path for the next attempt, or else how the stream ends instead.
 func (h *Handler) nextPath(ctx context.Context, f *inflight, last outcome, attempt int) (chain.Path, outcome) {
+	if next := f.takeNext(); next != nil {
+		f.r.group, f.laneLoad = next.group, next.load
+		return next.path, nil
+	}
 	if f.r.x.Begun() {
 		path, obstacle, ok := h.awaitOnward(ctx, f)
 		if !ok {
@@ -58,6 +62,9 @@
 // goesOn reports whether an attempt that ended so is followed by another. A stream that has begun goes on for as long as its caller
 // waits, unless it must not run again; what it has to wait for is found out by awaitOnward.
 func (h *Handler) goesOn(f *inflight, last outcome, attempt int) bool {
+	if _, ok := last.(handedOver); ok {
+		return true
+	}
 	if !f.r.x.Begun() {
 		return h.again(f.r, last, attempt)
 	}
@@ -85,6 +92,7 @@
 	f.first = r.group.Servers()[path.Hops[0].Server]
 	f.expected = path.Read + path.Step
 	f.events.restart()
+	f.begin(h, path)
 	f.first.Start(1)
 	defer f.first.Start(-1)
 	f.first.Chosen()
@@ -172,11 +180,15 @@
 
 // brokenStream judges an attempt whose connection or stream broke.
 func (h *Handler) brokenStream(ctx context.Context, f *inflight, err error) outcome {
-	f.r.ranOn(f.first)
 	if ctx.Err() != nil || f.r.x.Failed() {
+		f.r.ranOn(f.first)
 		f.first.Settled()
 		return callerGone{}
 	}
+	if f.next.Load() != nil {
+		return h.handedOverFrom(f, f.course().hops[0].Layers)
+	}
+	f.r.ranOn(f.first)
 	h.noteBreak(f.first)
 	h.record.Failure(f.r.meta.ID, "attempt broken", h.fields(f.r, decision.Fields{
 		"server": f.first.ID(), "address": f.first.Addr(), "path": f.course().describe(), "error": err.Error(), "last_event": f.events.last,
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -37,8 +37,6 @@
 	streams map[*inflight]struct{}
 	// looked holds when the paths that start at a server were last looked at.
 	looked map[*backend.Server]time.Time
-	// evacuations is the number of streams that may leave parts of their paths now; it belongs to the watcher's goroutine.
-	evacuations float64
 }
 
 func newWatcher(ctx context.Context, h *Handler) *watcher {
@@ -46,11 +44,12 @@
 	ticks := h.clock.Subscribe(watchPeriod)
 	go func() {
 		defer ticks.Stop()
+		leaving := departures{}
 		for {
 			select {
 			case <-ticks.C():
 				w.scan(ctx)
-				w.evacuate(ctx)
+				w.evacuate(ctx, leaving, w.group)
 			case <-ctx.Done():
 				return
 			}
@@ -59,6 +58,11 @@
 	return w
 }
 
+// group returns the servers that a service has now, nil where there is no such service.
+func (w *watcher) group(service string) *backend.Group {
+	return w.handler.board.Current().Group(service)
+}
+
 func (w *watcher) add(f *inflight) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -95,7 +99,7 @@
 		if now.Sub(w.looked[first]) < lookAgain {
 			continue
 		}
-		group := w.handler.board.Current().Group(first.Service())
+		group := w.group(first.Service())
 		if group == nil {
 			continue
 		}
@@ -115,7 +119,7 @@
 	w.handler.stats.Counter("looks_total").Inc(1)
 	found := w.ask(ctx, first, group, w.suspects(streams))
 	for _, s := range found.lost() {
-		w.lose(s, w.startingAt(s))
+		w.giveUp(s, group)
 	}
 	var all sync.WaitGroup
 	for _, f := range w.flying() {
@@ -207,7 +211,22 @@
 	return out
 }
 
-// lose gives up a first part that does not answer: its streams are resumed at others.
+// giveUp lets the streams go on elsewhere that start at a server which does not answer. Where nothing listens any more they are cut
+// at once; a server that is only silent may still move them, so that they stay with it until there is another path.
+func (w *watcher) giveUp(first *backend.Server, group *backend.Group) {
+	streams := w.startingAt(first)
+	if first.Ended() {
+		w.lose(first, streams)
+		return
+	}
+	for _, f := range streams {
+		if w.still(f) {
+			w.handOver(f, first, group, "first part is silent")
+		}
+	}
+}
+
+// lose cuts the streams that start at a server which no longer knows them: they are resumed at others.
 func (w *watcher) lose(first *backend.Server, streams []*inflight) {
 	h := w.handler
 	h.stats.Counter("first_parts_lost_total").Inc(1)
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -96,7 +96,7 @@
 	clock, stats := timer.New(fake), metrics.New()
 	log := logrus.New()
 	log.SetOutput(t.Output())
-	h := New(t.Context(), Terms{Domain: "a", RepeatWindow: 10 * time.Second}, follow.NewBoard(), nil, caller, clock, stats,
+	h := New(t.Context(), Terms{Domain: "a", RepeatWindow: 10 * time.Second, RepeatSlack: 100, DrainTime: 3 * time.Second}, follow.NewBoard(), nil, caller, clock, stats,
 		decision.NewRecorder(log, clock, stats), oneInstance{})
 	return h, fake
 }
@@ -122,11 +122,12 @@
 	for i, n := range path {
 		hops[i] = chain.Hop{Server: n, Layers: g.Servers()[n].Layers()}
 	}
-	route := &catalog.Route{PauseObjective: 200 * time.Millisecond}
+	route := &catalog.Route{PauseObjective: 200 * time.Millisecond, MaxAttempts: 2, Repeat: catalog.RepeatResume, Timeout: time.Minute}
 	f := &inflight{
 		r: &request{group: g, route: route, meta: call.Meta{ID: id}}, first: g.Servers()[path[0]],
 		need: chain.Need{Prompt: 10, Tokens: 20},
 	}
+	f.began, f.life = h.clock.Now(), time.Minute
 	f.moved.Store(true)
 	f.lastAt.Store(int64(lastAt))
 	f.assign(g, hops)
