leader, placement: let an empty server wait for the one that it replaces

Cause: a release starts the new server first.

Change: an empty server of a domain that lacks no more than half of the model takes layers only when some are missing, for 1.5 s at most (leader: awaitReplaced); what is missing goes to as few of those who wait as can hold it, the smallest that fits first (placement: replace), so that a large one stays free for a large one that leaves.

Ruled out: ordering by the rate of fills alone (calm): orders came in time, for the wrong layers.

--- a/leader/work.go
+++ b/leader/work.go
@@ -42,8 +42,8 @@
 	pending map[string]*pending
 	// orders holds the number of orders that each server is known to have taken; a fresh start has taken none.
 	orders map[string]int64
-	// known is the set of servers of the last round, and changed when it last changed.
-	known   map[string]bool
+	// known tells since when each server of the last round has been known, and changed when one last came.
+	known   map[string]time.Time
 	changed time.Time
 	waiting time.Time
 	// arrivals holds when servers last appeared in each domain.
@@ -54,7 +54,7 @@
 
 func newWork(g *Leader) *work {
 	return &work{
-		leader: g, pending: map[string]*pending{}, orders: map[string]int64{}, known: map[string]bool{}, changed: g.clock.Now(),
+		leader: g, pending: map[string]*pending{}, orders: map[string]int64{}, known: map[string]time.Time{}, changed: g.clock.Now(),
 		arrivals: map[string]arrivals{},
 	}
 }
@@ -84,6 +84,7 @@
 	coverage := placement.Summary(engine, seen)
 	w.logCoverage(engine, coverage)
 	w.keepInPlace(engine, seen, coverage)
+	w.awaitReplaced(engine, seen, coverage)
 	if !w.calm(seen) {
 		return
 	}
@@ -117,6 +118,20 @@
 	}
 }
 
+// awaitReplaced marks the empty servers that may be there to replace others: a release starts the new server first. A domain that
+// lacks most of a model needs all of its servers at once.
+func (w *work) awaitReplaced(engine *catalog.Engine, servers []placement.Server, coverage []placement.Coverage) {
+	lacks := map[string]float64{}
+	for _, c := range coverage {
+		lacks[c.Domain] = float64(c.Missing) / float64(engine.Layers)
+	}
+	now := w.leader.clock.Now()
+	for i := range servers {
+		s := &servers[i]
+		s.Waits = s.Layers.Count() == 0 && lacks[s.Domain] <= cutOffShare && now.Sub(w.known[s.ID]) < replaceTime
+	}
+}
+
 // view returns a server as it will be when the orders under way are done.
 func (w *work) view(engine *catalog.Engine, s *backend.Server) placement.Server {
 	v := placement.Server{ID: s.ID(), Domain: s.Domain(), Kind: engine.Kind(s.Kind()), Layers: s.Layers(), Settled: true}
@@ -132,8 +147,8 @@
 	present := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		present[s.ID()] = true
-		if !w.known[s.ID()] {
-			w.known[s.ID()] = true
+		if w.known[s.ID()].IsZero() {
+			w.known[s.ID()] = now
 			w.changed = now
 			w.arrivals[s.Domain()] = w.arrivals[s.Domain()].next(now)
 		}
@@ -152,7 +167,7 @@
 	now := w.leader.clock.Now()
 	empty, cold := false, true
 	for _, s := range servers {
-		empty = empty || s.Settled && s.Layers.Count() == 0
+		empty = empty || s.Settled && s.Layers.Count() == 0 && !s.Waits
 		cold = cold && s.Layers.Count() == 0
 	}
 	if !empty {
--- a/leader/work_test.go
+++ b/leader/work_test.go
@@ -55,6 +55,15 @@
 	}
 }
 
+// smallEngine is an engine whose servers hold half of the model at most.
+func smallEngine() *catalog.Engine {
+	e := engine()
+	for i := range e.Kinds {
+		e.Kinds[i].MemoryMB = 500
+	}
+	return e
+}
+
 func server(n int, kind string, layers models.Layers) *backend.Server {
 	return backend.NewServer(backend.Entry{
 		ID: fmt.Sprint("s", n), Addr: fmt.Sprint("127.0.0.1:", n), Service: "m", Domain: "a", Kind: kind, Layers: layers,
@@ -108,3 +117,34 @@
 	require.Len(t, caller.placed[fast.Addr()], 1)
 	require.Equal(t, 0, caller.placed[fast.Addr()][0].First, "the fast server is first on the path")
 }
+
+// TestAnEmptyServerWaitsForTheOneThatItReplaces lets a server appear a second before another one of its kind leaves.
+func TestAnEmptyServerWaitsForTheOneThatItReplaces(t *testing.T) {
+	caller := newWorkers()
+	w, clock := testWork(t, caller)
+	first, second := server(1, "fast", models.Layers{First: 0, End: 4}), server(2, "fast", models.Layers{First: 4, End: 8})
+	empty := server(3, "slow", models.Layers{})
+	rounds := func(of time.Duration, present ...*backend.Server) {
+		for elapsed := time.Duration(0); elapsed < of; elapsed += period {
+			w.place(t.Context(), smallEngine(), present)
+			clock.Advance(period)
+		}
+	}
+	rounds(4*time.Second, first, second)
+	rounds(time.Second, first, second, empty)
+	require.Empty(t, caller.placed[empty.Addr()], "it is not known yet whom it replaces")
+	rounds(period, first, empty)
+	require.Equal(t, []models.Layers{{First: 4, End: 8}}, caller.placed[empty.Addr()])
+}
+
+// TestAnEmptyServerThatReplacesNobodyIsPlaced waits for nobody.
+func TestAnEmptyServerThatReplacesNobodyIsPlaced(t *testing.T) {
+	caller := newWorkers()
+	w, clock := testWork(t, caller)
+	whole, empty := server(1, "fast", models.Layers{First: 0, End: 8}), server(2, "slow", models.Layers{})
+	for elapsed := time.Duration(0); elapsed < replaceTime+patience; elapsed += period {
+		w.place(t.Context(), engine(), []*backend.Server{whole, empty})
+		clock.Advance(period)
+	}
+	require.Len(t, caller.placed[empty.Addr()], 1)
+}
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -30,6 +30,8 @@
 	Settled bool
 	// Stays is true for a server that shall not give up layers now.
 	Stays bool
+	// Waits is true for an empty server that gets layers only when some are missing in its domain, since others may leave soon.
+	Waits bool
 }
 
 // Order says what one server should hold from now on.
@@ -60,7 +62,7 @@
 // Decide returns the orders that bring the servers nearer to what they should hold.
 func Decide(e *catalog.Engine, servers []Server) []Order {
 	c := newCover(e, servers)
-	if orders := fill(c, servers); len(orders) > 0 {
+	if orders := append(fill(c, servers), replace(c, servers)...); len(orders) > 0 {
 		return orders
 	}
 	if orders := move(e, c, servers); len(orders) > 0 {
@@ -75,7 +77,7 @@
 func fill(c *cover, servers []Server) []Order {
 	var free []*Server
 	for i := range servers {
-		if s := &servers[i]; s.Settled && s.Layers.Count() == 0 && s.Kind != nil {
+		if s := &servers[i]; s.Settled && s.Layers.Count() == 0 && s.Kind != nil && !s.Waits {
 			free = append(free, s)
 		}
 	}
--- /dev/null
+++ b/placement/replace_test.go
@@ -0,0 +1,54 @@
+package placement_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/models"
+	"junctioncross/placement"
+)
+
+// TestThoseWhoWaitTakeOnlyWhatIsMissing adds a large and a small empty server to a domain and lets one of its servers leave.
+func TestThoseWhoWaitTakeOnlyWhatIsMissing(t *testing.T) {
+	e := engine()
+	all := hall(e)
+	apply(all, placement.Decide(e, all))
+	newer := servers(e, "a", "mid", "tiny")
+	for i := range newer {
+		newer[i].ID, newer[i].Waits = "n"+newer[i].Kind.Name, true
+	}
+	require.Empty(t, placement.Decide(e, append(all, newer...)), "nothing is missing")
+	for i, s := range all {
+		left := append(without(all, i), newer...)
+		before := missing(e, left, "a")
+		orders := placement.Decide(e, left)
+		if before == 0 {
+			require.Empty(t, orders)
+			continue
+		}
+		apply(left, orders)
+		require.Zero(t, missing(e, left, "a"))
+		if s.Kind.Name == "tiny" {
+			require.Len(t, orders, 1)
+			require.Equal(t, "ntiny", orders[0].ID, "the larger one stays free")
+		}
+	}
+}
+
+// TestThoseWhoWaitFillSeveralHoles lets two servers leave at once.
+func TestThoseWhoWaitFillSeveralHoles(t *testing.T) {
+	e := engine()
+	all := servers(e, "a", "big", "big", "big")
+	apply(all, placement.Decide(e, all))
+	newer := servers(e, "a", "big", "big")
+	for i := range newer {
+		newer[i].ID, newer[i].Waits = "n"+newer[i].ID, true
+	}
+	left := append([]placement.Server{all[1]}, newer...)
+	orders := placement.Decide(e, left)
+	require.Len(t, orders, 2)
+	apply(left, orders)
+	require.Zero(t, missing(e, left, "a"))
+	require.NotContains(t, []models.Layers{orders[0].Layers, orders[1].Layers}, all[1].Layers)
+}
