leader: let servers that appear elsewhere not hold up what is missing

Cause: while servers came in any domain, the empty ones of all domains waited for 0.4 s of calm, 1.5 s at most.

Change: only domains that lack more than half of the model wait for calm (they come back server by server).

Test: TestOthersThatAppearDoNotHoldUpADomain failed before (no order).

--- a/leader/work.go
+++ b/leader/work.go
@@ -83,15 +83,25 @@
 	}
 	coverage := placement.Summary(engine, seen)
 	w.logCoverage(engine, coverage)
-	w.keepInPlace(engine, seen, coverage)
-	w.awaitReplaced(engine, seen, coverage)
-	if !w.calm(seen) {
+	missing := shares(engine, coverage)
+	w.keepInPlace(seen, missing)
+	w.awaitReplaced(seen, missing)
+	if !w.calm(seen, missing) {
 		return
 	}
 	orders := placement.Decide(engine, seen)
 	w.give(ctx, engine, orders, byID)
 }
 
+// shares returns which part of a model's layers each domain lacks.
+func shares(engine *catalog.Engine, coverage []placement.Coverage) map[string]float64 {
+	missing := make(map[string]float64, len(coverage))
+	for _, c := range coverage {
+		missing[c.Domain] = float64(c.Missing) / float64(engine.Layers)
+	}
+	return missing
+}
+
 // logCoverage writes a line for each change of what is known of the holders.
 func (w *work) logCoverage(engine *catalog.Engine, coverage []placement.Coverage) {
 	if slices.Equal(coverage, w.coverage) {
@@ -107,28 +117,21 @@
 }
 
 // keepInPlace marks the servers that shall not move, since others of their domain may be about to appear.
-func (w *work) keepInPlace(engine *catalog.Engine, servers []placement.Server, coverage []placement.Coverage) {
-	stays := map[string]bool{}
-	for _, c := range coverage {
-		missing := float64(c.Missing) / float64(engine.Layers)
-		stays[c.Domain] = w.arrivals[c.Domain].underWay(w.leader.clock.Now(), missing)
-	}
+func (w *work) keepInPlace(servers []placement.Server, missing map[string]float64) {
+	now := w.leader.clock.Now()
 	for i := range servers {
-		servers[i].Stays = stays[servers[i].Domain]
+		s := &servers[i]
+		s.Stays = w.arrivals[s.Domain].underWay(now, missing[s.Domain])
 	}
 }
 
 // awaitReplaced marks the empty servers that may be there to replace others: a release starts the new server first. A domain that
 // lacks most of a model needs all of its servers at once.
-func (w *work) awaitReplaced(engine *catalog.Engine, servers []placement.Server, coverage []placement.Coverage) {
-	lacks := map[string]float64{}
-	for _, c := range coverage {
-		lacks[c.Domain] = float64(c.Missing) / float64(engine.Layers)
-	}
+func (w *work) awaitReplaced(servers []placement.Server, missing map[string]float64) {
 	now := w.leader.clock.Now()
 	for i := range servers {
 		s := &servers[i]
-		s.Waits = s.Layers.Count() == 0 && lacks[s.Domain] <= cutOffShare && now.Sub(w.known[s.ID]) < replaceTime
+		s.Waits = s.Layers.Count() == 0 && missing[s.Domain] <= cutOffShare && now.Sub(w.known[s.ID]) < replaceTime
 	}
 }
 
@@ -162,12 +165,13 @@
 	}
 }
 
-// calm reports whether empty servers may get layers now, or have waited long enough.
-func (w *work) calm(servers []placement.Server) bool {
+// calm reports whether the empty servers of domains that lack most of a model may get layers now, or have waited long enough. What is
+// missing elsewhere is given to whoever is there.
+func (w *work) calm(servers []placement.Server, missing map[string]float64) bool {
 	now := w.leader.clock.Now()
 	empty, cold := false, true
 	for _, s := range servers {
-		empty = empty || s.Settled && s.Layers.Count() == 0 && !s.Waits
+		empty = empty || s.Settled && s.Layers.Count() == 0 && missing[s.Domain] > cutOffShare
 		cold = cold && s.Layers.Count() == 0
 	}
 	if !empty {
--- a/leader/work_test.go
+++ b/leader/work_test.go
@@ -65,8 +65,12 @@
 }
 
 func server(n int, kind string, layers models.Layers) *backend.Server {
+	return serverIn("a", n, kind, layers)
+}
+
+func serverIn(domain string, n int, kind string, layers models.Layers) *backend.Server {
 	return backend.NewServer(backend.Entry{
-		ID: fmt.Sprint("s", n), Addr: fmt.Sprint("127.0.0.1:", n), Service: "m", Domain: "a", Kind: kind, Layers: layers,
+		ID: fmt.Sprint("s", n), Addr: fmt.Sprint("127.0.0.1:", n), Service: "m", Domain: domain, Kind: kind, Layers: layers,
 	})
 }
 
@@ -148,3 +152,17 @@
 	}
 	require.Len(t, caller.placed[empty.Addr()], 1)
 }
+
+// TestOthersThatAppearDoNotHoldUpADomain lets an empty server wait for nobody while servers appear elsewhere, one after the other.
+func TestOthersThatAppearDoNotHoldUpADomain(t *testing.T) {
+	caller := newWorkers()
+	w, clock := testWork(t, caller)
+	empty := server(2, "slow", models.Layers{})
+	present := []*backend.Server{server(1, "fast", models.Layers{First: 0, End: 8}), empty}
+	for elapsed := time.Duration(0); elapsed < replaceTime+2*period; elapsed += period {
+		present = append(present, serverIn("b", 10+len(present), "fast", models.Layers{First: 0, End: 8}))
+		w.place(t.Context(), engine(), present)
+		clock.Advance(period)
+	}
+	require.Len(t, caller.placed[empty.Addr()], 1)
+}
