forward, backend: send nothing for a caller that has left, and repeat on new connections

Cause: a plain request whose caller left was judged like one that its server failed: the server's circuit opened, its share of failures rose, and requests that may be repeated went on to the next servers until one of them found out that the context had ended; a resting connection was handed out without a look at the context, so that whether the next server got the request was a race. A repeat was sent on a kept connection, so that where all kept connections have fallen silent at one moment both attempts were lost.

Ruled out: the derived context of impatient attempts (it ends alone, the caller's own is looked at); streams (brokenStream looks at the context already, but for the dialling, which is in stream.go).

Conclusion: callers that leave cost their servers nothing; one silent connection does not take a second attempt with it.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -44,8 +44,12 @@
 // Used reports whether the connection carried a request before, so that the server may have closed it meanwhile.
 func (c *Conn) Used() bool { return c.used }
 
-// Connect returns a connection that is ready for a request: one that rested, or a new one. Fresh asks for a new one.
+// Connect returns a connection that is ready for a request: one that rested, or a new one. Fresh asks for a new one. There is none
+// once ctx has ended.
 func (s *Server) Connect(ctx context.Context, now time.Time, fresh bool) (*Conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Wrap(ErrDial, err.Error())
+	}
 	if !fresh {
 		if c := s.takeIdle(now); c != nil {
 			return c, nil
--- /dev/null
+++ b/backend/conn_test.go
@@ -0,0 +1,31 @@
+package backend_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
+)
+
+// TestNothingIsSentForACallerThatHasLeft asks for a connection with a context that has ended, while one rests.
+func TestNothingIsSentForACallerThatHasLeft(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := backend.NewServer(backend.Entry{ID: "1", Addr: listener.Addr().String()})
+	now := time.Now()
+	c, err := s.Connect(t.Context(), now, true)
+	require.NoError(t, err)
+	c.Rest(now, time.Minute)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = s.Connect(ctx, now, false)
+	require.ErrorIs(t, err, backend.ErrDial)
+	again, err := s.Connect(t.Context(), now, false)
+	require.NoError(t, err)
+	require.True(t, again.Used(), "the connection that rests is left for others")
+}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -44,7 +44,8 @@
 		}
 		tried = append(tried, server)
 		last = h.tryPlain(ctx, r, server, len(tried))
-		if !h.again(r, last, len(tried)) {
+		// Nobody waits for another attempt once the caller has left or its time is over.
+		if ctx.Err() != nil || !h.again(r, last, len(tried)) {
 			break
 		}
 	}
@@ -152,41 +153,61 @@
 	server.Reserve(0)
 	defer server.Release(0)
 	server.Chosen()
+	patience := ctx
 	if r.route.Repeat == catalog.RepeatAlways && r.runs+1 < r.route.MaxAttempts {
 		limit := max(impatience*r.route.Objective, r.route.Objective+200*time.Millisecond)
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, limit)
+		patience, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
 	}
 	h.record.Routine(r.meta.ID, "sent", h.fields(r, decision.Fields{
 		"server": server.ID(), "address": server.Addr(), "attempt": attempt, "own_running": server.Running(),
 	}))
-	s, err := h.send(ctx, r, server, &call.Send{}, !r.route.MayRepeat())
+	// When one kept connection has fallen silent, the others may have as well: a repeat gets a new one.
+	s, err := h.send(patience, r, server, &call.Send{}, attempt > 1 || !r.route.MayRepeat())
 	if s == nil {
-		server.Failed(h.clock.Now())
-		return notRun{reason: models.RetryUnreachable}
+		return h.unreached(ctx, r, server)
 	}
 	if err == nil {
 		err = h.receive(r, s)
 	}
 	if err != nil {
 		h.finish(s, false)
-		return h.broken(r, server, err)
+		return h.broken(ctx, r, server, err)
 	}
 	server.SetLoad(s.info.Load, h.clock.Now())
 	body, err := readWhole(s)
 	h.finish(s, err == nil)
 	if err != nil {
-		return h.broken(r, server, err)
+		return h.broken(ctx, r, server, err)
 	}
 	return h.judge(r, server, s, body)
 }
 
-// broken judges an attempt that ended without a whole answer.
-func (h *Handler) broken(r *request, server *backend.Server, err error) outcome {
-	server.Observe(false)
+// left reports whether the caller has gone away before its time was over.
+func (h *Handler) left(ctx context.Context, r *request) bool {
+	return ctx.Err() != nil && h.remaining(r) > 0
+}
+
+// unreached judges an attempt for which no connection came about.
+func (h *Handler) unreached(ctx context.Context, r *request, server *backend.Server) outcome {
+	if h.left(ctx, r) {
+		server.Settled()
+		return callerGone{}
+	}
 	server.Failed(h.clock.Now())
+	return notRun{reason: models.RetryUnreachable}
+}
+
+// broken judges an attempt that ended without a whole answer; that its caller has left says nothing of the server.
+func (h *Handler) broken(ctx context.Context, r *request, server *backend.Server, err error) outcome {
 	r.ranOn(server)
+	if h.left(ctx, r) {
+		server.Settled()
+		return callerGone{}
+	}
+	server.Observe(false)
+	server.Failed(h.clock.Now())
 	reason := models.RetryBroken
 	if errors.Is(err, errStray) {
 		reason = models.RetryOutOfOrder
