front, app: take new connections when descriptors are scarce

Cause: (a) the readiness and metrics listeners belong to the HTTP library, which ends its server at the first EMFILE: from then on the balancer's check was never answered again, however many descriptors became free. (b) The callers' listener went on every 20 ms, but nothing made room: with all descriptors in connections that rest (16 s) an instance that says it is ready takes no connection.

Now listeners go on after errors that pass. When all are busy readiness fails ("no room for connections").

Ruled out: the reload of settings, which touches no listener; a pause of seconds in accept (it was 20 ms).

Conclusion: an instance out of descriptors trades connections that rest for new ones.

--- a/app/checks.go
+++ b/app/checks.go
@@ -44,11 +44,11 @@
 // listen starts to answer checks and scrapes.
 func (c *checks) listen() error {
 	readiness := &fasthttp.Server{Handler: c.readiness, Logger: quiet{}, NoDefaultServerHeader: true, ReadTimeout: time.Minute}
-	if err := serve(c.set.Listen.Readiness, readiness, nil); err != nil {
+	if err := serve(c.set.Listen.Readiness, readiness, nil, c.clock); err != nil {
 		return err
 	}
 	scrapes := &fasthttp.Server{Handler: c.scrape, Logger: quiet{}, NoDefaultServerHeader: true, ReadTimeout: time.Minute}
-	return serve(c.set.Listen.Metrics, scrapes, nil)
+	return serve(c.set.Listen.Metrics, scrapes, nil, c.clock)
 }
 
 func (c *checks) readiness(ctx *fasthttp.RequestCtx) {
@@ -80,6 +80,9 @@
 	case current.NeedsKeys() && !c.handler.KeysConfirmed():
 		return "keys not confirmed", false
 	}
+	if c.front.Full() {
+		return "no room for connections", false
+	}
 	if service := c.handler.Pathless(); service != "" {
 		return "no whole path for " + service, false
 	}
--- a/app/hosted.go
+++ b/app/hosted.go
@@ -146,7 +146,7 @@
 		}
 		return catalog.Limits{}
 	}
-	return front.New(codec, handler, limits, clock, stats)
+	return front.New(codec, handler, limits, mostConnections, clock, stats)
 }
 
 func newCensus(
--- a/app/run.go
+++ b/app/run.go
@@ -157,18 +157,19 @@
 		{i.Set.Listen.Operators, operators, i.Ring.Server()},
 		{i.Set.Listen.Health, checks, nil},
 	} {
-		if err := serve(l.addr, l.server, l.tls); err != nil {
+		if err := serve(l.addr, l.server, l.tls, i.Clock); err != nil {
 			return nil, err
 		}
 	}
 	return []*fasthttp.Server{callers, operators, checks}, nil
 }
 
-func serve(addr string, server *fasthttp.Server, settings *tls.Config) error {
+func serve(addr string, server *fasthttp.Server, settings *tls.Config, clock *timer.Service) error {
 	listener, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return errors.Wrapf(err, "app: listen on %s", addr)
 	}
+	listener = tolerant(listener, clock)
 	if settings != nil {
 		listener = tls.NewListener(listener, settings)
 	}
--- a/forward/leave_test.go
+++ b/forward/leave_test.go
@@ -117,7 +117,7 @@
 		servers = append(servers, d.server)
 	}
 	group := backend.NewGroup(&catalog.Service{Name: "s"}, servers)
-	s := front.New(platform.Codec{}, onePlain{handler: h, route: route, group: group}, func() catalog.Limits { return catalog.Limits{} }, clock, stats)
+	s := front.New(platform.Codec{}, onePlain{handler: h, route: route, group: group}, func() catalog.Limits { return catalog.Limits{} }, func() int { return 100 }, clock, stats)
 	require.NoError(t, s.Listen("127.0.0.1:0"))
 	t.Cleanup(s.Close)
 	return s
--- a/front/conn.go
+++ b/front/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,6 +33,9 @@
 	net    net.Conn
 	reader *bufio.Reader
 	limits catalog.Limits
+	// resting is true while no request is under way, since a moment in nanoseconds; whoever sets it to false decides what follows.
+	resting atomic.Bool
+	since   atomic.Int64
 	// answered tells the reading goroutine that the answer is out; false means that the connection must end.
 	answered chan bool
 }
@@ -43,16 +47,27 @@
 			HeaderBytes: unknownHeader, BodyBytes: unknownBody, HeaderTime: unknownHeaderTime, IdleTime: unknownIdle,
 		}
 	}
-	return &conn{
+	out := &conn{
 		server: s, net: c, reader: bufio.NewReaderSize(c, limits.HeaderBytes), limits: limits, answered: make(chan bool, 1),
 	}
+	out.rest()
+	return out
 }
 
+// rest says that no request is under way from now on.
+func (c *conn) rest() {
+	c.since.Store(c.server.clock.Now().UnixNano())
+	c.resting.Store(true)
+}
+
+// begin reports whether a request may be read; otherwise the connection was closed to make room.
+func (c *conn) begin() bool { return c.resting.CompareAndSwap(true, false) }
+
 // read takes requests from the connection until it ends.
 func (c *conn) read() {
 	defer c.server.forget(c)
 	defer c.net.Close()
-	for c.awaitRequest() && c.serveOne() {
+	for c.awaitRequest() && c.begin() && c.serveOne() {
 	}
 }
 
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -151,6 +151,7 @@
 		return false
 	}
 	// The reading goroutine may wait for the next request already; from now on it waits only for the idle time.
+	x.conn.rest()
 	return x.conn.net.SetReadDeadline(x.conn.server.clock.Now().Add(x.conn.limits.IdleTime+idleMargin)) == nil
 }
 
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -31,8 +31,11 @@
 
 var limits = catalog.Limits{HeaderBytes: 4096, BodyBytes: 1000, HeaderTime: patience, IdleTime: patience}
 
+// most is the number of connections beyond which those that rest make room.
+const most = 8
+
 func serve(t *testing.T, h handler) *front.Server {
-	s := front.New(platform.Codec{}, h, func() catalog.Limits { return limits }, timer.NewReal(), metrics.New())
+	s := front.New(platform.Codec{}, h, func() catalog.Limits { return limits }, func() int { return most }, timer.NewReal(), metrics.New())
 	require.NoError(t, s.Listen("127.0.0.1:0"))
 	t.Cleanup(s.Close)
 	return s
--- a/front/server.go
+++ b/front/server.go
@@ -26,6 +26,7 @@
 	codec   call.Codec
 	handler Handler
 	limits  func() catalog.Limits
+	most    func() int
 	clock   *timer.Service
 	stats   *metrics.Registry
 	leaving atomic.Bool
@@ -36,10 +37,13 @@
 	conns    map[*conn]struct{}
 }
 
-// New returns a Server that hands requests to handler; limits tells the bounds on callers that are in force.
-func New(codec call.Codec, handler Handler, limits func() catalog.Limits, clock *timer.Service, stats *metrics.Registry) *Server {
+// New returns a Server that hands requests to handler; limits tells the bounds on callers that are in force, most the number of
+// connections beyond which those that rest make room for new ones.
+func New(
+	codec call.Codec, handler Handler, limits func() catalog.Limits, most func() int, clock *timer.Service, stats *metrics.Registry,
+) *Server {
 	return &Server{
-		codec: codec, handler: handler, limits: limits, clock: clock, stats: stats, conns: map[*conn]struct{}{},
+		codec: codec, handler: handler, limits: limits, most: most, clock: clock, stats: stats, conns: map[*conn]struct{}{},
 	}
 }
 
@@ -57,7 +61,7 @@
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() net.Addr { return s.listener.Addr() }
 
-// acceptPause keeps a server that is out of descriptors from spinning.
+// acceptPause keeps a server that is out of descriptors, with no connection that could make room, from spinning.
 const acceptPause = 20 * time.Millisecond
 
 func (s *Server) accept(listener net.Listener) {
@@ -68,7 +72,9 @@
 		}
 		if err != nil {
 			s.stats.Counter("accept_errors_total").Inc(1)
-			<-s.clock.After(acceptPause)
+			if !s.makeRoom() {
+				<-s.clock.After(acceptPause)
+			}
 			continue
 		}
 		s.stats.Counter("connections_total").Inc(1)
@@ -80,10 +86,49 @@
 	one := newConn(s, c)
 	s.mu.Lock()
 	s.conns[one] = struct{}{}
+	full := len(s.conns) > s.most()
 	s.mu.Unlock()
+	if full {
+		s.makeRoom()
+	}
 	go func() { one.read() }()
 }
 
+// makeRoom closes the connection that has rested longest and reports whether there was one. Its caller opens another one when it needs
+// it; a caller that cannot connect at all is worse off.
+func (s *Server) makeRoom() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var oldest *conn
+	for c := range s.conns {
+		if c.resting.Load() && (oldest == nil || c.since.Load() < oldest.since.Load()) {
+			oldest = c
+		}
+	}
+	if oldest == nil || !oldest.resting.CompareAndSwap(true, false) {
+		return false
+	}
+	s.stats.Counter("connections_made_room_total").Inc(1)
+	delete(s.conns, oldest)
+	_ = oldest.net.Close()
+	return true
+}
+
+// Full reports whether there is no room for further connections: all that there may be have a request under way.
+func (s *Server) Full() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) < s.most() {
+		return false
+	}
+	for c := range s.conns {
+		if c.resting.Load() {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Server) forget(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
