--- a/front/conn.go
+++ b/front/conn.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"junctioncross/catalog"
 )
@@ -94,6 +96,12 @@
 	if err := c.net.SetReadDeadline(time.Time{}); err != nil {
 		return false
 	}
+	if c.left() {
+		// The request may have waited here for long; its caller has forgotten it.
+		c.server.stats.Counter("callers_gone_unserved_total").Inc(1)
+		releaseExchange(x)
+		return false
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c.server.running.Add(1)
@@ -107,12 +115,34 @@
 	_, err := c.reader.Peek(1)
 	if err != nil {
 		cancel()
+		// Also ends a write that waits for a caller who did not read.
+		_ = c.net.Close()
 	}
 	keep := <-c.answered
 	releaseExchange(x)
 	return keep && err == nil
 }
 
+// left reports whether the caller has closed the connection and sent nothing more.
+func (c *conn) left() bool {
+	socket, ok := c.net.(syscall.Conn)
+	if !ok || c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	ended := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		ended = err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
+		return true
+	})
+	return err != nil || ended
+}
+
 // unread says why a request could not be read.
 type unread struct {
 	status int
