forward: let the more urgent requests go first while they wait for room

Cause: the priorities of client accounts and routes were read from the configuration and used nowhere: under overload a less urgent request that came earlier took the room, so that classes were served by chance and by the lengths of their answers.

Now a request that waits goes before less urgent ones (the account counts before the route, 0 is the most urgent); among equals those who came back go first, as before. A request is passed three times at most, so that less urgent classes and accounts still get a quarter of the turns under lasting overload (none may starve).

Ruled out: strict order, which starves; changing how long a request may wait by its rank.

Before (order of arrival, returned callers first): TestMoreUrgentRequestsGoFirst: "Should be true". After: passes, with TestLessUrgentRequestsAreNotPassedByForGood and TestTheAccountIsRankedBeforeTheRoute. Tests of the queue build their requests with an urgency now, their assertions are unchanged.

Conclusion: order only; plain services have no queue of ours, and no rank is sent to servers.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -98,7 +98,10 @@
 	meta    call.Meta
 	route   *catalog.Route
 	account string
-	group   *backend.Group
+	urgency urgency
+	// overtaken counts the requests that went before this one although they came later; the lock of the queue guards it.
+	overtaken int
+	group     *backend.Group
 	// deadline is when the caller stops to wait or the route's time is over, whichever is sooner.
 	deadline time.Time
 	// runs counts the servers that may have run the request.
@@ -140,6 +143,7 @@
 		h.deny(r, fasthttp.StatusNotFound, models.ReasonNotFound, age)
 		return false
 	}
+	r.urgency = urgencyOf(nil, r.route)
 	if c.NeedsKeys() && !r.route.Public {
 		if !h.KeysConfirmed() {
 			h.refuse(r, models.ReasonKeysUnconfirmed, soon)
@@ -150,7 +154,7 @@
 			h.deny(r, fasthttp.StatusUnauthorized, models.ReasonUnauthorized, age)
 			return false
 		}
-		r.account = account.Name
+		r.account, r.urgency = account.Name, urgencyOf(account, r.route)
 	}
 	r.group = snapshot.Group(r.route.Pick(rand.Float64()))
 	if !h.finishes(r) {
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -28,8 +28,8 @@
 	lifeAtFirst = 3 * time.Second
 )
 
-// queue holds the requests of one service that wait for room: first those whose callers have come back, then the others, each in
-// the order in which they came.
+// queue holds the requests of one service that wait for room: the more urgent first, among these those whose callers have come back,
+// then the others, each in the order in which they came.
 type queue struct {
 	mu      sync.Mutex
 	waiting []*inflight
@@ -44,16 +44,25 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	at := len(q.waiting)
-	if f.returned {
-		at = slices.IndexFunc(q.waiting, func(other *inflight) bool { return !other.returned })
-		if at < 0 {
-			at = len(q.waiting)
-		}
+	for ; at > 0 && f.before(q.waiting[at-1]); at-- {
+		q.waiting[at-1].r.overtaken++
 	}
 	q.waiting = slices.Insert(q.waiting, at, f)
 	return at
 }
 
+// mostOvertaken is how often more urgent requests may go before one that has waited longer, so that under lasting overload the less
+// urgent ones still get a quarter of the turns.
+const mostOvertaken = 3
+
+// before reports whether a request goes before one that has waited longer.
+func (f *inflight) before(other *inflight) bool {
+	if c := f.r.urgency.compare(other.r.urgency); c != 0 {
+		return c < 0 && other.r.overtaken < mostOvertaken
+	}
+	return f.returned && !other.returned
+}
+
 func (q *queue) empty() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/forward/queue_test.go
+++ b/forward/queue_test.go
@@ -13,9 +13,14 @@
 	"junctioncross/front"
 )
 
+// waiting returns a request that waits for room.
+func waiting(u urgency, returned bool) *inflight {
+	return &inflight{r: &request{urgency: u}, returned: returned}
+}
+
 func TestRequestsWaitInTheOrderInWhichTheyCame(t *testing.T) {
 	q := newQueue()
-	a, b := &inflight{}, &inflight{}
+	a, b := waiting(urgency{}, false), waiting(urgency{}, false)
 	require.Zero(t, q.join(a))
 	require.Equal(t, 1, q.join(b))
 	require.True(t, q.first(a))
@@ -50,8 +55,8 @@
 
 func TestCallersWhoCameBackGoFirst(t *testing.T) {
 	q := newQueue()
-	early, late := &inflight{}, &inflight{}
-	back, backLater := &inflight{returned: true}, &inflight{returned: true}
+	early, late := waiting(urgency{}, false), waiting(urgency{}, false)
+	back, backLater := waiting(urgency{}, true), waiting(urgency{}, true)
 	q.join(early)
 	require.Zero(t, q.join(back))
 	require.Equal(t, 1, q.join(backLater))
@@ -106,3 +111,41 @@
 		require.True(t, ok)
 	}
 }
+
+// TestMoreUrgentRequestsGoFirst lets the less urgent ones come first, and one of them come back.
+func TestMoreUrgentRequestsGoFirst(t *testing.T) {
+	q := newQueue()
+	lessAccount, lessRoute := waiting(urgency{account: 2, route: 0}, true), waiting(urgency{account: 1, route: 2}, false)
+	most, mostLater := waiting(urgency{account: 1, route: 1}, false), waiting(urgency{account: 1, route: 1}, false)
+	for _, f := range []*inflight{lessAccount, lessRoute, most, mostLater} {
+		q.join(f)
+	}
+	for _, f := range []*inflight{most, mostLater, lessRoute, lessAccount} {
+		require.True(t, q.first(f))
+		q.leave(f)
+	}
+}
+
+// TestLessUrgentRequestsAreNotPassedByForGood lets more urgent ones come all the time, one for each turn.
+func TestLessUrgentRequestsAreNotPassedByForGood(t *testing.T) {
+	q := newQueue()
+	less := waiting(urgency{account: 2}, false)
+	q.join(less)
+	for range mostOvertaken {
+		f := waiting(urgency{account: 1}, false)
+		q.join(f)
+		require.True(t, q.first(f))
+		q.leave(f)
+	}
+	q.join(waiting(urgency{account: 1}, false))
+	require.True(t, q.first(less))
+}
+
+func TestTheAccountIsRankedBeforeTheRoute(t *testing.T) {
+	urgent, calm := &catalog.Route{Priority: 0}, &catalog.Route{Priority: 3}
+	account := &catalog.Account{Priority: 1}
+	require.Negative(t, urgencyOf(account, calm).compare(urgencyOf(&catalog.Account{Priority: 2}, urgent)))
+	require.Negative(t, urgencyOf(account, urgent).compare(urgencyOf(account, calm)))
+	require.Zero(t, urgencyOf(account, calm).compare(urgencyOf(account, calm)))
+	require.Negative(t, urgencyOf(nil, urgent).compare(urgencyOf(account, urgent)), "a public route is ranked by itself")
+}
--- /dev/null
+++ b/forward/urgency.go
@@ -0,0 +1,24 @@
+package forward
+
+import (
+	"cmp"
+
+	"junctioncross/catalog"
+)
+
+// urgency ranks requests that compete for the same room; 0 is the most urgent.
+type urgency struct{ account, route int }
+
+// urgencyOf returns the rank of a request: its client account counts before its route. A request without an account, on a public
+// route, is ranked by its route alone.
+func urgencyOf(account *catalog.Account, route *catalog.Route) urgency {
+	if account == nil {
+		return urgency{account: route.Priority, route: route.Priority}
+	}
+	return urgency{account: account.Priority, route: route.Priority}
+}
+
+// compare is negative when a request is more urgent than another.
+func (u urgency) compare(other urgency) int {
+	return cmp.Or(cmp.Compare(u.account, other.account), cmp.Compare(u.route, other.route))
+}
