forward: leave a silent server only when another one may take the request

Cause: a plain request that may be repeated was cut off at its server after twice its objective, before it was known whether another server and the limit on repeats allow a second attempt; without them the caller got a 502 although the server was still at work, often to a good end.

Now the repeat is granted (a usable server, one of the allowance) before the attempt is cut; otherwise the answer is awaited and the question is asked again after the same time. The clock is that of the timer service now.

Conclusion: work is not thrown away for a repeat that cannot take place.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -104,6 +104,8 @@
 	group     *backend.Group
 	// deadline is when the caller stops to wait or the route's time is over, whichever is sooner.
 	deadline time.Time
+	// granted is true when the next repeat was taken from the allowance already.
+	granted bool
 	// runs counts the servers that may have run the request.
 	runs int
 	// ran lists them.
--- a/forward/leave_test.go
+++ b/forward/leave_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
@@ -107,7 +108,17 @@
 
 // plainFront serves requests of a route at the desks.
 func plainFront(t *testing.T, route *catalog.Route, desks ...*desk) *front.Server {
-	clock, stats := timer.NewReal(), metrics.New()
+	return plainFrontOn(t, timer.NewReal(), route, desks)
+}
+
+// plainFrontAt does the same by a clock that stands still.
+func plainFrontAt(t *testing.T, route *catalog.Route, desks ...*desk) (*front.Server, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClockAt(time.Now())
+	return plainFrontOn(t, timer.New(clock), route, desks), clock
+}
+
+func plainFrontOn(t *testing.T, clock *timer.Service, route *catalog.Route, desks []*desk) *front.Server {
+	stats := metrics.New()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	h := New(t.Context(), Terms{Domain: "a", RepeatWindow: 10 * time.Second, RepeatSlack: 100}, follow.NewBoard(), platform.Codec{},
@@ -117,7 +128,7 @@
 		servers = append(servers, d.server)
 	}
 	group := backend.NewGroup(&catalog.Service{Name: "s"}, servers)
-	s := front.New(platform.Codec{}, onePlain{handler: h, route: route, group: group}, func() catalog.Limits { return catalog.Limits{} }, func() int { return 100 }, clock, stats)
+	s := front.New(platform.Codec{}, onePlain{handler: h, route: route, group: group}, func() catalog.Limits { return catalog.Limits{} }, func() int { return 100 }, timer.NewReal(), stats)
 	require.NoError(t, s.Listen("127.0.0.1:0"))
 	t.Cleanup(s.Close)
 	return s
@@ -197,6 +208,26 @@
 	require.Equal(t, http.StatusOK, statusAt(t, callFront(t, s, "r1")))
 }
 
+// TestAnAnswerIsAwaitedWhileNoOtherServerCanTakeTheRequest lets the only server answer later than a request that may be repeated is
+// usually left with a server.
+func TestAnAnswerIsAwaitedWhileNoOtherServerCanTakeTheRequest(t *testing.T) {
+	const objective = 10 * time.Millisecond
+	goOn := make(chan struct{})
+	d := newDesk(t, "1", func(c net.Conn, number int) {
+		<-goOn
+		sealed(c, number)
+	})
+	route := &catalog.Route{Name: "r", Repeat: catalog.RepeatAlways, MaxAttempts: 2, Timeout: time.Hour, Objective: objective}
+	s, clock := plainFrontAt(t, route, d)
+	c := callFront(t, s, "r1")
+	require.Eventually(t, func() bool { return asked([]*desk{d}) == 1 }, soonEnough, time.Millisecond)
+	clock.Advance(time.Minute)
+	// The request goes on: nobody else could take it.
+	require.Never(t, func() bool { return s.Running() == 0 }, 50*time.Millisecond, 5*time.Millisecond)
+	close(goOn)
+	require.Equal(t, http.StatusOK, statusAt(t, c))
+}
+
 // keepOne lets a server have a resting connection that has carried a request.
 func keepOne(t *testing.T, d *desk) {
 	c, err := d.server.Connect(t.Context(), time.Now(), true)
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -38,12 +38,13 @@
 		if server == nil {
 			break
 		}
-		if len(tried) > 0 && !h.mayRepeat(r) {
+		if len(tried) > 0 && !r.granted && !h.mayRepeat(r) {
 			last = h.outOfBudget(r, last)
 			break
 		}
+		r.granted = false
 		tried = append(tried, server)
-		last = h.tryPlain(ctx, r, server, len(tried))
+		last = h.tryPlain(ctx, r, server, tried)
 		// Nobody waits for another attempt once the caller has left or its time is over.
 		if ctx.Err() != nil || !h.again(r, last, len(tried)) {
 			break
@@ -149,22 +150,21 @@
 }
 
 // tryPlain sends the request to one server.
-func (h *Handler) tryPlain(ctx context.Context, r *request, server *backend.Server, attempt int) outcome {
+func (h *Handler) tryPlain(ctx context.Context, r *request, server *backend.Server, tried []*backend.Server) outcome {
 	server.Reserve(0)
 	defer server.Release(0)
 	server.Chosen()
 	patience := ctx
 	if r.route.Repeat == catalog.RepeatAlways && r.runs+1 < r.route.MaxAttempts {
-		limit := max(impatience*r.route.Objective, r.route.Objective+200*time.Millisecond)
-		var cancel context.CancelFunc
-		patience, cancel = context.WithTimeout(ctx, limit)
-		defer cancel()
+		var stop func()
+		patience, stop = h.impatient(ctx, r, tried)
+		defer stop()
 	}
 	h.record.Routine(r.meta.ID, "sent", h.fields(r, decision.Fields{
-		"server": server.ID(), "address": server.Addr(), "attempt": attempt, "own_running": server.Running(),
+		"server": server.ID(), "address": server.Addr(), "attempt": len(tried), "own_running": server.Running(),
 	}))
 	// When one kept connection has fallen silent, the others may have as well: a repeat gets a new one.
-	s, err := h.send(patience, r, server, &call.Send{}, attempt > 1 || !r.route.MayRepeat())
+	s, err := h.send(patience, r, server, &call.Send{}, len(tried) > 1 || !r.route.MayRepeat())
 	if s == nil {
 		return h.unreached(ctx, r, server)
 	}
@@ -184,6 +184,35 @@
 	return h.judge(r, server, s, body)
 }
 
+// impatient returns a context that ends when a server has been silent for too long and another one may take its place: without one the
+// answer that may still come is the best that there is. The repeat is granted then; stop must be called after the attempt.
+func (h *Handler) impatient(ctx context.Context, r *request, tried []*backend.Server) (patience context.Context, stop func()) {
+	limit := max(impatience*r.route.Objective, r.route.Objective+200*time.Millisecond)
+	over := h.clock.After(limit)
+	patience, cancel := context.WithCancel(ctx)
+	granted := make(chan bool, 1)
+	go func() {
+		for {
+			select {
+			case <-over:
+			case <-patience.Done():
+				granted <- false
+				return
+			}
+			if h.pick(r.group, tried) != nil && h.mayRepeat(r) {
+				cancel()
+				granted <- true
+				return
+			}
+			over = h.clock.After(limit)
+		}
+	}()
+	return patience, func() {
+		cancel()
+		r.granted = <-granted
+	}
+}
+
 // left reports whether the caller has gone away before its time was over.
 func (h *Handler) left(ctx context.Context, r *request) bool {
 	return ctx.Err() != nil && h.remaining(r) > 0
