link, fault: test that a silent connection between instances costs one call

Cause looked for: connections between instances may fall silent for good while new ones work.

Ruled out: keep-alive datagrams, which would cost bytes between domains at rest; the idle time of 20 s only bounds how long the other end keeps a dead connection.

--- a/fault/udp.go
+++ b/fault/udp.go
@@ -22,6 +22,8 @@
 	delay   time.Duration
 	cut     bool
 	clients map[string]*net.UDPConn
+	// silent holds the senders whose datagrams are lost for good, in both directions.
+	silent map[string]bool
 }
 
 // NewUDP starts a proxy of the address upstream on a free loopback port; seed makes its losses repeatable.
@@ -34,7 +36,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "fault: listen")
 	}
-	u := &UDP{socket: socket, upstream: target, random: rand.New(rand.NewPCG(seed, seed)), clients: map[string]*net.UDPConn{}}
+	u := &UDP{socket: socket, upstream: target, random: rand.New(rand.NewPCG(seed, seed)), clients: map[string]*net.UDPConn{}, silent: map[string]bool{}}
 	go func() { u.forward() }()
 	return u, nil
 }
@@ -55,6 +57,15 @@
 // Heal ends a cut.
 func (u *UDP) Heal() { u.setCut(false) }
 
+// Silence loses for good whatever belongs to the connections that are open now; those that are opened later work.
+func (u *UDP) Silence() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for sender := range u.clients {
+		u.silent[sender] = true
+	}
+}
+
 func (u *UDP) setCut(cut bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -71,10 +82,10 @@
 	}
 }
 
-// pass sends a datagram on, late or not at all.
-func (u *UDP) pass(send func()) {
+// pass sends a datagram on that a sender sent or is to get, late or not at all.
+func (u *UDP) pass(sender *net.UDPAddr, send func()) {
 	u.mu.Lock()
-	lost := u.cut || u.random.Float64() < u.loss
+	lost := u.cut || u.silent[sender.String()] || u.random.Float64() < u.loss
 	delay := u.delay
 	u.mu.Unlock()
 	switch {
@@ -98,7 +109,7 @@
 			continue
 		}
 		body := append([]byte(nil), buffer[:n]...)
-		u.pass(func() { _, _ = client.Write(body) })
+		u.pass(from, func() { _, _ = client.Write(body) })
 	}
 }
 
@@ -129,6 +140,6 @@
 			continue
 		}
 		body := append([]byte(nil), buffer[:n]...)
-		u.pass(func() { _, _ = u.socket.WriteToUDP(body, to) })
+		u.pass(to, func() { _, _ = u.socket.WriteToUDP(body, to) })
 	}
 }
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -11,12 +11,16 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/fault"
 	"junctioncross/keys"
 	"junctioncross/link"
 	"junctioncross/metrics"
 	"junctioncross/ports"
 )
 
+// patience bounds calls that end at once on a sound machine.
+const patience = 15 * time.Second
+
 // ring returns a holder's keys signed by an authority.
 func ring(t *testing.T, a *keys.Authority, role keys.Role, name string) *keys.Ring {
 	dir := t.TempDir()
@@ -77,3 +81,28 @@
 	_, err = call(t, addr, ring(t, authority(t), keys.RoleInstance, "a"), link.KindHead, "hello")
 	require.Error(t, err, "another authority")
 }
+
+// TestAConnectionThatFallsSilentCostsOneCall lets the connection of a client lose everything for good, without a word to either end.
+func TestAConnectionThatFallsSilentCostsOneCall(t *testing.T) {
+	a := authority(t)
+	proxy, err := fault.NewUDP(listen(t, ring(t, a, keys.RoleInstance, "b")), 1)
+	require.NoError(t, err)
+	t.Cleanup(proxy.Close)
+	stats := metrics.New()
+	c := link.NewClient(ring(t, a, keys.RoleInstance, "a"), stats)
+	t.Cleanup(c.Close)
+	ask := func(limit time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		_, err := link.Call[string, string](ctx, c, proxy.Addr(), link.KindHead, "hello")
+		return err
+	}
+	require.NoError(t, ask(patience))
+	proxy.Silence()
+	waiting := make(chan error, 1)
+	go func() { waiting <- ask(patience) }()
+	require.Eventually(t, func() bool { return stats.Counter("link_calls_made_total").Count() == 2 }, patience, time.Millisecond)
+	require.ErrorIs(t, ask(200*time.Millisecond), link.ErrLost)
+	require.NoError(t, ask(patience), "the next call opens a connection")
+	require.Error(t, <-waiting, "one that waited on the silent connection has ended as well")
+}
