forward: take a first path that crosses domains for one only once it has stood

That path crossed domains over servers that the leader had given their first layers 0.2 s before: with two engines a domain the first orders leave two layers of each domain without a holder, so that it moves all four again within 0.5 s. The news of that are up to 0.3 s old, and a request meanwhile goes along a path that is no more: "turned away", no other path, 503 with a time to come back of 2 to 6 s. Ruled out: a request that arrives before there is any path (the instance is not ready then); the prober (it asks nothing while there is no stream). Change: until a path lies within one domain, whose servers stay since no layer is missing, the first path counts for readiness once it has stood for a second; an instance that starts in a healthy fleet is ready as soon as before. The new tests failed before ("Should be false: servers are about to move"). Not mended here: servers that told of other layers than their entry are left alone for a second although the entry follows (package backend).

--- a/forward/lanes.go
+++ b/forward/lanes.go
@@ -21,7 +21,9 @@
 	told time.Time
 	// without is since when there has been no lane, as far as asked.
 	without time.Time
-	// had is true once there was a lane.
+	// crossing is since when all lanes cross domains, while there has been no other; zero when there is none.
+	crossing time.Time
+	// had is true once there was a lane that is likely to stay.
 	had bool
 }
 
@@ -57,12 +59,15 @@
 	// pathlessTime is how long a service may lack a whole path before the instance asks for no more callers: repairs and
 	// loads of spare servers take about as long.
 	pathlessTime = time.Second
+	// settleTime is how long a first path that crosses domains must have stood: while domains lack layers the leader moves servers
+	// every 0.2 s, and an instance hears of that some 0.3 s later.
+	settleTime = time.Second
 	// firstPathTime is how long an instance that has started waits for a first path before it takes callers without one.
 	firstPathTime = 5 * time.Second
 )
 
 // Pathless returns the name of a service that callers had better ask for elsewhere, or an empty string: one for which the
-// instance has had no path since its start, or has none because it reaches no server of any other domain.
+// instance has had no settled path since its start, or has none because it reaches no server of any other domain.
 func (h *Handler) Pathless() string {
 	now := h.clock.Now()
 	starting := now.Sub(h.watch.start) < firstPathTime
@@ -93,17 +98,29 @@
 	return others
 }
 
-// pathless returns for how long there has been no lane, as far as asked, and whether there ever was one.
+// pathless returns for how long there has been no lane, as far as asked, and whether there ever was one that is likely to stay.
 func (b *laneBook) pathless(group *backend.Group, now time.Time) (without time.Duration, had bool) {
 	lanes, _ := b.get(group, now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(lanes) > 0 {
-		b.without, b.had = time.Time{}, true
-		return 0, true
+		b.without, b.had = time.Time{}, b.had || b.settledLocked(lanes, now)
+		return 0, b.had
 	}
+	b.crossing = time.Time{}
 	if b.without.IsZero() {
 		b.without = now
 	}
 	return now.Sub(b.without), b.had
 }
+
+// settledLocked reports whether the first lanes are likely to stay: servers move while their domain lacks layers.
+func (b *laneBook) settledLocked(lanes []chain.Lane, now time.Time) bool {
+	if slices.ContainsFunc(lanes, func(l chain.Lane) bool { return l.Crossings == 0 }) {
+		return true
+	}
+	if b.crossing.IsZero() {
+		b.crossing = now
+	}
+	return now.Sub(b.crossing) >= settleTime
+}
--- a/forward/lanes_test.go
+++ b/forward/lanes_test.go
@@ -59,3 +59,44 @@
 	far := newLaneChoice(g, lanes, "b", 1, now)
 	require.GreaterOrEqual(t, far.pick(), 0, "another domain's lanes are used when there is none in the own")
 }
+
+// halves returns a group whose servers hold half of a model in each of two domains.
+func halves() *backend.Group {
+	g := twoCopies()
+	var servers []*backend.Server
+	for i, layers := range []models.Layers{{First: 0, End: 4}, {First: 4, End: 8}} {
+		servers = append(servers, backend.NewServer(backend.Entry{
+			ID: fmt.Sprint("h", i), Service: "s", Addr: fmt.Sprint("127.0.0.1:", i+1), Domain: []string{"a", "b"}[i], Kind: "k", Layers: layers,
+		}))
+	}
+	return backend.NewGroup(g.Service(), servers)
+}
+
+// TestAFirstPathThatCrossesDomainsCountsOnceItHasStood shows a fleet that is being placed: both domains still lack layers, so that
+// servers are about to move.
+func TestAFirstPathThatCrossesDomainsCountsOnceItHasStood(t *testing.T) {
+	var b laneBook
+	now := time.Unix(100, 0)
+	_, had := b.pathless(halves(), now)
+	require.False(t, had, "servers are about to move")
+	_, had = b.pathless(halves(), now.Add(settleTime-1))
+	require.False(t, had)
+	_, had = b.pathless(halves(), now.Add(settleTime))
+	require.True(t, had, "domains that cannot hold the model by themselves are served as well")
+}
+
+func TestAFirstPathThatIsInterruptedHasToStandAnew(t *testing.T) {
+	var b laneBook
+	now := time.Unix(100, 0)
+	b.pathless(halves(), now)
+	b.pathless(backend.NewGroup(halves().Service(), halves().Servers()[:1]), now.Add(settleTime/2))
+	_, had := b.pathless(halves(), now.Add(settleTime))
+	require.False(t, had)
+}
+
+func TestAFirstPathWithinADomainCountsAtOnce(t *testing.T) {
+	var b laneBook
+	without, had := b.pathless(twoCopies(), time.Unix(100, 0))
+	require.Zero(t, without)
+	require.True(t, had, "servers of a domain that lacks nothing stay where they are")
+}
