forward: refuse callers of a service that is still being placed at once

Weighed: to wait longer, as for the first configuration, would serve only those that come within the last wait of some 2.5 s, and hold all others longer for nothing; with 300 ms about one in eight. The instance knows that there can be no path, so it says so at once. Change: such a caller is told to come back when the instance expects a path, up to 2 s later so that not all come at once. Who has come back before waits as before, since it has hardly another chance; so does anyone before the first servers are heard of, after the first 5 s, and when a service that had a path loses one. The new test failed with a coldFor that knows nothing ("Should be true").

--- /dev/null
+++ b/forward/cold.go
@@ -0,0 +1,48 @@
+package forward
+
+import (
+	"time"
+
+	"junctioncross/backend"
+)
+
+// coldSpread keeps those that a cold service refused from coming back together.
+const coldSpread = 2 * time.Second
+
+// coldService returns how much longer the request's service will have no path at all, if that is known. Waiting for the first path
+// takes seconds and would come too late; who has come back already waits all the same, since it has hardly another chance.
+func (h *Handler) coldService(r *request) (time.Duration, bool) {
+	if r.group.Graph() == nil {
+		return 0, false
+	}
+	left, cold := h.coldFor(r.group)
+	return left, cold && !h.hasReturned(r)
+}
+
+// coldFor returns how much longer the instance expects to have no path for a service that is still being placed: it has had none
+// since its start, and some layer has no holder in any domain. False means that a path may come at any moment, or is there.
+func (h *Handler) coldFor(group *backend.Group) (time.Duration, bool) {
+	now := h.clock.Now()
+	left := firstPathTime - now.Sub(h.watch.start)
+	if left <= 0 || len(group.Servers()) == 0 || holdsAll(group) {
+		return 0, false
+	}
+	_, had := h.laneBook(group.Service().Name).pathless(group, now)
+	return left, !had
+}
+
+// holdsAll reports whether each layer of the model has a holder.
+func holdsAll(group *backend.Group) bool {
+	missing := group.Service().Engine.Layers
+	held := make([]bool, missing)
+	for _, s := range group.Servers() {
+		layers := s.Layers()
+		for l := max(layers.First, 0); l < min(layers.End, len(held)); l++ {
+			if !held[l] {
+				held[l] = true
+				missing--
+			}
+		}
+	}
+	return missing == 0
+}
--- /dev/null
+++ b/forward/cold_test.go
@@ -0,0 +1,40 @@
+package forward
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
+)
+
+// TestACallerOfAServiceThatWasNeverPlacedIsToldWhenToComeBack asks for a service of which some layers have had no holder since the
+// instance started.
+func TestACallerOfAServiceThatWasNeverPlacedIsToldWhenToComeBack(t *testing.T) {
+	h, clock := testHandler(t, nil)
+	cold := backend.NewGroup(halves().Service(), halves().Servers()[:1])
+	clock.Advance(firstPathTime / 5)
+	left, isCold := h.coldFor(cold)
+	require.True(t, isCold)
+	require.Equal(t, firstPathTime-firstPathTime/5, left, "until then the instance expects a path")
+	clock.Advance(firstPathTime)
+	_, isCold = h.coldFor(cold)
+	require.False(t, isCold, "it is no longer being placed")
+}
+
+func TestAServiceIsNotColdWhileItsServersAreNotKnownOrHoldAllLayers(t *testing.T) {
+	h, _ := testHandler(t, nil)
+	_, isCold := h.coldFor(backend.NewGroup(halves().Service(), nil))
+	require.False(t, isCold, "the servers are heard of in a moment")
+	_, isCold = h.coldFor(halves())
+	require.False(t, isCold, "there is a path, though it may not stay")
+}
+
+// TestAServiceThatHadAPathIsNotCold loses a server: its layers are loaded elsewhere or asked for in another domain.
+func TestAServiceThatHadAPathIsNotCold(t *testing.T) {
+	h, clock := testHandler(t, nil)
+	g := twoCopies()
+	h.laneBook(g.Service().Name).pathless(g, clock.Now())
+	_, isCold := h.coldFor(backend.NewGroup(g.Service(), g.Servers()[:1]))
+	require.False(t, isCold)
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -163,6 +163,10 @@
 		h.refuse(r, models.ReasonDraining, 0)
 		return false
 	}
+	if left, cold := h.coldService(r); cold {
+		h.refuse(r, models.ReasonNoServer, left+time.Duration(rand.Float64()*float64(coldSpread)))
+		return false
+	}
 	r.deadline = r.x.Arrived().Add(r.route.Timeout)
 	if r.meta.Wait > 0 && r.meta.Wait < r.route.Timeout {
 		r.deadline = r.x.Arrived().Add(r.meta.Wait)
