--- a/bench/config.go
+++ b/bench/config.go
@@ -1,11 +1,7 @@
 package bench
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
-	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -18,12 +14,15 @@
 )
 
 const (
-	configChanges  = 12
-	configPause    = 300 * time.Millisecond
-	configSettle   = 2500 * time.Millisecond
-	configCut      = 20 * time.Second
-	slowAnswerMS   = 400
-	inForceMessage = "configuration in force"
+	// configChanges is the number of changes without a disturbance; runs with one make a third of them.
+	configChanges = 12
+	// configPause lies between two changes, and configSettle is what the last one has to arrive everywhere.
+	configPause  = 300 * time.Millisecond
+	configSettle = 2500 * time.Millisecond
+	// configCut is how long a domain is cut from everything outside of it.
+	configCut = 20 * time.Second
+	// slowAnswerMS is how long a call takes to the slow key-value service.
+	slowAnswerMS = 400
 )
 
 // controlSpec describes a fleet without requests: domains of alike size and engines that share one process a domain.
@@ -244,74 +243,3 @@
 	}
 	return accepted, nil
 }
-
-type logLine struct {
-	Message  string          `json:"msg"`
-	Revision revision.Number `json:"revision"`
-	Time     time.Time       `json:"time"`
-}
-
-// inForceTimes reads from an instance's log when each revision came into force.
-func inForceTimes(f *fleet.Fleet, e *fleet.Entry) ([]logLine, error) {
-	file, err := os.Open(filepath.Join(f.Dir(), e.Name+".log"))
-	if err != nil {
-		return nil, errors.Wrap(err, "bench: log")
-	}
-	defer file.Close()
-	var out []logLine
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		var l logLine
-		if json.Unmarshal(lines.Bytes(), &l) == nil && l.Message == inForceMessage {
-			out = append(out, l)
-		}
-	}
-	return out, lines.Err()
-}
-
-// delaysOf returns, for each revision and instance, the time until that revision or a later one was in force.
-func delaysOf(f *fleet.Fleet, all []accepted, domains []string) (delays []time.Duration, missing int, err error) {
-	for _, e := range f.Entries() {
-		if len(domains) > 0 && e.Domain != domains[0] {
-			continue
-		}
-		lines, err := inForceTimes(f, e)
-		if err != nil {
-			return nil, 0, err
-		}
-		for _, a := range all {
-			d, ok := delayOf(lines, a)
-			if !ok {
-				missing++
-				continue
-			}
-			delays = append(delays, d)
-		}
-	}
-	return delays, missing, nil
-}
-
-func delayOf(lines []logLine, a accepted) (time.Duration, bool) {
-	for _, l := range lines {
-		if l.Revision >= a.revision {
-			return max(l.Time.Sub(a.at), 0), true
-		}
-	}
-	return 0, false
-}
-
-func countReverts(f *fleet.Fleet) (int, error) {
-	reverts := 0
-	for _, e := range f.Entries() {
-		lines, err := inForceTimes(f, e)
-		if err != nil {
-			return 0, err
-		}
-		for i := 1; i < len(lines); i++ {
-			if lines[i].Revision <= lines[i-1].Revision {
-				reverts++
-			}
-		}
-	}
-	return reverts, nil
-}
--- /dev/null
+++ b/bench/inforce.go
@@ -0,0 +1,89 @@
+package bench
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/fleet"
+	"junctioncross/revision"
+)
+
+// inForceMessage is what an instance writes when a revision comes into force.
+const inForceMessage = "configuration in force"
+
+// logLine is a line of an instance's log that tells of a revision.
+type logLine struct {
+	Message  string          `json:"msg"`
+	Revision revision.Number `json:"revision"`
+	Time     time.Time       `json:"time"`
+}
+
+// inForceTimes reads from an instance's log when each revision came into force.
+func inForceTimes(f *fleet.Fleet, e *fleet.Entry) ([]logLine, error) {
+	file, err := os.Open(filepath.Join(f.Dir(), e.Name+".log"))
+	if err != nil {
+		return nil, errors.Wrap(err, "bench: log")
+	}
+	defer file.Close()
+	var out []logLine
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var l logLine
+		if json.Unmarshal(lines.Bytes(), &l) == nil && l.Message == inForceMessage {
+			out = append(out, l)
+		}
+	}
+	return out, lines.Err()
+}
+
+// delaysOf returns, for each revision and instance, the time until that revision or a later one was in force.
+func delaysOf(f *fleet.Fleet, all []accepted, domains []string) (delays []time.Duration, missing int, err error) {
+	for _, e := range f.Entries() {
+		if len(domains) > 0 && e.Domain != domains[0] {
+			continue
+		}
+		lines, err := inForceTimes(f, e)
+		if err != nil {
+			return nil, 0, err
+		}
+		for _, a := range all {
+			d, ok := delayOf(lines, a)
+			if !ok {
+				missing++
+				continue
+			}
+			delays = append(delays, d)
+		}
+	}
+	return delays, missing, nil
+}
+
+func delayOf(lines []logLine, a accepted) (time.Duration, bool) {
+	for _, l := range lines {
+		if l.Revision >= a.revision {
+			return max(l.Time.Sub(a.at), 0), true
+		}
+	}
+	return 0, false
+}
+
+func countReverts(f *fleet.Fleet) (int, error) {
+	reverts := 0
+	for _, e := range f.Entries() {
+		lines, err := inForceTimes(f, e)
+		if err != nil {
+			return 0, err
+		}
+		for i := 1; i < len(lines); i++ {
+			if lines[i].Revision <= lines[i-1].Revision {
+				reverts++
+			}
+		}
+	}
+	return reverts, nil
+}
--- a/demo/answers.go
+++ b/demo/answers.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"net/http"
 	"strings"
-	"syscall"
-	"time"
 
 	"github.com/openai/openai-go"
 	"github.com/openai/openai-go/option"
@@ -15,7 +13,6 @@
 	"junctioncross/fleet"
 	"junctioncross/load"
 	"junctioncross/models"
-	"junctioncross/standin"
 )
 
 func answerEqualsComputed(ctx context.Context, f *fleet.Fleet) (string, error) {
@@ -95,159 +92,3 @@
 	}
 	return "status 403, not_run", nil
 }
-
-// stageKilled kills the process of a stage while it works on an answer.
-func stageKilled(ctx context.Context, f *fleet.Fleet) (string, error) {
-	entry := f.Entries()[0]
-	killed := ""
-	var killErr error
-	r, err := askCounter(ctx, f, entry.Callers, "a refund for the second bundle", 60, func(n int) {
-		if n == 15 {
-			killed, killErr = killBusyStage(f, entry.Domain)
-		}
-	})
-	if killErr != nil {
-		return "", killErr
-	}
-	if err != nil {
-		return "", err
-	}
-	recovered, metricErr := fleet.Metric(entry.Health, "jx_recoveries_total")
-	if metricErr != nil || recovered == 0 {
-		return "", errors.Errorf("%s was killed, but the answer did not recover from anything: %v", killed, metricErr)
-	}
-	longest := time.Duration(0)
-	for _, g := range r.Gaps {
-		longest = max(longest, g)
-	}
-	for _, e := range f.Engines() {
-		if e.Name == killed {
-			if err := f.StartEngine(e); err != nil {
-				return "", err
-			}
-		}
-	}
-	return fmt.Sprintf("killed %s, %d tokens whole, longest gap %s", killed, r.Pieces, longest.Round(time.Millisecond)), nil
-}
-
-// killBusyStage kills an engine that holds a part of an answer under way.
-func killBusyStage(f *fleet.Fleet, domain string) (string, error) {
-	for _, e := range f.Engines() {
-		if e.Domain != domain {
-			continue
-		}
-		t, err := fleet.EngineTally(e)
-		if err == nil && t.Held > 0 {
-			e.Process.Kill()
-			return e.Name, nil
-		}
-	}
-	return "", errors.New("no engine of the domain holds a part of the answer")
-}
-
-// kvDown makes the key-value service fail and asks every instance for an answer.
-func kvDown(ctx context.Context, f *fleet.Fleet) (string, error) {
-	if err := fleet.Post(f.KVAddr(), "/faults", standin.Faults{Down: true}); err != nil {
-		return "", err
-	}
-	defer func() { _ = fleet.Post(f.KVAddr(), "/faults", standin.Faults{}) }()
-	time.Sleep(time.Second)
-	for i, e := range f.Entries() {
-		if _, err := askCounter(ctx, f, e.Callers, fmt.Sprintf("opening hours %d", i), 20, nil); err != nil {
-			return "", errors.WithMessage(err, e.Name)
-		}
-	}
-	return fmt.Sprintf("%d instances answered", len(f.Entries())), nil
-}
-
-// leavingBackend makes an engine leave while load flows and counts what it starts from 3 s on.
-func leavingBackend(ctx context.Context, f *fleet.Fleet) (string, error) {
-	e := f.Engines()[0]
-	stop := make(chan struct{})
-	result := make(chan error, 1)
-	go func() { result <- keepAsking(ctx, f, e.Domain, stop) }()
-	time.Sleep(500 * time.Millisecond)
-	before, err := fleet.EngineTally(e)
-	if err != nil {
-		return "", err
-	}
-	if err := fleet.SetEngineFault(e, standin.EngineFault{Leaving: true}); err != nil {
-		return "", err
-	}
-	defer func() { _ = fleet.SetEngineFault(e, standin.EngineFault{}) }()
-	time.Sleep(3 * time.Second)
-	early, err := fleet.EngineTally(e)
-	if err != nil {
-		return "", err
-	}
-	time.Sleep(2 * time.Second)
-	late, err := fleet.EngineTally(e)
-	if err != nil {
-		return "", err
-	}
-	close(stop)
-	if err := <-result; err != nil {
-		return "", err
-	}
-	if len(before.Requests) == 0 {
-		return "", errors.New("the engine had no work before it left")
-	}
-	if n := late.NewSinceLeaving - early.NewSinceLeaving; n > 0 {
-		return "", errors.Errorf("%d attempts started from 3 s to 5 s after leaving", n)
-	}
-	return fmt.Sprintf("%d requests before, %d within 3 s, 0 after", len(before.Requests), early.NewSinceLeaving), nil
-}
-
-// keepAsking sends requests to the instances of a domain until stop is closed, and checks every answer.
-func keepAsking(ctx context.Context, f *fleet.Fleet, domain string, stop <-chan struct{}) error {
-	for n := 0; ; n++ {
-		for _, e := range f.Entries() {
-			if e.Domain != domain {
-				continue
-			}
-			if _, err := askCounter(ctx, f, e.Callers, fmt.Sprintf("question %d", n), 8, nil); err != nil {
-				return err
-			}
-		}
-		select {
-		case <-stop:
-			return nil
-		default:
-		}
-	}
-}
-
-// entryTerminated stops an instance with SIGTERM in the middle of an answer.
-func entryTerminated(ctx context.Context, f *fleet.Fleet) (string, error) {
-	e := f.Entries()[1]
-	r, err := askCounter(ctx, f, e.Callers, "a long story about loadouts", 120, func(n int) {
-		if n == 10 {
-			_ = e.Process.Signal(syscall.SIGTERM)
-		}
-	})
-	if err != nil {
-		return "", err
-	}
-	select {
-	case <-e.Process.Done():
-	case <-ctx.Done():
-		return "", errors.New("the instance did not stop")
-	}
-	return fmt.Sprintf("%d tokens whole, the instance stopped", r.Pieces), nil
-}
-
-// entryKilled kills an instance and asks the others.
-func entryKilled(ctx context.Context, f *fleet.Fleet) (string, error) {
-	f.Entries()[2].Process.Kill()
-	asked := 0
-	for _, e := range f.Entries() {
-		if e == f.Entries()[1] || e == f.Entries()[2] {
-			continue
-		}
-		if _, err := askCounter(ctx, f, e.Callers, "are you there", 12, nil); err != nil {
-			return "", errors.WithMessage(err, e.Name)
-		}
-		asked++
-	}
-	return fmt.Sprintf("%d other instances answered", asked), nil
-}
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -21,15 +21,6 @@
 
 const callLimit = 15 * time.Second
 
-// Failure is the body of an answer that is not a success.
-type Failure struct {
-	Message string `json:"message"`
-	// Settled is false when the call may have taken effect.
-	Settled  bool             `json:"settled"`
-	Problems []string         `json:"problems,omitempty"`
-	Meantime []revision.Entry `json:"meantime,omitempty"`
-}
-
 // Handler answers operators.
 type Handler struct {
 	store   *revision.Store
@@ -101,31 +92,6 @@
 	req.SetBody(body)
 }
 
-// rejection lists why an intent cannot be had.
-type rejection struct{ problems []string }
-
-// Error implements error.
-func (r *rejection) Error() string { return "the intent cannot be had" }
-
-func describe(err error) (int, Failure) {
-	var conflict *revision.ConflictError
-	var rejected *rejection
-	switch {
-	case errors.As(err, &conflict):
-		return fasthttp.StatusConflict, Failure{Message: err.Error(), Settled: true, Meantime: conflict.Meantime()}
-	case errors.As(err, &rejected):
-		return fasthttp.StatusUnprocessableEntity, Failure{Message: err.Error(), Settled: true, Problems: rejected.problems}
-	case errors.Is(err, revision.ErrNoPlan), errors.Is(err, revision.ErrNoIntent):
-		return fasthttp.StatusNotFound, Failure{Message: err.Error(), Settled: true}
-	case errors.Is(err, revision.ErrUnsure):
-		return fasthttp.StatusGatewayTimeout, Failure{Message: err.Error(), Settled: false}
-	case errors.Is(err, revision.ErrUnavailable):
-		return fasthttp.StatusServiceUnavailable, Failure{Message: err.Error(), Settled: true}
-	default:
-		return fasthttp.StatusBadRequest, Failure{Message: err.Error(), Settled: true}
-	}
-}
-
 func newID(prefix string) string {
 	var b [8]byte
 	_, _ = rand.Read(b[:])
@@ -191,14 +157,6 @@
 	return h.store.AddPlan(ctx, p, head, placed)
 }
 
-func reject(problems []error) error {
-	r := &rejection{}
-	for _, p := range problems {
-		r.problems = append(r.problems, p.Error())
-	}
-	return r
-}
-
 func (h *Handler) showPlan(ctx context.Context, req *fasthttp.RequestCtx, _ string) (any, error) {
 	return h.store.Plan(ctx, req.UserValue("id").(string))
 }
--- /dev/null
+++ b/relay/store_test.go
@@ -0,0 +1,118 @@
+package relay_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"junctioncross/follow"
+	"junctioncross/relay"
+)
+
+// store is a relay.Store that a test writes to and counts the calls of.
+type store struct {
+	mu      sync.Mutex
+	at      follow.Position
+	records []relay.Record
+	changed chan struct{}
+	calls   map[string]int
+	// silent names the callers that get no answer.
+	silent map[string]bool
+}
+
+func newStore() *store {
+	return &store{at: 1, changed: make(chan struct{}), calls: map[string]int{}, silent: map[string]bool{}}
+}
+
+// put adds a change of the servers.
+func (s *store) put(key string, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	s.records = append(s.records, relay.Record{Key: key, Revision: s.at, Gone: gone})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) count(caller string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[caller]
+}
+
+func (s *store) silence(caller string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[caller] = silent
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// view is the store as one instance sees it.
+type view struct {
+	*store
+	caller string
+}
+
+func (v view) enter() (silent bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.calls[v.caller]++
+	return v.silent[v.caller]
+}
+
+// ReadFeed implements relay.Store.
+func (v view) ReadFeed(ctx context.Context, feed follow.Feed) ([]relay.Record, follow.Position, error) {
+	if v.enter() {
+		<-ctx.Done()
+		return nil, 0, follow.ErrUnavailable
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if feed == follow.FeedConfig {
+		return nil, v.at, nil
+	}
+	return append([]relay.Record(nil), v.records...), v.at, nil
+}
+
+// WatchFeed implements relay.Store.
+func (v view) WatchFeed(
+	ctx context.Context, feed follow.Feed, after follow.Position, wait time.Duration,
+) ([]relay.Record, follow.Position, error) {
+	v.enter()
+	end := time.After(wait)
+	for {
+		v.mu.Lock()
+		var news []relay.Record
+		for _, r := range v.records {
+			if r.Revision > after && feed == follow.FeedServers {
+				news = append(news, r)
+			}
+		}
+		at, changed, silent := v.at, v.changed, v.silent[v.caller]
+		v.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return nil, 0, follow.ErrUnavailable
+		}
+		if len(news) > 0 {
+			return news, at, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, at, nil
+		case <-ctx.Done():
+			return nil, 0, follow.ErrUnavailable
+		}
+	}
+}
+
+// Decode implements relay.Store.
+func (view) Decode(records []relay.Record) []follow.Change {
+	var out []follow.Change
+	for _, r := range records {
+		out = append(out, follow.ServerGone{ID: r.Key})
+	}
+	return out
+}
