forward, follow, backend: take no layers away by a report that is older than the entry

Cause: a server that has just loaded its layers tells so by its entry at once and by its report some 200 ms later. Change: reports say nothing of layers until the entry's layers have been known for the reports' lag and 0.2 s; a stream that moves is not repaired because a part of it has no entry. Tests: TestAReportThatIsOlderThanTheEntryTakesNothingAway and TestStreamsThatMoveStayWithAServerThatOnlyHasNoEntry failed before.

--- a/backend/server.go
+++ b/backend/server.go
@@ -47,6 +47,8 @@
 	// doubted is true while it is not known whether the server leaves.
 	doubted atomic.Bool
 	layers  atomic.Pointer[models.Layers]
+	// layersAt is when the instance heard of the present layers, in nanoseconds of the clock.
+	layersAt atomic.Int64
 	// running counts the requests of this instance on the server, as the first or any other part.
 	running atomic.Int64
 	// starting counts those of which the server is the first part.
@@ -112,6 +114,12 @@
 // Slots returns the number of requests that the server runs at once; 0 means that it did not say.
 func (s *Server) Slots() int { return s.slots }
 
+// NoteLayers keeps when the instance heard of the present layers.
+func (s *Server) NoteLayers(now time.Time) { s.layersAt.Store(now.UnixNano()) }
+
+// LayersFor returns for how long the instance has known the present layers.
+func (s *Server) LayersFor(now time.Time) time.Duration { return now.Sub(time.Unix(0, s.layersAt.Load())) }
+
 // Layers returns the range that the server holds.
 func (s *Server) Layers() models.Layers { return *s.layers.Load() }
 
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -157,11 +157,15 @@
 	s := l.servers[e.ID]
 	if s == nil {
 		l.servers[e.ID] = backend.NewServer(e)
+		l.servers[e.ID].NoteLayers(l.clock.Now())
 		l.noteLeaving(e)
 		l.logServer(e, "server known")
 		return true
 	}
 	s.Update(e)
+	if e.Layers != old.Layers {
+		s.NoteLayers(l.clock.Now())
+	}
 	l.noteLeaving(e)
 	if old.Same(e) {
 		return false
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -55,9 +55,11 @@
 		found.add(s)
 		return
 	}
-	found.mu.Lock()
-	found.holds[s] = report.Layers
-	found.mu.Unlock()
+	if h.tellsLayers(s) {
+		found.mu.Lock()
+		found.holds[s] = report.Layers
+		found.mu.Unlock()
+	}
 	if !first {
 		return
 	}
@@ -121,8 +123,8 @@
 	return slices.Collect(maps.Keys(f.dead))
 }
 
-// broken reports whether a path passes, behind its first part, a server that is dead or no longer holds its part, or one whose entry
-// has vanished. A repair cannot replace the first part; a stream whose first part is dead is given up by lose.
+// broken reports whether a path passes, behind its first part, a server that is dead or no longer holds its part. A repair cannot
+// replace the first part; a stream whose first part is dead is given up by lose.
 func (f *findings) broken(one *inflight) bool {
 	c := one.course()
 	for i, s := range c.servers {
@@ -142,5 +144,5 @@
 		// The entry may be older than an answer, but it is newer than the choice of a path.
 		held = s.Layers()
 	}
-	return f.dead[s] || s.Gone() || s.Suspected(f.now) || held.First > part.First || held.End < part.End
+	return f.dead[s] || s.Suspected(f.now) || held.First > part.First || held.End < part.End
 }
--- a/forward/evacuate.go
+++ b/forward/evacuate.go
@@ -108,6 +108,16 @@
 	return givesUp(s, part)
 }
 
+// passesLeaving reports whether a part of the stream's path behind the first leaves.
+func (f *inflight) passesLeaving() bool {
+	for i, s := range f.course().servers {
+		if i > 0 && s.Leaving() {
+			return true
+		}
+	}
+	return false
+}
+
 // givesUp reports whether a server no longer holds a part, as far as its entry tells.
 func givesUp(s *backend.Server, part models.Layers) bool {
 	held := s.Layers()
--- a/forward/inquire.go
+++ b/forward/inquire.go
@@ -43,6 +43,21 @@
 	}()
 }
 
+// reportSlack is how much longer than a report lags its entry may take to be heard, with the way of the report.
+const reportSlack = 200 * time.Millisecond
+
+// tellsLayers reports whether what a server says of its layers is newer than what its entry said: a report is some time old, and the
+// entry of a server that has just loaded its layers is heard of before.
+func (h *Handler) tellsLayers(server *backend.Server) bool {
+	lag := time.Duration(0)
+	if c := h.board.Current().Catalog(); c != nil {
+		if service := c.Service(server.Service()); service != nil && service.Engine != nil {
+			lag = service.Engine.ReportLag
+		}
+	}
+	return server.LayersFor(h.clock.Now()) > lag+reportSlack
+}
+
 // believe takes over what a server said of itself, or that it said nothing.
 func (h *Handler) believe(server *backend.Server, report backend.Report, err error, why string) {
 	now := h.clock.Now()
@@ -61,7 +76,7 @@
 	fields["pace"], fields["running"], fields["waiting"] = report.Pace, report.Running, report.Waiting
 	fields["memory_used"], fields["memory"], fields["layers"] = report.Used, report.Total, report.Layers.String()
 	switch {
-	case report.Layers != server.Layers():
+	case report.Layers != server.Layers() && h.tellsLayers(server):
 		server.WasStale(now)
 		h.record.Failure("", "server holds other layers", fields)
 	case report.Total > 0 && report.Used > fullMemory*report.Total:
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -123,7 +123,7 @@
 	}
 	var all sync.WaitGroup
 	for _, f := range w.flying() {
-		if found.broken(f) {
+		if found.broken(f) || w.still(f) && f.passesLeaving() {
 			all.Go(func() { w.repair(ctx, f, group, found) })
 		}
 	}
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -281,6 +281,40 @@
 	require.Len(t, e.repairs["still"], 2)
 }
 
+// TestAReportThatIsOlderThanTheEntryTakesNothingAway lets a server have loaded its layers a moment ago: its entry tells, its report does
+// not yet.
+func TestAReportThatIsOlderThanTheEntryTakesNothingAway(t *testing.T) {
+	g := twoCopies()
+	e := newEngines(g)
+	loaded := g.Servers()[1]
+	e.holds[loaded.Addr()] = models.Layers{}
+	h, clock := testHandler(t, e)
+	still := flying(h, g, "still", 0, 0, 1)
+	clock.Advance(140 * time.Millisecond)
+	loaded.NoteLayers(clock.Now())
+	h.watch.look(t.Context(), still.first, g, []*inflight{still})
+	require.NotZero(t, e.asked[loaded.Addr()])
+	require.Empty(t, e.repairs)
+	require.True(t, loaded.Usable(clock.Now()))
+	clock.Advance(time.Second)
+	h.watch.look(t.Context(), still.first, g, []*inflight{still})
+	require.Len(t, e.repairs["still"], 2, "a report of a second later tells the truth")
+}
+
+// TestStreamsThatMoveStayWithAServerThatOnlyHasNoEntry lets a server leave without a word while one of two streams through it stands still.
+func TestStreamsThatMoveStayWithAServerThatOnlyHasNoEntry(t *testing.T) {
+	g := twoCopies()
+	e := newEngines(g)
+	h, clock := testHandler(t, e)
+	still := flying(h, g, "still", 0, 0, 1)
+	flying(h, g, "moving", 130*time.Millisecond, 2, 1)
+	clock.Advance(140 * time.Millisecond)
+	g.Servers()[1].Remove()
+	h.watch.look(t.Context(), still.first, g, []*inflight{still})
+	require.Len(t, e.repairs["still"], 2)
+	require.NotContains(t, e.repairs, "moving", "it leaves in its turn")
+}
+
 // TestARepairReplacesAlsoThePartThatItsRefusalNames lets a second part of the path have given its layers up without a word.
 func TestARepairReplacesAlsoThePartThatItsRefusalNames(t *testing.T) {
 	g := twoCopies()
