--- a/backend/server.go
+++ b/backend/server.go
@@ -118,7 +118,9 @@
 func (s *Server) NoteLayers(now time.Time) { s.layersAt.Store(now.UnixNano()) }
 
 // LayersFor returns for how long the instance has known the present layers.
-func (s *Server) LayersFor(now time.Time) time.Duration { return now.Sub(time.Unix(0, s.layersAt.Load())) }
+func (s *Server) LayersFor(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, s.layersAt.Load()))
+}
 
 // Layers returns the range that the server holds.
 func (s *Server) Layers() models.Layers { return *s.layers.Load() }
