leader, placement: log by how much a domain is too small for the model

Cause: whether planned work leaves layers without a holder because of an order or because the domain's servers are too few could not be told from the logs.

Change: a warning with the layers and the memory that a domain lacks for one copy of the model with the usual room for sequences, at each change of the coverage; not for a domain whose servers all hold nothing, which is about to start.

Tests: TestADomainThatIsTooSmallIsLogged, TestTheSummaryTellsHowMuchIsShort.

--- a/leader/work.go
+++ b/leader/work.go
@@ -113,9 +113,22 @@
 			"model": engine.Model, "of_domain": c.Domain, "missing": c.Missing, "room": c.Room, "servers": c.Servers,
 			"empty": c.Empty, "orders_under_way": len(w.pending),
 		}).Info("coverage")
+		w.warnOfShortage(engine, c)
 	}
 }
 
+// warnOfShortage says by how much the servers of a domain are too few for one copy of the model with the usual room: it serves less than
+// it should then, and planned work may leave layers without a holder. A domain whose servers all hold nothing is about to start, and
+// others will follow.
+func (w *work) warnOfShortage(engine *catalog.Engine, c placement.Coverage) {
+	if c.Domain == "" || c.Short == 0 || c.Empty == c.Servers {
+		return
+	}
+	w.leader.log.WithFields(logrus.Fields{
+		"model": engine.Model, "of_domain": c.Domain, "servers": c.Servers, "short_layers": c.Short, "short_mb": c.ShortMB,
+	}).Warn("domain too small for a copy of the model with the usual room")
+}
+
 // keepInPlace marks the servers that shall not move, since others of their domain may be about to appear.
 func (w *work) keepInPlace(servers []placement.Server, missing map[string]float64) {
 	now := w.leader.clock.Now()
--- a/leader/work_test.go
+++ b/leader/work_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"junctioncross/backend"
@@ -166,3 +167,26 @@
 	}
 	require.Len(t, caller.placed[empty.Addr()], 1)
 }
+
+// TestADomainThatIsTooSmallIsLogged leaves a domain with one server that holds half of the model.
+func TestADomainThatIsTooSmallIsLogged(t *testing.T) {
+	w, _ := testWork(t, newWorkers())
+	hook := logtest.NewLocal(w.leader.log)
+	half := server(1, "fast", models.Layers{First: 0, End: 4})
+	w.place(t.Context(), smallEngine(), []*backend.Server{half, server(2, "fast", models.Layers{First: 4, End: 8})})
+	require.Empty(t, warnings(hook))
+	w.place(t.Context(), smallEngine(), []*backend.Server{half})
+	require.Len(t, warnings(hook), 1)
+	require.Equal(t, 4, warnings(hook)[0].Data["short_layers"])
+	require.Greater(t, warnings(hook)[0].Data["short_mb"], 400, "four layers and what sequences need")
+}
+
+func warnings(hook *logtest.Hook) []*logrus.Entry {
+	var out []*logrus.Entry
+	for _, e := range hook.AllEntries() {
+		if e.Level == logrus.WarnLevel {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -47,8 +47,12 @@
 
 // LayersOf returns how many layers a server of a kind should hold so that its memory has room for the sequences.
 func LayersOf(e *catalog.Engine, k *catalog.Kind, sequences int) int {
-	perLayer := e.LayerMB + float64(sequences)*tokens(e)*e.LayerBytes()/1e6
-	return min(max(int(k.MemoryMB/perLayer), 1), e.Layers, int(k.MemoryMB/e.LayerMB))
+	return min(max(int(k.MemoryMB/layerMB(e, sequences)), 1), e.Layers, int(k.MemoryMB/e.LayerMB))
+}
+
+// layerMB returns the memory that a layer takes with that of the sequences beside it.
+func layerMB(e *catalog.Engine, sequences int) float64 {
+	return e.LayerMB + float64(sequences)*tokens(e)*e.LayerBytes()/1e6
 }
 
 // sequencesOf returns the number of usual sequences that a server has memory for beside that many layers.
--- a/placement/replace_test.go
+++ b/placement/replace_test.go
@@ -52,3 +52,11 @@
 	require.Zero(t, missing(e, left, "a"))
 	require.NotContains(t, []models.Layers{orders[0].Layers, orders[1].Layers}, all[1].Layers)
 }
+
+// TestTheSummaryTellsHowMuchIsShort takes servers away until the rest cannot hold the model.
+func TestTheSummaryTellsHowMuchIsShort(t *testing.T) {
+	e := engine()
+	all := servers(e, "a", "big", "big")
+	require.Equal(t, 80-2*placement.LayersOf(e, e.Kind("big"), 96), placement.Summary(e, all)[1].Short)
+	require.Zero(t, placement.Summary(e, hall(e))[1].Short)
+}
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -16,18 +16,22 @@
 	// Servers and Empty count the servers of the domain and those that hold nothing.
 	Servers int
 	Empty   int
+	// Short is the number of layers of one whole copy for which the servers have no memory with the usual room for sequences beside, and
+	// ShortMB that memory.
+	Short   int
+	ShortMB int
 }
 
 // Summary returns the coverage of each domain, by name, and that of the whole fleet under an empty name first.
 func Summary(e *catalog.Engine, servers []Server) []Coverage {
 	c := newCover(e, servers)
-	all := Coverage{}
+	all := Coverage{Short: e.Layers}
 	byDomain := map[string]*Coverage{}
 	for i := range servers {
 		s := &servers[i]
 		d := byDomain[s.Domain]
 		if d == nil {
-			d = &Coverage{Domain: s.Domain}
+			d = &Coverage{Domain: s.Domain, Short: e.Layers}
 			byDomain[s.Domain] = d
 		}
 		for _, one := range []*Coverage{d, &all} {
@@ -35,19 +39,23 @@
 			if s.Layers.Count() == 0 {
 				one.Empty++
 			}
+			if s.Kind != nil {
+				one.Short = max(one.Short-LayersOf(e, s.Kind, wantedSequences), 0)
+			}
 		}
 	}
-	all.count(c.all)
+	all.count(e, c.all)
 	out := []Coverage{all}
 	for name, d := range byDomain {
-		d.count(c.in(name))
+		d.count(e, c.in(name))
 		out = append(out, *d)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Domain < out[j].Domain })
 	return out
 }
 
-func (c *Coverage) count(room []float64) {
+func (c *Coverage) count(e *catalog.Engine, room []float64) {
+	c.ShortMB = int(float64(c.Short) * layerMB(e, wantedSequences))
 	lowest := room[0]
 	for _, r := range room {
 		lowest = min(lowest, r)
