follow: count a server's leaving from the moment its entry vanished

Cause: around an outage of the store a vanished entry is kept for 2.2 s; only then was the server noted as leaving, so that streams had 1.3 s instead of 3.5 s to leave it at an even pace. TestAnEntryThatVanishesWithTheStoreIsKeptUntilItWouldBeBack is stricter by that and failed before (2 ms known).

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -183,6 +183,7 @@
 	s.tell(follow.FeedServers, seen("back", false))
 	s.tell(follow.FeedServers, seen("gone", false))
 	soon(t, func() bool { return servers(b) == 2 })
+	known := b.Current().Group("s").Servers()
 	s.setDown(true)
 	age := b.Confirmed()
 	time.Sleep(300 * time.Millisecond)
@@ -193,6 +194,11 @@
 	s.tell(follow.FeedServers, seen("back", false))
 	soon(t, func() bool { return servers(b) == 1 })
 	require.Equal(t, "back", b.Current().Group("s").Servers()[0].ID())
+	for _, one := range known {
+		if one.Gone() {
+			require.Greater(t, one.LeavingFor(time.Now()), 2*time.Second, "it has been leaving since its entry vanished")
+		}
+	}
 }
 
 // TestAServerThatVanishesAfterAnOutageGetsNoNewWork lets one of many entries vanish just after the store came back: whether its
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -208,7 +208,11 @@
 
 func (l *Loop) remove(id string) {
 	if s := l.servers[id]; s != nil {
-		s.NoteLeaving(l.clock.Now())
+		since, ok := l.missing[id]
+		if !ok {
+			since = l.clock.Now()
+		}
+		s.NoteLeaving(since)
 		s.Remove()
 		l.log.WithFields(logrus.Fields{"server": id, "address": s.Addr()}).Info("server gone")
 	}
