forward: let streams that had nowhere to go leave at the pace of what is left, predict lives by what was seen

And lives were predicted by the cost model alone, twice as long as they were. Change: at most four rounds gather, and after the shortest notice streams go at the pace of the drain that is left; lives are predicted by the ratio of seen to predicted of the latest answers (0.8 of them where a cut is the price of a mistake, 0.95 for a stopping instance), which the metrics show. Tests: TestStreamsThatCouldNotLeaveAtFirstGoAtThePaceOfWhatIsLeft failed before; life_test.go is new.

--- a/forward/evacuate.go
+++ b/forward/evacuate.go
@@ -17,6 +17,10 @@
 	evacuationTime = 1600 * time.Millisecond
 	// leastLeft keeps the pace bounded for streams that found no other path in that time.
 	leastLeft = 200 * time.Millisecond
+	// leastPace is the least number of streams that leave a server in a second, so that the last few do not linger.
+	leastPace = 20.0
+	// mostOwed bounds what has gathered while there was no other path, in rounds: those that leave together are read together.
+	mostOwed = 4
 	// mostTries bounds the streams that one round looks for another path for, since each look searches all servers.
 	mostTries = 16
 )
@@ -40,7 +44,8 @@
 		if group == nil {
 			continue
 		}
-		owed[s] = min(owed[s]+w.pace(s, len(streams)), float64(len(streams)))
+		pace := w.pace(s, len(streams))
+		owed[s] = min(owed[s]+pace, max(mostOwed*pace, 1))
 		for _, f := range streams {
 			if owed[s] < 1 || tries == mostTries {
 				break
@@ -53,10 +58,15 @@
 	}
 }
 
-// pace returns how many of so many streams should leave a server in one round.
+// pace returns how many of so many streams should leave a server in one round. One that has outlasted the shortest notice goes on until
+// its drain is over.
 func (w *watcher) pace(s *backend.Server, streams int) float64 {
-	left := evacuationTime - s.LeavingFor(w.handler.clock.Now())
-	return float64(streams) * watchPeriod.Seconds() / max(left, leastLeft).Seconds()
+	since := s.LeavingFor(w.handler.clock.Now())
+	left := evacuationTime - since
+	if left < 0 {
+		left = w.handler.terms.Load().DrainTime - leastLeft - since
+	}
+	return max(float64(streams)/max(left, leastLeft).Seconds(), leastPace) * watchPeriod.Seconds()
 }
 
 // leaving returns the streams that have to leave a server, by the one that they pass and that has been leaving for longest; those that
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -1,18 +1,14 @@
 package forward
 
 import (
-	"time"
-
 	"junctioncross/backend"
 	"junctioncross/chain"
 	"junctioncross/decision"
 	"junctioncross/models"
 )
 
-const (
-	// overdueShare is the part of its expected time that an answer is taken to last which has lasted for longer than expected.
-	overdueShare = 0.25
-)
+// overdueShare is the part of its expected time that an answer is taken to last which has lasted for longer than expected.
+const overdueShare = 0.25
 
 // placed is a path that was chosen for a stream from a group of servers.
 type placed struct {
@@ -73,22 +69,6 @@
 	return f.ranBefore
 }
 
-// begin notes that an attempt starts, and how long its answer is expected to take.
-func (f *inflight) begin(h *Handler, path chain.Path) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.ranBefore = append([]*backend.Server(nil), f.r.ran...)
-	f.began = h.clock.Now()
-	f.life = path.Read + time.Duration(f.need.Tokens-f.need.Prompt)*path.Step
-}
-
-// left returns how much longer the stream is expected to last.
-func (f *inflight) left(h *Handler) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return max(f.life-h.clock.Since(f.began), time.Duration(overdueShare*float64(f.life)))
-}
-
 // takeNext returns the path on which a stream that was handed over goes on, or nil.
 func (f *inflight) takeNext() *placed { return f.next.Swap(nil) }
 
--- a/forward/handover_test.go
+++ b/forward/handover_test.go
@@ -133,6 +133,42 @@
 	require.Zero(t, h.watch.count())
 }
 
+// TestStreamsThatCouldNotLeaveAtFirstGoAtThePaceOfWhatIsLeft lets forty streams have nowhere to go for two seconds: the one that takes
+// the server's place still loads its layers.
+func TestStreamsThatCouldNotLeaveAtFirstGoAtThePaceOfWhatIsLeft(t *testing.T) {
+	const streams = 40
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	var all []*inflight
+	for n := range streams {
+		f, _ := connected(t, h, g, fmt.Sprint(n), 0, 1)
+		all = append(all, f)
+	}
+	goodbye(g.Servers()[0], clock)
+	leaving, alone := departures{}, backend.NewGroup(g.Service(), g.Servers()[:2])
+	round := func(group *backend.Group) {
+		clock.Advance(watchPeriod)
+		h.watch.evacuate(t.Context(), leaving, func(string) *backend.Group { return group })
+		for _, f := range all {
+			if f.next.Load() != nil {
+				h.watch.remove(f)
+			}
+		}
+	}
+	for range 2 * time.Second / watchPeriod {
+		round(alone)
+	}
+	require.Equal(t, streams, h.watch.count())
+	for range 200 * time.Millisecond / watchPeriod {
+		round(g)
+	}
+	require.Greater(t, h.watch.count(), streams/2, "they do not all go at once")
+	for range 800 * time.Millisecond / watchPeriod {
+		round(g)
+	}
+	require.Zero(t, h.watch.count(), "before the drain is over")
+}
+
 // TestASilentFirstPartIsLeftOnlyForAnotherPath lets a first part answer no question while its connections are open.
 func TestASilentFirstPartIsLeftOnlyForAnotherPath(t *testing.T) {
 	g := twoCopies()
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -36,11 +36,12 @@
 	next atomic.Pointer[placed]
 
 	mu sync.Mutex
-	// ranBefore lists the servers that ran the stream before the present attempt, which began at a time and was expected to last for
-	// life.
+	// ranBefore lists the servers that ran the stream before the present attempt, which began at a time, was expected to last for life,
+	// and by the cost model alone as long as predicted; 0 for an attempt that goes on with a stream.
 	ranBefore []*backend.Server
 	began     time.Time
 	life      time.Duration
+	predicted time.Duration
 	// hops and servers are the path, which a repair may change; they are nil when no attempt is under way.
 	hops    []chain.Hop
 	servers []*backend.Server
--- /dev/null
+++ b/forward/life.go
@@ -0,0 +1,73 @@
+package forward
+
+import (
+	"time"
+
+	"junctioncross/backend"
+	"junctioncross/chain"
+)
+
+const (
+	// ratioUnit stands for the ratio one in a sample of ratios.
+	ratioUnit = time.Second
+	// surely is the part of the answers that last no longer than what is counted on where a cut would be the price.
+	surely = 0.95
+	// likely is the same where a stream that lasts longer is cut at the end of a server, and one that does not is moved in vain.
+	likely = 0.8
+)
+
+// lasted takes into account how long an answer took for which a time was predicted.
+func (q *queue) lasted(seen, predicted time.Duration) {
+	if predicted <= 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ratios.add(time.Duration(float64(seen) / float64(predicted) * float64(ratioUnit)))
+}
+
+// lasts returns the time that a part of the answers with such a prediction last at most, by what was seen of others: predictions count
+// steps and the caller's estimate of its answer, not how many steps servers run at once.
+func (q *queue) lasts(predicted time.Duration, part float64) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return time.Duration(float64(predicted) * float64(q.ratios.quantile(part)) / float64(ratioUnit))
+}
+
+// predictedLife returns how long an answer takes on a path by the cost model.
+func predictedLife(need chain.Need, path chain.Path) time.Duration {
+	return path.Read + time.Duration(need.Tokens-need.Prompt)*path.Step
+}
+
+// begin notes that an attempt starts, and how long its answer is expected to take: what is left of it, when it goes on elsewhere.
+func (f *inflight) begin(h *Handler, path chain.Path, attempt int) {
+	left := f.left(h)
+	predicted := predictedLife(f.need, path)
+	usual := h.queueOf(f.first.Service()).lasts(predicted, likely)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ranBefore = append([]*backend.Server(nil), f.r.ran...)
+	f.began, f.predicted, f.life = h.clock.Now(), predicted, usual
+	if attempt > 1 && f.r.x.Begun() {
+		f.life, f.predicted = left, 0
+	}
+}
+
+// left returns how much longer the stream is expected to last.
+func (f *inflight) left(h *Handler) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.life-h.clock.Since(f.began), time.Duration(overdueShare*float64(f.life)))
+}
+
+// observeLife compares how long a whole answer took with what was predicted; answers that went on elsewhere tell nothing.
+func (h *Handler) observeLife(f *inflight) {
+	f.mu.Lock()
+	seen, predicted := h.clock.Since(f.began), f.predicted
+	f.mu.Unlock()
+	if predicted <= 0 {
+		return
+	}
+	h.queueOf(f.first.Service()).lasted(seen, predicted)
+	h.stats.Histogram("life_of_predicted_percent").Update(int64(100 * float64(seen) / float64(predicted)))
+}
--- /dev/null
+++ b/forward/life_test.go
@@ -0,0 +1,50 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/catalog"
+	"junctioncross/front"
+)
+
+// TestPredictedLivesFollowWhatWasSeen lets answers last half as long as predicted, and one in eight of them as long.
+func TestPredictedLivesFollowWhatWasSeen(t *testing.T) {
+	q := newQueue()
+	require.Greater(t, q.lasts(time.Second, surely), 2*time.Second, "nothing is known yet")
+	for i := range sampleMost {
+		seen := 500 * time.Millisecond
+		if i%8 == 0 {
+			seen = time.Second
+		}
+		q.lasted(seen, time.Second)
+	}
+	require.Equal(t, 2*time.Second, q.lasts(4*time.Second, median))
+	require.Equal(t, 4*time.Second, q.lasts(4*time.Second, surely))
+}
+
+// TestAStoppingInstanceTakesTheStreamsThatItCanEnd asks for an answer of forty tokens of about a millisecond each, with ever less time
+// to the end of the process.
+func TestAStoppingInstanceTakesTheStreamsThatItCanEnd(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	route := &catalog.Route{Name: "r", Timeout: time.Minute, Objective: time.Second}
+	r := &request{x: &front.Exchange{}, group: g, route: route, deadline: clock.Now().Add(time.Minute)}
+	for range sampleMost {
+		h.queueOf("s").lasted(time.Second, time.Second)
+	}
+	require.True(t, h.finishes(r))
+	h.StopBy(clock.Now().Add(8 * time.Second))
+	require.True(t, h.finishes(r))
+	for range sampleMost {
+		h.queueOf("s").lasted(time.Hour, time.Second)
+	}
+	require.False(t, h.finishes(r), "answers last much longer than predicted")
+	for range sampleMost {
+		h.queueOf("s").lasted(time.Second, time.Second)
+	}
+	clock.Advance(streamsTime + 1)
+	require.False(t, h.finishes(r), "callers go elsewhere by now")
+}
--- a/forward/path.go
+++ b/forward/path.go
@@ -35,6 +35,9 @@
 	return int(math.Pow(float64(hint), hintTrust) * math.Pow(float64(usual), 1-hintTrust))
 }
 
+// streamSlack covers answers that are longer and steps that are slower than expected.
+const streamSlack = 2.0
+
 const (
 	// Callers leave a stream after the longest of leastPatience, so many times the objective, and so many times the accepted
 	// pause without an event, as the users' clients do.
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -36,6 +36,8 @@
 	underWay map[*inflight]time.Time
 	// lives, firsts and spells are how long streams take, how long their first events take and how long there was no path.
 	lives, firsts, spells sample
+	// ratios are how long answers took against what was predicted, in ratioUnit.
+	ratios sample
 	// without is since when there has been no path, as far as asked; zero while there is one.
 	without time.Time
 	// ends and gains count own streams that ended while a request waited, and those that found room after a wait.
@@ -46,7 +48,7 @@
 
 func newQueue() *queue {
 	return &queue{
-		lives: newSample(lifeAtFirst), firsts: newSample(firstEventAtFirst), spells: newSample(pathlessAtFirst),
+		lives: newSample(lifeAtFirst), firsts: newSample(firstEventAtFirst), spells: newSample(pathlessAtFirst), ratios: newSample(ratioUnit),
 		ends: gainAtFirst, gains: gainAtFirst, underWay: map[*inflight]time.Time{},
 	}
 }
--- a/forward/stop.go
+++ b/forward/stop.go
@@ -12,8 +12,6 @@
 	streamsTime = 2500 * time.Millisecond
 	// plainSlack is how many times its objective a plain request may take on a stopping instance.
 	plainSlack = 4
-	// streamSlack covers answers that are longer and steps that are slower than expected.
-	streamSlack = 2.0
 	// guessStep is the time between tokens while no path says better.
 	guessStep = 30 * time.Millisecond
 )
@@ -42,14 +40,9 @@
 		return false
 	}
 	need := h.needOf(r)
-	step := guessStep
-	if path, ok := h.choosePath(&inflight{r: r, need: need}); ok {
-		step = path.Step
+	path, ok := h.choosePath(&inflight{r: r, need: need})
+	if !ok {
+		path = chain.Path{Step: guessStep}
 	}
-	return now.Add(answerTime(need, step)).Before(by)
-}
-
-// answerTime returns how long a stream may take.
-func answerTime(need chain.Need, step time.Duration) time.Duration {
-	return time.Duration(streamSlack * float64(need.Tokens-need.Prompt) * float64(step))
+	return now.Add(h.queueOf(r.group.Service().Name).lasts(predictedLife(need, path), surely)).Before(by)
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -92,7 +92,7 @@
 	f.first = r.group.Servers()[path.Hops[0].Server]
 	f.expected = path.Read + path.Step
 	f.events.restart()
-	f.begin(h, path)
+	f.begin(h, path, attempt)
 	f.first.Start(1)
 	defer f.first.Start(-1)
 	f.first.Chosen()
@@ -135,6 +135,7 @@
 	r.ranOn(f.first)
 	f.first.Observe(true)
 	f.first.Succeeded()
+	h.observeLife(f)
 	h.queueOf(f.first.Service()).ended(h.clock.Since(r.x.Arrived()))
 	return delivered{}
 }
