backend, forward: give work to a server that was moved once its entry tells what it holds

Cause: a server that told of other layers than its entry, or answered 421, was left alone for a whole second, although its entry follows within some 0.3 s (the comment on staleTime said "until its entry tells"); and one that was given more layers beside those of its entry was left alone too, although every path that the entry allows is still held. Change: a server that was stale gets work again when its entry tells other layers than before, after a second at the latest; one that holds all that its entry says and more is not stale. Other reasons to leave a server alone (full, suspected) stay as they are.

--- a/backend/server.go
+++ b/backend/server.go
@@ -23,7 +23,8 @@
 	// askPeriod is how often a server may be asked for its state by one instance: each question has its price, and an answer is
 	// some 200 ms old, so that a second question within that time learns nothing new.
 	askPeriod = 240 * time.Millisecond
-	// staleTime is how long a server that did not hold its layers is left alone: until its entry tells what it holds.
+	// staleTime is how long a server that did not hold its layers is left alone at most, if its entry does not tell before what it
+	// holds.
 	staleTime = time.Second
 	// failWeight is the weight of the newest request in the share of failures: some ten requests tell a bad server.
 	failWeight = 0.1
@@ -61,6 +62,8 @@
 	mu sync.Mutex
 	// aside is when the server may get work again.
 	aside time.Time
+	// stale is until when the server is left alone since it did not hold what its entry said.
+	stale time.Time
 	// suspect is until when the server is taken as gone because it did not answer.
 	suspect time.Time
 	load    call.Load
@@ -90,7 +93,9 @@
 // Update takes over what a newer entry of the same start says.
 func (s *Server) Update(e Entry) {
 	layers := e.Layers
-	s.layers.Store(&layers)
+	if was := s.layers.Swap(&layers); was != nil && *was != layers {
+		s.wasCorrected()
+	}
 	if e.Leaving {
 		s.leaving.Store(true)
 	}
--- a/backend/standing.go
+++ b/backend/standing.go
@@ -25,7 +25,7 @@
 func (s *Server) isAside(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Before(s.aside)
+	return now.Before(s.aside) || now.Before(s.stale)
 }
 
 // SetAside keeps new work away from the server until a moment.
@@ -92,8 +92,19 @@
 	return s.pace
 }
 
-// WasStale keeps new work away from a server that does not hold what its entry says.
-func (s *Server) WasStale(now time.Time) { s.SetAside(now.Add(staleTime)) }
+// WasStale keeps new work away from a server that does not hold what its entry says, until the entry tells what it holds.
+func (s *Server) WasStale(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale = now.Add(staleTime)
+}
+
+// wasCorrected notes that the entry tells other layers than before.
+func (s *Server) wasCorrected() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale = time.Time{}
+}
 
 // Usable reports whether the server may get new work.
 func (s *Server) Usable(now time.Time) bool {
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -144,5 +144,5 @@
 		// The entry may be older than an answer, but it is newer than the choice of a path.
 		held = s.Layers()
 	}
-	return f.dead[s] || s.Suspected(f.now) || held.First > part.First || held.End < part.End
+	return f.dead[s] || s.Suspected(f.now) || !held.Holds(part)
 }
--- a/forward/evacuate.go
+++ b/forward/evacuate.go
@@ -130,8 +130,7 @@
 
 // givesUp reports whether a server no longer holds a part, as far as its entry tells.
 func givesUp(s *backend.Server, part models.Layers) bool {
-	held := s.Layers()
-	return held.First > part.First || held.End < part.End
+	return !s.Layers().Holds(part)
 }
 
 // leaveParts lets a stream go on without the parts that will not last as long as it does, and reports whether it can.
--- a/forward/inquire.go
+++ b/forward/inquire.go
@@ -77,7 +77,10 @@
 	fields["memory_used"], fields["memory"], fields["layers"] = report.Used, report.Total, report.Layers.String()
 	switch {
 	case report.Layers != server.Layers() && h.tellsLayers(server):
-		server.WasStale(now)
+		// A server that was given more layers beside those of its entry still holds every path that was chosen by the entry.
+		if !report.Layers.Holds(server.Layers()) {
+			server.WasStale(now)
+		}
 		h.record.Failure("", "server holds other layers", fields)
 	case report.Total > 0 && report.Used > fullMemory*report.Total:
 		h.record.Failure("", "server is full", fields)
