forward, retry: let a reload change the limit on repeats of services that are known

Cause: a service's window of repeats kept the length and the share that held when its first request came; a reload changed them only for services that were new. Change: each use takes the limits in force over, and what was counted counts on. Tests: TestAReloadChangesTheLimitOnRepeatsOfServicesThatAreKnown failed before ("Should be true"); TestAReloadLeavesStreamsUnderWayAsTheyAre changes each setting of a reload beside a stream under way and passed at once.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -213,12 +213,13 @@
 
 // window returns the service's allowance; the caller holds the lock.
 func (h *Handler) window(r *request) *retry.Window {
-	name := r.group.Service().Name
+	name, terms := r.group.Service().Name, h.terms.Load()
 	w := h.windows[name]
 	if w == nil {
-		w = retry.NewWindow(h.terms.Load().RepeatWindow, h.terms.Load().RepeatShare, h.clock.Now())
+		w = retry.NewWindow(terms.RepeatWindow, terms.RepeatShare, h.clock.Now())
 		h.windows[name] = w
 	}
+	w.Limit(terms.RepeatWindow, terms.RepeatShare)
 	return w
 }
 
--- /dev/null
+++ b/forward/reload_test.go
@@ -0,0 +1,72 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/catalog"
+)
+
+// TestAReloadLeavesStreamsUnderWayAsTheyAre replaces each setting that a reload can change, one after the other, while a stream passes a
+// sound path: it keeps path, connection, memory and runs, and the new limits count from then on.
+func TestAReloadLeavesStreamsUnderWayAsTheyAre(t *testing.T) {
+	base := Terms{
+		Domain: "a", KeysAge: time.Second, RepeatWindow: 10 * time.Second, RepeatShare: 0, RepeatSlack: 1, StallTime: 2 * time.Second,
+		DrainTime: 3 * time.Second,
+	}
+	changes := map[string]func(*Terms){
+		"none":          func(*Terms) {},
+		"domain":        func(t *Terms) { t.Domain = "b" },
+		"keys":          func(t *Terms) { t.KeysAge = time.Millisecond },
+		"repeat window": func(t *Terms) { t.RepeatWindow = time.Second },
+		"repeat share":  func(t *Terms) { t.RepeatShare = 0.5 },
+		"repeat slack":  func(t *Terms) { t.RepeatSlack = 0 },
+		"stall time":    func(t *Terms) { t.StallTime = time.Millisecond },
+		"drain time":    func(t *Terms) { t.DrainTime = time.Millisecond },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			g := twoCopies()
+			e := newEngines(g)
+			h, clock := testHandler(t, e)
+			h.SetTerms(base)
+			f, conn := connected(t, h, g, "one", 0, 1)
+			was, reserved := f.course(), g.Servers()[0].Reserved()
+			terms := base
+			change(&terms)
+			h.SetTerms(terms)
+			leaving := departures{}
+			for range 20 {
+				clock.Advance(watchPeriod)
+				f.touch(h)
+				h.watch.scan(t.Context())
+				h.watch.evacuate(t.Context(), leaving, h.watch.group)
+			}
+			require.True(t, isOpen(conn))
+			require.Equal(t, was, f.course())
+			require.InDelta(t, reserved, g.Servers()[0].Reserved(), 0)
+			require.Empty(t, e.repairs)
+			require.Zero(t, f.r.runs)
+		})
+	}
+}
+
+// TestAReloadChangesTheLimitOnRepeatsOfServicesThatAreKnown raises the share after the first repeat was counted.
+func TestAReloadChangesTheLimitOnRepeatsOfServicesThatAreKnown(t *testing.T) {
+	g := twoCopies()
+	h, _ := testHandler(t, newEngines(g))
+	terms := Terms{Domain: "a", RepeatWindow: 10 * time.Second, RepeatSlack: 1}
+	h.SetTerms(terms)
+	r := &request{group: g, route: &catalog.Route{}}
+	for range 10 {
+		h.countRequest(r)
+	}
+	require.True(t, h.mayRepeat(r))
+	require.False(t, h.mayRepeat(r))
+	terms.RepeatShare = 0.1
+	h.SetTerms(terms)
+	require.True(t, h.mayRepeat(r), "the new share counts at once")
+	require.False(t, h.mayRepeat(r))
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -21,6 +21,18 @@
 	return &Window{share: share, slot: length / windowSlots, since: now}
 }
 
+// Limit takes over another length and share. What was counted counts on, as if it had all happened now, so that a change never allows
+// more than the new limits do.
+func (w *Window) Limit(length time.Duration, share float64) {
+	w.share = share
+	if slot := length / windowSlots; slot != w.slot {
+		first, again := sum(w.first[:]), sum(w.again[:])
+		w.first, w.again = [windowSlots + 1]int{}, [windowSlots + 1]int{}
+		w.first[w.at], w.again[w.at] = first, again
+		w.slot = slot
+	}
+}
+
 // Request counts one request.
 func (w *Window) Request(now time.Time) {
 	w.advance(now)
