--- a/forward/queue_test.go
+++ b/forward/queue_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -155,3 +156,21 @@
 	require.Zero(t, urgencyOf(account, calm).compare(urgencyOf(account, calm)))
 	require.Negative(t, urgencyOf(nil, urgent).compare(urgencyOf(account, urgent)), "a public route is ranked by itself")
 }
+
+// TestARequestThatWaitsForRoomEndsWhenItsCallerLeaves lets it never be the request's turn.
+func TestARequestThatWaitsForRoomEndsWhenItsCallerLeaves(t *testing.T) {
+	// The tickers of the watcher and of the prober, and the request.
+	const sleepers = 3
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan bool, 1)
+	go func() {
+		f := &inflight{r: &request{group: g}}
+		_, found := h.awaitRoom(ctx, f, func() bool { return false }, clock.Now().Add(time.Hour))
+		ended <- found
+	}()
+	require.NoError(t, clock.BlockUntilContext(t.Context(), sleepers))
+	cancel()
+	require.False(t, <-ended, "although its time is not over")
+}
