--- a/forward/stream.go
+++ b/forward/stream.go
@@ -101,10 +101,10 @@
 		"predicted_read_us": path.Read.Microseconds(), "tokens": f.need.Tokens, "lane_load": f.laneLoad, "returned": f.returned,
 		"resume_after": f.events.resumeAfter(),
 	}))
-	s, err := h.send(ctx, r, f.first, &call.Send{Path: f.course().parts(), ResumeAfter: f.events.resumeAfter()}, !r.route.MayRepeat())
+	s, err := h.send(ctx, r, f.first, &call.Send{Path: f.course().parts(), ResumeAfter: f.events.resumeAfter()},
+		attempt > 1 || !r.route.MayRepeat())
 	if s == nil {
-		f.first.Failed(h.clock.Now())
-		return notRun{reason: models.RetryUnreachable}
+		return h.unreached(ctx, r, f.first)
 	}
 	f.conn = s.conn
 	f.touch(h)
--- a/leader/work.go
+++ b/leader/work.go
@@ -266,12 +266,15 @@
 func (w *work) send(ctx context.Context, s *backend.Server, o placement.Order) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
-	// A server moves only to fill a hole that keeps its domain from serving. What passes it goes on elsewhere in a fraction of a
-	// second; waiting for it would leave the hole open for as long as the longest answer takes.
-	order := backend.PlaceOrder{Layers: o.Layers, ExpectOrders: w.expected(s), Cut: o.Moves}
+	order := backend.PlaceOrder{Layers: o.Layers, ExpectOrders: w.expected(s), Cut: o.Moves && mayCut(s)}
 	return w.leader.caller.Place(ctx, s.Addr(), s.ID(), order)
 }
 
+// mayCut reports whether an order may break off what passes a server. A server moves only to fill a hole that keeps its domain from
+// serving, and waiting for what passes it would leave the hole open for longer: parts behind the first are replaced in a fraction of a
+// second. A first part takes its streams with it when it cuts them; they are handed over while it waits.
+func mayCut(s *backend.Server) bool { return s.Layers().First > 0 }
+
 // expected returns the number of orders that the server is known to have taken.
 func (w *work) expected(s *backend.Server) int64 { return w.orders[s.ID()] }
 
--- a/leader/work_test.go
+++ b/leader/work_test.go
@@ -27,6 +27,8 @@
 	busy   map[string]bool
 	holds  map[string]models.Layers
 	placed map[string][]models.Layers
+	// cuts counts the orders that break off what passes.
+	cuts int
 }
 
 // Report implements backend.Caller.
@@ -39,6 +41,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.placed[addr] = append(w.placed[addr], o.Layers)
+	if o.Cut {
+		w.cuts++
+	}
 	if w.busy[addr] {
 		return backend.ErrStale
 	}
@@ -190,3 +195,21 @@
 	}
 	return out
 }
+
+// TestAFirstPartIsNotCutByAMove loses the only holder of one half of the model beside two holders of the other half.
+func TestAFirstPartIsNotCutByAMove(t *testing.T) {
+	for _, c := range []struct {
+		held models.Layers
+		cuts int
+	}{{models.Layers{First: 0, End: 4}, 0}, {models.Layers{First: 4, End: 8}, 1}} {
+		caller := newWorkers()
+		w, clock := testWork(t, caller)
+		servers := []*backend.Server{server(1, "fast", c.held), server(2, "fast", c.held)}
+		for elapsed := time.Duration(0); elapsed < replaceTime; elapsed += period {
+			w.place(t.Context(), smallEngine(), servers)
+			clock.Advance(period)
+		}
+		require.Len(t, caller.placed, 1, "one of them moves")
+		require.Equal(t, c.cuts, caller.cuts, "what passes %s", c.held)
+	}
+}
