forward: keep the parts of a path that the group of a repair lacks

A part that a group lacks is named by its place on the path, each by another index, so that it is replaced only if it is lost itself, and is found again where it stays. Passes now: TestAPathMayPassAServerThatTheGroupOfALookDoesNotHaveYet; the other tests of forward pass.

--- a/forward/repair.go
+++ b/forward/repair.go
@@ -165,33 +165,36 @@
 	f.repairing = false
 }
 
-// noEntry stands for the servers of a path that a group lacks, in place of an index; noFirst for its first part, which a repair keeps.
-const (
-	noEntry = -1
-	noFirst = -2
-)
+// noEntry is the index of a server that a group lacks.
+const noEntry = -1
+
+// outside stands for a part of a path whose server a group lacks, in place of an index; partOutside returns the part again.
+func outside(part int) int { return noEntry - part }
+
+func partOutside(index int) int { return noEntry - index }
 
-// indexed returns a path by the indices of a group, which may be newer than the one that the path was chosen from. A server that
-// leaves without a word serves on although the group lacks it.
+// indexed returns a path by the indices of a group, which may be newer or older than the one that the path was chosen from: a server
+// that leaves without a word serves on although the group lacks it, and one that has just appeared may carry the stream already.
 func indexed(group *backend.Group, c course) []chain.Hop {
 	out := make([]chain.Hop, len(c.hops))
 	for i, s := range c.servers {
 		out[i] = chain.Hop{Server: slices.Index(group.Servers(), s), Layers: c.hops[i].Layers}
-		if i == 0 && out[i].Server == noEntry {
-			out[i].Server = noFirst
+		if out[i].Server == noEntry {
+			out[i].Server = outside(i)
 		}
 	}
 	return out
 }
 
-// onward returns the path that hops of a group describe, behind the same first part.
+// onward returns the path that hops of a group describe; those that the group lacks are parts of the present path.
 func (c course) onward(group *backend.Group, hops []chain.Hop) course {
-	if hops[0].Server != noFirst {
-		return newCourse(group, hops)
-	}
-	rest := newCourse(group, hops[1:])
-	return course{
-		hops:    append([]chain.Hop{c.hops[0]}, rest.hops...),
-		servers: append([]*backend.Server{c.servers[0]}, rest.servers...),
+	out := course{hops: hops, servers: make([]*backend.Server, len(hops))}
+	for i, hop := range hops {
+		if hop.Server < 0 {
+			out.servers[i] = c.servers[partOutside(hop.Server)]
+			continue
+		}
+		out.servers[i] = group.Servers()[hop.Server]
 	}
+	return out
 }
