forward: test that a stream which waits for the end of a server hears of it

Cause: awaitOnward asks the servers that the stream ran on only when it first meets the bound on attempts. One that leaves without a word (or announced, while its entry stands) and still answers at that moment counts as one that may still end, but nobody asks it again: inquire leaves out those that leave, noteBreak asked once, and the end of a silent leaver shows in no entry. The stream waits until its caller leaves, with a whole path and an attempt to spare. Fails: the stream still waits two seconds after the end of the server.

--- /dev/null
+++ b/forward/lasting_test.go
@@ -0,0 +1,44 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestAStreamThatWaitsForTheEndOfAServerHearsOfIt lets the last server that a stream ran on leave without a word and still answer at first.
+func TestAStreamThatWaitsForTheEndOfAServerHearsOfIt(t *testing.T) {
+	g := twoCopies()
+	e := newEngines(g)
+	h, clock := testHandler(t, e)
+	f := begun(g, 2, 0, 2)
+	leaver := g.Servers()[2]
+	leaver.NoteLeaving(clock.Now())
+	leaver.Remove()
+	done := make(chan bool, 1)
+	go func() {
+		_, _, ok := h.awaitOnward(t.Context(), f)
+		done <- ok
+	}()
+	require.Eventually(t, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.asked[leaver.Addr()] > 0
+	}, soonEnough, time.Millisecond)
+	e.mu.Lock()
+	e.dead[leaver.Addr()] = true
+	e.mu.Unlock()
+	// The other copy is whole without the server that has left.
+	for range 2 * time.Second / roomPoll {
+		clock.Advance(roomPoll)
+		time.Sleep(time.Millisecond)
+		select {
+		case ok := <-done:
+			require.True(t, ok)
+			return
+		default:
+		}
+	}
+	require.Fail(t, "the stream still waits two seconds after the end of the server")
+}
