--- a/forward/onward.go
+++ b/forward/onward.go
@@ -15,6 +15,8 @@
 	// about the time after which their word on their memory has changed.
 	firstOnwardPause   = 25 * time.Millisecond
 	longestOnwardPause = 400 * time.Millisecond
+	// askAgain is how long after the servers that a stream ran on were asked whether they have ended they are asked again.
+	askAgain = 250 * time.Millisecond
 )
 
 // awaitOnward returns the path on which a stream that has begun goes on. It waits for as long as the caller does: an answer that has
@@ -24,14 +26,18 @@
 		return chain.Path{}, models.ReasonNoRoom, false
 	}
 	told := models.Reason("")
+	var asked time.Time
 	for {
 		h.refreshGroup(f)
 		path, obstacle := h.onward(f)
 		if obstacle == "" {
 			return path, "", true
 		}
-		if obstacle == models.ReasonAttempts && told != obstacle && !h.mayStillEnd(ctx, f) {
-			return chain.Path{}, obstacle, false
+		if obstacle == models.ReasonAttempts && h.clock.Since(asked) >= askAgain {
+			if !h.mayStillEnd(ctx, f) {
+				return chain.Path{}, obstacle, false
+			}
+			asked = h.clock.Now()
 		}
 		if obstacle != told {
 			told = obstacle
