forward: test that a server which ran a stream twice counts once

Cause: the bound is on the servers that one request is sent to, and BUDGET counts replicas; standing and mayRunAgain count runs. A stream whose connection to its first part is reset or falls silent and that goes on there has used two attempts of two on one server: it is not handed over when that server leaves, and when it ends is broken off at once if it still answers.

--- a/forward/lasting_test.go
+++ b/forward/lasting_test.go
@@ -42,3 +42,10 @@
 	}
 	require.Fail(t, "the stream still waits two seconds after the end of the server")
 }
+
+// TestAServerThatRanAStreamTwiceIsOneServer resumes a stream where it ran before, as after a reset of its connection.
+func TestAServerThatRanAStreamTwiceIsOneServer(t *testing.T) {
+	g := twoCopies()
+	require.Equal(t, 1, begun(g, 2, 0, 0).r.standing())
+	require.Equal(t, 2, begun(g, 2, 0, 2, 0).r.standing())
+}
