--- a/forward/handover.go
+++ b/forward/handover.go
@@ -22,7 +22,7 @@
 // it and the request may run there, so that nothing is lost by leaving.
 func (w *watcher) handOver(f *inflight, first *backend.Server, group *backend.Group, why string) bool {
 	h := w.handler
-	if !f.r.route.MayRepeat() || !h.mayRunAgain(f) {
+	if !f.r.route.MayRepeat() || !h.mayRunAgain(f, first) {
 		return false
 	}
 	next, ok := h.placeIn(f, group)
@@ -46,20 +46,21 @@
 	return true
 }
 
-// mayRunAgain reports whether a stream may run on one more server while the present one still stands. Servers that have had the time
+// mayRunAgain reports whether a stream may run on one more server while the present first part still stands. Servers that have had the time
 // to leave are asked whether they have ended.
-func (h *Handler) mayRunAgain(f *inflight) bool {
-	standing := 1
-	for _, s := range f.former() {
-		if s.Ended() {
+func (h *Handler) mayRunAgain(f *inflight, first *backend.Server) bool {
+	now, drain := h.clock.Now(), h.terms.Load().DrainTime
+	others := 0
+	for _, s := range standing(f.former()) {
+		if s == first {
 			continue
 		}
-		standing++
-		if s.LeavingFor(h.clock.Now()) > h.terms.Load().DrainTime {
+		others++
+		if s.LeavingFor(now) > drain {
 			h.question(s, "former run")
 		}
 	}
-	return standing < f.r.route.MaxAttempts
+	return 1+others < f.r.route.MaxAttempts
 }
 
 // former returns the servers that ran the stream before the present one.
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -1,6 +1,10 @@
 package forward
 
-import "junctioncross/backend"
+import (
+	"slices"
+
+	"junctioncross/backend"
+)
 
 // ranOn notes that a server may have run the request.
 func (r *request) ranOn(s *backend.Server) {
@@ -9,13 +13,16 @@
 }
 
 // standing returns how many of the servers that may have run the request have not ended since: the number of servers that may run
-// one request bounds what is at work on it, and a server that has ended is not.
-func (r *request) standing() int {
-	n := 0
-	for _, s := range r.ran {
-		if !s.Ended() {
-			n++
+// one request bounds what is at work on it, and a server that has ended is not. One that ran it twice counts once.
+func (r *request) standing() int { return len(standing(r.ran)) }
+
+// standing returns those of some servers that have not ended, each once.
+func standing(ran []*backend.Server) []*backend.Server {
+	var out []*backend.Server
+	for _, s := range ran {
+		if !s.Ended() && !slices.Contains(out, s) {
+			out = append(out, s)
 		}
 	}
-	return n
+	return out
 }
