forward: test that an answer is not cut since nobody listens at its server any more

Cause: giveUp lets lose close all streams that start at a server whose address refuses connections, also those that move, and those that no other server may go on with. A server that stops in an orderly way takes no more connections before it ends what it has; one stream that stands still at it starts the look. For a stream that may not be resumed the cut is its end: goesOn says no and it is broken off, while silence of a server is no reason to end an answer (LOST).

--- a/forward/lasting_test.go
+++ b/forward/lasting_test.go
@@ -49,3 +49,33 @@
 	require.Equal(t, 1, begun(g, 2, 0, 0).r.standing())
 	require.Equal(t, 2, begun(g, 2, 0, 2, 0).r.standing())
 }
+
+// TestAStreamThatMovesIsNotCutSinceNobodyListensAnyMore lets a server take no more connections and finish what it has, as servers do
+// that stop in an orderly way.
+func TestAStreamThatMovesIsNotCutSinceNobodyListensAnyMore(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g, 0))
+	still, stillConn := connected(t, h, g, "still", 0, 1)
+	moving, movingConn := connected(t, h, g, "moving", 0, 1)
+	clock.Advance(140 * time.Millisecond)
+	moving.touch(h)
+	h.watch.look(t.Context(), still.first, g, []*inflight{still})
+	require.True(t, g.Servers()[0].Ended())
+	require.False(t, isOpen(stillConn), "the one that stands still goes on elsewhere")
+	require.True(t, isOpen(movingConn), "the one that moves stays")
+}
+
+// TestAStreamThatMayNotRunAgainIsNotCutForASilentFirstPart lets nothing listen at the first part of a stream that cannot be resumed:
+// what comes yet is all that its caller can get.
+func TestAStreamThatMayNotRunAgainIsNotCutForASilentFirstPart(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g, 0))
+	f, conn := connected(t, h, g, "one", 0, 1)
+	route := *f.r.route
+	route.Repeat = 0
+	f.r.route = &route
+	require.False(t, route.MayRepeat())
+	clock.Advance(140 * time.Millisecond)
+	h.watch.look(t.Context(), f.first, g, []*inflight{f})
+	require.True(t, isOpen(conn))
+}
