forward: leave a server where nothing listens only with streams that stand still and may go on elsewhere

A stream that still moves is looked at again once it does not. Passes now: TestAStreamThatMovesIsNotCutSinceNobodyListensAnyMore, TestAStreamThatMayNotRunAgainIsNotCutForASilentFirstPart; the other tests of forward pass.

--- a/forward/watch.go
+++ b/forward/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -215,18 +216,17 @@
 	return out
 }
 
-// giveUp lets the streams go on elsewhere that start at a server which does not answer. Where nothing listens any more they are cut
-// at once; a server that is only silent may still move them, so that they stay with it until there is another path.
+// giveUp lets the streams go on elsewhere that start at a server which does not answer and stand still. Where nothing listens any more
+// they are cut at once, unless nobody else may go on with them; a server that is only silent may still move them, so that they stay
+// with it until there is another path.
 func (w *watcher) giveUp(first *backend.Server, group *backend.Group) {
-	streams := w.startingAt(first)
+	streams := slices.DeleteFunc(w.startingAt(first), func(f *inflight) bool { return !w.still(f) || !f.r.route.MayRepeat() })
 	if first.Ended() {
 		w.lose(first, streams)
 		return
 	}
 	for _, f := range streams {
-		if w.still(f) {
-			w.handOver(f, first, group, "first part is silent")
-		}
+		w.handOver(f, first, group, "first part is silent")
 	}
 }
 
