forward: test that a silent first part is left also for a path that crosses domains

Cause: since a silent first part is left by handOver alone, which refuses a path that crosses domains more often than the present one. Fails: the connection is open.

--- a/forward/lasting_test.go
+++ b/forward/lasting_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
 )
 
 // TestAStreamThatWaitsForTheEndOfAServerHearsOfIt lets the last server that a stream ran on leave without a word and still answer at first.
@@ -79,3 +81,19 @@
 	h.watch.look(t.Context(), f.first, g, []*inflight{f})
 	require.True(t, isOpen(conn))
 }
+
+// TestASilentFirstPartIsLeftAlsoForAPathThatCrossesDomains leaves no other path than one between domains.
+func TestASilentFirstPartIsLeftAlsoForAPathThatCrossesDomains(t *testing.T) {
+	g := twoCopies()
+	servers := append([]*backend.Server(nil), g.Servers()[:2]...)
+	servers = append(servers, backend.NewServer(backend.Entry{
+		ID: "far", Service: "s", Addr: "127.0.0.1:9", Domain: "b", Kind: "k", Layers: servers[0].Layers(),
+	}))
+	g = backend.NewGroup(g.Service(), servers)
+	h, clock := testHandler(t, newEngines(g))
+	_, conn := connected(t, h, g, "one", 0, 1)
+	clock.Advance(time.Second)
+	servers[0].Suspect(clock.Now().Add(suspectTime))
+	h.watch.giveUp(servers[0], g)
+	require.False(t, isOpen(conn))
+}
