--- a/forward/handover.go
+++ b/forward/handover.go
@@ -19,14 +19,15 @@
 }
 
 // handOver lets a stream go on at another first part, after the last event that was passed on. It does so only when there is a path for
-// it and the request may run there, so that nothing is lost by leaving.
+// it and the request may run there, so that nothing is lost by leaving. Only a server that does not answer is left for a path that
+// crosses domains more often.
 func (w *watcher) handOver(f *inflight, first *backend.Server, group *backend.Group, why string) bool {
 	h := w.handler
 	if !f.r.route.MayRepeat() || !h.mayRunAgain(f, first) {
 		return false
 	}
 	next, ok := h.placeIn(f, group)
-	if !ok || newCourse(group, next.path.Hops).crossings() > f.course().crossings() {
+	if !ok || !first.Suspected(h.clock.Now()) && newCourse(group, next.path.Hops).crossings() > f.course().crossings() {
 		return false
 	}
 	w.mu.Lock()
