forward: look for another path for all streams of a server that leaves in turn

Streams that were looked at in vain come after the others. Passes now: TestStreamsThatCannotLeaveKeepNoOthersFromLeaving; the other tests of forward pass.

--- a/forward/evacuate.go
+++ b/forward/evacuate.go
@@ -53,6 +53,9 @@
 			tries++
 			if w.leaveParts(ctx, f, group) {
 				owed[s]--
+				f.vain = 0
+			} else {
+				f.vain++
 			}
 		}
 	}
@@ -70,7 +73,7 @@
 }
 
 // leaving returns the streams that have to leave a server, by the one that they pass and that has been leaving for longest; those that
-// would last longest come first.
+// would last longest come first, after those that were looked at less often in vain.
 func (w *watcher) leaving() map[*backend.Server][]*inflight {
 	h := w.handler
 	out := map[*backend.Server][]*inflight{}
@@ -84,7 +87,9 @@
 		for _, f := range streams {
 			left[f] = f.left(h)
 		}
-		slices.SortFunc(streams, func(a, b *inflight) int { return cmp.Compare(left[b], left[a]) })
+		slices.SortFunc(streams, func(a, b *inflight) int {
+			return cmp.Or(cmp.Compare(a.vain, b.vain), cmp.Compare(left[b], left[a]))
+		})
 	}
 	return out
 }
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -32,6 +32,9 @@
 	// moved is true once a server has sent an event.
 	moved atomic.Bool
 
+	// vain counts the looks for another path before its server ends that found none; it belongs to the watcher's goroutine.
+	vain int
+
 	// next is the path on which the stream goes on once its present connection is closed; nil while it is not handed over.
 	next atomic.Pointer[placed]
 
