--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -105,6 +105,12 @@
 	return course{hops: f.hops, servers: f.servers}
 }
 
+// uses reports whether the stream is under way at a service.
+func (f *inflight) uses(service string) bool {
+	c := f.course()
+	return len(c.servers) > 0 && c.servers[0].Service() == service
+}
+
 // replace reserves another path if the present one is still what it was, and reports whether it is.
 func (f *inflight) replace(was, by course) bool {
 	f.mu.Lock()
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -124,6 +124,9 @@
 	}
 	var all sync.WaitGroup
 	for _, f := range w.flying() {
+		if !f.uses(first.Service()) {
+			continue
+		}
 		if found.broken(f) || w.still(f) && f.passesLeaving() {
 			all.Go(func() { w.repair(ctx, f, group, found) })
 		}
