--- /dev/null
+++ b/forward/race_test.go
@@ -0,0 +1,36 @@
+package forward
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
+)
+
+// TestASilentFirstPartIsGivenUpWhileAStreamIsSentAgain does both at once; it is for the race detector.
+func TestASilentFirstPartIsGivenUpWhileAStreamIsSentAgain(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	f, _ := connected(t, h, g, "one", 0, 1)
+	f.moved.Store(false)
+	clock.Advance(time.Second)
+	none := backend.NewGroup(g.Service(), g.Servers()[:1])
+	var both sync.WaitGroup
+	both.Go(func() {
+		for range 1000 {
+			h.watch.giveUp(g.Servers()[0], none)
+		}
+	})
+	both.Go(func() {
+		for range 1000 {
+			h.watch.remove(f)
+			f.expected = time.Millisecond
+			h.watch.add(f)
+		}
+	})
+	both.Wait()
+	require.Nil(t, f.takeNext())
+}
