--- a/forward/evacuate.go
+++ b/forward/evacuate.go
@@ -53,9 +53,9 @@
 			tries++
 			if w.leaveParts(ctx, f, group) {
 				owed[s]--
-				f.vain = 0
+				f.vain.Store(0)
 			} else {
-				f.vain++
+				f.vain.Add(1)
 			}
 		}
 	}
@@ -83,17 +83,26 @@
 		}
 	}
 	for _, streams := range out {
-		left := make(map[*inflight]time.Duration, len(streams))
-		for _, f := range streams {
-			left[f] = f.left(h)
-		}
-		slices.SortFunc(streams, func(a, b *inflight) int {
-			return cmp.Or(cmp.Compare(a.vain, b.vain), cmp.Compare(left[b], left[a]))
-		})
+		h.sortByNeed(streams)
 	}
 	return out
 }
 
+// sortByNeed puts the streams that would last longest first, after those that were looked at less often in vain.
+func (h *Handler) sortByNeed(streams []*inflight) {
+	type need struct {
+		vain int64
+		left time.Duration
+	}
+	needs := make(map[*inflight]need, len(streams))
+	for _, f := range streams {
+		needs[f] = need{vain: f.vain.Load(), left: f.left(h)}
+	}
+	slices.SortFunc(streams, func(a, b *inflight) int {
+		return cmp.Or(cmp.Compare(needs[a].vain, needs[b].vain), cmp.Compare(needs[b].left, needs[a].left))
+	})
+}
+
 // partToLeave returns the server of a stream's path that has been leaving for longest of those that will not last as long as the stream,
 // or nil. Streams that have not moved yet stay: they are being read.
 func (h *Handler) partToLeave(f *inflight) *backend.Server {
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -24,16 +24,16 @@
 	lastAt atomic.Int64
 	// turned counts the servers that have turned the stream away since one last took it.
 	turned int
-	// expected is how long after the sending the first event is due.
-	expected time.Duration
+	// expected is how long after the sending the first event is due, in nanoseconds.
+	expected atomic.Int64
 	// firstEvent is how long after the request's arrival its first event came, and longestPause the longest time between two.
 	firstEvent   time.Duration
 	longestPause time.Duration
 	// moved is true once a server has sent an event.
 	moved atomic.Bool
 
-	// vain counts the looks for another path before its server ends that found none; it belongs to the watcher's goroutine.
-	vain int
+	// vain counts the looks for another path before its server ends that found none.
+	vain atomic.Int64
 
 	// next is the path on which the stream goes on once its present connection is closed; nil while it is not handed over.
 	next atomic.Pointer[placed]
--- a/forward/pass.go
+++ b/forward/pass.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http/httputil"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -53,7 +54,7 @@
 	h.queueOf(f.first.Service()).began(waited)
 	f.firstEvent = h.clock.Since(f.r.x.Arrived())
 	h.stats.Histogram("first_event_ms").Update(f.firstEvent.Milliseconds())
-	h.stats.Histogram("first_event_predicted_ms").Update(f.expected.Milliseconds())
+	h.stats.Histogram("first_event_predicted_ms").Update(time.Duration(f.expected.Load()).Milliseconds())
 }
 
 func (h *Handler) pass(f *inflight, s *sent, out []byte) {
--- a/forward/race_test.go
+++ b/forward/race_test.go
@@ -27,7 +27,7 @@
 	both.Go(func() {
 		for range 1000 {
 			h.watch.remove(f)
-			f.expected = time.Millisecond
+			f.expected.Store(int64(time.Millisecond))
 			h.watch.add(f)
 		}
 	})
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -90,7 +90,7 @@
 	f.assign(r.group, path.Hops)
 	defer f.release()
 	f.first = r.group.Servers()[path.Hops[0].Server]
-	f.expected = path.Read + path.Step
+	f.expected.Store(int64(path.Read + path.Step))
 	f.events.restart()
 	f.begin(h, path, attempt)
 	f.first.Start(1)
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -80,7 +80,7 @@
 func (w *watcher) still(f *inflight) bool {
 	limit := max(time.Duration(stillShare*float64(f.r.route.PauseObjective)), leastStill)
 	if !f.moved.Load() {
-		limit = firstStill + f.expected
+		limit = firstStill + time.Duration(f.expected.Load())
 	}
 	return f.pause(w.handler) > limit
 }
