forward: test that a stream which goes on elsewhere is taken as one that is being read

Cause: moved stays true once a stream has had its first event. After a hand-over or a repeat the stream has to be read anew, which may take many times the pause after which it counts as standing still (0.55 of the accepted pause), so that looks begin, its repairs (eight in all) are used on a request that waits, and it is left again; partToLeave says that such streams stay. And a server that takes the request and forgets it is not found, since mayVerify asks only for streams without an event and only once: the caller waits until it leaves. Both tests fail.

--- /dev/null
+++ b/forward/reading_test.go
@@ -0,0 +1,42 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/chain"
+	"junctioncross/front"
+)
+
+// TestAStreamThatGoesOnElsewhereIsMissedWhereItIsForgotten lets the server that goes on with a stream take the request and forget it.
+func TestAStreamThatGoesOnElsewhereIsMissedWhereItIsForgotten(t *testing.T) {
+	g := twoCopies()
+	e := newEngines(g)
+	e.forgets = map[string]bool{"one": true}
+	h, clock := testHandler(t, e)
+	f, conn := connected(t, h, g, "one", 0, 1)
+	f.r.x = &front.Exchange{}
+	f.begin(h, chain.Path{}, 2)
+	f.touch(h)
+	clock.Advance(time.Second)
+	h.watch.look(t.Context(), f.first, g, []*inflight{f})
+	require.False(t, isOpen(conn), "its connection is closed, so that it goes on elsewhere")
+}
+
+// TestAStreamThatIsBeingReadElsewhereStays lets a part of a path leave while the first part still reads the prompt of a stream that goes
+// on there.
+func TestAStreamThatIsBeingReadElsewhereStays(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	f, _ := connected(t, h, g, "one", 0, 1)
+	f.r.x = &front.Exchange{}
+	f.expected.Store(int64(time.Second))
+	f.begin(h, chain.Path{}, 2)
+	f.touch(h)
+	goodbye(g.Servers()[1], clock)
+	clock.Advance(time.Second)
+	require.Nil(t, h.partToLeave(f))
+	require.False(t, h.watch.still(f), "the reading takes as long as predicted")
+}
