forward: take a stream that goes on elsewhere as one that is being read until its first event there

Passes now: TestAStreamThatGoesOnElsewhereIsMissedWhereItIsForgotten, TestAStreamThatIsBeingReadElsewhereStays; go test -race ./forward.

--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -29,7 +29,7 @@
 	// firstEvent is how long after the request's arrival its first event came, and longestPause the longest time between two.
 	firstEvent   time.Duration
 	longestPause time.Duration
-	// moved is true once a server has sent an event.
+	// moved is true once the server of the present attempt has sent an event.
 	moved atomic.Bool
 
 	// vain counts the looks for another path before its server ends that found none.
@@ -54,7 +54,7 @@
 	// returned is true when the caller has been refused before, or goes on with a stream that broke off.
 	returned bool
 	repairs  int
-	// verified is true once the first part was asked whether it knows the stream.
+	// verified is true once the first part of the present attempt was asked whether it knows the stream.
 	verified bool
 	// repairing is true while a repair is under way.
 	repairing bool
--- a/forward/life.go
+++ b/forward/life.go
@@ -48,6 +48,8 @@
 	defer f.mu.Unlock()
 	f.ranBefore = append([]*backend.Server(nil), f.r.ran...)
 	f.began, f.predicted, f.life = h.clock.Now(), predicted, usual
+	f.verified = false
+	f.moved.Store(false)
 	if attempt > 1 && f.r.x.Begun() {
 		f.life, f.predicted = left, 0
 	}
--- a/forward/pass.go
+++ b/forward/pass.go
@@ -46,7 +46,8 @@
 // observePause keeps the distributions of first events and pauses.
 func (h *Handler) observePause(f *inflight) {
 	waited := f.pause(h)
-	if f.moved.Swap(true) {
+	f.moved.Store(true)
+	if f.firstEvent > 0 {
 		f.longestPause = max(f.longestPause, waited)
 		h.stats.Histogram("pause_ms").Update(waited.Milliseconds())
 		return
