follow: test that a server which drains has not ended since its entry lapsed

Cause: Remove takes each server that had said that it leaves as ended once its entry goes. Entries go also after three heartbeats of silence and while the store is down, and miss keeps only those for a while that have not said that they leave. The server serves on for its drain and longer: standing counts it no more, so that a request may run on one server more than its route allows (BUDGET), and one question that it leaves open for 75 ms cuts all streams that start there at once, as where nothing listens. Fails: Should be false.

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -242,3 +242,20 @@
 	}
 	return n
 }
+
+// TestAServerThatDrainsHasNotEndedSinceItsEntryLapsed lets the entry of a server that has said that it leaves lapse with the store: it still
+// does what it has.
+func TestAServerThatDrainsHasNotEndedSinceItsEntryLapsed(t *testing.T) {
+	s := newSource()
+	b := start(t, s)
+	s.tell(follow.FeedConfig, configured(t, 1))
+	s.tell(follow.FeedServers, seen("drains", true))
+	soon(t, func() bool { return servers(b) == 1 })
+	server := b.Current().Group("s").Servers()[0]
+	s.setDown(true)
+	time.Sleep(300 * time.Millisecond)
+	s.tell(follow.FeedServers, follow.ServerGone{ID: "drains"})
+	s.setDown(false)
+	soon(t, func() bool { return server.Gone() })
+	require.False(t, server.Ended())
+}
