--- a/backend/server.go
+++ b/backend/server.go
@@ -157,6 +157,12 @@
 	if s.leaving.Load() {
 		s.End()
 	}
+	s.Lapse()
+}
+
+// Lapse marks the server as gone like Remove, where its entry may have gone because the store did not hear of it: whether it has ended is
+// not known.
+func (s *Server) Lapse() {
 	s.gone.Store(true)
 	s.closeIdle()
 }
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -195,7 +195,7 @@
 		return false
 	}
 	now := l.clock.Now()
-	if !l.failed.IsZero() && now.Sub(l.failed) < outageEcho && !s.Leaving() {
+	if l.echoes(now) && !s.Leaving() {
 		if _, ok := l.missing[id]; !ok {
 			l.missing[id] = now
 			l.log.WithField("server", id).Info("server entry vanished around an outage of the store, kept for now")
@@ -206,6 +206,9 @@
 	return true
 }
 
+// echoes reports whether an entry that vanishes now may have lapsed in an outage of the store.
+func (l *Loop) echoes(now time.Time) bool { return !l.failed.IsZero() && now.Sub(l.failed) < outageEcho }
+
 func (l *Loop) remove(id string) {
 	if s := l.servers[id]; s != nil {
 		since, ok := l.missing[id]
@@ -213,7 +216,11 @@
 			since = l.clock.Now()
 		}
 		s.NoteLeaving(since)
-		s.Remove()
+		if l.echoes(l.clock.Now()) {
+			s.Lapse()
+		} else {
+			s.Remove()
+		}
 		l.log.WithFields(logrus.Fields{"server": id, "address": s.Addr()}).Info("server gone")
 	}
 	delete(l.servers, id)
