forward: test that a request whose server ends before the first event goes on

Cause: a run that breaks before the first event is judged by again, which counts the servers that stand at once; whether the one that broke has ended is asked in the background only then (noteBreak), so that it counts although it has. A stream that has begun waits for that answer (mayStillEnd). With attempts 2 it takes two planned ends, or a server that was moved, before the first event; the caller gets a 502. Fails: Should be true.

--- /dev/null
+++ b/forward/unbegun_test.go
@@ -0,0 +1,23 @@
+package forward
+
+import (
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/catalog"
+)
+
+// TestARequestWhoseServerEndsBeforeTheFirstEventGoesOn lets the only server that may run a request at a time end by plan while it reads.
+func TestARequestWhoseServerEndsBeforeTheFirstEventGoesOn(t *testing.T) {
+	g := twoCopies()
+	h, _ := testHandler(t, newEngines(g, 0))
+	f := begun(g, 1)
+	f.r.route.Repeat = catalog.RepeatResume
+	f.first = g.Servers()[0]
+	leave(f.first)
+	last := h.brokenStream(t.Context(), f, io.ErrUnexpectedEOF)
+	require.False(t, f.r.x.Begun())
+	require.True(t, h.goesOn(f, last, 1))
+}
