--- a/follow/loop.go
+++ b/follow/loop.go
@@ -207,7 +207,9 @@
 }
 
 // echoes reports whether an entry that vanishes now may have lapsed in an outage of the store.
-func (l *Loop) echoes(now time.Time) bool { return !l.failed.IsZero() && now.Sub(l.failed) < outageEcho }
+func (l *Loop) echoes(now time.Time) bool {
+	return !l.failed.IsZero() && now.Sub(l.failed) < outageEcho
+}
 
 func (l *Loop) remove(id string) {
 	if s := l.servers[id]; s != nil {
