--- /dev/null
+++ b/backend/alive_test.go
@@ -0,0 +1,41 @@
+package backend_test
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"junctioncross/backend"
+)
+
+// callersPatience is the shortest time without an event after which callers leave.
+const callersPatience = 2000
+
+// TestSilentConnectionsAreFound reads back what the kernel was told: it asks the other end of an idle connection, and gives one up whose
+// other end acknowledges nothing before callers leave.
+func TestSilentConnectionsAreFound(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := backend.NewServer(backend.Entry{ID: "1", Addr: listener.Addr().String()})
+	c, err := s.Connect(t.Context(), time.Now(), true)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	require.NoError(t, err)
+	option := func(level, name int) int {
+		value := 0
+		require.NoError(t, raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), level, name) }))
+		require.NoError(t, err)
+		return value
+	}
+	require.NotZero(t, option(unix.SOL_SOCKET, unix.SO_KEEPALIVE))
+	idle, period := option(unix.IPPROTO_TCP, unix.TCP_KEEPIDLE), option(unix.IPPROTO_TCP, unix.TCP_KEEPINTVL)
+	unacknowledged := option(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	require.Less(t, unacknowledged, callersPatience)
+	require.LessOrEqual(t, idle+period, 2, "in whole seconds, the least that the kernel takes")
+}
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -14,8 +14,15 @@
 const (
 	// dialTime is several round trips between failure domains; a server that takes longer is as good as gone.
 	dialTime = 400 * time.Millisecond
-	// userTimeout ends connections to servers that fell silent, which no reset tells about.
-	userTimeout = 3 * time.Second
+	// silentTime ends connections that fell silent, which no reset tells about: neither what was sent nor a keep-alive is acknowledged.
+	// It is less than the two seconds without an event after which callers leave, so that there is time to go on elsewhere. A server
+	// that is slow acknowledges all the same.
+	silentTime = 1500 * time.Millisecond
+	// alivePeriod is when and how often an idle connection is asked whether its other end is there: a second is the least that the
+	// kernel takes, so that one that falls silent while nothing is sent is found after two.
+	alivePeriod = time.Second
+	// aliveQuestions is how many of these may stay without an answer where the kernel knows no silentTime.
+	aliveQuestions = 2
 	// restUnknown is how long a connection may rest when the server did not say how long it keeps it.
 	restUnknown = 4 * time.Second
 	// restMargin is subtracted from what the server says, for the time until the next request arrives.
@@ -55,7 +62,7 @@
 			return c, nil
 		}
 	}
-	dialer := net.Dialer{Timeout: dialTime, KeepAlive: -1, Control: setUserTimeout}
+	dialer := net.Dialer{Timeout: dialTime, KeepAliveConfig: keepAlive(), Control: setUserTimeout}
 	c, err := dialer.DialContext(ctx, "tcp4", s.addr)
 	if err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
@@ -63,10 +70,14 @@
 	return &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), server: s}, nil
 }
 
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: alivePeriod, Interval: alivePeriod, Count: aliveQuestions}
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTime.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -132,12 +132,8 @@
 		}
 	}
 	for _, f := range streams {
-		switch {
-		case found.broken(f) || first.Crowded(found.now, crowdedAge):
-		case f.mayVerify():
+		if !found.broken(f) && !first.Crowded(found.now, crowdedAge) && f.mayVerify() {
 			all.Go(func() { w.verify(ctx, f) })
-		case w.silent(f):
-			w.handOver(f, first, group, "connection is silent")
 		}
 	}
 	all.Wait()
