--- a/forward/stream.go
+++ b/forward/stream.go
@@ -191,6 +191,10 @@
 	}
 	f.r.ranOn(f.first)
 	h.noteBreak(f.first)
+	if !f.r.x.Begun() && f.r.standing() >= f.r.route.MaxAttempts {
+		// Whether there is another attempt depends on who of those has ended.
+		h.mayStillEnd(ctx, f)
+	}
 	h.record.Failure(f.r.meta.ID, "attempt broken", h.fields(f.r, decision.Fields{
 		"server": f.first.ID(), "address": f.first.Addr(), "path": f.course().describe(), "error": err.Error(), "last_event": f.events.last,
 		"runs": f.r.runs, "gone": f.first.Gone(), "leaving_ms": f.first.LeavingFor(h.clock.Now()).Milliseconds(),
