follow: test that a server leaves without a word also while the history is gone

Cause: each failed call to a feed counts as an outage of the store for three seconds, also one that says that the history is gone, which a store that answers well says after it has forgotten its past (a relay that is behind says something else, and the store is asked then).

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -28,6 +28,8 @@
 	servers map[string]follow.Change
 	news    map[follow.Feed][]follow.Change
 	down    bool
+	// forgets is true when the next call finds that the history is gone.
+	forgets bool
 	changed chan struct{}
 }
 
@@ -97,9 +99,13 @@
 	for {
 		s.mu.Lock()
 		news, changed, down := s.told(s.news[feed]...), s.changed, s.down
+		forgets := s.forgets && feed == follow.FeedServers
+		s.forgets = s.forgets && !forgets
 		s.news[feed] = nil
 		s.mu.Unlock()
 		switch {
+		case forgets:
+			return follow.News{}, follow.ErrHistoryGone
 		case down:
 			return follow.News{}, errors.Wrap(follow.ErrUnavailable, "down")
 		case len(news.Changes) > 0:
@@ -259,3 +265,22 @@
 	soon(t, func() bool { return server.Gone() })
 	require.False(t, server.Ended())
 }
+
+// TestAServerThatLeavesWithoutAWordWhileTheHistoryIsGoneHasLeft lets a store that answers well forget its past.
+func TestAServerThatLeavesWithoutAWordWhileTheHistoryIsGoneHasLeft(t *testing.T) {
+	s := newSource()
+	b := start(t, s)
+	s.tell(follow.FeedConfig, configured(t, 1))
+	s.tell(follow.FeedServers, seen("leaves", false))
+	soon(t, func() bool { return servers(b) == 1 })
+	server := b.Current().Group("s").Servers()[0]
+	s.mu.Lock()
+	s.forgets = true
+	delete(s.servers, "leaves")
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.mu.Unlock()
+	left := time.Now()
+	soon(t, func() bool { return server.Gone() })
+	require.Less(t, time.Since(left), 2*time.Second, "its streams have two seconds in all to go on elsewhere")
+}
