--- a/follow/loop.go
+++ b/follow/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"junctioncross/backend"
@@ -94,7 +95,10 @@
 }
 
 func (l *Loop) failure(h heardFailure) {
-	l.failed = l.clock.Now()
+	if !errors.Is(h.err, ErrHistoryGone) {
+		// A store that forgets its past is there.
+		l.failed = l.clock.Now()
+	}
 	l.stats.Counter("store_failures_total{feed=\"" + h.feed.String() + "\"}").Inc(1)
 	if !l.lost[h.feed] {
 		l.lost[h.feed] = true
