--- a/backend/server.go
+++ b/backend/server.go
@@ -136,6 +136,9 @@
 // NoteLeaving keeps when the instance first heard that the server leaves; later calls change nothing.
 func (s *Server) NoteLeaving(now time.Time) { s.leavingSince.CompareAndSwap(0, now.UnixNano()) }
 
+// ForgetLeaving takes back that the server leaves, since its entry is there again.
+func (s *Server) ForgetLeaving() { s.leavingSince.Store(0) }
+
 // LeavingFor returns for how long the instance has known that the server leaves, 0 when it has not heard of it.
 func (s *Server) LeavingFor(now time.Time) time.Duration {
 	since := s.leavingSince.Load()
@@ -170,6 +173,9 @@
 // Doubt keeps new work away from the server, or no longer.
 func (s *Server) Doubt(doubted bool) { s.doubted.Store(doubted) }
 
+// Departs reports whether the server leaves, or may well do so as far as known.
+func (s *Server) Departs() bool { return s.Leaving() || s.doubted.Load() }
+
 // Gone reports whether the server's entry was removed.
 func (s *Server) Gone() bool { return s.gone.Load() }
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -225,10 +225,20 @@
 	s.tell(follow.FeedServers, follow.ServerGone{ID: "a"})
 	soon(t, func() bool { return usable(b) == 3 })
 	require.Equal(t, 4, servers(b), "it is kept until it would be back")
+	leaving := func() (n int) {
+		for _, one := range b.Current().Group("s").Servers() {
+			if one.LeavingFor(time.Now()) > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, 1, leaving(), "streams may leave it from now on")
 	for _, id := range []string{"b", "c", "d"} {
 		s.tell(follow.FeedServers, follow.ServerGone{ID: id})
 	}
 	soon(t, func() bool { return usable(b) == 4 })
+	require.Zero(t, leaving(), "the entries have lapsed")
 	s.tell(follow.FeedServers, seen("a", false))
 	soon(t, func() bool { return servers(b) == 1 })
 	require.Equal(t, 1, usable(b))
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -285,6 +285,12 @@
 		n := missing[s.Service()]
 		few := n < all[s.Service()] && float64(n) <= max(1, lapseShare*float64(all[s.Service()]))
 		s.Doubt(gone && few)
+		switch {
+		case gone && few:
+			s.NoteLeaving(l.missing[id])
+		case !s.Leaving():
+			s.ForgetLeaving()
+		}
 	}
 }
 
--- a/forward/evacuate.go
+++ b/forward/evacuate.go
@@ -15,6 +15,8 @@
 	// evacuationTime is how long after a server was heard to leave the streams have left it that outlast it: less than the shortest
 	// notice that servers give, two seconds. They go at an even pace, since each of them has to be read anew by others.
 	evacuationTime = 1600 * time.Millisecond
+	// newsAge is how old the news that a server leaves may be when an instance hears of it through another one.
+	newsAge = 400 * time.Millisecond
 	// leastLeft keeps the pace bounded for streams that found no other path in that time.
 	leastLeft = 200 * time.Millisecond
 	// leastPace is the least number of streams that leave a server in a second, so that the last few do not linger.
@@ -126,8 +128,8 @@
 
 // outlasts reports whether a stream is expected to need a part of its path for longer than that server runs it.
 func (h *Handler) outlasts(f *inflight, s *backend.Server, part models.Layers) bool {
-	if s.Leaving() {
-		return f.left(h) > h.terms.Load().DrainTime-s.LeavingFor(h.clock.Now())
+	if s.Departs() {
+		return f.left(h) > h.terms.Load().DrainTime-newsAge-s.LeavingFor(h.clock.Now())
 	}
 	return givesUp(s, part)
 }
@@ -184,7 +186,7 @@
 	if len(old) == 0 {
 		return course{}, false
 	}
-	r := f.without(old, func(i int) bool { return was.servers[i].Leaving() || givesUp(was.servers[i], old[i].Layers) })
+	r := f.without(old, func(i int) bool { return was.servers[i].Departs() || givesUp(was.servers[i], old[i].Layers) })
 	hops, ok := chain.Mend(group.Graph(), h.chainState(group, h.clock.Now()), r)
 	if !ok {
 		return course{}, false
--- a/forward/evacuate_test.go
+++ b/forward/evacuate_test.go
@@ -50,3 +50,31 @@
 	require.False(t, h.watch.evacuateOne(t.Context(), f, g))
 	require.Zero(t, f.repairs, "looking for a path costs none of the stream's repairs")
 }
+
+// TestStreamsLeaveAServerThatMayBeLeaving lets the entry of a part vanish around an outage of the store, and come back.
+func TestStreamsLeaveAServerThatMayBeLeaving(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	f := flying(h, g, "one", 0, 0, 1)
+	part := g.Servers()[1]
+	part.Doubt(true)
+	part.NoteLeaving(clock.Now())
+	require.Equal(t, part, h.partToLeave(f))
+	require.True(t, h.watch.evacuateOne(t.Context(), f, g))
+	part.Doubt(false)
+	part.ForgetLeaving()
+	other := flying(h, g, "other", 0, 0, 1)
+	require.Nil(t, h.partToLeave(other))
+}
+
+// TestAStreamThatLastsAboutAsLongAsItsServerLeaves counts with news that are some time old.
+func TestAStreamThatLastsAboutAsLongAsItsServerLeaves(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	f := flying(h, g, "one", 0, 0, 1)
+	goodbye(g.Servers()[1], clock)
+	f.life = h.terms.Load().DrainTime - newsAge
+	require.Nil(t, h.partToLeave(f))
+	f.life++
+	require.Equal(t, g.Servers()[1], h.partToLeave(f))
+}
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -45,6 +45,8 @@
 	began     time.Time
 	life      time.Duration
 	predicted time.Duration
+	// least is how much longer the stream is taken to last at least.
+	least time.Duration
 	// hops and servers are the path, which a repair may change; they are nil when no attempt is under way.
 	hops    []chain.Hop
 	servers []*backend.Server
--- a/forward/life.go
+++ b/forward/life.go
@@ -48,6 +48,7 @@
 	defer f.mu.Unlock()
 	f.ranBefore = append([]*backend.Server(nil), f.r.ran...)
 	f.began, f.predicted, f.life = h.clock.Now(), predicted, usual
+	f.least = time.Duration(overdueShare * float64(usual))
 	f.verified = false
 	f.moved.Store(false)
 	if attempt > 1 && f.r.x.Begun() {
@@ -59,7 +60,7 @@
 func (f *inflight) left(h *Handler) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return max(f.life-h.clock.Since(f.began), time.Duration(overdueShare*float64(f.life)))
+	return max(f.life-h.clock.Since(f.began), f.least)
 }
 
 // observeLife compares how long a whole answer took with what was predicted; answers that went on elsewhere tell nothing.
--- a/forward/life_test.go
+++ b/forward/life_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"junctioncross/catalog"
+	"junctioncross/chain"
 	"junctioncross/front"
 )
 
@@ -48,3 +49,19 @@
 	clock.Advance(streamsTime + 1)
 	require.False(t, h.finishes(r), "callers go elsewhere by now")
 }
+
+// TestAnOverdueStreamLastsAsLongHoweverOftenItIsTurnedAway starts attempts one after the other.
+func TestAnOverdueStreamLastsAsLongHoweverOftenItIsTurnedAway(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	f := flying(h, g, "one", 0, 0, 1)
+	f.r.x = &front.Exchange{}
+	path := chain.Path{Step: 100 * time.Millisecond}
+	f.begin(h, path, 1)
+	usual := f.left(h)
+	clock.Advance(time.Hour)
+	for attempt := range 5 {
+		f.begin(h, path, attempt+2)
+	}
+	require.GreaterOrEqual(t, f.left(h), time.Duration(overdueShare*float64(usual)))
+}
--- a/forward/onward.go
+++ b/forward/onward.go
@@ -64,6 +64,10 @@
 		report, err := h.caller.Report(ask, s.Addr())
 		cancel()
 		h.believe(s, report, err, "run that broke")
+		if err != nil && s.Gone() && s.LeavingFor(h.clock.Now()) > h.terms.Load().DrainTime {
+			// It has neither an entry nor a word: it is cut off or dead.
+			s.End()
+		}
 		if s.Ended() || s.Leaving() {
 			return true
 		}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -155,7 +155,7 @@
 	defer server.Release(0)
 	server.Chosen()
 	patience := ctx
-	if r.route.Repeat == catalog.RepeatAlways && r.runs+1 < r.route.MaxAttempts {
+	if r.route.Repeat == catalog.RepeatAlways && r.standing()+1 < r.route.MaxAttempts {
 		var stop func()
 		patience, stop = h.impatient(ctx, r, tried)
 		defer stop()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -128,6 +128,8 @@
 	f.turned = 0
 	f.tookWork()
 	err = h.passEvents(f, s)
+	// A connection that is kept may carry another request at once, which no hand-over of this stream may close.
+	h.watch.remove(f)
 	h.finish(s, err == nil)
 	if err != nil {
 		return h.brokenStream(ctx, f, err)
@@ -150,6 +152,7 @@
 // refusedStream judges an answer that is not a stream.
 func (h *Handler) refusedStream(f *inflight, s *sent) outcome {
 	body, err := readWhole(s)
+	h.watch.remove(f)
 	h.finish(s, err == nil)
 	if s.info.NotRun {
 		h.blame(f, s)
