--- a/cmd/jxload/soak.go
+++ b/cmd/jxload/soak.go
@@ -16,6 +16,7 @@
 	First  uint64 `default:"1" help:"First seed."`
 	Seeds  uint64 `default:"10" help:"Number of seeds."`
 	Events int    `default:"24" help:"Faults and planned changes of each seed."`
+	Domain int    `default:"2" help:"Instances in each of the two domains."`
 	Logs   string `default:"out/soak" help:"Directory for settings and logs; those of seeds that found something stay."`
 }
 
@@ -30,11 +31,12 @@
 		if err := os.MkdirAll(dir, 0o750); err != nil {
 			return errors.Wrap(err, "soak")
 		}
-		r, err := soak.Run(soak.Options{Seed: seed, Bin: c.Bin, Dir: dir, Events: s.Events, Patience: soakPatience})
+		r, err := soak.Run(soak.Options{Seed: seed, Bin: c.Bin, Dir: dir, Events: s.Events, PerDomain: s.Domain, Patience: soakPatience})
 		if err != nil {
 			return errors.Wrap(err, "soak")
 		}
-		fmt.Printf("seed %d: %d requests, %d whole, %d findings, %d events\n", seed, r.Requests, r.Whole, len(r.Faults), len(r.Played))
+		fmt.Printf("seed %d: %d requests, %d whole, %d stood still, %d findings, %d events\n",
+			seed, r.Requests, r.Whole, r.Still, len(r.Faults), len(r.Played))
 		if len(r.Faults) == 0 {
 			if err := os.RemoveAll(dir); err != nil {
 				return errors.Wrap(err, "soak")
