census: count again soon when the first count fails

Cause: an instance that starts while the store is down counted the others again 2 s after the first count had failed, and again only each 2 s. Joining came before the first count that succeeded, so that in an outage it was also tried in vain.

Ruled out: a shorter retryPause, which would have all instances ask more often during each outage, also those that know the others already.

Change: the first count is repeated after 250 to 500 ms until it succeeds, then the record is written as before.

Test: TestOneThatStartsInAnOutageCountsTheOthersSoonAfterIt (fake clock) printed 'Should NOT be empty, but was []' five times of five before; it passes ten times of ten with the race detector.

--- a/census/census.go
+++ b/census/census.go
@@ -28,6 +28,9 @@
 	renewPause = 5 * time.Second
 	// retryPause is the pause after a failed call.
 	retryPause = 2 * time.Second
+	// firstAgain bounds the pause after a first count that failed, half of which is random: until it succeeds the instance knows no
+	// relay and no key to prove itself with, and asks the store for all that it hears, which costs more than a count.
+	firstAgain = 500 * time.Millisecond
 	// callTime bounds one call.
 	callTime = time.Second
 	// Unknown is the number that is assumed until the records were counted; large, since each instance's part of a shared
@@ -89,7 +92,9 @@
 	c.roll.Store(&Roll{})
 	go func() {
 		// One that comes to a running fleet knows at once whom to ask.
-		c.look(ctx)
+		for !c.look(ctx) && clock.Sleep(ctx, firstAgain/2+time.Duration(rand.Float64()*float64(firstAgain/2))) {
+			continue
+		}
 		clock.Sleep(ctx, time.Duration(rand.Float64()*float64(firstSpread)))
 		for ctx.Err() == nil {
 			clock.Sleep(ctx, c.step(ctx))
--- a/census/census_test.go
+++ b/census/census_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
@@ -74,13 +75,17 @@
 }
 
 func start(t *testing.T, r *register, n int) []*census.Census {
+	return startAt(t, r, n, timer.NewReal())
+}
+
+func startAt(t *testing.T, r *register, n int, clock *timer.Service) []*census.Census {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	out := make([]*census.Census, n)
 	for i := range out {
 		self := census.Instance{Name: fmt.Sprint("i-", i), Domain: "east", Addr: fmt.Sprint("addr-", i)}
 		newKey := func() ([]byte, error) { return []byte(self.Name), nil }
-		out[i] = census.New(t.Context(), r, self, newKey, timer.NewReal(), metrics.New(), log)
+		out[i] = census.New(t.Context(), r, self, newKey, clock, metrics.New(), log)
 	}
 	return out
 }
@@ -101,3 +106,31 @@
 	late := start(t, r, 1)[0]
 	require.Eventually(t, func() bool { return len(late.Members()) >= 2 && string(late.Key()) == "k" }, patience, time.Millisecond)
 }
+
+// TestOneThatStartsInAnOutageCountsTheOthersSoonAfterIt starts an instance while the store is down, as after the end of all: relays
+// refuse each other until they know the fleet's key, so that a count which waits for seconds sends all of them to the store.
+func TestOneThatStartsInAnOutageCountsTheOthersSoonAfterIt(t *testing.T) {
+	const (
+		outage = 11 * time.Second
+		soon   = time.Second
+		step   = 10 * time.Millisecond
+	)
+	r := &register{members: map[int64]census.Instance{1: {Name: "old"}}, next: 1, key: []byte("k"), down: true}
+	fake := clockwork.NewFakeClock()
+	one := startAt(t, r, 1, timer.New(fake))[0]
+	pass := func(d time.Duration) {
+		for ; d > 0; d -= step {
+			require.NoError(t, fake.BlockUntilContext(t.Context(), 1))
+			fake.Advance(step)
+		}
+		require.NoError(t, fake.BlockUntilContext(t.Context(), 1))
+	}
+	pass(outage)
+	require.Empty(t, one.Members())
+	r.mu.Lock()
+	r.down = false
+	r.mu.Unlock()
+	pass(soon)
+	require.NotEmpty(t, one.Members())
+	require.Equal(t, "k", string(one.Key()))
+}
