schema: name each line of the log with its fields

Change: package schema holds one type for each line; jxd lines makes docs/LOG.md of them. A test reads the code of the packages that make jxd and compares message, level and fields with the schema in both directions; another compares the page. The tests that run the real programs (platform/fake, fleet) check each whole line that an instance printed when the test ends. Ruled out: typed calls at each place that writes a line (82 places in eleven packages, for the same check). Fields that only a variable adds later are checked by what the programs print.

--- a/cmd/jxd/main.go
+++ b/cmd/jxd/main.go
@@ -10,6 +10,7 @@
 	Serve     serveCommand     `cmd:"" help:"Run an entry instance in front of a platform's backend servers until it is told to stop."`
 	Check     checkCommand     `cmd:"" help:"Check a settings file without starting."`
 	Reference referenceCommand `cmd:"" help:"Print the description of every setting."`
+	Lines     linesCommand     `cmd:"" help:"Print the description of every line of the log."`
 }
 
 func main() {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"junctioncross/fleet"
 	"junctioncross/load"
 	"junctioncross/models"
+	"junctioncross/schema"
 	"junctioncross/standin"
 )
 
@@ -29,9 +31,25 @@
 	f, err := fleet.Start(spec, bin)
 	require.NoError(t, err)
 	t.Cleanup(f.Stop)
+	t.Cleanup(func() { requireSchema(t, f) })
 	return f
 }
 
+// requireSchema checks that each whole line that the instances have printed is one of the schema.
+func requireSchema(t *testing.T, f *fleet.Fleet) {
+	for _, e := range f.Entries() {
+		printed, err := os.ReadFile(filepath.Join(f.Dir(), e.Name+".log"))
+		require.NoError(t, err)
+		lines := strings.Split(string(printed), "\n")
+		// An instance that runs may be in the middle of its last line.
+		for _, line := range lines[:len(lines)-1] {
+			if err := schema.Check([]byte(line)); err != nil {
+				t.Errorf("%v: %s", err, line)
+			}
+		}
+	}
+}
+
 // small is a fleet of one domain.
 func small(entries int, engines ...string) fleet.Spec {
 	spec := fleet.Users()
--- /dev/null
+++ b/schema/code_test.go
@@ -0,0 +1,276 @@
+package schema_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/schema"
+)
+
+const module = "junctioncross/"
+
+// levels holds the level that each call writes at: those of a logger, with one argument, and those of the recorder, with three.
+var (
+	loggerLevels   = map[string]string{"Debug": "debug", "Info": "info", "Warn": "warning", "Error": "error"}
+	recorderLevels = map[string]string{"Routine": "info", "Failure": "warning"}
+)
+
+// written is a line that the code writes.
+type written struct {
+	at      string
+	message string
+	level   string
+	fields  []string
+}
+
+// code is one package of the program.
+type code struct {
+	t     *testing.T
+	files *token.FileSet
+	funcs []*ast.FuncDecl
+}
+
+// packagesOf returns the packages of this module that a package is made of, with itself.
+func packagesOf(t *testing.T, dir string, seen map[string]bool) {
+	if seen[dir] {
+		return
+	}
+	seen[dir] = true
+	for _, f := range filesOf(t, token.NewFileSet(), dir) {
+		for _, i := range f.Imports {
+			path, err := strconv.Unquote(i.Path.Value)
+			require.NoError(t, err)
+			if inner, ok := strings.CutPrefix(path, module); ok {
+				packagesOf(t, inner, seen)
+			}
+		}
+	}
+}
+
+func filesOf(t *testing.T, set *token.FileSet, dir string) []*ast.File {
+	names, err := filepath.Glob(filepath.Join("..", dir, "*.go"))
+	require.NoError(t, err)
+	require.NotEmpty(t, names, dir)
+	var out []*ast.File
+	for _, name := range names {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		f, err := parser.ParseFile(set, name, nil, parser.SkipObjectResolution)
+		require.NoError(t, err)
+		out = append(out, f)
+	}
+	return out
+}
+
+// linesOf returns the lines that a package writes.
+func linesOf(t *testing.T, dir string) []written {
+	c := &code{t: t, files: token.NewFileSet()}
+	for _, f := range filesOf(t, c.files, dir) {
+		for _, d := range f.Decls {
+			if fn, ok := d.(*ast.FuncDecl); ok && fn.Body != nil {
+				c.funcs = append(c.funcs, fn)
+			}
+		}
+	}
+	var out []written
+	for _, fn := range c.funcs {
+		ast.Inspect(fn, func(n ast.Node) bool {
+			if call, ok := n.(*ast.CallExpr); ok {
+				out = append(out, c.line(fn, call)...)
+			}
+			return true
+		})
+	}
+	return out
+}
+
+// line returns what a call writes, once for each message that it may have.
+func (c *code) line(fn *ast.FuncDecl, call *ast.CallExpr) []written {
+	selector, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok {
+		return nil
+	}
+	level, message := loggerLevels[selector.Sel.Name], 0
+	if recorder := recorderLevels[selector.Sel.Name]; recorder != "" && len(call.Args) == 3 {
+		level, message = recorder, 1
+	} else if level == "" || len(call.Args) != 1 {
+		return nil
+	}
+	at := c.files.Position(call.Pos()).String()
+	fields := c.fields(fn, call)
+	var out []written
+	for _, m := range c.texts(fn, call.Args[message]) {
+		out = append(out, written{at: at, message: m, level: level, fields: fields})
+	}
+	require.NotEmpty(c.t, out, "%s: the message must be a text, or a parameter that is given texts", at)
+	return out
+}
+
+// texts returns the values that an expression may have: a text, a sum of texts, or a parameter of the function.
+func (c *code) texts(fn *ast.FuncDecl, e ast.Expr) []string {
+	switch e := e.(type) {
+	case *ast.BasicLit:
+		text, err := strconv.Unquote(e.Value)
+		require.NoError(c.t, err)
+		return []string{text}
+	case *ast.BinaryExpr:
+		var out []string
+		for _, left := range c.texts(fn, e.X) {
+			for _, right := range c.texts(fn, e.Y) {
+				out = append(out, left+right)
+			}
+		}
+		return out
+	case *ast.Ident:
+		return c.given(fn, e.Name)
+	default:
+		return nil
+	}
+}
+
+// given returns the texts that calls in the package give a parameter of a function.
+func (c *code) given(fn *ast.FuncDecl, parameter string) []string {
+	index, n := -1, 0
+	for _, p := range fn.Type.Params.List {
+		for _, name := range p.Names {
+			if name.Name == parameter {
+				index = n
+			}
+			n++
+		}
+	}
+	if index < 0 {
+		return nil
+	}
+	var out []string
+	for _, caller := range c.funcs {
+		ast.Inspect(caller, func(node ast.Node) bool {
+			if call, ok := node.(*ast.CallExpr); ok && nameOf(call.Fun) == fn.Name.Name && len(call.Args) > index {
+				texts := c.texts(caller, call.Args[index])
+				require.NotEmpty(c.t, texts, c.files.Position(call.Pos()))
+				out = append(out, texts...)
+			}
+			return true
+		})
+	}
+	return out
+}
+
+func nameOf(fn ast.Expr) string {
+	switch fn := fn.(type) {
+	case *ast.Ident:
+		return fn.Name
+	case *ast.SelectorExpr:
+		return fn.Sel.Name
+	default:
+		return ""
+	}
+}
+
+// fields returns the names of the fields that a call writes, as far as they stand in it or in a variable that it uses.
+func (c *code) fields(fn *ast.FuncDecl, call *ast.CallExpr) []string {
+	var out []string
+	ast.Inspect(call, func(n ast.Node) bool {
+		switch n := n.(type) {
+		case *ast.CompositeLit:
+			out = append(out, keysOf(n)...)
+		case *ast.CallExpr:
+			switch nameOf(n.Fun) {
+			case "WithField":
+				out = append(out, c.texts(fn, n.Args[0])...)
+			case "WithError":
+				out = append(out, "error")
+			}
+		case *ast.Ident:
+			out = append(out, assigned(fn, n.Name)...)
+		}
+		return true
+	})
+	return out
+}
+
+func keysOf(literal *ast.CompositeLit) []string {
+	if nameOf(literal.Type) != "Fields" {
+		return nil
+	}
+	var out []string
+	for _, e := range literal.Elts {
+		if key, ok := e.(*ast.KeyValueExpr).Key.(*ast.BasicLit); ok {
+			text, _ := strconv.Unquote(key.Value)
+			out = append(out, text)
+		}
+	}
+	return out
+}
+
+// assigned returns the names of the fields that a variable of a function starts with.
+func assigned(fn *ast.FuncDecl, variable string) []string {
+	var out []string
+	ast.Inspect(fn, func(n ast.Node) bool {
+		a, ok := n.(*ast.AssignStmt)
+		if !ok || a.Tok != token.DEFINE || nameOf(a.Lhs[0]) != variable {
+			return true
+		}
+		ast.Inspect(a.Rhs[0], func(n ast.Node) bool {
+			if literal, ok := n.(*ast.CompositeLit); ok {
+				out = append(out, keysOf(literal)...)
+			}
+			return true
+		})
+		return true
+	})
+	return out
+}
+
+// keeps reports whether one of the lines has the level and all of the fields.
+func keeps(w written) bool {
+	return slices.ContainsFunc(schema.Named(w.message), func(l schema.Line) bool {
+		return l.Level == w.level && !slices.ContainsFunc(w.fields, func(name string) bool {
+			_, ok := l.Field(name)
+			return !ok
+		})
+	})
+}
+
+func TestEachLineOfTheCodeIsInTheSchemaAndTheOtherWayRound(t *testing.T) {
+	packages := map[string]bool{}
+	packagesOf(t, "cmd/jxd", packages)
+	seen := map[string]bool{}
+	for dir := range packages {
+		// The recorder passes on what others write.
+		if dir == "decision" {
+			continue
+		}
+		for _, w := range linesOf(t, dir) {
+			seen[w.message] = true
+			require.True(t, keeps(w), "%s: %q at level %s with the fields %v is not in the schema", w.at, w.message, w.level, w.fields)
+		}
+	}
+	require.Greater(t, len(seen), 50, "the code writes more lines than were found")
+	for _, l := range schema.Lines() {
+		require.True(t, seen[l.Message], "no code writes %q", l.Message)
+	}
+}
+
+func TestThePageDescribesTheLines(t *testing.T) {
+	want, err := schema.Reference()
+	require.NoError(t, err)
+	got, err := os.ReadFile("../docs/LOG.md")
+	require.NoError(t, err)
+	require.Equal(t, want, string(got), "run jxd lines > docs/LOG.md")
+	for _, l := range schema.Lines() {
+		require.NotContains(t, string(got), "|  |\n", "each field has a meaning")
+		require.NotContains(t, string(got), "\n Level", "each line says what it tells")
+		require.Contains(t, string(got), "### "+l.Message+"\n")
+	}
+}
--- /dev/null
+++ b/schema/lines.go
@@ -0,0 +1,195 @@
+package schema
+
+import (
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// requestLines, beliefLines and orderLines hold one value of each line's type; lines with the same message are told apart by their fields.
+var (
+	requestLines = []any{
+		sentStream{},
+		sentPlain{},
+		turnedAway{},
+		streamBroken{},
+		plainBroken{},
+		noRepeat{},
+		handedOver{},
+		connectionSilent{},
+		firstSilent{},
+		waitsToGoOn{},
+		repaired{},
+		notRepaired{},
+		noPathForRepair{},
+		evacuated{},
+		notEvacuated{},
+		tooLate{},
+		waited{},
+		pathRegained{},
+		refused{},
+		denied{},
+		givenUp{},
+		brokenOff{},
+		failurePassedOn{},
+		finished{},
+		stageFailed{},
+		refusedToday{},
+		cutByCaller{},
+		unexpectedInAttempt{},
+	}
+	beliefLines = []any{
+		started{},
+		serving{},
+		stopping{},
+		stopped{},
+		unexpected{},
+		reloaded{},
+		notReloaded{},
+		readiness{},
+		metricsNotWritten{},
+		lost{},
+		regained{},
+		heardElsewhere{},
+		notHeard{},
+		inForce{},
+		inForceToday{},
+		olderIgnored{},
+		notReadable{},
+		serverKnown{},
+		serverChanged{},
+		serverGone{},
+		vanished{},
+		noAnswer{},
+		otherLayers{},
+		full{},
+		slow{},
+		well{},
+		lanes{},
+		counted{},
+		notCounted{},
+		recordNotWritten{},
+		recordEnded{},
+		recordNotRenewed{},
+		peerRefused{},
+		operatorRefused{},
+		confirmed{},
+	}
+	orderLines = []any{
+		givesOrders{},
+		noLongerGivesOrders{},
+		rightNotTaken{},
+		rightNotRenewed{},
+		rightNotReturned{},
+		orderGiven{},
+		orderGivenToday{},
+		orderFailed{},
+		orderUnsure{},
+		orderRefused{},
+		orderWithoutEffect{},
+		coverage{},
+		tooSmall{},
+	}
+)
+
+// Kind is what values of a field are.
+type Kind string
+
+// Kinds of values.
+const (
+	KindText    Kind = "text"
+	KindInteger Kind = "integer"
+	KindNumber  Kind = "number"
+	KindBoolean Kind = "boolean"
+	KindTime    Kind = "time"
+)
+
+// Field is one field of a line.
+type Field struct {
+	Name     string
+	Kind     Kind
+	Optional bool
+	// owner and member name the place of its comment.
+	owner  string
+	member string
+}
+
+// Line is one line of the log.
+type Line struct {
+	Message string
+	Level   string
+	// Fields are those beside the fields of every line.
+	Fields []Field
+	name   string
+}
+
+// Field returns the field of that name.
+func (l Line) Field(name string) (Field, bool) {
+	for _, f := range l.Fields {
+		if f.Name == name {
+			return f, true
+		}
+	}
+	return Field{}, false
+}
+
+// all holds the lines by message.
+var all = sync.OnceValue(func() map[string][]Line {
+	out := map[string][]Line{}
+	for _, l := range Lines() {
+		out[l.Message] = append(out[l.Message], l)
+	}
+	return out
+})
+
+// Lines returns all lines.
+func Lines() []Line {
+	return linesOf(slices.Concat(requestLines, beliefLines, orderLines))
+}
+
+// Named returns the lines with a message.
+func Named(message string) []Line { return all()[message] }
+
+func linesOf(values []any) []Line {
+	out := make([]Line, len(values))
+	for i, v := range values {
+		t := reflect.TypeOf(v)
+		tag := t.Field(0).Tag
+		out[i] = Line{Message: tag.Get("msg"), Level: tag.Get("level"), Fields: fieldsOf(t), name: t.Name()}
+	}
+	return out
+}
+
+// fieldsOf returns the fields of a type and of those that are embedded in it.
+func fieldsOf(t reflect.Type) []Field {
+	var out []Field
+	for i := range t.NumField() {
+		f := t.Field(i)
+		if f.Anonymous {
+			out = append(out, fieldsOf(f.Type)...)
+			continue
+		}
+		if name, rest, _ := strings.Cut(f.Tag.Get("log"), ","); name != "" {
+			out = append(out, Field{Name: name, Kind: kindOf(f.Type), Optional: rest == "optional", owner: t.Name(), member: f.Name})
+		}
+	}
+	return out
+}
+
+func kindOf(t reflect.Type) Kind {
+	if t == reflect.TypeFor[time.Time]() {
+		return KindTime
+	}
+	switch t.Kind() {
+	case reflect.Int64:
+		return KindInteger
+	case reflect.Float64:
+		return KindNumber
+	case reflect.Bool:
+		return KindBoolean
+	default:
+		return KindText
+	}
+}
--- /dev/null
+++ b/schema/reference.go
@@ -0,0 +1,105 @@
+package schema
+
+import (
+	"embed"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"reflect"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+//go:embed common.go requests.go beliefs.go orders.go
+var sources embed.FS
+
+const head = `# Lines of the log
+
+Written by ` + "`jxd lines > docs/LOG.md`" + ` from the types of package schema; a test compares the two. An instance prints one JSON object a
+line: ` + "`jxd serve`" + ` to standard output, ` + "`jxd run`" + ` to standard error. Fields that may be missing are marked "maybe". Names end in their unit.
+Two lines with the same ` + "`msg`" + ` are told apart by their fields. How to read a story: docs/OPERATIONS.md.
+
+`
+
+// Reference returns the page that describes every line.
+func Reference() (string, error) {
+	comments, err := typeComments()
+	if err != nil {
+		return "", err
+	}
+	var out strings.Builder
+	out.WriteString(head + "## In every line\n\n")
+	writeFields(&out, fieldsOf(reflect.TypeFor[every]()), comments)
+	for _, part := range []struct {
+		title string
+		lines []any
+	}{{"Requests", requestLines}, {"Beliefs", beliefLines}, {"Orders", orderLines}} {
+		out.WriteString("\n## " + part.title + "\n")
+		for _, l := range linesOf(part.lines) {
+			fmt.Fprintf(&out, "\n### %s\n\n%s Level %s.\n", l.Message, comments[l.name], l.Level)
+			if len(l.Fields) > 0 {
+				out.WriteString("\n")
+				writeFields(&out, l.Fields, comments)
+			}
+		}
+	}
+	return out.String(), nil
+}
+
+func writeFields(out *strings.Builder, fields []Field, comments map[string]string) {
+	out.WriteString("| field | kind | | meaning |\n|---|---|---|---|\n")
+	for _, f := range fields {
+		maybe := ""
+		if f.Optional {
+			maybe = "maybe"
+		}
+		fmt.Fprintf(out, "| `%s` | %s | %s | %s |\n", f.Name, f.Kind, maybe, comments[f.owner+"."+f.member])
+	}
+}
+
+// typeComments returns the doc comments of all types and of their fields.
+func typeComments() (map[string]string, error) {
+	out := map[string]string{}
+	entries, err := sources.ReadDir(".")
+	if err != nil {
+		return nil, errors.Wrap(err, "schema: reference")
+	}
+	for _, e := range entries {
+		body, err := sources.ReadFile(e.Name())
+		if err != nil {
+			return nil, errors.Wrap(err, "schema: reference")
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), e.Name(), body, parser.ParseComments)
+		if err != nil {
+			return nil, errors.Wrap(err, "schema: reference")
+		}
+		for _, d := range file.Decls {
+			collect(d, out)
+		}
+	}
+	return out, nil
+}
+
+func collect(d ast.Decl, out map[string]string) {
+	types, ok := d.(*ast.GenDecl)
+	if !ok || types.Tok != token.TYPE {
+		return
+	}
+	for _, s := range types.Specs {
+		spec := s.(*ast.TypeSpec)
+		out[spec.Name.Name] = text(types.Doc)
+		fields, ok := spec.Type.(*ast.StructType)
+		if !ok {
+			continue
+		}
+		for _, f := range fields.Fields.List {
+			for _, name := range f.Names {
+				out[spec.Name.Name+"."+name.Name] = text(f.Doc)
+			}
+		}
+	}
+}
+
+func text(comment *ast.CommentGroup) string { return strings.Join(strings.Fields(comment.Text()), " ") }
--- /dev/null
+++ b/schema/requests.go
@@ -0,0 +1,300 @@
+package schema
+
+// A stream was sent along a path.
+type sentStream struct {
+	_ struct{} `msg:"sent" level:"info"`
+	standing
+	// Id of the path's first server.
+	Server string `log:"server"`
+	// Number of the attempt.
+	Attempt int64 `log:"attempt"`
+	// The servers with their layers.
+	Path string `log:"path"`
+	// The predicted time of a step.
+	PredictedStepUS int64 `log:"predicted_step_us"`
+	// The predicted time to read the prompt.
+	PredictedReadUS int64 `log:"predicted_read_us"`
+	// Tokens that were reserved.
+	Tokens int64 `log:"tokens"`
+	// The part of the lane's memory that was thought to be taken.
+	LaneLoad float64 `log:"lane_load"`
+	// Whether the caller was refused before and came back.
+	Returned bool `log:"returned"`
+	// Id of the event after which the stream goes on; empty from its start.
+	ResumeAfter string `log:"resume_after"`
+}
+
+// A request of a plain service was sent to a server.
+type sentPlain struct {
+	_ struct{} `msg:"sent" level:"info"`
+	standing
+	server
+	// Number of the attempt.
+	Attempt int64 `log:"attempt"`
+	// Requests of this instance that run on the server, with this one.
+	OwnRunning int64 `log:"own_running"`
+}
+
+// A server did not take the request; it has not run there.
+type turnedAway struct {
+	_ struct{} `msg:"turned away" level:"warning"`
+	standing
+	server
+	// Status of the answer.
+	Status int64 `log:"status"`
+	// The address that the answer blames, if it names one.
+	Fault string `log:"fault"`
+}
+
+// The stream of an answer broke.
+type streamBroken struct {
+	_ struct{} `msg:"attempt broken" level:"warning"`
+	standing
+	server
+	// The path at that time.
+	Path string `log:"path"`
+	// How it broke.
+	Error string `log:"error"`
+	// The last event that was passed on, -1 before the first.
+	LastEvent int64 `log:"last_event"`
+	// How many servers may have run the request.
+	Runs int64 `log:"runs"`
+	// Whether the server's entry has vanished.
+	Gone bool `log:"gone"`
+	// For how long the server has been known to leave.
+	LeavingMS int64 `log:"leaving_ms"`
+}
+
+// The answer of a plain service broke.
+type plainBroken struct {
+	_ struct{} `msg:"attempt broken" level:"warning"`
+	standing
+	server
+	// How it counts.
+	Reason string `log:"reason"`
+	// How it broke.
+	Error string `log:"error"`
+}
+
+// The instance's part of the allowed repeats is spent.
+type noRepeat struct {
+	_ struct{} `msg:"no repeat" level:"warning"`
+	standing
+	// Why.
+	Reason string `log:"reason"`
+	// The instances that the allowance is divided by.
+	Instances int64 `log:"instances"`
+}
+
+// A stream goes on at another first part, since its own leaves or gives up its layers.
+type handedOver struct {
+	_ struct{} `msg:"handed over" level:"warning"`
+	silent
+}
+
+// A stream whose parts are well stands still: it goes on at another first part.
+type connectionSilent struct {
+	_ struct{} `msg:"connection is silent" level:"warning"`
+	silent
+}
+
+// The first part of a stream does not answer or does not know it: it goes on elsewhere.
+type firstSilent struct {
+	_ struct{} `msg:"first part is silent" level:"warning"`
+	silent
+}
+
+// A stream that has begun cannot go on yet.
+type waitsToGoOn struct {
+	_ struct{} `msg:"waits to go on" level:"warning"`
+	standing
+	// What is in its way.
+	Reason string `log:"reason"`
+	// The last event that was passed on, -1 before the first.
+	LastEvent int64 `log:"last_event"`
+	// For how long the stream has had no event.
+	StillMS int64 `log:"still_ms"`
+	// Servers that may still run the request.
+	Standing int64 `log:"standing"`
+	// How many may.
+	MostRuns int64 `log:"most_runs"`
+	// The instances that the allowance is divided by.
+	Instances int64 `log:"instances"`
+}
+
+// Lost parts of a path were replaced.
+type repaired struct {
+	_ struct{} `msg:"repaired" level:"warning"`
+	rerouted
+}
+
+// The first part did not take the new path.
+type notRepaired struct {
+	_ struct{} `msg:"not repaired" level:"warning"`
+	notRerouted
+}
+
+// No path without the lost parts is known.
+type noPathForRepair struct {
+	_ struct{} `msg:"no path for a repair" level:"warning"`
+	request
+	// The present path.
+	Path string `log:"path"`
+	// For how long the stream has had no event.
+	StillMS int64 `log:"still_ms"`
+}
+
+// Parts that leave were replaced.
+type evacuated struct {
+	_ struct{} `msg:"evacuated" level:"warning"`
+	rerouted
+}
+
+// The first part did not take the path without parts that leave.
+type notEvacuated struct {
+	_ struct{} `msg:"not evacuated" level:"warning"`
+	notRerouted
+}
+
+// The request is refused, since room is not likely to come in time.
+type tooLate struct {
+	_ struct{} `msg:"room would come too late" level:"warning"`
+	expected
+}
+
+// A wait for room is over.
+type waited struct {
+	_ struct{} `msg:"waited for room" level:"info"`
+	expected
+	// How long it took.
+	WaitedMS int64 `log:"waited_ms"`
+	// Whether room came.
+	Came bool `log:"came"`
+}
+
+// A service has a whole path again.
+type pathRegained struct {
+	_ struct{} `msg:"path regained" level:"info"`
+	request
+	// The service.
+	Service string `log:"service"`
+	// For how long it had none.
+	SpellMS int64 `log:"spell_ms"`
+}
+
+// The end of a request that has not run.
+type refused struct {
+	_ struct{} `msg:"refused" level:"warning"`
+	standing
+	// Why.
+	Reason string `log:"reason"`
+	// not_run.
+	Fate string `log:"fate"`
+	// When the caller was asked to come back.
+	RetryAfterMS int64 `log:"retry_after_ms"`
+	// How long the caller would have waited.
+	WaitMS int64 `log:"wait_ms"`
+}
+
+// The end of a request for a route or with a key that the configuration in force does not have.
+type denied struct {
+	_ struct{} `msg:"denied" level:"warning"`
+	standing
+	// What is not there.
+	Reason string `log:"reason"`
+	// Status of the answer.
+	Status int64 `log:"status"`
+}
+
+// The end of a request that may have run and has no answer.
+type givenUp struct {
+	_ struct{} `msg:"given up" level:"warning"`
+	standing
+	// Why.
+	Reason string `log:"reason"`
+	// unknown.
+	Fate string `log:"fate"`
+	// Status of the answer.
+	Status int64 `log:"status"`
+}
+
+// The end of a stream that had begun and could not go on.
+type brokenOff struct {
+	_ struct{} `msg:"broken off" level:"warning"`
+	standing
+	// broken.
+	Reason string `log:"reason"`
+	// Why the last attempt did not deliver; empty where the time was over.
+	LastAttempt string `log:"last_attempt"`
+	// The last event that was passed on, -1 before the first.
+	LastEvent int64 `log:"last_event"`
+	// How many servers may have run the request.
+	Runs int64 `log:"runs"`
+	// How many may.
+	MostRuns int64 `log:"most_runs"`
+	// For how long the stream has had no event.
+	StillMS int64 `log:"still_ms"`
+	// How long callers wait for the next event before they leave.
+	PatienceMS int64 `log:"patience_ms"`
+}
+
+// The end of a request whose server failed itself.
+type failurePassedOn struct {
+	_ struct{} `msg:"failure passed on" level:"warning"`
+	standing
+	// Why.
+	Reason string `log:"reason"`
+}
+
+// The end of a request whose answer was passed on, or whose caller left.
+type finished struct {
+	_ struct{} `msg:"finished" level:"info"`
+	standing
+	// whole, or caller left.
+	Outcome string `log:"outcome"`
+	// When the first event was passed on, of a whole stream.
+	FirstEventMS int64 `log:"first_event_ms,optional"`
+	// The longest pause of a whole stream.
+	LongestPauseMS int64 `log:"longest_pause_ms,optional"`
+	// Repairs of a whole stream.
+	Repairs int64 `log:"repairs,optional"`
+	// Events of a whole stream.
+	Events int64 `log:"events,optional"`
+}
+
+// A backend server did not do its stage of an attempt (today's interface).
+type stageFailed struct {
+	_ struct{} `msg:"stage failed" level:"warning"`
+	stage
+	// Name of the backend server.
+	Server string `log:"server"`
+	failure
+}
+
+// The end of a request of today's interface without the answer that was asked for.
+type refusedToday struct {
+	_ struct{} `msg:"refused" level:"info"`
+	request
+	// The client account that asks; empty while it is not known.
+	Account string `log:"account"`
+	// Why.
+	Reason string `log:"reason"`
+	// not_run, ran or unknown.
+	Fate string `log:"fate"`
+}
+
+// The end of a stream of today's interface that its caller no longer reads.
+type cutByCaller struct {
+	_ struct{} `msg:"stream cut by the caller" level:"info"`
+	request
+	// The client account that asks.
+	Account string `log:"account"`
+	failure
+}
+
+// An event that an attempt's chart does not know: a fault of junctioncross.
+type unexpectedInAttempt struct {
+	_ struct{} `msg:"unexpected event" level:"error"`
+	stage
+	failure
+}
