entry, story: tell the end of each request of today's interface and its cause

Cause: jxd run wrote a line for refusals and cut streams only; a stream that broke after it had begun had no line on its end, and jxctl why ended with 'the log has no line on its end'. Its lines went to standard error in the request's way. jxctl why had no sentence for the new lines of jxd serve. Change: the entry writes finished, refused and broken off through the recorder, jxd run's lines go through the queue. Sentences for handed over, connection is silent, waits to go on, evacuated, not evacuated, waited for room, room would come too late, stage failed, broken off with last_attempt; a refusal with no_room names the domains that were known to be too small; lanes and path regained of the request's service stand with the beliefs. refused of jxd run is a warning, as that of jxd serve. Ruled out: a second format for today's lines; both share the schema. Circuits of today's pool have no line yet.

--- a/app/provide.go
+++ b/app/provide.go
@@ -13,6 +13,7 @@
 	"junctioncross/claim"
 	"junctioncross/config"
 	"junctioncross/control"
+	"junctioncross/decision"
 	"junctioncross/engine"
 	"junctioncross/entry"
 	"junctioncross/keys"
@@ -34,7 +35,7 @@
 	return provide(
 		func() context.Context { return ctx },
 		func() *config.Settings { return set },
-		timer.NewReal, metrics.New, newLog, newRing, func(r *keys.Ring) link.Trust { return r }, newStore, newSelf, newGates, newKeeper, newClaims, newEntry, newCluster, newLeader, newLoop,
+		timer.NewReal, metrics.New, newErrorQueue, newLog, decision.NewRecorder, newRing, func(r *keys.Ring) link.Trust { return r }, newStore, newSelf, newGates, newKeeper, newClaims, newEntry, newCluster, newLeader, newLoop,
 		revision.NewStore, revision.NewKeeper, view.NewBoard, engine.NewCaller, pool.New, pipeline.New,
 		service.New, link.NewMux, link.NewClient, operator.New,
 	)
@@ -51,8 +52,12 @@
 	return c, nil
 }
 
-func newLog(set *config.Settings) (*logrus.Logger, error) {
-	return newLogger(os.Stderr, set.Log, instanceHook{name: set.Instance.Name, domain: set.Instance.Domain})
+func newErrorQueue(clock *timer.Service, stats *metrics.Registry) *decision.Queue {
+	return decision.NewQueue(os.Stderr, clock, stats)
+}
+
+func newLog(set *config.Settings, queue *decision.Queue) (*logrus.Logger, error) {
+	return newLogger(queue, set.Log, instanceHook{name: set.Instance.Name, domain: set.Instance.Domain})
 }
 
 // newLogger returns a logger that writes JSON lines with the instance that they are of.
@@ -119,11 +124,11 @@
 	Claims  claim.Asker
 	Clock   *timer.Service
 	Stats   *metrics.Registry
-	Log     *logrus.Logger
+	Record  *decision.Recorder
 }
 
 func newEntry(set *config.Settings, p entryParts) *entry.Handler {
-	return entry.New(p.Board, p.Gates, p.Runner, p.Forward, p.Claims, p.Clock, p.Stats, p.Log, set.Limits.RequestTime)
+	return entry.New(p.Board, p.Gates, p.Runner, p.Forward, p.Claims, p.Clock, p.Stats, p.Record, set.Limits.RequestTime)
 }
 
 // loopParts are the parts of the control loop.
--- a/app/run.go
+++ b/app/run.go
@@ -15,6 +15,7 @@
 	"junctioncross/chart"
 	"junctioncross/config"
 	"junctioncross/control"
+	"junctioncross/decision"
 	"junctioncross/entry"
 	"junctioncross/keys"
 	"junctioncross/link"
@@ -46,6 +47,7 @@
 	Board  *view.Board
 	Clock  *timer.Service
 	Stats  *metrics.Registry
+	Queue  *decision.Queue
 	Log    *logrus.Logger
 }
 
@@ -68,6 +70,7 @@
 }
 
 func (i *instance) run(ctx context.Context, stop <-chan struct{}) error {
+	defer i.Queue.Flush()
 	machine := chart.New(chart.MustLoad("instance"))
 	peers, err := link.Listen(i.Set.Listen.Peers, i.Ring, i.Mux, i.Stats, i.Log)
 	if err != nil {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -16,6 +16,7 @@
 
 	"junctioncross/admit"
 	"junctioncross/claim"
+	"junctioncross/decision"
 	"junctioncross/engine"
 	"junctioncross/entry"
 	"junctioncross/intent"
@@ -66,7 +67,7 @@
 	require.NoError(t, err)
 	board.Publish(view.NewSnapshot(view.NewIndex(keeper.InForce()), nil))
 	p := pool.New(engine.NewCaller(), clock, stats)
-	return entry.New(board, admit.NewGates(clock, time.Second), pipeline.New(p, clock, stats, log), service.New(stats), claims, clock, stats, log, 5*time.Second), stats
+	return entry.New(board, admit.NewGates(clock, time.Second), pipeline.New(p, clock, stats, log), service.New(stats), claims, clock, stats, decision.NewRecorder(log, clock, stats), 5*time.Second), stats
 }
 
 // serve runs the handler on an in-memory listener and returns a client of it.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -10,11 +10,11 @@
 
 	"github.com/fasthttp/router"
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"junctioncross/admit"
 	"junctioncross/claim"
+	"junctioncross/decision"
 	"junctioncross/metrics"
 	"junctioncross/models"
 	"junctioncross/pipeline"
@@ -34,7 +34,7 @@
 	claims  claim.Asker
 	clock   *timer.Service
 	stats   *metrics.Registry
-	log     *logrus.Logger
+	record  *decision.Recorder
 	limit   time.Duration
 
 	draining atomic.Bool
@@ -45,11 +45,11 @@
 // New returns a Handler; limit bounds the time of one request.
 func New(
 	board *view.Board, gates *admit.Gates, runner *pipeline.Runner, forward *service.Forwarder, claims claim.Asker,
-	clock *timer.Service, stats *metrics.Registry, log *logrus.Logger, limit time.Duration,
+	clock *timer.Service, stats *metrics.Registry, record *decision.Recorder, limit time.Duration,
 ) *Handler {
 	return &Handler{
 		board: board, gates: gates, runner: runner, forward: forward, claims: claims,
-		clock: clock, stats: stats, log: log, limit: limit,
+		clock: clock, stats: stats, record: record, limit: limit,
 	}
 }
 
@@ -59,14 +59,20 @@
 	account *view.Account
 	view    *view.Snapshot
 	start   time.Time
+	// streams is true when the answer is written after the handler has returned, and its end told there.
+	streams bool
 }
 
-func (c *call) fields() logrus.Fields {
-	name := ""
+// fields adds what every line on a call tells.
+func (h *Handler) fields(c *call, fields decision.Fields) decision.Fields {
+	fields["account"], fields["held_ms"] = "", h.clock.Since(c.start).Milliseconds()
 	if c.account != nil {
-		name = c.account.Name()
+		fields["account"] = c.account.Name()
 	}
-	return logrus.Fields{"request": c.id, "account": name}
+	if index := c.view.Index(); index != nil {
+		fields["config"] = index.Revision()
+	}
+	return fields
 }
 
 // Routes returns the handler of all callers' paths.
@@ -96,8 +102,11 @@
 		if r == nil {
 			r = next(ctx, c)
 		}
-		if r != nil {
+		switch {
+		case r != nil:
 			h.refuse(ctx, c, r)
+		case !c.streams:
+			h.record.Routine(c.id, "finished", h.fields(c, decision.Fields{"outcome": "whole", "status": ctx.Response.StatusCode()}))
 		}
 	}
 }
@@ -166,7 +175,7 @@
 
 // Broken answers a request that could not be read as HTTP.
 func (h *Handler) Broken(ctx *fasthttp.RequestCtx, err error) {
-	c := &call{id: newRequestID(), start: h.clock.Now()}
+	c := &call{id: newRequestID(), view: h.board.Current(), start: h.clock.Now()}
 	r := notRun(fasthttp.StatusBadRequest, models.ReasonBadRequest, "the request could not be read")
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		r = notRun(fasthttp.StatusRequestEntityTooLarge, models.ReasonBodyTooLarge, "the body is too large")
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"junctioncross/decision"
 	"junctioncross/models"
 )
 
@@ -53,7 +54,9 @@
 // refuse writes the refusal and counts it.
 func (h *Handler) refuse(ctx *fasthttp.RequestCtx, c *call, r *refusal) {
 	h.stats.Refused(r.reason, r.fate)
-	h.log.WithFields(c.fields()).WithField("reason", r.reason).WithField("fate", r.fate).Info("refused")
+	h.record.Failure(c.id, "refused", h.fields(c, decision.Fields{
+		"reason": r.reason, "fate": r.fate, "status": r.status, "retry_after_ms": r.retryAfter.Milliseconds(),
+	}))
 	ctx.Response.Reset()
 	ctx.SetStatusCode(r.status)
 	ctx.SetContentType("application/json")
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"junctioncross/decision"
 	"junctioncross/models"
 	"junctioncross/pipeline"
 )
@@ -117,13 +118,14 @@
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set("Cache-Control", "no-cache")
 	ctx.Response.Header.Set(models.HeaderRequestID, c.id)
+	c.streams = true
 	h.active.Add(1)
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer h.active.Done()
 		defer s.abandon()
 		if err := h.writeEvents(w, s, f); err != nil {
 			h.stats.Refused(models.ReasonCallerGone, models.FateUnknown)
-			h.log.WithFields(c.fields()).WithError(err).Info("stream cut by the caller")
+			h.record.Routine(c.id, "stream cut by the caller", h.fields(c, decision.Fields{"tokens": s.count, "error": err.Error()}))
 		}
 	})
 }
@@ -147,9 +149,18 @@
 	if err := s.err(); err != nil {
 		r := h.failed(err)
 		h.stats.Refused(r.reason, r.fate)
+		h.record.Failure(s.call.id, "broken off", h.fields(s.call, decision.Fields{
+			"reason": r.reason, "fate": r.fate, "tokens": s.count, "error": err.Error(),
+		}))
 		return writeEvent(w, r.body(s.call.id))
 	}
-	return writeEnd(w, s, f)
+	if err := writeEnd(w, s, f); err != nil {
+		return err
+	}
+	h.record.Routine(s.call.id, "finished", h.fields(s.call, decision.Fields{
+		"outcome": "whole", "status": fasthttp.StatusOK, "tokens": s.count,
+	}))
+	return nil
 }
 
 func writeEnd(w *bufio.Writer, s *stream, f format) error {
--- a/schema/common.go
+++ b/schema/common.go
@@ -168,6 +168,17 @@
 	Fence int64 `log:"fence"`
 }
 
+// today is what the lines on a request of today's interface tell.
+type today struct {
+	request
+	// The client account that asks; empty while it is not known.
+	Account string `log:"account"`
+	// How long the instance has held the request.
+	HeldMS int64 `log:"held_ms"`
+	// Revision of the configuration in force; missing before the first.
+	Config int64 `log:"config,optional"`
+}
+
 // stage is what lines on an attempt of today's interface tell.
 type stage struct {
 	request
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -37,7 +37,9 @@
 		finished{},
 		stageFailed{},
 		refusedToday{},
+		brokenOffToday{},
 		cutByCaller{},
+		finishedToday{},
 		unexpectedInAttempt{},
 	}
 	beliefLines = []any{
--- a/schema/requests.go
+++ b/schema/requests.go
@@ -273,25 +273,52 @@
 
 // The end of a request of today's interface without the answer that was asked for.
 type refusedToday struct {
-	_ struct{} `msg:"refused" level:"info"`
-	request
-	// The client account that asks; empty while it is not known.
-	Account string `log:"account"`
+	_ struct{} `msg:"refused" level:"warning"`
+	today
 	// Why.
 	Reason string `log:"reason"`
 	// not_run, ran or unknown.
 	Fate string `log:"fate"`
+	// Status of the answer.
+	Status int64 `log:"status"`
+	// When the caller was asked to come back; 0 when it was not.
+	RetryAfterMS int64 `log:"retry_after_ms"`
+}
+
+// The end of a stream of today's interface that had begun and could not go on.
+type brokenOffToday struct {
+	_ struct{} `msg:"broken off" level:"warning"`
+	today
+	// Why.
+	Reason string `log:"reason"`
+	// not_run or unknown.
+	Fate string `log:"fate"`
+	// Tokens that were passed on.
+	Tokens int64 `log:"tokens"`
+	failure
 }
 
 // The end of a stream of today's interface that its caller no longer reads.
 type cutByCaller struct {
 	_ struct{} `msg:"stream cut by the caller" level:"info"`
-	request
-	// The client account that asks.
-	Account string `log:"account"`
+	today
+	// Tokens that were passed on.
+	Tokens int64 `log:"tokens"`
 	failure
 }
 
+// The end of a request of today's interface that was answered.
+type finishedToday struct {
+	_ struct{} `msg:"finished" level:"info"`
+	today
+	// whole.
+	Outcome string `log:"outcome"`
+	// Status of the answer.
+	Status int64 `log:"status"`
+	// Tokens of a stream.
+	Tokens int64 `log:"tokens,optional"`
+}
+
 // An event that an attempt's chart does not know: a fault of junctioncross.
 type unexpectedInAttempt struct {
 	_ struct{} `msg:"unexpected event" level:"error"`
--- /dev/null
+++ b/story/beliefs.go
@@ -0,0 +1,52 @@
+package story
+
+import "strings"
+
+// beliefs returns the changes of belief that mattered for a request: those of its instances about the servers that it was sent to, and
+// about the paths of its service.
+func beliefs(lines, own []Line) []Line {
+	instances, first, last := map[string]bool{}, own[0].at, own[len(own)-1].at
+	var paths strings.Builder
+	services := map[string]bool{}
+	for _, l := range own {
+		instances[l.instance] = true
+		services[l.Text("service")] = true
+		paths.WriteString(l.Text("path") + " " + l.Text("server") + " ")
+	}
+	return sorted(filter(lines, func(l Line) bool {
+		if !instances[l.instance] || l.at.Before(first.Add(-beliefWindow)) || l.at.After(last) {
+			return false
+		}
+		switch l.message {
+		case "lanes":
+			return services[l.Text("service")]
+		case "path regained":
+			return l.request != own[0].request && services[l.Text("service")]
+		}
+		server := l.Text("server")
+		return l.request == "" && server != "" && strings.Contains(paths.String(), server)
+	}))
+}
+
+// shortage says which domains were known to be too small when a request was refused for want of room; the instance that gives orders
+// tells it, whichever that is.
+func shortage(lines, own []Line) string {
+	last := own[len(own)-1]
+	if last.message != "refused" || last.Text("reason") != "no_room" {
+		return ""
+	}
+	// A new coverage of a domain follows each change, and the word that it is too small follows that.
+	short := map[string]string{}
+	for _, l := range sorted(lines) {
+		if l.at.After(last.at) {
+			break
+		}
+		switch l.message {
+		case "coverage":
+			delete(short, l.Text("of_domain"))
+		case "domain too small for a copy of the model with the usual room":
+			short[l.Text("of_domain")] = l.Text("short_layers") + " layers"
+		}
+	}
+	return listed("; too small for a copy of the model with the usual room: ", short)
+}
--- /dev/null
+++ b/story/cause.go
@@ -0,0 +1,193 @@
+package story
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+// cause says in one sentence why the request ended as it did.
+func cause(own []Line) string {
+	last := own[len(own)-1]
+	held := last.Text("held_ms")
+	switch last.message {
+	case "finished":
+		if last.Text("outcome") == "whole" {
+			return "none: the answer was passed on whole after " + held + " ms" + troubles(own)
+		}
+		return "the caller left after " + held + " ms" + troubles(own)
+	case "stream cut by the caller":
+		return "the caller left after " + held + " ms and " + last.Text("tokens") + " tokens" + troubles(own)
+	case "refused":
+		return refusal(last) + troubles(own)
+	case "denied":
+		return "the configuration in force (version " + last.Text("config") + ", confirmed " + last.Text("config_age_ms") +
+			" ms before) does not allow it: " + last.Text("reason")
+	case "broken off":
+		return brokenOff(last) + troubles(own)
+	case "given up":
+		return "it may have run, and was given up: " + last.Text("reason") + troubles(own)
+	case "failure passed on":
+		return "the server itself failed: " + last.Text("reason") + troubles(own)
+	default:
+		return "the story ends with \"" + last.message + "\"; the log has no line on its end (dropped, or the instance died)"
+	}
+}
+
+// brokenOff says why a stream that had begun could not go on.
+func brokenOff(last Line) string {
+	if tokens := last.Text("tokens"); tokens != "" {
+		return "the stream broke after " + tokens + " tokens and could not be continued: " + last.Text("reason") + " (" + last.Text("error") + ")"
+	}
+	text := "the stream broke after event " + last.Text("last_event") + " and could not be continued"
+	why, ok := obstacles[last.Text("last_attempt")]
+	if !ok {
+		why = last.Text("last_attempt")
+	}
+	if why != "" {
+		text += ": " + why
+	}
+	if runs := last.Text("runs"); runs != "" {
+		text += " (ran on " + runs + " servers, " + last.Text("most_runs") + " allowed at once; still for " + last.Text("still_ms") +
+			" ms, callers wait " + last.Text("patience_ms") + " ms)"
+	}
+	return text
+}
+
+// obstacles says what kept a stream that had begun from going on.
+var obstacles = map[string]string{
+	"no_room":             "no path had room for it",
+	"attempts_used_up":    "it may still run on as many servers as it is allowed to",
+	"repeat_budget_spent": "the instance's part of the allowed repeats was spent",
+	"broken_answer":       "its last server's answer broke",
+	"refused_by_backend":  "the last server that it was sent to turned it away",
+	"unreachable":         "no connection to a server came about",
+}
+
+// refusals says why a request was refused.
+var refusals = map[string]string{
+	"no_room":             "every path that the instance knew had no memory left for it",
+	"refused_by_backend":  "each server that it was sent to turned it away",
+	"repeat_budget_spent": "a server turned it away and the instance's part of the allowed repeats was spent",
+	"keys_unconfirmed":    "the instance could not confirm for too long that keys were still valid",
+	"no_configuration":    "the instance had no configuration, or one that was too old to say no by",
+	"draining":            "the instance was stopping and would not have finished it",
+	"no_server":           "no server of the service could be used",
+	"unreachable":         "no connection to a server came about",
+	"overloaded":          "the predicted wait for a turn was longer than the settings allow",
+	"no_pipeline":         "no path of usable servers held every layer of the model",
+	"claim_unavailable":   "its key could not be claimed",
+	"claim_unsure":        "it was not known whether its key was claimed",
+}
+
+func refusal(last Line) string {
+	text, ok := refusals[last.Text("reason")]
+	if !ok {
+		text = last.Text("reason")
+	}
+	state := "it has not run: "
+	switch last.Text("fate") {
+	case "unknown":
+		state = "it may have run, and was given up: "
+	case "ran":
+		state = "a request with its key has run before: "
+	}
+	return state + text + " (" + strings.Join(refusalState(last), "; ") + ")"
+}
+
+// refusalState returns what the instance went by when it refused a request.
+func refusalState(last Line) []string {
+	var out []string
+	if config := last.Text("config"); config != "" {
+		text := "configuration " + config
+		if age := last.Text("config_age_ms"); age != "" {
+			text += ", confirmed " + age + " ms before"
+		}
+		out = append(out, text)
+	}
+	out = append(out, "held "+last.Text("held_ms")+" ms")
+	if after := last.Text("retry_after_ms"); after != "" && after != "0" {
+		out = append(out, "asked to come back after "+after+" ms")
+	}
+	return out
+}
+
+// troubles lists what went wrong on the way.
+func troubles(own []Line) string {
+	var out []string
+	for _, l := range own[:len(own)-1] {
+		if text := trouble(l); text != "" {
+			out = append(out, text)
+		}
+	}
+	if len(out) == 0 {
+		return ""
+	}
+	return "; on the way: " + strings.Join(out, ", ")
+}
+
+// trouble says what a line tells of something that went wrong, or nothing.
+func trouble(l Line) string {
+	switch l.message {
+	case "turned away":
+		return "turned away by " + l.Text("server") + " with status " + l.Text("status")
+	case "attempt broken":
+		return "the answer of " + l.Text("server") + " broke (" + l.Text("error") + ")"
+	case "stage failed":
+		return l.Text("server") + " failed in attempt " + l.Text("attempt") + " (" + l.Text("error") + ")"
+	case "first part is silent":
+		return "first part " + l.Text("server") + " fell silent" + onward(l)
+	case "connection is silent":
+		return "the connection to " + l.Text("server") + " fell silent while the server was well" + onward(l)
+	case "handed over":
+		return "left " + l.Text("server") + ", which was leaving or gave up its layers" + onward(l)
+	case "waits to go on":
+		return "had to wait to go on: " + obstacles[l.Text("reason")]
+	case "room would come too late":
+		return "room was not likely to come in time (" + l.Text("likelihood") + " for " + l.Text("places") + " places in " + l.Text("left_ms") + " ms)"
+	case "waited for room":
+		return wait(l)
+	case "repaired":
+		return "path repaired after " + l.Text("still_ms") + " ms without an event"
+	case "not repaired":
+		return "a repair was refused (" + l.Text("error") + ")"
+	case "evacuated":
+		return "path led around servers that leave"
+	case "not evacuated":
+		return "a path around servers that leave was refused (" + l.Text("error") + ")"
+	case "no path for a repair":
+		return "no path for a repair"
+	case "no repeat":
+		return "no repeat: " + l.Text("reason")
+	default:
+		return ""
+	}
+}
+
+// onward says where a stream that left its first part went on, if the line tells.
+func onward(l Line) string {
+	if next := l.Text("next"); next != "" {
+		return ", went on at " + next
+	}
+	return ""
+}
+
+func wait(l Line) string {
+	text := "waited " + l.Text("waited_ms") + " ms for room"
+	if l.Text("came") != "true" {
+		return text + " in vain"
+	}
+	return text
+}
+
+// listed returns texts by name after a heading, or nothing when there are none.
+func listed(heading string, texts map[string]string) string {
+	if len(texts) == 0 {
+		return ""
+	}
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(texts)) {
+		out = append(out, name+" ("+texts[name]+")")
+	}
+	return heading + strings.Join(out, ", ")
+}
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -59,3 +59,78 @@
 	require.True(t, story.Timeline(&out, lines, "west-1"))
 	require.Equal(t, 1, strings.Count(out.String(), "\n"))
 }
+
+// cause returns the sentence on a request of a log.
+func cause(t *testing.T, log, request string) string {
+	lines, _, err := story.Read(strings.NewReader(log))
+	require.NoError(t, err)
+	var out strings.Builder
+	require.True(t, story.Why(&out, lines, request))
+	_, sentence, _ := strings.Cut(out.String(), "cause: ")
+	return strings.TrimSpace(sentence)
+}
+
+// line returns a line on request r of instance i, some seconds after the start.
+func line(second, fields string) string {
+	return `{"instance":"i","request":"r","time":"2026-01-01T00:00:0` + second + `Z",` + fields + "}\n"
+}
+
+func TestTheSentenceNamesWhatAStreamWentThrough(t *testing.T) {
+	end := line("9", `"msg":"finished","outcome":"whole","held_ms":9`)
+	for fields, want := range map[string]string{
+		`"msg":"handed over","server":"s1","next":"s2"`:          "left s1, which was leaving or gave up its layers, went on at s2",
+		`"msg":"connection is silent","server":"s1","next":"s2"`: "the connection to s1 fell silent while the server was well, went on at s2",
+		`"msg":"first part is silent","server":"s1"`:             "first part s1 fell silent",
+		`"msg":"waits to go on","reason":"attempts_used_up"`:     "had to wait to go on: it may still run on as many servers as it is allowed to",
+		`"msg":"evacuated"`:                                             "path led around servers that leave",
+		`"msg":"not evacuated","error":"no room"`:                       "a path around servers that leave was refused (no room)",
+		`"msg":"waited for room","waited_ms":40,"came":true`:            "waited 40 ms for room",
+		`"msg":"waited for room","waited_ms":40,"came":false`:           "waited 40 ms for room in vain",
+		`"msg":"stage failed","server":"s1","attempt":2,"error":"gone"`: "s1 failed in attempt 2 (gone)",
+	} {
+		require.Equal(t, "none: the answer was passed on whole after 9 ms; on the way: "+want, cause(t, line("1", fields)+end, "r"))
+	}
+}
+
+func TestTheSentenceSaysWhatKeptAStreamFromGoingOn(t *testing.T) {
+	got := cause(t, line("1", `"msg":"broken off","last_event":7,"last_attempt":"repeat_budget_spent","runs":2,"most_runs":3,"still_ms":900,"patience_ms":2000`), "r")
+	require.Equal(t, "the stream broke after event 7 and could not be continued: the instance's part of the allowed repeats was spent "+
+		"(ran on 2 servers, 3 allowed at once; still for 900 ms, callers wait 2000 ms)", got)
+}
+
+func TestTheSentenceOnARefusalNamesDomainsThatAreTooSmall(t *testing.T) {
+	const small = "domain too small for a copy of the model with the usual room"
+	other := func(second, fields string) string {
+		return `{"instance":"j","time":"2026-01-01T00:00:0` + second + `Z",` + fields + "}\n"
+	}
+	log := other("1", `"msg":"coverage","of_domain":"east"`) + other("1", `"msg":"`+small+`","of_domain":"east","short_layers":4`) +
+		other("1", `"msg":"`+small+`","of_domain":"west","short_layers":2`) + other("2", `"msg":"coverage","of_domain":"west"`) +
+		line("3", `"msg":"room would come too late","likelihood":0.2,"places":3,"left_ms":800`) +
+		line("4", `"msg":"refused","reason":"no_room","fate":"not_run","held_ms":3,"retry_after_ms":2000`)
+	require.Equal(t, "it has not run: every path that the instance knew had no memory left for it (held 3 ms; asked to come back after 2000 ms)"+
+		"; on the way: room was not likely to come in time (0.2 for 3 places in 800 ms)"+
+		"; too small for a copy of the model with the usual room: east (4 layers)", cause(t, log, "r"))
+}
+
+func TestTheStoryShowsWhatWasKnownOfThePaths(t *testing.T) {
+	log := `{"instance":"i","msg":"lanes","request":"","service":"s","own_domain":0,"time":"2026-01-01T00:00:01Z"}
+{"instance":"i","msg":"path regained","request":"q","service":"s","spell_ms":700,"time":"2026-01-01T00:00:01Z"}
+{"instance":"i","msg":"lanes","request":"","service":"other","own_domain":3,"time":"2026-01-01T00:00:01Z"}
+` + line("2", `"msg":"refused","service":"s","reason":"no_room"`)
+	lines, _, err := story.Read(strings.NewReader(log))
+	require.NoError(t, err)
+	var out strings.Builder
+	require.True(t, story.Why(&out, lines, "r"))
+	require.Contains(t, out.String(), "lanes own_domain=0")
+	require.Contains(t, out.String(), "path regained")
+	require.NotContains(t, out.String(), "own_domain=3")
+}
+
+func TestTheSentenceOnARefusalOfTodaysInterfaceTellsItsFate(t *testing.T) {
+	for fate, want := range map[string]string{
+		"not_run": "it has not run: ", "unknown": "it may have run, and was given up: ", "ran": "a request with its key has run before: ",
+	} {
+		got := cause(t, line("1", `"msg":"refused","reason":"retries_exhausted","fate":"`+fate+`","config":3,"held_ms":5,"retry_after_ms":0`), "r")
+		require.Equal(t, want+"retries_exhausted (configuration 3; held 5 ms)", got)
+	}
+}
