forward, app, leader: tell what was predicted against what was seen, and what an instance believes, as metrics

Change: first_event_of_predicted_percent and wait_of_predicted_percent beside life_of_predicted_percent; gauges repeats_left, servers_usable, servers_leaving, own_domain_sequences, other_domains_sequences, crossing_sequences, memory_word_age_ms by service; servers_age_ms, gives_orders. They are worked out at a scrape. The seen first event counts from its attempt, as the prediction does. Ruled out: working gauges out with each request. A gauge of a service that is gone keeps its last value.

--- a/app/checks.go
+++ b/app/checks.go
@@ -96,6 +96,8 @@
 	case path == "/metrics":
 		c.stats.Gauge("requests_running").Update(int64(c.front.Running()))
 		c.stats.Gauge("config_age_ms").Update(c.board.KeysAge(c.clock.Now()).Milliseconds())
+		c.stats.Gauge("servers_age_ms").Update(c.board.ServersAge(c.clock.Now()).Milliseconds())
+		c.handler.Measure()
 		ctx.SetContentType("text/plain; version=0.0.4")
 		if err := c.stats.Write(ctx); err != nil {
 			c.log.WithError(err).Warn("metrics not written")
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -114,8 +114,12 @@
 }
 
 func (l *Loop) confirm(feed Feed, at time.Time) {
-	if feed == FeedConfig && at.After(l.board.Confirmed()) {
-		l.board.confirmed.Store(&at)
+	known := &l.board.listed
+	if feed == FeedConfig {
+		known = &l.board.confirmed
+	}
+	if at.After(*known.Load()) {
+		known.Store(&at)
 	}
 }
 
--- a/follow/snapshot.go
+++ b/follow/snapshot.go
@@ -28,6 +28,8 @@
 	current atomic.Pointer[Snapshot]
 	// confirmed is the moment for which the configuration is known to have been the newest.
 	confirmed atomic.Pointer[time.Time]
+	// listed is the same for the servers.
+	listed atomic.Pointer[time.Time]
 }
 
 // NewBoard returns a Board with an empty Snapshot.
@@ -35,6 +37,7 @@
 	b := &Board{}
 	b.current.Store(&Snapshot{})
 	b.confirmed.Store(&time.Time{})
+	b.listed.Store(&time.Time{})
 	return b
 }
 
@@ -46,3 +49,6 @@
 
 // KeysAge returns for how long it is not known whether keys were taken away.
 func (b *Board) KeysAge(now time.Time) time.Duration { return now.Sub(b.Confirmed()) }
+
+// ServersAge returns for how long it is not known whether entries of servers have changed.
+func (b *Board) ServersAge(now time.Time) time.Duration { return now.Sub(*b.listed.Load()) }
--- /dev/null
+++ b/forward/gauges.go
@@ -0,0 +1,65 @@
+package forward
+
+import (
+	"fmt"
+	"time"
+
+	"junctioncross/backend"
+)
+
+// Measure brings the gauges of what the Handler believes up to date; it is called for each scrape.
+func (h *Handler) Measure() {
+	now := h.clock.Now()
+	h.measureRepeats(now)
+	for name, group := range h.board.Current().Groups() {
+		h.measureServers(name, group, now)
+		if group.Graph() != nil {
+			h.measureLanes(name, group, now)
+		}
+	}
+}
+
+// measureRepeats tells how many repeats each service has left of the instance's part of the allowance.
+func (h *Handler) measureRepeats(now time.Time) {
+	slack := h.terms.Load().RepeatSlack / float64(h.census.Instances())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, w := range h.windows {
+		h.gauge("repeats_left", "service", name, int64(w.Left(now, slack)))
+	}
+}
+
+// measureServers tells how many servers of a service may get new work, and how many leave.
+func (h *Handler) measureServers(name string, group *backend.Group, now time.Time) {
+	usable, leaving := 0, 0
+	for _, s := range group.Servers() {
+		if s.Usable(now) {
+			usable++
+		}
+		if s.Leaving() {
+			leaving++
+		}
+	}
+	h.gauge("servers_usable", "service", name, int64(usable))
+	h.gauge("servers_leaving", "service", name, int64(leaving))
+}
+
+// measureLanes tells for how many sequences a service has memory on its paths, and how old the oldest word of a usable server on its
+// memory is; a word that is older than wordAge counts for nothing, and so does none.
+func (h *Handler) measureLanes(name string, group *backend.Group, now time.Time) {
+	own, others, crossing := h.sequences(h.lanesOf(group, now))
+	h.gauge("own_domain_sequences", "service", name, int64(own))
+	h.gauge("other_domains_sequences", "service", name, int64(others))
+	h.gauge("crossing_sequences", "service", name, int64(crossing))
+	oldest := time.Duration(0)
+	for _, s := range group.Servers() {
+		if s.Usable(now) {
+			oldest = max(oldest, min(s.MemoryAge(now), wordAge))
+		}
+	}
+	h.gauge("memory_word_age_ms", "service", name, oldest.Milliseconds())
+}
+
+func (h *Handler) gauge(what, label, of string, value int64) {
+	h.stats.Gauge(fmt.Sprintf("%s{%s=%q}", what, label, of)).Update(value)
+}
--- /dev/null
+++ b/forward/gauges_test.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/catalog"
+	"junctioncross/front"
+)
+
+// scrape returns what the handler's metrics say.
+func scrape(t *testing.T, h *Handler) string {
+	h.Measure()
+	var out strings.Builder
+	require.NoError(t, h.stats.Write(&out))
+	return out.String()
+}
+
+func TestTheBudgetOfRepeatsIsAGauge(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	h.SetTerms(Terms{Domain: "a", RepeatWindow: 10 * time.Second, RepeatShare: 0.1, RepeatSlack: 2})
+	r := &request{group: g, route: &catalog.Route{}}
+	for range 10 {
+		h.countRequest(r)
+	}
+	require.Contains(t, scrape(t, h), `jx_repeats_left{service="s"} 3`)
+	require.True(t, h.mayRepeat(r))
+	require.Contains(t, scrape(t, h), `jx_repeats_left{service="s"} 2`)
+	clock.Advance(time.Minute)
+	require.Contains(t, scrape(t, h), `jx_repeats_left{service="s"} 2`, "no request counts any more, and no repeat")
+}
+
+func TestServersPathsAndTheAgeOfTheirWordAreGauges(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	for _, s := range g.Servers() {
+		s.SetMemory(1, 2, 0, clock.Now())
+	}
+	clock.Advance(70 * time.Millisecond)
+	measure := func() string {
+		h.measureServers("s", g, clock.Now())
+		h.measureLanes("s", g, clock.Now())
+		return scrape(t, h)
+	}
+	got := measure()
+	require.Contains(t, got, `jx_servers_usable{service="s"} 4`)
+	require.Contains(t, got, `jx_servers_leaving{service="s"} 0`)
+	require.Contains(t, got, `jx_memory_word_age_ms{service="s"} 70`)
+	require.Contains(t, got, `jx_own_domain_sequences{service="s"} `)
+	require.NotContains(t, got, `jx_own_domain_sequences{service="s"} 0`)
+	require.Contains(t, got, `jx_crossing_sequences{service="s"} 0`)
+	for _, s := range g.Servers()[:2] {
+		leave(s)
+	}
+	leave(g.Servers()[2])
+	got = measure()
+	require.Contains(t, got, `jx_servers_usable{service="s"} 1`)
+	require.Contains(t, got, `jx_servers_leaving{service="s"} 3`)
+	require.Contains(t, got, `jx_own_domain_sequences{service="s"} 0`)
+}
+
+// TestFirstEventsAreComparedWithWhatWasPredicted lets a first event take half as long again as predicted.
+func TestFirstEventsAreComparedWithWhatWasPredicted(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	f, _ := connected(t, h, g, "one", 0, 1)
+	f.r.x = &front.Exchange{}
+	f.expected.Store(int64(100 * time.Millisecond))
+	f.touch(h)
+	clock.Advance(150 * time.Millisecond)
+	h.observePause(f)
+	got := scrape(t, h)
+	require.Contains(t, got, "jx_first_event_of_predicted_percent_count 1\n")
+	require.Contains(t, got, "jx_first_event_of_predicted_percent_sum 150\n")
+}
+
+func TestWaitsForRoomAreComparedWithWhatWasPredicted(t *testing.T) {
+	g := twoCopies()
+	h, _ := testHandler(t, newEngines(g))
+	f, _ := connected(t, h, g, "one", 0, 1)
+	f.r.x = &front.Exchange{}
+	at := expectation{wait: 200 * time.Millisecond, likelihood: 0.8}
+	h.observeWait(f, at, 100*time.Millisecond, true)
+	h.observeWait(f, at, 900*time.Millisecond, false)
+	got := scrape(t, h)
+	require.Contains(t, got, "jx_wait_of_predicted_percent_count 1\n", "a wait in vain has no end to compare")
+	require.Contains(t, got, "jx_wait_of_predicted_percent_sum 50\n")
+}
--- a/forward/lanelog.go
+++ b/forward/lanelog.go
@@ -36,18 +36,24 @@
 
 // tellLanes writes how many sequences the lanes of the own domain, of others, and those that cross have memory for.
 func (h *Handler) tellLanes(service string, lanes []chain.Lane) {
-	own, others, crossing := 0.0, 0.0, 0.0
+	own, others, crossing := h.sequences(lanes)
+	h.record.Routine("", "lanes", decision.Fields{
+		"service": service, "lanes": len(lanes), "own_domain": own, "other_domains": others, "crossing": crossing,
+	})
+}
+
+// sequences returns for how many sequences the lanes of the own domain, of others, and those that cross have memory.
+func (h *Handler) sequences(lanes []chain.Lane) (own, others, crossing int) {
+	var sums [3]float64
 	for i := range lanes {
 		switch {
 		case lanes[i].Domain == h.terms.Load().Domain:
-			own += lanes[i].Sequences
+			sums[0] += lanes[i].Sequences
 		case lanes[i].Crossings == 0:
-			others += lanes[i].Sequences
+			sums[1] += lanes[i].Sequences
 		default:
-			crossing += lanes[i].Sequences
+			sums[2] += lanes[i].Sequences
 		}
 	}
-	h.record.Routine("", "lanes", decision.Fields{
-		"service": service, "lanes": len(lanes), "own_domain": int(own), "other_domains": int(others), "crossing": int(crossing),
-	})
+	return int(sums[0]), int(sums[1]), int(sums[2])
 }
--- a/forward/life.go
+++ b/forward/life.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"time"
 
 	"junctioncross/backend"
@@ -10,6 +11,8 @@
 const (
 	// ratioUnit stands for the ratio one in a sample of ratios.
 	ratioUnit = time.Second
+	// percent makes whole numbers of ratios.
+	percent = 100.0
 	// surely is the part of the answers that last no longer than what is counted on where a cut would be the price.
 	surely = 0.95
 	// likely is the same where a stream that lasts longer is cut at the end of a server, and one that does not is moved in vain.
@@ -72,5 +75,12 @@
 		return
 	}
 	h.queueOf(f.first.Service()).lasted(seen, predicted)
-	h.stats.Histogram("life_of_predicted_percent").Update(int64(100 * float64(seen) / float64(predicted)))
+	h.observeRatio("life", seen, predicted)
+}
+
+// observeRatio keeps how long something took as a part of what was predicted for it.
+func (h *Handler) observeRatio(what string, seen, predicted time.Duration) {
+	if predicted > 0 {
+		h.stats.Histogram(what + "_of_predicted_percent").Update(int64(math.Round(percent * float64(seen) / float64(predicted))))
+	}
 }
--- a/forward/pass.go
+++ b/forward/pass.go
@@ -55,7 +55,9 @@
 	h.queueOf(f.first.Service()).began(waited)
 	f.firstEvent = h.clock.Since(f.r.x.Arrived())
 	h.stats.Histogram("first_event_ms").Update(f.firstEvent.Milliseconds())
-	h.stats.Histogram("first_event_predicted_ms").Update(time.Duration(f.expected.Load()).Milliseconds())
+	predicted := time.Duration(f.expected.Load())
+	h.stats.Histogram("first_event_predicted_ms").Update(predicted.Milliseconds())
+	h.observeRatio("first_event", waited, predicted)
 }
 
 func (h *Handler) pass(f *inflight, s *sent, out []byte) {
--- a/forward/wait.go
+++ b/forward/wait.go
@@ -115,6 +115,9 @@
 func (h *Handler) observeWait(f *inflight, at expectation, waited time.Duration, came bool) {
 	band := math.Floor(at.likelihood*10) / 10
 	h.stats.Counter(fmt.Sprintf("waits_total{likelihood=\"%.1f\",came=\"%t\"}", band, came)).Inc(1)
+	if came {
+		h.observeRatio("wait", waited, at.wait)
+	}
 	h.stats.Histogram("wait_predicted_ms").Update(at.wait.Milliseconds())
 	h.stats.Histogram(fmt.Sprintf("wait_seen_ms{came=\"%t\"}", came)).Update(waited.Milliseconds())
 	fields := h.expected(f, at)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -134,6 +134,7 @@
 	g.lease.taken(grant, before)
 	g.work = newWork(g)
 	g.stats.Counter("leader_terms_total").Inc(1)
+	g.stats.Gauge("gives_orders").Update(1)
 	g.log.WithFields(logrus.Fields{"holder": g.holder, "lease": grant.Lease}).Info("gives orders")
 }
 
@@ -147,6 +148,7 @@
 	}
 	if !g.lease.held() {
 		g.log.WithField("holder", g.holder).Warn("no longer gives orders")
+		g.stats.Gauge("gives_orders").Update(0)
 		g.lease.drop()
 		return
 	}
@@ -173,6 +175,7 @@
 	if g.lease.grant.Lease == 0 {
 		return
 	}
+	g.stats.Gauge("gives_orders").Update(0)
 	ctx, cancel := context.WithTimeout(context.Background(), claimTime)
 	defer cancel()
 	if err := g.claim.End(ctx, g.lease.grant); err != nil {
--- a/retry/window.go
+++ b/retry/window.go
@@ -49,6 +49,12 @@
 	return true
 }
 
+// Left returns how many repeats would be allowed now.
+func (w *Window) Left(now time.Time, slack float64) int {
+	w.advance(now)
+	return max(int(w.share*float64(sum(w.first[:]))+slack)-sum(w.again[:]), 0)
+}
+
 func (w *Window) advance(now time.Time) {
 	steps := int(now.Sub(w.since) / w.slot)
 	if steps <= 0 {
