soak, jxload: measure what the log of an instance takes

Change: jxload log sends requests of all kinds in turn at an even rate to one real instance in front of the stand-in platform, prints lines and bytes, and keeps the processor profile of that time, of which go tool pprof tells the part below packages decision and logrus. Ruled out: comparing the processor time at two levels of the log: fields are built at each level.

--- a/cmd/jxload/main.go
+++ b/cmd/jxload/main.go
@@ -12,6 +12,7 @@
 	Demo     demoCommand     `cmd:"" help:"Start the users' fleet, check what it promises and stop it."`
 	Bench    benchCommand    `cmd:"" help:"Take one measurement and print its figures."`
 	Soak     soakCommand     `cmd:"" help:"Play random faults on real instances in front of the stand-in platform."`
+	Log      logCommand      `cmd:"" help:"Measure what the log of an instance in front of the stand-in platform takes."`
 	Capacity capacityCommand `cmd:"" help:"Write docs/CAPACITY.md from the measured figures."`
 }
 
