--- a/schema/lines.go
+++ b/schema/lines.go
@@ -18,7 +18,6 @@
 		plainBroken{},
 		noRepeat{},
 		handedOver{},
-		connectionSilent{},
 		firstSilent{},
 		waitsToGoOn{},
 		repaired{},
--- a/schema/requests.go
+++ b/schema/requests.go
@@ -92,12 +92,6 @@
 	silent
 }
 
-// A stream whose parts are well stands still: it goes on at another first part.
-type connectionSilent struct {
-	_ struct{} `msg:"connection is silent" level:"warning"`
-	silent
-}
-
 // The first part of a stream does not answer or does not know it: it goes on elsewhere.
 type firstSilent struct {
 	_ struct{} `msg:"first part is silent" level:"warning"`
