--- a/forward/leave_test.go
+++ b/forward/leave_test.go
@@ -21,6 +21,7 @@
 	"junctioncross/front"
 	"junctioncross/metrics"
 	"junctioncross/platform"
+	"junctioncross/platform/fake"
 	"junctioncross/timer"
 )
 
@@ -87,7 +88,7 @@
 
 // sealed answers with a sealed success that keeps the connection.
 func sealed(c net.Conn, _ int) {
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok")
+	_, _ = io.WriteString(c, fake.PlainAnswer("ok"))
 }
 
 // onePlain is a front handler that hands each request to a group of plain servers.
