story: match servers of a path by their whole names

Cause: the beliefs of a story were those about any server whose name is a part of a text of the path: s1 for a path over s12. Ruled out: none. Figures: the new test failed before with 'should not contain server=s1'; ok after. Conclusion: kept; the server on which a stream goes on (next) counts as well.

--- a/story/beliefs.go
+++ b/story/beliefs.go
@@ -6,12 +6,14 @@
 // about the paths of its service.
 func beliefs(lines, own []Line) []Line {
 	instances, first, last := map[string]bool{}, own[0].at, own[len(own)-1].at
-	var paths strings.Builder
-	services := map[string]bool{}
+	servers, services := map[string]bool{}, map[string]bool{}
 	for _, l := range own {
 		instances[l.instance] = true
 		services[l.Text("service")] = true
-		paths.WriteString(l.Text("path") + " " + l.Text("server") + " ")
+		for _, part := range strings.Fields(l.Text("path") + " " + l.Text("server") + " " + l.Text("next")) {
+			name, _, _ := strings.Cut(part, "[")
+			servers[name] = true
+		}
 	}
 	return sorted(filter(lines, func(l Line) bool {
 		if !instances[l.instance] || l.at.Before(first.Add(-beliefWindow)) || l.at.After(last) {
@@ -23,8 +25,7 @@
 		case "path regained":
 			return l.request != own[0].request && services[l.Text("service")]
 		}
-		server := l.Text("server")
-		return l.request == "" && server != "" && strings.Contains(paths.String(), server)
+		return l.request == "" && servers[l.Text("server")]
 	}))
 }
 
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -133,3 +133,17 @@
 		require.Equal(t, want+"retries_exhausted (configuration 3; held 5 ms)", got)
 	}
 }
+
+func TestABeliefAboutAServerWithASimilarNameIsNoPartOfTheStory(t *testing.T) {
+	log := `{"instance":"i","msg":"server gone","server":"s1","time":"2026-01-01T00:00:01Z"}
+{"instance":"i","msg":"server gone","server":"s12","time":"2026-01-01T00:00:01Z"}
+{"instance":"i","msg":"stopping","time":"2026-01-01T00:00:01Z"}
+` + line("1", `"msg":"sent","server":"s12","path":"s12[0,4) s3[4,8)"`) + line("2", `"msg":"broken off"`)
+	lines, _, err := story.Read(strings.NewReader(log))
+	require.NoError(t, err)
+	var out strings.Builder
+	require.True(t, story.Why(&out, lines, "r"))
+	require.Contains(t, out.String(), "server gone server=s12\n")
+	require.NotContains(t, out.String(), "server=s1\n")
+	require.NotContains(t, out.String(), "stopping")
+}
