decision: write lines without reflection

Cause: on the stand-ins, at 30 requests a second, the log took 12.5% and 7.3% of the processor samples of an instance (two runs of 1,000 requests); most of that in the logger's JSON formatter. The aim is under 3%. Change: a formatter that appends texts and numbers and leaves the rest to encoding/json; a test compares its lines with those of the logger's own for values of all kinds. Ruled out: fewer lines; a third logging library.

--- a/app/provide.go
+++ b/app/provide.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"os"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"go.uber.org/dig"
@@ -69,7 +68,7 @@
 	log := logrus.New()
 	log.SetOutput(out)
 	log.SetLevel(level)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	log.SetFormatter(decision.Formatter{})
 	log.AddHook(instance)
 	return log, nil
 }
