--- a/forward/handover.go
+++ b/forward/handover.go
@@ -7,9 +7,6 @@
 	"junctioncross/models"
 )
 
-// overdueShare is the part of its expected time that an answer is taken to last which has lasted for longer than expected.
-const overdueShare = 0.25
-
 // placed is a path that was chosen for a stream from a group of servers.
 type placed struct {
 	group *backend.Group
--- a/forward/life.go
+++ b/forward/life.go
@@ -17,6 +17,8 @@
 	surely = 0.95
 	// likely is the same where a stream that lasts longer is cut at the end of a server, and one that does not is moved in vain.
 	likely = 0.8
+	// overdueShare is the part of its expected time that an answer is taken to last which has lasted for longer than expected.
+	overdueShare = 0.25
 )
 
 // lasted takes into account how long an answer took for which a time was predicted.
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// refusedSends is the number of servers that may turn one request away before its caller is told.
-	refusedSends = 3
 	// impatience is how many times its objective a request that may be repeated is left with a server that is silent.
 	impatience = 2
 	// loadAge is how old a server's word on its work may be to count.
@@ -53,72 +51,6 @@
 	h.conclude(ctx, r, last)
 }
 
-// outOfBudget keeps how the last attempt ended and names the budget as the reason that there is no other.
-func (h *Handler) outOfBudget(r *request, last outcome) outcome {
-	h.stats.Counter("repeats_out_of_budget_total").Inc(1)
-	h.record.Failure(r.meta.ID, "no repeat", h.fields(r, decision.Fields{
-		"reason": models.ReasonNoBudget, "instances": h.census.Instances(),
-	}))
-	if _, ok := last.(notRun); ok {
-		return notRun{reason: models.ReasonNoBudget}
-	}
-	return last
-}
-
-// again reports whether an attempt that ended so may be followed by another.
-func (h *Handler) again(r *request, last outcome, sends int) bool {
-	switch o := last.(type) {
-	case notRun:
-		h.stats.Retried(o.reason)
-		return sends < refusedSends+r.route.MaxAttempts
-	case failed:
-		if !r.route.MayRepeat() || r.standing() >= r.route.MaxAttempts {
-			return false
-		}
-		h.stats.Retried(o.reason)
-		return true
-	default:
-		return false
-	}
-}
-
-// conclude tells the caller how the last attempt ended.
-func (h *Handler) conclude(ctx context.Context, r *request, last outcome) {
-	if ctx.Err() != nil && !r.x.Begun() {
-		if h.remaining(r) > 0 {
-			last = callerGone{}
-		} else {
-			last = expired{}
-		}
-	}
-	switch o := last.(type) {
-	case delivered:
-		h.record.Routine(r.meta.ID, "finished", h.fields(r, decision.Fields{"outcome": "whole"}))
-	case callerGone:
-		h.stats.Counter("callers_gone_total").Inc(1)
-		h.record.Last(r.meta.ID, "finished", h.fields(r, decision.Fields{"outcome": "caller left"}))
-	case expired:
-		h.giveUp(r, fasthttp.StatusGatewayTimeout, models.ReasonDeadline, nil)
-	case notRun:
-		if r.runs > 0 {
-			h.giveUp(r, fasthttp.StatusBadGateway, o.reason, nil)
-			return
-		}
-		after := soon
-		if r.group.Graph() != nil {
-			after = h.comeBack(r)
-		}
-		h.refuse(r, o.reason, after)
-	case failed:
-		if o.answer != nil {
-			h.record.Last(r.meta.ID, "failure passed on", h.fields(r, decision.Fields{"reason": o.reason}))
-			r.x.Answer(o.answer.head, o.answer.body)
-			return
-		}
-		h.giveUp(r, fasthttp.StatusBadGateway, o.reason, nil)
-	}
-}
-
 // pick returns the server with the least work that may get this request, or nil.
 func (h *Handler) pick(g *backend.Group, tried []*backend.Server) *backend.Server {
 	now := h.clock.Now()
