relay: let the relay of a domain ask the store each time

Cause: after a failure the store is left alone for up to 0.8 s by the relay of a domain, and the feed's own pause of up to 0.8 s comes on top, so that a call may be skipped and the whole domain hears later of the store's return. Followers keep the rest.

Ruled out: no rest for followers, whose calls have a price.

Test: TestARelayAsksTheStoreEachTimeAfterAnOutage (fake clock) printed 'expected: 2, actual: 1' two times of two before; it passes five times of five with the race detector.

--- /dev/null
+++ b/relay/again_test.go
@@ -0,0 +1,56 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/census"
+	"junctioncross/follow"
+	"junctioncross/keys"
+	"junctioncross/link"
+	"junctioncross/metrics"
+	"junctioncross/relay"
+	"junctioncross/timer"
+)
+
+// turning is a relay.Store that turns every watch away.
+type turning struct{ view }
+
+// WatchFeed implements relay.Store.
+func (t turning) WatchFeed(
+	context.Context, follow.Feed, follow.Position, time.Duration,
+) ([]relay.Record, follow.Position, error) {
+	t.enter()
+	return nil, 0, follow.ErrUnavailable
+}
+
+// TestARelayAsksTheStoreEachTimeAfterAnOutage lets the store turn the relay of a domain away. Its control goroutine pauses after each
+// failure; a second pause for the store would let its domain hear of the store's return up to 0.8 s later. The relay of the other domain
+// has no address that can be dialed.
+func TestARelayAsksTheStoreEachTimeAfterAnOutage(t *testing.T) {
+	key, err := keys.NewFleetKey(time.Now())
+	require.NoError(t, err)
+	trust := keys.NewFleetKeyFrom(func() []byte { return key })
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := fleet{members: []census.Instance{
+		{Name: "self", Domain: "east", Addr: "127.0.0.1:1"}, {Name: "other", Domain: "west", Addr: "unreachable"},
+	}}
+	links := link.NewClient(trust, metrics.New())
+	t.Cleanup(links.Close)
+	s := newStore()
+	self := relay.Self{Name: "self", Domain: "east", From: 2}
+	clock := timer.New(clockwork.NewFakeClock())
+	one := relay.New(self, turning{view{store: s, caller: "self"}}, f, links, clock, metrics.New(), log)
+	for n := range 4 {
+		_, err := one.Next(t.Context(), follow.FeedServers, 1)
+		require.ErrorIs(t, err, follow.ErrUnavailable)
+		require.Equal(t, n+1, s.count("self"))
+	}
+}
--- a/relay/ways.go
+++ b/relay/ways.go
@@ -42,7 +42,8 @@
 	return len(ways) > 0 && ways[0].direct()
 }
 
-// usable returns the ways that are not left alone after a failure.
+// usable returns the ways that are not left alone after a failure. The relay of a domain always asks the store: whoever asks it pauses
+// after a failure, and a second pause would keep the store's return from the whole domain.
 func (s *Source) usable() []way {
 	ways := s.ways()
 	if ways == nil {
@@ -51,12 +52,12 @@
 	if len(ways) == 1 {
 		return ways
 	}
-	now := s.clock.Now()
+	now, relay := s.clock.Now(), ways[0].direct()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []way
 	for _, w := range ways {
-		if !now.Before(s.left[w.addr].until) {
+		if relay && w.direct() || !now.Before(s.left[w.addr].until) {
 			out = append(out, w)
 		}
 	}
