testlog, forward, follow, leader: drop what goroutines log after their test

Cause: TestARequestWhoseServerEndsBeforeTheFirstEventGoesOn failed in one of two runs of fifteen and of forty: a question that a handler asks in the background logged after the test had ended, which the test's output answers with a panic that ends the whole run. Ruled out: the mend itself (the assertions held each time).

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 	told "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
@@ -15,6 +14,7 @@
 	"junctioncross/catalog"
 	"junctioncross/follow"
 	"junctioncross/metrics"
+	"junctioncross/testlog"
 	"junctioncross/timer"
 )
 
@@ -129,8 +129,7 @@
 
 // startTold starts a loop and keeps what it logs.
 func startTold(t *testing.T, s *source) (*follow.Board, *told.Hook) {
-	log := logrus.New()
-	log.SetOutput(t.Output())
+	log := testlog.New(t)
 	lines := told.NewLocal(log)
 	board := follow.NewBoard()
 	follow.New(t.Context(), s, board, timer.NewReal(), metrics.New(), log)
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"junctioncross/backend"
@@ -21,6 +20,7 @@
 	"junctioncross/follow"
 	"junctioncross/metrics"
 	"junctioncross/models"
+	"junctioncross/testlog"
 	"junctioncross/timer"
 )
 
@@ -94,8 +94,7 @@
 func testHandler(t *testing.T, caller backend.Caller) (*Handler, *clockwork.FakeClock) {
 	fake := clockwork.NewFakeClock()
 	clock, stats := timer.New(fake), metrics.New()
-	log := logrus.New()
-	log.SetOutput(t.Output())
+	log := testlog.New(t)
 	h := New(t.Context(), Terms{Domain: "a", RepeatWindow: 10 * time.Second, RepeatSlack: 100, DrainTime: 3 * time.Second}, follow.NewBoard(), nil, caller, clock, stats,
 		decision.NewRecorder(log, clock, stats), oneInstance{})
 	return h, fake
--- a/leader/work_test.go
+++ b/leader/work_test.go
@@ -17,6 +17,7 @@
 	"junctioncross/catalog"
 	"junctioncross/metrics"
 	"junctioncross/models"
+	"junctioncross/testlog"
 	"junctioncross/timer"
 )
 
@@ -82,8 +83,7 @@
 
 func testWork(t *testing.T, caller backend.Caller) (*work, *clockwork.FakeClock) {
 	fake := clockwork.NewFakeClock()
-	log := logrus.New()
-	log.SetOutput(t.Output())
+	log := testlog.New(t)
 	return newWork(&Leader{caller: caller, clock: timer.New(fake), stats: metrics.New(), log: log}), fake
 }
 
