--- a/config/reference.go
+++ b/config/reference.go
@@ -4,12 +4,12 @@
 	"embed"
 	"fmt"
 	"go/ast"
-	"go/parser"
-	"go/token"
 	"reflect"
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"junctioncross/doccomment"
 )
 
 //go:embed instance.go listen.go platform.go keys.go limits.go drain.go log.go settings.go hosted.go
@@ -68,19 +68,11 @@
 // fieldComments returns the doc comments of all settings, by type and field.
 func fieldComments() (map[string]string, error) {
 	out := map[string]string{}
-	entries, err := sources.ReadDir(".")
+	files, err := doccomment.Files(sources)
 	if err != nil {
 		return nil, errors.Wrap(err, "config: reference")
 	}
-	for _, e := range entries {
-		body, err := sources.ReadFile(e.Name())
-		if err != nil {
-			return nil, errors.Wrap(err, "config: reference")
-		}
-		file, err := parser.ParseFile(token.NewFileSet(), e.Name(), body, parser.ParseComments)
-		if err != nil {
-			return nil, errors.Wrap(err, "config: reference")
-		}
+	for _, file := range files {
 		ast.Inspect(file, func(n ast.Node) bool { return collectComments(n, out) })
 	}
 	return out, nil
--- a/forward/cold.go
+++ b/forward/cold.go
@@ -24,25 +24,9 @@
 func (h *Handler) coldFor(group *backend.Group) (time.Duration, bool) {
 	now := h.clock.Now()
 	left := firstPathTime - now.Sub(h.watch.start)
-	if left <= 0 || len(group.Servers()) == 0 || holdsAll(group) {
+	if left <= 0 || len(group.Servers()) == 0 || group.Graph().Whole() {
 		return 0, false
 	}
 	_, had := h.laneBook(group.Service().Name).pathless(group, now)
 	return left, !had
 }
-
-// holdsAll reports whether each layer of the model has a holder.
-func holdsAll(group *backend.Group) bool {
-	missing := group.Service().Engine.Layers
-	held := make([]bool, missing)
-	for _, s := range group.Servers() {
-		layers := s.Layers()
-		for l := max(layers.First, 0); l < min(layers.End, len(held)); l++ {
-			if !held[l] {
-				held[l] = true
-				missing--
-			}
-		}
-	}
-	return missing == 0
-}
--- a/schema/reference.go
+++ b/schema/reference.go
@@ -4,12 +4,13 @@
 	"embed"
 	"fmt"
 	"go/ast"
-	"go/parser"
 	"go/token"
 	"reflect"
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"junctioncross/doccomment"
 )
 
 //go:embed common.go requests.go beliefs.go orders.go
@@ -62,19 +63,11 @@
 // typeComments returns the doc comments of all types and of their fields.
 func typeComments() (map[string]string, error) {
 	out := map[string]string{}
-	entries, err := sources.ReadDir(".")
+	files, err := doccomment.Files(sources)
 	if err != nil {
 		return nil, errors.Wrap(err, "schema: reference")
 	}
-	for _, e := range entries {
-		body, err := sources.ReadFile(e.Name())
-		if err != nil {
-			return nil, errors.Wrap(err, "schema: reference")
-		}
-		file, err := parser.ParseFile(token.NewFileSet(), e.Name(), body, parser.ParseComments)
-		if err != nil {
-			return nil, errors.Wrap(err, "schema: reference")
-		}
+	for _, file := range files {
 		for _, d := range file.Decls {
 			collect(d, out)
 		}
