relay, follow, forward: pass on within a domain what servers say of themselves

Ruled out: lack of room (medians stay at 90 ms), crossings, the leader (no loads). Now instances send what they are told by servers along with their questions to the relay, which passes it on; a server that turns slow or silent wakes those that wait. All ask all servers of their domain, one question a second each, drawn by the age of the last word. A server that another instance found silent gets no new work for 1 s; only an own question takes it for dead.

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -113,6 +113,7 @@
 		func(s *platform.Store) leader.Claim { return platform.NewClaims(s) },
 		func(b *census.Board) forward.Instances { return b },
 		func(b *census.Board) relay.Fleet { return b },
+		func(b *follow.Board) relay.Words { return b },
 		func(b *census.Board) link.Trust { return keys.NewFleetKeyFrom(b.Key) },
 		func(clock *timer.Service) backend.Caller { return platform.NewEngines(clock) },
 		timer.NewReal, metrics.New, follow.NewBoard, follow.New, newQueue, newHostedLog, decision.NewRecorder, hostedTerms,
--- a/backend/memory.go
+++ b/backend/memory.go
@@ -24,6 +24,7 @@
 	defer s.mu.Unlock()
 	s.memory.used, s.memory.total, s.memory.waiting = used, total, waiting
 	s.memory.at, s.memory.ownThen = now, s.reserved.Load()
+	s.told = told{at: now, heard: now, own: true}
 }
 
 // NoRoom notes that the server turned work away for want of memory. It counts as full until there has been time for its report
--- a/backend/server.go
+++ b/backend/server.go
@@ -69,6 +69,7 @@
 	load    call.Load
 	loadAt  time.Time
 	memory  memory
+	told    told
 	// refusals counts the refusals since the last success.
 	refusals int
 	// pace is how many times slower than usual the server said to be, at paceAt.
--- /dev/null
+++ b/backend/word.go
@@ -0,0 +1,97 @@
+package backend
+
+import "time"
+
+const (
+	// newerBy is how much newer a word must be to replace another one: the same word comes back over other instances, and looks younger by
+	// the time that it was under way.
+	newerBy = 100 * time.Millisecond
+	// hearsayTime is how long a server gets no new work after another instance has found it silent. It is renewed while others find the
+	// same; a packet that one of them lost costs the server no more.
+	hearsayTime = time.Second
+	// slowWord is how many times slower than usual a server has to be for all to hear of it at once.
+	slowWord = 1.5
+)
+
+// Word is what one instance knows of the state of a chained engine, as it passes it on to others.
+type Word struct {
+	ID string `cbor:"1,keyasint"`
+	// Age is how long ago the server was asked.
+	Age time.Duration `cbor:"2,keyasint"`
+	// Silent is true when the server did not answer.
+	Silent bool `cbor:"3,keyasint,omitempty"`
+	// Pace is how many times slower than usual the server said to be.
+	Pace float64 `cbor:"4,keyasint,omitempty"`
+	// Used and Total count memory in tokens times layers.
+	Used  float64 `cbor:"5,keyasint,omitempty"`
+	Total float64 `cbor:"6,keyasint,omitempty"`
+	// Waiting is the number of requests that waited.
+	Waiting int `cbor:"7,keyasint,omitempty"`
+}
+
+// told is where the newest word on a server comes from.
+type told struct {
+	// at is when the server was asked, and heard when this instance learned of it.
+	at    time.Time
+	heard time.Time
+	// own is true when this instance asked.
+	own    bool
+	silent bool
+}
+
+// bad reports whether a server of which w is known should get no new work where others can take it.
+func (w Word) bad() bool { return w.Silent || w.Pace >= slowWord }
+
+// NoteSilent keeps that the server did not answer this instance.
+func (s *Server) NoteSilent(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told = told{at: now, heard: now, own: true, silent: true}
+}
+
+// Word returns the newest word on the server if the instance learned of it after a moment; ownOnly leaves out what others passed on.
+func (s *Server) Word(after, now time.Time, ownOnly bool) (Word, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.told.heard.After(after) || ownOnly && !s.told.own {
+		return Word{}, false
+	}
+	return s.wordLocked(now), true
+}
+
+func (s *Server) wordLocked(now time.Time) Word {
+	w := Word{ID: s.id, Age: now.Sub(s.told.at), Silent: s.told.silent}
+	if !w.Silent {
+		w.Pace, w.Used, w.Total, w.Waiting = s.pace, s.memory.used, s.memory.total, s.memory.waiting
+	}
+	return w
+}
+
+// WordAge returns how long ago the server was asked by any instance, as far as known.
+func (s *Server) WordAge(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.told.at)
+}
+
+// Hear takes over what another instance passed on, if it is newer than what is known, and reports whether the server turned bad by it.
+func (s *Server) Hear(w Word, now time.Time) bool {
+	at := now.Add(-w.Age)
+	s.mu.Lock()
+	if at.Sub(s.told.at) < newerBy {
+		s.mu.Unlock()
+		return false
+	}
+	was := s.wordLocked(now).bad()
+	s.told = told{at: at, heard: now, silent: w.Silent}
+	if !w.Silent && w.Total > 0 {
+		s.pace, s.paceAt = w.Pace, at
+		s.memory.used, s.memory.total, s.memory.waiting = w.Used, w.Total, w.Waiting
+		s.memory.at, s.memory.ownThen = at, s.reserved.Load()
+	}
+	s.mu.Unlock()
+	if w.Silent {
+		s.SetAside(at.Add(hearsayTime))
+	}
+	return w.bad() && !was
+}
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -311,6 +312,6 @@
 	for _, service := range l.catalog.Services() {
 		groups[service.Name] = backend.NewGroup(service, byService[service.Name])
 	}
-	l.board.current.Store(&Snapshot{catalog: l.catalog, groups: groups})
+	l.board.current.Store(&Snapshot{catalog: l.catalog, groups: groups, byID: maps.Clone(l.servers)})
 	l.stats.Gauge("servers_known").Update(int64(len(l.servers)))
 }
--- a/follow/snapshot.go
+++ b/follow/snapshot.go
@@ -12,6 +12,7 @@
 type Snapshot struct {
 	catalog *catalog.Catalog
 	groups  map[string]*backend.Group
+	byID    map[string]*backend.Server
 }
 
 // Catalog returns the configuration in force, or nil before the first.
@@ -23,6 +24,9 @@
 // Groups returns the servers of all services.
 func (s *Snapshot) Groups() map[string]*backend.Group { return s.groups }
 
+// server returns a server by the name of its start, or nil.
+func (s *Snapshot) server(id string) *backend.Server { return s.byID[id] }
+
 // Board shows the newest Snapshot to the request path.
 type Board struct {
 	current atomic.Pointer[Snapshot]
@@ -30,6 +34,8 @@
 	confirmed atomic.Pointer[time.Time]
 	// listed is the same for the servers.
 	listed atomic.Pointer[time.Time]
+	// shared is when other instances last passed on what they know of servers.
+	shared atomic.Pointer[time.Time]
 }
 
 // NewBoard returns a Board with an empty Snapshot.
@@ -38,6 +44,7 @@
 	b.current.Store(&Snapshot{})
 	b.confirmed.Store(&time.Time{})
 	b.listed.Store(&time.Time{})
+	b.shared.Store(&time.Time{})
 	return b
 }
 
--- a/forward/inquire.go
+++ b/forward/inquire.go
@@ -64,6 +64,7 @@
 	fields := decision.Fields{"server": server.ID(), "address": server.Addr(), "why": why}
 	if err != nil {
 		server.Suspect(now.Add(suspectTime))
+		server.NoteSilent(now)
 		if errors.Is(err, backend.ErrNotThere) {
 			server.End()
 		}
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"junctioncross/backend"
@@ -15,6 +16,9 @@
 	// them may at least: each question has its price.
 	probesPerSecond = 40.0
 	leastProbes     = 2.0
+	// sharedProbes is what each instance may ask in a second while all pass on what they are told: 59 instances of a domain ask each of
+	// its 43 servers every 0.8 s, with half of the questions that each needed for itself.
+	sharedProbes = 1.0
 	// mostProbes bounds the questions of one round.
 	mostProbes = 4.0
 	// freshWord is how old a server's word on its memory may be before it is asked again.
@@ -32,7 +36,8 @@
 }
 
 func startProber(ctx context.Context, h *Handler) {
-	p := &prober{handler: h}
+	// Those that start together would all ask in the same moment, and learn from each other only what they have just asked themselves.
+	p := &prober{handler: h, allowed: rand.Float64()}
 	ticks := h.clock.Subscribe(probePeriod)
 	go func() {
 		defer ticks.Stop()
@@ -51,6 +56,9 @@
 func (p *prober) round() {
 	h := p.handler
 	rate := max(probesPerSecond/float64(h.census.Instances()), leastProbes)
+	if h.board.Shared(h.clock.Now()) {
+		rate = sharedProbes
+	}
 	p.allowed = min(p.allowed+rate*probePeriod.Seconds(), mostProbes)
 	if h.watch.count() == 0 {
 		return
@@ -62,12 +70,20 @@
 	}
 }
 
-// probe asks the servers that bound the lanes of a service, those first that told longest ago.
+// probe asks the servers that bound the lanes of a service, those first that told longest ago. While instances pass on what they are
+// told, they ask all servers of their domain, drawn by the age of the last word, so that a slow one is known before it holds up a stream.
 func (p *prober) probe(group *backend.Group) {
 	h, now := p.handler, p.handler.clock.Now()
-	lanes := h.lanesOf(group, now)
+	domain, shared := h.terms.Load().Domain, h.board.Shared(now)
+	due := narrowest(group, h.lanesOf(group, now), domain)
+	if shared {
+		due.addDomain(domain)
+	}
 	for ; p.allowed >= 1; p.allowed-- {
-		server := p.stalest(group, lanes, now)
+		server := due.oldest(now)
+		if shared {
+			server = due.drawn(now, rand.Float64())
+		}
 		if server == nil {
 			return
 		}
@@ -75,22 +91,69 @@
 	}
 }
 
-// stalest returns the server that should be asked first, or nil when all have told lately.
-func (p *prober) stalest(group *backend.Group, lanes []chain.Lane, now time.Time) *backend.Server {
-	var out *backend.Server
-	var oldest time.Duration
+// urgencies tell how many times sooner each server of a group should be asked than others; zero means that it should not.
+type urgencies struct {
+	servers []*backend.Server
+	weights []float64
+}
+
+// narrowest returns the servers that bound lanes.
+func narrowest(group *backend.Group, lanes []chain.Lane, domain string) urgencies {
+	u := urgencies{servers: group.Servers(), weights: make([]float64, len(group.Servers()))}
 	for i := range lanes {
-		server := group.Servers()[chain.Narrowest(group.Graph(), lanes[i].Hops)]
-		age := min(server.MemoryAge(now), wordAge)
-		if age < freshWord || !server.Askable(now) {
-			continue
+		n := chain.Narrowest(group.Graph(), lanes[i].Hops)
+		u.weights[n] = max(u.weights[n], 1)
+		if lanes[i].Domain == domain {
+			u.weights[n] = ownDomain
 		}
-		if lanes[i].Domain == p.handler.terms.Load().Domain {
-			age *= ownDomain
+	}
+	return u
+}
+
+// addDomain adds all servers of a domain; those that bound its lanes stay more urgent.
+func (u urgencies) addDomain(domain string) {
+	for i, s := range u.servers {
+		if s.Domain() == domain {
+			u.weights[i] = max(u.weights[i], 1)
 		}
-		if age > oldest {
-			out, oldest = server, age
+	}
+}
+
+// urgency returns how urgent it is to ask the i-th server, zero when it told lately or cannot be asked.
+func (u urgencies) urgency(i int, now time.Time) float64 {
+	s := u.servers[i]
+	age := min(s.WordAge(now), wordAge)
+	if u.weights[i] == 0 || age < freshWord || s.Leaving() || s.Ended() || !s.Askable(now) {
+		return 0
+	}
+	return age.Seconds() * u.weights[i]
+}
+
+// oldest returns the server that should be asked first, or nil when all have told lately.
+func (u urgencies) oldest(now time.Time) *backend.Server {
+	var out *backend.Server
+	most := 0.0
+	for i, s := range u.servers {
+		if urgency := u.urgency(i, now); urgency > most {
+			out, most = s, urgency
 		}
 	}
 	return out
 }
+
+// drawn returns a server by chance, since all instances know the same ages and would ask the same one; random is uniform in [0, 1).
+func (u urgencies) drawn(now time.Time, random float64) *backend.Server {
+	all := 0.0
+	for i := range u.servers {
+		all += u.urgency(i, now)
+	}
+	left := random * all
+	for i, s := range u.servers {
+		urgency := u.urgency(i, now)
+		if urgency > 0 && left < urgency {
+			return s
+		}
+		left -= urgency
+	}
+	return nil
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -101,6 +101,17 @@
 		l.known = h.known
 	}
 	l.direct = direct
+	l.wakeLocked()
+}
+
+// wake lets those that wait look again.
+func (l *feedLog) wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wakeLocked()
+}
+
+func (l *feedLog) wakeLocked() {
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -110,8 +121,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.direct = false
-	close(l.changed)
-	l.changed = make(chan struct{})
+	l.wakeLocked()
 }
 
 // news returns what is closed at the next news.
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"junctioncross/backend"
 	"junctioncross/follow"
 	"junctioncross/keys"
 	"junctioncross/link"
@@ -35,6 +36,10 @@
 	After follow.Position `cbor:"2,keyasint"`
 	// Whole asks for everything that the feed holds.
 	Whole bool `cbor:"3,keyasint,omitempty"`
+	// Words is what servers told the asker.
+	Words []backend.Word `cbor:"4,keyasint,omitempty"`
+	// Mark is the Mark of the last answer.
+	Mark time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // told answers a poll.
@@ -45,6 +50,10 @@
 	Known time.Duration `cbor:"3,keyasint"`
 	// Behind is true when the relay's history does not reach back to the position.
 	Behind bool `cbor:"4,keyasint,omitempty"`
+	// Words is what the relay knows of servers and learned after the asker's Mark.
+	Words []backend.Word `cbor:"5,keyasint,omitempty"`
+	// Mark is how far the words reach, as time since the relay's start.
+	Mark time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Register adds the relay's call to those that the instance answers.
@@ -63,7 +72,8 @@
 	if p.Whole {
 		return s.serveWhole(ctx, p.Feed, arrived)
 	}
-	wait := s.clock.After(peerWait)
+	s.overhear(p.Words)
+	wait := s.clock.After(holdTime(p.Feed))
 	for {
 		v := s.logs[p.Feed].since(p.After)
 		switch {
@@ -71,19 +81,36 @@
 			return told{}, errNotDirect
 		case !v.whole:
 			return told{Behind: true}, nil
-		case len(v.records) > 0:
-			return answerOf(v, arrived), nil
+		case len(v.records) > 0 || p.Feed == follow.FeedServers && s.turnedWorse(p.Mark):
+			return s.answer(p, v, arrived), nil
 		}
 		select {
 		case <-v.changed:
 		case <-wait:
-			return answerOf(s.logs[p.Feed].since(p.After), arrived), nil
+			return s.answer(p, s.logs[p.Feed].since(p.After), arrived), nil
 		case <-ctx.Done():
 			return told{}, ctx.Err()
 		}
 	}
 }
 
+// holdTime returns the longest that a question is held.
+func holdTime(feed follow.Feed) time.Duration {
+	if feed == follow.FeedServers {
+		return wordsWait
+	}
+	return peerWait
+}
+
+// answer returns the answer to a question for news.
+func (s *Source) answer(p poll, v view, arrived time.Time) told {
+	t := answerOf(v, arrived)
+	if p.Feed == follow.FeedServers {
+		t.Words, t.Mark = s.pass(p.Mark)
+	}
+	return t
+}
+
 // serveWhole answers with all that the feed holds, which an instance that starts may have to read first.
 func (s *Source) serveWhole(ctx context.Context, feed follow.Feed, arrived time.Time) (told, error) {
 	wait := s.clock.After(startWait)
@@ -133,6 +160,7 @@
 	ctx, cancel := s.clock.WithTimeout(ctx, peerWait+peerAnswer)
 	defer cancel()
 	asked := s.clock.Now()
+	s.attach(&p, addr, asked)
 	t, err := link.Call[poll, told](ctx, s.links, addr, link.KindFollow, p)
 	if err != nil {
 		return heard{}, errors.Wrap(follow.ErrUnavailable, err.Error())
@@ -140,6 +168,7 @@
 	if t.Behind {
 		return heard{}, errors.Wrap(follow.ErrUnavailable, errBehind.Error())
 	}
+	s.learn(p, t, addr, asked)
 	// The poll arrived after it was sent, so that the relay's word is counted a little too old rather than too new.
 	return heard{records: t.Records, at: t.At, known: asked.Add(t.Known)}, nil
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -94,6 +94,13 @@
 
 // runIn starts instances over real links; in returns the domain of each.
 func runIn(t *testing.T, n int, in func(i int) string, over func(caller string) relay.Store) []*instance {
+	return runWith(t, n, in, over, func(string) relay.Words { return follow.NewBoard() })
+}
+
+// runWith starts instances over real links; words returns what an instance holds of the state of servers.
+func runWith(
+	t *testing.T, n int, in func(i int) string, over func(caller string) relay.Store, words func(caller string) relay.Words,
+) []*instance {
 	key, err := keys.NewFleetKey(time.Now())
 	require.NoError(t, err)
 	trust := keys.NewFleetKeyFrom(func() []byte { return key })
@@ -112,7 +119,7 @@
 		clock, stats := timer.NewReal(), metrics.New()
 		links := link.NewClient(trust, stats)
 		self := relay.Self{Name: m.Name, Domain: m.Domain, From: 2}
-		one := &instance{Source: relay.New(self, over(m.Name), f, links, clock, stats, log)}
+		one := &instance{Source: relay.New(self, over(m.Name), f, words(m.Name), links, clock, stats, log)}
 		mux := link.NewMux()
 		one.Register(mux)
 		server, err := link.Listen(m.Addr, trust, mux, stats, log)
--- a/relay/source.go
+++ b/relay/source.go
@@ -56,8 +56,15 @@
 	// stopped is true once the instance serves other instances no more.
 	stopped atomic.Bool
 	epoch   *epoch
+	words   Words
+	begun   time.Time
+	// worse is when a server last turned bad by the word of another instance, in nanoseconds since begun.
+	worse atomic.Int64
 
 	mu sync.Mutex
+	// sent is up to when the own words were passed on, and marks how far others have passed on theirs, by address.
+	sent  time.Time
+	marks map[string]time.Duration
 	// left says until when ways that failed are left alone, by address.
 	left map[string]rest
 	// using holds the way that each feed uses, and since when.
@@ -67,10 +74,10 @@
 
 // New returns a Source.
 func New(
-	self Self, store Store, fleet Fleet, links *link.Client, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
+	self Self, store Store, fleet Fleet, words Words, links *link.Client, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
 ) *Source {
 	return &Source{
-		self: self, store: store, fleet: fleet, links: links, clock: clock, stats: stats, log: log,
+		self: self, store: store, fleet: fleet, words: words, begun: clock.Now(), marks: map[string]time.Duration{}, links: links, clock: clock, stats: stats, log: log,
 		logs: [feeds]*feedLog{newFeedLog(), newFeedLog()}, epoch: newEpoch(), left: map[string]rest{},
 	}
 }
