relay: spare the store while relays say that they do not hear it

With all four relays unreachable, as on machines that cannot reach each other, the store was asked after 4.8 s only. Now a follower of which three relays or more refuse asks the store once in 12 s, at a moment of its own; relay and stand-in ask as before. Relays that are asked after a failure answer at once and get 0.4 s for it, so that the store is asked after 2.4 s at most.

--- a/relay/poll.go
+++ b/relay/poll.go
@@ -40,6 +40,8 @@
 	Words []backend.Word `cbor:"4,keyasint,omitempty"`
 	// Mark is the Mark of the last answer.
 	Mark time.Duration `cbor:"5,keyasint,omitempty"`
+	// Hurry asks for what there is, without a wait for news.
+	Hurry bool `cbor:"6,keyasint,omitempty"`
 }
 
 // told answers a poll.
@@ -81,7 +83,7 @@
 			return told{}, errNotDirect
 		case !v.whole:
 			return told{Behind: true}, nil
-		case len(v.records) > 0 || p.Feed == follow.FeedServers && s.turnedWorse(p.Mark):
+		case p.Hurry || len(v.records) > 0 || p.Feed == follow.FeedServers && s.turnedWorse(p.Mark):
 			return s.answer(p, v, arrived), nil
 		}
 		select {
@@ -157,12 +159,19 @@
 // ask polls the relay at addr.
 func (s *Source) ask(ctx context.Context, addr string, p poll) (heard, error) {
 	s.stats.Counter("relay_polls_total").Inc(1)
-	ctx, cancel := s.clock.WithTimeout(ctx, peerWait+peerAnswer)
+	limit := peerWait + peerAnswer
+	if p.Hurry {
+		limit = peerAnswer
+	}
+	ctx, cancel := s.clock.WithTimeout(ctx, limit)
 	defer cancel()
 	asked := s.clock.Now()
 	s.attach(&p, addr, asked)
 	t, err := link.Call[poll, told](ctx, s.links, addr, link.KindFollow, p)
-	if err != nil {
+	switch {
+	case errors.Is(err, link.ErrRefused):
+		return heard{}, refusal{cause: err}
+	case err != nil:
 		return heard{}, errors.Wrap(follow.ErrUnavailable, err.Error())
 	}
 	if t.Behind {
--- a/relay/source.go
+++ b/relay/source.go
@@ -65,6 +65,8 @@
 	// sent is up to when the own words were passed on, and marks how far others have passed on theirs, by address.
 	sent  time.Time
 	marks map[string]time.Duration
+	// sparing decides about the store while relays refuse.
+	sparing sparing
 	// left says until when ways that failed are left alone, by address.
 	left map[string]rest
 	// using holds the way that each feed uses, and since when.
@@ -143,6 +145,9 @@
 		return follow.News{}, errors.Wrap(follow.ErrUnavailable, "everything failed a moment ago")
 	}
 	for i, w := range ways {
+		if w.direct() && s.spareStore() {
+			continue
+		}
 		// After a failure the news are late already, so that the next place is asked for what there is and not to wait.
 		h, err := s.from(ctx, w, feed, after, i > 0)
 		switch {
@@ -156,12 +161,15 @@
 		s.note(feed, w, err)
 		last = err
 	}
+	if last == nil {
+		last = errors.Wrap(follow.ErrUnavailable, "no relay hears the store")
+	}
 	return follow.News{}, last
 }
 
 func (s *Source) from(ctx context.Context, w way, feed follow.Feed, after follow.Position, hurry bool) (heard, error) {
 	if !w.direct() {
-		return s.ask(ctx, w.addr, poll{Feed: feed, After: after})
+		return s.ask(ctx, w.addr, poll{Feed: feed, After: after, Hurry: hurry})
 	}
 	h, err := s.watch(ctx, feed, after, hurry)
 	if err != nil && ctx.Err() == nil && !errors.Is(err, follow.ErrHistoryGone) {
--- a/relay/ways.go
+++ b/relay/ways.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"junctioncross/follow"
@@ -23,6 +24,8 @@
 type rest struct {
 	until    time.Time
 	failures int
+	// refused is true when the last question was refused by a relay that is there.
+	refused bool
 }
 
 // ways returns where to ask, or nil while the instances are not counted.
@@ -68,7 +71,7 @@
 
 // failed leaves a way alone for a while and reports whether it is the first failure in a row. Calls that fail together count
 // once.
-func (s *Source) failed(w way) bool {
+func (s *Source) failed(w way, refused bool) bool {
 	now, relay := s.clock.Now(), s.relay()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -80,7 +83,7 @@
 	if w.direct() && !relay {
 		pause = storeLeft
 	}
-	s.left[w.addr] = rest{until: now.Add(pause), failures: r.failures + 1}
+	s.left[w.addr] = rest{until: now.Add(pause), failures: r.failures + 1, refused: refused}
 	return r.failures == 0
 }
 
@@ -88,7 +91,7 @@
 func (s *Source) note(feed follow.Feed, w way, err error) {
 	if err != nil {
 		s.stats.Counter("feed_ways_failed_total").Inc(1)
-		if !s.failed(w) {
+		if !s.failed(w, errors.As(err, &refusal{})) {
 			return
 		}
 		s.log.WithFields(logrus.Fields{"feed": feed.String(), "from": w.String()}).WithError(err).Warn("feed not heard")
@@ -96,6 +99,7 @@
 	}
 	s.mu.Lock()
 	delete(s.left, w.addr)
+	s.sparing.served()
 	changed := s.using[feed] != w || s.since[feed].IsZero()
 	if changed {
 		s.using[feed], s.since[feed] = w, s.clock.Now()
