--- a/relay/poll.go
+++ b/relay/poll.go
@@ -167,7 +167,7 @@
 	defer cancel()
 	asked := s.clock.Now()
 	s.attach(&p, addr, asked)
-	t, err := link.Call[poll, told](ctx, s.links, addr, link.KindFollow, p)
+	t, err := s.peers.poll(ctx, addr, p)
 	switch {
 	case errors.Is(err, link.ErrRefused):
 		return heard{}, refusal{cause: err}
--- a/relay/source.go
+++ b/relay/source.go
@@ -48,7 +48,7 @@
 	self  Self
 	store Store
 	fleet Fleet
-	links *link.Client
+	peers peers
 	clock *timer.Service
 	stats *metrics.Registry
 	log   *logrus.Logger
@@ -79,7 +79,7 @@
 	self Self, store Store, fleet Fleet, words Words, links *link.Client, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
 ) *Source {
 	return &Source{
-		self: self, store: store, fleet: fleet, words: words, begun: clock.Now(), marks: map[string]time.Duration{}, links: links, clock: clock, stats: stats, log: log,
+		self: self, store: store, fleet: fleet, words: words, begun: clock.Now(), marks: map[string]time.Duration{}, peers: linked{client: links}, clock: clock, stats: stats, log: log,
 		logs: [feeds]*feedLog{newFeedLog(), newFeedLog()}, epoch: newEpoch(), left: map[string]rest{},
 	}
 }
--- a/relay/start.go
+++ b/relay/start.go
@@ -103,5 +103,5 @@
 func (s *Source) reachWithin(ctx context.Context, addr string, limit time.Duration) error {
 	ctx, cancel := s.clock.WithTimeout(ctx, limit)
 	defer cancel()
-	return s.links.Reach(ctx, addr)
+	return s.peers.reach(ctx, addr)
 }
