relay: confirm the configuration in time after news

Cause: an answer with news tells what was so when the question was asked, up to 1.2 s before. The next question waited for another 1.2 s, so that what a relay knew grew older than the 1.8 s for which it serves others: for up to 0.6 s after news it refused its domain, the stand-in and the other relays did the same, and followers asked the store. Ruled out: a longer freshTime, which would let keys that were taken away be accepted for longer. The question that follows news waits the shorter for them. Relays make one more call for each configuration at most.

--- /dev/null
+++ b/relay/calm_test.go
@@ -0,0 +1,31 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestNewsDoNotMakeRelaysRefuse accepts a configuration at each part of a relay's wait for news on a day without faults: nobody but the
+// relays asks the store once all have started.
+func TestNewsDoNotMakeRelaysRefuse(t *testing.T) {
+	members := instances(3, 24)
+	d := day{length: 30 * time.Second}
+	for at := settled; at < d.length; at += 1370 * time.Millisecond {
+		d.accepted = append(d.accepted, at)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(members, d)
+		p.turn()
+		time.Sleep(settled - time.Millisecond)
+		p.forget()
+		require.Empty(t, p.run())
+		for i, s := range members {
+			if ways := waysOf(s.Name, s.Domain, members); !ways[0].direct() {
+				require.Zero(t, p.calls[i], s.Name)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/relay/platform_test.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/catalog"
+	"junctioncross/follow"
+	"junctioncross/link"
+)
+
+// storeOf is the store as one instance sees it; it implements Store.
+type storeOf struct {
+	p *play
+	i int
+}
+
+// ask notes a call and lets it take its time.
+func (s storeOf) ask(ctx context.Context) error {
+	s.p.mu.Lock()
+	s.p.calls[s.i]++
+	s.p.mu.Unlock()
+	switch s.p.access(s.i, s.p.now()) {
+	case served:
+		time.Sleep(storeAnswer)
+	case slow:
+		time.Sleep(slowAnswer)
+	case refused:
+		time.Sleep(storeAnswer)
+		return follow.ErrUnavailable
+	case silent:
+		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
+		return errors.Wrap(follow.ErrUnavailable, ctx.Err().Error())
+	}
+	return nil
+}
+
+// ReadFeed implements Store.
+func (s storeOf) ReadFeed(ctx context.Context, feed follow.Feed) ([]Record, follow.Position, error) {
+	if err := s.ask(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.p.mu.Lock()
+	defer s.p.mu.Unlock()
+	at := follow.Position(s.p.version)
+	if feed == follow.FeedServers {
+		return nil, at, nil
+	}
+	return []Record{{Key: "configuration", Revision: at}}, at, nil
+}
+
+// WatchFeed implements Store.
+func (s storeOf) WatchFeed(ctx context.Context, feed follow.Feed, after follow.Position, wait time.Duration) ([]Record, follow.Position, error) {
+	if err := s.ask(ctx); err != nil {
+		return nil, 0, err
+	}
+	end := time.After(wait)
+	for {
+		s.p.mu.Lock()
+		version, floor, changed := s.p.version, s.p.floor, s.p.changed
+		s.p.mu.Unlock()
+		switch a := s.p.access(s.i, s.p.now()); {
+		case a == refused:
+			return nil, 0, follow.ErrUnavailable
+		case a == silent:
+			<-ctx.Done()
+			return nil, 0, follow.ErrUnavailable
+		case int64(after) < floor:
+			return nil, 0, follow.ErrHistoryGone
+		case feed == follow.FeedConfig && int64(after) < version:
+			return []Record{{Key: "configuration", Revision: follow.Position(version)}}, follow.Position(version), nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, after, nil
+		case <-ctx.Done():
+			return nil, 0, follow.ErrUnavailable
+		}
+	}
+}
+
+// Decode implements Store.
+func (s storeOf) Decode(records []Record) []follow.Change {
+	var out []follow.Change
+	for _, r := range records {
+		c, err := catalog.New(&catalog.Content{Version: int64(r.Revision), Services: []catalog.Service{{Name: "s"}}})
+		if err != nil {
+			panic(err)
+		}
+		out = append(out, follow.Configured{Catalog: c})
+	}
+	return out
+}
+
+// peersOf are the other instances as one sees them; it implements peers.
+type peersOf struct {
+	p *play
+	i int
+}
+
+func (o peersOf) poll(ctx context.Context, addr string, q poll) (told, error) {
+	if err := o.reach(ctx, addr); err != nil {
+		return told{}, err
+	}
+	j := o.p.index[addr]
+	o.p.mu.Lock()
+	s := o.p.sources[j]
+	o.p.mu.Unlock()
+	if s == nil {
+		return told{}, link.ErrLost
+	}
+	t, err := s.serve(ctx, q)
+	if o.p.apart(o.i, j, o.p.now()) {
+		<-ctx.Done()
+	}
+	switch {
+	case ctx.Err() != nil:
+		return told{}, errors.Wrap(link.ErrLost, ctx.Err().Error())
+	case err != nil:
+		return told{}, errors.Wrap(link.ErrRefused, err.Error())
+	}
+	return t, nil
+}
+
+func (o peersOf) reach(ctx context.Context, addr string) error {
+	j, now := o.p.index[addr], o.p.now()
+	if o.p.apart(o.i, j, now) || o.p.killed(j, now) {
+		<-ctx.Done()
+		return errors.Wrap(link.ErrUnreachable, ctx.Err().Error())
+	}
+	time.Sleep(linkAnswer)
+	return nil
+}
--- /dev/null
+++ b/relay/play_test.go
@@ -0,0 +1,211 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"junctioncross/census"
+	"junctioncross/follow"
+	"junctioncross/metrics"
+	"junctioncross/timer"
+)
+
+const (
+	// promise is how long after its acceptance a configuration may be missing at an instance that can hear of it.
+	promise = 3 * time.Second
+	// settled is how long an instance must have run to be held to the promise.
+	settled = 6 * time.Second
+	// storeAnswer and linkAnswer are how long the store and another instance take on a calm day, slowAnswer the store on a bad one.
+	storeAnswer = 4 * time.Millisecond
+	linkAnswer  = time.Millisecond
+	slowAnswer  = 200 * time.Millisecond
+)
+
+// play is a day with its instances and its store.
+type play struct {
+	day
+	begun   time.Time
+	members []census.Instance
+	index   map[string]int
+	log     *logrus.Logger
+
+	mu      sync.Mutex
+	sources []*Source
+	boards  []*follow.Board
+	stops   []func()
+	// version is the newest configuration; revisions equal versions.
+	version int64
+	// floor is the version after which the store's history is whole.
+	floor   int64
+	changed chan struct{}
+	calls   []int
+}
+
+func newPlay(members []census.Instance, d day) *play {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	log.SetLevel(logrus.PanicLevel)
+	n := len(members)
+	p := &play{
+		day: d, begun: time.Now(), members: members, index: map[string]int{}, log: log, version: 1, changed: make(chan struct{}),
+		sources: make([]*Source, n), boards: make([]*follow.Board, n), stops: make([]func(), n), calls: make([]int, n),
+	}
+	for i, m := range members {
+		p.index[m.Addr] = i
+	}
+	return p
+}
+
+func (p *play) now() time.Duration { return time.Since(p.begun) }
+
+// start runs an instance with what is real of it but its connections.
+func (p *play) start(i int) {
+	m := p.members[i]
+	board, clock := follow.NewBoard(), timer.NewReal()
+	s := New(Self{Name: m.Name, Domain: m.Domain, From: 24}, storeOf{p, i}, known(p.members), board, nil, clock, metrics.New(), p.log)
+	s.peers = peersOf{p, i}
+	ctx, stop := context.WithCancel(context.Background())
+	p.mu.Lock()
+	p.sources[i], p.boards[i], p.stops[i] = s, board, stop
+	p.mu.Unlock()
+	follow.New(ctx, s, board, clock, metrics.New(), p.log)
+}
+
+func (p *play) stop(i int) {
+	p.stops[i]()
+	p.mu.Lock()
+	p.sources[i], p.boards[i], p.stops[i] = nil, nil, nil
+	p.mu.Unlock()
+}
+
+// turn brings the instances, the store's state and those that wait for it to what the day says of this moment.
+func (p *play) turn() {
+	now := p.now()
+	for i := range p.members {
+		switch dead := p.killed(i, now); {
+		case dead && p.stops[i] != nil:
+			p.stop(i)
+		case !dead && p.stops[i] == nil:
+			p.start(i)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version = 1
+	for _, at := range p.accepted {
+		if at <= now {
+			p.version++
+		}
+	}
+	for _, at := range p.forgotten {
+		if at == now {
+			p.floor = p.version
+		}
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// run plays the day and returns what broke the promise.
+func (p *play) run() []string {
+	p.turn()
+	var broken []string
+	at := p.bounds()
+	for _, accepted := range p.accepted {
+		at = append(at, accepted+promise)
+	}
+	sort.Slice(at, func(i, j int) bool { return at[i] < at[j] })
+	for _, next := range at {
+		if next <= p.now() {
+			continue
+		}
+		time.Sleep(next - p.now())
+		p.turn()
+		synctest.Wait()
+		broken = append(broken, p.check()...)
+	}
+	for i := range p.members {
+		if p.stops[i] != nil {
+			p.stop(i)
+		}
+	}
+	// What was asked last ends within its own bounds.
+	time.Sleep(settled)
+	return broken
+}
+
+// forget lets the calls of the store be counted anew.
+func (p *play) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.calls)
+}
+
+// check returns which instances lack a configuration whose time is over.
+func (p *play) check() []string {
+	now := p.now()
+	var out []string
+	for n, accepted := range p.accepted {
+		if now != accepted+promise {
+			continue
+		}
+		for i := range p.members {
+			if !p.owes(i, accepted) {
+				continue
+			}
+			if has := p.has(i); has < int64(n+2) {
+				out = append(out, fmt.Sprintf("%s has %d, not %d, %s after it was accepted at %s", p.members[i].Name, has, n+2, promise, accepted))
+			}
+		}
+	}
+	return out
+}
+
+func (p *play) has(i int) int64 {
+	if c := p.boards[i].Current().Catalog(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
+
+// owes reports whether an instance could hear of a configuration all the time: from the store, or from the relay of its domain.
+func (p *play) owes(i int, accepted time.Duration) bool {
+	until := accepted + promise
+	if !p.during(accepted-settled, until, func(now time.Duration) bool { return !p.killed(i, now) }) {
+		return false
+	}
+	if p.during(accepted, until, func(now time.Duration) bool { return p.access(i, now) < refused }) {
+		return true
+	}
+	for j, m := range p.members {
+		if m.Domain != p.members[i].Domain || !p.sources[i].first(m.Addr) {
+			continue
+		}
+		return p.during(accepted-settled, until, func(now time.Duration) bool {
+			return !p.killed(j, now) && p.access(j, now) < refused && !p.apart(i, j, now)
+		})
+	}
+	return false
+}
+
+// first reports whether an instance asks the one at addr before all others.
+func (s *Source) first(addr string) bool { return s.ways()[0].addr == addr }
+
+// instances returns the instances of some domains.
+func instances(domains, each int) []census.Instance {
+	var out []census.Instance
+	for d := range domains {
+		for i := range each {
+			name := fmt.Sprintf("d%d-%d", d, i)
+			out = append(out, census.Instance{Name: name, Domain: fmt.Sprint("d", d), Addr: name})
+		}
+	}
+	return out
+}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -27,7 +27,7 @@
 // watch asks the store; the call ends early when another call finds that the store does not answer.
 func (s *Source) watch(ctx context.Context, feed follow.Feed, after follow.Position, hurry bool) (heard, error) {
 	epoch, doubt := s.epoch.current()
-	wait := waitOf(feed, doubt, hurry)
+	wait := s.waitOf(feed, doubt, hurry)
 	limit := wait + answerTime
 	if doubt && feed == follow.FeedConfig {
 		limit = doubtAnswer
@@ -49,7 +49,10 @@
 	return heard{records: records, at: max(at, after), known: known}, nil
 }
 
-func waitOf(feed follow.Feed, doubt, hurry bool) time.Duration {
+// waitOf returns how long a watch waits for news. News tell what was so when they were asked for: a watch on the configuration that follows
+// them is short enough to confirm what is known within freshTime, or the relay would refuse its domain for up to 0.6 s after each of
+// them.
+func (s *Source) waitOf(feed follow.Feed, doubt, hurry bool) time.Duration {
 	switch {
 	case hurry, doubt && feed == follow.FeedConfig:
 		return hurriedWait
@@ -58,7 +61,8 @@
 	case feed == follow.FeedServers:
 		return serversWait
 	default:
-		return configWait
+		_, known := s.logs[follow.FeedConfig].reached()
+		return max(configWait-s.clock.Since(known), hurriedWait)
 	}
 }
 
