relay: pass over places that failed at the pace of those that answer

Cause: after a place had failed the next was asked for what there is, without a wait. Ruled out: a pause for the store at the relay, which keeps its return from the whole domain. The test bounds the calls of each instance.

--- a/relay/outage_test.go
+++ b/relay/outage_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -86,7 +87,7 @@
 
 // TestConfigurationsAreInForceInTimeInOutages plays days on which the store turns all or some instances away, is slow, silent or without
 // its history, instances are killed and domains are cut. Each instance that the store serves, or whose relay it serves, has each accepted
-// configuration in force in time.
+// configuration in force in time, and none asks the store without a pause.
 func TestConfigurationsAreInForceInTimeInOutages(t *testing.T) {
 	for seed := range seeds(t, 50) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -111,6 +112,9 @@
 	if len(broken) > 0 {
 		t.Errorf("%d times, first %s; %s", len(broken), broken[0], p.tell())
 	}
+	if most := slices.Max(p.calls); most > mostCalls {
+		t.Errorf("%d calls of one instance; %s", most, p.tell())
+	}
 }
 
 // tell returns the faults of a day in a line.
--- a/relay/play_test.go
+++ b/relay/play_test.go
@@ -26,6 +26,8 @@
 	storeAnswer = 4 * time.Millisecond
 	linkAnswer  = time.Millisecond
 	slowAnswer  = 200 * time.Millisecond
+	// mostCalls is the most that an instance may ask the store in a day: four times a second.
+	mostCalls = 120
 )
 
 // play is a day with its instances and its store.
--- a/relay/source.go
+++ b/relay/source.go
@@ -24,6 +24,9 @@
 	settledTime = 3 * time.Second
 )
 
+// lateTime is how long after its last answer a feed counts as late: longer than a relay holds a question.
+const lateTime = peerWait + 100*time.Millisecond
+
 // feeds is the number of feeds that are followed: configuration and servers.
 const feeds = 2
 
@@ -72,6 +75,8 @@
 	// using holds the way that each feed uses, and since when.
 	using [feeds]way
 	since [feeds]time.Time
+	// answered is when each feed was last answered.
+	answered [feeds]time.Time
 }
 
 // New returns a Source.
@@ -148,9 +153,8 @@
 		if w.direct() && !s.asksStore(feed) {
 			continue
 		}
-		// After a failure the news are late already, so that the next place is asked for what there is and not to wait.
 		asked := s.clock.Now()
-		h, err := s.from(ctx, w, feed, after, i > 0)
+		h, err := s.from(ctx, w, feed, after, i > 0 && s.late(feed))
 		switch {
 		case err == nil:
 			s.note(feed, w, asked, nil)
@@ -168,6 +172,15 @@
 	return follow.News{}, last
 }
 
+// late reports whether a feed has brought nothing for so long that the next place is asked for what there is, and not to wait. While it is
+// not, places that have failed are passed over at the pace of those that answer: a relay that the store turned away asked it 400 times a
+// second otherwise.
+func (s *Source) late(feed follow.Feed) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clock.Since(s.answered[feed]) > lateTime
+}
+
 func (s *Source) from(ctx context.Context, w way, feed follow.Feed, after follow.Position, hurry bool) (heard, error) {
 	if !w.direct() {
 		return s.ask(ctx, w.addr, poll{Feed: feed, After: after, Hurry: hurry})
--- a/relay/ways.go
+++ b/relay/ways.go
@@ -94,6 +94,7 @@
 	s.mu.Lock()
 	now := s.clock.Now()
 	delete(s.left, w.addr)
+	s.answered[feed] = now
 	if w.direct() {
 		s.sparing.storeAnswered(now)
 	} else {
