config, relay: take the promise for configurations from the settings

Cause: the pause between two questions to a store that is spared followed from 3 s, the promise of most fleets; the largest one has 4 s, and a fleet of 24 instances with 2 s would be promised what relays cannot keep: one that falls silent says so after 2.6 s. relays.apply_time is how long a configuration may take; the pause is that less 2 s, and below 3 s no relays are used.

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -163,7 +163,7 @@
 }
 
 func relaySelf(set *config.Hosted) relay.Self {
-	return relay.Self{Name: set.Instance.Name, Domain: set.Instance.Domain, From: set.Relays.From}
+	return relay.Self{Name: set.Instance.Name, Domain: set.Instance.Domain, From: set.Relays.From, ApplyTime: set.Relays.ApplyTime}
 }
 
 func newRolls(
--- a/config/hosted.go
+++ b/config/hosted.go
@@ -88,6 +88,8 @@
 type HostedRelays struct {
 	// From is the number of instances from which relays are used; with fewer, each watches the store itself.
 	From int `yaml:"from" validate:"min=2"`
+	// ApplyTime is how long after its acceptance a configuration may not be in force yet; below 3s no relays are used.
+	ApplyTime time.Duration `yaml:"apply_time" validate:"min=1s,max=1m"`
 }
 
 // DefaultHosted returns the settings that hold where the file is silent.
@@ -100,7 +102,7 @@
 		Repeats:  HostedRepeats{Window: 10 * time.Second, Share: 0.2, Slack: 100},
 		Stop:     HostedStop{Grace: 10 * time.Second},
 		Engines:  HostedEngines{StallTime: 2 * time.Second, DrainTime: 2 * time.Second},
-		Relays:   HostedRelays{From: 24},
+		Relays:   HostedRelays{From: 24, ApplyTime: 3 * time.Second},
 		Log:      defaultLog(),
 	}
 }
--- a/relay/again_test.go
+++ b/relay/again_test.go
@@ -45,7 +45,7 @@
 	links := link.NewClient(trust, metrics.New())
 	t.Cleanup(links.Close)
 	s := newStore()
-	self := relay.Self{Name: "self", Domain: "east", From: 2}
+	self := relay.Self{Name: "self", Domain: "east", From: 2, ApplyTime: 3 * time.Second}
 	clock := timer.New(clockwork.NewFakeClock())
 	one := relay.New(self, turning{view{store: s, caller: "self"}}, f, follow.NewBoard(), links, clock, metrics.New(), log)
 	for n := range 4 {
--- a/relay/calm_test.go
+++ b/relay/calm_test.go
@@ -12,7 +12,7 @@
 // relays asks the store once all have started.
 func TestNewsDoNotMakeRelaysRefuse(t *testing.T) {
 	members := instances(3, 24)
-	d := day{length: 30 * time.Second}
+	d := day{length: 30 * time.Second, promise: promise}
 	for at := settled; at < d.length; at += 1370 * time.Millisecond {
 		d.accepted = append(d.accepted, at)
 	}
--- a/relay/day_test.go
+++ b/relay/day_test.go
@@ -38,6 +38,8 @@
 	// forgotten holds when the store forgets its history.
 	forgotten []time.Duration
 	length    time.Duration
+	// promise is how long a configuration may take.
+	promise time.Duration
 }
 
 // down reports whether the store serves nobody; nothing is accepted then.
--- a/relay/outage_test.go
+++ b/relay/outage_test.go
@@ -16,8 +16,8 @@
 )
 
 // drawDay draws the outages of a day; instances of one domain stand together in the list.
-func drawDay(random *rand.Rand, members []census.Instance) day {
-	d := day{length: 30 * time.Second}
+func drawDay(random *rand.Rand, members []census.Instance, promise time.Duration) day {
+	d := day{length: 30 * time.Second, promise: promise}
 	for range 1 + random.IntN(3) {
 		d.faults = append(d.faults, drawFault(random, members))
 	}
@@ -99,14 +99,14 @@
 
 // playOutages plays the day of a seed; each twentieth has 295 instances in 5 domains, the others 72 in 3.
 func playOutages(t *testing.T, seed uint64) {
-	members := instances(3, 24)
+	members, within := instances(3, 24), promise
 	if seed%20 == 19 {
-		members = instances(5, 59)
+		members, within = instances(5, 59), longPromise
 	}
 	var p *play
 	var broken []string
 	synctest.Test(t, func(*testing.T) {
-		p = newPlay(members, drawDay(rand.New(rand.NewPCG(seed, 1)), members))
+		p = newPlay(members, drawDay(rand.New(rand.NewPCG(seed, 1)), members, within))
 		broken = p.run()
 	})
 	if len(broken) > 0 {
--- a/relay/play_test.go
+++ b/relay/play_test.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// promise is how long after its acceptance a configuration may be missing at an instance that can hear of it.
-	promise = 3 * time.Second
+	// promise is how long after its acceptance a configuration may be missing at an instance that can hear of it, and longPromise the same
+	// for a fleet of hundreds.
+	promise     = 3 * time.Second
+	longPromise = 4 * time.Second
 	// settled is how long an instance must have run to be held to the promise.
 	settled = 6 * time.Second
 	// storeAnswer and linkAnswer are how long the store and another instance take on a calm day, slowAnswer the store on a bad one.
@@ -71,7 +73,7 @@
 func (p *play) start(i int) {
 	m := p.members[i]
 	board, clock := follow.NewBoard(), timer.NewReal()
-	s := New(Self{Name: m.Name, Domain: m.Domain, From: 24}, storeOf{p, i}, known(p.members), board, nil, clock, metrics.New(), p.log)
+	s := New(Self{Name: m.Name, Domain: m.Domain, From: 24, ApplyTime: p.promise}, storeOf{p, i}, known(p.members), board, nil, clock, metrics.New(), p.log)
 	s.peers = peersOf{p, i}
 	ctx, stop := context.WithCancel(context.Background())
 	p.mu.Lock()
@@ -121,7 +123,7 @@
 	var broken []string
 	at := p.bounds()
 	for _, accepted := range p.accepted {
-		at = append(at, accepted+promise)
+		at = append(at, accepted+p.promise)
 	}
 	sort.Slice(at, func(i, j int) bool { return at[i] < at[j] })
 	for _, next := range at {
@@ -155,7 +157,7 @@
 	now := p.now()
 	var out []string
 	for n, accepted := range p.accepted {
-		if now != accepted+promise {
+		if now != accepted+p.promise {
 			continue
 		}
 		for i := range p.members {
@@ -163,7 +165,7 @@
 				continue
 			}
 			if has := p.has(i); has < int64(n+2) {
-				out = append(out, fmt.Sprintf("%s has %d, not %d, %s after it was accepted at %s", p.members[i].Name, has, n+2, promise, accepted))
+				out = append(out, fmt.Sprintf("%s has %d, not %d, %s after it was accepted at %s", p.members[i].Name, has, n+2, p.promise, accepted))
 			}
 		}
 	}
@@ -179,7 +181,7 @@
 
 // owes reports whether an instance could hear of a configuration all the time: from the store, or from the relay of its domain.
 func (p *play) owes(i int, accepted time.Duration) bool {
-	until := accepted + promise
+	until := accepted + p.promise
 	if !p.during(accepted-settled, until, func(now time.Duration) bool { return !p.killed(i, now) }) {
 		return false
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -118,7 +118,7 @@
 	for i, m := range f.members {
 		clock, stats := timer.NewReal(), metrics.New()
 		links := link.NewClient(trust, stats)
-		self := relay.Self{Name: m.Name, Domain: m.Domain, From: 2}
+		self := relay.Self{Name: m.Name, Domain: m.Domain, From: 2, ApplyTime: 3 * time.Second}
 		one := &instance{Source: relay.New(self, over(m.Name), f, words(m.Name), links, clock, stats, log)}
 		mux := link.NewMux()
 		one.Register(mux)
--- a/relay/roll.go
+++ b/relay/roll.go
@@ -68,7 +68,7 @@
 // List implements census.Register.
 func (r *Rolls) List(ctx context.Context) (census.Roll, error) {
 	members := r.fleet.Members()
-	if len(members) < r.self.From || len(r.fleet.Key()) == 0 {
+	if !r.self.relays(len(members)) || len(r.fleet.Key()) == 0 {
 		return r.count(ctx)
 	}
 	for _, w := range waysOf(r.self.Name, r.self.Domain, members) {
--- a/relay/roll_test.go
+++ b/relay/roll_test.go
@@ -84,7 +84,7 @@
 		links := link.NewClient(trust, metrics.New())
 		t.Cleanup(links.Close)
 		own := &records{roll: census.Roll{Members: c.members, Key: key}}
-		self := relay.Self{Name: m.Name, Domain: m.Domain, From: 2}
+		self := relay.Self{Name: m.Name, Domain: m.Domain, From: 2, ApplyTime: 3 * time.Second}
 		rolls := relay.NewRolls(self, own, fleet{members: c.members, key: key}, links, timer.NewReal())
 		mux := link.NewMux()
 		rolls.AddTo(mux)
--- a/relay/source.go
+++ b/relay/source.go
@@ -44,8 +44,16 @@
 	Domain string
 	// From is the number of instances from which relays are used; with fewer, each watches the store itself.
 	From int
+	// ApplyTime is how long after its acceptance a configuration may not be in force yet.
+	ApplyTime time.Duration
 }
 
+// leastApply is the shortest ApplyTime that is kept through relays: one that falls silent says so after 2.6 s.
+const leastApply = 3 * time.Second
+
+// relays reports whether so many instances use relays.
+func (s Self) relays(instances int) bool { return instances >= s.From && s.ApplyTime >= leastApply }
+
 // Source follows the store, by itself or through a relay; it implements follow.Source.
 type Source struct {
 	self  Self
@@ -85,7 +93,7 @@
 ) *Source {
 	return &Source{
 		self: self, store: store, fleet: fleet, words: words, begun: clock.Now(), marks: map[string]time.Duration{}, peers: linked{client: links}, clock: clock, stats: stats, log: log,
-		logs: [feeds]*feedLog{newFeedLog(), newFeedLog()}, epoch: newEpoch(), left: map[string]rest{},
+		logs: [feeds]*feedLog{newFeedLog(), newFeedLog()}, epoch: newEpoch(), left: map[string]rest{}, sparing: sparing{apply: self.ApplyTime},
 	}
 }
 
--- a/relay/sparing.go
+++ b/relay/sparing.go
@@ -11,13 +11,11 @@
 	// sparingRefusals is the number of relays that must say that they do not hear the store for an instance to spare it. Those of two
 	// domains and a stand-in are turned away together by a store that turns a third of the instances away in one case of 27.
 	sparingRefusals = 3
-	// probeTime is the longest pause between two questions to a store that is spared. It may turn the relays away and serve others, who must
-	// have a configuration in force 3 s after it was accepted: the pause, 0.8 s between two rounds of questions, two relays of 0.4 s that
-	// have fallen silent and a slow store of 0.2 s take 2.8 s.
-	probeTime = time.Second
-	// doubtTime is how old an instance's own configuration may be when it first asks a store that relays do not hear: a relay that is
-	// turned away without a word says so after 2.6 s only.
-	doubtTime = 2 * time.Second
+	// roundTime is what a configuration takes to come after the pause between two questions to a store that is spared: 0.8 s between two
+	// rounds of questions, two relays of 0.4 s that have fallen silent, a slow store of 0.2 s, and 0.2 s to spare.
+	roundTime = 2 * time.Second
+	// stallTime is what it takes once the store is asked: a question of 0.7 s to a store that is silent, and the next one.
+	stallTime = time.Second
 	// heardTime is how long the store's last answer shows that it serves this instance: a wait for a configuration, its answer, and a
 	// round of questions to relays.
 	heardTime = freshTime + longestLeft
@@ -39,6 +37,8 @@
 // relays alone, in which the others must find out by themselves. One feed asks for both: 290 instances whose two feeds asked every 3 s made
 // 1,700 calls in an outage of 8 s.
 type sparing struct {
+	// apply is how long after its acceptance a configuration may not be in force yet.
+	apply time.Duration
 	// probe is when the store is asked next; zero while it or a relay serves.
 	probe time.Time
 	// heard is when the store last answered; zero after a failure.
@@ -75,27 +75,31 @@
 	if s.now.Before(p.probe) {
 		return false
 	}
-	p.probe = s.now.Add(probeTime)
+	p.probe = s.now.Add(p.pause())
 	return true
 }
 
+// pause returns the longest time between two questions to a store that is spared. It may turn the relays away and serve others, which must
+// have a configuration in force in time: 1 s where 3 s are promised.
+func (p *sparing) pause() time.Duration { return p.apply - roundTime }
+
 // first returns when the store is asked first: spread over instances that learn of an outage together, but before what is known is too old.
 func (p *sparing) first(s state) time.Time {
-	spread := s.now.Add(time.Duration(s.random * float64(probeTime)))
-	if latest := s.known.Add(doubtTime); latest.Before(spread) {
+	spread := s.now.Add(time.Duration(s.random * float64(p.pause())))
+	if latest := s.known.Add(p.apply - stallTime); latest.Before(spread) {
 		return latest
 	}
 	return spread
 }
 
 // storeAnswered notes that the store has answered this instance.
-func (p *sparing) storeAnswered(now time.Time) { *p = sparing{heard: now} }
+func (p *sparing) storeAnswered(now time.Time) { *p = sparing{apply: p.apply, heard: now} }
 
 // storeFailed notes that it has not, when it was asked at a moment.
 func (p *sparing) storeFailed(asked time.Time) {
 	p.failed, p.heard = true, time.Time{}
 	if p.probe.IsZero() {
-		p.probe = asked.Add(probeTime)
+		p.probe = asked.Add(p.pause())
 	}
 }
 
--- a/relay/sparing_test.go
+++ b/relay/sparing_test.go
@@ -18,7 +18,7 @@
 	fake := clockwork.NewFakeClock()
 	early := 0
 	for _, m := range all {
-		self := Self{Name: m.Name, Domain: m.Domain, From: 2}
+		self := Self{Name: m.Name, Domain: m.Domain, From: 2, ApplyTime: promise}
 		s := New(self, nil, known(all), nil, nil, timer.New(fake), metrics.New(), nil)
 		// What is known is new, so that an instance has time to ask.
 		s.logs[follow.FeedConfig].extend(heard{at: 1, known: fake.Now()}, false)
@@ -33,7 +33,7 @@
 		}
 	}
 	require.Equal(t, 6, early, "two of each domain")
-	one := New(Self{Name: all[5].Name, Domain: all[5].Domain, From: 2}, nil, known(all), nil, nil, timer.New(fake), metrics.New(), nil)
+	one := New(Self{Name: all[5].Name, Domain: all[5].Domain, From: 2, ApplyTime: promise}, nil, known(all), nil, nil, timer.New(fake), metrics.New(), nil)
 	for _, w := range one.ways() {
 		one.left[w.addr] = rest{until: fake.Now().Add(-refusalAge), refused: true}
 	}
@@ -52,7 +52,7 @@
 	)
 	begun := time.Unix(100, 0)
 	for i := range instances {
-		var p sparing
+		p := sparing{apply: promise}
 		calls := 0
 		for at := time.Duration(0); at < outage; at += pause {
 			s := state{now: begun.Add(at), refusals: sparingRefusals, known: begun, random: float64(i) / instances}
@@ -71,14 +71,14 @@
 // TestOneFeedTellsTheOtherThatTheStoreIsBack lets the configuration's question be answered after a failure.
 func TestOneFeedTellsTheOtherThatTheStoreIsBack(t *testing.T) {
 	now := time.Unix(100, 0)
-	s := state{now: now, refusals: sparingRefusals, known: now.Add(-doubtTime)}
-	var p sparing
+	s := state{now: now, refusals: sparingRefusals, known: now.Add(stallTime - promise)}
+	p := sparing{apply: promise}
 	require.False(t, p.asks(follow.FeedServers, s))
 	require.True(t, p.asks(follow.FeedConfig, s), "what is known is old")
 	p.storeFailed(now)
 	require.False(t, p.asks(follow.FeedServers, s))
 	require.False(t, p.asks(follow.FeedConfig, s))
-	s.now = now.Add(probeTime)
+	s.now = now.Add(p.pause())
 	require.True(t, p.asks(follow.FeedConfig, s))
 	p.storeAnswered(s.now)
 	require.True(t, p.asks(follow.FeedServers, s))
@@ -89,14 +89,21 @@
 // TestTheStoreIsAskedWhereRelaysAreNotThere refuses less often than it takes to spare the store, and serves in between.
 func TestTheStoreIsAskedWhereRelaysAreNotThere(t *testing.T) {
 	now := time.Unix(100, 0)
-	var p sparing
+	p := sparing{apply: promise}
 	s := state{now: now, refusals: sparingRefusals - 1, known: now, random: 0.5}
 	require.True(t, p.asks(follow.FeedConfig, s))
 	require.True(t, p.asks(follow.FeedServers, s))
 	s.refusals = sparingRefusals
 	require.False(t, p.asks(follow.FeedConfig, s))
-	s.now = now.Add(probeTime / 2)
+	s.now = now.Add(p.pause() / 2)
 	require.True(t, p.asks(follow.FeedConfig, s), "its own moment")
 	p.relayServed()
 	require.False(t, p.asks(follow.FeedConfig, s), "a new outage, with a moment of its own")
 }
+
+// TestRelaysAreNotUsedWhereTheirSilenceWouldBreakThePromise compares promises.
+func TestRelaysAreNotUsedWhereTheirSilenceWouldBreakThePromise(t *testing.T) {
+	require.True(t, Self{From: 2, ApplyTime: leastApply}.relays(2))
+	require.False(t, Self{From: 2, ApplyTime: leastApply}.relays(1))
+	require.False(t, Self{From: 2, ApplyTime: leastApply - time.Second}.relays(100))
+}
--- a/relay/start.go
+++ b/relay/start.go
@@ -59,7 +59,7 @@
 // counted reports whether the instances are counted and can be asked, or are too few for relays.
 func (s *Source) counted() bool {
 	n := len(s.fleet.Members())
-	return n > 0 && (n < s.self.From || len(s.fleet.Key()) > 0)
+	return n > 0 && (!s.self.relays(n) || len(s.fleet.Key()) > 0)
 }
 
 // patience returns how long relays are asked that do not know the feed yet.
--- a/relay/start_test.go
+++ b/relay/start_test.go
@@ -45,7 +45,7 @@
 	fake, stats := clockwork.NewFakeClock(), metrics.New()
 	links := link.NewClient(trust, stats)
 	t.Cleanup(links.Close)
-	self := relay.Self{Name: "self", Domain: "east", From: 2}
+	self := relay.Self{Name: "self", Domain: "east", From: 2, ApplyTime: 3 * time.Second}
 	return relay.New(self, s, f, follow.NewBoard(), links, timer.New(fake), stats, log), fake, relays{addrs: addrs[1:], trust: trust, log: log}
 }
 
--- a/relay/ways.go
+++ b/relay/ways.go
@@ -31,7 +31,7 @@
 	switch {
 	case len(members) == 0:
 		return nil
-	case len(members) < s.self.From:
+	case !s.self.relays(len(members)):
 		return []way{{}}
 	default:
 		return waysOf(s.self.Name, s.self.Domain, members)
