relay: name instances that follow the store to those that it turns away

Cause: a store that turns some machines away, the relays among them, and serves others. Those that it turned away could confirm no keys and refused all of their callers, although instances beside them followed the store; in a fleet without relays nobody asked another at all. A question tells now whether its asker follows the store itself; a relay that does not names one that does, and takes it itself. Test: a third of 72 and of 8 instances turned away; what is known of keys stays under 3.6 s (seen failing first).

--- /dev/null
+++ b/relay/helpers_test.go
@@ -0,0 +1,78 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/census"
+	"junctioncross/follow"
+)
+
+// TestWhoeverTheStoreTurnsAwayHearsOfItFromOthers lets the store turn a third of the instances away for 8 s, the relays and their stand-ins
+// among them. What each knows of the configuration must be young enough for the keys in it to be accepted, which is 3.6 s where one that was
+// taken away may be accepted for 5 s, from 4 s on, when those that the store serves are found, and less than 5 s before. Without help those that are turned away had known nothing new since the outage began.
+func TestWhoeverTheStoreTurnsAwayHearsOfItFromOthers(t *testing.T) {
+	for name, members := range map[string][]census.Instance{"with relays": instances(3, 24), "without": instances(2, 4)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { turnAway(t, members) })
+		})
+	}
+}
+
+func turnAway(t *testing.T, members []census.Instance) {
+	const (
+		outage   = 8 * time.Second
+		keysAge  = 3600 * time.Millisecond
+		revoked  = 5 * time.Second
+		found    = 4 * time.Second
+		interval = 200 * time.Millisecond
+	)
+	f := fault{kind: refused, from: settled, until: settled + outage, hits: make([]bool, len(members))}
+	for i, m := range members {
+		ways := waysOf(m.Name, m.Domain, members)
+		early := ways[0].direct() || ways[1].direct()
+		f.hits[i] = early && len(members) > 8 || i%3 == 0
+	}
+	p := newPlay(members, day{faults: []fault{f}, length: 30 * time.Second, promise: promise})
+	p.turn()
+	oldest, whose := time.Duration(0), ""
+	worst := time.Duration(0)
+	for p.now() < f.until {
+		time.Sleep(min(interval, f.until-p.now()))
+		if p.now() == f.from || p.now() == f.until {
+			p.turn()
+		}
+		synctest.Wait()
+		if p.now() < f.from {
+			continue
+		}
+		for i, m := range members {
+			_, known := p.sources[i].logs[follow.FeedConfig].reached()
+			age := time.Since(known)
+			worst = max(worst, age)
+			if age > oldest && p.now() >= f.from+found {
+				oldest, whose = age, fmt.Sprintf("%s at %s, hit %t", m.Name, p.now(), f.hits[i])
+			}
+		}
+	}
+	p.end()
+	require.LessOrEqual(t, oldest, keysAge, whose)
+	require.Less(t, worst, revoked)
+}
+
+// TestHelpersAreForgottenWhenTheySayNothingMore picks among those that said lately that they follow the store.
+func TestHelpersAreForgottenWhenTheySayNothingMore(t *testing.T) {
+	now := time.Unix(100, 0)
+	var h helpers
+	require.Empty(t, h.pick(now, 0.5))
+	h.note("a", now)
+	h.note("b", now.Add(time.Second))
+	require.Equal(t, "a", h.pick(now.Add(time.Second), 0))
+	require.Equal(t, "b", h.pick(now.Add(time.Second), 0.9))
+	require.Equal(t, "b", h.pick(now.Add(helperAge+time.Millisecond), 0))
+	require.Empty(t, h.pick(now.Add(helperAge+2*time.Second), 0))
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -124,6 +124,13 @@
 	l.wakeLocked()
 }
 
+// followed reports whether the feed is followed in the store itself.
+func (l *feedLog) followed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.direct
+}
+
 // news returns what is closed at the next news.
 func (l *feedLog) news() <-chan struct{} {
 	l.mu.Lock()
--- a/relay/play_test.go
+++ b/relay/play_test.go
@@ -135,14 +135,18 @@
 		synctest.Wait()
 		broken = append(broken, p.check()...)
 	}
+	p.end()
+	return broken
+}
+
+// end stops all instances; what was asked last ends within its own bounds.
+func (p *play) end() {
 	for i := range p.members {
 		if p.stops[i] != nil {
 			p.stop(i)
 		}
 	}
-	// What was asked last ends within its own bounds.
 	time.Sleep(settled)
-	return broken
 }
 
 // forget lets the calls of the store be counted anew.
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -42,6 +42,8 @@
 	Mark time.Duration `cbor:"5,keyasint,omitempty"`
 	// Hurry asks for what there is, without a wait for news.
 	Hurry bool `cbor:"6,keyasint,omitempty"`
+	// Direct is the asker's address if it follows the store itself.
+	Direct string `cbor:"7,keyasint,omitempty"`
 }
 
 // told answers a poll.
@@ -56,6 +58,8 @@
 	Words []backend.Word `cbor:"5,keyasint,omitempty"`
 	// Mark is how far the words reach, as time since the relay's start.
 	Mark time.Duration `cbor:"6,keyasint,omitempty"`
+	// Ask is the address of an instance that follows the store, told by one that does not.
+	Ask string `cbor:"7,keyasint,omitempty"`
 }
 
 // Register adds the relay's call to those that the instance answers.
@@ -75,12 +79,13 @@
 		return s.serveWhole(ctx, p.Feed, arrived)
 	}
 	s.overhear(p.Words)
+	s.noteHelper(p.Direct, arrived)
 	wait := s.clock.After(holdTime(p.Feed))
 	for {
 		v := s.logs[p.Feed].since(p.After)
 		switch {
 		case s.stopped.Load() || !v.direct || !s.fresh():
-			return told{}, errNotDirect
+			return s.refer()
 		case !v.whole:
 			return told{Behind: true}, nil
 		case p.Hurry || len(v.records) > 0 || p.Feed == follow.FeedServers && s.turnedWorse(p.Mark):
@@ -167,6 +172,7 @@
 	defer cancel()
 	asked := s.clock.Now()
 	s.attach(&p, addr, asked)
+	p.Direct = s.standing()
 	t, err := s.peers.poll(ctx, addr, p)
 	switch {
 	case errors.Is(err, link.ErrRefused):
@@ -174,6 +180,9 @@
 	case err != nil:
 		return heard{}, errors.Wrap(follow.ErrUnavailable, err.Error())
 	}
+	if t.Ask != "" {
+		return heard{}, refusal{cause: errNotDirect, ask: t.Ask}
+	}
 	if t.Behind {
 		return heard{}, errors.Wrap(follow.ErrUnavailable, errBehind.Error())
 	}
--- a/relay/source.go
+++ b/relay/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,6 +86,11 @@
 	since [feeds]time.Time
 	// answered is when each feed was last answered.
 	answered [feeds]time.Time
+	// helpers are those to which others are referred, and helper is the one that this instance was referred to, by feed.
+	helpers helpers
+	helper  [feeds]way
+	// random returns numbers that are uniform in [0, 1).
+	random func() float64
 }
 
 // New returns a Source.
@@ -94,6 +100,7 @@
 	return &Source{
 		self: self, store: store, fleet: fleet, words: words, begun: clock.Now(), marks: map[string]time.Duration{}, peers: linked{client: links}, clock: clock, stats: stats, log: log,
 		logs: [feeds]*feedLog{newFeedLog(), newFeedLog()}, epoch: newEpoch(), left: map[string]rest{}, sparing: sparing{apply: self.ApplyTime},
+		random: rand.Float64,
 	}
 }
 
@@ -153,11 +160,9 @@
 // Next implements follow.Source.
 func (s *Source) Next(ctx context.Context, feed follow.Feed, after follow.Position) (follow.News, error) {
 	var last error
-	ways := s.usable()
-	if len(ways) == 0 {
-		return follow.News{}, errors.Wrap(follow.ErrUnavailable, "everything failed a moment ago")
-	}
-	for i, w := range ways {
+	ways := s.usable(feed)
+	for i := 0; i < len(ways); i++ {
+		w := ways[i]
 		if w.direct() && !s.asksStore(feed) {
 			continue
 		}
@@ -172,6 +177,7 @@
 			return follow.News{}, err
 		}
 		s.note(feed, w, asked, err)
+		ways = s.referred(ways, i+1, feed, err)
 		last = err
 	}
 	if last == nil {
--- a/relay/sparing.go
+++ b/relay/sparing.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"junctioncross/follow"
@@ -24,7 +23,11 @@
 )
 
 // refusal is the error of a question that a relay which is there did not serve; it is also follow.ErrUnavailable.
-type refusal struct{ cause error }
+type refusal struct {
+	cause error
+	// ask is the address of an instance that follows the store, if the relay named one.
+	ask string
+}
 
 // Error implements error.
 func (r refusal) Error() string { return r.cause.Error() }
@@ -117,7 +120,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	one := state{now: now, known: known, random: rand.Float64()}
+	one := state{now: now, known: known, random: s.random()}
 	if !early {
 		one.refusals = s.refusals(now)
 	}
--- a/relay/ways.go
+++ b/relay/ways.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"junctioncross/census"
 	"junctioncross/follow"
 	"junctioncross/retry"
 )
@@ -32,12 +33,25 @@
 	case len(members) == 0:
 		return nil
 	case !s.self.relays(len(members)):
-		return []way{{}}
+		return append([]way{{}}, s.othersOf(members)...)
 	default:
 		return waysOf(s.self.Name, s.self.Domain, members)
 	}
 }
 
+// othersOf returns some of the other instances of a fleet without relays, of whom each instance begins with another.
+func (s *Source) othersOf(members []census.Instance) []way {
+	var out []way
+	first := int(hashOf(s.self.Name))
+	for i := range members {
+		m := members[(first+i)%len(members)]
+		if m.Name != s.self.Name && m.Addr != "" && len(out) < othersOfFew {
+			out = append(out, way{addr: m.Addr})
+		}
+	}
+	return out
+}
+
 // relay reports whether the instance is the one of its domain that follows the store for others.
 func (s *Source) relay() bool {
 	ways := s.ways()
@@ -45,7 +59,7 @@
 }
 
 // usable returns the ways that are not left alone after a failure; for the store that is decided when its turn comes.
-func (s *Source) usable() []way {
+func (s *Source) usable(feed follow.Feed) []way {
 	ways := s.ways()
 	if ways == nil {
 		ways = []way{{}}
@@ -54,7 +68,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []way
-	for _, w := range ways {
+	for _, w := range s.withHelper(ways, feed) {
 		if w.direct() || !now.Before(s.left[w.addr].until) {
 			out = append(out, w)
 		}
@@ -73,10 +87,19 @@
 		return false
 	}
 	until := now.Add(retry.Doubled(firstLeft, longestLeft, r.failures))
+	if refused {
+		// It costs little to ask one that is there, and it may soon name another that can answer.
+		until = now.Add(firstLeft)
+	}
 	if w.direct() {
 		s.sparing.storeFailed(asked)
 		until = now
 	}
+	for i, h := range s.helper {
+		if h == w {
+			s.helper[i] = way{}
+		}
+	}
 	s.left[w.addr] = rest{until: until, failures: r.failures + 1, refused: refused}
 	return r.failures == 0
 }
