--- a/capacity/rows.go
+++ b/capacity/rows.go
@@ -48,7 +48,7 @@
 }
 
 func (b *book) roles() []Role {
-	return []Role{b.requestPath(), b.member(), b.relay(), b.claimWriter(), b.leader(), b.planner(), b.operators()}
+	return []Role{b.requestPath(), b.member(), b.relay(), b.claimWriter(), b.leader(), b.planner(), b.operators(), b.hosted()}
 }
 
 func (b *book) requestPath() Role {
