forward, quarantine: tell which requests servers ended under

Cause: the log of a broken attempt names the attempt of a caller, whose next attempt has another id, so that it cannot be told whether two attempts are the same request, nor which of those that broke together comes again. Change: lines on broken attempts carry a digest of path, caller and body. Nothing is decided by it yet. Ruled out: on every line, since the digest of all requests would be worked out for nothing.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -18,6 +18,7 @@
 	"junctioncross/front"
 	"junctioncross/metrics"
 	"junctioncross/models"
+	"junctioncross/quarantine"
 	"junctioncross/retry"
 	"junctioncross/timer"
 )
@@ -114,6 +115,12 @@
 	sends int
 }
 
+// fingerprint returns what stands for the request whatever attempt of its caller it is.
+func (r *request) fingerprint() quarantine.Fingerprint {
+	header := r.x.Header()
+	return quarantine.FingerprintOf(header.Host(), header.RequestURI(), r.account, r.x.Body())
+}
+
 // Handle implements front.Handler.
 func (h *Handler) Handle(ctx context.Context, x *front.Exchange) {
 	r := &request{x: x, meta: x.Meta()}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -175,6 +175,7 @@
 	}
 	h.record.Failure(r.meta.ID, "attempt broken", h.fields(r, decision.Fields{
 		"server": server.ID(), "address": server.Addr(), "reason": reason, "error": err.Error(),
+		"fingerprint": r.fingerprint().String(),
 	}))
 	return failed{reason: reason}
 }
--- /dev/null
+++ b/quarantine/fingerprint_test.go
@@ -0,0 +1,34 @@
+package quarantine_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/quarantine"
+)
+
+func TestAFingerprintStandsForPathCallerAndBody(t *testing.T) {
+	of := func(host, target, account, body string) quarantine.Fingerprint {
+		return quarantine.FingerprintOf([]byte(host), []byte(target), account, []byte(body))
+	}
+	one := of("h", "/a/", "x", "body")
+	require.Equal(t, one, of("h", "/a/", "x", "body"))
+	for _, other := range []quarantine.Fingerprint{
+		of("h", "/b/", "x", "body"), of("g", "/a/", "x", "body"), of("h", "/a/", "y", "body"), of("h", "/a/", "x", "Body"),
+		of("h/", "a/", "x", "body"), of("h", "/a/x", "", "body"), of("h", "/a/", "xbody", ""),
+	} {
+		require.NotEqual(t, one, other)
+	}
+}
+
+func TestAFingerprintIsReadAsItWasWritten(t *testing.T) {
+	one := quarantine.FingerprintOf(nil, []byte("/a/"), "x", nil)
+	got, err := quarantine.ParseFingerprint(one.String())
+	require.NoError(t, err)
+	require.Equal(t, one, got)
+	for _, bad := range []string{"", "00", one.String() + "00", "zz" + one.String()[2:]} {
+		_, err := quarantine.ParseFingerprint(bad)
+		require.ErrorIs(t, err, quarantine.ErrFingerprint, bad)
+	}
+}
--- a/schema/common.go
+++ b/schema/common.go
@@ -55,6 +55,12 @@
 	Address string `log:"address"`
 }
 
+// fingerprint is what lines on a request that a server may have ended under tell.
+type fingerprint struct {
+	// What stands for the request by path, caller and body, whatever attempt of its caller it is.
+	Fingerprint string `log:"fingerprint"`
+}
+
 // silent is what lines on a stream that leaves its first part tell.
 type silent struct {
 	request
--- a/schema/requests.go
+++ b/schema/requests.go
@@ -63,6 +63,7 @@
 	Gone bool `log:"gone"`
 	// For how long the server has been known to leave.
 	LeavingMS int64 `log:"leaving_ms"`
+	fingerprint
 }
 
 // The answer of a plain service broke.
@@ -70,6 +71,7 @@
 	_ struct{} `msg:"attempt broken" level:"warning"`
 	standing
 	server
+	fingerprint
 	// How it counts.
 	Reason string `log:"reason"`
 	// How it broke.
