relay: test that ends under requests reach all through relays

Cause: the feed of ends had no test of its own at the relays. Tests: four instances behind one relay hear of ends, also once the relay has ended; an instance that the store does not answer tells its ends to those that it asks.

--- a/relay/ends_test.go
+++ b/relay/ends_test.go
@@ -1,6 +1,14 @@
 package relay_test
 
-import "junctioncross/quarantine"
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"junctioncross/follow"
+	"junctioncross/quarantine"
+	"junctioncross/relay"
+)
 
 // noEnds is relay.Ends of an instance under which no server has ended.
 type noEnds struct{}
@@ -10,3 +18,71 @@
 
 // Adopt implements relay.Ends.
 func (noEnds) Adopt([]quarantine.End) {}
+
+// endings is relay.Ends of an instance that cannot write, and notes what it takes over.
+type endings struct {
+	mu      sync.Mutex
+	own     []quarantine.End
+	adopted []quarantine.End
+}
+
+// Untold implements relay.Ends.
+func (e *endings) Untold() []quarantine.End {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.own
+}
+
+// Adopt implements relay.Ends.
+func (e *endings) Adopt(ends []quarantine.End) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.adopted = append(e.adopted, ends...)
+}
+
+func (e *endings) has(one quarantine.End) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, other := range e.adopted {
+		if other == one {
+			return true
+		}
+	}
+	return false
+}
+
+// TestAllHearOfEndsThatOneRelayReads also lets the relay fall silent, after which the others hear all the same.
+func TestAllHearOfEndsThatOneRelayReads(t *testing.T) {
+	s := newStore()
+	all := run(t, s, 4)
+	soon(t, func() bool { return all[0].Direct() && !all[3].Direct() })
+	for n := range 3 {
+		s.putEnd(fmt.Sprint("end-", n))
+		for _, i := range all {
+			soon(t, func() bool { return i.hasEnds(n + 1) })
+		}
+	}
+	all[0].Stop()
+	all[0].stop()
+	s.putEnd("end-3")
+	for _, i := range all[1:] {
+		soon(t, func() bool { return i.hasEnds(4) })
+	}
+}
+
+// TestAnInstanceThatTheStoreTurnsAwayTellsItsEndsToAnother lets the last of three be silent to the store from the start.
+func TestAnInstanceThatTheStoreTurnsAwayTellsItsEndsToAnother(t *testing.T) {
+	s := newStore()
+	one := quarantine.NewEnd(quarantine.FingerprintOf(nil, []byte("/a"), "", nil), "server", "attempt")
+	ends := map[string]*endings{"i-0": {}, "i-1": {}, "i-2": {own: []quarantine.End{one}}}
+	s.silence("i-2", true)
+	runWith(t, 3, func(int) string { return "east" }, func(caller string) relay.Store { return view{store: s, caller: caller} },
+		func(string) relay.Words { return follow.NewBoard() }, func(caller string) relay.Ends { return ends[caller] })
+	soon(t, func() bool { return ends["i-0"].has(one) || ends["i-1"].has(one) })
+}
+
+func (i *instance) hasEnds(n int) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.ends == n
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -41,6 +41,8 @@
 	*relay.Source
 	mu    sync.Mutex
 	heard []string
+	// ends is the number of changes of the quarantine.
+	ends  int
 	known time.Time
 	stop  func()
 }
@@ -73,9 +75,13 @@
 func (i *instance) take(feed follow.Feed, news follow.News) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if feed == follow.FeedConfig {
+	switch feed {
+	case follow.FeedConfig:
 		i.known = news.Known
 		return
+	case follow.FeedQuarantine:
+		i.ends += len(news.Changes)
+		return
 	}
 	for _, c := range news.Changes {
 		i.heard = append(i.heard, c.(follow.ServerGone).ID)
@@ -94,12 +100,14 @@
 
 // runIn starts instances over real links; in returns the domain of each.
 func runIn(t *testing.T, n int, in func(i int) string, over func(caller string) relay.Store) []*instance {
-	return runWith(t, n, in, over, func(string) relay.Words { return follow.NewBoard() })
+	return runWith(t, n, in, over, func(string) relay.Words { return follow.NewBoard() }, func(string) relay.Ends { return noEnds{} })
 }
 
-// runWith starts instances over real links; words returns what an instance holds of the state of servers.
+// runWith starts instances over real links; words returns what an instance holds of the state of servers, ends what it holds of servers that
+// ended under requests.
 func runWith(
 	t *testing.T, n int, in func(i int) string, over func(caller string) relay.Store, words func(caller string) relay.Words,
+	ends func(caller string) relay.Ends,
 ) []*instance {
 	key, err := keys.NewFleetKey(time.Now())
 	require.NoError(t, err)
@@ -119,7 +127,7 @@
 		clock, stats := timer.NewReal(), metrics.New()
 		links := link.NewClient(trust, stats)
 		self := relay.Self{Name: m.Name, Domain: m.Domain, From: 2, ApplyTime: 3 * time.Second}
-		one := &instance{Source: relay.New(self, over(m.Name), f, words(m.Name), noEnds{}, links, clock, stats, log)}
+		one := &instance{Source: relay.New(self, over(m.Name), f, words(m.Name), ends(m.Name), links, clock, stats, log)}
 		mux := link.NewMux()
 		one.Register(mux)
 		server, err := link.Listen(m.Addr, trust, mux, stats, log)
@@ -133,6 +141,7 @@
 		t.Cleanup(one.stop)
 		go func() { one.follow(ctx, follow.FeedConfig) }()
 		go func() { one.follow(ctx, follow.FeedServers) }()
+		go func() { one.follow(ctx, follow.FeedQuarantine) }()
 		out[i] = one
 	}
 	return out
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -16,6 +16,8 @@
 	records []relay.Record
 	changed chan struct{}
 	calls   map[string]int
+	// ends are the records of the quarantine.
+	ends []relay.Record
 	// silent names the callers that get no answer.
 	silent map[string]bool
 }
@@ -34,6 +36,28 @@
 	s.changed = make(chan struct{})
 }
 
+// putEnd adds a change of the quarantine.
+func (s *store) putEnd(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	s.ends = append(s.ends, relay.Record{Key: key, Revision: s.at})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// of returns the records of a feed; the caller holds the lock.
+func (s *store) of(feed follow.Feed) []relay.Record {
+	switch feed {
+	case follow.FeedServers:
+		return s.records
+	case follow.FeedQuarantine:
+		return s.ends
+	default:
+		return nil
+	}
+}
+
 func (s *store) count(caller string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,10 +102,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if feed == follow.FeedConfig {
-		return nil, v.at, nil
-	}
-	return append([]relay.Record(nil), v.records...), v.at, nil
+	return append([]relay.Record(nil), v.of(feed)...), v.at, nil
 }
 
 // WatchFeed implements relay.Store.
@@ -93,8 +114,8 @@
 	for {
 		v.mu.Lock()
 		var news []relay.Record
-		for _, r := range v.records {
-			if r.Revision > after && feed == follow.FeedServers {
+		for _, r := range v.of(feed) {
+			if r.Revision > after {
 				news = append(news, r)
 			}
 		}
--- a/relay/words_test.go
+++ b/relay/words_test.go
@@ -70,7 +70,7 @@
 		func(caller string) relay.Words {
 			words[caller] = &notes{heard: map[string]backend.Word{}}
 			return words[caller]
-		})
+		}, func(string) relay.Ends { return noEnds{} })
 	soon(t, func() bool { return all[0].Direct() && all[3].age() < time.Second })
 	words["i-3"].tell(backend.Word{ID: "well", Total: 1})
 	words["i-3"].tell(backend.Word{ID: "silent", Silent: true})
