relay, once, platform: wait longer for ends under requests, and find silent connections to the store

Ruled out: a prefix that covers two feeds (the keys have none in common but the empty one, and each event would end both waits).

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -4,11 +4,12 @@
 	"bufio"
 	"context"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"junctioncross/once"
 )
 
 const (
@@ -18,11 +19,6 @@
 	// It is less than the two seconds without an event after which callers leave, so that there is time to go on elsewhere. A server
 	// that is slow acknowledges all the same.
 	silentTime = 1500 * time.Millisecond
-	// alivePeriod is when and how often an idle connection is asked whether its other end is there: a second is the least that the
-	// kernel takes, so that one that falls silent while nothing is sent is found after two.
-	alivePeriod = time.Second
-	// aliveQuestions is how many of these may stay without an answer where the kernel knows no silentTime.
-	aliveQuestions = 2
 	// restUnknown is how long a connection may rest when the server did not say how long it keeps it.
 	restUnknown = 4 * time.Second
 	// restMargin is subtracted from what the server says, for the time until the next request arrives.
@@ -62,7 +58,7 @@
 			return c, nil
 		}
 	}
-	dialer := net.Dialer{Timeout: dialTime, KeepAliveConfig: keepAlive(), Control: setUserTimeout}
+	dialer := once.AliveDialer(dialTime, silentTime)
 	c, err := dialer.DialContext(ctx, "tcp4", s.addr)
 	if err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
@@ -80,21 +76,6 @@
 	return true
 }
 
-func keepAlive() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: alivePeriod, Interval: alivePeriod, Count: aliveQuestions}
-}
-
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTime.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
-
 // takeIdle returns the connection that rested last and is still sound, or nil.
 func (s *Server) takeIdle(now time.Time) *Conn {
 	for {
--- a/backend/report.go
+++ b/backend/report.go
@@ -19,12 +19,16 @@
 	ErrStale = errors.New("backend: order does not fit the server's state")
 	// ErrUnknown means that the server does not know the request.
 	ErrUnknown = errors.New("backend: no such request")
+	// ErrGarbled means that the server answered something that is no report.
+	ErrGarbled = errors.New("backend: not a report")
 	// ErrRefused means that the server did not take the call for another reason.
 	ErrRefused = errors.New("backend: call refused")
 )
 
 // Report is what a chained engine says of itself; it is some hundred milliseconds old.
 type Report struct {
+	// Born is the moment of the server's start in milliseconds since 1970; 0 means that it does not tell.
+	Born int64
 	// Busy is true while an order is carried out.
 	Busy    bool
 	Orders  int64
@@ -79,7 +83,7 @@
 
 // Caller makes the calls that chained engines know beside requests.
 type Caller interface {
-	// Report asks a server for its state; it returns ErrNoAnswer or ErrRefused.
+	// Report asks a server for its state; it returns ErrNoAnswer, ErrGarbled or ErrRefused.
 	Report(ctx context.Context, addr string) (Report, error)
 	// Place gives an order; it returns ErrStale, ErrNoAnswer or ErrRefused.
 	Place(ctx context.Context, addr, id string, order PlaceOrder) error
--- a/backend/server.go
+++ b/backend/server.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,7 +33,7 @@
 
 // Server is one start of a backend server.
 type Server struct {
-	id      string
+	name    Incarnation
 	service string
 	addr    string
 	domain  string
@@ -41,6 +42,9 @@
 
 	leaving atomic.Bool
 	gone    atomic.Bool
+	// over ends once another start of the server is known, so that nothing is at work at this one; finish ends it.
+	over   context.Context
+	finish context.CancelFunc
 	// ended is true once nothing listens at the server's address any more, as far as known.
 	ended atomic.Bool
 	// leavingSince is when this instance first heard that the server leaves, in nanoseconds of the clock; 0 means that it has not.
@@ -89,7 +93,8 @@
 
 // NewServer returns the server that the entry describes.
 func NewServer(e Entry) *Server {
-	s := &Server{id: e.ID, service: e.Service, addr: e.Addr, domain: e.Domain, slots: e.Slots, kind: e.Kind}
+	s := &Server{name: e.Incarnation(), service: e.Service, addr: e.Addr, domain: e.Domain, slots: e.Slots, kind: e.Kind}
+	s.over, s.finish = context.WithCancel(context.Background())
 	s.Update(e)
 	return s
 }
@@ -105,8 +110,21 @@
 	}
 }
 
-// ID returns the name of this start of the server.
-func (s *Server) ID() string { return s.id }
+// ID returns the name of the server, which other starts of it may have as well.
+func (s *Server) ID() string { return s.name.ID }
+
+// Incarnation returns which start of the server this is.
+func (s *Server) Incarnation() Incarnation { return s.name }
+
+// Over returns what ends once another start of the server is known.
+func (s *Server) Over() context.Context { return s.over }
+
+// Finish notes that another start of the server is known: whatever was under way at this one is lost, and so are its connections.
+func (s *Server) Finish() {
+	s.End()
+	s.Lapse()
+	s.finish()
+}
 
 // Service returns the name of the service.
 func (s *Server) Service() string { return s.service }
--- a/backend/word.go
+++ b/backend/word.go
@@ -16,6 +16,8 @@
 // Word is what one instance knows of the state of a chained engine, as it passes it on to others.
 type Word struct {
 	ID string `cbor:"1,keyasint"`
+	// Born tells which start of the server the word is on.
+	Born int64 `cbor:"8,keyasint,omitempty"`
 	// Age is how long ago the server was asked.
 	Age time.Duration `cbor:"2,keyasint"`
 	// Silent is true when the server did not answer.
@@ -82,7 +84,7 @@
 }
 
 func (s *Server) wordLocked(now time.Time) Word {
-	w := Word{ID: s.id, Age: now.Sub(s.told.at), Silent: s.told.silent}
+	w := Word{ID: s.name.ID, Born: s.name.Born, Age: now.Sub(s.told.at), Silent: s.told.silent}
 	if !w.Silent {
 		w.Pace, w.Used, w.Total, w.Waiting = s.pace, s.memory.used, s.memory.total, s.memory.waiting
 	}
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -45,6 +45,8 @@
 	entries map[string]backend.Entry
 	// missing holds when servers were first missed whose entry vanished around an outage.
 	missing map[string]time.Time
+	// unusable holds the servers whose entries name none to use at present.
+	unusable map[string]bool
 	// lost says which feeds fail at present.
 	lost [feeds]bool
 	// failed is when a call last failed.
@@ -59,6 +61,7 @@
 	l := &Loop{
 		board: board, ends: ends, clock: clock, stats: stats, log: log, heard: make(chan Heard, heardQueue),
 		servers: map[string]*backend.Server{}, entries: map[string]backend.Entry{}, missing: map[string]time.Time{},
+		unusable: map[string]bool{},
 	}
 	for _, feed := range []Feed{FeedConfig, FeedServers, FeedQuarantine} {
 		p := &pump{source: source, clock: clock, feed: feed, out: l.heard}
@@ -145,6 +148,8 @@
 			changed = l.configure(c.Catalog) || changed
 		case ServerSeen:
 			changed = l.see(c.Entry) || changed
+		case EntryUnusable:
+			changed = l.disown(c) || changed
 		case ServerGone:
 			changed = l.miss(c.ID) || changed
 		case EndSeen:
@@ -179,7 +184,18 @@
 		return false
 	}
 	l.entries[e.ID] = e
+	if known && old.Incarnation().After(e.Incarnation()) {
+		// A late word of an earlier start.
+		l.entries[e.ID] = old
+		return false
+	}
+	again := l.unusable[e.ID]
+	delete(l.unusable, e.ID)
 	s := l.servers[e.ID]
+	if s != nil && !old.SameStart(e) {
+		l.finish(s)
+		s = nil
+	}
 	if s == nil {
 		l.servers[e.ID] = backend.NewServer(e)
 		l.servers[e.ID].NoteLayers(l.clock.Now())
@@ -192,7 +208,7 @@
 		s.NoteLayers(l.clock.Now())
 	}
 	l.noteLeaving(e)
-	if old.Same(e) {
+	if old.Same(e) && !again {
 		return false
 	}
 	l.logServer(e, "server changed")
@@ -253,14 +269,35 @@
 	delete(l.servers, id)
 	delete(l.entries, id)
 	delete(l.missing, id)
+	delete(l.unusable, id)
+}
+
+// finish notes that a server has started again, under its id: what was under way at its former start is lost.
+func (l *Loop) finish(s *backend.Server) {
+	s.Finish()
+	l.log.WithFields(logrus.Fields{"server": s.ID(), "address": s.Addr(), "born": s.Incarnation().Born}).Info("server started again")
+}
+
+// disown takes a server out of use whose entry names none to use, until there is a good one. What it runs goes on.
+func (l *Loop) disown(c EntryUnusable) bool {
+	l.stats.Counter("entries_unusable_total{field=\"" + c.Field + "\"}").Inc(1)
+	l.log.WithFields(logrus.Fields{"server": c.ID, "field": c.Field, "value": c.Value}).WithError(c.Err).Warn("entry names no server to use")
+	if l.servers[c.ID] == nil || l.unusable[c.ID] {
+		return false
+	}
+	l.unusable[c.ID] = true
+	return true
 }
 
 // dropUnlisted takes the servers as gone that a whole reading does not list, and reports whether there were any.
 func (l *Loop) dropUnlisted(changes []Change) bool {
 	listed := make(map[string]bool, len(changes))
 	for _, c := range changes {
-		if s, ok := c.(ServerSeen); ok {
-			listed[s.Entry.ID] = true
+		switch c := c.(type) {
+		case ServerSeen:
+			listed[c.Entry.ID] = true
+		case EntryUnusable:
+			listed[c.ID] = true
 		}
 	}
 	dropped := false
@@ -323,8 +360,10 @@
 		return
 	}
 	byService := map[string][]*backend.Server{}
-	for _, s := range l.servers {
-		byService[s.Service()] = append(byService[s.Service()], s)
+	for id, s := range l.servers {
+		if !l.unusable[id] {
+			byService[s.Service()] = append(byService[s.Service()], s)
+		}
 	}
 	groups := map[string]*backend.Group{}
 	for _, service := range l.catalog.Services() {
--- a/follow/source.go
+++ b/follow/source.go
@@ -60,6 +60,15 @@
 // ServerGone says that a backend server's entry was removed.
 type ServerGone struct{ ID string }
 
+// EntryUnusable says that the entry of a backend server is none that a server writes of itself: it names no server to use.
+type EntryUnusable struct {
+	ID string
+	// Field and Value tell what is wrong with it.
+	Field string
+	Value string
+	Err   error
+}
+
 // EndSeen says that a server ended under a request.
 type EndSeen struct{ End quarantine.End }
 
@@ -72,12 +81,13 @@
 	Err error
 }
 
-func (Configured) change() {}
-func (ServerSeen) change() {}
-func (ServerGone) change() {}
-func (EndSeen) change()    {}
-func (EndGone) change()    {}
-func (Unreadable) change() {}
+func (Configured) change()    {}
+func (ServerSeen) change()    {}
+func (ServerGone) change()    {}
+func (EntryUnusable) change() {}
+func (EndSeen) change()       {}
+func (EndGone) change()       {}
+func (Unreadable) change()    {}
 
 // News is what one question to a Source brought.
 type News struct {
--- a/follow/words.go
+++ b/follow/words.go
@@ -35,7 +35,8 @@
 	b.shared.Store(&now)
 	worse := false
 	for _, w := range words {
-		if s := b.Current().server(w.ID); s != nil {
+		// A word on another start of the server says nothing of this one.
+		if s := b.Current().server(w.ID); s != nil && s.Incarnation().Born == w.Born {
 			worse = s.Hear(w, now) || worse
 		}
 	}
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -51,7 +51,10 @@
 	h := w.handler
 	report, err := w.questions(ctx, s)
 	h.believe(s, report, err, "slow stream")
-	if err != nil {
+	if errors.Is(err, backend.ErrGarbled) {
+		return
+	}
+	if err != nil || s.Ended() {
 		found.add(s)
 		return
 	}
--- a/forward/ended.go
+++ b/forward/ended.go
@@ -57,7 +57,7 @@
 		return
 	}
 	now := h.clock.Now()
-	end := quarantine.NewEnd(r.fingerprint(), server.ID(), r.meta.ID)
+	end := quarantine.NewEnd(r.fingerprint(), server.Incarnation().String(), r.meta.ID)
 	h.ends.Suspect(end, now)
 	id, chained := r.meta.ID, r.group.Graph() != nil
 	go func() {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -47,7 +47,14 @@
 	}
 	out := &sent{conn: conn}
 	// Closing is what tells a server to stop; it also ends the read below.
-	out.release = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	closed := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	// A server that has started again knows nothing of what it was sent before: that is lost at once, not after a time-out.
+	lost := context.AfterFunc(server.Over(), func() { _ = conn.Close() })
+	out.release = func() bool {
+		// Both must be told, whatever the first answers.
+		standing, waited := lost(), closed()
+		return standing && waited
+	}
 	s.Target, s.Account, s.BodyBytes = server.ID(), r.account, -1
 	s.Remaining = r.deadline.Sub(h.clock.Now())
 	body := r.x.Body()
--- a/forward/inquire.go
+++ b/forward/inquire.go
@@ -58,10 +58,30 @@
 	return server.LayersFor(h.clock.Now()) > lag+reportSlack
 }
 
+// believeOther takes over that another start of the server has answered: a later one tells that this one is over, an earlier one nothing.
+func (h *Handler) believeOther(server *backend.Server, report backend.Report, now time.Time) {
+	later := backend.Incarnation{ID: server.ID(), Born: report.Born}
+	if !later.After(server.Incarnation()) {
+		return
+	}
+	server.Suspect(now.Add(suspectTime))
+	server.NoteSilent(now)
+	server.Finish()
+	h.record.Failure("", "another start of the server answers", decision.Fields{
+		"server": server.ID(), "address": server.Addr(), "born": server.Incarnation().Born, "answers": report.Born,
+	})
+}
+
 // believe takes over what a server said of itself, or that it said nothing.
 func (h *Handler) believe(server *backend.Server, report backend.Report, err error, why string) {
 	now := h.clock.Now()
 	fields := decision.Fields{"server": server.ID(), "address": server.Addr(), "why": why}
+	if errors.Is(err, backend.ErrGarbled) {
+		server.NoteAnswer(now)
+		fields["error"] = err.Error()
+		h.record.Failure("", "report not readable", fields)
+		return
+	}
 	if err != nil {
 		server.Suspect(now.Add(suspectTime))
 		server.NoteSilent(now)
@@ -72,6 +92,10 @@
 		h.record.Failure("", "server does not answer", fields)
 		return
 	}
+	if report.Born != server.Incarnation().Born {
+		h.believeOther(server, report, now)
+		return
+	}
 	server.NoteAnswer(now)
 	server.SetPace(report.Pace, now)
 	server.SetMemory(report.Used, report.Total, report.Waiting, now)
--- a/leader/work.go
+++ b/leader/work.go
@@ -75,7 +75,7 @@
 	byID := make(map[string]*backend.Server, len(servers))
 	var seen []placement.Server
 	for _, s := range servers {
-		byID[s.ID()] = s
+		byID[s.Incarnation().String()] = s
 		if s.Leaving() || s.Suspected(w.leader.clock.Now()) {
 			continue
 		}
@@ -150,8 +150,8 @@
 
 // view returns a server as it will be when the orders under way are done.
 func (w *work) view(engine *catalog.Engine, s *backend.Server) placement.Server {
-	v := placement.Server{ID: s.ID(), Domain: s.Domain(), Kind: engine.Kind(s.Kind()), Layers: s.Layers(), Settled: true}
-	if p := w.pending[s.ID()]; p != nil {
+	v := placement.Server{ID: s.Incarnation().String(), Domain: s.Domain(), Kind: engine.Kind(s.Kind()), Layers: s.Layers(), Settled: true}
+	if p := w.pending[s.Incarnation().String()]; p != nil {
 		v.Layers, v.Settled = p.layers, false
 	}
 	return v
@@ -162,9 +162,9 @@
 	now := w.leader.clock.Now()
 	present := make(map[string]bool, len(servers))
 	for _, s := range servers {
-		present[s.ID()] = true
-		if w.known[s.ID()].IsZero() {
-			w.known[s.ID()] = now
+		present[s.Incarnation().String()] = true
+		if w.known[s.Incarnation().String()].IsZero() {
+			w.known[s.Incarnation().String()] = now
 			w.changed = now
 			w.arrivals[s.Domain()] = w.arrivals[s.Domain()].next(now)
 		}
@@ -204,11 +204,11 @@
 func (w *work) settle(ctx context.Context, servers []*backend.Server) {
 	now := w.leader.clock.Now()
 	for _, s := range servers {
-		p := w.pending[s.ID()]
+		p := w.pending[s.Incarnation().String()]
 		switch {
 		case p == nil:
 		case s.Layers() == p.layers:
-			delete(w.pending, s.ID())
+			delete(w.pending, s.Incarnation().String())
 		case p.unsure && now.Sub(p.at) >= askAfter, now.Sub(p.at) >= p.patience:
 			w.ask(ctx, s, p)
 		}
@@ -221,12 +221,12 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
 	report, err := g.caller.Report(ctx, s.Addr())
-	if err != nil {
-		// The server may be gone; its entry will tell. Until then it keeps what it was ordered to hold.
+	if err != nil || report.Born != s.Incarnation().Born {
+		// The server may be gone, or have started again; its entry will tell. Until then it keeps what it was ordered to hold.
 		p.at = g.clock.Now()
 		return
 	}
-	w.orders[s.ID()] = report.Orders
+	w.orders[s.Incarnation().String()] = report.Orders
 	if report.Busy {
 		// Whether this order or another one is carried out shows at its end.
 		p.at = g.clock.Now()
@@ -237,7 +237,7 @@
 		p.at = g.clock.Now()
 		return
 	}
-	delete(w.pending, s.ID())
+	delete(w.pending, s.Incarnation().String())
 	g.log.WithFields(logrus.Fields{
 		"server": s.ID(), "layers": p.layers.String(), "holds": report.Layers.String(), "orders": report.Orders,
 	}).Warn("order had no effect")
@@ -276,7 +276,7 @@
 func mayCut(s *backend.Server) bool { return s.Layers().First > 0 }
 
 // expected returns the number of orders that the server is known to have taken.
-func (w *work) expected(s *backend.Server) int64 { return w.orders[s.ID()] }
+func (w *work) expected(s *backend.Server) int64 { return w.orders[s.Incarnation().String()] }
 
 // note remembers an order and its outcome.
 func (w *work) note(ctx context.Context, engine *catalog.Engine, s *backend.Server, o placement.Order, err error) {
@@ -290,19 +290,19 @@
 	}
 	switch {
 	case err == nil:
-		w.pending[s.ID()] = p
-		w.orders[s.ID()] = w.expected(s) + 1
+		w.pending[s.Incarnation().String()] = p
+		w.orders[s.Incarnation().String()] = w.expected(s) + 1
 		g.log.WithFields(fields).Info("order given")
 	case errors.Is(err, backend.ErrNoAnswer):
 		p.unsure = true
-		w.pending[s.ID()] = p
+		w.pending[s.Incarnation().String()] = p
 		g.log.WithFields(fields).WithError(err).Warn("order without an answer")
 	default:
 		g.stats.Counter("orders_refused_total").Inc(1)
 		g.log.WithFields(fields).WithError(err).Warn("order refused")
 		// A server that carries out an order of a former leader refuses all others until it has done so.
 		p.unsure = true
-		w.pending[s.ID()] = p
+		w.pending[s.Incarnation().String()] = p
 		w.ask(ctx, s, p)
 	}
 }
--- a/relay/epoch.go
+++ b/relay/epoch.go
@@ -12,6 +12,8 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	doubtful bool
+	// again is closed when the store has answered after a failure.
+	again chan struct{}
 }
 
 func newEpoch() *epoch {
@@ -31,7 +33,20 @@
 func (e *epoch) sound() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.doubtful = false
+	if e.doubtful {
+		e.doubtful = false
+		close(e.again)
+	}
+}
+
+// whenSound returns what is closed once the store has answered after its last failure, nil while it is not in doubt.
+func (e *epoch) whenSound() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.doubtful {
+		return nil
+	}
+	return e.again
 }
 
 // doubt ends the epoch; while the store stays in doubt, calls that wait are short and are left alone.
@@ -42,6 +57,7 @@
 		return
 	}
 	e.doubtful = true
+	e.again = make(chan struct{})
 	e.cancel()
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 }
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"junctioncross/follow"
 )
 
@@ -13,8 +15,12 @@
 	// configWait is how long a watch on the configuration waits for news. An answer confirms that no key was taken away; the
 	// wait leaves more than a second of the time for which confirmed keys are accepted, also when a relay adds its own.
 	configWait = 1200 * time.Millisecond
-	// serversWait is the same for the other feeds, whose news confirm nothing that is needed often.
+	// serversWait is the same for the servers, whose news confirm nothing that is needed often.
 	serversWait = 8 * time.Second
+	// quarantineWait is the same for ends under requests, of which there are none on most days: 8 instances that wait for 8 s make 100 of
+	// 700 calls of a calm minute and a half. That the connection has fallen silent shows by its keep-alive, and that the store has by the
+	// question for the configuration, both within the 3 s in which all must have heard of an end.
+	quarantineWait = 25 * time.Second
 	// doubtWait is how long a watch on the servers waits while the store is in doubt, so that its return is noticed.
 	doubtWait = time.Second
 	// doubtAnswer is how long a question may take that does not wait for news, as one for the configuration while the store is in doubt:
@@ -26,6 +32,9 @@
 
 // watch asks the store; the call ends early when another call finds that the store does not answer.
 func (s *Source) watch(ctx context.Context, feed follow.Feed, after follow.Position, hurry bool) (heard, error) {
+	if feed == follow.FeedQuarantine && !s.awaitSound(ctx) {
+		return heard{}, errors.Wrap(follow.ErrUnavailable, "store in doubt")
+	}
 	epoch, doubt := s.epoch.current()
 	wait := s.waitOf(feed, doubt, hurry)
 	limit := wait + answerTime
@@ -63,14 +72,36 @@
 		return hurriedWait
 	case doubt:
 		return doubtWait
-	case feed != follow.FeedConfig:
+	case feed == follow.FeedServers:
 		return serversWait
+	case feed == follow.FeedQuarantine:
+		if !s.logs[feed].followed() {
+			// One that has just found the store again can serve others at once.
+			return hurriedWait
+		}
+		return quarantineWait
 	default:
 		_, known := s.logs[follow.FeedConfig].reached()
 		return max(configWait-s.clock.Since(known), hurriedWait)
 	}
 }
 
+// awaitSound waits a while for a store in doubt to answer the questions for other feeds, and reports whether it has. The feed of ends makes
+// no calls of its own to find that out.
+func (s *Source) awaitSound(ctx context.Context) bool {
+	sound := s.epoch.whenSound()
+	if sound == nil {
+		return true
+	}
+	select {
+	case <-sound:
+		return true
+	case <-s.clock.After(doubtWait):
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // reachStore finds out whether the store answers before it is asked for news: an outage of 8 s in which 290 instances asked for them
 // once a second or two cost 1,300 calls.
 func (s *Source) reachStore(ctx context.Context) error {
--- a/schema/beliefs.go
+++ b/schema/beliefs.go
@@ -186,6 +186,47 @@
 	failure
 }
 
+// A server's answer to the question how it is cannot be read; what was known stays.
+type garbled struct {
+	_ struct{} `msg:"report not readable" level:"warning"`
+	belief
+	server
+	// What gave reason to ask.
+	Why string `log:"why"`
+	failure
+}
+
+// Another start of a server answers at its address: what it ran is lost.
+type startedAgain struct {
+	_ struct{} `msg:"another start of the server answers" level:"warning"`
+	belief
+	server
+	// The start that was known, in milliseconds since 1970.
+	Born int64 `log:"born"`
+	// The start that answers.
+	Answers int64 `log:"answers"`
+}
+
+// A newer entry of a server tells that it has started again under its id: what it ran is lost.
+type entryOfAnother struct {
+	_ struct{} `msg:"server started again" level:"info"`
+	server
+	// The start that was known, in milliseconds since 1970.
+	Born int64 `log:"born"`
+}
+
+// An entry is none that a server writes of itself. A server that was known is not used until there is a good one.
+type entryUnusable struct {
+	_ struct{} `msg:"entry names no server to use" level:"warning"`
+	// Id that the entry stands under.
+	Server string `log:"server"`
+	// The first field that is wrong.
+	Field string `log:"field"`
+	// How the field begins.
+	Value string `log:"value"`
+	failure
+}
+
 // A server holds other layers than its entry says.
 type otherLayers struct {
 	_ struct{} `msg:"server holds other layers" level:"warning"`
