--- a/forward/ended.go
+++ b/forward/ended.go
@@ -81,7 +81,7 @@
 func (h *Handler) hasEnded(server *backend.Server, chained bool, broke time.Time) bool {
 	if !chained {
 		// A plain service tells nothing of itself without taking a place for the question; whether it listens is for nothing.
-		return !server.Listens(h.clock.Now())
+		return server.Ended() || !server.Listens(h.clock.Now())
 	}
 	for h.clock.Since(broke) < verdictTime {
 		if server.Ended() || server.Gone() || server.SilentSince(broke) {
--- /dev/null
+++ b/forward/incarnation_test.go
@@ -0,0 +1,41 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
+	"junctioncross/models"
+)
+
+// TestARequestAtAServerThatStartsAgainIsLostAtOnce lets a silent server be known to have started again: its caller is told at once, not when
+// its time is over.
+func TestARequestAtAServerThatStartsAgainIsLostAtOnce(t *testing.T) {
+	d := newDesk(t, "1", nil)
+	s := plainFront(t, onceRoute(), d)
+	c := callFront(t, s, "one")
+	require.Eventually(t, func() bool { return asked([]*desk{d}) == 1 }, soonEnough, time.Millisecond)
+	d.server.Finish()
+	require.Equal(t, http.StatusBadGateway, statusAt(t, c))
+	require.Eventually(t, func() bool { return ended([]*desk{d}) == 1 }, soonEnough, time.Millisecond)
+}
+
+// TestTheReportOfAnotherStartIsNotBelieved tells a handler what starts before and after the known one say.
+func TestTheReportOfAnotherStartIsNotBelieved(t *testing.T) {
+	h, clock := testHandler(t, newEngines(twoCopies()))
+	server := backend.NewServer(backend.Entry{ID: "a", Service: "s", Addr: "127.0.0.1:1", Layers: models.Layers{End: 4}, Born: 2000})
+	before := backend.Report{Born: 1000, Pace: 4, Used: 10, Total: 10}
+	h.believe(server, before, nil, "test")
+	require.InDelta(t, 1, server.Pace(clock.Now()), 0)
+	require.False(t, server.Ended())
+	h.believe(server, backend.Report{}, backend.ErrGarbled, "test")
+	require.True(t, server.Usable(clock.Now()), "it answered")
+	after := backend.Report{Born: 3000, Pace: 1, Total: 10}
+	h.believe(server, after, nil, "test")
+	require.True(t, server.Ended())
+	require.Error(t, server.Over().Err())
+	require.False(t, server.Usable(clock.Now()))
+}
