timer, front, forward: count the time in which the machine is suspended

Cause: all ages were taken by the runtime's steady clock, which stands while a machine is suspended: after 8 s of it keys that were taken away meanwhile passed for confirmed, and callers' deadlines for far away. Change: the time service adds what the clock since boot has come further; it looks every 0.1 s and with each request. Ruled out: the time of day (it jumps); two readings for each look at the time (0.3 us with a call of the system, several in each event).

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -120,7 +120,7 @@
 		newBook, newQuarantineRegister, quarantine.NewTeller,
 		func(b *census.Board) link.Trust { return keys.NewFleetKeyFrom(b.Key) },
 		func(clock *timer.Service) backend.Caller { return platform.NewEngines(clock) },
-		timer.NewReal, metrics.New, follow.NewBoard, follow.New, newQueue, newHostedLog, decision.NewRecorder, hostedTerms,
+		timer.NewSuspendable, metrics.New, follow.NewBoard, follow.New, newQueue, newHostedLog, decision.NewRecorder, hostedTerms,
 		forward.New, newFront, newOrderLeader, newChecks, census.NewBoard, newRolls, newCensus, relaySelf, relay.New, link.NewClient,
 	)
 }
@@ -201,6 +201,9 @@
 		return err
 	}
 	defer i.Front.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { i.Clock.Watch(ctx, i.tellGap) }()
 	if err := i.Checks.listen(); err != nil {
 		return err
 	}
@@ -220,6 +223,15 @@
 	}
 }
 
+// tellGap logs that the machine was suspended: what was heard before is as much older.
+func (i *hosted) tellGap(gap time.Duration, err error) {
+	if err != nil {
+		i.Log.WithError(err).Error("clock not read")
+		return
+	}
+	i.Log.WithField("gap_ms", gap.Milliseconds()).Warn("machine was suspended")
+}
+
 // listenPeers starts to answer other instances and returns what ends that; without an address there are none.
 func (i *hosted) listenPeers() (func(), error) {
 	if i.Set.Listen.Peers == "" {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -140,7 +140,7 @@
 		h.refuseKept(r, k)
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	ctx, cancel := h.clock.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	h.countRequest(r)
 	if r.group.Graph() != nil {
--- /dev/null
+++ b/forward/suspended_test.go
@@ -0,0 +1,60 @@
+package forward
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/catalog"
+	"junctioncross/decision"
+	"junctioncross/follow"
+	"junctioncross/metrics"
+	"junctioncross/testlog"
+	"junctioncross/timer"
+)
+
+// confirming is a follow.Source that confirms its configuration once and then says nothing.
+type confirming struct {
+	catalog *catalog.Catalog
+	at      time.Time
+}
+
+// Read implements follow.Source.
+func (c confirming) Read(_ context.Context, feed follow.Feed) (follow.News, error) {
+	if feed != follow.FeedConfig {
+		return follow.News{At: 1, Known: c.at}, nil
+	}
+	return follow.News{Changes: []follow.Change{follow.Configured{Catalog: c.catalog}}, At: 1, Known: c.at}, nil
+}
+
+// Next implements follow.Source.
+func (confirming) Next(ctx context.Context, _ follow.Feed, _ follow.Position) (follow.News, error) {
+	<-ctx.Done()
+	return follow.News{}, ctx.Err()
+}
+
+// TestKeysAreNotBelievedAfterASuspension lets the machine be suspended for 8 s while its steady clock stands: keys may have been taken away
+// meanwhile, and a refusal that says that there is no such key may be wrong as well.
+func TestKeysAreNotBelievedAfterASuspension(t *testing.T) {
+	var asleep atomic.Int64
+	fake := clockwork.NewFakeClock()
+	begun := fake.Now()
+	clock, err := timer.NewOver(fake, func() (time.Duration, error) { return fake.Since(begun) + time.Duration(asleep.Load()), nil })
+	require.NoError(t, err)
+	c, err := catalog.New(&catalog.Content{Version: 1})
+	require.NoError(t, err)
+	board, stats, log := follow.NewBoard(), metrics.New(), testlog.New(t)
+	h := New(t.Context(), Terms{Domain: "a", KeysAge: 3 * time.Second}, board, nil, nil, clock, stats, decision.NewRecorder(log, clock, stats), oneInstance{}, testBook(), noTeller{})
+	follow.New(t.Context(), confirming{catalog: c, at: clock.Now()}, board, h.ends, clock, stats, log)
+	require.Eventually(t, h.KeysConfirmed, soonEnough, time.Millisecond)
+	asleep.Store(int64(8 * time.Second))
+	gap, err := clock.Look()
+	require.NoError(t, err)
+	require.Equal(t, 8*time.Second, gap)
+	require.False(t, h.KeysConfirmed())
+	require.Greater(t, board.KeysAge(clock.Now()), freshAge)
+}
--- a/front/conn.go
+++ b/front/conn.go
@@ -78,7 +78,7 @@
 	if c.reader.Buffered() > 0 {
 		return true
 	}
-	if err := c.net.SetReadDeadline(c.server.clock.Now().Add(c.limits.IdleTime + idleMargin)); err != nil {
+	if err := c.net.SetReadDeadline(c.server.within(c.limits.IdleTime + idleMargin)); err != nil {
 		return false
 	}
 	_, err := c.reader.Peek(1)
@@ -150,20 +150,23 @@
 }
 
 func (c *conn) readRequest(x *Exchange) *unread {
-	deadline := c.server.clock.Now().Add(c.limits.HeaderTime)
-	if err := c.net.SetReadDeadline(deadline); err != nil {
+	if err := c.net.SetReadDeadline(c.server.within(c.limits.HeaderTime)); err != nil {
 		return &unread{}
 	}
 	if err := x.request.Header.Read(c.reader); err != nil {
 		return headerProblem(err)
 	}
+	// What is known may be older than the clock told while the machine was suspended, and this may be the first that it does again.
+	if _, err := c.server.clock.Look(); err != nil {
+		c.server.stats.Counter("clock_failures_total").Inc(1)
+	}
 	x.arrived = c.server.clock.Now()
 	if x.request.MayContinue() {
 		if _, err := c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return &unread{}
 		}
 	}
-	if err := c.net.SetReadDeadline(x.arrived.Add(bodyTime)); err != nil {
+	if err := c.net.SetReadDeadline(c.server.within(bodyTime)); err != nil {
 		return &unread{}
 	}
 	if x.request.Header.ContentLength() != 0 {
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -128,7 +128,7 @@
 	}
 	if !x.begun {
 		x.begun = true
-		if err := x.conn.net.SetWriteDeadline(x.conn.server.clock.Now().Add(x.meta.Wait + writeSlack)); err != nil {
+		if err := x.conn.net.SetWriteDeadline(x.conn.server.within(x.meta.Wait + writeSlack)); err != nil {
 			x.failed = true
 			return
 		}
@@ -152,7 +152,7 @@
 	}
 	// The reading goroutine may wait for the next request already; from now on it waits only for the idle time.
 	x.conn.rest()
-	return x.conn.net.SetReadDeadline(x.conn.server.clock.Now().Add(x.conn.limits.IdleTime+idleMargin)) == nil
+	return x.conn.net.SetReadDeadline(x.conn.server.within(x.conn.limits.IdleTime+idleMargin)) == nil
 }
 
 // wake ends the wait of the reading goroutine.
--- a/front/server.go
+++ b/front/server.go
@@ -47,6 +47,11 @@
 	}
 }
 
+// within returns when something must have happened that may take so long, as a connection's deadline.
+func (s *Server) within(limit time.Duration) time.Time {
+	return s.clock.Steady(s.clock.Now().Add(limit))
+}
+
 // Listen starts to accept connections on an IP number and port.
 func (s *Server) Listen(addr string) error {
 	listener, err := net.Listen("tcp4", addr)
--- a/schema/beliefs.go
+++ b/schema/beliefs.go
@@ -70,6 +70,19 @@
 	failure
 }
 
+// The machine stood still while its steady clock did; what was heard before counts as older by that.
+type suspendedFor struct {
+	_ struct{} `msg:"machine was suspended" level:"warning"`
+	// For how long.
+	GapMS int64 `log:"gap_ms"`
+}
+
+// The clock that counts suspension could not be read.
+type clockNotRead struct {
+	_ struct{} `msg:"clock not read" level:"error"`
+	failure
+}
+
 // A feed of the store fails.
 type lost struct {
 	_ struct{} `msg:"dependency lost" level:"warning"`
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -54,6 +54,8 @@
 		notReloaded{},
 		readiness{},
 		metricsNotWritten{},
+		suspendedFor{},
+		clockNotRead{},
 		lost{},
 		regained{},
 		heardElsewhere{},
--- a/timer/service.go
+++ b/timer/service.go
@@ -2,27 +2,56 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 )
 
-// Service tells the time and delivers ticks to its subscribers.
+// Service tells the time and delivers ticks to its subscribers. The time counts what the machine is suspended for; ticks and pauses do not.
 type Service struct {
 	clock clockwork.Clock
+	// boot tells the time since a moment before the start, with that in which the machine is suspended; nil where it never is.
+	boot func() (time.Duration, error)
+	// bootAt and steadyAt are what the two clocks told at the start.
+	bootAt   time.Duration
+	steadyAt time.Time
+	// suspended is for how long the machine has been suspended since, in nanoseconds.
+	suspended atomic.Int64
+
+	mu        sync.Mutex
+	deadlines map[*deadline]struct{}
+}
+
+// New returns a Service over the given clock, on a machine that is never suspended.
+func New(clock clockwork.Clock) *Service {
+	return &Service{clock: clock, deadlines: map[*deadline]struct{}{}}
 }
 
-// New returns a Service over the given clock.
-func New(clock clockwork.Clock) *Service { return &Service{clock: clock} }
+// NewOver returns a Service over a steady clock and one that counts suspension; it returns the error of reading that.
+func NewOver(clock clockwork.Clock, boot func() (time.Duration, error)) (*Service, error) {
+	s := New(clock)
+	at, err := boot()
+	if err != nil {
+		return nil, errors.Wrap(err, "timer: read the clock that counts suspension")
+	}
+	s.boot, s.bootAt, s.steadyAt = boot, at, clock.Now()
+	return s, nil
+}
 
-// NewReal returns a Service over the machine's clock.
+// NewReal returns a Service over the machine's steady clock.
 func NewReal() *Service { return New(clockwork.NewRealClock()) }
 
+// NewSuspendable returns a Service over the machine's clocks; it returns the error of reading them.
+func NewSuspendable() (*Service, error) { return NewOver(clockwork.NewRealClock(), sinceBoot) }
+
 // Now returns the current time.
-func (s *Service) Now() time.Time { return s.clock.Now() }
+func (s *Service) Now() time.Time { return s.clock.Now().Add(s.Suspended()) }
 
 // Since returns the time that has passed since t.
-func (s *Service) Since(t time.Time) time.Duration { return s.clock.Since(t) }
+func (s *Service) Since(t time.Time) time.Duration { return s.Now().Sub(t) }
 
 // After delivers the time once, when d has passed.
 func (s *Service) After(d time.Duration) <-chan time.Time { return s.clock.After(d) }
