--- /dev/null
+++ b/relay/doubt_test.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/census"
+	"junctioncross/follow"
+	"junctioncross/metrics"
+	"junctioncross/timer"
+)
+
+// counting is a Store that is down or answers at once, and counts its calls.
+type counting struct {
+	Store
+	down  bool
+	calls int
+}
+
+// Reach implements Store.
+func (c *counting) Reach(context.Context) error {
+	c.calls++
+	if c.down {
+		return follow.ErrUnavailable
+	}
+	return nil
+}
+
+// WatchFeed implements Store.
+func (c *counting) WatchFeed(_ context.Context, _ follow.Feed, after follow.Position, _ time.Duration) ([]Record, follow.Position, error) {
+	c.calls++
+	if c.down {
+		return nil, 0, follow.ErrUnavailable
+	}
+	return nil, after, nil
+}
+
+// Decode implements Store.
+func (*counting) Decode([]Record) []follow.Change { return nil }
+
+// TestTheFeedOfEndsAsksNothingOfAStoreInDoubt lets the store go down and come back: the question for the configuration finds out both, and
+// that the feed of ends was not asked for says nothing of the store.
+func TestTheFeedOfEndsAsksNothingOfAStoreInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &counting{}
+		log := logrus.New()
+		log.SetLevel(logrus.PanicLevel)
+		one := known{census.Instance{Name: "self", Domain: "east"}}
+		s := New(Self{Name: "self", Domain: "east", From: 24, ApplyTime: promise}, store, one, nil, noEnds{}, nil, timer.NewReal(), metrics.New(), log)
+		next := func(feed follow.Feed) error {
+			_, err := s.Next(t.Context(), feed, 1)
+			return err
+		}
+		require.NoError(t, next(follow.FeedQuarantine))
+		store.down = true
+		require.Error(t, next(follow.FeedConfig))
+		before := store.calls
+		begun := time.Now()
+		err := next(follow.FeedQuarantine)
+		require.True(t, errors.Is(err, follow.ErrUnavailable))
+		require.Equal(t, before, store.calls)
+		require.Equal(t, doubtWait, time.Since(begun))
+		store.down = false
+		waiting := make(chan error, 1)
+		go func() { waiting <- next(follow.FeedQuarantine) }()
+		synctest.Wait()
+		require.NoError(t, next(follow.FeedConfig))
+		require.NoError(t, <-waiting, "it goes on as soon as the store answers")
+	})
+}
--- a/relay/source.go
+++ b/relay/source.go
@@ -176,6 +176,9 @@
 			return s.news(h), nil
 		case errors.Is(err, follow.ErrHistoryGone) || ctx.Err() != nil:
 			return follow.News{}, err
+		case errors.Is(err, errInDoubt):
+			last = err
+			continue
 		}
 		s.note(feed, w, asked, err)
 		ways = s.referred(ways, i+1, feed, err)
@@ -201,7 +204,7 @@
 		return s.ask(ctx, w.addr, poll{Feed: feed, After: after, Hurry: hurry})
 	}
 	h, err := s.watch(ctx, feed, after, hurry)
-	if err != nil && ctx.Err() == nil && !errors.Is(err, follow.ErrHistoryGone) {
+	if err != nil && ctx.Err() == nil && !errors.Is(err, follow.ErrHistoryGone) && !errors.Is(err, errInDoubt) {
 		s.lost()
 	}
 	return h, err
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -30,10 +30,13 @@
 	hurriedWait = time.Millisecond
 )
 
+// errInDoubt means that the store was not asked, since it has not answered the questions for other feeds yet; it says nothing new of it.
+var errInDoubt = errors.Wrap(follow.ErrUnavailable, "relay: store in doubt")
+
 // watch asks the store; the call ends early when another call finds that the store does not answer.
 func (s *Source) watch(ctx context.Context, feed follow.Feed, after follow.Position, hurry bool) (heard, error) {
 	if feed == follow.FeedQuarantine && !s.awaitSound(ctx) {
-		return heard{}, errors.Wrap(follow.ErrUnavailable, "store in doubt")
+		return heard{}, errInDoubt
 	}
 	epoch, doubt := s.epoch.current()
 	wait := s.waitOf(feed, doubt, hurry)
