quarantine: let a request that is tried again cost one server

Cause: when its ends had lapsed a request was new, and three more servers could end each 5 to 10 minutes while it kept coming. Change: an instance remembers for an hour which requests were kept from servers; the first end of such a one keeps it away again. What was taken back since a server ran it is not remembered. Ruled out: renewing the ends while the request comes (one that was kept away wrongly would never be tried again). Tests: ends that lapse by removal and by time, a good run here and elsewhere.

--- a/follow/loop.go
+++ b/follow/loop.go
@@ -155,7 +155,7 @@
 		case EndSeen:
 			l.hearEnd(c.End)
 		case EndGone:
-			l.ends.Forget(c.End)
+			l.ends.Forget(c.End, l.clock.Now())
 		case Unreadable:
 			l.stats.Counter("unreadable_total").Inc(1)
 			l.log.WithField("key", c.Key).WithError(c.Err).Error("value not readable, the former one stays in force")
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -28,6 +28,14 @@
 // would double the writes for all that merely ran beside one that ended a server.
 const tellAbsolved = 2
 
+const (
+	// remembered is how many times longer than an end counts it is remembered that a request was kept from servers: when it is tried again, the
+	// first server that ends under it is the last for that time, not the third.
+	remembered = 6
+	// surely is the part of its time for which an end is kept for certain. One that is gone sooner was taken back.
+	surely = 0.5
+)
+
 // stage is how far the news of an end has come.
 type stage int
 
@@ -48,6 +56,8 @@
 
 	mu    sync.Mutex
 	cases map[Fingerprint]*suspect
+	// former holds when requests that were kept from servers could be tried again.
+	former map[Fingerprint]time.Time
 	// absolved are ends that others still have to be told to forget.
 	absolved []End
 	// size is the number of cases, for those who ask while there are none.
@@ -67,7 +77,9 @@
 }
 
 // NewBook returns a Book without ends.
-func NewBook(terms Terms) *Book { return &Book{terms: terms, cases: map[Fingerprint]*suspect{}} }
+func NewBook(terms Terms) *Book {
+	return &Book{terms: terms, cases: map[Fingerprint]*suspect{}, former: map[Fingerprint]time.Time{}}
+}
 
 // Size returns the number of requests of which ends are known.
 func (b *Book) Size() int { return int(b.size.Load()) }
@@ -118,10 +130,10 @@
 }
 
 // Forget takes an end back that can no longer be read.
-func (b *Book) Forget(e End) {
+func (b *Book) Forget(e End, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.forgetLocked(e.Request, e.Server)
+	b.lapseLocked(e.Request, e.Server, now)
 }
 
 // Replace takes over all ends that can be read; those that no longer can are forgotten.
@@ -136,7 +148,7 @@
 	for request, c := range b.cases {
 		for server, known := range c.ends {
 			if known.stage == shared && !listed[End{Request: request, Server: server}] {
-				b.forgetLocked(request, server)
+				b.lapseLocked(request, server, now)
 			}
 		}
 	}
@@ -157,6 +169,7 @@
 		}
 	}
 	b.removeLocked(request)
+	delete(b.former, request)
 	return len(c.ends)
 }
 
@@ -168,12 +181,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.cases[request]
-	if c == nil || len(c.ends) < b.terms.Ends || len(c.ends) < b.terms.EndsOfOne && !c.byOther(attempt) {
+	if c == nil || !b.keepsLocked(request, c, attempt) {
 		return 0, false
 	}
 	return max(b.terms.Keep-now.Sub(c.newest()), 0), true
 }
 
+// keepsLocked reports whether the ends of a request keep an attempt from servers; the caller holds the lock.
+func (b *Book) keepsLocked(request Fingerprint, c *suspect, attempt string) bool {
+	if _, before := b.former[request]; before {
+		return true
+	}
+	return len(c.ends) >= b.terms.EndsOfOne || len(c.ends) >= b.terms.Ends && c.byOther(attempt)
+}
+
 // Ends returns the number of servers that have ended under a request.
 func (b *Book) Ends(request Fingerprint) int {
 	b.mu.Lock()
@@ -216,18 +237,34 @@
 
 // Tidy forgets the ends that no longer count.
 func (b *Book) Tidy(now time.Time) {
-	if b.Size() == 0 {
-		return
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for request, c := range b.cases {
 		for server, known := range c.ends {
 			if now.Sub(known.at) > b.terms.Keep {
-				b.forgetLocked(request, server)
+				b.lapseLocked(request, server, now)
 			}
 		}
 	}
+	for request, since := range b.former {
+		if now.Sub(since) > remembered*b.terms.Keep {
+			delete(b.former, request)
+		}
+	}
+}
+
+// lapseLocked forgets an end that counts no more, and remembers the request if it was kept from servers until then; the caller holds the
+// lock.
+func (b *Book) lapseLocked(request Fingerprint, server string, now time.Time) {
+	c := b.cases[request]
+	if c == nil || c.ends[server] == nil {
+		return
+	}
+	lasted := now.Sub(c.ends[server].at) >= time.Duration(surely*float64(b.terms.Keep))
+	if _, before := b.former[request]; lasted && (before || len(c.ends) >= b.terms.Ends) && len(b.former) < b.terms.Most {
+		b.former[request] = now
+	}
+	b.forgetLocked(request, server)
 }
 
 // caseLocked returns the case of a request; one of the others goes when there are too many.
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -172,3 +172,42 @@
 		}
 	})
 }
+
+// TestARequestThatIsTriedAgainCostsOneServer lets the ends of a request lapse, as others see it by their removal, and one more server end.
+func TestARequestThatIsTriedAgainCostsOneServer(t *testing.T) {
+	for _, removed := range []bool{true, false} {
+		b, r := quarantine.NewBook(terms), request(1)
+		for n := range 3 {
+			b.Hear(end(r, n, "a"), begin)
+		}
+		later := begin.Add(terms.Keep + 1)
+		for n := range 3 {
+			if removed {
+				b.Forget(end(r, n, "a"), later)
+			}
+		}
+		b.Tidy(later)
+		_, kept := b.Kept(r, quarantine.Short("again"), later)
+		require.False(t, kept, "it is tried again")
+		b.Suspect(end(r, 7, "again"), later)
+		_, kept = b.Kept(r, quarantine.Short("again"), later)
+		require.True(t, kept)
+		b.Absolve(r)
+		b.Suspect(end(r, 8, "again"), later)
+		_, kept = b.Kept(r, quarantine.Short("again"), later)
+		require.False(t, kept, "it has proved harmless")
+	}
+}
+
+// TestWhatOthersTookBackIsNotRemembered lets another instance see a good run.
+func TestWhatOthersTookBackIsNotRemembered(t *testing.T) {
+	b, r := quarantine.NewBook(terms), request(1)
+	for n := range 3 {
+		b.Hear(end(r, n, "a"), begin)
+	}
+	for n := range 3 {
+		b.Forget(end(r, n, "a"), begin.Add(time.Second))
+	}
+	b.Hear(end(r, 7, "b"), begin)
+	require.False(t, keptFrom(b, r, "c"))
+}
