follow, forward: take a server whose entry names an unknown service out of use, and keep a request's digest

Cause: an entry of another writer that reads well but names a service that nobody knows passed for a new start of its server, and would have cut what that ran. The digest of a request was worked out at each look. Change: such an entry takes the server out of use like one that cannot be read; the digest is kept with the request. Tests: an overwritten entry and the next good one; a send costs 24 ns with the making of a request while nothing is kept.

--- a/follow/incarnation_test.go
+++ b/follow/incarnation_test.go
@@ -104,6 +104,23 @@
 	require.Equal(t, 2, told)
 }
 
+// TestAnEntryOfAServiceThatNobodyNamesTakesItsServerOutOfUse overwrites the entry of a server with one that reads well.
+func TestAnEntryOfAServiceThatNobodyNamesTakesItsServerOutOfUse(t *testing.T) {
+	s := newSource()
+	b := start(t, s)
+	s.tell(follow.FeedConfig, configured(t, 1))
+	s.tell(follow.FeedServers, born("a", 1000, 1, false))
+	soon(t, func() bool { return only(b) != nil })
+	known := only(b)
+	other := born("a", 1000, 2, false)
+	other.Entry.Service = "nonsense"
+	s.tell(follow.FeedServers, other)
+	soon(t, func() bool { return servers(b) == 0 })
+	require.NoError(t, known.Over().Err(), "what it runs goes on")
+	s.tell(follow.FeedServers, born("a", 1000, 3, false))
+	soon(t, func() bool { return only(b) == known })
+}
+
 // step is something that is told of a server.
 type step struct {
 	what string
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -31,6 +31,9 @@
 	heardQueue = 16
 )
 
+// errNoService means that an entry names a service that the configuration does not.
+var errNoService = errors.New("follow: no such service")
+
 // Loop owns the control state of an instance.
 type Loop struct {
 	board *Board
@@ -189,6 +192,10 @@
 		l.entries[e.ID] = old
 		return false
 	}
+	if l.servers[e.ID] != nil && e.Service != old.Service && !l.names(e.Service) {
+		l.entries[e.ID] = old
+		return l.disown(EntryUnusable{ID: e.ID, Field: "service", Value: e.Service, Err: errNoService})
+	}
 	again := l.unusable[e.ID]
 	delete(l.unusable, e.ID)
 	s := l.servers[e.ID]
@@ -272,6 +279,11 @@
 	delete(l.unusable, id)
 }
 
+// names reports whether the configuration in force names a service.
+func (l *Loop) names(service string) bool {
+	return l.catalog != nil && l.catalog.Service(service) != nil
+}
+
 // finish notes that a server has started again, under its id: what was under way at its former start is lost.
 func (l *Loop) finish(s *backend.Server) {
 	s.Finish()
--- a/forward/ended.go
+++ b/forward/ended.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// provenTime is how long a server must have run a request for it to be none that ends each server that begins it: ten times what
-	// the slowest of 23 such ends took after the server had begun.
+	// provenTime is how long a server must have run a request for it to be none that ends each server that begins it: on record these ended
+	// 0.04 to 0.12 s after they had begun one.
 	provenTime = time.Second
 	// verdictTime is how long it may take to find out whether a server has ended: several questions to it.
 	verdictTime = time.Second
@@ -39,8 +39,8 @@
 	return kept{left: left}, ok
 }
 
-// refuseKept tells the caller that the request is not sent to servers, and when its turn may come again. What ran before in this attempt
-// may have been answered to nobody.
+// refuseKept tells the caller that the request is not sent to servers, and when it may be again; or that it may have run, if servers ended
+// under this very attempt.
 func (h *Handler) refuseKept(r *request, k kept) {
 	if r.runs > 0 {
 		h.giveUp(r, fasthttp.StatusBadGateway, models.ReasonQuarantined, nil)
--- a/forward/ended_test.go
+++ b/forward/ended_test.go
@@ -130,8 +130,8 @@
 	require.False(t, h.again(r, k, 1))
 }
 
-// BenchmarkASendWhileNothingIsKept shows what the look at the ends adds to each send: 0 ns before there was one, 2 ns while no server has
-// ended under a request, and 0.5 us while ends are known, most of it for the digest of a short request.
+// BenchmarkASendWhileNothingIsKept shows what the look at the ends adds to a send, with the making of a request: 24 ns while no server has ended
+// under a request and 0.7 us while ends are known, most of it for the digest. Before there was such a look it was nothing.
 func BenchmarkASendWhileNothingIsKept(b *testing.B) {
 	for _, cases := range []int{0, 1} {
 		b.Run(fmt.Sprint(cases), func(b *testing.B) {
@@ -139,9 +139,8 @@
 			for n := range cases {
 				h.ends.Hear(endOf(n), time.Now())
 			}
-			r := &request{x: &front.Exchange{}}
 			for b.Loop() {
-				h.keptFrom(r)
+				h.keptFrom(&request{x: &front.Exchange{}})
 			}
 		})
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -122,12 +122,18 @@
 	ran []*backend.Server
 	// sends counts the servers that the request was sent to.
 	sends int
+	// digest is the fingerprint once it was worked out.
+	digest *quarantine.Fingerprint
 }
 
 // fingerprint returns what stands for the request whatever attempt of its caller it is.
 func (r *request) fingerprint() quarantine.Fingerprint {
-	header := r.x.Header()
-	return quarantine.FingerprintOf(header.Host(), header.RequestURI(), r.account, r.x.Body())
+	if r.digest == nil {
+		header := r.x.Header()
+		digest := quarantine.FingerprintOf(header.Host(), header.RequestURI(), r.account, r.x.Body())
+		r.digest = &digest
+	}
+	return *r.digest
 }
 
 // Handle implements front.Handler.
