relay: ask for ends first where the configuration was last had from

Change: the place that the configuration was last had from goes first. Ruled out: letting ends probe a store that is spared (one feed asks for all).

--- a/relay/ways.go
+++ b/relay/ways.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -88,6 +89,9 @@
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if feed == follow.FeedQuarantine {
+		ways = s.likeConfig(ways)
+	}
 	var out []way
 	for _, w := range s.withHelper(ways, feed) {
 		if w.direct() || !now.Before(s.left[w.addr].until) {
@@ -97,6 +101,18 @@
 	return out
 }
 
+// likeConfig puts the place first that the configuration was last had from, which is found sooner: a stand-in whose relay had died asked it
+// twice for 1.2 s after it had the configuration from the store. The caller holds the lock.
+func (s *Source) likeConfig(ways []way) []way {
+	w := s.using[follow.FeedConfig]
+	i := slices.Index(ways, w)
+	if s.since[follow.FeedConfig].IsZero() || i <= 0 {
+		return ways
+	}
+	out := slices.Delete(slices.Clone(ways), i, i+1)
+	return slices.Insert(out, 0, w)
+}
+
 // failed leaves a relay alone for a while and reports whether it is the first failure of a way in a row. Calls that fail together count
 // once. Whether the store is left alone is decided by sparing.
 func (s *Source) failed(w way, asked time.Time, refused bool) bool {
