platform, forward: read what a server asks for in its answer, and tell it in the log

The lines on the incident tell that a server turned a request away, and not that it asked for rest. Nothing decides by it yet: what is read of an answer has four facts where it had two under one name each (the connection closes, the server leaves; how long a connection is kept, how long the server wants nothing).

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -19,10 +19,10 @@
 	// It is less than the two seconds without an event after which callers leave, so that there is time to go on elsewhere. A server
 	// that is slow acknowledges all the same.
 	silentTime = 1500 * time.Millisecond
-	// restUnknown is how long a connection may rest when the server did not say how long it keeps it.
-	restUnknown = 4 * time.Second
-	// restMargin is subtracted from what the server says, for the time until the next request arrives.
-	restMargin = time.Second
+	// idleUnknown is how long a connection may rest when the server did not say how long it keeps it.
+	idleUnknown = 4 * time.Second
+	// idleMargin is subtracted from what the server says, for the time until the next request arrives.
+	idleMargin = time.Second
 	// readBuffer holds the head of an answer.
 	readBuffer = 4 << 10
 )
@@ -72,7 +72,7 @@
 	if err != nil {
 		return false
 	}
-	conn.Rest(now, 0)
+	conn.Keep(now, 0)
 	return true
 }
 
@@ -114,20 +114,20 @@
 	return err == nil && open
 }
 
-// Rest keeps the connection for the next request; rest is how long the server said that it keeps it, 0 for unknown.
-func (c *Conn) Rest(now time.Time, rest time.Duration) {
-	if rest == 0 {
-		rest = restUnknown
+// Keep keeps the connection for the next request; idle is how long the server said that it keeps it, 0 for unknown.
+func (c *Conn) Keep(now time.Time, idle time.Duration) {
+	if idle == 0 {
+		idle = idleUnknown
 	}
 	s := c.server
-	if rest <= restMargin || s.Leaving() || c.Reader.Buffered() > 0 {
+	if idle <= idleMargin || s.Leaving() || c.Reader.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
 	c.used = true
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.idle = append(s.idle, &idleConn{conn: c, until: now.Add(rest - restMargin)})
+	s.idle = append(s.idle, &idleConn{conn: c, until: now.Add(idle - idleMargin)})
 }
 
 // CloseExpired closes the connections that have rested too long.
--- a/backend/conn_test.go
+++ b/backend/conn_test.go
@@ -20,7 +20,7 @@
 	now := time.Now()
 	c, err := s.Connect(t.Context(), now, true)
 	require.NoError(t, err)
-	c.Rest(now, time.Minute)
+	c.Keep(now, time.Minute)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err = s.Connect(ctx, now, false)
--- a/call/request.go
+++ b/call/request.go
@@ -69,10 +69,14 @@
 	// Fault is the address of the server on the path that is to blame for a refusal.
 	Fault string
 	Load  Load
-	// Leaving means that the connection, and perhaps the server, is about to go.
+	// Closing means that the connection is about to go.
+	Closing bool
+	// KeepAlive is how long the server keeps an idle connection; 0 means that it did not say.
+	KeepAlive time.Duration
+	// Leaving means that the server itself is about to go.
 	Leaving bool
-	// Rest is how long the server keeps an idle connection; 0 means that it did not say.
-	Rest time.Duration
+	// RetryAfter is how long the server, which turned the request away, wants nothing from this instance; 0 means that it did not say.
+	RetryAfter time.Duration
 }
 
 // Codec reads and writes the heads of requests and answers in the words of the systems around.
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -134,11 +134,11 @@
 // finish keeps the connection of an answer that was read whole, or closes it.
 func (h *Handler) finish(s *sent, whole bool) {
 	watching := s.release()
-	if !whole || !watching || !s.framed() || s.info.Leaving {
+	if !whole || !watching || !s.framed() || s.info.Closing {
 		_ = s.conn.Close()
 		return
 	}
-	s.conn.Rest(h.clock.Now(), s.info.Rest)
+	s.conn.Keep(h.clock.Now(), s.info.KeepAlive)
 }
 
 // remaining returns how long the caller will still wait.
--- a/forward/leave_test.go
+++ b/forward/leave_test.go
@@ -250,5 +250,5 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	require.NoError(t, err)
 	require.NoError(t, resp.Body.Close())
-	c.Rest(time.Now(), time.Minute)
+	c.Keep(time.Now(), time.Minute)
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -243,5 +243,6 @@
 	}
 	h.record.Failure(r.meta.ID, "turned away", h.fields(r, decision.Fields{
 		"server": server.ID(), "address": server.Addr(), "status": s.info.Status, "fault": s.info.Fault,
+		"retry_after_ms": s.info.RetryAfter.Milliseconds(), "leaving": s.info.Leaving,
 	}))
 }
--- a/schema/requests.go
+++ b/schema/requests.go
@@ -44,6 +44,10 @@
 	Status int64 `log:"status"`
 	// The address that the answer blames, if it names one.
 	Fault string `log:"fault"`
+	// For how long the server wants nothing from this instance; 0 when it did not say.
+	RetryAfterMS int64 `log:"retry_after_ms"`
+	// Whether the server says that it leaves.
+	Leaving bool `log:"leaving"`
 }
 
 // The stream of an answer broke.
