--- a/app/run.go
+++ b/app/run.go
@@ -172,7 +172,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "app: listen on %s", addr)
 	}
-	listener = tolerant(listener, clock)
+	listener = entry.Lingering(tolerant(listener, clock))
 	if settings != nil {
 		listener = tls.NewListener(listener, settings)
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -74,7 +74,7 @@
 func serve(t *testing.T, h *entry.Handler) *fasthttp.Client {
 	listener := fasthttputil.NewInmemoryListener()
 	server := &fasthttp.Server{Handler: h.Routes(), ErrorHandler: h.Broken, MaxRequestBodySize: 4096, ReadTimeout: time.Second}
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(entry.Lingering(listener)) }()
 	t.Cleanup(func() { _ = listener.Close() })
 	return &fasthttp.Client{Dial: func(string) (net.Conn, error) { return listener.Dial() }}
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -182,4 +182,5 @@
 	}
 	h.refuse(ctx, c, r)
 	ctx.SetConnectionClose()
+	linger(ctx)
 }
--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -89,7 +89,7 @@
 	produced int
 	// started is true once a server may have run a frame.
 	started bool
-	avoid   []int
+	avoid   pool.Avoid
 	retries int
 	brokeAt time.Time
 }
@@ -206,7 +206,7 @@
 		server := a.runner.pool.Server(n.Server)
 		if server.Engine().Slow(n.Step) {
 			server.Failed(a.runner.clock.Now())
-			a.avoid = append(a.avoid, n.Server)
+			a.avoid.Busy = append(a.avoid.Busy, n.Server)
 			return a.runner.pool.HasPath(a.request.Graph(), a.avoid)
 		}
 	}
@@ -228,7 +228,7 @@
 		}
 		if ctx.Err() == nil {
 			server.Failed(a.runner.clock.Now())
-			a.avoid = append(a.avoid, n.Server)
+			a.shun(n.Server, err)
 			a.runner.log.WithFields(a.fields()).WithField("server", server.Name()).WithError(err).Warn("stage failed")
 		}
 		return result, err
@@ -238,6 +238,15 @@
 	return result, nil
 }
 
+// shun keeps that a server failed the attempt.
+func (a *attempt) shun(server int, err error) {
+	if errors.Is(err, engine.ErrRefused) || errors.Is(err, engine.ErrOutOfOrder) {
+		a.avoid.Busy = append(a.avoid.Busy, server)
+		return
+	}
+	a.avoid.Lost = append(a.avoid.Lost, server)
+}
+
 // release makes the servers of the path forget the attempt.
 func (a *attempt) release(err error) {
 	path := a.path
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,42 +99,52 @@
 // Caller returns the means of single calls to servers.
 func (p *Pool) Caller() *engine.Caller { return p.caller }
 
-// Choose returns a path through the graph that avoids the servers in avoid.
-func (p *Pool) Choose(g *route.Graph, avoid []int) ([]route.Node, bool) {
-	l := loads{servers: *p.list.Load(), now: p.clock.Now(), avoid: avoid}
-	path := make([]route.Node, 0, pathLength)
-	path, ok := route.Choose(g, l, random{}, path)
-	if !ok {
-		l.avoid = nil
-		path, ok = route.Choose(g, l, random{}, path[:0])
-	}
-	// A failed server is worth a trial when the only other answer is a refusal.
-	if !ok {
-		l.despite = true
-		path, ok = route.Choose(g, l, random{}, path[:0])
-	}
-	if !ok {
-		return nil, false
-	}
-	for _, n := range path {
-		l.servers[n.Server].Chosen()
+// Avoid names the servers that the next attempt at a request had better not pass.
+type Avoid struct {
+	// Lost gave no answer.
+	Lost []int
+	// Busy turned work away or were slow.
+	Busy []int
+}
+
+// Choose returns a path through the graph. It passes servers to be avoided, and those with open circuits, only where the other answer is a
+// refusal, and those that gave no answer last: one that turned work away a moment ago is there, while one that has ended uses up attempts.
+func (p *Pool) Choose(g *route.Graph, avoid Avoid) ([]route.Node, bool) {
+	l := loads{servers: *p.list.Load(), now: p.clock.Now()}
+	for _, l.choice = range []choice{
+		{avoid: avoid}, {avoid: Avoid{Lost: avoid.Lost}}, {avoid: Avoid{Lost: avoid.Lost}, despite: true}, {}, {despite: true},
+	} {
+		path, ok := route.Choose(g, l, random{}, make([]route.Node, 0, pathLength))
+		if !ok {
+			continue
+		}
+		for _, n := range path {
+			l.servers[n.Server].Chosen()
+		}
+		return path, true
 	}
-	return path, true
+	return nil, false
 }
 
-// HasPath reports whether there is a path of usable servers that avoids those in avoid.
-func (p *Pool) HasPath(g *route.Graph, avoid []int) bool {
-	_, ok := route.Choose(g, loads{servers: *p.list.Load(), now: p.clock.Now(), avoid: avoid}, random{}, make([]route.Node, 0, pathLength))
+// HasPath reports whether there is a path of usable servers that passes none to be avoided.
+func (p *Pool) HasPath(g *route.Graph, avoid Avoid) bool {
+	l := loads{servers: *p.list.Load(), now: p.clock.Now(), choice: choice{avoid: avoid}}
+	_, ok := route.Choose(g, l, random{}, make([]route.Node, 0, pathLength))
 	return ok
 }
 
+// choice says which servers may be passed.
+type choice struct {
+	avoid Avoid
+	// despite counts servers with open circuits as usable.
+	despite bool
+}
+
 // loads shows the servers at one moment to the choice of a route.
 type loads struct {
 	servers []*Server
 	now     time.Time
-	avoid   []int
-	// despite counts servers with open circuits as usable.
-	despite bool
+	choice
 }
 
 // Assigned implements route.Loads.
@@ -141,10 +152,8 @@
 
 // Usable implements route.Loads.
 func (l loads) Usable(i int) bool {
-	for _, a := range l.avoid {
-		if a == i {
-			return false
-		}
+	if slices.Contains(l.avoid.Lost, i) || slices.Contains(l.avoid.Busy, i) {
+		return false
 	}
 	if l.despite {
 		return !l.servers[i].Barred()
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,52 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/engine"
+	"junctioncross/metrics"
+	"junctioncross/models"
+	"junctioncross/pool"
+	"junctioncross/route"
+	"junctioncross/timer"
+)
+
+// choices is the number of times that a path is asked for.
+const choices = 200
+
+// TestAServerThatGaveNoAnswerIsTheLastToBeTriedAgain guards against attempts that are used up at a server which has ended: beside load, the
+// others turned work away for a moment, so that all servers had failed the request, and seven of its twelve attempts went to the one that
+// could not answer.
+func TestAServerThatGaveNoAnswerIsTheLastToBeTriedAgain(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := pool.New(engine.NewCaller(), timer.New(clock), metrics.New())
+	var nodes []route.Node
+	for _, name := range []string{"ended", "busy"} {
+		nodes = append(nodes, route.Node{Server: p.Ensure(pool.Spec{Name: name, Addr: name}), Layers: models.Layers{End: 4}, Weight: 1})
+	}
+	g := route.NewGraph(4, nodes)
+	avoid := pool.Avoid{Lost: []int{nodes[0].Server}, Busy: []int{nodes[1].Server}}
+	for n := range choices {
+		// Both circuits are open at first, and their pauses are over later.
+		if n == choices/2 {
+			clock.Advance(time.Minute)
+		}
+		for _, one := range nodes {
+			if n < choices/2 {
+				p.Server(one.Server).Failed(clock.Now())
+			}
+		}
+		path, ok := p.Choose(g, avoid)
+		require.True(t, ok)
+		require.Equal(t, nodes[1].Server, path[0].Server, "the one that answers")
+		p.Server(path[0].Server).Settled()
+	}
+	p.Server(nodes[1].Server).Bar(true)
+	path, ok := p.Choose(g, avoid)
+	require.True(t, ok, "a trial of the other is worth more than a refusal")
+	require.Equal(t, nodes[0].Server, path[0].Server)
+}
