--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -20,7 +20,10 @@
 
 const (
 	// maxAttempts bounds the attempts of one request.
-	maxAttempts   = 12
+	maxAttempts = 12
+	// goOnTime bounds how long an answer that has begun is tried again while servers start nothing: those that hold its layers may be loading
+	// them anew, which took 0.8 to 1.3 s beside load, and used up all attempts as each refusal comes at once.
+	goOnTime      = 5 * time.Second
 	cancelTimeout = 500 * time.Millisecond
 )
 
@@ -90,7 +93,9 @@
 	// started is true once a server may have run a frame.
 	started bool
 	avoid   pool.Avoid
+	// retries counts the attempts that failed, and counted those of them that count against maxAttempts.
 	retries int
+	counted int
 	brokeAt time.Time
 }
 
@@ -284,12 +289,12 @@
 	if errors.Is(cause, errNoPath) && !a.started {
 		return a.fail("exhausted", models.ReasonNoPipeline, cause)
 	}
-	if a.retries >= maxAttempts {
-		return a.fail("exhausted", models.ReasonRetriesExhausted, cause)
-	}
 	if a.brokeAt.IsZero() {
 		a.brokeAt = a.runner.clock.Now()
 	}
+	if a.exhausted(cause) {
+		return a.fail("exhausted", models.ReasonRetriesExhausted, cause)
+	}
 	a.runner.stats.Retried(retryReason(cause))
 	pause := retry.Pause(a.retries, rand.Float64())
 	a.retries++
@@ -300,6 +305,16 @@
 	return nil
 }
 
+// exhausted counts a failed attempt and reports whether no other may follow. An answer that has begun goes on for a while past attempts that
+// no server started; before that a caller had better ask elsewhere.
+func (a *attempt) exhausted(cause error) bool {
+	if a.produced > 0 && (errors.Is(cause, errNoPath) || engine.NeverSent(cause)) {
+		return a.runner.clock.Since(a.brokeAt) >= goOnTime
+	}
+	a.counted++
+	return a.counted > maxAttempts
+}
+
 func (a *attempt) fail(event chart.Event, reason models.Reason, cause error) error {
 	a.fire(event)
 	return a.failure(reason, cause)
--- a/pipeline/runner_test.go
+++ b/pipeline/runner_test.go
@@ -42,6 +42,8 @@
 	cross    atomic.Int32
 	deadFrom atomic.Int32
 	calls    atomic.Int32
+	// refuses is true while the server starts no frame, as one does that loads other layers.
+	refuses atomic.Bool
 }
 
 func startServer(t testing.TB, r models.Layers) *server {
@@ -72,6 +74,10 @@
 		hangUp(ctx)
 		return
 	}
+	if s.refuses.Load() {
+		refuse(ctx)
+		return
+	}
 	inner(ctx)
 	if s.lose.Load() == n {
 		hangUp(ctx)
@@ -86,6 +92,19 @@
 	}
 }
 
+// refuse answers that no frame of a call was started.
+func refuse(ctx *fasthttp.RequestCtx) {
+	call, _ := engine.Decode[engine.StepCall](ctx.PostBody())
+	var reply engine.StepReply
+	for _, f := range call.Frames {
+		reply.Results = append(reply.Results, engine.Result{
+			Request: f.Request, Attempt: f.Attempt, Position: f.Position, Layers: f.Layers, Code: engine.CodeNotStarted,
+		})
+	}
+	body, _ := engine.Encode(reply)
+	ctx.SetBody(body)
+}
+
 func hangUp(ctx *fasthttp.RequestCtx) {
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
@@ -159,6 +178,39 @@
 	}
 }
 
+// TestAnAnswerThatHasBegunOutlastsServersThatStartNothing lets all holders of one half of the model start no frame for four seconds in the
+// middle of an answer, as when layers are moved after a server has ended: the refusals come at once and must not use up the attempts.
+func TestAnAnswerThatHasBegunOutlastsServersThatStartNothing(t *testing.T) {
+	b := newBed(t)
+	refuse := func(refuses bool) {
+		b.servers[1].refuses.Store(refuses)
+		b.servers[3].refuses.Store(refuses)
+	}
+	var text strings.Builder
+	q := &pipeline.Request{ID: "r", Model: modelName, Prompt: "hello there", Limit: 10, Graph: func() *route.Graph { return b.graph }}
+	err := b.runner.Run(t.Context(), q, func(token pipeline.Token) error {
+		if text.Len() == 0 {
+			refuse(true)
+			time.AfterFunc(4*time.Second, func() { refuse(false) })
+		}
+		text.WriteString(token.Piece)
+		return nil
+	})
+	require.NoError(t, err)
+	require.Equal(t, want("hello there", 10), text.String())
+}
+
+// TestARequestThatNobodyStartsIsRefusedSoon lets them start nothing before the answer has begun: its caller is told that it has not run there,
+// and can ask elsewhere.
+func TestARequestThatNobodyStartsIsRefusedSoon(t *testing.T) {
+	b := newBed(t)
+	for _, s := range b.servers {
+		s.refuses.Store(true)
+	}
+	_, err := b.run("r", "x", 3)
+	require.Equal(t, models.FateNotRun, fate(t, err))
+}
+
 func TestFailuresSayTheTruthAboutTheRun(t *testing.T) {
 	t.Run("nothing was sent", func(t *testing.T) {
 		b := newBed(t)
