backend: keep moments by the steady clock

When a server was first heard to leave, when its layers were heard of and until when it wants nothing were kept as nanoseconds of the time of day, so that a step of the time of day by 2 s ended a back-off, or moved an evacuation, by as much. TestMomentsDoNotFollowTheTimeOfDay fails on the code as it was (a number has no reading).

--- a/backend/backoff.go
+++ b/backend/backoff.go
@@ -4,18 +4,10 @@
 
 // BackOff keeps new work of this instance away from the server until a moment, since the server asked for that. Of two such moments the
 // later one holds.
-func (s *Server) BackOff(until time.Time) {
-	end := until.UnixNano()
-	for {
-		was := s.backOff.Load()
-		if was >= end || s.backOff.CompareAndSwap(was, end) {
-			return
-		}
-	}
-}
+func (s *Server) BackOff(until time.Time) { s.backOff.extend(until) }
 
 // BackedOff reports whether the server wants nothing new from this instance yet.
-func (s *Server) BackedOff(now time.Time) bool { return now.UnixNano() < s.backOff.Load() }
+func (s *Server) BackedOff(now time.Time) bool { return now.Before(s.backOff.load()) }
 
 // Returns returns when the server may get new work again that it gets none of only because it asked for that; false means that it may now, or
 // that there is another reason.
@@ -23,7 +15,7 @@
 	if !s.BackedOff(now) || !s.standing(now) {
 		return time.Time{}, false
 	}
-	return time.Unix(0, s.backOff.Load()), true
+	return s.backOff.load(), true
 }
 
 // SayFarewell notes that the server says in an answer that it leaves, whatever its entry says, and reports whether that is new.
@@ -40,9 +32,9 @@
 
 // Inherit takes over what the same start of the server said to this instance before its entry had vanished for a while.
 func (s *Server) Inherit(former *Server) {
-	s.BackOff(time.Unix(0, former.backOff.Load()))
+	s.BackOff(former.backOff.load())
 	if former.farewell.Load() {
 		s.farewell.Store(true)
-		s.leavingSince.CompareAndSwap(0, former.leavingSince.Load())
+		s.NoteLeaving(former.leavingSince.load())
 	}
 }
--- a/backend/backoff_test.go
+++ b/backend/backoff_test.go
@@ -52,6 +52,23 @@
 	require.Equal(t, 2*time.Second, again.LeavingFor(now.Add(2*time.Second)))
 }
 
+// TestMomentsDoNotFollowTheTimeOfDay notes moments by a clock whose time of day may be set: they must keep the reading of the steady clock, by
+// which differences of times are worked out where both have one.
+func TestMomentsDoNotFollowTheTimeOfDay(t *testing.T) {
+	s, now := testServer(1), time.Now()
+	s.BackOff(now.Add(time.Minute))
+	s.NoteLeaving(now)
+	s.NoteLayers(now)
+	for _, at := range []time.Time{s.backOff.load(), s.leavingSince.load(), s.layersAt.load()} {
+		require.Contains(t, at.String(), " m=", "the reading of the steady clock")
+	}
+	s.ForgetLeaving()
+	require.Zero(t, s.LeavingFor(now.Add(time.Second)))
+	s.NoteLeaving(now.Add(time.Second))
+	s.NoteLeaving(now.Add(time.Minute))
+	require.Equal(t, time.Second, s.LeavingFor(now.Add(2*time.Second)), "the first time counts")
+}
+
 // BenchmarkUsable measures a look at a server, of which each choice takes one for each server: 45 to 57 ns before back-offs were a part of it,
 // 47 to 58 ns with them, three runs of each in turn.
 func BenchmarkUsable(b *testing.B) {
--- a/backend/server.go
+++ b/backend/server.go
@@ -44,20 +44,20 @@
 	gone    atomic.Bool
 	// farewell is true once the server has said in an answer that it leaves.
 	farewell atomic.Bool
-	// backOff is until when the server wants nothing new from this instance, in nanoseconds of the clock.
-	backOff atomic.Int64
+	// backOff is until when the server wants nothing new from this instance.
+	backOff moment
 	// over ends once another start of the server is known, so that nothing is at work at this one; finish ends it.
 	over   context.Context
 	finish context.CancelFunc
 	// ended is true once nothing listens at the server's address any more, as far as known.
 	ended atomic.Bool
-	// leavingSince is when this instance first heard that the server leaves, in nanoseconds of the clock; 0 means that it has not.
-	leavingSince atomic.Int64
+	// leavingSince is when this instance first heard that the server leaves, if it has.
+	leavingSince moment
 	// doubted is true while it is not known whether the server leaves.
 	doubted atomic.Bool
 	layers  atomic.Pointer[models.Layers]
-	// layersAt is when the instance heard of the present layers, in nanoseconds of the clock.
-	layersAt atomic.Int64
+	// layersAt is when the instance heard of the present layers.
+	layersAt moment
 	// running counts the requests of this instance on the server, as the first or any other part.
 	running atomic.Int64
 	// starting counts those of which the server is the first part.
@@ -146,11 +146,11 @@
 func (s *Server) Slots() int { return s.slots }
 
 // NoteLayers keeps when the instance heard of the present layers.
-func (s *Server) NoteLayers(now time.Time) { s.layersAt.Store(now.UnixNano()) }
+func (s *Server) NoteLayers(now time.Time) { s.layersAt.store(now) }
 
 // LayersFor returns for how long the instance has known the present layers.
 func (s *Server) LayersFor(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, s.layersAt.Load()))
+	return now.Sub(s.layersAt.load())
 }
 
 // Layers returns the range that the server holds.
@@ -160,18 +160,18 @@
 func (s *Server) Leaving() bool { return s.leaving.Load() || s.gone.Load() || s.farewell.Load() }
 
 // NoteLeaving keeps when the instance first heard that the server leaves; later calls change nothing.
-func (s *Server) NoteLeaving(now time.Time) { s.leavingSince.CompareAndSwap(0, now.UnixNano()) }
+func (s *Server) NoteLeaving(now time.Time) { s.leavingSince.start(now) }
 
 // ForgetLeaving takes back that the server leaves, since its entry is there again.
-func (s *Server) ForgetLeaving() { s.leavingSince.Store(0) }
+func (s *Server) ForgetLeaving() { s.leavingSince.store(time.Time{}) }
 
 // LeavingFor returns for how long the instance has known that the server leaves, 0 when it has not heard of it.
 func (s *Server) LeavingFor(now time.Time) time.Duration {
-	since := s.leavingSince.Load()
-	if since == 0 {
+	since := s.leavingSince.load()
+	if since.IsZero() {
 		return 0
 	}
-	return now.Sub(time.Unix(0, since))
+	return now.Sub(since)
 }
 
 // End notes that the server has ended, so that nothing is at work there.
