forward: tell who asks for the room of a service, and when overload outlasts its cause

First step of overload that outlives its cause: gauges of streams under way, waiting and told to come back, by first tries and those who come back, and one that is 1 while a tenth of the first tries is refused although they alone would leave room. A test plays it; no decision changes.

--- /dev/null
+++ b/forward/demand_test.go
@@ -0,0 +1,77 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/call"
+	"junctioncross/catalog"
+)
+
+func TestWhatIsLongAgoIsNoLongerCounted(t *testing.T) {
+	var c recent
+	now := time.Unix(1000, 0)
+	for n := range 30 {
+		c.add(now.Add(time.Duration(n) * slotTime))
+	}
+	last := now.Add(29 * slotTime)
+	require.Equal(t, recentSlots, c.sum(last))
+	require.Equal(t, recentSlots/2, c.sum(last.Add(recentSlots/2*slotTime)))
+	require.Zero(t, c.sum(last.Add(time.Hour)))
+}
+
+// TestOverloadThatOutlastsItsCauseIsAGauge counts first tries of which some are refused, while callers who come back have the room.
+func TestOverloadThatOutlastsItsCauseIsAGauge(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newEngines(g))
+	q := h.queueOf("s")
+	stream := func(returned bool) *inflight {
+		return &inflight{r: &request{group: g, route: &catalog.Route{}, meta: call.Meta{}}, returned: returned}
+	}
+	for range 3 {
+		q.enter(stream(true), clock.Now())
+	}
+	q.enter(stream(false), clock.Now())
+	q.join(stream(true))
+	q.promised = append(q.promised, clock.Now().Add(time.Second), clock.Now().Add(time.Minute))
+	for range 20 {
+		h.countTry(stream(false))
+		h.countTry(stream(true))
+	}
+	measure := func() string {
+		h.measureDemand("s", g, clock.Now())
+		return scrape(t, h)
+	}
+	got := measure()
+	for _, want := range []string{
+		`jx_streams_under_way{service="s"} 4`, `jx_returned_under_way{service="s"} 3`, `jx_streams_waiting{service="s"} 1`,
+		`jx_returned_waiting{service="s"} 1`, `jx_told_to_come_back{service="s"} 2`, `jx_first_tries_recent{service="s"} 20`,
+		`jx_first_tries_refused_recent{service="s"} 0`, `jx_overload_outlasts{service="s"} 0`,
+	} {
+		require.Contains(t, got, want+"\n")
+	}
+	for range 2 {
+		q.refused.add(clock.Now())
+	}
+	require.Contains(t, measure(), `jx_overload_outlasts{service="s"} 1`, "a tenth is refused, and the room is many times what they need")
+	for range 8000 {
+		h.countTry(stream(false))
+		q.refused.add(clock.Now())
+	}
+	require.Contains(t, measure(), `jx_overload_outlasts{service="s"} 0`, "they ask for more than the room: the cause is there")
+	clock.Advance(time.Minute)
+	require.Contains(t, measure(), `jx_first_tries_recent{service="s"} 0`)
+}
+
+// BenchmarkMeasureDemand counts 10,000 streams under way, as a scrape does each few seconds.
+func BenchmarkMeasureDemand(b *testing.B) {
+	q, now := newQueue(), time.Unix(1000, 0)
+	for range 10000 {
+		q.enter(&inflight{}, now)
+	}
+	for b.Loop() {
+		q.demand(now)
+	}
+}
--- a/forward/gauges.go
+++ b/forward/gauges.go
@@ -15,6 +15,7 @@
 		h.measureServers(name, group, now)
 		if group.Graph() != nil {
 			h.measureLanes(name, group, now)
+			h.measureDemand(name, group, now)
 		}
 	}
 }
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -44,6 +44,8 @@
 	ends, gains float64
 	// promised holds when refused callers were told to come back, in no order.
 	promised []time.Time
+	// tries and refused count the latest first tries, and those of them that were refused.
+	tries, refused recent
 }
 
 func newQueue() *queue {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -19,6 +19,7 @@
 func (h *Handler) stream(ctx context.Context, r *request) {
 	f := &inflight{r: r, events: events{last: resumeFrom(r.meta.ResumeAfter)}}
 	f.need, f.returned = h.needOf(r), h.hasReturned(r)
+	h.countTry(f)
 	var last outcome
 	for attempt := 1; ; attempt++ {
 		path, instead := h.nextPath(ctx, f, last, attempt)
@@ -227,6 +228,7 @@
 // concludeStream tells the caller how the stream ended; one that has begun and cannot go on is broken off.
 func (h *Handler) concludeStream(ctx context.Context, f *inflight, last outcome) {
 	r := f.r
+	h.countRefused(f, last)
 	if _, whole := last.(delivered); whole {
 		h.record.Routine(r.meta.ID, "finished", h.fields(r, decision.Fields{
 			"outcome": "whole", "first_event_ms": f.firstEvent.Milliseconds(), "longest_pause_ms": f.longestPause.Milliseconds(),
