follow: keep what is known of a server in one record

Five maps by id (servers, entries, when missed, unusable, ...) had to be kept alike in each place that adds or removes a server; one record takes the place of four.

--- a/follow/loop.go
+++ b/follow/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync/atomic"
 	"time"
 
@@ -44,12 +43,8 @@
 	heard chan Heard
 
 	catalog *catalog.Catalog
-	servers map[string]*backend.Server
-	entries map[string]backend.Entry
-	// missing holds when servers were first missed whose entry vanished around an outage.
-	missing map[string]time.Time
-	// unusable holds the servers whose entries name none to use at present.
-	unusable map[string]bool
+	// servers holds what is known of each server by its id.
+	servers map[string]*known
 	// former holds the servers without an entry that have said something which still holds, should their entries come back.
 	former map[backend.Incarnation]*backend.Server
 	// lost says which feeds fail at present.
@@ -58,6 +53,17 @@
 	failed time.Time
 }
 
+// known is what is known of one server.
+type known struct {
+	server *backend.Server
+	// entry is the newest one that can be used.
+	entry backend.Entry
+	// missing is when the server was first missed, if its entry has vanished around an outage.
+	missing time.Time
+	// unusable is true while the server's entry names none to use.
+	unusable bool
+}
+
 // New returns a Loop and starts it; it stops when ctx ends.
 func New(
 	ctx context.Context, source Source, board *Board, ends *quarantine.Book, clock *timer.Service, stats *metrics.Registry,
@@ -65,8 +71,7 @@
 ) *Loop {
 	l := &Loop{
 		board: board, ends: ends, clock: clock, stats: stats, log: log, heard: make(chan Heard, heardQueue),
-		servers: map[string]*backend.Server{}, entries: map[string]backend.Entry{}, missing: map[string]time.Time{},
-		unusable: map[string]bool{}, former: map[backend.Incarnation]*backend.Server{},
+		servers: map[string]*known{}, former: map[backend.Incarnation]*backend.Server{},
 	}
 	for _, feed := range []Feed{FeedConfig, FeedServers, FeedQuarantine} {
 		p := &pump{source: source, clock: clock, feed: feed, out: l.heard}
@@ -183,40 +188,44 @@
 }
 
 func (l *Loop) see(e backend.Entry) bool {
-	delete(l.missing, e.ID)
-	old, known := l.entries[e.ID]
-	if known && e.Revision < old.Revision {
-		return false
+	k := l.servers[e.ID]
+	if k == nil {
+		return l.meet(e)
 	}
-	l.entries[e.ID] = e
-	if known && old.Incarnation().After(e.Incarnation()) {
-		// A late word of an earlier start.
-		l.entries[e.ID] = old
+	k.missing = time.Time{}
+	if e.Revision < k.entry.Revision || k.entry.Incarnation().After(e.Incarnation()) {
+		// A late word, or one of an earlier start.
 		return false
 	}
-	if l.servers[e.ID] != nil && e.Service != old.Service && !l.names(e.Service) {
-		l.entries[e.ID] = old
+	if e.Service != k.entry.Service && !l.names(e.Service) {
 		return l.disown(EntryUnusable{ID: e.ID, Field: "service", Value: e.Service, Err: errNoService})
 	}
-	again := l.unusable[e.ID]
-	delete(l.unusable, e.ID)
-	s := l.servers[e.ID]
-	if s != nil && !old.SameStart(e) {
-		l.finish(s)
-		s = nil
-	}
-	if s == nil {
-		l.servers[e.ID] = l.newServer(e)
-		l.servers[e.ID].NoteLayers(l.clock.Now())
-		l.noteLeaving(e)
-		l.logServer(e, "server known")
-		return true
-	}
-	s.Update(e)
+	if !k.entry.SameStart(e) {
+		l.finish(k.server)
+		return l.meet(e)
+	}
+	return l.renew(k, e)
+}
+
+// meet takes the first entry of a start over.
+func (l *Loop) meet(e backend.Entry) bool {
+	k := &known{server: l.newServer(e), entry: e}
+	l.servers[e.ID] = k
+	k.server.NoteLayers(l.clock.Now())
+	l.noteLeaving(k)
+	l.logServer(e, "server known")
+	return true
+}
+
+// renew takes a newer entry of a known start over.
+func (l *Loop) renew(k *known, e backend.Entry) bool {
+	old, again := k.entry, k.unusable
+	k.entry, k.unusable = e, false
+	k.server.Update(e)
 	if e.Layers != old.Layers {
-		s.NoteLayers(l.clock.Now())
+		k.server.NoteLayers(l.clock.Now())
 	}
-	l.noteLeaving(e)
+	l.noteLeaving(k)
 	if old.Same(e) && !again {
 		return false
 	}
@@ -225,9 +234,9 @@
 }
 
 // noteLeaving keeps when a server was first heard to leave.
-func (l *Loop) noteLeaving(e backend.Entry) {
-	if e.Leaving {
-		l.servers[e.ID].NoteLeaving(l.clock.Now())
+func (l *Loop) noteLeaving(k *known) {
+	if k.entry.Leaving {
+		k.server.NoteLeaving(l.clock.Now())
 	}
 }
 
@@ -240,19 +249,19 @@
 
 // miss takes note of a vanished entry; around an outage of the store the server is kept for a while.
 func (l *Loop) miss(id string) bool {
-	s := l.servers[id]
-	if s == nil {
+	k := l.servers[id]
+	if k == nil {
 		return false
 	}
 	now := l.clock.Now()
-	if l.echoes(now) && !s.Leaving() {
-		if _, ok := l.missing[id]; !ok {
-			l.missing[id] = now
+	if l.echoes(now) && !k.server.Leaving() {
+		if k.missing.IsZero() {
+			k.missing = now
 			l.log.WithField("server", id).Info("server entry vanished around an outage of the store, kept for now")
 		}
 		return false
 	}
-	l.remove(id)
+	l.remove(id, k)
 	return true
 }
 
@@ -261,25 +270,20 @@
 	return !l.failed.IsZero() && now.Sub(l.failed) < outageEcho
 }
 
-func (l *Loop) remove(id string) {
-	if s := l.servers[id]; s != nil {
-		since, ok := l.missing[id]
-		if !ok {
-			since = l.clock.Now()
-		}
-		s.NoteLeaving(since)
-		if l.echoes(l.clock.Now()) {
-			s.Lapse()
-		} else {
-			s.Remove()
-		}
-		l.remember(s)
-		l.log.WithFields(logrus.Fields{"server": id, "address": s.Addr()}).Info("server gone")
-	}
+func (l *Loop) remove(id string, k *known) {
+	since := k.missing
+	if since.IsZero() {
+		since = l.clock.Now()
+	}
+	k.server.NoteLeaving(since)
+	if l.echoes(l.clock.Now()) {
+		k.server.Lapse()
+	} else {
+		k.server.Remove()
+	}
+	l.remember(k.server)
+	l.log.WithFields(logrus.Fields{"server": id, "address": k.server.Addr()}).Info("server gone")
 	delete(l.servers, id)
-	delete(l.entries, id)
-	delete(l.missing, id)
-	delete(l.unusable, id)
 }
 
 // names reports whether the configuration in force names a service.
@@ -297,10 +301,11 @@
 func (l *Loop) disown(c EntryUnusable) bool {
 	l.stats.Counter("entries_unusable_total{field=\"" + c.Field + "\"}").Inc(1)
 	l.log.WithFields(logrus.Fields{"server": c.ID, "field": c.Field, "value": c.Value}).WithError(c.Err).Warn("entry names no server to use")
-	if l.servers[c.ID] == nil || l.unusable[c.ID] {
+	k := l.servers[c.ID]
+	if k == nil || k.unusable {
 		return false
 	}
-	l.unusable[c.ID] = true
+	k.unusable = true
 	return true
 }
 
@@ -328,9 +333,9 @@
 func (l *Loop) tidy() {
 	now := l.clock.Now()
 	dropped := false
-	for id, since := range l.missing {
-		if now.Sub(since) >= lapseGrace && !l.lost[FeedServers] {
-			l.remove(id)
+	for id, k := range l.servers {
+		if !k.missing.IsZero() && now.Sub(k.missing) >= lapseGrace && !l.lost[FeedServers] {
+			l.remove(id, k)
 			dropped = true
 		}
 	}
@@ -338,8 +343,8 @@
 	if dropped {
 		l.doubt()
 	}
-	for _, s := range l.servers {
-		s.CloseExpired(now)
+	for _, k := range l.servers {
+		k.server.CloseExpired(now)
 	}
 	l.forget(now)
 	l.ends.Tidy(now)
@@ -350,22 +355,23 @@
 // few of their service.
 func (l *Loop) doubt() {
 	all, missing := map[string]int{}, map[string]int{}
-	for id, s := range l.servers {
-		all[s.Service()]++
-		if _, ok := l.missing[id]; ok {
-			missing[s.Service()]++
+	for _, k := range l.servers {
+		all[k.server.Service()]++
+		if !k.missing.IsZero() {
+			missing[k.server.Service()]++
 		}
 	}
-	for id, s := range l.servers {
-		_, gone := l.missing[id]
-		n := missing[s.Service()]
-		few := n < all[s.Service()] && float64(n) <= max(1, lapseShare*float64(all[s.Service()]))
-		s.Doubt(gone && few)
+	for _, k := range l.servers {
+		service := k.server.Service()
+		n := missing[service]
+		few := n < all[service] && float64(n) <= max(1, lapseShare*float64(all[service]))
+		doubted := few && !k.missing.IsZero()
+		k.server.Doubt(doubted)
 		switch {
-		case gone && few:
-			s.NoteLeaving(l.missing[id])
-		case !s.Leaving():
-			s.ForgetLeaving()
+		case doubted:
+			k.server.NoteLeaving(k.missing)
+		case !k.server.Leaving():
+			k.server.ForgetLeaving()
 		}
 	}
 }
@@ -375,16 +381,17 @@
 	if !changed || l.catalog == nil {
 		return
 	}
-	byService := map[string][]*backend.Server{}
-	for id, s := range l.servers {
-		if !l.unusable[id] {
-			byService[s.Service()] = append(byService[s.Service()], s)
+	byService, byID := map[string][]*backend.Server{}, make(map[string]*backend.Server, len(l.servers))
+	for id, k := range l.servers {
+		byID[id] = k.server
+		if !k.unusable {
+			byService[k.server.Service()] = append(byService[k.server.Service()], k.server)
 		}
 	}
 	groups := map[string]*backend.Group{}
 	for _, service := range l.catalog.Services() {
 		groups[service.Name] = backend.NewGroup(service, byService[service.Name])
 	}
-	l.board.current.Store(&Snapshot{catalog: l.catalog, groups: groups, byID: maps.Clone(l.servers)})
+	l.board.current.Store(&Snapshot{catalog: l.catalog, groups: groups, byID: byID})
 	l.stats.Gauge("servers_known").Update(int64(len(l.servers)))
 }
