forward: work out anew when a path returns once other servers change

Cause: the time at which servers that want nothing make a path again was kept for as long as those servers and their times stayed the same, though it depends on all others and on the group too. A request could wait for a path that could no longer come, or be told a time that was not true. Found by reading the change once more. TestAReturnIsWorkedOutAnewWhenOtherServersChange fails on the code as it was and passes now. The lanes for requests of usual length are worked out at one place for both uses. Nothing was measured beyond the test.

--- a/forward/lanes.go
+++ b/forward/lanes.go
@@ -47,16 +47,21 @@
 		b.spare = states
 		return b.lanes, false
 	}
-	engine := group.Graph().Engine()
-	need := chain.Need{Prompt: engine.UsualPrompt, Tokens: engine.UsualPrompt + engine.UsualAnswer}
 	b.group, b.states, b.spare = group, states, b.states
+	// When there is a lane again depends on all servers, not only on those that want nothing.
+	b.back = laneReturn{}
 	former := b.lanes
-	b.lanes = chain.Lanes(
-		group.Graph(), func(i int) bool { return states[i].usable }, func(i int) float64 { return states[i].pace }, need,
-	)
+	b.lanes = usualLanes(group, func(i int) bool { return states[i].usable }, func(i int) float64 { return states[i].pace })
 	return b.lanes, !slices.EqualFunc(former, b.lanes, sameLane)
 }
 
+// usualLanes returns the lanes of a group for requests of usual length.
+func usualLanes(group *backend.Group, usable func(int) bool, pace func(int) float64) []chain.Lane {
+	engine := group.Graph().Engine()
+	need := chain.Need{Prompt: engine.UsualPrompt, Tokens: engine.UsualPrompt + engine.UsualAnswer}
+	return chain.Lanes(group.Graph(), usable, pace, need)
+}
+
 const (
 	// pathlessTime is how long a service may lack a whole path before the instance asks for no more callers: repairs and
 	// loads of spare servers take about as long.
--- a/forward/notice_test.go
+++ b/forward/notice_test.go
@@ -173,3 +173,22 @@
 	_, known := b.returns(g, now)
 	require.False(t, known, "those that are left cannot make a path")
 }
+
+// TestAReturnIsWorkedOutAnewWhenOtherServersChange lets both holders of the first half want nothing, and the holders of the other half, which
+// have asked for nothing, get no more work: the first half's return makes no path any more.
+func TestAReturnIsWorkedOutAnewWhenOtherServersChange(t *testing.T) {
+	now, g := time.Unix(100, 0), twoCopies()
+	servers := g.Servers()
+	servers[0].BackOff(now.Add(3 * time.Second))
+	servers[2].BackOff(now.Add(7 * time.Second))
+	var b laneBook
+	at, known := b.returns(g, now)
+	require.True(t, known)
+	require.True(t, at.Equal(now.Add(3*time.Second)))
+	servers[1].SetAside(now.Add(time.Minute))
+	servers[3].SetAside(now.Add(time.Minute))
+	_, known = b.returns(g, now)
+	require.False(t, known)
+	_, known = b.returns(twoCopies(), now)
+	require.False(t, known, "another group has a path")
+}
