retry, forward: count the latest events at one place

The gauges of who asks for the room had a sliding count of their own beside the one of Window, and it went by the time of day, so that a step of it misled them for as long. Ruled out: metrics' meters, which decay.

--- a/forward/demand.go
+++ b/forward/demand.go
@@ -16,37 +16,6 @@
 	underRoom   = 0.9
 )
 
-// recent counts events of the last while.
-type recent struct {
-	counts [recentSlots]int
-	// slot is the number of the newest part since the zero time.
-	slot int64
-}
-
-// add counts one event, and sum returns how many there were.
-func (c *recent) add(now time.Time) {
-	c.advance(now)
-	c.counts[c.slot%recentSlots]++
-}
-
-func (c *recent) sum(now time.Time) int {
-	c.advance(now)
-	all := 0
-	for _, n := range c.counts {
-		all += n
-	}
-	return all
-}
-
-// advance forgets what is too long ago.
-func (c *recent) advance(now time.Time) {
-	slot := now.Unix() / int64(slotTime/time.Second)
-	for c.slot = max(c.slot, slot-recentSlots); c.slot < slot; {
-		c.slot++
-		c.counts[c.slot%recentSlots] = 0
-	}
-}
-
 // demand is who asks for the room of a service.
 type demand struct {
 	// underWay, waiting and told are the streams that have room, those that wait for it, and the callers who were told to come back later;
@@ -75,7 +44,7 @@
 			d.returnedWaiting++
 		}
 	}
-	d.tries, d.refused = q.tries.sum(now), q.refused.sum(now)
+	d.tries, d.refused = q.tries.Sum(now), q.refused.Sum(now)
 	perSecond := float64(d.tries) / (recentSlots * slotTime.Seconds())
 	d.alone = perSecond * q.lives.mean().Seconds()
 	return d
@@ -92,7 +61,7 @@
 	if q := h.queueOf(f.r.group.Service().Name); !f.returned {
 		q.mu.Lock()
 		defer q.mu.Unlock()
-		q.tries.add(h.clock.Now())
+		q.tries.Add(h.clock.Now())
 	}
 }
 
@@ -103,7 +72,7 @@
 	q := h.queueOf(f.r.group.Service().Name)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.refused.add(h.clock.Now())
+	q.refused.Add(h.clock.Now())
 }
 
 // measureDemand tells who asks for the room of a service, against the instance's part of that room.
--- a/forward/demand_test.go
+++ b/forward/demand_test.go
@@ -8,18 +8,19 @@
 
 	"junctioncross/call"
 	"junctioncross/catalog"
+	"junctioncross/retry"
 )
 
 func TestWhatIsLongAgoIsNoLongerCounted(t *testing.T) {
-	var c recent
+	c := retry.NewTally(recentSlots, slotTime)
 	now := time.Unix(1000, 0)
 	for n := range 30 {
-		c.add(now.Add(time.Duration(n) * slotTime))
+		c.Add(now.Add(time.Duration(n) * slotTime))
 	}
 	last := now.Add(29 * slotTime)
-	require.Equal(t, recentSlots, c.sum(last))
-	require.Equal(t, recentSlots/2, c.sum(last.Add(recentSlots/2*slotTime)))
-	require.Zero(t, c.sum(last.Add(time.Hour)))
+	require.Equal(t, recentSlots, c.Sum(last))
+	require.Equal(t, recentSlots/2, c.Sum(last.Add(recentSlots/2*slotTime)))
+	require.Zero(t, c.Sum(last.Add(time.Hour)))
 }
 
 // TestOverloadThatOutlastsItsCauseIsAGauge counts first tries of which some are refused, while callers who come back have the room.
@@ -53,12 +54,12 @@
 		require.Contains(t, got, want+"\n")
 	}
 	for range 2 {
-		q.refused.add(clock.Now())
+		q.refused.Add(clock.Now())
 	}
 	require.Contains(t, measure(), `jx_overload_outlasts{service="s"} 1`, "a tenth is refused, and the room is many times what they need")
 	for range 8000 {
 		h.countTry(stream(false))
-		q.refused.add(clock.Now())
+		q.refused.Add(clock.Now())
 	}
 	require.Contains(t, measure(), `jx_overload_outlasts{service="s"} 0`, "they ask for more than the room: the cause is there")
 	clock.Advance(time.Minute)
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"junctioncross/chain"
+	"junctioncross/retry"
 )
 
 const (
@@ -45,13 +46,14 @@
 	// promised holds when refused callers were told to come back, in no order.
 	promised []time.Time
 	// tries and refused count the latest first tries, and those of them that were refused.
-	tries, refused recent
+	tries, refused *retry.Tally
 }
 
 func newQueue() *queue {
 	return &queue{
 		lives: newSample(lifeAtFirst), firsts: newSample(firstEventAtFirst), spells: newSample(pathlessAtFirst), ratios: newSample(ratioUnit),
 		ends: gainAtFirst, gains: gainAtFirst, underWay: map[*inflight]time.Time{},
+		tries: retry.NewTally(recentSlots, slotTime), refused: retry.NewTally(recentSlots, slotTime),
 	}
 }
 
