forward: ask when servers return only where there is no path

Each look at a wait for room, and each time to come back, went over all servers a second time although a path was there and the answer was no. The search over their returns is the library's now. No decision changes: the package's tests pass with the race detector, untouched.

--- a/forward/comeback.go
+++ b/forward/comeback.go
@@ -19,34 +19,36 @@
 // told is remembered, so that those told later come after it.
 func (h *Handler) comeBack(r *request) time.Duration {
 	now := h.clock.Now()
-	least, none := h.returnsIn(r.group, now)
-	switch {
-	case r.group.Graph() != nil:
-		return h.comeBackToStream(r, least, now)
-	case none:
-		return spreadReturn(least)
-	default:
-		return soon
+	if r.group.Graph() != nil {
+		return h.comeBackToStream(r, now)
+	}
+	if after, known := h.returnsIn(r.group, now); known {
+		return spreadReturn(after)
 	}
+	return soon
 }
 
-// comeBackToStream is comeBack for a stream that there is no server for before some time.
-func (h *Handler) comeBackToStream(r *request, none time.Duration, now time.Time) time.Duration {
+// comeBackToStream is comeBack for a stream.
+func (h *Handler) comeBackToStream(r *request, now time.Time) time.Duration {
 	q := h.queueOf(r.group.Service().Name)
 	spell, pathless := h.pathless(r, q, now)
+	returns, known := time.Duration(0), false
+	if pathless {
+		returns, known = h.returnsIn(r.group, now)
+	}
 	most := time.Duration(heedPart * float64(max(h.remaining(r), 0)))
 	least := min(time.Duration((1-returnedShare)*float64(r.meta.Wait)), most)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	after := q.roomLocked(q.forecastLocked(now, h.watch.still), now, most)
 	switch {
-	case none > 0:
-		after += none
+	case known:
+		after += returns
 	case pathless:
 		after += q.spells.until(spell, median, most)
 	}
 	after = max(spreadReturn(after), least)
-	after = max(min(after, most), none)
+	after = max(min(after, most), returns)
 	q.promised = append(q.promised, now.Add(after))
 	h.stats.Histogram("come_back_ms").Update(after.Milliseconds())
 	return after
--- a/forward/returns.go
+++ b/forward/returns.go
@@ -4,10 +4,10 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"time"
 
 	"junctioncross/backend"
-	"junctioncross/chain"
 )
 
 // returnsIn returns after which time the service can run requests again that it cannot run now only because servers want nothing yet; false
@@ -81,35 +81,22 @@
 
 // firstLane returns when there is a lane once servers return one after the other; false means that there is none even with all of them.
 func firstLane(group *backend.Group, from []returning, now time.Time) (time.Time, bool) {
-	engine := group.Graph().Engine()
-	need := chain.Need{Prompt: engine.UsualPrompt, Tokens: engine.UsualPrompt + engine.UsualAnswer}
-	there := make([]bool, len(group.Servers()))
-	without := func(count int) bool {
-		for i, s := range group.Servers() {
-			there[i] = s.Usable(now)
-		}
-		for _, one := range from[:count] {
-			there[one.server] = true
-		}
-		lanes := chain.Lanes(
-			group.Graph(), func(i int) bool { return there[i] }, func(i int) float64 { return group.Servers()[i].Pace(now) }, need,
-		)
-		return len(lanes) == 0
-	}
+	servers := group.Servers()
 	// More servers never make fewer lanes than one.
-	least, most := 1, len(from)+1
-	for least < most {
-		middle := (least + most) / 2
-		if without(middle) {
-			least = middle + 1
-		} else {
-			most = middle
+	last := sort.Search(len(from), func(last int) bool {
+		back := make([]bool, len(servers))
+		for _, one := range from[:last+1] {
+			back[one.server] = true
 		}
-	}
-	if least > len(from) {
+		lanes := usualLanes(
+			group, func(i int) bool { return back[i] || servers[i].Usable(now) }, func(i int) float64 { return servers[i].Pace(now) },
+		)
+		return len(lanes) > 0
+	})
+	if last == len(from) {
 		return time.Time{}, false
 	}
-	return from[least-1].at, true
+	return from[last].at, true
 }
 
 // spreadReturn returns when a caller may come back to a service that can run nothing for some time: not all in the same moment.
--- a/forward/wait.go
+++ b/forward/wait.go
@@ -86,7 +86,10 @@
 	now := h.clock.Now()
 	at := expectation{left: max(until.Sub(now), 0)}
 	spell, pathless := h.pathless(f.r, q, now)
-	returns, known := h.returnsIn(f.r.group, now)
+	returns, known := time.Duration(0), false
+	if pathless {
+		returns, known = h.returnsIn(f.r.group, now)
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	at.places = q.placesLocked(f, now, until)
