--- a/backend/report.go
+++ b/backend/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -43,10 +42,8 @@
 	Pace float64
 	// Stalled lists the servers that paths through this server wait for.
 	Stalled []Suspect
-	// Leaving is true when the server says that it leaves.
-	Leaving bool
-	// RetryAfter is how long the server, which did not answer the question, wants nothing from this instance; it comes with ErrRefused.
-	RetryAfter time.Duration
+	// Notice is what the head of the answer says; a time to come back comes with ErrRefused.
+	call.Notice
 }
 
 // notThere is both ErrNoAnswer and ErrNotThere.
--- a/call/request.go
+++ b/call/request.go
@@ -73,6 +73,11 @@
 	Closing bool
 	// KeepAlive is how long the server keeps an idle connection; 0 means that it did not say.
 	KeepAlive time.Duration
+	Notice
+}
+
+// Notice is what a server says of itself in any answer.
+type Notice struct {
 	// Leaving means that the server itself is about to go.
 	Leaving bool
 	// RetryAfter is how long the server, which turned the request away, wants nothing from this instance; 0 means that it did not say.
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -98,7 +98,7 @@
 			return errors.Wrap(err, "forward: read answer")
 		}
 		s.info = h.codec.ReadAnswer(&s.head)
-		h.heed(r, s)
+		h.heed(r.meta.ID, s.server, s.info.Notice)
 		if s.info.RequestID == "" || s.info.RequestID == r.meta.ID {
 			return nil
 		}
--- a/forward/inquire.go
+++ b/forward/inquire.go
@@ -86,7 +86,7 @@
 	if report.RetryAfter > 0 {
 		// It answers, and says that it does not want to be asked.
 		server.NoteAnswer(now)
-		h.backOff("", server, report.RetryAfter)
+		h.heed("", server, report.Notice)
 		return
 	}
 	if err != nil {
@@ -104,9 +104,7 @@
 		return
 	}
 	server.NoteAnswer(now)
-	if report.Leaving {
-		h.farewell("", server)
-	}
+	h.heed("", server, report.Notice)
 	server.SetPace(report.Pace, now)
 	server.SetMemory(report.Used, report.Total, report.Waiting, now)
 	fields["pace"], fields["running"], fields["waiting"] = report.Pace, report.Running, report.Waiting
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"junctioncross/backend"
+	"junctioncross/call"
 	"junctioncross/decision"
 )
 
@@ -19,12 +20,12 @@
 
 // heed takes over what a server says of itself in the head of an answer, whatever becomes of the request: each holds from the first answer on
 // that says so, while the server's entry may say otherwise for seconds.
-func (h *Handler) heed(r *request, s *sent) {
-	if s.info.Leaving {
-		h.farewell(r.meta.ID, s.server)
+func (h *Handler) heed(request string, server *backend.Server, n call.Notice) {
+	if n.Leaving {
+		h.farewell(request, server)
 	}
-	if s.info.RetryAfter > 0 {
-		h.backOff(r.meta.ID, s.server, s.info.RetryAfter)
+	if n.RetryAfter > 0 {
+		h.backOff(request, server, n.RetryAfter)
 	}
 }
 
--- a/forward/notice_test.go
+++ b/forward/notice_test.go
@@ -14,15 +14,15 @@
 	"github.com/stretchr/testify/require"
 
 	"junctioncross/backend"
+	"junctioncross/call"
 	"junctioncross/catalog"
+	"junctioncross/platform/fake"
 	"junctioncross/timer"
 )
 
-// saying answers that the request was not run, with some headers.
-func saying(headers string) func(net.Conn, int) {
-	return func(c net.Conn, _ int) {
-		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"+headers+"Content-Length: 0\r\n\r\n")
-	}
+// turningAway answers that the request was not run and when to come back, if there is a text for that.
+func turningAway(retryAfter string) func(net.Conn, int) {
+	return func(c net.Conn, _ int) { _, _ = io.WriteString(c, fake.PlainRefusal(retryAfter)) }
 }
 
 // retryAfterAt returns the status of the next answer and when its caller is to come back.
@@ -42,7 +42,7 @@
 
 // TestAServerIsLeftAloneForAsLongAsItAsks lets one of two servers want nothing for 20 s; the requests that come meanwhile go to the other one.
 func TestAServerIsLeftAloneForAsLongAsItAsks(t *testing.T) {
-	busy, other := newDesk(t, "busy", saying("Retry-After: 20\r\n")), newDesk(t, "other", sealed)
+	busy, other := newDesk(t, "busy", turningAway("20")), newDesk(t, "other", sealed)
 	s := plainFront(t, repeatRoute(), busy, other)
 	for n := range 40 {
 		require.Equal(t, http.StatusOK, statusAt(t, callFront(t, s, strconv.Itoa(n))))
@@ -55,7 +55,7 @@
 
 // TestCallersAreToldToComeBackWhenTheFirstServerTakesWork lets all servers want nothing, for 20 and 40 s.
 func TestCallersAreToldToComeBackWhenTheFirstServerTakesWork(t *testing.T) {
-	desks := []*desk{newDesk(t, "1", saying("Retry-After: 40\r\n")), newDesk(t, "2", saying("Retry-After: 20\r\n"))}
+	desks := []*desk{newDesk(t, "1", turningAway("40")), newDesk(t, "2", turningAway("20"))}
 	s := plainFront(t, repeatRoute(), desks...)
 	for n := range 10 {
 		code, after := retryAfterAt(t, callFront(t, s, strconv.Itoa(n)))
@@ -87,20 +87,18 @@
 
 // TestATimeThatNoServerShouldAskForIsBounded lets servers ask for none, next to none and a very long time.
 func TestATimeThatNoServerShouldAskForIsBounded(t *testing.T) {
-	for header, want := range map[string]time.Duration{
-		"Retry-After: 1000000000000\r\n": time.Hour, "Retry-After: 0.001\r\n": leastBackOff, "Retry-After: 0\r\n": 0, "": 0,
-	} {
-		d := newDesk(t, "1", saying(header))
+	for retryAfter, want := range map[string]time.Duration{"1000000000000": time.Hour, "0.001": leastBackOff, "0": 0, "": 0} {
+		d := newDesk(t, "1", turningAway(retryAfter))
 		s := plainFront(t, repeatRoute(), d)
 		before := time.Now()
 		require.Equal(t, http.StatusServiceUnavailable, statusAt(t, callFront(t, s, "one")))
 		after := time.Now()
 		if want == 0 {
-			require.False(t, d.server.BackedOff(before), header)
+			require.False(t, d.server.BackedOff(before), retryAfter)
 			continue
 		}
-		require.True(t, d.server.BackedOff(before.Add(want-time.Millisecond)), header)
-		require.False(t, d.server.BackedOff(after.Add(want+time.Duration(backOffSpread*float64(want)))), header)
+		require.True(t, d.server.BackedOff(before.Add(want-time.Millisecond)), retryAfter)
+		require.False(t, d.server.BackedOff(after.Add(want+time.Duration(backOffSpread*float64(want)))), retryAfter)
 	}
 }
 
@@ -108,7 +106,7 @@
 func TestAServerThatSaysFarewellInAnyAnswerLeaves(t *testing.T) {
 	for _, status := range []string{"200 OK", "500 Internal Server Error", "503 Service Unavailable", "421 Misdirected Request"} {
 		d := newDesk(t, "1", func(c net.Conn, _ int) {
-			_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\nX-Server-Seal: s\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.WriteString(c, fake.PlainFarewell(status))
 		})
 		s := plainFront(t, repeatRoute(), d)
 		statusAt(t, callFront(t, s, "one"))
@@ -117,7 +115,7 @@
 	}
 	h, clock := testHandler(t, nil)
 	server := twoCopies().Servers()[0]
-	h.believe(server, backend.Report{Leaving: true, Pace: 1, Total: 10}, nil, "test")
+	h.believe(server, backend.Report{Notice: call.Notice{Leaving: true}, Pace: 1, Total: 10}, nil, "test")
 	require.True(t, server.Leaving())
 	require.Equal(t, time.Duration(0), server.LeavingFor(clock.Now()))
 }
@@ -129,7 +127,7 @@
 	terms.LongestBackOff = time.Hour
 	h.SetTerms(terms)
 	server := twoCopies().Servers()[0]
-	h.believe(server, backend.Report{RetryAfter: 3 * time.Second}, backend.ErrRefused, "test")
+	h.believe(server, backend.Report{Notice: call.Notice{RetryAfter: 3 * time.Second}}, backend.ErrRefused, "test")
 	require.False(t, server.Suspected(clock.Now()))
 	require.True(t, server.BackedOff(clock.Now()))
 	h.inquire(server, whyMemory)
