census, relay: start a fleet of any size without overrunning the store

Cause: each of n instances wrote a record and read all n, so that a start moved n squared records over the store's line; whoever was not answered within a second asked again, and what was sent to those that had left was lost, so that the state outlived its cause. Whoever did not hear from a relay in 2.5 s read whole feeds from the store, which are a hundred times as large.

Change: a domain has at most as many records as make a fleet use relays, each in a slot that is written under a condition; the strongest write first and replace weaker ones. The others are counted by the relay that they ask, whose number the relays tell each other. Whole feeds come from the strongest instances of the domain instead of the relay alone, also where these have them from it; the store is read in an order that spreads with the number of those that would. A page has a bound of its own instead of the whole feed. An instance behind its relay's history asks it for all in place of the store, and the history is twice as long as the feed.

Ruled out: a longer time for a call (it holds only until the line is full for longer than that).

A new test asks that a smaller fleet is known whole. The stand-in of the store in relay keeps the bound of a page, which the relay no longer keeps for it.

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -121,7 +121,7 @@
 		func(b *census.Board) link.Trust { return keys.NewFleetKeyFrom(b.Key) },
 		func(clock *timer.Service) backend.Caller { return platform.NewEngines(clock) },
 		timer.NewSuspendable, metrics.New, follow.NewBoard, follow.New, newQueue, newHostedLog, decision.NewRecorder, hostedTerms,
-		forward.New, newFront, newOrderLeader, newChecks, census.NewBoard, newRolls, newCensus, relaySelf, relay.New, link.NewClient,
+		forward.New, newFront, newOrderLeader, newChecks, newCensusBoard, newRolls, newCensus, relaySelf, relay.New, link.NewClient,
 	)
 }
 
@@ -164,6 +164,8 @@
 	return front.New(codec, handler, limits, mostConnections, clock, stats)
 }
 
+func newCensusBoard(set *config.Hosted) *census.Board { return census.NewBoard(set.Relays.From) }
+
 func newCensus(
 	ctx context.Context, set *config.Hosted, board *census.Board, rolls *relay.Rolls, clock *timer.Service, stats *metrics.Registry,
 	log *logrus.Logger,
@@ -176,7 +178,9 @@
 }
 
 func relaySelf(set *config.Hosted) relay.Self {
-	return relay.Self{Name: set.Instance.Name, Domain: set.Instance.Domain, From: set.Relays.From, ApplyTime: set.Relays.ApplyTime}
+	return relay.Self{
+		Name: set.Instance.Name, Domain: set.Instance.Domain, Addr: set.Listen.Peers, From: set.Relays.From, ApplyTime: set.Relays.ApplyTime,
+	}
 }
 
 func newRolls(
--- a/census/board.go
+++ b/census/board.go
@@ -1,29 +1,99 @@
 package census
 
-import "sync/atomic"
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+)
 
-// Board shows what the records told last.
+// Board shows what the records told last, and how many instances the relays of the domains have counted.
 type Board struct {
-	roll atomic.Pointer[Roll]
+	// whole is the number of records up to which every instance has one.
+	whole   int
+	roll    atomic.Pointer[Roll]
+	members atomic.Pointer[[]Instance]
+	empty   atomic.Bool
+
+	mu sync.Mutex
+	// counts holds the number of instances of each domain as its relay counts them.
+	counts map[string]int
 }
 
-// NewBoard returns a Board on which nobody is counted yet.
-func NewBoard() *Board {
-	b := &Board{}
-	b.roll.Store(&Roll{})
+// NewBoard returns a Board on which nobody is counted yet; in a fleet of fewer than whole every instance has a record.
+func NewBoard(whole int) *Board {
+	b := &Board{whole: whole, counts: map[string]int{}}
+	b.show(&Roll{})
 	return b
 }
 
-// Instances returns the number of instances; it is Unknown before the first count.
+// show replaces the roll and returns the number of records before and now.
+func (b *Board) show(roll *Roll) (before, now int) {
+	members := make([]Instance, len(roll.Records))
+	for i, r := range roll.Records {
+		members[i] = r.Instance
+	}
+	b.members.Store(&members)
+	if old := b.roll.Swap(roll); old != nil {
+		before = len(old.Records)
+	}
+	return before, len(roll.Records)
+}
+
+// showKey adds the fleet's key to what is shown.
+func (b *Board) showKey(key []byte) {
+	roll := *b.roll.Load()
+	roll.Key = key
+	b.roll.Store(&roll)
+}
+
+// Instances returns the number of instances; it is Unknown before the first count, and while a domain that not all instances of have records
+// is not counted.
 func (b *Board) Instances() int {
-	if n := len(b.Members()); n > 0 {
-		return n
+	records := b.roll.Load().Records
+	if len(records) == 0 {
+		return Unknown
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	total := 0
+	for domain, n := range recordsByDomain(records) {
+		if len(records) >= b.whole && n >= candidates && b.counts[domain] == 0 {
+			return Unknown
+		}
+		total += max(n, b.counts[domain])
 	}
-	return Unknown
+	return total
 }
 
-// Members returns the instances that were counted last; it is empty before the first count.
-func (b *Board) Members() []Instance { return b.roll.Load().Members }
+// Empty reports whether the records were read and there were none.
+func (b *Board) Empty() bool { return b.empty.Load() }
+
+// Counts returns the numbers of instances that the relays of the domains have counted.
+func (b *Board) Counts() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.counts)
+}
+
+// NoteCounts keeps newer numbers.
+func (b *Board) NoteCounts(counts map[string]int) {
+	if len(counts) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for domain, n := range counts {
+		if n > 0 {
+			b.counts[domain] = n
+		}
+	}
+}
+
+// Members returns the instances that had records last; it is empty before the first count. In a large fleet they are some of each domain.
+func (b *Board) Members() []Instance { return *b.members.Load() }
+
+// Records returns the records that were read last; the caller does not change them.
+func (b *Board) Records() []Record { return b.roll.Load().Records }
 
 // Key returns what the instances prove themselves with to each other; it is empty while it is not known.
 func (b *Board) Key() []byte { return b.roll.Load().Key }
--- a/census/census.go
+++ b/census/census.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,17 +17,25 @@
 	// recordTime is how long the record of an instance that died still counts: too many are safe, since limits are
 	// divided by them, and long records cost few calls.
 	recordTime = 60 * time.Second
-	// firstWait is how long an instance that finds nobody waits before it joins. Those who start together with it have looked by then and
-	// found nobody either, so that none takes the first few records for the whole fleet and reads the store as if it needed no relay.
-	firstWait = 300 * time.Millisecond
+	// firstWait is how long an instance of full power that finds nobody waits before it joins. Those who start together with it have looked by
+	// then and found nobody either, so that none takes the first few records for the whole fleet and reads the store as if it needed no relay.
+	// Weaker ones wait longer, up to longestFirst, so that the strongest, which can serve as relays, have their records first.
+	firstWait    = 300 * time.Millisecond
+	longestFirst = 1500 * time.Millisecond
 	// firstSpread spreads the records of instances that start together.
 	firstSpread = 700 * time.Millisecond
 	// arriveTime is how long after joining the others are counted: all that started together have joined by then.
 	arriveTime = time.Second
 	// settleTime is how long after that the others are counted again, when the slowest of those who started together are there.
 	settleTime = 2500 * time.Millisecond
+	// replacedTime is how long an instance's record must be missing from the lists, which may be some seconds old, before it counts as replaced.
+	replacedTime = 5 * time.Second
+	// takenPause bounds the pause after a slot turned out to be taken, half of which is random.
+	takenPause = time.Second
 	// keyPause is the pause between looks while the fleet's key is missing: nobody can ask another instance without it.
 	keyPause = 300 * time.Millisecond
+	// uncountedPause is the pause between looks of those that have records while the relays do not know how many others there are.
+	uncountedPause = time.Second
 	// countPeriod is how often the records are counted and the own one is renewed.
 	countPeriod = 15 * time.Second
 	// renewPause is the pause after a renewal that failed; the record lasts for many of them.
@@ -38,13 +47,18 @@
 	firstAgain = 500 * time.Millisecond
 	// callTime bounds one call.
 	callTime = time.Second
-	// Unknown is the number that is assumed until the records were counted; large, since each instance's part of a shared
+	// Unknown is the number that is assumed until the instances are counted: twice the largest fleet, since each instance's part of a shared
 	// limit must be safe.
-	Unknown = 100
+	Unknown = 2000
 )
 
-// ErrOver means that the record of an instance has ended.
-var ErrOver = errors.New("census: record has ended")
+// Errors of a Register.
+var (
+	// ErrOver means that the record of an instance has ended.
+	ErrOver = errors.New("census: record has ended")
+	// ErrTaken means that another instance has written to the slot meanwhile.
+	ErrTaken = errors.New("census: slot is taken")
+)
 
 // Instance is what an instance tells the others of itself.
 type Instance struct {
@@ -60,17 +74,16 @@
 
 // Roll is what the records tell.
 type Roll struct {
-	Members []Instance
-	// Leases holds what the records hang on, by the names of their instances; it is empty where they were not read in the store.
-	Leases map[string]int64
+	Records []Record
 	// Key is what the instances prove themselves with to each other; it is empty before the first has written one.
 	Key []byte
 }
 
 // Register holds the records of the instances.
 type Register interface {
-	// Join writes a record that lasts for ttl and returns the lease that it hangs on.
-	Join(ctx context.Context, self Instance, ttl time.Duration) (lease int64, err error)
+	// Join writes a record that lasts for ttl to a slot of the instance's domain and returns the lease that it hangs on; it returns ErrTaken
+	// when the slot is no longer as it was.
+	Join(ctx context.Context, self Instance, slot Slot, ttl time.Duration) (lease int64, err error)
 	// Renew lets the record last for another ttl; it returns ErrOver when it has ended.
 	Renew(ctx context.Context, lease int64) error
 	// List returns the records, which may be some seconds old.
@@ -88,11 +101,15 @@
 	stats    *metrics.Registry
 	log      *logrus.Logger
 	newKey   func() ([]byte, error)
-	lease    int64
+	// latest is what was read last.
+	latest Roll
+	lease  int64
 	// renewed is when the record was last known to last for its whole time.
 	renewed time.Time
 	// settled is true once the others were counted after joining.
 	settled bool
+	// missing is since when the own record is not in the lists.
+	missing time.Time
 }
 
 // New returns a Census that shows its counts on board, and starts it; it stops when ctx ends. NewKey makes a key for a fleet that has none.
@@ -102,15 +119,7 @@
 ) *Census {
 	c := &Census{Board: board, register: register, self: self, newKey: newKey, clock: clock, stats: stats, log: log}
 	go func() {
-		// One that comes to a running fleet knows at once whom to ask.
-		for !c.look(ctx) && clock.Sleep(ctx, firstAgain/2+time.Duration(rand.Float64()*float64(firstAgain/2))) {
-			continue
-		}
-		c.adopt()
-		if len(c.Members()) == 0 {
-			clock.Sleep(ctx, firstWait)
-		}
-		clock.Sleep(ctx, time.Duration(rand.Float64()*float64(firstSpread)))
+		c.begin(ctx)
 		for ctx.Err() == nil {
 			clock.Sleep(ctx, c.step(ctx))
 		}
@@ -118,12 +127,45 @@
 	return c
 }
 
+// begin looks who there is. One that comes to a running fleet knows at once whom to ask; of those that find nobody the strongest write their
+// records first, and the others look again before they do.
+func (c *Census) begin(ctx context.Context) {
+	for !c.look(ctx) && c.clock.Sleep(ctx, halfRandom(firstAgain)) {
+		continue
+	}
+	c.adopt()
+	alone := len(c.Members()) == 0
+	if alone {
+		c.clock.Sleep(ctx, firstWaitOf(c.self.Power))
+	}
+	c.clock.Sleep(ctx, time.Duration(rand.Float64()*float64(firstSpread)))
+	if !alone || !c.list(ctx) {
+		return
+	}
+	if _, joins := c.vacancy(); !joins {
+		c.publish()
+	}
+}
+
+// halfRandom returns a pause of which half is random, so that instances which failed together do not come back together.
+func halfRandom(longest time.Duration) time.Duration {
+	return longest/2 + time.Duration(rand.Float64()*float64(longest/2))
+}
+
+// firstWaitOf returns how long an instance of some power waits that finds nobody.
+func firstWaitOf(power float64) time.Duration {
+	if power <= 0 {
+		return longestFirst
+	}
+	return min(time.Duration(float64(firstWait)/min(power, 1)), longestFirst)
+}
+
 // adopt takes over the record that an earlier process of the instance has left, if it tells the same: renewing it costs a twentieth of
 // the calls for a new one, for each instance that starts again.
 func (c *Census) adopt() {
-	for _, m := range c.Members() {
-		if m == c.self {
-			c.lease = c.roll.Load().Leases[m.Name]
+	for _, r := range c.latest.Records {
+		if r.Instance == c.self {
+			c.lease = r.Lease
 		}
 	}
 }
@@ -133,9 +175,11 @@
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	if c.lease == 0 {
-		return c.join(ctx)
+		if slot, ok := c.vacancy(); ok {
+			return c.join(ctx, slot)
+		}
 	}
-	if c.clock.Since(c.renewed) >= countPeriod {
+	if c.lease != 0 && c.clock.Since(c.renewed) >= countPeriod {
 		if pause, ok := c.renew(ctx); !ok {
 			return pause
 		}
@@ -148,18 +192,29 @@
 	case !c.settled:
 		c.settled = true
 		return settleTime
+	case c.lease != 0 && c.Instances() == Unknown:
+		return uncountedPause
+	case c.lease == 0:
+		// Many of those without a record count at the same moment otherwise.
+		return halfRandom(countPeriod)
 	default:
 		return countPeriod
 	}
 }
 
-func (c *Census) join(ctx context.Context) time.Duration {
-	lease, err := c.register.Join(ctx, c.self, recordTime)
-	if err != nil {
+func (c *Census) join(ctx context.Context, slot Slot) time.Duration {
+	lease, err := c.register.Join(ctx, c.self, slot, recordTime)
+	switch {
+	case errors.Is(err, ErrTaken):
+		c.stats.Counter("records_taken_total").Inc(1)
+		c.list(ctx)
+		return halfRandom(takenPause)
+	case err != nil:
 		c.log.WithError(err).Warn("record of the instance not written")
 		return retryPause
 	}
-	c.lease, c.renewed = lease, c.clock.Now()
+	c.lease, c.renewed, c.missing = lease, c.clock.Now(), time.Time{}
+	c.found(ctx)
 	return arriveTime
 }
 
@@ -179,43 +234,85 @@
 	return 0, true
 }
 
-// look reads the records and reports whether it could.
+// vacancy returns the slot that the own record should be written to, if it should.
+func (c *Census) vacancy() (Slot, bool) { return vacancy(c.latest.Records, c.self, c.whole, rand.IntN) }
+
+// look reads the records, shows them, and reports whether it could.
 func (c *Census) look(ctx context.Context) bool {
+	if !c.list(ctx) {
+		return false
+	}
+	c.publish()
+	if len(c.latest.Key) == 0 {
+		c.found(ctx)
+	}
+	return true
+}
+
+// list reads the records and reports whether it could.
+func (c *Census) list(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	roll, err := c.register.List(ctx)
-	if err == nil && len(roll.Key) == 0 {
-		roll.Key, err = c.found(ctx, roll.Members)
-	}
 	if err != nil {
 		c.log.WithError(err).Warn("instances not counted")
 		return false
 	}
-	if len(roll.Members) == 0 && c.lease != 0 {
-		// The list may be older than the own record.
-		roll.Members = []Instance{c.self}
+	if len(roll.Key) == 0 {
+		roll.Key = c.latest.Key
 	}
-	if old := c.roll.Swap(&roll); len(old.Members) != len(roll.Members) {
-		c.stats.Gauge("instances_counted").Update(int64(len(roll.Members)))
-		c.log.WithFields(logrus.Fields{"instances": len(roll.Members), "before": len(old.Members)}).Info("instances counted")
+	if len(roll.Records) == 0 && c.lease != 0 {
+		// The list may be older than the own record.
+		roll.Records = []Record{{Instance: c.self, Lease: c.lease}}
 	}
+	c.latest = roll
+	c.empty.Store(len(roll.Records) == 0)
+	c.noteReplaced(roll.Records)
 	return true
 }
 
-// found returns the fleet's key, which the first of the members makes when there is none; the others find it when they count
-// again. Lists may be older than the key.
-func (c *Census) found(ctx context.Context, members []Instance) ([]byte, error) {
-	if known := c.Key(); len(known) > 0 || c.lease == 0 {
-		return known, nil
+// publish shows what was read last. Those that start together do not show the first few records, which look like the whole of a small fleet.
+func (c *Census) publish() {
+	roll := c.latest
+	if before, now := c.show(&roll); before != now {
+		c.stats.Gauge("instances_counted").Update(int64(now))
+		c.log.WithFields(logrus.Fields{"instances": now, "before": before}).Info("instances counted")
+	}
+}
+
+// noteReplaced gives the record up that another instance has written over.
+func (c *Census) noteReplaced(records []Record) {
+	listed := c.lease == 0 || slices.ContainsFunc(records, func(r Record) bool { return r.Name == c.self.Name })
+	switch now := c.clock.Now(); {
+	case listed:
+		c.missing = time.Time{}
+	case c.missing.IsZero():
+		c.missing = now
+	case now.Sub(c.missing) >= replacedTime:
+		c.lease, c.missing = 0, time.Time{}
+		c.log.Warn("record of the instance was replaced")
 	}
-	for _, m := range members {
-		if m.Name < c.self.Name {
-			return nil, nil
+}
+
+// found makes the fleet's key when there is none and no other instance that has a record comes first; the others find it when they look
+// again.
+func (c *Census) found(ctx context.Context) {
+	if len(c.latest.Key) > 0 || c.lease == 0 {
+		return
+	}
+	for _, r := range c.latest.Records {
+		if r.Name < c.self.Name {
+			return
 		}
 	}
 	key, err := c.newKey()
+	if err == nil {
+		key, err = c.register.Found(ctx, key)
+	}
 	if err != nil {
-		return nil, err
+		c.log.WithError(err).Warn("the fleet's key not written")
+		return
 	}
-	return c.register.Found(ctx, key)
+	c.latest.Key = key
+	c.showKey(key)
 }
--- /dev/null
+++ b/census/slot_test.go
@@ -0,0 +1,70 @@
+package census
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const whole = 24
+
+// first is the choice of the first free slot.
+func first(int) int { return 0 }
+
+// recordsIn returns n records of a domain in the first slots.
+func recordsIn(domain string, n int, power float64) []Record {
+	out := make([]Record, n)
+	for i := range out {
+		out[i] = Record{
+			Instance: Instance{Name: fmt.Sprint(domain, "-", i), Domain: domain, Power: power}, Slot: Slot{Number: i, Revision: int64(i + 1)},
+		}
+	}
+	return out
+}
+
+func TestEveryInstanceOfASmallFleetHasARecord(t *testing.T) {
+	records := recordsIn("east", 12, 1)
+	slot, ok := vacancy(records, Instance{Name: "new", Domain: "east", Power: 0.1}, whole, first)
+	require.True(t, ok)
+	require.Equal(t, Slot{Number: 12}, slot)
+}
+
+func TestADomainOfALargeFleetHasFewRecords(t *testing.T) {
+	records := append(recordsIn("east", candidates, 1), recordsIn("west", whole, 1)...)
+	_, ok := vacancy(records, Instance{Name: "new", Domain: "east", Power: 0.1}, whole, first)
+	require.False(t, ok, "enough are as strong")
+	_, ok = vacancy(records[1:], Instance{Name: "new", Domain: "east", Power: 0.1}, whole, first)
+	require.True(t, ok, "one of them has gone")
+}
+
+func TestAStrongerInstanceReplacesTheWeakest(t *testing.T) {
+	records := recordsIn("east", whole, 0.2)
+	records[7].Power = 0.1
+	slot, ok := vacancy(records, Instance{Name: "new", Domain: "east", Power: 0.8}, whole, first)
+	require.True(t, ok)
+	require.Equal(t, records[7].Slot, slot)
+	_, ok = vacancy(records, Instance{Name: "new", Domain: "east", Power: 0.1}, whole, first)
+	require.False(t, ok, "nobody is weaker")
+}
+
+func TestAnInstanceKeepsItsSlot(t *testing.T) {
+	records := recordsIn("east", 3, 1)
+	slot, ok := vacancy(records, Instance{Name: "east-1", Domain: "east", Addr: "another"}, whole, first)
+	require.True(t, ok)
+	require.Equal(t, records[1].Slot, slot)
+}
+
+// TestInstancesAreNotCountedByTheRecordsOfAFew asks for the number of instances before the relay of a full domain has counted them: a part of
+// a shared limit that is too large breaks it.
+func TestInstancesAreNotCountedByTheRecordsOfAFew(t *testing.T) {
+	b := NewBoard(whole)
+	b.show(&Roll{Records: append(recordsIn("east", candidates, 1), recordsIn("west", whole, 1)...)})
+	require.Equal(t, Unknown, b.Instances())
+	b.NoteCounts(map[string]int{"east": 200})
+	require.Equal(t, Unknown, b.Instances())
+	b.NoteCounts(map[string]int{"west": 180})
+	require.Equal(t, 380, b.Instances())
+	b.NoteCounts(map[string]int{"west": 0})
+	require.Equal(t, 380, b.Instances(), "a relay that has just begun does not know")
+}
--- a/relay/helpers.go
+++ b/relay/helpers.go
@@ -65,17 +65,7 @@
 	if !s.follows() || s.stopped.Load() {
 		return ""
 	}
-	return s.own()
-}
-
-// own returns the own address, or nothing while the instance is not counted.
-func (s *Source) own() string {
-	for _, m := range s.fleet.Members() {
-		if m.Name == s.self.Name {
-			return m.Addr
-		}
-	}
-	return ""
+	return s.self.Addr
 }
 
 // noteHelper keeps that the asker of a question follows the store itself, if it gave its address.
@@ -110,10 +100,9 @@
 
 // mayRefer reports whether a referral is followed, and keeps it: one at a time for each feed.
 func (s *Source) mayRefer(feed follow.Feed, addr string) bool {
-	own := s.own()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if addr == own || s.helper[feed] != (way{}) || s.clock.Now().Before(s.left[addr].until) {
+	if addr == s.self.Addr || s.helper[feed] != (way{}) || s.clock.Now().Before(s.left[addr].until) {
 		return false
 	}
 	s.helper[feed] = way{addr: addr}
--- a/relay/log.go
+++ b/relay/log.go
@@ -8,8 +8,12 @@
 	"junctioncross/follow"
 )
 
-// mostHistory bounds the changes that are kept for instances that ask for them; one that is further behind reads the store.
-const mostHistory = 1024
+// leastHistory is the least number of changes that are kept for instances that ask for them. As many are kept as change when all of a feed
+// does, as after an outage of the store in which the entries of all servers have lapsed.
+const (
+	leastHistory = 1024
+	historyShare = 2
+)
 
 // feedLog keeps the latest changes of one feed for other instances.
 type feedLog struct {
@@ -24,6 +28,8 @@
 	direct bool
 	// whole holds the feed's present content, by key.
 	whole map[string]Record
+	// largest is the largest number of keys that the feed has held.
+	largest int
 	// changed is closed at the next news.
 	changed chan struct{}
 }
@@ -65,6 +71,13 @@
 	return out
 }
 
+// missing returns the changes that lead from the present content to another.
+func (l *feedLog) missing(h heard) []Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.differences(h)
+}
+
 // extend adds what was heard.
 func (l *feedLog) extend(h heard, direct bool) {
 	l.mu.Lock()
@@ -77,7 +90,7 @@
 func (l *feedLog) add(records []Record) {
 	l.history = append(l.history, records...)
 	l.put(records)
-	if over := len(l.history) - mostHistory; over > 0 {
+	if over := len(l.history) - max(leastHistory, historyShare*l.largest); over > 0 {
 		l.floor = l.history[over-1].Revision
 		l.history = append([]Record(nil), l.history[over:]...)
 	}
@@ -92,6 +105,7 @@
 		}
 		l.whole[r.Key] = r
 	}
+	l.largest = max(l.largest, len(l.whole))
 }
 
 // take notes the position and wakes those that wait; the caller holds the lock.
--- a/relay/log_test.go
+++ b/relay/log_test.go
@@ -1,13 +1,19 @@
 package relay
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"junctioncross/follow"
+	"junctioncross/metrics"
+	"junctioncross/timer"
 )
 
 func at(revision follow.Position, records ...Record) heard {
@@ -66,3 +72,51 @@
 	}
 	content[r.Key] = r
 }
+
+// TestTheHistoryReachesBackOverAllOfAFeed lets all entries of a large feed lapse and come back, as in an outage of the store.
+func TestTheHistoryReachesBackOverAllOfAFeed(t *testing.T) {
+	const servers = 6000
+	key := func(i int) string { return fmt.Sprint("server-", i) }
+	l := newFeedLog()
+	var all []Record
+	for i := range servers {
+		all = append(all, Record{Key: key(i), Revision: follow.Position(i + 1)})
+	}
+	l.restart(at(servers, all...), true)
+	revision := follow.Position(servers)
+	for _, gone := range []bool{true, false} {
+		for i := range servers {
+			revision++
+			l.extend(at(revision, Record{Key: key(i), Revision: revision, Gone: gone}), true)
+		}
+	}
+	v := l.since(servers)
+	require.True(t, v.whole)
+	require.Len(t, v.records, 2*servers)
+}
+
+// later is a relay that has read a feed after the one that asks it; it implements peers.
+type later struct{ peers }
+
+func (later) poll(_ context.Context, _ string, p poll) (told, error) {
+	if !p.Whole {
+		return told{Behind: true}, nil
+	}
+	return told{Records: []Record{{Key: "kept", Revision: 2}, {Key: "new", Revision: 8}}, At: 9}, nil
+}
+
+// TestOneThatIsBehindItsRelayAsksItForAll asks a relay whose history begins after what an instance has.
+func TestOneThatIsBehindItsRelayAsksItForAll(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	all := instances(1, 30)
+	self := Self{Name: all[9].Name, Domain: all[9].Domain, From: 24, ApplyTime: promise}
+	s := New(self, storeOf{p: newPlay(all, day{})}, known(all), nil, noEnds{}, nil, timer.NewReal(), metrics.New(), log)
+	s.peers = later{}
+	s.logs[follow.FeedConfig].restart(at(5, Record{Key: "kept", Revision: 2}, Record{Key: "gone", Revision: 3}), false)
+	h, err := s.catchUp(t.Context(), s.ways()[0], follow.FeedConfig, 5)
+	require.NoError(t, err)
+	require.Equal(t, []Record{{Key: "new", Revision: 8}, {Key: "gone", Revision: 9, Gone: true}}, h.records)
+	_, err = s.catchUp(t.Context(), s.ways()[0], follow.FeedConfig, 10)
+	require.ErrorIs(t, err, follow.ErrUnavailable, "a relay that knows less tells nothing")
+}
--- a/relay/platform_test.go
+++ b/relay/platform_test.go
@@ -46,6 +46,8 @@
 
 // ReadFeed implements Store.
 func (s storeOf) ReadFeed(ctx context.Context, feed follow.Feed) ([]Record, follow.Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, PageTime)
+	defer cancel()
 	if err := s.ask(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -157,6 +159,10 @@
 	return t, nil
 }
 
+func (o peersOf) roll(context.Context, string, rollAsked) (rollTold, error) {
+	return rollTold{}, link.ErrRefused
+}
+
 func (o peersOf) reach(ctx context.Context, addr string) error {
 	j, now := o.p.index[addr], o.p.now()
 	if o.p.apart(o.i, j, now) || o.p.killed(j, now) {
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -47,6 +47,9 @@
 	Direct string `cbor:"7,keyasint,omitempty"`
 	// Ends is what the asker has not yet told the store.
 	Ends []quarantine.End `cbor:"8,keyasint,omitempty"`
+	// Name and Domain are those of the asker, which is counted by them.
+	Name   string `cbor:"9,keyasint,omitempty"`
+	Domain string `cbor:"10,keyasint,omitempty"`
 }
 
 // told answers a poll.
@@ -63,6 +66,8 @@
 	Mark time.Duration `cbor:"6,keyasint,omitempty"`
 	// Ask is the address of an instance that follows the store, told by one that does not.
 	Ask string `cbor:"7,keyasint,omitempty"`
+	// Counts holds the numbers of instances of the domains.
+	Counts map[string]int `cbor:"8,keyasint,omitempty"`
 }
 
 // Register adds the relay's call to those that the instance answers.
@@ -83,6 +88,7 @@
 	}
 	s.overhear(p.Words)
 	s.ends.Adopt(p.Ends)
+	s.noteAsker(p)
 	s.noteHelper(p.Direct, arrived)
 	wait := s.clock.After(holdTime(p.Feed))
 	for {
@@ -119,8 +125,12 @@
 // answer returns the answer to a question for news.
 func (s *Source) answer(p poll, v view, arrived time.Time) told {
 	t := answerOf(v, arrived)
-	if p.Feed == follow.FeedServers {
+	switch p.Feed {
+	case follow.FeedServers:
 		t.Words, t.Mark = s.pass(p.Mark)
+	case follow.FeedConfig:
+		t.Counts = s.counts()
+	case follow.FeedQuarantine:
 	}
 	return t
 }
@@ -132,7 +142,8 @@
 		config := s.logs[follow.FeedConfig].news()
 		v := s.logs[feed].all()
 		switch {
-		case !s.stopped.Load() && v.direct && s.fresh():
+		case !s.stopped.Load() && v.at > 0 && s.fresh():
+			// One that has it from a relay tells it as well: the asker knows nothing, so that it cannot hear its own news again.
 			return answerOf(v, arrived), nil
 		case s.stopped.Load() || !s.starting():
 			return told{}, errNotDirect
@@ -178,7 +189,10 @@
 func (s *Source) ask(ctx context.Context, addr string, p poll) (heard, error) {
 	s.stats.Counter("relay_polls_total").Inc(1)
 	limit := peerWait + peerAnswer
-	if p.Hurry {
+	switch {
+	case p.Whole:
+		limit = startWait + wholeAnswer
+	case p.Hurry:
 		limit = peerAnswer
 	}
 	ctx, cancel := s.clock.WithTimeout(ctx, limit)
@@ -189,6 +203,9 @@
 		p.Ends = s.ends.Untold()
 	}
 	p.Direct = s.standing()
+	if p.Feed == follow.FeedConfig && !p.Whole {
+		p.Name, p.Domain = s.self.Name, s.self.Domain
+	}
 	t, err := s.peers.poll(ctx, addr, p)
 	switch {
 	case errors.Is(err, link.ErrRefused):
@@ -200,9 +217,10 @@
 		return heard{}, refusal{cause: errNotDirect, ask: t.Ask}
 	}
 	if t.Behind {
-		return heard{}, errors.Wrap(follow.ErrUnavailable, errBehind.Error())
+		return heard{}, errBehind
 	}
 	s.learn(p, t, addr, asked)
+	s.fleet.NoteCounts(t.Counts)
 	// The poll arrived after it was sent, so that the relay's word is counted a little too old rather than too new.
 	return heard{records: t.Records, at: t.At, known: asked.Add(t.Known)}, nil
 }
--- a/relay/record.go
+++ b/relay/record.go
@@ -16,11 +16,15 @@
 	Gone bool `cbor:"4,keyasint,omitempty"`
 }
 
+// PageTime is how long a store may take for each page of a feed: a hundred times what it takes on a calm day.
+const PageTime = 2 * time.Second
+
 // Store is what the relay needs of the platform's store.
 type Store interface {
 	// Reach asks for nothing but an answer, for a tenth of what the other calls cost; it returns follow.ErrUnavailable.
 	Reach(ctx context.Context) error
-	// ReadFeed returns everything that a feed holds and the position before the first page; it returns follow.ErrUnavailable.
+	// ReadFeed returns everything that a feed holds and the position before the first page; it returns follow.ErrUnavailable, at the latest
+	// when a page has taken PageTime.
 	ReadFeed(ctx context.Context, feed follow.Feed) ([]Record, follow.Position, error)
 	// WatchFeed returns what changed after a position, with nothing when wait has passed without a change; it returns
 	// follow.ErrHistoryGone or follow.ErrUnavailable.
--- a/relay/roll.go
+++ b/relay/roll.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"hash/fnv"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -34,28 +34,33 @@
 
 // rollTold answers rollAsked.
 type rollTold struct {
-	// Same is true when the asker knows all; the members are left out then.
-	Same    bool              `cbor:"1,keyasint,omitempty"`
-	Members []census.Instance `cbor:"2,keyasint,omitempty"`
+	// Same is true when the asker knows all; the records are left out then.
+	Same    bool            `cbor:"1,keyasint,omitempty"`
+	Records []census.Record `cbor:"2,keyasint,omitempty"`
+	// Counts holds the numbers of instances of the domains.
+	Counts map[string]int `cbor:"3,keyasint,omitempty"`
 }
 
-// Rolls counts the instances through the relay of the domain, so that the records are read once a domain and not by each of the instances
-// that they name: otherwise the pages that are read grow with the square of the fleet. It implements census.Register.
+// Rolls counts the instances through the relay of the domain, so that the records are read once a domain and not by each instance. It
+// implements census.Register.
 type Rolls struct {
 	census.Register
 	self  Self
 	fleet Fleet
-	links *link.Client
+	peers peers
 	clock *timer.Service
 
-	mu   sync.Mutex
-	roll census.Roll
-	read time.Time
+	// reading is full while the records are read; roll and read are what was read last, and when.
+	reading chan struct{}
+	roll    census.Roll
+	read    time.Time
 }
 
 // NewRolls returns Rolls over the records of the store.
 func NewRolls(self Self, records census.Register, fleet Fleet, links *link.Client, clock *timer.Service) *Rolls {
-	return &Rolls{Register: records, self: self, fleet: fleet, links: links, clock: clock}
+	return &Rolls{
+		Register: records, self: self, fleet: fleet, peers: linked{client: links}, clock: clock, reading: make(chan struct{}, 1),
+	}
 }
 
 // AddTo adds the call for the count to those that the instance answers.
@@ -68,53 +73,80 @@
 // List implements census.Register.
 func (r *Rolls) List(ctx context.Context) (census.Roll, error) {
 	members := r.fleet.Members()
-	if !r.self.relays(len(members)) || len(r.fleet.Key()) == 0 {
-		return r.count(ctx)
+	if !r.self.relays(len(members), r.fleet.Instances()) || len(r.fleet.Key()) == 0 {
+		return r.count(ctx, 0)
 	}
-	for _, w := range waysOf(r.self.Name, r.self.Domain, members) {
+	for i, w := range waysOf(r.self.Name, r.self.Domain, members) {
+		if w.direct() && i == 0 {
+			r.askCounts(ctx, members)
+		}
 		if w.direct() {
 			break
 		}
-		if told, err := r.ask(ctx, w.addr, members); err == nil {
-			return census.Roll{Members: told, Key: r.fleet.Key()}, nil
+		if records, err := r.ask(ctx, w.addr, r.fleet.Records()); err == nil {
+			return census.Roll{Records: records, Key: r.fleet.Key()}, nil
 		}
 	}
-	return r.count(ctx)
+	return r.count(ctx, 0)
 }
 
-// ask returns the instances that the one at addr has counted.
-func (r *Rolls) ask(ctx context.Context, addr string, known []census.Instance) ([]census.Instance, error) {
+// ask returns the records that the one at addr has read.
+func (r *Rolls) ask(ctx context.Context, addr string, known []census.Record) ([]census.Record, error) {
 	ctx, cancel := r.clock.WithTimeout(ctx, rollAnswer)
 	defer cancel()
-	told, err := link.Call[rollAsked, rollTold](ctx, r.links, addr, link.KindRoll, rollAsked{Known: digest(known)})
+	told, err := r.peers.roll(ctx, addr, rollAsked{Known: digest(known)})
 	if err != nil {
 		return nil, err
 	}
+	r.fleet.NoteCounts(told.Counts)
 	if told.Same {
 		return known, nil
 	}
-	return told.Members, nil
+	return told.Records, nil
+}
+
+// askCounts asks the relay of each other domain how many instances it counts there.
+func (r *Rolls) askCounts(ctx context.Context, members []census.Instance) {
+	ctx, cancel := r.clock.WithTimeout(ctx, rollAnswer)
+	defer cancel()
+	var all sync.WaitGroup
+	for domain, list := range ranked(members) {
+		if domain == r.self.Domain {
+			continue
+		}
+		all.Go(func() {
+			told, err := r.peers.roll(ctx, list[0].Addr, rollAsked{Known: digest(r.fleet.Records())})
+			if err == nil {
+				r.fleet.NoteCounts(map[string]int{domain: told.Counts[domain]})
+			}
+		})
+	}
+	all.Wait()
 }
 
 func (r *Rolls) serve(ctx context.Context, q rollAsked) (rollTold, error) {
 	ctx, cancel := context.WithTimeout(ctx, rollAnswer)
 	defer cancel()
-	roll, err := r.count(ctx)
+	roll, err := r.count(ctx, rollTime)
 	switch {
-	case err != nil || len(roll.Members) == 0:
+	case err != nil || len(roll.Records) == 0:
 		return rollTold{}, errNotCounted
-	case digest(roll.Members) == q.Known:
-		return rollTold{Same: true}, nil
+	case digest(roll.Records) == q.Known:
+		return rollTold{Same: true, Counts: r.fleet.Counts()}, nil
 	default:
-		return rollTold{Members: roll.Members}, nil
+		return rollTold{Records: roll.Records, Counts: r.fleet.Counts()}, nil
 	}
 }
 
-// count returns what the records told within rollTime; those that ask at the same moment share one reading.
-func (r *Rolls) count(ctx context.Context) (census.Roll, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.read.IsZero() && len(r.roll.Members) > 0 && len(r.roll.Key) > 0 && r.clock.Since(r.read) < rollTime {
+// count returns what the records told within an age; those that ask at the same moment share one reading.
+func (r *Rolls) count(ctx context.Context, age time.Duration) (census.Roll, error) {
+	select {
+	case r.reading <- struct{}{}:
+	case <-ctx.Done():
+		return census.Roll{}, errors.Wrap(errNotCounted, ctx.Err().Error())
+	}
+	defer func() { <-r.reading }()
+	if !r.read.IsZero() && len(r.roll.Records) > 0 && len(r.roll.Key) > 0 && r.clock.Since(r.read) < age {
 		return r.roll, nil
 	}
 	begun := r.clock.Now()
@@ -125,16 +157,16 @@
 	return roll, err
 }
 
-// digest tells two lists of instances apart whatever their order.
-func digest(members []census.Instance) uint64 {
-	lines := make([]string, len(members))
-	for i, m := range members {
-		lines[i] = fmt.Sprintln(m)
+// digest tells two lists of records apart whatever their order.
+func digest(records []census.Record) uint64 {
+	lines := make([]string, len(records))
+	for i, r := range records {
+		lines[i] = r.Name + " " + r.Addr + " " + strconv.FormatInt(r.Revision, 10)
 	}
 	sort.Strings(lines)
 	h := fnv.New64a()
 	for _, l := range lines {
-		_, _ = h.Write([]byte(l))
+		_, _ = h.Write([]byte(l + "\n"))
 	}
 	return h.Sum64()
 }
--- a/relay/source.go
+++ b/relay/source.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// readTime bounds the reading of a whole feed: a hundred times what the platform's store takes on a calm day.
-	readTime = 2 * time.Second
+	// readTime bounds the reading of a whole feed, of which each page has its own bound: a store that is slow is read to the end.
+	readTime = 20 * time.Second
 	// settledTime is how long an instance must have followed the store itself to count as one that does, if it is not the
 	// relay of its domain: relays that were lost for a moment come back.
 	settledTime = 3 * time.Second
@@ -33,8 +33,17 @@
 
 // Fleet tells what instances there are.
 type Fleet interface {
-	// Members returns the instances that were counted last; it is empty before the first count.
+	// Members returns the instances that have records; it is empty before the first count.
 	Members() []census.Instance
+	// Records returns the records.
+	Records() []census.Record
+	// Empty reports whether the records were read and there were none.
+	Empty() bool
+	// Instances returns the number of instances.
+	Instances() int
+	// Counts returns the numbers of instances that the relays of the domains have counted, and NoteCounts keeps newer ones.
+	Counts() map[string]int
+	NoteCounts(counts map[string]int)
 	// Key returns what the instances prove themselves with to each other; it is empty while it is not known.
 	Key() []byte
 }
@@ -43,6 +52,8 @@
 type Self struct {
 	Name   string
 	Domain string
+	// Addr is the address for calls of other instances; it is empty when there are none.
+	Addr string
 	// From is the number of instances from which relays are used; with fewer, each watches the store itself.
 	From int
 	// ApplyTime is how long after its acceptance a configuration may not be in force yet.
@@ -52,8 +63,10 @@
 // leastApply is the shortest ApplyTime that is kept through relays: one that falls silent says so after 2.6 s.
 const leastApply = 3 * time.Second
 
-// relays reports whether so many instances use relays.
-func (s Self) relays(instances int) bool { return instances >= s.From && s.ApplyTime >= leastApply }
+// relays reports whether so many instances use relays, of whom so many have records.
+func (s Self) relays(members, instances int) bool {
+	return members > 0 && max(members, instances) >= s.From && s.ApplyTime >= leastApply
+}
 
 // Source follows the store, by itself or through a relay; it implements follow.Source.
 type Source struct {
@@ -68,6 +81,7 @@
 	// stopped is true once the instance serves other instances no more.
 	stopped atomic.Bool
 	epoch   *epoch
+	tally   *tally
 	words   Words
 	ends    Ends
 	begun   time.Time
@@ -102,7 +116,7 @@
 ) *Source {
 	return &Source{
 		self: self, store: store, fleet: fleet, words: words, ends: ends, begun: clock.Now(), marks: map[string]time.Duration{}, peers: linked{client: links}, clock: clock, stats: stats, log: log,
-		logs: [feeds]*feedLog{newFeedLog(), newFeedLog(), newFeedLog()}, epoch: newEpoch(), left: map[string]rest{}, sparing: sparing{apply: self.ApplyTime},
+		logs: [feeds]*feedLog{newFeedLog(), newFeedLog(), newFeedLog()}, epoch: newEpoch(), tally: newTally(clock), left: map[string]rest{}, sparing: sparing{apply: self.ApplyTime},
 		random: rand.Float64,
 	}
 }
@@ -203,7 +217,11 @@
 
 func (s *Source) from(ctx context.Context, w way, feed follow.Feed, after follow.Position, hurry bool) (heard, error) {
 	if !w.direct() {
-		return s.ask(ctx, w.addr, poll{Feed: feed, After: after, Hurry: hurry})
+		h, err := s.ask(ctx, w.addr, poll{Feed: feed, After: after, Hurry: hurry})
+		if errors.Is(err, errBehind) {
+			return s.catchUp(ctx, w, feed, after)
+		}
+		return h, err
 	}
 	h, err := s.watch(ctx, feed, after, hurry)
 	if err != nil && ctx.Err() == nil && !errors.Is(err, follow.ErrHistoryGone) && !errors.Is(err, errInDoubt) {
@@ -212,6 +230,20 @@
 	return h, err
 }
 
+// catchUp has the whole feed from a relay whose history does not reach back to a position, and returns what is new of it: instances that start
+// together read the feeds at different moments, and all whose relay had read a feed last asked the store otherwise.
+func (s *Source) catchUp(ctx context.Context, w way, feed follow.Feed, after follow.Position) (heard, error) {
+	h, err := s.ask(ctx, w.addr, poll{Feed: feed, Whole: true})
+	if err != nil {
+		return heard{}, err
+	}
+	if h.at < after {
+		return heard{}, errors.Wrap(follow.ErrUnavailable, errBehind.Error())
+	}
+	h.records = s.logs[feed].missing(h)
+	return h, nil
+}
+
 func (s *Source) news(h heard) follow.News {
 	return follow.News{Changes: s.store.Decode(h.records), At: h.at, Known: h.known}
 }
--- a/relay/ways.go
+++ b/relay/ways.go
@@ -33,28 +33,32 @@
 type ranking struct {
 	mu      sync.Mutex
 	members []census.Instance
+	relays  bool
 	ways    []way
 }
 
 // of returns the ways that work out makes of these members, which are counted as a whole and not changed afterwards.
-func (r *ranking) of(members []census.Instance, work func([]census.Instance) []way) []way {
+func (r *ranking) of(members []census.Instance, relays bool, work func([]census.Instance, bool) []way) []way {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(members) == 0 || len(members) != len(r.members) || &members[0] != &r.members[0] {
-		r.members, r.ways = members, work(members)
+	if len(members) == 0 || len(members) != len(r.members) || &members[0] != &r.members[0] || relays != r.relays {
+		r.members, r.relays, r.ways = members, relays, work(members, relays)
 	}
 	return r.ways
 }
 
 // ways returns where to ask, or nil while the instances are not counted; the caller does not change it.
-func (s *Source) ways() []way { return s.ranking.of(s.fleet.Members(), s.waysAmong) }
+func (s *Source) ways() []way {
+	members := s.fleet.Members()
+	return s.ranking.of(members, s.self.relays(len(members), s.fleet.Instances()), s.waysAmong)
+}
 
-// waysAmong works out where to ask among some instances.
-func (s *Source) waysAmong(members []census.Instance) []way {
+// waysAmong works out where to ask among some instances, which use relays or do not.
+func (s *Source) waysAmong(members []census.Instance, relays bool) []way {
 	switch {
 	case len(members) == 0:
 		return nil
-	case !s.self.relays(len(members)):
+	case !relays:
 		return append([]way{{}}, s.othersOf(members)...)
 	default:
 		return waysOf(s.self.Name, s.self.Domain, members)
--- a/schema/beliefs.go
+++ b/schema/beliefs.go
@@ -326,6 +326,17 @@
 	_ struct{} `msg:"record of the instance has ended" level:"warning"`
 }
 
+// Another instance has written its record over the own one, which was of less use.
+type recordReplaced struct {
+	_ struct{} `msg:"record of the instance was replaced" level:"warning"`
+}
+
+// The fleet's key cannot be written.
+type keyNotWritten struct {
+	_ struct{} `msg:"the fleet's key not written" level:"warning"`
+	failure
+}
+
 // The own record cannot be renewed.
 type recordNotRenewed struct {
 	_ struct{} `msg:"record of the instance not renewed" level:"warning"`
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -86,6 +86,8 @@
 		notCounted{},
 		recordNotWritten{},
 		recordEnded{},
+		recordReplaced{},
+		keyNotWritten{},
 		recordNotRenewed{},
 		peerRefused{},
 		operatorRefused{},
