relay: compress the records of an answer, once for all that ask

Cause: an instance that starts has 1.4 MB of entries from another one in the largest fleet, and each change of many servers goes to all of a domain; the line of a weak instance carries 2.5 MB a second.

Change: answers of more than 2 KB of values are compressed (flate, fastest), and kept for the others that ask from the same position.

--- a/relay/fleetstart_test.go
+++ b/relay/fleetstart_test.go
@@ -320,7 +320,7 @@
 	if err != nil {
 		return told{}, errors.Wrap(link.ErrRefused, err.Error())
 	}
-	bytes := 20.0
+	bytes := 20.0 + float64(len(t.Packed))
 	for _, r := range t.Records {
 		bytes += float64(len(r.Value))
 	}
--- a/relay/log.go
+++ b/relay/log.go
@@ -32,6 +32,9 @@
 	largest int
 	// changed is closed at the next news.
 	changed chan struct{}
+
+	packing sync.Mutex
+	packs   packs
 }
 
 func newFeedLog() *feedLog { return &feedLog{changed: make(chan struct{}), whole: map[string]Record{}} }
@@ -145,6 +148,13 @@
 	return l.direct
 }
 
+// packed returns the compressed records of a part of the feed, and nothing when they are few.
+func (l *feedLog) packed(part span, records []Record) ([]byte, error) {
+	l.packing.Lock()
+	defer l.packing.Unlock()
+	return l.packs.get(part, records)
+}
+
 // news returns what is closed at the next news.
 func (l *feedLog) news() <-chan struct{} {
 	l.mu.Lock()
--- /dev/null
+++ b/relay/pack_test.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/follow"
+)
+
+// TestEntriesArePackedSmall packs entries as servers write them and reads them back.
+func TestEntriesArePackedSmall(t *testing.T) {
+	const most = 0.35
+	var records []Record
+	size := 0
+	for i := range 3005 {
+		entry := fmt.Sprintf(`{"service":"assistant","address":"10.3.%d.%d:8708","zone":"east","version":"v1","slot_count":192,"state":"ready","cold_left_ms":0,`+
+			`"call_seq":%d,"born":%d,"stage":"dual","kind":"t4","models":[{"name":"m0","version":1,"adapters":[]}],"layers":{"from":%d,"target_version":%d,"version":1}}`,
+			i/250, i%250, i%7, 1767446768000+i*37, i%73, i%73+7)
+		records = append(records, Record{Key: fmt.Sprintf("servers/i-%010x", i*2654435761), Value: []byte(entry), Revision: follow.Position(i)})
+		size += len(entry)
+	}
+	var p packs
+	packed, err := p.get(span{at: 1, whole: true}, records)
+	require.NoError(t, err)
+	require.LessOrEqual(t, float64(len(packed)), most*float64(size))
+	back, err := unpack(packed)
+	require.NoError(t, err)
+	require.Equal(t, records, back)
+	again, err := p.get(span{at: 1, whole: true}, records)
+	require.NoError(t, err)
+	require.Equal(t, &packed[0], &again[0], "compressed once for all that ask")
+	few, err := p.get(span{at: 1}, records[:2])
+	require.NoError(t, err)
+	require.Nil(t, few)
+}
+
+// TestDamagedRecordsAreAnError reads what no relay has packed.
+func TestDamagedRecordsAreAnError(t *testing.T) {
+	_, err := unpack([]byte("damaged"))
+	require.Error(t, err)
+}
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -68,6 +68,8 @@
 	Ask string `cbor:"7,keyasint,omitempty"`
 	// Counts holds the numbers of instances of the domains.
 	Counts map[string]int `cbor:"8,keyasint,omitempty"`
+	// Packed holds the records compressed, in place of Records.
+	Packed []byte `cbor:"9,keyasint,omitempty"`
 }
 
 // Register adds the relay's call to those that the instance answers.
@@ -99,7 +101,7 @@
 		case !v.whole:
 			return told{Behind: true}, nil
 		case p.Hurry || len(v.records) > 0 || p.Feed == follow.FeedServers && s.turnedWorse(p.Mark):
-			return s.answer(p, v, arrived), nil
+			return s.answer(p, v, arrived)
 		}
 		select {
 		case <-v.changed:
@@ -107,7 +109,7 @@
 			// A relay that hears the store no more says so at once: held for the rest of its time, a question used up 0.6 s of the 3 s in which
 			// a configuration must be in force, before one of a domain that is cut off used up 1.2 s.
 		case <-wait:
-			return s.answer(p, s.logs[p.Feed].since(p.After), arrived), nil
+			return s.answer(p, s.logs[p.Feed].since(p.After), arrived)
 		case <-ctx.Done():
 			return told{}, ctx.Err()
 		}
@@ -123,8 +125,11 @@
 }
 
 // answer returns the answer to a question for news.
-func (s *Source) answer(p poll, v view, arrived time.Time) told {
-	t := answerOf(v, arrived)
+func (s *Source) answer(p poll, v view, arrived time.Time) (told, error) {
+	t, err := s.answerOf(p.Feed, v, arrived, span{after: p.After, at: v.at})
+	if err != nil {
+		return told{}, err
+	}
 	switch p.Feed {
 	case follow.FeedServers:
 		t.Words, t.Mark = s.pass(p.Mark)
@@ -132,7 +137,7 @@
 		t.Counts = s.counts()
 	case follow.FeedQuarantine:
 	}
-	return t
+	return t, nil
 }
 
 // serveWhole answers with all that the feed holds, which an instance that starts may have to read first.
@@ -144,7 +149,7 @@
 		switch {
 		case !s.stopped.Load() && v.at > 0 && s.fresh():
 			// One that has it from a relay tells it as well: the asker knows nothing, so that it cannot hear its own news again.
-			return answerOf(v, arrived), nil
+			return s.answerOf(feed, v, arrived, span{at: v.at, whole: true})
 		case s.stopped.Load() || !s.starting():
 			return told{}, errNotDirect
 		}
@@ -169,8 +174,19 @@
 	return false
 }
 
-func answerOf(v view, arrived time.Time) told {
-	return told{Records: v.records, At: v.at, Known: v.known.Sub(arrived)}
+// answerOf returns the answer with the records of a view, which are a span of a feed.
+func (s *Source) answerOf(feed follow.Feed, v view, arrived time.Time, part span) (told, error) {
+	t := told{At: v.at, Known: v.known.Sub(arrived)}
+	packed, err := s.logs[feed].packed(part, v.records)
+	if err != nil {
+		return told{}, err
+	}
+	if packed != nil {
+		t.Packed = packed
+		return t, nil
+	}
+	t.Records = v.records
+	return t, nil
 }
 
 // fresh reports whether the configuration was confirmed lately, which tells that the store still answers.
@@ -219,6 +235,11 @@
 	if t.Behind {
 		return heard{}, errBehind
 	}
+	if t.Packed != nil {
+		if t.Records, err = unpack(t.Packed); err != nil {
+			return heard{}, errors.Wrap(follow.ErrUnavailable, err.Error())
+		}
+	}
 	s.learn(p, t, addr, asked)
 	s.fleet.NoteCounts(t.Counts)
 	// The poll arrived after it was sent, so that the relay's word is counted a little too old rather than too new.
