relay, platform: keep the heartbeats of servers from all but those that read the store

Cause: 3,005 servers write their entries every 3 s, of which only a count changes. Each of these 1,000 changes a second went to each of 985 instances, which decoded them and compared them with what they knew: servers times instances, in a calm that knows no change.

Change: whoever follows the store leaves out what says what was known, but for the count, unless the key was created anew; nobody is woken by it. What was read whole is compared in the same way.

--- a/relay/source.go
+++ b/relay/source.go
@@ -156,7 +156,7 @@
 func (s *Source) Read(ctx context.Context, feed follow.Feed) (follow.News, error) {
 	if at, _ := s.logs[feed].reached(); at == 0 {
 		if h, ok := s.readRelay(ctx, feed); ok {
-			s.logs[feed].restart(h, false)
+			s.logs[feed].restart(h, false, s.store.Same)
 			return s.news(h), nil
 		}
 	}
@@ -170,8 +170,10 @@
 	}
 	h := heard{records: records, at: at, known: asked}
 	s.epoch.sound()
-	s.logs[feed].restart(h, true)
-	return s.news(h), nil
+	// What the instance itself has kept is compared with all that was read, while others are passed on only what differs.
+	all := s.news(h)
+	s.logs[feed].restart(h, true, s.store.Same)
+	return all, nil
 }
 
 // Next implements follow.Source.
@@ -240,7 +242,7 @@
 	if h.at < after {
 		return heard{}, errors.Wrap(follow.ErrUnavailable, errBehind.Error())
 	}
-	h.records = s.logs[feed].missing(h)
+	h.records = s.logs[feed].missing(h, s.store.Same)
 	return h, nil
 }
 
