follow: write one line for many entries that come together

Cause: each instance wrote a line for each of 3,005 servers at a start and for each change while all of them load: 3 million lines of a fleet, which take processor time and drown the others.

Change: more than 100 entries that come together have one line with their number.

--- a/follow/loop.go
+++ b/follow/loop.go
@@ -28,6 +28,9 @@
 	lapseShare = 0.1
 	// heardQueue holds messages while the control goroutine is busy.
 	heardQueue = 16
+	// mostLogged is the number of entries that come together up to which each has its line: each of hundreds of instances would write thousands
+	// at a start and while all servers load.
+	mostLogged = 100
 )
 
 // errNoService means that an entry names a service that the configuration does not.
@@ -51,6 +54,8 @@
 	lost [feeds]bool
 	// failed is when a call last failed.
 	failed time.Time
+	// terse is true while many entries are taken over, which have one line together.
+	terse bool
 }
 
 // known is what is known of one server.
@@ -152,6 +157,12 @@
 // apply takes changes over in order and reports whether any made a difference.
 func (l *Loop) apply(changes []Change) bool {
 	changed := false
+	if l.terse = len(changes) > mostLogged; l.terse {
+		defer func() {
+			l.terse = false
+			l.log.WithFields(logrus.Fields{"servers": len(l.servers), "entries": len(changes)}).Info("servers known")
+		}()
+	}
 	for _, c := range changes {
 		switch c := c.(type) {
 		case Configured:
@@ -213,7 +224,9 @@
 	l.servers[e.ID] = k
 	k.server.NoteLayers(l.clock.Now())
 	l.noteLeaving(k)
-	l.logServer(e, "server known")
+	if !l.terse {
+		l.logServer(e, "server known")
+	}
 	return true
 }
 
@@ -229,7 +242,9 @@
 	if old.Same(e) && !again {
 		return false
 	}
-	l.logServer(e, "server changed")
+	if !l.terse {
+		l.logServer(e, "server changed")
+	}
 	return true
 }
 
--- a/schema/beliefs.go
+++ b/schema/beliefs.go
@@ -154,6 +154,15 @@
 	entryOf
 }
 
+// Entries of many servers at once, which have no lines of their own.
+type serversKnown struct {
+	_ struct{} `msg:"servers known" level:"info"`
+	// The number of servers that are known now.
+	Servers int64 `log:"servers"`
+	// The number of entries that came.
+	Entries int64 `log:"entries"`
+}
+
 // Another entry of a known server.
 type serverChanged struct {
 	_ struct{} `msg:"server changed" level:"info"`
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -65,6 +65,7 @@
 		olderIgnored{},
 		notReadable{},
 		serverKnown{},
+		serversKnown{},
 		serverChanged{},
 		serverGone{},
 		endHeard{},
