relay, census: pass words on less often in large domains, compress better, tell the count of the fleet

Cause: each follower asks for words on servers every 0.4 s, so that the questions to a relay grow with its domain without a bound; entries that appear are sent to all of a domain; the gauge of instances told the records, which are some of a large fleet.

Change: the relay holds such a question for 4 ms for each instance that asks it, at most as long as the others (0.4 s up to 100 instances, 0.8 s from 200 on); a server that turns bad still wakes all at once. Records are compressed at the usual level. jx_instances_counted is the number of all instances again, jx_instances_with_records that of the records.

--- a/census/census.go
+++ b/census/census.go
@@ -274,8 +274,10 @@
 // publish shows what was read last. Those that start together do not show the first few records, which look like the whole of a small fleet.
 func (c *Census) publish() {
 	roll := c.latest
-	if before, now := c.show(&roll); before != now {
-		c.stats.Gauge("instances_counted").Update(int64(now))
+	before, now := c.show(&roll)
+	c.stats.Gauge("instances_counted").Update(int64(c.Instances()))
+	c.stats.Gauge("instances_with_records").Update(int64(now))
+	if before != now {
 		c.log.WithFields(logrus.Fields{"instances": now, "before": before}).Info("instances counted")
 	}
 }
--- a/relay/pack.go
+++ b/relay/pack.go
@@ -61,7 +61,7 @@
 		return nil, errors.Wrap(err, "relay: encode records")
 	}
 	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	w, err := flate.NewWriter(&out, flate.DefaultCompression)
 	if err != nil {
 		return nil, errors.Wrap(err, "relay: compress records")
 	}
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -92,7 +92,7 @@
 	s.ends.Adopt(p.Ends)
 	s.noteAsker(p)
 	s.noteHelper(p.Direct, arrived)
-	wait := s.clock.After(holdTime(p.Feed))
+	wait := s.clock.After(s.holdTime(p.Feed))
 	for {
 		v := s.logs[p.Feed].since(p.After)
 		switch {
@@ -117,9 +117,9 @@
 }
 
 // holdTime returns the longest that a question is held.
-func holdTime(feed follow.Feed) time.Duration {
+func (s *Source) holdTime(feed follow.Feed) time.Duration {
 	if feed == follow.FeedServers {
-		return wordsWait
+		return min(max(wordsWait, time.Duration(s.tally.size())*wordsShare), peerWait)
 	}
 	return peerWait
 }
--- a/relay/words.go
+++ b/relay/words.go
@@ -11,6 +11,9 @@
 	// wordsWait is the longest that a relay holds a question about servers where it has words on their state to pass on: what one instance
 	// finds, all of its domain know after 0.2 s in the mean.
 	wordsWait = 400 * time.Millisecond
+	// wordsShare is the relay's time for each instance that asks it: in a large domain words are passed on less often, so that their questions do
+	// not grow to more than a relay answers.
+	wordsShare = 4 * time.Millisecond
 	// wordsBack is how old the words are that are passed on at first.
 	wordsBack = time.Second
 )
--- a/schema/beliefs.go
+++ b/schema/beliefs.go
@@ -309,7 +309,7 @@
 	Crossing int64 `log:"crossing"`
 }
 
-// The instances that have a record.
+// The instances that have a record: all of a small fleet, some of each domain of a large one.
 type counted struct {
 	_ struct{} `msg:"instances counted" level:"info"`
 	// How many.
