--- a/capacity/hosted.go
+++ b/capacity/hosted.go
@@ -31,10 +31,33 @@
 		row("serving again after the end of all, 30 / 100 / 300", Measured, "the same days", "%.1f / %.1f / %.1f s",
 			b.get("sweep_serving_ms_30")/1000, b.get("sweep_serving_ms_100")/1000, b.get("sweep_serving_ms_300")/1000),
 	)
+	rows = append(rows, b.wholeFleet()...)
 	return Role{
 		name: "Instance of jxd serve (one relay in each domain)", mechanism: "relay, follow, census, forward", rows: rows,
-		twice: "the relay's bytes, which grow with instances times servers; that each follower reads all servers at a start and hears each" +
-			" change of them would explain it and is not traced. At 300 instances and 3,000 servers it is over its memory already.",
-		tenfold: "the same; followers of a domain would have to pass on to others what they hear.",
+		twice: "from 985 instances on: the relay's answers in steady state, 2.5 to 5 a second for each instance of its domain, and changes of" +
+			" servers, which go to every instance; expected near 400 followers of a relay with 0.8 of two cores, not measured. The rows of the" +
+			" sweep are of the code before heartbeats were kept back and records compressed.",
+		tenfold: "whole feeds in domains without strong instances: 24 lines of 20 Mbit/s serve a domain of 200 in about 20 s; followers would" +
+			" have to pass on to others what they hear.",
+	}
+}
+
+// wholeFleet is what a fleet of hundreds does at a start, and what it did before its records were bounded.
+func (b *book) wholeFleet() []Row {
+	const (
+		played = "relay/fleetstart_test.go, simulated time, store's line of 1,000 Mbit/s"
+		base   = "base line of 985 instances and 3,005 servers, which served nearly nobody"
+	)
+	return []Row{
+		row("start of all, 985 / 2,000 instances", Measured, played, "%.2f / %.2f s", b.get("fleet_start_s_985"), b.get("fleet_start_s_2000")),
+		row("the same, store slow for the first 5 s", Measured, played, "%.2f / %.2f s", b.get("fleet_slow_s_985"), b.get("fleet_slow_s_2000")),
+		row("priced calls to the store of a start, 985 / 2,000", Measured, played, "%.0f / %.0f", b.get("fleet_start_calls_985"), b.get("fleet_start_calls_2000")),
+		row("records in the store", WorkedOut, "8 to relays.from for each domain, however many instances", "40 to 120 in 5 domains"),
+		row("records read at a start", WorkedOut, "985 x 50 records x 300 B, of 125 MB/s", "15 MB; 290 MB before, each instance having one"),
+		row("heartbeats of servers that reach an instance", WorkedOut, "those that read the store hear 3,005 / 3 s", "0; 1,000 a second before"),
+		row("calls to the store in 49 s, before", Measured, base, "%.0f", b.get("fleet_base_calls")),
+		row("requests served, before", Measured, base, "%.1f %%", b.get("fleet_base_served_pct")),
+		row("processor time in the mean, before", Measured, base, "%.2f %% of a core", b.get("fleet_base_cpu_pct")),
+		row("memory and descriptors at most, before", Measured, base, "%.1f MB, %.0f", b.get("fleet_base_rss_mb"), b.get("fleet_base_files")),
 	}
 }
--- a/config/hosted.go
+++ b/config/hosted.go
@@ -96,7 +96,8 @@
 
 // HostedRelays says when one instance of each domain watches the store for the others.
 type HostedRelays struct {
-	// From is the number of instances from which relays are used; with fewer, each watches the store itself.
+	// From is the number of instances from which relays are used; with fewer, each watches the store itself. A domain keeps at most as many
+	// records of instances in the store, and room for 24 in any case.
 	From int `yaml:"from" validate:"min=2"`
 	// ApplyTime is how long after its acceptance a configuration may not be in force yet; below 3s no relays are used.
 	ApplyTime time.Duration `yaml:"apply_time" validate:"min=1s,max=1m"`
