--- a/follow/loop.go
+++ b/follow/loop.go
@@ -366,31 +366,6 @@
 	l.stats.Gauge("quarantine_requests").Update(int64(l.ends.Size()))
 }
 
-// doubt keeps new work from servers whose entries have vanished while it is not known whether they leave, as long as these are
-// few of their service.
-func (l *Loop) doubt() {
-	all, missing := map[string]int{}, map[string]int{}
-	for _, k := range l.servers {
-		all[k.server.Service()]++
-		if !k.missing.IsZero() {
-			missing[k.server.Service()]++
-		}
-	}
-	for _, k := range l.servers {
-		service := k.server.Service()
-		n := missing[service]
-		few := n < all[service] && float64(n) <= max(1, lapseShare*float64(all[service]))
-		doubted := few && !k.missing.IsZero()
-		k.server.Doubt(doubted)
-		switch {
-		case doubted:
-			k.server.NoteLeaving(k.missing)
-		case !k.server.Leaving():
-			k.server.ForgetLeaving()
-		}
-	}
-}
-
 // show replaces the snapshot after a change, as a whole and never with a part of what was heard.
 func (l *Loop) show(changed bool) {
 	if !changed || l.catalog == nil {
--- /dev/null
+++ b/relay/fleetstore_test.go
@@ -0,0 +1,178 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/catalog"
+	"junctioncross/census"
+	"junctioncross/follow"
+	"junctioncross/link"
+)
+
+// registerOf is the store's records as an instance reaches them; it implements census.Register.
+type registerOf struct{ b *beginning }
+
+// Join implements census.Register.
+func (r registerOf) Join(ctx context.Context, self census.Instance, slot census.Slot, _ time.Duration) (int64, error) {
+	for range 2 {
+		if err := r.b.call(ctx, 1, recordBytes); err != nil {
+			return 0, err
+		}
+	}
+	r.b.mu.Lock()
+	defer r.b.mu.Unlock()
+	key := fmt.Sprint(self.Domain, "/", slot.Number)
+	if r.b.records[key].Revision != slot.Revision {
+		return 0, census.ErrTaken
+	}
+	r.b.revision++
+	slot.Revision = r.b.revision
+	r.b.records[key] = written{Record: census.Record{Instance: self, Slot: slot, Lease: slot.Revision}, at: time.Now()}
+	return slot.Revision, nil
+}
+
+// Renew implements census.Register.
+func (r registerOf) Renew(ctx context.Context, _ int64) error {
+	return r.b.call(ctx, lowPrice, recordBytes)
+}
+
+// List implements census.Register.
+func (r registerOf) List(ctx context.Context) (census.Roll, error) {
+	r.b.mu.Lock()
+	roll := census.Roll{Key: r.b.key}
+	for _, w := range r.b.records {
+		if time.Since(w.at) >= storeLag {
+			roll.Records = append(roll.Records, w.Record)
+		}
+	}
+	r.b.mu.Unlock()
+	return roll, r.b.call(ctx, lowPrice, float64(1+len(roll.Records))*recordBytes)
+}
+
+// Found implements census.Register.
+func (r registerOf) Found(ctx context.Context, key []byte) ([]byte, error) {
+	if err := r.b.call(ctx, 1, recordBytes); err != nil {
+		return nil, err
+	}
+	r.b.mu.Lock()
+	defer r.b.mu.Unlock()
+	if r.b.key == nil {
+		r.b.key = key
+	}
+	return r.b.key, nil
+}
+
+// feedsOf is the store's feeds; it implements Store.
+type feedsOf struct{ b *beginning }
+
+// Reach implements Store.
+func (f feedsOf) Reach(ctx context.Context) error { return f.b.call(ctx, lowPrice, recordBytes) }
+
+// pageBytes is what the store puts on a page.
+const pageBytes = 500 * entryBytes
+
+// ReadFeed implements Store.
+func (f feedsOf) ReadFeed(ctx context.Context, feed follow.Feed) ([]Record, follow.Position, error) {
+	value := []byte(nil)
+	switch feed {
+	case follow.FeedConfig:
+		value = f.b.config
+	case follow.FeedServers:
+		value = f.b.entries
+	case follow.FeedQuarantine:
+	}
+	for left := float64(len(value)); left >= 0; left -= pageBytes {
+		if err := f.b.call(ctx, 1, min(left, pageBytes)); err != nil {
+			return nil, 0, err
+		}
+	}
+	return []Record{{Key: keyOfConfig, Value: value, Revision: 1}}, 1, nil
+}
+
+// WatchFeed implements Store.
+func (f feedsOf) WatchFeed(ctx context.Context, _ follow.Feed, after follow.Position, wait time.Duration) ([]Record, follow.Position, error) {
+	if err := f.b.call(ctx, 1, recordBytes); err != nil {
+		return nil, 0, err
+	}
+	select {
+	case <-time.After(wait):
+		return nil, after, nil
+	case <-ctx.Done():
+		return nil, 0, follow.ErrUnavailable
+	}
+}
+
+// Same implements Store.
+func (feedsOf) Same(_, _ Record) bool { return false }
+
+// Decode implements Store.
+func (f feedsOf) Decode(records []Record) []follow.Change {
+	for _, r := range records {
+		if len(r.Value) == configBytes {
+			c, err := catalog.New(&catalog.Content{Version: 1, Services: []catalog.Service{{Name: "s"}}})
+			if err != nil {
+				panic(err)
+			}
+			return []follow.Change{follow.Configured{Catalog: c}}
+		}
+	}
+	return nil
+}
+
+// linesOf are the other instances as one reaches them, each over its own line; it implements peers.
+type linesOf struct {
+	b *beginning
+	i int
+}
+
+func (o linesOf) poll(ctx context.Context, addr string, q poll) (told, error) {
+	if err := o.reach(ctx, addr); err != nil {
+		return told{}, err
+	}
+	j := o.b.index[addr]
+	t, err := o.b.sources[j].serve(ctx, q)
+	if err != nil {
+		return told{}, errors.Wrap(link.ErrRefused, err.Error())
+	}
+	bytes := 2.0 + float64(len(t.Packed))
+	for _, r := range t.Records {
+		bytes += float64(len(r.Value))
+	}
+	return t, o.carry(ctx, j, bytes)
+}
+
+func (o linesOf) roll(ctx context.Context, addr string, q rollAsked) (rollTold, error) {
+	if err := o.reach(ctx, addr); err != nil {
+		return rollTold{}, err
+	}
+	j := o.b.index[addr]
+	t, err := o.b.rolls[j].serve(ctx, q)
+	if err != nil {
+		return rollTold{}, errors.Wrap(link.ErrRefused, err.Error())
+	}
+	return t, o.carry(ctx, j, float64(1+len(t.Records)))
+}
+
+func (o linesOf) carry(ctx context.Context, j int, bytes float64) error {
+	err := o.b.lines[j].carry(ctx, bytes)
+	if err == nil {
+		err = o.b.lines[o.i].carry(ctx, bytes)
+	}
+	if err != nil {
+		return errors.Wrap(link.ErrLost, err.Error())
+	}
+	return nil
+}
+
+// reach is refused while one of the two does not know the fleet's key.
+func (o linesOf) reach(_ context.Context, addr string) error {
+	time.Sleep(linkAnswer)
+	if len(o.b.boards[o.i].Key()) == 0 || len(o.b.boards[o.b.index[addr]].Key()) == 0 {
+		return link.ErrRefused
+	}
+	return nil
+}
--- a/relay/pack.go
+++ b/relay/pack.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// packedFrom is the size of values from which records are compressed: entries of servers differ little, and the line of a weak instance
-	// carries 2.5 MB a second.
+	// packedFrom is the size of values from which records are compressed: entries of servers differ little, and weak instances have
+	// thin lines.
 	packedFrom = 2 << 10
 	// mostUnpacked bounds what compressed records may grow to.
 	mostUnpacked = 64 << 20
--- a/relay/pack_test.go
+++ b/relay/pack_test.go
@@ -15,8 +15,8 @@
 	var records []Record
 	size := 0
 	for i := range 3005 {
-		entry := fmt.Sprintf(`{"service":"assistant","address":"10.3.%d.%d:8708","zone":"east","version":"v1","slot_count":192,"state":"ready","cold_left_ms":0,`+
-			`"call_seq":%d,"born":%d,"stage":"dual","kind":"t4","models":[{"name":"m0","version":1,"adapters":[]}],"layers":{"from":%d,"target_version":%d,"version":1}}`,
+		entry := fmt.Sprintf(`{"service":"assistant","address":"10.3.%d.%d:8708","zone":"east","version":"v1","slots":192,"state":"ready","slow_for":0,`+
+			`"written":%d,"started":%d,"kind":"t4","models":[{"name":"m0","version":1}],"layers":{"first":%d,"end":%d,"version":1}}`,
 			i/250, i%250, i%7, 1767446768000+i*37, i%73, i%73+7)
 		records = append(records, Record{Key: fmt.Sprintf("servers/i-%010x", i*2654435761), Value: []byte(entry), Revision: follow.Position(i)})
 		size += len(entry)
