relay, platform: take back the filter on heartbeats of servers

Cause: took batches of over 100 entries for heartbeats.

Ruled out: to keep it for other platforms. It let an answer of which everything was left out pass for one without news, after which the next call went out without the pause that follows news, and moved the moment up to which nothing has changed.

--- a/relay/fleetstore_test.go
+++ b/relay/fleetstore_test.go
@@ -106,9 +106,6 @@
 	}
 }
 
-// Same implements Store.
-func (feedsOf) Same(_, _ Record) bool { return false }
-
 // Decode implements Store.
 func (f feedsOf) Decode(records []Record) []follow.Change {
 	for _, r := range records {
--- a/relay/log.go
+++ b/relay/log.go
@@ -41,7 +41,7 @@
 
 // restart takes over a feed that was read whole. What differs from before is added to the history, so that others need not
 // read the store when it has forgotten its own.
-func (l *feedLog) restart(h heard, direct bool, same func(earlier, record Record) bool) {
+func (l *feedLog) restart(h heard, direct bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.at == 0 {
@@ -50,40 +50,17 @@
 		l.take(h, direct)
 		return
 	}
-	l.add(l.differences(h, same))
+	l.add(l.differences(h))
 	l.take(h, direct)
 }
 
-// novel leaves out the records that say nothing new: thousands of servers write their entries every few seconds, which is not passed on to
-// hundreds of instances. A key that was created anew is new, since another reader may have missed it meanwhile.
-func (l *feedLog) novel(records []Record, same func(earlier, record Record) bool) []Record {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	latest := map[string]Record{}
-	out := records[:0:0]
-	for _, r := range records {
-		earlier, ok := latest[r.Key]
-		if !ok {
-			earlier, ok = l.whole[r.Key]
-		}
-		if ok && !earlier.Gone && !r.Gone && earlier.Made == r.Made && same(earlier, r) {
-			continue
-		}
-		latest[r.Key] = r
-		out = append(out, r)
-	}
-	return out
-}
-
 // differences returns the changes that lead from the present content to another; the caller holds the lock.
-func (l *feedLog) differences(h heard, same func(earlier, record Record) bool) []Record {
+func (l *feedLog) differences(h heard) []Record {
 	var out []Record
 	listed := make(map[string]bool, len(h.records))
 	for _, r := range h.records {
 		listed[r.Key] = true
-		earlier, ok := l.whole[r.Key]
-		unchanged := ok && earlier.Made == r.Made && same(earlier, r)
-		if r.Revision > earlier.Revision && !unchanged {
+		if r.Revision > l.whole[r.Key].Revision {
 			out = append(out, r)
 		}
 	}
@@ -98,10 +75,10 @@
 }
 
 // missing returns the changes that lead from the present content to another.
-func (l *feedLog) missing(h heard, same func(earlier, record Record) bool) []Record {
+func (l *feedLog) missing(h heard) []Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.differences(h, same)
+	return l.differences(h)
 }
 
 // extend adds what was heard.
@@ -109,11 +86,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.add(h.records)
-	if len(h.records) == 0 && l.direct == direct && l.at > 0 {
-		// Hundreds of instances wait for news, and there are none.
-		l.reach(h)
-		return
-	}
 	l.take(h, direct)
 }
 
@@ -139,17 +111,12 @@
 	l.largest = max(l.largest, len(l.whole))
 }
 
-// reach notes the position; the caller holds the lock.
-func (l *feedLog) reach(h heard) {
+// take notes the position and wakes those that wait; the caller holds the lock.
+func (l *feedLog) take(h heard, direct bool) {
 	l.at = max(l.at, h.at)
 	if h.known.After(l.known) {
 		l.known = h.known
 	}
-}
-
-// take notes the position and wakes those that wait; the caller holds the lock.
-func (l *feedLog) take(h heard, direct bool) {
-	l.reach(h)
 	l.direct = direct
 	l.wakeLocked()
 }
--- a/relay/log_test.go
+++ b/relay/log_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -21,14 +20,11 @@
 	return heard{records: records, at: revision, known: time.Unix(int64(revision), 0)}
 }
 
-// never says of no record that it says what an earlier one did.
-func never(_, _ Record) bool { return false }
-
 // TestAReadingAfterTheStoreForgotServesThoseThatAreBehind changes, adds and removes keys between two whole readings.
 func TestAReadingAfterTheStoreForgotServesThoseThatAreBehind(t *testing.T) {
 	l := newFeedLog()
-	l.restart(at(5, Record{Key: "a", Revision: 1}, Record{Key: "b", Revision: 2}, Record{Key: "c", Revision: 3}), true, never)
-	l.restart(at(9, Record{Key: "a", Revision: 1}, Record{Key: "b", Revision: 7}, Record{Key: "d", Revision: 8}), true, never)
+	l.restart(at(5, Record{Key: "a", Revision: 1}, Record{Key: "b", Revision: 2}, Record{Key: "c", Revision: 3}), true)
+	l.restart(at(9, Record{Key: "a", Revision: 1}, Record{Key: "b", Revision: 7}, Record{Key: "d", Revision: 8}), true)
 	v := l.since(5)
 	require.True(t, v.whole)
 	require.Equal(t, []Record{{Key: "b", Revision: 7}, {Key: "d", Revision: 8}, {Key: "c", Revision: 9, Gone: true}}, v.records)
@@ -40,7 +36,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		store, revision := map[string]Record{}, follow.Position(1)
 		l := newFeedLog()
-		l.restart(at(revision), true, never)
+		l.restart(at(revision), true)
 		follower, heardTo := map[string]Record{}, revision
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			revision++
@@ -52,7 +48,7 @@
 				for _, one := range store {
 					all = append(all, one)
 				}
-				l.restart(at(revision, all...), true, never)
+				l.restart(at(revision, all...), true)
 			} else {
 				l.extend(at(revision, r), true)
 			}
@@ -86,7 +82,7 @@
 	for i := range servers {
 		all = append(all, Record{Key: key(i), Revision: follow.Position(i + 1)})
 	}
-	l.restart(at(servers, all...), true, never)
+	l.restart(at(servers, all...), true)
 	revision := follow.Position(servers)
 	for _, gone := range []bool{true, false} {
 		for i := range servers {
@@ -117,59 +113,10 @@
 	self := Self{Name: all[9].Name, Domain: all[9].Domain, From: 24, ApplyTime: promise}
 	s := New(self, storeOf{p: newPlay(all, day{})}, known(all), nil, noEnds{}, nil, timer.NewReal(), metrics.New(), log)
 	s.peers = later{}
-	s.logs[follow.FeedConfig].restart(at(5, Record{Key: "kept", Revision: 2}, Record{Key: "gone", Revision: 3}), false, never)
+	s.logs[follow.FeedConfig].restart(at(5, Record{Key: "kept", Revision: 2}, Record{Key: "gone", Revision: 3}), false)
 	h, err := s.catchUp(t.Context(), s.ways()[0], follow.FeedConfig, 5)
 	require.NoError(t, err)
 	require.Equal(t, []Record{{Key: "new", Revision: 8}, {Key: "gone", Revision: 9, Gone: true}}, h.records)
 	_, err = s.catchUp(t.Context(), s.ways()[0], follow.FeedConfig, 10)
 	require.ErrorIs(t, err, follow.ErrUnavailable, "a relay that knows less tells nothing")
 }
-
-// TestHeartbeatsAreNotPassedOn extends a log by entries that say what the earlier ones did, by one that says something else, and by one that
-// was created anew after it had lapsed.
-func TestHeartbeatsAreNotPassedOn(t *testing.T) {
-	sameValue := func(earlier, record Record) bool { return bytes.Equal(earlier.Value, record.Value) }
-	entry := func(key, value string, made, revision follow.Position) Record {
-		return Record{Key: key, Value: []byte(value), Made: made, Revision: revision}
-	}
-	l := newFeedLog()
-	l.restart(at(3, entry("a", "x", 1, 1), entry("b", "x", 2, 2), entry("c", "x", 3, 3)), true, sameValue)
-	told := l.novel([]Record{
-		entry("a", "x", 1, 4), entry("b", "y", 2, 5), entry("b", "y", 2, 6), entry("c", "x", 7, 7), entry("d", "x", 8, 8),
-	}, sameValue)
-	require.Equal(t, []Record{entry("b", "y", 2, 5), entry("c", "x", 7, 7), entry("d", "x", 8, 8)}, told)
-	l.extend(at(8, told...), true)
-	l.restart(at(20, entry("a", "x", 1, 11), entry("b", "z", 2, 12), entry("c", "x", 13, 13), entry("d", "x", 8, 14)), true, sameValue)
-	require.Equal(t, []Record{entry("b", "z", 2, 12), entry("c", "x", 13, 13)}, l.since(8).records)
-}
-
-// TestWhoWaitsIsNotWokenByHeartbeats extends a log by nothing.
-func TestWhoWaitsIsNotWokenByHeartbeats(t *testing.T) {
-	l := newFeedLog()
-	l.restart(at(3), true, never)
-	changed := l.news()
-	l.extend(at(9), true)
-	select {
-	case <-changed:
-		t.Error("woken")
-	default:
-	}
-	reached, _ := l.reached()
-	require.Equal(t, follow.Position(9), reached)
-}
-
-// BenchmarkNovel looks through the heartbeats of a second in the largest fleet.
-func BenchmarkNovel(b *testing.B) {
-	sameValue := func(earlier, record Record) bool { return bytes.Equal(earlier.Value, record.Value) }
-	l := newFeedLog()
-	var all []Record
-	for i := range 3005 {
-		all = append(all, Record{Key: fmt.Sprint("server-", i), Value: make([]byte, 400), Made: 1, Revision: follow.Position(i)})
-	}
-	l.restart(at(3005, all...), true, sameValue)
-	for b.Loop() {
-		if told := l.novel(all[:1000], sameValue); len(told) > 0 {
-			b.Fatal("told something")
-		}
-	}
-}
--- a/relay/platform_test.go
+++ b/relay/platform_test.go
@@ -112,9 +112,6 @@
 	}
 }
 
-// Same implements Store.
-func (storeOf) Same(_, _ Record) bool { return false }
-
 // Decode implements Store.
 func (s storeOf) Decode(records []Record) []follow.Change {
 	var out []follow.Change
--- a/relay/record.go
+++ b/relay/record.go
@@ -14,8 +14,6 @@
 	Revision follow.Position `cbor:"3,keyasint"`
 	// Gone is true when the key was removed.
 	Gone bool `cbor:"4,keyasint,omitempty"`
-	// Made is the revision at which the key was created.
-	Made follow.Position `cbor:"5,keyasint,omitempty"`
 }
 
 // PageTime is how long a store may take for each page of a feed: a hundred times what it takes on a calm day.
@@ -31,8 +29,6 @@
 	// WatchFeed returns what changed after a position, with nothing when wait has passed without a change; it returns
 	// follow.ErrHistoryGone or follow.ErrUnavailable.
 	WatchFeed(ctx context.Context, feed follow.Feed, after follow.Position, wait time.Duration) ([]Record, follow.Position, error)
-	// Same reports whether a record says what an earlier one of its key did, as the heartbeats of servers do.
-	Same(earlier, record Record) bool
 	// Decode turns records into changes.
 	Decode(records []Record) []follow.Change
 }
--- a/relay/source.go
+++ b/relay/source.go
@@ -158,7 +158,7 @@
 func (s *Source) Read(ctx context.Context, feed follow.Feed) (follow.News, error) {
 	if at, _ := s.logs[feed].reached(); at == 0 {
 		if h, ok := s.readRelay(ctx, feed); ok {
-			s.logs[feed].restart(h, false, s.store.Same)
+			s.logs[feed].restart(h, false)
 			return s.news(h), nil
 		}
 	}
@@ -172,10 +172,8 @@
 	}
 	h := heard{records: records, at: at, known: asked}
 	s.epoch.sound()
-	// What the instance itself has kept is compared with all that was read, while others are passed on only what differs.
-	all := s.news(h)
-	s.logs[feed].restart(h, true, s.store.Same)
-	return all, nil
+	s.logs[feed].restart(h, true)
+	return s.news(h), nil
 }
 
 // Next implements follow.Source.
@@ -244,7 +242,7 @@
 	if h.at < after {
 		return heard{}, errors.Wrap(follow.ErrUnavailable, errBehind.Error())
 	}
-	h.records = s.logs[feed].missing(h, s.store.Same)
+	h.records = s.logs[feed].missing(h)
 	return h, nil
 }
 
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -138,9 +138,6 @@
 	}
 }
 
-// Same implements relay.Store.
-func (view) Same(_, _ relay.Record) bool { return false }
-
 // Decode implements relay.Store.
 func (view) Decode(records []relay.Record) []follow.Change {
 	var out []follow.Change
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -58,7 +58,6 @@
 		return heard{}, err
 	}
 	s.epoch.sound()
-	records = s.logs[feed].novel(records, s.store.Same)
 	known := asked
 	if len(records) == 0 && s.clock.Since(asked) >= wait {
 		// The store held the call for the whole wait and had nothing to say.
