--- a/census/board.go
+++ b/census/board.go
@@ -13,6 +13,8 @@
 	roll    atomic.Pointer[Roll]
 	members atomic.Pointer[[]Instance]
 	empty   atomic.Bool
+	// instances is the number of instances: each request and each question to a relay asks for it.
+	instances atomic.Int64
 
 	mu sync.Mutex
 	// changed is closed when the records or the key change.
@@ -38,7 +40,10 @@
 	if old := b.roll.Swap(roll); old != nil {
 		before = len(old.Records)
 	}
-	b.wake()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.instances.Store(int64(b.total()))
+	b.wakeLocked()
 	return before, len(roll.Records)
 }
 
@@ -46,6 +51,10 @@
 func (b *Board) wake() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.wakeLocked()
+}
+
+func (b *Board) wakeLocked() {
 	close(b.changed)
 	b.changed = make(chan struct{})
 }
@@ -74,13 +83,14 @@
 
 // Instances returns the number of instances; it is Unknown before the first count, and while a domain that not all instances of have records
 // is not counted.
-func (b *Board) Instances() int {
+func (b *Board) Instances() int { return int(b.instances.Load()) }
+
+// total works out the number of instances; the caller holds the lock.
+func (b *Board) total() int {
 	records := b.roll.Load().Records
 	if len(records) == 0 {
 		return Unknown
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	total := 0
 	for domain, n := range recordsByDomain(records) {
 		if len(records) >= b.whole && n >= candidates && b.counts[domain] == 0 {
@@ -113,6 +123,7 @@
 			b.counts[domain] = n
 		}
 	}
+	b.instances.Store(int64(b.total()))
 }
 
 // Members returns the instances that had records last; it is empty before the first count. In a large fleet they are some of each domain.
