--- a/capacity/hosted.go
+++ b/capacity/hosted.go
@@ -36,7 +36,7 @@
 		name: "Instance of jxd serve (one relay in each domain)", mechanism: "relay, follow, census, forward", rows: rows,
 		twice: "from 985 instances on: the relay's answers in steady state, 2.5 to 5 a second for each instance of its domain, and changes of" +
 			" servers, which go to every instance; expected near 400 followers of a relay with 0.8 of two cores, not measured. The rows of the" +
-			" sweep are of the code before heartbeats were kept back and records compressed.",
+			" sweep are of the code before records were compressed.",
 		tenfold: "whole feeds in domains without strong instances: 24 lines of 20 Mbit/s serve a domain of 200 in about 20 s; followers would" +
 			" have to pass on to others what they hear.",
 	}
@@ -54,7 +54,6 @@
 		row("priced calls to the store of a start, 985 / 2,000", Measured, played, "%.0f / %.0f", b.get("fleet_start_calls_985"), b.get("fleet_start_calls_2000")),
 		row("records in the store", WorkedOut, "8 to relays.from for each domain, however many instances", "40 to 120 in 5 domains"),
 		row("records read at a start", WorkedOut, "985 x 50 records x 300 B, of 125 MB/s", "15 MB; 290 MB before, each instance having one"),
-		row("heartbeats of servers that reach an instance", WorkedOut, "those that read the store hear 3,005 / 3 s", "0; 1,000 a second before"),
 		row("calls to the store in 49 s, before", Measured, base, "%.0f", b.get("fleet_base_calls")),
 		row("requests served, before", Measured, base, "%.1f %%", b.get("fleet_base_served_pct")),
 		row("processor time in the mean, before", Measured, base, "%.2f %% of a core", b.get("fleet_base_cpu_pct")),
