forward: tell what each repeat was allowed from

The lines on repeats could not tell a restart that renews the allowance from a count that is too low or from arrivals that no allowance knows. `no repeat` tells now the requests and repeats of the window, the fixed part and the age of the process; `repeats` tells the same once a second for each service, so that a kill loses one second of it, and jx_repeats_total counts. The code of the allowance moves to one file; no decision changes.

--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -12,18 +12,6 @@
 // refusedSends is the number of servers that may turn one request away before its caller is told.
 const refusedSends = 3
 
-// outOfBudget keeps how the last attempt ended and names the budget as the reason that there is no other.
-func (h *Handler) outOfBudget(r *request, last outcome) outcome {
-	h.stats.Counter("repeats_out_of_budget_total").Inc(1)
-	h.record.Failure(r.meta.ID, "no repeat", h.fields(r, decision.Fields{
-		"reason": models.ReasonNoBudget, "instances": h.census.Instances(),
-	}))
-	if _, ok := last.(notRun); ok {
-		return notRun{reason: models.ReasonNoBudget}
-	}
-	return last
-}
-
 // again reports whether an attempt that ended so may be followed by another.
 func (h *Handler) again(r *request, last outcome, sends int) bool {
 	switch o := last.(type) {
--- a/forward/gauges.go
+++ b/forward/gauges.go
@@ -20,16 +20,6 @@
 	}
 }
 
-// measureRepeats tells how many repeats each service has left of the instance's part of the allowance.
-func (h *Handler) measureRepeats(now time.Time) {
-	slack := h.terms.Load().RepeatSlack / float64(h.census.Instances())
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for name, w := range h.windows {
-		h.gauge("repeats_left", "service", name, int64(w.Left(now, slack)))
-	}
-}
-
 // measureServers tells how many servers of a service may get new work, how many leave, and how many want nothing yet.
 func (h *Handler) measureServers(name string, group *backend.Group, now time.Time) {
 	usable, leaving, backedOff := 0, 0, 0
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -69,9 +69,12 @@
 
 	mu      sync.Mutex
 	windows map[string]*retry.Window
-	lanes   map[string]*laneBook
-	queues  map[string]*queue
-	waits   waits
+	// repeatsTold holds when the repeats of each service were last told.
+	repeatsTold map[string]time.Time
+	begun       time.Time
+	lanes       map[string]*laneBook
+	queues      map[string]*queue
+	waits       waits
 	// stopTold is when the process was told to stop, and stopBy when it must have ended; zero before.
 	stopTold time.Time
 	stopBy   time.Time
@@ -86,7 +89,7 @@
 	h := &Handler{
 		board: board, codec: codec, caller: caller, clock: clock, stats: stats, record: record, census: instances,
 		ends: ends, teller: teller,
-		windows: map[string]*retry.Window{}, lanes: map[string]*laneBook{}, queues: map[string]*queue{}, waits: waits{},
+		windows: map[string]*retry.Window{}, repeatsTold: map[string]time.Time{}, begun: clock.Now(), lanes: map[string]*laneBook{}, queues: map[string]*queue{}, waits: waits{},
 		peers: peers{factor: peersAtFirst},
 	}
 	h.SetTerms(terms)
@@ -208,31 +211,6 @@
 	return string(path)
 }
 
-func (h *Handler) countRequest(r *request) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.window(r).Request(h.clock.Now())
-}
-
-// mayRepeat takes one repeat of the service's allowance.
-func (h *Handler) mayRepeat(r *request) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.window(r).Take(h.clock.Now(), h.terms.Load().RepeatSlack/float64(h.census.Instances()))
-}
-
-// window returns the service's allowance; the caller holds the lock.
-func (h *Handler) window(r *request) *retry.Window {
-	name, terms := r.group.Service().Name, h.terms.Load()
-	w := h.windows[name]
-	if w == nil {
-		w = retry.NewWindow(terms.RepeatWindow, terms.RepeatShare, h.clock.Now())
-		h.windows[name] = w
-	}
-	w.Limit(terms.RepeatWindow, terms.RepeatShare)
-	return w
-}
-
 func (h *Handler) observeHeld(r *request) {
 	h.stats.Histogram("held_ms").Update(h.clock.Since(r.x.Arrived()).Milliseconds())
 }
--- a/retry/window.go
+++ b/retry/window.go
@@ -51,3 +51,8 @@
 func (w *Window) Left(now time.Time, slack float64) int {
 	return max(int(w.share*float64(w.first.Sum(now))+slack)-w.again.Sum(now), 0)
 }
+
+// Counts returns how many requests and repeats count now.
+func (w *Window) Counts(now time.Time) (requests, repeats int) {
+	return w.first.Sum(now), w.again.Sum(now)
+}
--- a/schema/beliefs.go
+++ b/schema/beliefs.go
@@ -309,6 +309,15 @@
 	Crossing int64 `log:"crossing"`
 }
 
+// Repeats for a service were asked for; at most one line a second.
+type repeats struct {
+	_ struct{} `msg:"repeats" level:"info"`
+	belief
+	// The service.
+	Service string `log:"service"`
+	allowance
+}
+
 // The instances that have a record: all of a small fleet, some of each domain of a large one.
 type counted struct {
 	_ struct{} `msg:"instances counted" level:"info"`
--- a/schema/common.go
+++ b/schema/common.go
@@ -61,6 +61,20 @@
 	Fingerprint string `log:"fingerprint"`
 }
 
+// allowance is what lines on repeats tell of the instance's part of the limit that all instances share.
+type allowance struct {
+	// Requests for the service in the last window of the limit.
+	Requests int64 `log:"requests"`
+	// Repeats for the service in the last window of the limit.
+	Repeats int64 `log:"repeats"`
+	// The instance's part of the repeats that are allowed besides a share of the requests.
+	FixedPart float64 `log:"fixed_part"`
+	// The instances that these are divided by.
+	Instances int64 `log:"instances"`
+	// How long ago the process started; its windows hold nothing from before.
+	ProcessMS int64 `log:"process_ms"`
+}
+
 // silent is what lines on a stream that leaves its first part tell.
 type silent struct {
 	request
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -83,6 +83,7 @@
 		slow{},
 		well{},
 		lanes{},
+		repeats{},
 		counted{},
 		notCounted{},
 		recordNotWritten{},
--- a/schema/requests.go
+++ b/schema/requests.go
@@ -105,10 +105,9 @@
 type noRepeat struct {
 	_ struct{} `msg:"no repeat" level:"warning"`
 	standing
+	allowance
 	// Why.
 	Reason string `log:"reason"`
-	// The instances that the allowance is divided by.
-	Instances int64 `log:"instances"`
 }
 
 // A stream goes on at another first part, since its own leaves or gives up its layers.
