retry, forward: keep the part of the shared limit in one type without clock or locks of the handler

The handler kept a window for each service under its own lock, so that the sum over a fleet could not be tested without handlers. retry.Budget holds them; the decisions stay as they were and the tests of forward only name the limit anew.

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -28,6 +28,7 @@
 	"junctioncross/platform"
 	"junctioncross/quarantine"
 	"junctioncross/relay"
+	"junctioncross/retry"
 	"junctioncross/timer"
 )
 
@@ -135,8 +136,8 @@
 
 func hostedTerms(set *config.Hosted) forward.Terms {
 	terms := forward.Terms{
-		Domain: set.Instance.Domain, RepeatWindow: set.Repeats.Window, RepeatShare: repeatsShare * set.Repeats.Share,
-		RepeatSlack: repeatsShare * set.Repeats.Slack, StallTime: set.Engines.StallTime,
+		Domain: set.Instance.Domain, StallTime: set.Engines.StallTime,
+		Repeats:   retry.Limit{Window: set.Repeats.Window, Share: repeatsShare * set.Repeats.Share, Fixed: repeatsShare * set.Repeats.Slack},
 		DrainTime: set.Engines.DrainTime, LongestBackOff: set.Servers.LongestBackOff,
 	}
 	if set.Keys.Strict {
--- a/forward/gauges.go
+++ b/forward/gauges.go
@@ -10,7 +10,7 @@
 // Measure brings the gauges of what the Handler believes up to date; it is called for each scrape.
 func (h *Handler) Measure() {
 	now := h.clock.Now()
-	h.measureRepeats(now)
+	h.measureRepeats()
 	for name, group := range h.board.Current().Groups() {
 		h.measureServers(name, group, now)
 		if group.Graph() != nil {
--- a/forward/gauges_test.go
+++ b/forward/gauges_test.go
@@ -9,6 +9,7 @@
 
 	"junctioncross/catalog"
 	"junctioncross/front"
+	"junctioncross/retry"
 )
 
 // scrape returns what the handler's metrics say.
@@ -22,7 +23,7 @@
 func TestTheBudgetOfRepeatsIsAGauge(t *testing.T) {
 	g := twoCopies()
 	h, clock := testHandler(t, newEngines(g))
-	h.SetTerms(Terms{Domain: "a", RepeatWindow: 10 * time.Second, RepeatShare: 0.1, RepeatSlack: 2})
+	h.SetTerms(Terms{Domain: "a", Repeats: retry.Limit{Window: 10 * time.Second, Share: 0.1, Fixed: 2}})
 	r := &request{group: g, route: &catalog.Route{}}
 	for range 10 {
 		h.countRequest(r)
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -29,10 +29,8 @@
 	Domain string
 	// KeysAge is how long ago the keys may have been confirmed for keyed requests to be accepted; 0 means any time.
 	KeysAge time.Duration
-	// RepeatWindow, RepeatShare and RepeatSlack are the limit on repeats; the slack is shared by all instances.
-	RepeatWindow time.Duration
-	RepeatShare  float64
-	RepeatSlack  float64
+	// Repeats is the limit on repeats of all instances together.
+	Repeats retry.Limit
 	// DrainTime is how long a server that leaves goes on with what passes it.
 	DrainTime time.Duration
 	// StallTime is how long a path stands still for a part that is gone before it is cut.
@@ -64,17 +62,17 @@
 	record *decision.Recorder
 	census Instances
 	watch  *watcher
-	ends   *quarantine.Book
-	teller Teller
-
-	mu      sync.Mutex
-	windows map[string]*retry.Window
-	// repeatsTold holds when the repeats of each service were last told.
-	repeatsTold map[string]time.Time
-	begun       time.Time
-	lanes       map[string]*laneBook
-	queues      map[string]*queue
-	waits       waits
+	budget *retry.Budget
+	// begun is when the process started.
+	begun      time.Time
+	repeatsLog repeatsLog
+	ends       *quarantine.Book
+	teller     Teller
+
+	mu     sync.Mutex
+	lanes  map[string]*laneBook
+	queues map[string]*queue
+	waits  waits
 	// stopTold is when the process was told to stop, and stopBy when it must have ended; zero before.
 	stopTold time.Time
 	stopBy   time.Time
@@ -89,7 +87,8 @@
 	h := &Handler{
 		board: board, codec: codec, caller: caller, clock: clock, stats: stats, record: record, census: instances,
 		ends: ends, teller: teller,
-		windows: map[string]*retry.Window{}, repeatsTold: map[string]time.Time{}, begun: clock.Now(), lanes: map[string]*laneBook{}, queues: map[string]*queue{}, waits: waits{},
+		budget: retry.NewBudget(terms.Repeats), begun: clock.Now(), repeatsLog: repeatsLog{told: map[string]time.Time{}},
+		lanes: map[string]*laneBook{}, queues: map[string]*queue{}, waits: waits{},
 		peers: peers{factor: peersAtFirst},
 	}
 	h.SetTerms(terms)
@@ -99,7 +98,10 @@
 }
 
 // SetTerms replaces the bounds under which the Handler works.
-func (h *Handler) SetTerms(terms Terms) { h.terms.Store(&terms) }
+func (h *Handler) SetTerms(terms Terms) {
+	h.terms.Store(&terms)
+	h.budget.SetLimit(terms.Repeats)
+}
 
 // KeysConfirmed reports whether the keys were confirmed lately enough for keyed requests to be accepted.
 func (h *Handler) KeysConfirmed() bool {
--- a/forward/handover_test.go
+++ b/forward/handover_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"junctioncross/backend"
+	"junctioncross/retry"
 )
 
 // spotNotice is the shortest notice that servers give before they end.
@@ -81,7 +82,7 @@
 	cases := map[string]func(h *Handler, f *inflight, g *backend.Group){
 		"no path": func(_ *Handler, _ *inflight, g *backend.Group) { leave(g.Servers()[2]) },
 		"no repeat": func(h *Handler, _ *inflight, _ *backend.Group) {
-			h.SetTerms(Terms{Domain: "a", RepeatWindow: time.Second})
+			h.SetTerms(Terms{Domain: "a", Repeats: retry.Limit{Window: time.Second}})
 		},
 		"attempts": func(_ *Handler, f *inflight, g *backend.Group) { f.ranBefore = g.Servers()[3:] },
 	}
--- a/forward/leave_test.go
+++ b/forward/leave_test.go
@@ -22,6 +22,7 @@
 	"junctioncross/metrics"
 	"junctioncross/platform"
 	"junctioncross/platform/fake"
+	"junctioncross/retry"
 	"junctioncross/timer"
 )
 
@@ -128,7 +129,7 @@
 	stats := metrics.New()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return New(t.Context(), Terms{Domain: "a", RepeatWindow: 10 * time.Second, RepeatSlack: 100, LongestBackOff: time.Hour}, follow.NewBoard(), platform.Codec{},
+	return New(t.Context(), Terms{Domain: "a", Repeats: retry.Limit{Window: 10 * time.Second, Fixed: 100}, LongestBackOff: time.Hour}, follow.NewBoard(), platform.Codec{},
 		nil, clock, stats, decision.NewRecorder(log, clock, stats), oneInstance{}, testBook(), noTeller{})
 }
 
--- a/forward/onward_test.go
+++ b/forward/onward_test.go
@@ -11,6 +11,7 @@
 	"junctioncross/catalog"
 	"junctioncross/front"
 	"junctioncross/models"
+	"junctioncross/retry"
 )
 
 // begun returns a stream that has begun on some servers of a group, whose route lets so many servers run one request.
@@ -27,7 +28,7 @@
 func TestServersThatHaveEndedDoNotUseUpTheAttempts(t *testing.T) {
 	g := twoCopies()
 	h, _ := testHandler(t, newEngines(g, 0))
-	h.SetTerms(Terms{Domain: "a", RepeatWindow: 10 * time.Second, RepeatSlack: 10})
+	h.SetTerms(Terms{Domain: "a", Repeats: retry.Limit{Window: 10 * time.Second, Fixed: 10}})
 	f := begun(g, 2, 0, 2)
 	_, obstacle := h.onward(f)
 	require.Equal(t, models.ReasonAttempts, obstacle)
@@ -53,7 +54,7 @@
 func TestAStreamGoesOnWhenThereIsRoomAgain(t *testing.T) {
 	g := twoCopies()
 	h, clock := testHandler(t, newEngines(g))
-	h.SetTerms(Terms{Domain: "a", RepeatWindow: 10 * time.Second, RepeatSlack: 10})
+	h.SetTerms(Terms{Domain: "a", Repeats: retry.Limit{Window: 10 * time.Second, Fixed: 10}})
 	f := begun(g, 2, 0)
 	away := clock.Now().Add(4 * time.Second)
 	for _, s := range g.Servers() {
--- a/forward/reload_test.go
+++ b/forward/reload_test.go
@@ -7,22 +7,23 @@
 	"github.com/stretchr/testify/require"
 
 	"junctioncross/catalog"
+	"junctioncross/retry"
 )
 
 // TestAReloadLeavesStreamsUnderWayAsTheyAre replaces each setting that a reload can change, one after the other, while a stream passes a
 // sound path: it keeps path, connection, memory and runs, and the new limits count from then on.
 func TestAReloadLeavesStreamsUnderWayAsTheyAre(t *testing.T) {
 	base := Terms{
-		Domain: "a", KeysAge: time.Second, RepeatWindow: 10 * time.Second, RepeatShare: 0, RepeatSlack: 1, StallTime: 2 * time.Second,
+		Domain: "a", KeysAge: time.Second, Repeats: retry.Limit{Window: 10 * time.Second, Share: 0, Fixed: 1}, StallTime: 2 * time.Second,
 		DrainTime: 3 * time.Second,
 	}
 	changes := map[string]func(*Terms){
 		"none":          func(*Terms) {},
 		"domain":        func(t *Terms) { t.Domain = "b" },
 		"keys":          func(t *Terms) { t.KeysAge = time.Millisecond },
-		"repeat window": func(t *Terms) { t.RepeatWindow = time.Second },
-		"repeat share":  func(t *Terms) { t.RepeatShare = 0.5 },
-		"repeat slack":  func(t *Terms) { t.RepeatSlack = 0 },
+		"repeat window": func(t *Terms) { t.Repeats.Window = time.Second },
+		"repeat share":  func(t *Terms) { t.Repeats.Share = 0.5 },
+		"repeat slack":  func(t *Terms) { t.Repeats.Fixed = 0 },
 		"stall time":    func(t *Terms) { t.StallTime = time.Millisecond },
 		"drain time":    func(t *Terms) { t.DrainTime = time.Millisecond },
 	}
@@ -57,7 +58,7 @@
 func TestAReloadChangesTheLimitOnRepeatsOfServicesThatAreKnown(t *testing.T) {
 	g := twoCopies()
 	h, _ := testHandler(t, newEngines(g))
-	terms := Terms{Domain: "a", RepeatWindow: 10 * time.Second, RepeatSlack: 1}
+	terms := Terms{Domain: "a", Repeats: retry.Limit{Window: 10 * time.Second, Fixed: 1}}
 	h.SetTerms(terms)
 	r := &request{group: g, route: &catalog.Route{}}
 	for range 10 {
@@ -65,7 +66,7 @@
 	}
 	require.True(t, h.mayRepeat(r))
 	require.False(t, h.mayRepeat(r))
-	terms.RepeatShare = 0.1
+	terms.Repeats.Share = 0.1
 	h.SetTerms(terms)
 	require.True(t, h.mayRepeat(r), "the new share counts at once")
 	require.False(t, h.mayRepeat(r))
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -22,6 +22,7 @@
 	"junctioncross/metrics"
 	"junctioncross/models"
 	"junctioncross/quarantine"
+	"junctioncross/retry"
 	"junctioncross/testlog"
 	"junctioncross/timer"
 )
@@ -109,7 +110,7 @@
 	fake := clockwork.NewFakeClock()
 	clock, stats := timer.New(fake), metrics.New()
 	log := testlog.New(t)
-	h := New(t.Context(), Terms{Domain: "a", RepeatWindow: 10 * time.Second, RepeatSlack: 100, DrainTime: 3 * time.Second}, follow.NewBoard(), nil, caller, clock, stats,
+	h := New(t.Context(), Terms{Domain: "a", Repeats: retry.Limit{Window: 10 * time.Second, Fixed: 100}, DrainTime: 3 * time.Second}, follow.NewBoard(), nil, caller, clock, stats,
 		decision.NewRecorder(log, clock, stats), oneInstance{}, testBook(), noTeller{})
 	return h, fake
 }
