retry: add tests that fail: the limit on repeats is exceeded by a fleet whose instances restart

The tests run budgets alone on a simulated clock and count as the limit is stated: at most 0.2 repeats for each request of a window, of the one before or of that half a window sooner, and 330 besides.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -87,7 +87,7 @@
 	h := &Handler{
 		board: board, codec: codec, caller: caller, clock: clock, stats: stats, record: record, census: instances,
 		ends: ends, teller: teller,
-		budget: retry.NewBudget(terms.Repeats), begun: clock.Now(), repeatsLog: repeatsLog{told: map[string]time.Time{}},
+		budget: retry.NewBudget(terms.Repeats, clock.Now()), begun: clock.Now(), repeatsLog: repeatsLog{told: map[string]time.Time{}},
 		lanes: map[string]*laneBook{}, queues: map[string]*queue{}, waits: waits{},
 		peers: peers{factor: peersAtFirst},
 	}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -35,7 +35,7 @@
 }
 
 // NewBudget returns the part of an instance that has just started.
-func NewBudget(limit Limit) *Budget {
+func NewBudget(limit Limit, _ time.Time) *Budget {
 	return &Budget{limit: limit, services: map[string]*Window{}}
 }
 
@@ -50,7 +50,7 @@
 }
 
 // Request counts a request for a service; instances is the number of those that share the Limit.
-func (b *Budget) Request(service string, instances int, now time.Time) {
+func (b *Budget) Request(service string, _ int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.window(service, now).Request(now)
--- /dev/null
+++ b/retry/fleet_test.go
@@ -0,0 +1,148 @@
+package retry_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"junctioncross/retry"
+)
+
+const (
+	// tick is the step of the simulated time.
+	tick = 50 * time.Millisecond
+	one  = "service"
+)
+
+var shared = retry.Limit{Window: 10 * time.Second, Share: 0.2, Fixed: 330}
+
+// simulatedFleet is a number of budgets under one limit, with instances that want repeats without end.
+type simulatedFleet struct {
+	limit   retry.Limit
+	now     time.Time
+	budgets []*retry.Budget
+	// owed is the part of a request that each instance is still to get.
+	owed     []float64
+	requests []time.Time
+	repeats  []time.Time
+}
+
+func newSimulatedFleet(instances int, limit retry.Limit) *simulatedFleet {
+	f := &simulatedFleet{limit: limit, now: time.Unix(0, 0), owed: make([]float64, instances)}
+	for range instances {
+		f.budgets = append(f.budgets, retry.NewBudget(limit, f.now))
+	}
+	return f
+}
+
+// restart replaces the process of an instance.
+func (f *simulatedFleet) restart(instance int) { f.budgets[instance] = retry.NewBudget(f.limit, f.now) }
+
+// run lets time pass; rate returns the requests a second of an instance, and wants whether instances want repeats.
+func (f *simulatedFleet) run(span time.Duration, rate func(instance int) float64, wants bool) {
+	for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(tick) {
+		for i, b := range f.budgets {
+			for f.owed[i] += rate(i) * tick.Seconds(); f.owed[i] >= 1; f.owed[i]-- {
+				b.Request(one, len(f.budgets), f.now)
+				f.requests = append(f.requests, f.now)
+			}
+			for wants && b.Take(one, len(f.budgets), f.now) {
+				f.repeats = append(f.repeats, f.now)
+			}
+		}
+	}
+}
+
+// mostOfAllowed returns the most repeats that a window of the limit held, against those that it allows.
+func (f *simulatedFleet) mostOfAllowed() float64 {
+	most := 0.0
+	for i := range f.repeats {
+		if i+1 < len(f.repeats) && f.repeats[i+1].Equal(f.repeats[i]) {
+			continue
+		}
+		end := f.repeats[i].Add(1)
+		most = max(most, float64(between(f.repeats, end.Add(-f.limit.Window), end))/f.allowed(end))
+	}
+	return most
+}
+
+// allowed returns what the limit allows in the window that ends at a moment: requests count of that window, of the one before, or of the one
+// that begins half a window sooner, whichever has most.
+func (f *simulatedFleet) allowed(end time.Time) float64 {
+	requests := 0
+	for _, sooner := range []time.Duration{0, f.limit.Window / 2, f.limit.Window} {
+		last := end.Add(-sooner)
+		requests = max(requests, between(f.requests, last.Add(-f.limit.Window), last))
+	}
+	return f.limit.Share*float64(requests) + f.limit.Fixed
+}
+
+// between counts the times from one moment to another, which is left out; times are in order.
+func between(times []time.Time, from, to time.Time) int {
+	at := func(moment time.Time) int {
+		n, _ := slices.BinarySearchFunc(times, moment, time.Time.Compare)
+		return n
+	}
+	return at(to) - at(from)
+}
+
+// TestRestartsDoNotRenewTheAllowanceOfRepeats restarts a part of the instances, once or in series, while all want repeats.
+func TestRestartsDoNotRenewTheAllowanceOfRepeats(t *testing.T) {
+	for _, c := range []struct {
+		requests float64
+		part     int
+		times    int
+	}{{282, 0, 0}, {282, 60, 1}, {282, 100, 1}, {282, 60, 3}, {60, 60, 1}, {60, 100, 1}, {60, 100, 4}, {60, 100, 20}} {
+		t.Run(fmt.Sprintf("%v requests a second, %d in 100 restart %d times", c.requests, c.part, c.times), func(t *testing.T) {
+			f := newSimulatedFleet(73, shared)
+			each := func(int) float64 { return c.requests / float64(len(f.budgets)) }
+			f.run(20*time.Second, each, false)
+			f.run(time.Second, each, true)
+			for range c.times {
+				for i := range len(f.budgets) * c.part / 100 {
+					f.restart(i)
+				}
+				f.run(time.Second, each, true)
+			}
+			f.run(20*time.Second, each, true)
+			require.NotEmpty(t, f.repeats)
+			require.LessOrEqual(t, f.mostOfAllowed(), 1.0)
+		})
+	}
+}
+
+// TestTheLimitOnRepeatsHoldsWhileTrafficMoves sends all requests to one half of the instances and then to the other.
+func TestTheLimitOnRepeatsHoldsWhileTrafficMoves(t *testing.T) {
+	f := newSimulatedFleet(10, shared)
+	half := func(of int) func(int) float64 {
+		return func(i int) float64 { return float64(200 * (1 - (i+of)%2)) }
+	}
+	f.run(20*time.Second, half(0), false)
+	f.run(time.Second, half(0), true)
+	f.run(30*time.Second, half(1), true)
+	require.LessOrEqual(t, f.mostOfAllowed(), 1.0)
+}
+
+// TestTheLimitOnRepeatsHoldsForTheWholeFleet draws restarts, traffic that moves, rises and falls, and times in which repeats are wanted.
+func TestTheLimitOnRepeatsHoldsForTheWholeFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := retry.Limit{
+			Window: time.Duration(rapid.IntRange(1, 12).Draw(t, "window")) * time.Second,
+			Share:  rapid.Float64Range(0, 0.5).Draw(t, "share"), Fixed: float64(rapid.IntRange(0, 60).Draw(t, "fixed")),
+		}
+		f := newSimulatedFleet(rapid.IntRange(1, 12).Draw(t, "instances"), limit)
+		for range rapid.IntRange(1, 12).Draw(t, "phases") {
+			rates := rapid.SliceOfN(rapid.Float64Range(0, 30), len(f.budgets), len(f.budgets)).Draw(t, "rates")
+			span := time.Duration(rapid.IntRange(1, 120).Draw(t, "ticks")) * tick
+			f.run(span, func(i int) float64 { return rates[i] }, rapid.Bool().Draw(t, "wants"))
+			for _, i := range rapid.SliceOf(rapid.IntRange(0, len(f.budgets)-1)).Draw(t, "restarts") {
+				f.restart(i)
+			}
+		}
+		require.LessOrEqual(t, f.mostOfAllowed(), 1.0)
+	})
+}
