census: count again soon while the number of instances changes, so that no shared limit is divided by too few

Cause: a relay asks the other domains how many instances they count when it looks at the records: twice soon after its start and then every 15 s. At the second look the tallies of the others, which begin 3 s after the first question, had not seen all. Besides, an instance without a record whose list lacked the relay of its domain followed another domain's relay, which does not count it, until its next look 7.5 to 15 s later: 30 to 74 of 294 in the simulated starts in which it happened.

Whoever finds another number looks again after 2.5 s, and an instance without a record after 1.3 to 2.5 s while the number is not known at all.

Evidence: TestAfterAStartSharedLimitsAreNotDividedByTooFew failed before (72 instances: 57 counted 10 to 18 s after the start; 75: 72 until 21 s).

--- a/census/census.go
+++ b/census/census.go
@@ -26,7 +26,8 @@
 	firstSpread = 700 * time.Millisecond
 	// arriveTime is how long after joining the others are counted: all that started together have joined by then.
 	arriveTime = time.Second
-	// settleTime is how long after that the others are counted again, when the slowest of those who started together are there.
+	// settleTime is how long after a look that found another number of instances they are counted again, when the slowest of those who
+	// started together are there.
 	settleTime = 2500 * time.Millisecond
 	// replacedTime is how long an instance's record must be missing from the lists, which may be some seconds old, before it counts as replaced.
 	replacedTime = 5 * time.Second
@@ -106,8 +107,8 @@
 	lease  int64
 	// renewed is when the record was last known to last for its whole time.
 	renewed time.Time
-	// settled is true once the others were counted after joining.
-	settled bool
+	// counted is the number of instances after the latest look that was followed by another one soon.
+	counted int
 	// missing is since when the own record is not in the lists.
 	missing time.Time
 }
@@ -189,11 +190,15 @@
 		return retryPause
 	case len(c.Key()) == 0:
 		return keyPause
-	case !c.settled:
-		c.settled = true
+	case c.Instances() != c.counted:
+		// Limits are divided by the number, so that it must not stay what it was while the others were still coming.
+		c.counted = c.Instances()
 		return settleTime
-	case c.lease != 0 && c.Instances() == Unknown:
+	case c.Instances() == Unknown && c.lease != 0:
 		return uncountedPause
+	case c.Instances() == Unknown:
+		// Its list may lack the relay of its domain, so that nobody counts it.
+		return halfRandom(settleTime)
 	case c.lease == 0:
 		// Many of those without a record count at the same moment otherwise.
 		return halfRandom(countPeriod)
--- /dev/null
+++ b/relay/count_test.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fewest returns the least number of instances that one of the fleet divides shared limits by.
+func (b *beginning) fewest() int {
+	least := b.boards[0].Instances()
+	for _, board := range b.boards {
+		least = min(least, board.Instances())
+	}
+	return least
+}
+
+// TestAfterAStartSharedLimitsAreNotDividedByTooFew starts fleets in which most have no record in the store, and looks from the end of the
+// first window of the limit on repeats on.
+func TestAfterAStartSharedLimitsAreNotDividedByTooFew(t *testing.T) {
+	const window = 10 * time.Second
+	for _, c := range []struct{ domains, each, strong int }{{3, 24, 8}, {3, 25, 8}, {3, 98, 10}, {5, 197, 10}} {
+		t.Run(fmt.Sprintf("%d instances", c.domains*c.each), func(t *testing.T) {
+			t.Parallel()
+			var counts []int
+			synctest.Test(t, func(*testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				b := newBeginning(c.domains, c.each, c.strong, 90)
+				b.start(ctx)
+				for time.Sleep(window); time.Since(b.begun) < window+5*time.Second; time.Sleep(time.Second) {
+					counts = append(counts, b.fewest())
+				}
+				cancel()
+				time.Sleep(settled + readTime)
+			})
+			for _, n := range counts {
+				require.GreaterOrEqual(t, n, c.domains*c.each, "counts by the second: %v", counts)
+			}
+		})
+	}
+}
