retry: let repeats come in evenly, so that restarts do not renew the limit

Cause: each process counted requests and repeats in a window of its own. A sum of such windows is not bounded by the window: what a process had spent was forgotten with it, the next one began with the whole fixed part and a share of its requests; traffic that moves brings the share twice; and eleven tenths of a window counted. The margin of a fifth cannot cover this.

Now the part of an instance is a token bucket that is empty when the process starts. Half of the limit comes in evenly, with each request and with time; at most half of what a window brings is saved. What all instances take in any window was saved before it, at most half of the limit by the requests of the window before, or came in during it, at most half by its own requests: that needs no memory across restarts and no window that lines up with another. Nine tenths of the limit are used in place of eight; the rest covers repeats that arrive later than allowed and instances that have come and are not counted yet elsewhere.

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -39,9 +39,9 @@
 	// keysShare is the part of the revocation time for which confirmed keys are accepted; the rest covers a watch that was
 	// deaf for a second and the way of the request to its server.
 	keysShare = 0.72
-	// repeatsShare is the part of the allowed repeats that is used; the rest covers windows that do not line up and
-	// instances that count each other late.
-	repeatsShare = 0.8
+	// repeatsShare is the part of the allowed repeats that is used; the rest covers repeats that arrive later than they were
+	// allowed, and instances that have come and are not counted yet.
+	repeatsShare = 0.9
 	// stopMargin is how long before the end of the grace time the process ends by itself.
 	stopMargin = 400 * time.Millisecond
 	// stopPeriod is how often a stopping instance looks whether it is done.
--- a/forward/repeats.go
+++ b/forward/repeats.go
@@ -61,7 +61,7 @@
 // allowanceFields adds what the repeats of a service are allowed from.
 func (h *Handler) allowanceFields(service string, fields decision.Fields) decision.Fields {
 	a := h.allowance(service)
-	fields["requests"], fields["repeats"], fields["fixed_part"] = a.Requests, a.Repeats, a.Fixed
+	fields["requests"], fields["left"], fields["fixed_part"] = a.Requests, a.Left, a.Fixed
 	fields["instances"], fields["process_ms"] = h.census.Instances(), h.clock.Since(h.begun).Milliseconds()
 	return fields
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -7,6 +7,15 @@
 	"time"
 )
 
+const (
+	// steadyPart is the part of the limit that comes in evenly, burstPart the part that may be saved. What a window holds is what was saved
+	// before it and what came in during it, so that both together are the whole limit, however often processes start without savings.
+	steadyPart = 0.5
+	burstPart  = 1 - steadyPart
+	// windowSlots is the number of parts of a window; the oldest part is forgotten as a whole.
+	windowSlots = 10
+)
+
 // Limit is what all instances together may repeat for a service.
 type Limit struct {
 	// Window is the time over which requests and repeats are counted.
@@ -17,77 +26,103 @@
 	Fixed float64
 }
 
-// Budget is an instance's part of a Limit, for each service by itself. Several goroutines may use it.
+// Budget is an instance's part of a Limit, for each service by itself: a token bucket that is empty when the process starts. Several
+// goroutines may use it.
 type Budget struct {
-	mu       sync.Mutex
-	limit    Limit
-	services map[string]*Window
+	mu      sync.Mutex
+	limit   Limit
+	begun   time.Time
+	buckets map[string]*bucket
 }
 
 // Allowance is what a Budget has for a service at a moment.
 type Allowance struct {
-	// Requests and Repeats are those that count.
-	Requests, Repeats int
+	// Requests are those of the last window.
+	Requests int
 	// Fixed is the instance's part of the repeats that are allowed besides a share of the requests.
 	Fixed float64
-	// Left is the number of repeats that are left.
-	Left int
+	// Left is the number of repeats that are left; the part of one counts.
+	Left float64
 }
 
-// NewBudget returns the part of an instance that has just started.
-func NewBudget(limit Limit, _ time.Time) *Budget {
-	return &Budget{limit: limit, services: map[string]*Window{}}
+// NewBudget returns the part of an instance whose process has just started.
+func NewBudget(limit Limit, now time.Time) *Budget {
+	return &Budget{limit: limit, begun: now, buckets: map[string]*bucket{}}
 }
 
-// SetLimit replaces the Limit; what was counted counts on.
+// SetLimit replaces the Limit; what was saved is cut to what the new one lets be saved.
 func (b *Budget) SetLimit(limit Limit) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.limit = limit
-	for _, w := range b.services {
-		w.Limit(limit.Window, limit.Share)
+	for _, k := range b.buckets {
+		k.requests.divide(limit.Window / windowSlots)
 	}
 }
 
 // Request counts a request for a service; instances is the number of those that share the Limit.
-func (b *Budget) Request(service string, _ int, now time.Time) {
+func (b *Budget) Request(service string, instances int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.window(service, now).Request(now)
+	k := b.bucket(service)
+	k.settle(b.limit, instances, now)
+	k.requests.Add(now)
+	k.tokens += steadyPart * b.limit.Share
 }
 
-// Take counts a repeat for a service and reports whether it is allowed; instances is the number of those that share the Limit.
+// Take takes a repeat for a service and reports whether it is allowed; instances is the number of those that share the Limit.
 func (b *Budget) Take(service string, instances int, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.window(service, now).Take(now, b.fixed(instances))
+	k := b.bucket(service)
+	k.settle(b.limit, instances, now)
+	if k.tokens < 1 {
+		return false
+	}
+	k.tokens--
+	return true
 }
 
 // Allowance returns what there is for a service; instances is the number of those that share the Limit.
 func (b *Budget) Allowance(service string, instances int, now time.Time) Allowance {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w, fixed := b.window(service, now), b.fixed(instances)
-	requests, repeats := w.Counts(now)
-	return Allowance{Requests: requests, Repeats: repeats, Fixed: fixed, Left: w.Left(now, fixed)}
+	k := b.bucket(service)
+	k.settle(b.limit, instances, now)
+	return Allowance{Requests: k.requests.Sum(now), Fixed: b.limit.Fixed / float64(instances), Left: k.tokens}
 }
 
 // Services returns the names of the services that had requests.
 func (b *Budget) Services() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return slices.Collect(maps.Keys(b.services))
+	return slices.Collect(maps.Keys(b.buckets))
 }
 
-// fixed returns the instance's part of the fixed repeats.
-func (b *Budget) fixed(instances int) float64 { return b.limit.Fixed / float64(instances) }
-
-// window returns the counts for a service; the caller holds the lock.
-func (b *Budget) window(service string, now time.Time) *Window {
-	w := b.services[service]
-	if w == nil {
-		w = NewWindow(b.limit.Window, b.limit.Share, now)
-		b.services[service] = w
+// bucket returns the bucket of a service; the caller holds the lock.
+func (b *Budget) bucket(service string) *bucket {
+	k := b.buckets[service]
+	if k == nil {
+		k = &bucket{settled: b.begun, requests: NewTally(windowSlots, b.limit.Window/windowSlots)}
+		b.buckets[service] = k
 	}
-	return w
+	return k
+}
+
+// bucket holds the repeats that one service may still have.
+type bucket struct {
+	tokens float64
+	// settled is up to when the fixed part has come in.
+	settled time.Time
+	// requests are those of at most one window.
+	requests *Tally
+}
+
+// settle lets the fixed part come in and forgets what is more than may be saved. It goes before the count of a request, so that
+// what may be saved follows from requests before the moment only.
+func (k *bucket) settle(limit Limit, instances int, now time.Time) {
+	fixed := limit.Fixed / float64(instances)
+	k.tokens += steadyPart * fixed * now.Sub(k.settled).Seconds() / limit.Window.Seconds()
+	k.settled = now
+	k.tokens = min(k.tokens, burstPart*(limit.Share*float64(k.requests.Sum(now))+fixed))
 }
--- a/retry/fleet_test.go
+++ b/retry/fleet_test.go
@@ -42,6 +42,14 @@
 // restart replaces the process of an instance.
 func (f *simulatedFleet) restart(instance int) { f.budgets[instance] = retry.NewBudget(f.limit, f.now) }
 
+// resize lets instances come or leave until there are so many; all of them know at once.
+func (f *simulatedFleet) resize(instances int) {
+	for len(f.budgets) < instances {
+		f.budgets, f.owed = append(f.budgets, retry.NewBudget(f.limit, f.now)), append(f.owed, 0)
+	}
+	f.budgets, f.owed = f.budgets[:instances], f.owed[:instances]
+}
+
 // run lets time pass; rate returns the requests a second of an instance, and wants whether instances want repeats.
 func (f *simulatedFleet) run(span time.Duration, rate func(instance int) float64, wants bool) {
 	for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(tick) {
@@ -127,7 +135,8 @@
 	require.LessOrEqual(t, f.mostOfAllowed(), 1.0)
 }
 
-// TestTheLimitOnRepeatsHoldsForTheWholeFleet draws restarts, traffic that moves, rises and falls, and times in which repeats are wanted.
+// TestTheLimitOnRepeatsHoldsForTheWholeFleet draws restarts, instances that come and leave, traffic that moves, rises and falls, and times
+// in which repeats are wanted.
 func TestTheLimitOnRepeatsHoldsForTheWholeFleet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := retry.Limit{
@@ -142,6 +151,9 @@
 			for _, i := range rapid.SliceOf(rapid.IntRange(0, len(f.budgets)-1)).Draw(t, "restarts") {
 				f.restart(i)
 			}
+			if rapid.Bool().Draw(t, "resizes") {
+				f.resize(rapid.IntRange(1, 12).Draw(t, "now"))
+			}
 		}
 		require.LessOrEqual(t, f.mostOfAllowed(), 1.0)
 	})
--- a/schema/common.go
+++ b/schema/common.go
@@ -65,13 +65,13 @@
 type allowance struct {
 	// Requests for the service in the last window of the limit.
 	Requests int64 `log:"requests"`
-	// Repeats for the service in the last window of the limit.
-	Repeats int64 `log:"repeats"`
+	// Repeats that the instance has left for the service; the part of one counts.
+	Left float64 `log:"left"`
 	// The instance's part of the repeats that are allowed besides a share of the requests.
 	FixedPart float64 `log:"fixed_part"`
 	// The instances that these are divided by.
 	Instances int64 `log:"instances"`
-	// How long ago the process started; its windows hold nothing from before.
+	// How long ago the process started; it had no repeats saved then.
 	ProcessMS int64 `log:"process_ms"`
 }
 
