forward: take a repeat for what arrives, not for what was tried

Each attempt after the first took a repeat when its path was chosen, whether a server had got the request or not: a request whose first server had ended took one for its first arrival, and a repeat granted for a server that could not be reached was lost. Callers were turned away for want of repeats that nobody had used, most of all when servers and instances end together.

A request that has reached no server needs none now, and one that is granted stays with its request until it is written to a server, which is the one place that uses it up. Looked for the other way round, arrivals that no allowance knows: none; each way to a server passes there.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -85,6 +85,7 @@
 	p := h.codec.AppendRequest(make([]byte, 0, 1<<10+len(body)), r.x.Header(), s)
 	p = append(p, body...)
 	r.sends++
+	r.granted = false
 	if _, err := conn.Write(p); err != nil {
 		return out, errors.Wrap(err, "forward: write request")
 	}
--- a/forward/gauges_test.go
+++ b/forward/gauges_test.go
@@ -29,7 +29,7 @@
 		h.countRequest(r)
 	}
 	require.Contains(t, scrape(t, h), `jx_repeats_left{service="s"} 15`)
-	require.True(t, h.mayRepeat(r))
+	require.True(t, h.takeRepeat(r))
 	require.Contains(t, scrape(t, h), `jx_repeats_left{service="s"} 14`)
 	clock.Advance(time.Minute)
 	require.Contains(t, scrape(t, h), `jx_repeats_left{service="s"} 10`, "no request counts any more, and no repeat")
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -121,7 +121,7 @@
 	group     *backend.Group
 	// deadline is when the caller stops to wait or the route's time is over, whichever is sooner.
 	deadline time.Time
-	// granted is true when the next repeat was taken from the allowance already.
+	// granted is true while a repeat is taken from the allowance that has reached no server.
 	granted bool
 	// runs counts the servers that may have run the request.
 	runs int
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -29,7 +29,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.startsAt(f, first) || !h.mayRepeat(f.r) {
+	if !w.startsAt(f, first) || !h.takeRepeat(f.r) {
 		return false
 	}
 	f.next.Store(&next)
--- a/forward/onward.go
+++ b/forward/onward.go
@@ -75,7 +75,7 @@
 	return f.r.standing() < f.r.route.MaxAttempts
 }
 
-// onward returns a path for a stream that has begun, or what is in its way; it takes one repeat of the service's allowance.
+// onward returns a path for a stream that has begun, or what is in its way; it takes one repeat of the service's allowance unless one is granted.
 func (h *Handler) onward(f *inflight) (chain.Path, models.Reason) {
 	if f.r.standing() >= f.r.route.MaxAttempts {
 		return chain.Path{}, models.ReasonAttempts
@@ -84,7 +84,7 @@
 	if !ok {
 		return chain.Path{}, models.ReasonNoRoom
 	}
-	if !h.mayRepeat(f.r) {
+	if !h.maySend(f.r) {
 		return chain.Path{}, models.ReasonNoBudget
 	}
 	return path, ""
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -36,7 +36,7 @@
 		if server == nil {
 			break
 		}
-		if len(tried) > 0 && !r.granted && !h.mayRepeat(r) {
+		if !h.maySend(r) {
 			last = h.outOfBudget(r, last)
 			break
 		}
@@ -44,7 +44,6 @@
 			last = k
 			break
 		}
-		r.granted = false
 		tried = append(tried, server)
 		last = h.tryPlain(ctx, r, server, tried)
 		// Nobody waits for another attempt once the caller has left or its time is over.
@@ -135,7 +134,7 @@
 				granted <- false
 				return
 			}
-			if h.pick(r.group, tried) != nil && h.mayRepeat(r) {
+			if h.pick(r.group, tried) != nil && h.takeRepeat(r) {
 				cancel()
 				granted <- true
 				return
@@ -145,7 +144,7 @@
 	}()
 	return patience, func() {
 		cancel()
-		r.granted = <-granted
+		r.granted = <-granted || r.granted
 	}
 }
 
--- a/forward/reload_test.go
+++ b/forward/reload_test.go
@@ -62,13 +62,13 @@
 	h.SetTerms(terms)
 	r := &request{group: g, route: &catalog.Route{}}
 	h.countRequest(r)
-	require.True(t, h.mayRepeat(r))
-	require.False(t, h.mayRepeat(r))
+	require.True(t, h.takeRepeat(r))
+	require.False(t, h.takeRepeat(r))
 	terms.Repeats.Share = 0.25
 	h.SetTerms(terms)
 	for range 10 {
 		h.countRequest(r)
 	}
-	require.True(t, h.mayRepeat(r), "the new share counts from the next request on")
-	require.False(t, h.mayRepeat(r))
+	require.True(t, h.takeRepeat(r), "the new share counts from the next request on")
+	require.False(t, h.takeRepeat(r))
 }
--- a/forward/repeats.go
+++ b/forward/repeats.go
@@ -29,8 +29,17 @@
 	h.budget.Request(r.group.Service().Name, h.census.Instances(), h.clock.Now())
 }
 
-// mayRepeat takes one repeat of the service's allowance.
-func (h *Handler) mayRepeat(r *request) bool {
+// maySend reports whether the request may be sent. One that has reached no server is no repeat, and a repeat that was granted and has
+// reached none serves for the next attempt.
+func (h *Handler) maySend(r *request) bool {
+	if r.sends > 0 && !r.granted {
+		r.granted = h.takeRepeat(r)
+	}
+	return r.sends == 0 || r.granted
+}
+
+// takeRepeat takes one repeat of the service's allowance.
+func (h *Handler) takeRepeat(r *request) bool {
 	service, now := r.group.Service().Name, h.clock.Now()
 	allowed := h.budget.Take(service, h.census.Instances(), now)
 	if allowed {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -22,7 +22,7 @@
 	h.countTry(f)
 	var last outcome
 	for attempt := 1; ; attempt++ {
-		path, instead := h.nextPath(ctx, f, last, attempt)
+		path, instead := h.nextPath(ctx, f, last)
 		if instead != nil {
 			last = instead
 			break
@@ -40,9 +40,9 @@
 }
 
 // nextPath returns the path for the next attempt, or else how the stream ends instead.
-func (h *Handler) nextPath(ctx context.Context, f *inflight, last outcome, attempt int) (chain.Path, outcome) {
+func (h *Handler) nextPath(ctx context.Context, f *inflight, last outcome) (chain.Path, outcome) {
 	if next := f.takeNext(); next != nil {
-		f.r.group, f.laneLoad = next.group, next.load
+		f.r.group, f.laneLoad, f.r.granted = next.group, next.load, true
 		return next.path, nil
 	}
 	if f.r.x.Begun() {
@@ -58,7 +58,7 @@
 		return chain.Path{}, notRun{reason: models.ReasonNoRoom}
 	case !ok:
 		return chain.Path{}, last
-	case attempt > 1 && !h.mayRepeat(f.r):
+	case !h.maySend(f.r):
 		return chain.Path{}, h.outOfBudget(f.r, last)
 	}
 	return path, nil
