--- a/census/census.go
+++ b/census/census.go
@@ -194,7 +194,7 @@
 	}
 	if c.noteNumber(); c.lease == 0 {
 		// Many of those without a record count at the same moment otherwise.
-		return halfRandom(c.pauseWithout())
+		return halfRandom(c.pauseWithoutRecord())
 	}
 	return c.pause()
 }
@@ -221,9 +221,9 @@
 	}
 }
 
-// pauseWithout returns the longest until one without a record looks again. While the number changes or is not known, its list may lack the
+// pauseWithoutRecord bounds the pause until one without a record looks again. While the number changes or is not known, its list may lack the
 // relay of its domain, so that nobody counts it.
-func (c *Census) pauseWithout() time.Duration {
+func (c *Census) pauseWithoutRecord() time.Duration {
 	if c.same == 0 || c.number == Unknown {
 		return settleTime
 	}
