backend, forward, retry: keep to the limit that a server names, all instances together

What callers saw: nothing; servers that had named 4.3 and 3.8 requests a second got 51 in 4 s, 31 and 28 allowed. Cause: nothing read Server-Limit. Class: a limit on a sum that no instance sees. Why this works: each instance spaces its own requests so that the sum holds whatever the others do: few instances by arithmetic (three quarters of the limit and one saved request each), many by chance bounded at eight standard deviations, with spaces that are memoryless. A turn is taken where every request is written, so that repeats and hand-overs count; choices leave out servers without a turn; what no server has a turn for is refused at once with the time of the next.

--- a/backend/backoff.go
+++ b/backend/backoff.go
@@ -18,6 +18,22 @@
 	return s.backOff.load(), true
 }
 
+// ReturnsWithin is Returns for one of so many instances where the server's limit keeps requests away as well.
+func (s *Server) ReturnsWithin(instances int, now time.Time) (time.Time, bool) {
+	at, backedOff := s.Returns(now)
+	next, _, limited := s.NextTurn(instances)
+	switch {
+	case backedOff && limited && next.After(at):
+		return next, true
+	case backedOff:
+		return at, true
+	case limited && next.After(now) && s.standing(now):
+		return next, true
+	default:
+		return time.Time{}, false
+	}
+}
+
 // SayFarewell notes that the server says in an answer that it leaves, whatever its entry says, and reports whether that is new.
 func (s *Server) SayFarewell(now time.Time) bool {
 	if !s.farewell.CompareAndSwap(false, true) {
@@ -28,11 +44,14 @@
 }
 
 // Remembers reports whether the server has said something to this instance that holds for as long as it runs, or for a time that is not over.
-func (s *Server) Remembers(now time.Time) bool { return s.farewell.Load() || s.BackedOff(now) }
+func (s *Server) Remembers(now time.Time) bool {
+	return s.farewell.Load() || s.limited() || s.BackedOff(now)
+}
 
 // Inherit takes over what the same start of the server said to this instance before its entry had vanished for a while.
 func (s *Server) Inherit(former *Server) {
 	s.BackOff(former.backOff.load())
+	s.inheritLimit(former)
 	if former.farewell.Load() {
 		s.farewell.Store(true)
 		s.NoteLeaving(former.leavingSince.load())
--- a/backend/limit.go
+++ b/backend/limit.go
@@ -1,25 +1,96 @@
 package backend
 
 import (
+	"math/rand/v2"
 	"sync"
+	"time"
 
 	"junctioncross/call"
+	"junctioncross/retry"
 )
 
-// limiter keeps the limit that a server names in its answers.
+// limiter keeps an instance's part of the limit that a server names in its answers.
 type limiter struct {
 	mu    sync.Mutex
 	named call.Limit
+	// at is when an answer last named it.
+	at   time.Time
+	pace retry.Pace
 }
 
-// NameLimit takes over the limit that an answer names, or that it names none, and reports whether that is new. A limit that cannot be read
-// changes nothing.
-func (s *Server) NameLimit(l call.Limit) bool {
-	s.limiter.mu.Lock()
-	defer s.limiter.mu.Unlock()
-	if l.Named && l.PerSecond < 0 || l == s.limiter.named {
+// NameLimit takes over what an answer to a request that was sent at a moment says of the server's limit, and reports whether that is new. A
+// limit that cannot be read changes nothing, and an answer that names none ends the limit only if its request was sent after the last answer
+// that named it: answers on different connections overtake each other.
+func (s *Server) NameLimit(l call.Limit, sent, now time.Time) bool {
+	k := &s.limiter
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if l.Named && l.PerSecond < 0 || !l.Named && !sent.After(k.at) {
+		return false
+	}
+	was := k.named
+	k.named = l
+	if l.Named {
+		k.at = now
+	}
+	if l.Named && !was.Named {
+		k.pace = retry.NewPace(now, rand.Float64())
+	}
+	return l != was
+}
+
+// WithinLimit reports whether one of so many instances may send a request now by the limit that the server names, if it names one.
+func (s *Server) WithinLimit(instances int, now time.Time) bool {
+	k := &s.limiter
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.readyLocked(instances, now)
+}
+
+// TakeTurn is WithinLimit for a request that goes if it may.
+func (s *Server) TakeTurn(instances int, now time.Time) bool {
+	k := &s.limiter
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.readyLocked(instances, now) {
 		return false
 	}
-	s.limiter.named = l
+	k.pace.Sent(k.part(instances), now, rand.Float64())
 	return true
 }
+
+// NextTurn returns when one of so many instances may send the next request by the server's limit, and how much time lies between two; false
+// means that the server names no limit.
+func (s *Server) NextTurn(instances int) (next time.Time, period time.Duration, limited bool) {
+	k := &s.limiter
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.named.Named {
+		return time.Time{}, 0, false
+	}
+	part := k.part(instances)
+	return k.pace.Next(part), part.Period(), true
+}
+
+func (k *limiter) part(instances int) retry.Part { return retry.PartOf(k.named.PerSecond, instances) }
+
+func (k *limiter) readyLocked(instances int, now time.Time) bool {
+	return !k.named.Named || k.pace.Ready(k.part(instances), now, rand.Float64())
+}
+
+// limited reports whether the server names a limit.
+func (s *Server) limited() bool {
+	s.limiter.mu.Lock()
+	defer s.limiter.mu.Unlock()
+	return s.limiter.named.Named
+}
+
+// inheritLimit takes over what the same start of the server has named.
+func (s *Server) inheritLimit(former *Server) {
+	former.limiter.mu.Lock()
+	named, at, pace := former.limiter.named, former.limiter.at, former.limiter.pace
+	former.limiter.mu.Unlock()
+	s.limiter.mu.Lock()
+	defer s.limiter.mu.Unlock()
+	s.limiter.named, s.limiter.at, s.limiter.pace = named, at, pace
+}
--- a/forward/choice.go
+++ b/forward/choice.go
@@ -54,6 +54,10 @@
 	}
 	for i := range lanes {
 		l := &lanes[i]
+		if !group.Servers()[l.Hops[0].Server].WithinLimit(instances, now) {
+			c.load[i] = 1
+			continue
+		}
 		own := group.Servers()[l.Hops[0].Server].Sequences(now, wordAge) / width[l.Hops[0].Server]
 		if filled, known := fullest(group, l, instances, now); known {
 			c.load[i] = max(own, filled)
--- a/forward/comeback.go
+++ b/forward/comeback.go
@@ -38,8 +38,11 @@
 	}
 	most := time.Duration(heedPart * float64(max(h.remaining(r), 0)))
 	least := min(time.Duration((1-returnedShare)*float64(r.meta.Wait)), most)
+	lanes := h.lanesOf(r.group, now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	due := q.dueLocked(now, now.Add(most))
+	turns, _ := h.turnsIn(r.group, lanes, float64(len(q.waiting)+due+1), now)
 	after := q.roomLocked(q.forecastLocked(now, h.watch.still), now, most)
 	switch {
 	case known:
@@ -48,7 +51,7 @@
 		after += q.spells.until(spell, median, most)
 	}
 	after = max(spreadReturn(after), least)
-	after = max(min(after, most), returns)
+	after = max(min(max(after, turns), most), returns)
 	q.promised = append(q.promised, now.Add(after))
 	h.stats.Histogram("come_back_ms").Update(after.Milliseconds())
 	return after
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -27,14 +27,18 @@
 	errMalformed = errors.New("forward: answer is not whole or not HTTP")
 	// errBackedOff means that nothing was sent, since the server wants nothing from this instance yet.
 	errBackedOff = errors.New("forward: server wants nothing yet")
+	// errOverLimit means that nothing was sent, since the server takes no more from this instance yet.
+	errOverLimit = errors.New("forward: server's limit is reached")
 )
 
 // sent is a request on its way to a server.
 type sent struct {
 	server *backend.Server
 	conn   *backend.Conn
-	head   fasthttp.ResponseHeader
-	info   call.Answer
+	// at is when the request was sent.
+	at   time.Time
+	head fasthttp.ResponseHeader
+	info call.Answer
 	// release stops the watch over the caller's leaving.
 	release func() bool
 }
@@ -57,16 +61,20 @@
 		conn.Keep(h.clock.Now(), 0)
 		return nil, errBackedOff
 	}
+	if !server.TakeTurn(h.census.Instances(), h.clock.Now()) {
+		conn.Keep(h.clock.Now(), 0)
+		return nil, errOverLimit
+	}
 	return conn, nil
 }
 
-// send opens a connection and writes the request; the error is backend.ErrDial or errBackedOff when nothing was sent.
+// send opens a connection and writes the request; the error is backend.ErrDial, errBackedOff or errOverLimit when nothing was sent.
 func (h *Handler) send(ctx context.Context, r *request, server *backend.Server, s *call.Send, fresh bool) (*sent, error) {
 	conn, err := h.connect(ctx, server, fresh)
 	if err != nil {
 		return nil, err
 	}
-	out := &sent{server: server, conn: conn}
+	out := &sent{server: server, conn: conn, at: h.clock.Now()}
 	// Closing is what tells a server to stop; it also ends the read below.
 	closed := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	// A server that has started again knows nothing of what it was sent before: that is lost at once, not after a time-out.
@@ -101,6 +109,9 @@
 		s.info = h.codec.ReadAnswer(&s.head)
 		h.heed(r.meta.ID, s.server, s.info.Notice)
 		if s.info.RequestID == "" || s.info.RequestID == r.meta.ID {
+			if s.info.Status != fasthttp.StatusMisdirectedRequest {
+				h.noteLimit(r.meta.ID, s.server, s.info.Limit, s.at)
+			}
 			return nil
 		}
 		h.stats.Counter("stray_answers_total").Inc(1)
--- /dev/null
+++ b/forward/limit.go
@@ -0,0 +1,54 @@
+package forward
+
+import (
+	"time"
+
+	"junctioncross/backend"
+	"junctioncross/call"
+	"junctioncross/chain"
+	"junctioncross/decision"
+)
+
+// noteLimit takes over the limit that a server names, or that it names none any more. A report names a limit as well, but one without says
+// nothing of what stands on answers to requests.
+func (h *Handler) noteLimit(request string, server *backend.Server, limit call.Limit, sent time.Time) {
+	if request == "" && !limit.Named || !server.NameLimit(limit, sent, h.clock.Now()) {
+		return
+	}
+	fields := decision.Fields{"server": server.ID(), "address": server.Addr()}
+	if !limit.Named {
+		h.record.Failure(request, "server names no limit any more", fields)
+		return
+	}
+	h.stats.Counter("server_limits_total").Inc(1)
+	_, period, _ := server.NextTurn(h.census.Instances())
+	fields["limit_per_s"], fields["instances"], fields["period_ms"] = limit.PerSecond, h.census.Instances(), period.Milliseconds()
+	h.record.Failure(request, "server names a limit", fields)
+}
+
+// turnsIn returns when so many requests have a turn at the first servers of lanes; false means that one of these names no limit, so that room
+// alone decides.
+func (h *Handler) turnsIn(group *backend.Group, lanes []chain.Lane, places float64, now time.Time) (time.Duration, bool) {
+	if len(lanes) == 0 {
+		return 0, false
+	}
+	first, perSecond := time.Time{}, 0.0
+	counted := map[int]bool{}
+	for i := range lanes {
+		server := lanes[i].Hops[0].Server
+		if counted[server] {
+			continue
+		}
+		counted[server] = true
+		next, period, limited := group.Servers()[server].NextTurn(h.census.Instances())
+		if !limited {
+			return 0, false
+		}
+		if first.IsZero() || next.Before(first) {
+			first = next
+		}
+		perSecond += 1 / max(period, time.Nanosecond).Seconds()
+	}
+	after := time.Duration(max(places-1, 0) / perSecond * float64(time.Second))
+	return max(first.Sub(now), 0) + after, true
+}
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -27,25 +27,6 @@
 	if n.RetryAfter > 0 {
 		h.backOff(request, server, n.RetryAfter)
 	}
-	// A report need not name the limit that stands on answers to requests.
-	if n.Limit.Named || request != "" {
-		h.noteLimit(request, server, n.Limit)
-	}
-}
-
-// noteLimit takes over the limit that a server names, or that it names none any more.
-func (h *Handler) noteLimit(request string, server *backend.Server, limit call.Limit) {
-	if !server.NameLimit(limit) {
-		return
-	}
-	fields := decision.Fields{"server": server.ID(), "address": server.Addr()}
-	if !limit.Named {
-		h.record.Failure(request, "server names no limit any more", fields)
-		return
-	}
-	h.stats.Counter("server_limits_total").Inc(1)
-	fields["limit_per_s"] = limit.PerSecond
-	h.record.Failure(request, "server names a limit", fields)
 }
 
 // farewell keeps new work away from a server that says that it leaves; what it runs goes on elsewhere in time.
--- a/forward/path.go
+++ b/forward/path.go
@@ -94,5 +94,5 @@
 func (h *Handler) chainState(group *backend.Group, now time.Time) *chainState {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return &chainState{servers: group.Servers(), engine: group.Graph().Engine(), now: now, factor: h.peers.factor}
+	return &chainState{servers: group.Servers(), engine: group.Graph().Engine(), now: now, factor: h.peers.factor, instances: h.census.Instances()}
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -60,7 +60,7 @@
 	var best *backend.Server
 	lowest := 0.0
 	for _, s := range g.Servers() {
-		if slices.Contains(tried, s) || !s.Usable(now) {
+		if slices.Contains(tried, s) || !s.Usable(now) || !s.WithinLimit(h.census.Instances(), now) {
 			continue
 		}
 		if c := h.plainCost(s, now); best == nil || c < lowest {
@@ -159,9 +159,13 @@
 		server.Settled()
 		return callerGone{}
 	}
-	if errors.Is(err, errBackedOff) {
+	switch {
+	case errors.Is(err, errBackedOff):
 		server.Settled()
 		return notRun{reason: models.RetryBackedOff}
+	case errors.Is(err, errOverLimit):
+		server.Settled()
+		return notRun{reason: models.RetryOverLimit}
 	}
 	server.Failed(h.clock.Now())
 	return notRun{reason: models.RetryUnreachable}
--- a/forward/returns.go
+++ b/forward/returns.go
@@ -16,7 +16,7 @@
 	var at time.Time
 	var known bool
 	if group.Graph() == nil {
-		at, known = firstReturn(group.Servers(), now)
+		at, known = firstReturn(group.Servers(), h.census.Instances(), now)
 	} else {
 		at, known = h.laneBook(group.Service().Name).returns(group, now)
 	}
@@ -27,13 +27,13 @@
 }
 
 // firstReturn returns when the first of servers returns of which none may get work now.
-func firstReturn(servers []*backend.Server, now time.Time) (time.Time, bool) {
+func firstReturn(servers []*backend.Server, instances int, now time.Time) (time.Time, bool) {
 	var first time.Time
 	for _, s := range servers {
-		if s.Usable(now) {
+		if s.Usable(now) && s.WithinLimit(instances, now) {
 			return time.Time{}, false
 		}
-		if at, ok := s.Returns(now); ok && (first.IsZero() || at.Before(first)) {
+		if at, ok := s.ReturnsWithin(instances, now); ok && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
 	}
--- a/forward/state.go
+++ b/forward/state.go
@@ -40,12 +40,16 @@
 	engine  *catalog.Engine
 	now     time.Time
 	factor  float64
+	// instances is the number of those that share the limits of servers.
+	instances int
 	// regardless counts the memory as free whatever is known of it.
 	regardless bool
 }
 
 // Usable implements chain.State.
-func (s *chainState) Usable(i int) bool { return s.servers[i].Usable(s.now) }
+func (s *chainState) Usable(i int) bool {
+	return s.servers[i].Usable(s.now) && s.servers[i].WithinLimit(s.instances, s.now)
+}
 
 // Sequences implements chain.State.
 func (s *chainState) Sequences(i int) float64 { return float64(s.servers[i].Running()) * s.factor }
--- a/forward/wait.go
+++ b/forward/wait.go
@@ -90,6 +90,7 @@
 	if pathless {
 		returns, known = h.returnsIn(f.r.group, now)
 	}
+	lanes := h.lanesOf(f.r.group, now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	at.places = q.placesLocked(f, now, until)
@@ -110,6 +111,13 @@
 	at.streams = len(c.ages)
 	at.likelihood = c.likelihood(at.places, at.left)
 	at.wait = c.by(at.places, median, at.left)
+	if turns, limited := h.turnsIn(f.r.group, lanes, at.places, now); limited {
+		// Beside room the request needs a turn, which comes at a known moment.
+		at.wait = max(at.wait, turns)
+		if turns > at.left {
+			at.likelihood = 0
+		}
+	}
 	return at
 }
 
--- a/models/fate.go
+++ b/models/fate.go
@@ -64,4 +64,5 @@
 	RetrySlow        Reason = "slow_backend"
 	RetryBroken      Reason = "broken_answer"
 	RetryBackedOff   Reason = "backend_wants_none"
+	RetryOverLimit   Reason = "backend_limit_reached"
 )
--- a/schema/beliefs.go
+++ b/schema/beliefs.go
@@ -225,6 +225,10 @@
 	server
 	// Requests a second.
 	LimitPerS float64 `log:"limit_per_s"`
+	// The number of instances that share the limit.
+	Instances int64 `log:"instances"`
+	// The time between two requests of this instance.
+	PeriodMS int64 `log:"period_ms"`
 }
 
 // A server that had named a limit names none in an answer.
