follow, relay: tell late entries and feeds that are read at an earlier position

The recording could not tell whether a change had not reached an instance, since positions outlived the revisions that they count, or was dropped there as a late one. Each has a line now. No logic is changed.

--- a/follow/loop.go
+++ b/follow/loop.go
@@ -206,6 +206,7 @@
 	k.missing = time.Time{}
 	if e.Revision < k.entry.Revision || k.entry.Incarnation().After(e.Incarnation()) {
 		// A late word, or one of an earlier start.
+		l.log.WithFields(logrus.Fields{"server": e.ID, "revision": e.Revision, "known": k.entry.Revision}).Warn("late entry ignored")
 		return false
 	}
 	if e.Service != k.entry.Service && !l.names(e.Service) {
--- a/relay/source.go
+++ b/relay/source.go
@@ -171,6 +171,9 @@
 		return follow.News{}, err
 	}
 	h := heard{records: records, at: at, known: asked}
+	if held, _ := s.logs[feed].reached(); at < held {
+		s.log.WithFields(logrus.Fields{"feed": feed.String(), "at": int64(at), "held": int64(held)}).Warn("feed read at an earlier position")
+	}
 	s.epoch.sound()
 	s.logs[feed].restart(h, true)
 	return s.news(h), nil
--- a/schema/beliefs.go
+++ b/schema/beliefs.go
@@ -198,6 +198,27 @@
 	Server string `log:"server"`
 }
 
+// An entry of a backend server that came after a newer one, or is of an earlier start, changes nothing.
+type lateEntry struct {
+	_ struct{} `msg:"late entry ignored" level:"warning"`
+	// Id of the backend server.
+	Server string `log:"server"`
+	// The revision of the entry.
+	Revision int64 `log:"revision"`
+	// The revision of the one that is known.
+	Known int64 `log:"known"`
+}
+
+// A feed was read whole, and the store had not come as far as was known.
+type earlierPosition struct {
+	_ struct{} `msg:"feed read at an earlier position" level:"warning"`
+	feed
+	// The revision of the store.
+	At int64 `log:"at"`
+	// The revision up to which the feed was known.
+	Held int64 `log:"held"`
+}
+
 // A server says in an answer that it leaves, whatever its entry says: it gets no new work.
 type saysFarewell struct {
 	_ struct{} `msg:"server says that it leaves" level:"warning"`
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -74,6 +74,8 @@
 		noAnswer{},
 		garbled{},
 		startedAgain{},
+		lateEntry{},
+		earlierPosition{},
 		saysFarewell{},
 		wantsNothing{},
 		namesLimit{},
