relay: let those that heard more than the relay between two of its readings read all

Found by the model check of feeds whose store loses writes, not seen by callers: a key that came and went between two readings of a relay stood nowhere in its history, so that an instance which had heard of it from another relay kept it for good, also without any loss. Cause: after a whole reading the history tells only what is different in the end, and everybody after its floor was served from it. The parts of the history that were skipped are kept, 64 at most; who asks from within one reads the feed whole from the relay.

--- a/relay/log.go
+++ b/relay/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -23,8 +24,8 @@
 	history []Record
 	// floor is the position after which the history is whole.
 	floor follow.Position
-	// left is the position at which the former era of the store was left. What came after it there is not known.
-	left follow.Position
+	// gaps are the parts of the history of which only what is different in the end is known.
+	gaps []gap
 	// known is the moment up to which nothing but the history has changed.
 	known time.Time
 	// direct is true while the feed is followed in the store itself.
@@ -53,10 +54,31 @@
 		l.take(h, direct)
 		return
 	}
-	l.add(l.differences(h))
+	out := l.differences(h)
+	l.skip(h.at)
+	l.add(out)
 	l.take(h, direct)
 }
 
+// gap lies between a position and that of a reading of the whole feed. What came and went between them stands nowhere, so that those who
+// heard of it elsewhere would keep it.
+type gap struct{ from, to follow.Position }
+
+// mostGaps bounds the gaps that are kept.
+const mostGaps = 64
+
+// skip notes that the history up to a position tells only what is different from what was known before; the caller holds the lock.
+func (l *feedLog) skip(to follow.Position) {
+	if to <= l.at {
+		return
+	}
+	if len(l.gaps) == mostGaps {
+		l.floor = max(l.floor, l.gaps[0].to)
+		l.gaps = l.gaps[1:]
+	}
+	l.gaps = append(l.gaps, gap{from: l.at, to: to})
+}
+
 // differences returns the changes that lead from the present content to another; the caller holds the lock.
 func (l *feedLog) differences(h heard) []Record {
 	var out []Record
@@ -98,6 +120,9 @@
 func (l *feedLog) extend(h heard, direct bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if h.skips || h.at.Era() != l.at.Era() {
+		l.skip(h.at)
+	}
 	l.add(h.records)
 	l.take(h, direct)
 }
@@ -126,9 +151,6 @@
 
 // take notes the position and wakes those that wait; the caller holds the lock.
 func (l *feedLog) take(h heard, direct bool) {
-	if h.at.Era() > l.at.Era() {
-		l.left = l.at
-	}
 	l.at = max(l.at, h.at)
 	if h.known.After(l.known) {
 		l.known = h.known
@@ -207,10 +229,10 @@
 
 // leadsFrom reports whether the history tells all that is different now from what was known at a position; the caller holds the lock.
 func (l *feedLog) leadsFrom(after follow.Position) bool {
-	if after.Era() == l.at.Era() {
-		return after >= l.floor
+	if after < l.floor || after.Era() > l.at.Era() {
+		return false
 	}
-	return after.Era() == l.left.Era() && l.floor <= after && after <= l.left
+	return !slices.ContainsFunc(l.gaps, func(g gap) bool { return g.from < after && after < g.to })
 }
 
 // since returns the changes after a position.
--- a/relay/log_test.go
+++ b/relay/log_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -144,3 +146,134 @@
 	require.False(t, l.since(place(1, 901)).whole, "one that had heard more of the former era has to read all")
 	require.False(t, l.since(place(3, 1)).whole, "one of a later era hears nothing here")
 }
+
+// lossyStore is a store that may lose its latest writes.
+type lossyStore struct {
+	at      follow.Position
+	content map[string]Record
+	history []Record
+}
+
+func (s *lossyStore) copy() *lossyStore {
+	return &lossyStore{at: s.at, content: maps.Clone(s.content), history: slices.Clone(s.history)}
+}
+
+// restore returns the store as it comes back from a copy in the next era.
+func (s *lossyStore) restore(kept *lossyStore) *lossyStore {
+	era := s.at.Era() + 1
+	out := kept.copy()
+	out.at = place(era, kept.at.Revision())
+	for key, r := range out.content {
+		r.Revision = place(era, r.Revision.Revision())
+		out.content[key] = r
+	}
+	for i := range out.history {
+		out.history[i].Revision = place(era, out.history[i].Revision.Revision())
+	}
+	return out
+}
+
+func (s *lossyStore) write(key, value string, gone bool) {
+	if _, known := s.content[key]; gone && !known {
+		return
+	}
+	s.at++
+	r := Record{Key: key, Value: []byte(value), Revision: s.at, Gone: gone}
+	if gone {
+		r.Value = nil
+	}
+	apply(s.content, r)
+	s.history = append(s.history, r)
+}
+
+// tell brings a log up to date as a relay does: from its position, or whole when the store does not have that.
+func (s *lossyStore) tell(l *feedLog) {
+	held, _ := l.reached()
+	if held.Era() != s.at.Era() {
+		l.restart(heard{records: slices.Collect(maps.Values(s.content)), at: s.at}, true)
+		return
+	}
+	h := heard{at: s.at}
+	for _, r := range s.history {
+		if r.Revision > held {
+			h.records = append(h.records, r)
+		}
+	}
+	l.extend(h, true)
+}
+
+// hear brings a log up to date from another one, as one that follows a relay does.
+func hear(l, from *feedLog) {
+	held, _ := l.reached()
+	v := from.since(held)
+	h := v.heard
+	if !v.whole {
+		h = from.all().heard
+		if h.at < held {
+			return
+		}
+		h.records, h.skips = l.missing(h), true
+	}
+	l.extend(h, false)
+}
+
+func values(l *feedLog) map[string]string {
+	out := map[string]string{}
+	for _, r := range l.all().records {
+		out[r.Key] = string(r.Value)
+	}
+	return out
+}
+
+// TestAllThatFollowHoldTheContentOfAStoreThatLosesWrites draws changes, losses and the steps of two relays and a follower of either.
+func TestAllThatFollowHoldTheContentOfAStoreThatLosesWrites(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &lossyStore{at: place(1, 1), content: map[string]Record{}}
+		kept := store.copy()
+		relays, follower := []*feedLog{newFeedLog(), newFeedLog()}, newFeedLog()
+		for _, l := range append(relays, follower) {
+			l.restart(heard{at: store.at}, true)
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			one := relays[rapid.IntRange(0, 1).Draw(t, "relay")]
+			switch rapid.SampledFrom([]string{"write", "write", "write", "copy", "lose", "tell", "tell", "hear", "hear"}).Draw(t, "step") {
+			case "write":
+				key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+				store.write(key, rapid.SampledFrom([]string{"1", "2"}).Draw(t, "value"), rapid.Bool().Draw(t, "gone"))
+			case "copy":
+				kept = store.copy()
+			case "lose":
+				store = store.restore(kept)
+				kept = store.copy()
+			case "tell":
+				store.tell(one)
+			case "hear":
+				hear(follower, one)
+			}
+		}
+		want := map[string]string{}
+		for key, r := range store.content {
+			want[key] = string(r.Value)
+		}
+		for _, l := range relays {
+			store.tell(l)
+			require.Equal(t, want, values(l))
+		}
+		hear(follower, relays[0])
+		require.Equal(t, want, values(follower))
+	})
+}
+
+// TestOneThatHeardMoreThanTheRelayBetweenTwoReadingsReadsAll asks from between two readings, where a key may have come and gone.
+func TestOneThatHeardMoreThanTheRelayBetweenTwoReadingsReadsAll(t *testing.T) {
+	l := newFeedLog()
+	l.restart(at(5), true)
+	l.restart(at(9), true)
+	require.True(t, l.since(5).whole)
+	require.False(t, l.since(7).whole)
+	require.True(t, l.since(9).whole)
+	for n := range follow.Position(2 * mostGaps) {
+		l.restart(at(20+10*n), true)
+	}
+	require.False(t, l.since(15).whole, "gaps that are kept no longer are part of what is forgotten")
+}
--- a/relay/record.go
+++ b/relay/record.go
@@ -39,4 +39,6 @@
 	at      follow.Position
 	// known is the moment up to which nothing else has changed.
 	known time.Time
+	// skips is true when the records lead to the position from what was known here, without what came and went between.
+	skips bool
 }
--- a/relay/source.go
+++ b/relay/source.go
@@ -247,7 +247,7 @@
 	if h.at < after {
 		return heard{}, errors.Wrap(follow.ErrUnavailable, errBehind.Error())
 	}
-	h.records = s.logs[feed].missing(h)
+	h.records, h.skips = s.logs[feed].missing(h), true
 	return h, nil
 }
 
