follow, backend: keep work from servers that have left whose entries a restored store brings back

Cause: what a server's entry had said was forgotten with the entry. Both tests fail on the commit before (2 of 2 cases that must not get work) and pass with this.

--- a/backend/backoff.go
+++ b/backend/backoff.go
@@ -45,14 +45,14 @@
 
 // Remembers reports whether the server has said something to this instance that holds for as long as it runs, or for a time that is not over.
 func (s *Server) Remembers(now time.Time) bool {
-	return s.farewell.Load() || s.limited() || s.BackedOff(now)
+	return s.farewell.Load() || s.leaving.Load() || s.limited() || s.BackedOff(now)
 }
 
 // Inherit takes over what the same start of the server said to this instance before its entry had vanished for a while.
 func (s *Server) Inherit(former *Server) {
 	s.BackOff(former.backOff.load())
 	s.inheritLimit(former)
-	if former.farewell.Load() {
+	if former.farewell.Load() || former.leaving.Load() {
 		s.farewell.Store(true)
 		s.NoteLeaving(former.leavingSince.load())
 	}
--- a/follow/era_test.go
+++ b/follow/era_test.go
@@ -36,3 +36,41 @@
 	s.tell(follow.FeedServers, born("a", 1000, int64(placeIn(t, 2, 880)), true))
 	soon(t, func() bool { return only(b).LeavingFor(time.Now()) > 0 })
 }
+
+// TestAServerThatHadSaidThatItLeavesLeavesWhenItsEarlierEntryIsBack lets the entry go, and the store come back from a copy from before.
+func TestAServerThatHadSaidThatItLeavesLeavesWhenItsEarlierEntryIsBack(t *testing.T) {
+	s := newSource()
+	b := start(t, s)
+	s.tell(follow.FeedConfig, configured(t, 1))
+	s.tell(follow.FeedServers, born("a", 1000, int64(placeIn(t, 1, 10)), false))
+	s.tell(follow.FeedServers, born("a", 1000, int64(placeIn(t, 1, 20)), true))
+	soon(t, func() bool { return only(b) != nil && only(b).Leaving() })
+	s.tell(follow.FeedServers, follow.ServerGone{ID: "a"})
+	soon(t, func() bool { return only(b) == nil })
+	s.tell(follow.FeedServers, born("a", 1000, int64(placeIn(t, 2, 10)), false))
+	soon(t, func() bool { return only(b) != nil })
+	require.True(t, only(b).Leaving())
+}
+
+// TestAServerWhoseEntryHadGoneGetsNoWorkWhenACopyBringsTheEntryBack tells the last entry of a server that had left without a word, and a new
+// one of a server that lives.
+func TestAServerWhoseEntryHadGoneGetsNoWorkWhenACopyBringsTheEntryBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		revision int64
+		usable   bool
+	}{"left over": {10, false}, "written again": {11, true}} {
+		t.Run(name, func(t *testing.T) {
+			s := newSource()
+			b := start(t, s)
+			s.tell(follow.FeedConfig, configured(t, 1))
+			s.tell(follow.FeedServers, born("a", 1000, int64(placeIn(t, 1, 10)), false))
+			soon(t, func() bool { return only(b) != nil })
+			s.tell(follow.FeedServers, follow.ServerGone{ID: "a"})
+			soon(t, func() bool { return only(b) == nil })
+			s.tell(follow.FeedServers, born("a", 1000, int64(placeIn(t, 2, c.revision)), false))
+			soon(t, func() bool { return only(b) != nil })
+			require.Equal(t, c.usable, only(b).Usable(time.Now()))
+			require.True(t, only(b).Usable(time.Now().Add(time.Minute)), "it is not left alone for good")
+		})
+	}
+}
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -48,8 +48,8 @@
 	catalog *catalog.Catalog
 	// servers holds what is known of each server by its id.
 	servers map[string]*known
-	// former holds the servers without an entry that have said something which still holds, should their entries come back.
-	former map[backend.Incarnation]*backend.Server
+	// former holds servers without an entry, should their entries come back.
+	former map[backend.Incarnation]former
 	// lost says which feeds fail at present.
 	lost [feeds]bool
 	// at is how far each feed is known.
@@ -78,7 +78,7 @@
 ) *Loop {
 	l := &Loop{
 		board: board, ends: ends, clock: clock, stats: stats, log: log, heard: make(chan Heard, heardQueue),
-		servers: map[string]*known{}, former: map[backend.Incarnation]*backend.Server{},
+		servers: map[string]*known{}, former: map[backend.Incarnation]former{},
 	}
 	for _, feed := range []Feed{FeedConfig, FeedServers, FeedQuarantine} {
 		p := &pump{source: source, clock: clock, feed: feed, out: l.heard}
@@ -299,12 +299,13 @@
 		since = l.clock.Now()
 	}
 	k.server.NoteLeaving(since)
-	if l.echoes(l.clock.Now()) {
-		k.server.Lapse()
-	} else {
+	calm := !l.echoes(l.clock.Now())
+	if calm {
 		k.server.Remove()
+	} else {
+		k.server.Lapse()
 	}
-	l.remember(k.server)
+	l.remember(k, calm)
 	l.log.WithFields(logrus.Fields{"server": id, "address": k.server.Addr()}).Info("server gone")
 	delete(l.servers, id)
 }
--- a/schema/beliefs.go
+++ b/schema/beliefs.go
@@ -213,6 +213,12 @@
 	KnownEra int64 `log:"known_era"`
 }
 
+// The store came back from a copy that still has the entry of a server which has left; it gets no new work for now.
+type leftoverEntry struct {
+	_ struct{} `msg:"entry of a server that has left is there again" level:"info"`
+	server
+}
+
 // The store came back without its latest writes, and gives their revisions out again.
 type lostWrites struct {
 	_ struct{} `msg:"store has lost writes" level:"warning"`
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -77,6 +77,7 @@
 		lateEntry{},
 		earlierPosition{},
 		lostWrites{},
+		leftoverEntry{},
 		saysFarewell{},
 		wantsNothing{},
 		namesLimit{},
