follow: take an older configuration in the store for no confirmation of the one in force

Now the moment of the last confirmation stands until the store holds a configuration that is not older.

--- a/follow/era_test.go
+++ b/follow/era_test.go
@@ -1,9 +1,11 @@
 package follow_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"junctioncross/follow"
@@ -74,3 +76,24 @@
 		})
 	}
 }
+
+// TestAnOlderConfigurationInTheStoreConfirmsNothing lets the store come back with the configuration before the one in force, until it is written
+// again.
+func TestAnOlderConfigurationInTheStoreConfirmsNothing(t *testing.T) {
+	s := newSource()
+	b, lines := startTold(t, s)
+	ignored := func() bool {
+		return slices.ContainsFunc(lines.AllEntries(), func(e *logrus.Entry) bool { return e.Message == "older configuration ignored" })
+	}
+	s.tell(follow.FeedConfig, configured(t, 5))
+	soon(t, func() bool { return b.Current().Catalog() != nil })
+	s.tell(follow.FeedConfig, configured(t, 3))
+	soon(t, ignored)
+	confirmed := b.Confirmed()
+	s.tell(follow.FeedConfig, configured(t, 4))
+	time.Sleep(2 * wait)
+	require.Equal(t, int64(5), b.Current().Catalog().Version())
+	require.Equal(t, confirmed, b.Confirmed())
+	s.tell(follow.FeedConfig, configured(t, 5))
+	soon(t, func() bool { return b.Confirmed().After(confirmed) })
+}
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -52,6 +52,8 @@
 	former map[backend.Incarnation]former
 	// lost says which feeds fail at present.
 	lost [feeds]bool
+	// outdated is true while the store holds an older configuration than the one in force.
+	outdated bool
 	// at is how far each feed is known.
 	at [feeds]Position
 	// failed is when a call last failed.
@@ -147,6 +149,10 @@
 	var known *atomic.Pointer[time.Time]
 	switch feed {
 	case FeedConfig:
+		if l.outdated {
+			// What is in force may have been replaced by what the store has lost as well.
+			return
+		}
 		known = &l.board.confirmed
 	case FeedServers:
 		known = &l.board.listed
@@ -190,6 +196,7 @@
 }
 
 func (l *Loop) configure(c *catalog.Catalog) bool {
+	l.outdated = l.catalog != nil && c.Version() < l.catalog.Version()
 	if l.catalog != nil && c.Version() <= l.catalog.Version() {
 		if c.Version() < l.catalog.Version() {
 			l.log.WithFields(logrus.Fields{"version": c.Version(), "in_force": l.catalog.Version()}).Warn("older configuration ignored")
