quarantine, follow: keep the ends under requests that the store has lost, and write them again

Now what a loss takes away is kept until it lapses by itself, and each instance writes again what it wrote. One that starts meanwhile knows as much as the store.

--- a/follow/era_test.go
+++ b/follow/era_test.go
@@ -9,6 +9,10 @@
 	"github.com/stretchr/testify/require"
 
 	"junctioncross/follow"
+	"junctioncross/metrics"
+	"junctioncross/quarantine"
+	"junctioncross/testlog"
+	"junctioncross/timer"
 )
 
 // placeIn returns the place of a revision in an era.
@@ -97,3 +101,25 @@
 	s.tell(follow.FeedConfig, configured(t, 5))
 	soon(t, func() bool { return b.Confirmed().After(confirmed) })
 }
+
+// TestEndsUnderRequestsThatTheStoreLostStillCount lets the store lose the record of an end, and then take one back.
+func TestEndsUnderRequestsThatTheStoreLostStillCount(t *testing.T) {
+	s, b := newSource(), follow.NewBoard()
+	ends := quarantine.NewBook(quarantine.Terms{Ends: 2, EndsOfOne: 3, Keep: time.Hour, Most: 10})
+	follow.New(t.Context(), s, b, ends, timer.NewReal(), metrics.New(), testlog.New(t))
+	request := quarantine.FingerprintOf([]byte("h"), []byte("/"), "a", nil)
+	end := quarantine.NewEnd(request, "server", "attempt")
+	soon(t, func() bool {
+		// What is told before the first reading is no news.
+		s.tell(follow.FeedQuarantine, follow.EndSeen{End: end})
+		return ends.Ends(request) == 1
+	})
+	s.mu.Lock()
+	s.at = placeIn(t, 1, 1)
+	s.mu.Unlock()
+	s.tell(follow.FeedQuarantine, follow.EndGone{End: end})
+	time.Sleep(2 * wait)
+	require.Equal(t, 1, ends.Ends(request), "the store has lost it")
+	s.tell(follow.FeedQuarantine, follow.EndGone{End: end})
+	soon(t, func() bool { return ends.Ends(request) == 0 })
+}
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -107,17 +108,19 @@
 	switch h := h.(type) {
 	case heardAll:
 		l.regained(h.feed)
-		l.noteEra(h.feed, h.At)
+		lost := l.noteEra(h.feed, h.At)
 		dropped := h.feed == FeedServers && l.dropUnlisted(h.Changes)
 		l.show(l.apply(h.Changes) || dropped)
-		if h.feed == FeedQuarantine {
+		if h.feed == FeedQuarantine && !lost {
 			l.dropUnlistedEnds(h.Changes)
 		}
 		l.doubt()
 		l.confirm(h.feed, h.Known)
 	case heardChanges:
 		l.regained(h.feed)
-		l.noteEra(h.feed, h.At)
+		if l.noteEra(h.feed, h.At) && h.feed == FeedQuarantine {
+			h.Changes = slices.DeleteFunc(h.Changes, isEndGone)
+		}
 		l.show(l.apply(h.Changes))
 		l.doubt()
 		l.confirm(h.feed, h.Known)
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -62,6 +62,8 @@
 	absolved []End
 	// size is the number of cases, for those who ask while there are none.
 	size atomic.Int64
+	// again delivers a value when ends have to be written that were before.
+	again chan struct{}
 }
 
 // suspect is a request under which servers have ended, each with what is known of that end.
@@ -74,11 +76,15 @@
 	attempts []string
 	at       time.Time
 	stage    stage
+	// own is true when this instance wrote the end.
+	own bool
 }
 
 // NewBook returns a Book without ends.
 func NewBook(terms Terms) *Book {
-	return &Book{terms: terms, cases: map[Fingerprint]*suspect{}, former: map[Fingerprint]time.Time{}}
+	return &Book{
+		terms: terms, cases: map[Fingerprint]*suspect{}, former: map[Fingerprint]time.Time{}, again: make(chan struct{}, 1),
+	}
 }
 
 // Size returns the number of requests of which ends are known.
@@ -229,12 +235,30 @@
 	defer b.mu.Unlock()
 	for _, e := range ends {
 		if c := b.cases[e.Request]; c != nil && c.ends[e.Server] != nil {
-			c.ends[e.Server].stage = max(c.ends[e.Server].stage, written)
+			c.ends[e.Server].stage, c.ends[e.Server].own = max(c.ends[e.Server].stage, written), true
 		}
 	}
 	b.absolved = b.absolved[len(absolved):]
 }
 
+// TellAgain lets the ends that this instance wrote be written once more, since others may not be able to read them any longer. Those that other
+// instances wrote are theirs to write, and count here as before.
+func (b *Book) TellAgain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.cases {
+		for _, known := range c.ends {
+			if known.own {
+				known.stage = confirmed
+			}
+		}
+	}
+	select {
+	case b.again <- struct{}{}:
+	default:
+	}
+}
+
 // Tidy forgets the ends that no longer count.
 func (b *Book) Tidy(now time.Time) {
 	b.mu.Lock()
--- a/quarantine/teller.go
+++ b/quarantine/teller.go
@@ -50,6 +50,8 @@
 			case <-t.wake:
 				clock.Sleep(ctx, gatherTime)
 				t.tellAll(ctx)
+			case <-book.again:
+				t.tellAll(ctx)
 			case <-ctx.Done():
 				return
 			}
--- a/quarantine/teller_test.go
+++ b/quarantine/teller_test.go
@@ -71,3 +71,23 @@
 	require.Eventually(t, func() bool { ends, _ := taken.told(); return ends == 1 }, patience, 5*time.Millisecond)
 	require.Equal(t, 1, whole.Ends(request(1)))
 }
+
+// TestEndsThatTheStoreLostAreWrittenAgainByWhoWroteThem lets a store lose what two instances know and one of them wrote.
+func TestEndsThatTheStoreLostAreWrittenAgainByWhoWroteThem(t *testing.T) {
+	wrote, heard := quarantine.NewBook(terms), quarantine.NewBook(terms)
+	first, second := &register{}, &register{}
+	teller := quarantine.NewTeller(t.Context(), wrote, first, timer.NewReal(), metrics.New(), testlog.New(t))
+	quarantine.NewTeller(t.Context(), heard, second, timer.NewReal(), metrics.New(), testlog.New(t))
+	one := end(request(1), 1, "a")
+	wrote.Confirm(one, begin)
+	teller.Wake()
+	require.Eventually(t, func() bool { ends, _ := first.told(); return ends == 1 }, patience, 5*time.Millisecond)
+	wrote.Hear(one, begin)
+	heard.Hear(one, begin)
+	wrote.TellAgain()
+	heard.TellAgain()
+	require.Eventually(t, func() bool { ends, _ := first.told(); return ends == 2 }, patience, 5*time.Millisecond)
+	ends, _ := second.told()
+	require.Zero(t, ends)
+	require.Equal(t, 1, heard.Ends(request(1)))
+}
