--- a/forward/ended.go
+++ b/forward/ended.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// provenTime is how long a server must have run a request for it to be none that ends each server that begins it: on record these ended
-	// 0.04 to 0.12 s after they had begun one.
+	// provenTime is how long a server must have run a request for it to be none that ends each server that begins it: these end
+	// within a tenth of it.
 	provenTime = time.Second
 	// verdictTime is how long it may take to find out whether a server has ended: several questions to it.
 	verdictTime = time.Second
--- a/forward/evacuate.go
+++ b/forward/evacuate.go
@@ -178,7 +178,7 @@
 }
 
 // withoutLeaving returns a path with others in place of the servers that leave, if they have the memory and the path does not cross
-// domains more often than before: a link between domains takes some 20 such streams a second, and all that cross it stand still
+// domains more often than before: a link between domains takes few such streams a second, and all that cross it stand still
 // meanwhile. The server that starts in a release holds the part before the old one ends.
 func (w *watcher) withoutLeaving(f *inflight, group *backend.Group, was course) (course, bool) {
 	h := w.handler
--- a/forward/news.go
+++ b/forward/news.go
@@ -9,10 +9,10 @@
 
 const (
 	// newsWait is how long a request waits for the first configuration and the first servers of an instance that has just started. It
-	// answers the return of callers after the end of all instances: of 295 that started together 95 in 100 knew both within 0.29 s, while a
+	// answers the return of callers after the end of all instances, of which nearly all know both within that time, while a
 	// caller who is refused for want of them comes back a second or more later and is served late at best.
 	newsWait = 350 * time.Millisecond
-	// newsTime is how long after its start an instance counts on them: all of 263 had both within 0.6 s. Later it is an outage that keeps them
+	// newsTime is how long after its start an instance counts on them. Later it is an outage that keeps them
 	// away, and callers are refused at once.
 	newsTime = time.Second
 	// newsPoll is how often it looks.
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -16,8 +16,8 @@
 	// them may at least: each question has its price.
 	probesPerSecond = 40.0
 	leastProbes     = 2.0
-	// sharedProbes is what each instance may ask in a second while all pass on what they are told: 59 instances of a domain ask each of
-	// its 43 servers every 0.8 s, with half of the questions that each needed for itself.
+	// sharedProbes is what each instance may ask in a second while all pass on what they are told, so that together they ask each server
+	// of their domain about once a second.
 	sharedProbes = 1.0
 	// mostProbes bounds the questions of one round.
 	mostProbes = 4.0
--- a/forward/wait.go
+++ b/forward/wait.go
@@ -12,7 +12,7 @@
 
 const (
 	// enough is the likelihood of room within its time from which a request waits. A wait in vain costs its caller time and the
-	// chance elsewhere. From 0.5 on, callers were held in vain for twice the time and no more were served (docs/DECISIONS.md).
+	// chance elsewhere.
 	enough = 0.7
 	// hopeless is the likelihood below which a wait that was begun ends: less than at its start, since a part of its price is paid.
 	hopeless = 0.4
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -31,8 +31,8 @@
 	calm = 400 * time.Millisecond
 	// patience is the longest that empty servers wait for calm.
 	patience = 1500 * time.Millisecond
-	// replaceTime is how long an empty server of a domain that lacks nothing waits for the one that it may be there to replace: in 1,146
-	// of 1,169 cases, in plays of planned work, that one left 0.3 to 1.3 s after the new one had appeared.
+	// replaceTime is how long an empty server of a domain that lacks nothing waits for the one that it may be there to replace,
+	// which mostly leaves within that time.
 	replaceTime = 1500 * time.Millisecond
 	// coldCalm and coldPatience are the same for a service of which no server holds anything: nothing is served meanwhile, and
 	// which server is fast shows only when all are known. Entries appear within a heartbeat of the platform, 1.2 s.
--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -22,7 +22,7 @@
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 12
 	// goOnTime bounds how long an answer that has begun is tried again while servers start nothing: those that hold its layers may be loading
-	// them anew, which took 0.8 to 1.3 s beside load, and used up all attempts as each refusal comes at once.
+	// them anew, which would use up all attempts as each refusal comes at once.
 	goOnTime      = 5 * time.Second
 	cancelTimeout = 500 * time.Millisecond
 )
--- a/quarantine/teller.go
+++ b/quarantine/teller.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// gatherTime is how long ends are gathered before they are written: a server that ends breaks all that it ran within some 50 ms.
+	// gatherTime is how long ends are gathered before they are written: a server that ends breaks all that it ran within less.
 	gatherTime = 60 * time.Millisecond
 	// mostTold is the number of ends that one call writes.
 	mostTold = 24
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -106,8 +106,8 @@
 		select {
 		case <-v.changed:
 		case <-s.clock.After(s.freshFor()):
-			// A relay that hears the store no more says so at once: held for the rest of its time, a question used up 0.6 s of the 3 s in which
-			// a configuration must be in force, before one of a domain that is cut off used up 1.2 s.
+			// A relay that hears the store no more says so at once: a question that it held for the rest of its time would use up the time
+			// in which a configuration must be in force.
 		case <-wait:
 			return s.answer(p, s.logs[p.Feed].since(p.After), arrived)
 		case <-ctx.Done():
--- a/relay/source.go
+++ b/relay/source.go
@@ -148,8 +148,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	since := s.since[follow.FeedConfig]
-	// Before the first news it is not known whom the instance follows: in a start of 295 instances 60 of them took the right to give
-	// orders to be theirs to ask for, with 500 calls to the store.
+	// Before the first news it is not known whom the instance follows; in a start of many they would all ask for the right to give orders.
 	return !since.IsZero() && s.using[follow.FeedConfig].direct() && s.clock.Since(since) >= settledTime
 }
 
@@ -214,8 +213,8 @@
 }
 
 // late reports whether a feed has brought nothing for so long that the next place is asked for what there is, and not to wait. While it is
-// not, places that have failed are passed over at the pace of those that answer: a relay that the store turned away asked it 400 times a
-// second otherwise.
+// not, places that have failed are passed over at the pace of those that answer: a relay that the store turned away would ask it without a
+// pause otherwise.
 func (s *Source) late(feed follow.Feed) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/relay/sparing.go
+++ b/relay/sparing.go
@@ -37,8 +37,8 @@
 
 // sparing decides when an instance that is not the relay of its domain asks a store that does not answer, or that relays do not hear. It
 // answers an outage of a fleet of hundreds, in which every question of everybody is a call that nobody answers, and an outage for the
-// relays alone, in which the others must find out by themselves. One feed asks for both: 290 instances whose two feeds asked every 3 s made
-// 1,700 calls in an outage of 8 s.
+// relays alone, in which the others must find out by themselves. One feed asks for both, since each question of hundreds of instances has
+// its price.
 type sparing struct {
 	// apply is how long after its acceptance a configuration may not be in force yet.
 	apply time.Duration
@@ -85,7 +85,7 @@
 }
 
 // pause returns the longest time between two questions to a store that is spared. It may turn the relays away and serve others, which must
-// have a configuration in force in time: 1 s where 3 s are promised.
+// have a configuration in force in time.
 func (p *sparing) pause() time.Duration { return p.apply - roundTime }
 
 // first returns when the store is asked first: spread over instances that learn of an outage together, but before what is known is too old.
--- a/relay/start.go
+++ b/relay/start.go
@@ -21,7 +21,7 @@
 	// instances that started together would read the whole feed otherwise; a relay has read it long before also at a slow store.
 	readyTime = 2500 * time.Millisecond
 	// standInTime is the same for the stand-in of a domain, which so knows the feed when the others ask it. The relay of a new fleet may be
-	// the last to count the others, 0.7 s after the first.
+	// the last to count the others.
 	standInTime = 1300 * time.Millisecond
 	// readShare and readShareServers are what a whole feed takes of the store's line at the size of the largest fleet. Instances that read
 	// the store after all are spread over as much for each of them, or none would be answered in time.
@@ -151,7 +151,7 @@
 
 // reach connects to the instance at addr. The time for an answer is many times longer, since everything that a feed holds takes its time
 // over a slow line; an instance that starts would wait that long for each relay that is gone. One that starts at the same moment may not
-// listen yet, and what was sent to it is sent again only after 0.3 s, so that a second connection is tried sooner.
+// listen yet, and what was sent to it is sent again late, so that a second connection is tried sooner.
 func (s *Source) reach(ctx context.Context, addr string) error {
 	err := s.reachWithin(ctx, addr, firstReach)
 	if errors.Is(err, link.ErrUnreachable) {
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -17,9 +17,9 @@
 	configWait = 1200 * time.Millisecond
 	// serversWait is the same for the servers, whose news confirm nothing that is needed often.
 	serversWait = 8 * time.Second
-	// quarantineWait is the same for ends under requests, of which there are none on most days: 8 instances that wait for 8 s make 100 of
-	// 700 calls of a calm minute and a half. That the connection has fallen silent shows by its keep-alive, and that the store has by the
-	// question for the configuration, both within the 3 s in which all must have heard of an end.
+	// quarantineWait is the same for ends under requests, of which there are none on most days, so that shorter waits were calls for
+	// nothing. That the connection has fallen silent shows by its keep-alive, and that the store has by the
+	// question for the configuration, both in the time in which all must have heard of an end.
 	quarantineWait = 25 * time.Second
 	// doubtWait is how long a watch on the servers waits while the store is in doubt, so that its return is noticed.
 	doubtWait = time.Second
@@ -109,8 +109,8 @@
 	return false
 }
 
-// reachStore finds out whether the store answers before it is asked for news: an outage of 8 s in which 290 instances asked for them
-// once a second or two cost 1,300 calls.
+// reachStore finds out whether the store answers before it is asked for news, at a tenth of the price: in an outage of
+// a large fleet most calls are such questions.
 func (s *Source) reachStore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, doubtAnswer)
 	defer cancel()
--- a/relay/ways.go
+++ b/relay/ways.go
@@ -105,8 +105,8 @@
 	return out
 }
 
-// likeConfig puts the place first that the configuration was last had from, which is found sooner: a stand-in whose relay had died asked it
-// twice for 1.2 s after it had the configuration from the store. The caller holds the lock.
+// likeConfig puts the place first that the configuration was last had from, which is found sooner: a stand-in whose relay has died would ask that one for
+// each feed again. The caller holds the lock.
 func (s *Source) likeConfig(ways []way) []way {
 	w := s.using[follow.FeedConfig]
 	i := slices.Index(ways, w)
--- a/relay/words.go
+++ b/relay/words.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// wordsWait is the longest that a relay holds a question about servers where it has words on their state to pass on: what one instance
-	// finds, all of its domain know after 0.2 s in the mean.
+	// wordsWait is the longest that a relay holds a question about servers where it has words on their state to pass on: all of a
+	// domain know what one instance finds after half of that in the mean.
 	wordsWait = 400 * time.Millisecond
 	// wordsShare is the relay's time for each instance that asks it: in a large domain words are passed on less often, so that their questions do
 	// not grow to more than a relay answers.
@@ -18,8 +18,8 @@
 	wordsBack = time.Second
 )
 
-// Words holds what the instance knows of the state of servers. Relays pass it on within their domain: an instance of 295 has some 6
-// streams, and would find out by losing them, one server after the other, which servers are slow or dead.
+// Words holds what the instance knows of the state of servers. Relays pass it on within their domain: an instance of hundreds has
+// few streams, and would find out by losing them, one server after the other, which servers are slow or dead.
 type Words interface {
 	// OwnWords returns what servers told, or did not tell, this instance after a moment.
 	OwnWords(after, now time.Time) []backend.Word
