relay: pass the revision of an entry on that a copy of the store brings back

Found by reading the mends together: the relay gave every difference after a loss the position of its reading, so that those behind it could not tell the last entry of a server that had left from a new one. Only what is told from before the loss gets that position.

--- a/relay/log.go
+++ b/relay/log.go
@@ -83,7 +83,6 @@
 func (l *feedLog) differences(h heard) []Record {
 	var out []Record
 	listed := make(map[string]bool, len(h.records))
-	crossed := h.at.Era() != l.at.Era()
 	for _, r := range h.records {
 		listed[r.Key] = true
 		held, known := l.whole[r.Key]
@@ -91,9 +90,9 @@
 			// A store that has lost writes gives old content new positions.
 			continue
 		}
-		if (crossed || r.Revision.Era() != h.at.Era()) && !bytes.Equal(r.Value, held.Value) {
-			// Whoever passes this on may hold it since before the loss, while what is held here was lost.
-			r.Revision = max(r.Revision, h.at)
+		if r.Revision.Era() != h.at.Era() && !bytes.Equal(r.Value, held.Value) {
+			// Whoever passes this on has held it since before the loss, while what is held here was lost.
+			r.Revision = h.at
 		}
 		if r.Revision > held.Revision {
 			out = append(out, r)
--- a/relay/log_test.go
+++ b/relay/log_test.go
@@ -277,3 +277,15 @@
 	}
 	require.False(t, l.since(15).whole, "gaps that are kept no longer are part of what is forgotten")
 }
+
+// TestAnEntryThatACopyBringsBackKeepsItsRevision lets a key go, and the store come back from a copy that has it: those that hear of it through the
+// relay tell by the revision that it is the old one.
+func TestAnEntryThatACopyBringsBackKeepsItsRevision(t *testing.T) {
+	l := newFeedLog()
+	old := Record{Key: "a", Value: []byte("old"), Revision: place(1, 700)}
+	l.restart(at(place(1, 800), old), true)
+	l.extend(at(place(1, 900), Record{Key: "a", Revision: place(1, 900), Gone: true}), true)
+	old.Revision = place(2, 700)
+	l.restart(at(place(2, 870), old), true)
+	require.Equal(t, []Record{old}, l.since(place(1, 900)).records)
+}
