relay, census: count instances whose records the store has lost until they have written them again

All limits on sums (repeats, Server-Limit) are divided by the number of instances, so that those left in the store would have sent more than is allowed. Now whoever reads the records adds those of before the loss for 30 s, as free slots, so that their instances can write them again. The test counts 5 of 8 without the change, 8 with it, and forgets those that do not come back.

--- a/census/census.go
+++ b/census/census.go
@@ -79,6 +79,8 @@
 	Records []Record
 	// Key is what the instances prove themselves with to each other; it is empty before the first has written one.
 	Key []byte
+	// Era is how often the store had lost writes when the records were read.
+	Era int64
 }
 
 // Register holds the records of the instances.
--- a/relay/roll.go
+++ b/relay/roll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -21,6 +22,8 @@
 	rollTime = 3 * time.Second
 	// rollAnswer is how long the answer of another instance may take: a reading of the records at a slow store.
 	rollAnswer = 700 * time.Millisecond
+	// lostTime is how long records count that the store has lost: their instances find that out when they renew them, and write them again.
+	lostTime = 30 * time.Second
 )
 
 // errNotCounted means that the records could not be read for another instance.
@@ -54,6 +57,9 @@
 	reading chan struct{}
 	roll    census.Roll
 	read    time.Time
+	// lost holds the records from before the store lost writes, which count until a moment.
+	lost      []census.Record
+	lostUntil time.Time
 }
 
 // NewRolls returns Rolls over the records of the store.
@@ -152,11 +158,37 @@
 	begun := r.clock.Now()
 	roll, err := r.Register.List(ctx)
 	if err == nil {
+		roll = r.withLost(roll)
 		r.roll, r.read = roll, begun
 	}
 	return roll, err
 }
 
+// withLost adds the records that the store has lost, for a while: limits that all share must not be divided by the instances that are left in
+// it. Nobody has written to their slots, as far as known. The caller is the one that reads.
+func (r *Rolls) withLost(roll census.Roll) census.Roll {
+	now := r.clock.Now()
+	if !r.read.IsZero() && roll.Era > r.roll.Era {
+		r.lost, r.lostUntil = r.roll.Records, now.Add(lostTime)
+	}
+	if !now.Before(r.lostUntil) {
+		r.lost = nil
+		return roll
+	}
+	listed := make(map[string]bool, len(roll.Records))
+	for _, one := range roll.Records {
+		listed[one.Name] = true
+	}
+	roll.Records = slices.Clone(roll.Records)
+	for _, one := range r.lost {
+		if !listed[one.Name] {
+			one.Revision = 0
+			roll.Records = append(roll.Records, one)
+		}
+	}
+	return roll
+}
+
 // digest tells two lists of records apart whatever their order.
 func digest(records []census.Record) uint64 {
 	lines := make([]string, len(records))
--- a/relay/roll_test.go
+++ b/relay/roll_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -131,3 +133,32 @@
 	require.Equal(t, 1, c.records[1].readings())
 	require.Equal(t, 1, c.records[3].readings())
 }
+
+// TestInstancesWhoseRecordsTheStoreLostCountUntilTheyAreWrittenAgain lets a store come back without three of eight records, of which one is
+// written again.
+func TestInstancesWhoseRecordsTheStoreLostCountUntilTheyAreWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var members []census.Instance
+		for n := range 8 {
+			members = append(members, census.Instance{Name: fmt.Sprint(n), Domain: "east", Power: 1})
+		}
+		r := &records{roll: census.Roll{Era: 1}}
+		r.hold(members)
+		rolls := relay.NewRolls(relay.Self{Name: "0", Domain: "east", From: 24}, r, census.NewBoard(24), nil, timer.NewReal())
+		count := func() []census.Record {
+			roll, err := rolls.List(t.Context())
+			require.NoError(t, err)
+			return roll.Records
+		}
+		require.Len(t, count(), 8)
+		r.roll.Era = 2
+		r.hold(members[:5])
+		require.Len(t, count(), 8)
+		require.Zero(t, count()[7].Revision, "its slot is free in the store")
+		r.hold(members[:6])
+		time.Sleep(time.Minute / 4)
+		require.Len(t, count(), 8)
+		time.Sleep(time.Minute / 4)
+		require.Len(t, count(), 6, "two have not come back")
+	})
+}
