--- a/forward/choice.go
+++ b/forward/choice.go
@@ -55,6 +55,7 @@
 	for i := range lanes {
 		l := &lanes[i]
 		if !group.Servers()[l.Hops[0].Server].WithinLimit(instances, now) {
+			// Without a turn at its first server a lane is as good as full.
 			c.load[i] = 1
 			continue
 		}
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -10,9 +10,8 @@
 )
 
 const (
-	// wantedSequences is the number of sequences that a server should have memory for beside its layers. More leave less
-	// memory for layers: with one bare copy of the model in each domain
-	// the loss of one server sends all paths of its domain over the links between domains.
+	// wantedSequences is the number of sequences that a server should have memory for beside its layers. More leave less memory for layers:
+	// with one bare copy of the model in each domain the loss of one server sends all paths of its domain over the links between domains.
 	wantedSequences = 96
 	// standInSequences is the same for a server whose layers all have another holder in its domain that is as fast: it stands in
 	// for servers that are lost and takes what they have no memory for, and covers more layers with less room.
--- a/retry/pace.go
+++ b/retry/pace.go
@@ -14,8 +14,8 @@
 	fewPart = 0.75
 	// fewShare and fewFixed say how many instances are few, by the limit: for these there is room.
 	fewShare, fewFixed = 2.0, 4.0
-	// spread is the number of standard deviations by which the requests of many instances may come together by chance in a window. Low
-	// limits need as many, since a few requests are more than normally distributed ones.
+	// spread is the number of standard deviations by which the requests of many instances may come together by chance in a window. Low limits
+	// need so many: small counts deviate further than a normal distribution does.
 	spread = 8.0
 	// openTime is how long one of many instances may leave its turn unused; what lapsed later could be used by all in the same moment.
 	openTime = 2 * time.Second
@@ -27,7 +27,7 @@
 
 // Part is an instance's equal part of a limit on the requests of all instances.
 type Part struct {
-	// period is the time between two requests.
+	// period is the time between two requests, in the mean where there are many instances.
 	period time.Duration
 	// many is true when there are so many instances that none may keep its turn.
 	many bool
@@ -51,7 +51,7 @@
 	return root * root / (limitWindow + openTime).Seconds()
 }
 
-// Period returns the time between two requests.
+// Period returns the time between two requests, in the mean where there are many instances.
 func (p Part) Period() time.Duration { return p.period }
 
 // Pace spaces the requests of one instance. No instance knows what the others send: that all together keep to the limit follows from the
