forward: bound the lines of repeats and of lanes by one type

The same bound of a line a second for each service stood twice, once on the book of lanes and once as a type of its own; one serves both. The start of the process stood in the handler beside the watcher's; the line on repeats asks the watcher.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -63,11 +63,10 @@
 	census Instances
 	watch  *watcher
 	budget *retry.Budget
-	// begun is when the process started.
-	begun      time.Time
-	repeatsLog repeatsLog
-	ends       *quarantine.Book
-	teller     Teller
+	// repeatsTold and lanesTold bound the lines on the repeats and the lanes of each service.
+	repeatsTold, lanesTold told
+	ends                   *quarantine.Book
+	teller                 Teller
 
 	mu     sync.Mutex
 	lanes  map[string]*laneBook
@@ -87,8 +86,8 @@
 	h := &Handler{
 		board: board, codec: codec, caller: caller, clock: clock, stats: stats, record: record, census: instances,
 		ends: ends, teller: teller,
-		budget: retry.NewBudget(terms.Repeats, clock.Now()), begun: clock.Now(), repeatsLog: repeatsLog{told: map[string]time.Time{}},
-		lanes: map[string]*laneBook{}, queues: map[string]*queue{}, waits: waits{},
+		budget: retry.NewBudget(terms.Repeats, clock.Now()),
+		lanes:  map[string]*laneBook{}, queues: map[string]*queue{}, waits: waits{},
 		peers: peers{factor: peersAtFirst},
 	}
 	h.SetTerms(terms)
--- a/forward/lanelog.go
+++ b/forward/lanelog.go
@@ -8,15 +8,11 @@
 	"junctioncross/decision"
 )
 
-// tellPeriod bounds the lines on lanes; servers that are set aside and come back change them several times a second.
-const tellPeriod = time.Second
-
 // lanesOf returns the lanes of a group and writes a line when they have changed.
 func (h *Handler) lanesOf(group *backend.Group, now time.Time) []chain.Lane {
 	name := group.Service().Name
-	b := h.laneBook(name)
-	lanes, changed := b.get(group, now)
-	if changed && b.mayTell(now) {
+	lanes, changed := h.laneBook(name).get(group, now)
+	if changed && h.lanesTold.may(name, now) {
 		h.tellLanes(name, lanes)
 	}
 	return lanes
@@ -24,16 +20,6 @@
 
 func sameLane(a, b chain.Lane) bool { return a.Sequences == b.Sequences && a.Domain == b.Domain }
 
-func (b *laneBook) mayTell(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if now.Sub(b.told) < tellPeriod {
-		return false
-	}
-	b.told = now
-	return true
-}
-
 // tellLanes writes how many sequences the lanes of the own domain, of others, and those that cross have memory for.
 func (h *Handler) tellLanes(service string, lanes []chain.Lane) {
 	own, others, crossing := h.sequences(lanes)
--- a/forward/lanes.go
+++ b/forward/lanes.go
@@ -17,8 +17,6 @@
 	// spare is memory for the next states.
 	spare []serverState
 	lanes []chain.Lane
-	// told is when the lanes were last written to the log.
-	told time.Time
 	// without is since when there has been no lane, as far as asked.
 	without time.Time
 	// crossing is since when all lanes cross domains, while there has been no other; zero when there is none.
--- a/forward/repeats.go
+++ b/forward/repeats.go
@@ -1,30 +1,11 @@
 package forward
 
 import (
-	"sync"
-	"time"
-
 	"junctioncross/decision"
 	"junctioncross/models"
 	"junctioncross/retry"
 )
 
-// repeatsLog bounds the lines on the repeats of a service.
-type repeatsLog struct {
-	mu   sync.Mutex
-	told map[string]time.Time
-}
-
-func (l *repeatsLog) mayTell(service string, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.told[service]) < tellPeriod {
-		return false
-	}
-	l.told[service] = now
-	return true
-}
-
 func (h *Handler) countRequest(r *request) {
 	h.budget.Request(r.group.Service().Name, h.census.Instances(), h.clock.Now())
 }
@@ -45,7 +26,7 @@
 	if allowed {
 		h.stats.Counter("repeats_total{service=\"" + service + "\"}").Inc(1)
 	}
-	if h.repeatsLog.mayTell(service, now) {
+	if h.repeatsTold.may(service, now) {
 		h.record.Routine("", "repeats", h.allowanceFields(service, decision.Fields{"service": service}))
 	}
 	return allowed
@@ -71,7 +52,7 @@
 func (h *Handler) allowanceFields(service string, fields decision.Fields) decision.Fields {
 	a := h.allowance(service)
 	fields["requests"], fields["left"], fields["fixed_part"] = a.Requests, a.Left, a.Fixed
-	fields["instances"], fields["process_ms"] = h.census.Instances(), h.clock.Since(h.begun).Milliseconds()
+	fields["instances"], fields["process_ms"] = h.census.Instances(), h.clock.Since(h.watch.start).Milliseconds()
 	return fields
 }
 
