forward: look a service's lanes up once for each expectation, and say where reports differ

Every look of a request that waits, and every refusal of a stream, looked all servers of the service through twice: for whether there is a path and for the turns at limited servers. The first look hands its lanes on. How many rooms go before one who is refused was worked out in two places. That a report without a limit says nothing stands where reports are read, in place of an empty request id further down. Behaviour is as it was; tests of the package pass with the race detector.

--- a/forward/comeback.go
+++ b/forward/comeback.go
@@ -31,23 +31,21 @@
 // comeBackToStream is comeBack for a stream.
 func (h *Handler) comeBackToStream(r *request, now time.Time) time.Duration {
 	q := h.queueOf(r.group.Service().Name)
-	spell, pathless := h.pathless(r, q, now)
+	lanes, spell := h.pathless(r, q, now)
 	returns, known := time.Duration(0), false
-	if pathless {
+	if len(lanes) == 0 {
 		returns, known = h.returnsIn(r.group, now)
 	}
 	most := time.Duration(heedPart * float64(max(h.remaining(r), 0)))
 	least := min(time.Duration((1-returnedShare)*float64(r.meta.Wait)), most)
-	lanes := h.lanesOf(r.group, now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	due := q.dueLocked(now, now.Add(most))
-	turns, _ := h.turnsIn(r.group, lanes, float64(len(q.waiting)+due+1), now)
+	turns, _ := h.turnsIn(r.group, lanes, q.placesBackLocked(now, most), now)
 	after := q.roomLocked(q.forecastLocked(now, h.watch.still), now, most)
 	switch {
 	case known:
 		after += returns
-	case pathless:
+	case len(lanes) == 0:
 		after += q.spells.until(spell, median, most)
 	}
 	after = max(spreadReturn(after), least)
@@ -57,11 +55,17 @@
 	return after
 }
 
+// placesBackLocked returns how many rooms must come before one who is refused now has its own: for those that wait, for those who were told
+// to come back within most, and for itself.
+func (q *queue) placesBackLocked(now time.Time, most time.Duration) float64 {
+	return float64(len(q.waiting) + q.dueLocked(now, now.Add(most)) + 1)
+}
+
 // roomLocked returns when there is room for one more than wait and were told to come back, if those get their part of it.
 func (q *queue) roomLocked(c forecast, now time.Time, most time.Duration) time.Duration {
 	if len(c.ages) == 0 {
 		return min(q.lives.mean(), most)
 	}
 	c.gain *= returnPart
-	return c.by(float64(len(q.waiting)+q.dueLocked(now, now.Add(most))+1), median, most)
+	return c.by(q.placesBackLocked(now, most), median, most)
 }
--- a/forward/inquire.go
+++ b/forward/inquire.go
@@ -105,7 +105,10 @@
 	}
 	server.NoteAnswer(now)
 	h.heed("", server, report.Notice)
-	h.noteLimit("", server, report.Limit, now)
+	if report.Limit.Named {
+		// A report without a limit says nothing of what stands on answers to requests.
+		h.noteLimit("", server, report.Limit, now)
+	}
 	server.SetPace(report.Pace, now)
 	server.SetMemory(report.Used, report.Total, report.Waiting, now)
 	fields["pace"], fields["running"], fields["waiting"] = report.Pace, report.Running, report.Waiting
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -9,10 +9,9 @@
 	"junctioncross/decision"
 )
 
-// noteLimit takes over the limit that a server names, or that it names none any more. A report names a limit as well, but one without says
-// nothing of what stands on answers to requests.
+// noteLimit takes over what an answer to a request that was sent at a moment says of its server's limit.
 func (h *Handler) noteLimit(request string, server *backend.Server, limit call.Limit, sent time.Time) {
-	if request == "" && !limit.Named || !server.NameLimit(limit, sent, h.clock.Now()) {
+	if !server.NameLimit(limit, sent, h.clock.Now()) {
 		return
 	}
 	fields := decision.Fields{"server": server.ID(), "address": server.Addr()}
--- a/forward/wait.go
+++ b/forward/wait.go
@@ -85,12 +85,11 @@
 func (h *Handler) expect(f *inflight, q *queue, until time.Time) expectation {
 	now := h.clock.Now()
 	at := expectation{left: max(until.Sub(now), 0)}
-	spell, pathless := h.pathless(f.r, q, now)
+	lanes, spell := h.pathless(f.r, q, now)
 	returns, known := time.Duration(0), false
-	if pathless {
+	if len(lanes) == 0 {
 		returns, known = h.returnsIn(f.r.group, now)
 	}
-	lanes := h.lanesOf(f.r.group, now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	at.places = q.placesLocked(f, now, until)
@@ -102,7 +101,7 @@
 		}
 		return at
 	}
-	if pathless {
+	if len(lanes) == 0 {
 		at.likelihood = q.spells.within(spell, at.left)
 		at.wait = q.spells.until(spell, median, at.left)
 		return at
@@ -121,14 +120,15 @@
 	return at
 }
 
-// pathless returns whether the service has no whole path and for how long; it keeps how long such times lasted.
-func (h *Handler) pathless(r *request, q *queue, now time.Time) (time.Duration, bool) {
-	spell, none := q.pathless(len(h.lanesOf(r.group, now)) > 0, now)
+// pathless returns the lanes of the service, and for how long it has had none or had none until now; it keeps how long such times lasted.
+func (h *Handler) pathless(r *request, q *queue, now time.Time) ([]chain.Lane, time.Duration) {
+	lanes := h.lanesOf(r.group, now)
+	spell, none := q.pathless(len(lanes) > 0, now)
 	if spell > 0 && !none {
 		h.stats.Histogram("pathless_ms").Update(spell.Milliseconds())
 		h.record.Routine(r.meta.ID, "path regained", decision.Fields{"service": r.group.Service().Name, "spell_ms": spell.Milliseconds()})
 	}
-	return spell, none
+	return lanes, spell
 }
 
 // observeWait keeps what was predicted for a wait and what came of it.
