follow: move what is done about missing entries to a file of its own

That a configuration is older than the one in force is worked out once. Behaviour is as it was; tests of the package pass with the race detector.

--- a/follow/loop.go
+++ b/follow/loop.go
@@ -19,14 +19,6 @@
 const (
 	// houseKeeping is the period of the work that follows no message.
 	houseKeeping = 250 * time.Millisecond
-	// lapseGrace is how long a server whose entry vanished around an outage of the store is kept: live servers write theirs
-	// again within two seconds of the store's return.
-	lapseGrace = 2200 * time.Millisecond
-	// outageEcho is how long after the last failed call a vanished entry is put down to the outage.
-	outageEcho = 3 * time.Second
-	// lapseShare is the part of a service's servers up to which vanished ones get no new work while they are kept: so few may
-	// as well be leaving, and the others can do without them. When more vanish, their entries have lapsed with the store.
-	lapseShare = 0.1
 	// heardQueue holds messages while the control goroutine is busy.
 	heardQueue = 16
 	// mostLogged is the number of entries that come together up to which each has its line: each of hundreds of instances would write thousands
@@ -199,11 +191,11 @@
 }
 
 func (l *Loop) configure(c *catalog.Catalog) bool {
-	l.outdated = l.catalog != nil && c.Version() < l.catalog.Version()
-	if l.catalog != nil && c.Version() <= l.catalog.Version() {
-		if c.Version() < l.catalog.Version() {
-			l.log.WithFields(logrus.Fields{"version": c.Version(), "in_force": l.catalog.Version()}).Warn("older configuration ignored")
-		}
+	if l.outdated = l.catalog != nil && c.Version() < l.catalog.Version(); l.outdated {
+		l.log.WithFields(logrus.Fields{"version": c.Version(), "in_force": l.catalog.Version()}).Warn("older configuration ignored")
+		return false
+	}
+	if l.catalog != nil && c.Version() == l.catalog.Version() {
 		return false
 	}
 	l.catalog = c
@@ -280,46 +272,6 @@
 	}).Info(message)
 }
 
-// miss takes note of a vanished entry; around an outage of the store the server is kept for a while.
-func (l *Loop) miss(id string) bool {
-	k := l.servers[id]
-	if k == nil {
-		return false
-	}
-	now := l.clock.Now()
-	if l.echoes(now) && !k.server.Leaving() {
-		if k.missing.IsZero() {
-			k.missing = now
-			l.log.WithField("server", id).Info("server entry vanished around an outage of the store, kept for now")
-		}
-		return false
-	}
-	l.remove(id, k)
-	return true
-}
-
-// echoes reports whether an entry that vanishes now may have lapsed in an outage of the store.
-func (l *Loop) echoes(now time.Time) bool {
-	return !l.failed.IsZero() && now.Sub(l.failed) < outageEcho
-}
-
-func (l *Loop) remove(id string, k *known) {
-	since := k.missing
-	if since.IsZero() {
-		since = l.clock.Now()
-	}
-	k.server.NoteLeaving(since)
-	calm := !l.echoes(l.clock.Now())
-	if calm {
-		k.server.Remove()
-	} else {
-		k.server.Lapse()
-	}
-	l.remember(k, calm)
-	l.log.WithFields(logrus.Fields{"server": id, "address": k.server.Addr()}).Info("server gone")
-	delete(l.servers, id)
-}
-
 // names reports whether the configuration in force names a service.
 func (l *Loop) names(service string) bool {
 	return l.catalog != nil && l.catalog.Service(service) != nil
@@ -343,48 +295,6 @@
 	return true
 }
 
-// dropUnlisted takes the servers as gone that a whole reading does not list, and reports whether there were any.
-func (l *Loop) dropUnlisted(changes []Change) bool {
-	listed := make(map[string]bool, len(changes))
-	for _, c := range changes {
-		switch c := c.(type) {
-		case ServerSeen:
-			listed[c.Entry.ID] = true
-		case EntryUnusable:
-			listed[c.ID] = true
-		}
-	}
-	dropped := false
-	for id := range l.servers {
-		if !listed[id] {
-			dropped = l.miss(id) || dropped
-		}
-	}
-	return dropped
-}
-
-// tidy drops servers that did not come back after an outage, and connections that have rested too long.
-func (l *Loop) tidy() {
-	now := l.clock.Now()
-	dropped := false
-	for id, k := range l.servers {
-		if !k.missing.IsZero() && now.Sub(k.missing) >= lapseGrace && !l.lost[FeedServers] {
-			l.remove(id, k)
-			dropped = true
-		}
-	}
-	l.show(dropped)
-	if dropped {
-		l.doubt()
-	}
-	for _, k := range l.servers {
-		k.server.CloseExpired(now)
-	}
-	l.forget(now)
-	l.ends.Tidy(now)
-	l.stats.Gauge("quarantine_requests").Update(int64(l.ends.Size()))
-}
-
 // show replaces the snapshot after a change, as a whole and never with a part of what was heard.
 func (l *Loop) show(changed bool) {
 	if !changed || l.catalog == nil {
