placement: plan the room of each domain from the engine's costs

Cause: 96 sequences of room for each server, whatever a domain's cards and the model cost. Change: a layout for each domain whose memory holds three copies of the weights and whose costs are known; the others keep 96. Candidates are filled in as fillEmpty does, and compared by rates with all servers and after a loss.

--- a/placement/cover.go
+++ b/placement/cover.go
@@ -11,7 +11,9 @@
 // coverageMap holds, for each layer, the number of sequences that its holders have memory for: over all domains and for each
 // one.
 type coverageMap struct {
-	engine   *catalog.Engine
+	engine *catalog.Engine
+	// layouts holds the layouts of the domains.
+	layouts  map[string]Layout
 	all      []float64
 	byDomain map[string][]float64
 	// fastest holds, by domain and layer, the step time of the fastest server that has been added as a holder; 0 means none.
@@ -19,10 +21,10 @@
 	fastest map[string][]time.Duration
 }
 
-// newCoverageMap returns the coverage by all servers, with the layers that orders under way give them.
-func newCoverageMap(e *catalog.Engine, servers []Server) *coverageMap {
+// newCoverageMap returns the coverage by all servers under the given layouts, with the layers that orders under way give them.
+func newCoverageMap(e *catalog.Engine, servers []Server, layouts map[string]Layout) *coverageMap {
 	c := &coverageMap{
-		engine: e, all: make([]float64, e.Layers), byDomain: map[string][]float64{}, fastest: map[string][]time.Duration{},
+		engine: e, layouts: layouts, all: make([]float64, e.Layers), byDomain: map[string][]float64{}, fastest: map[string][]time.Duration{},
 	}
 	for i := range servers {
 		c.add(&servers[i], servers[i].Layers, 1)
@@ -30,6 +32,14 @@
 	return c
 }
 
+// layout returns the layout of a domain.
+func (c *coverageMap) layout(domain string) Layout {
+	if l, ok := c.layouts[domain]; ok {
+		return l
+	}
+	return defaultLayout()
+}
+
 // ofDomain returns the sequences that the holders of each layer in the domain have memory for.
 func (c *coverageMap) ofDomain(domain string) []float64 {
 	d := c.byDomain[domain]
@@ -46,7 +56,7 @@
 	d := c.ofDomain(s.Domain)
 	own := time.Duration(math.MaxInt64)
 	if s.Kind != nil {
-		own = stepTime(c.engine, s.Kind)
+		own = stepTime(c.engine, s.Kind, c.layout(s.Domain).Sequences)
 	}
 	room := sign * max(sequencesOf(c.engine, s.Kind, r.Count()), 1)
 	for l := max(r.First, 0); l < min(r.End, c.engine.Layers); l++ {
@@ -60,7 +70,7 @@
 
 const (
 	// missingInFleet and missingInDomain are the values of holding a layer that has no holder at all, or none in the domain.
-	// A layer whose holders have room for wantedSequences has a value of about 1. Without any holder no request is served,
+	// A layer whose holders have the room of one server of the layout has a value of about 1. Without any holder no request is served,
 	// without one in the domain paths cross to other domains.
 	missingInFleet  = 10000.0
 	missingInDomain = 100.0
@@ -72,15 +82,16 @@
 	minRoom = 0.5
 )
 
-// layerValue returns the value of another holder of layer l in the domain: the more room its holders have, the lower.
-func (c *coverageMap) layerValue(domain []float64, l int) float64 {
+// layerValue returns the value of another holder of layer l in the domain: the more room its holders have in comparison with
+// the wanted number of sequences, the lower.
+func (c *coverageMap) layerValue(domain []float64, l, wanted int) float64 {
 	switch {
 	case c.all[l] < minRoom:
 		return missingInFleet
 	case domain[l] < minRoom:
 		return missingInDomain
 	default:
-		share := domain[l]/wantedSequences + 0.1
+		share := domain[l]/float64(wanted) + 0.1
 		return 1 / (share * share)
 	}
 }
@@ -88,10 +99,10 @@
 // bestRange returns the range of n layers with the highest value in the domain, the first one if several have it, and that
 // value.
 func (c *coverageMap) bestRange(domain string, n int) (models.Layers, float64) {
-	d := c.ofDomain(domain)
+	d, wanted := c.ofDomain(domain), c.layout(domain).Sequences
 	sums := make([]float64, c.engine.Layers+1)
 	for l := range c.engine.Layers {
-		sums[l+1] = sums[l] + c.layerValue(d, l)
+		sums[l+1] = sums[l] + c.layerValue(d, l, wanted)
 	}
 	best, highest := 0, -1.0
 	for first := 0; first+n <= c.engine.Layers; first++ {
@@ -105,23 +116,23 @@
 
 // rangeValue returns the value of another holder of a range in the domain.
 func (c *coverageMap) rangeValue(domain string, r models.Layers) float64 {
-	d := c.ofDomain(domain)
+	d, wanted := c.ofDomain(domain), c.layout(domain).Sequences
 	total := 0.0
 	for l := max(r.First, 0); l < min(r.End, c.engine.Layers); l++ {
-		total += c.layerValue(d, l)
+		total += c.layerValue(d, l, wanted)
 	}
 	return total
 }
 
 // settledCoverageMap returns the coverage by the servers without an order under way, which hold their layers now.
-func settledCoverageMap(e *catalog.Engine, servers []Server) *coverageMap {
+func settledCoverageMap(e *catalog.Engine, servers []Server, layouts map[string]Layout) *coverageMap {
 	settled := make([]Server, 0, len(servers))
 	for _, s := range servers {
 		if s.Settled {
 			settled = append(settled, s)
 		}
 	}
-	return newCoverageMap(e, settled)
+	return newCoverageMap(e, settled, layouts)
 }
 
 // isRedundant reports whether every layer of a server has another holder in its domain.
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// wantedSequences is the number of sequences that a server should have memory for beside its layers. A higher number
+	// wantedSequences is the number of sequences that a server should have memory for beside its layers in a domain whose
+	// layout is not planned; see Layout. A higher number
 	// leaves less memory for layers: with only one bare copy of the model in each domain, the loss of one server sends all
 	// paths of its domain over the links between domains.
 	wantedSequences = 96
@@ -66,19 +67,6 @@
 	return chain.Room(e, k, layers) / (usualTokens(e) * float64(layers))
 }
 
-// Decide returns the next orders that bring the servers nearer to what they should hold. It gives layers to empty servers
-// first; only if there are none to give, one server moves, and only if none can, domains with missing layers are retiled.
-func Decide(e *catalog.Engine, servers []Server) []Order {
-	c := newCoverageMap(e, servers)
-	if orders := append(fillEmpty(c, servers), replaceLost(c, servers)...); len(orders) > 0 {
-		return orders
-	}
-	if orders := move(e, c, servers); len(orders) > 0 {
-		return orders
-	}
-	return retile(e, servers)
-}
-
 // fillEmpty gives layers to the servers that hold none. It goes domain by domain, since each one should have a whole copy of
 // the model, and begins with the fastest servers of a domain, so that slow ones only hold what is left or are standbys: every
 // token passes each layer, and an answer that takes longer occupies its memory for longer.
@@ -89,11 +77,11 @@
 			free = append(free, s)
 		}
 	}
-	sort.Slice(free, func(i, j int) bool { return placedBefore(c.engine, free[i], free[j]) })
+	sort.Slice(free, func(i, j int) bool { return c.placedBefore(free[i], free[j]) })
 	orders := make([]Order, 0, len(free))
 	budget := c.countLayers(servers)
 	for _, s := range free {
-		usual := LayersOf(c.engine, s.Kind, wantedSequences)
+		usual := LayersOf(c.engine, s.Kind, c.layout(s.Domain).Sequences)
 		r, ok := c.chooseRange(s, budget.mayBeStandby(s.Domain, usual, c.engine.Layers))
 		if !ok {
 			continue
@@ -110,13 +98,13 @@
 
 // chooseRange returns the range that an empty server should hold; false means that no layer fits.
 func (c *coverageMap) chooseRange(s *Server, mayBeStandby bool) (models.Layers, bool) {
-	n := LayersOf(c.engine, s.Kind, wantedSequences)
+	n := LayersOf(c.engine, s.Kind, c.layout(s.Domain).Sequences)
 	if n == 0 {
 		return models.Layers{}, false
 	}
 	r, _ := c.bestRange(s.Domain, n)
 	if mayBeStandby && c.isStandby(s, r) {
-		r, _ = c.bestRange(s.Domain, LayersOf(c.engine, s.Kind, standbySequences))
+		r, _ = c.bestRange(s.Domain, LayersOf(c.engine, s.Kind, c.layout(s.Domain).standby()))
 	}
 	return r, true
 }
@@ -124,7 +112,7 @@
 // isStandby reports whether every layer of a range has another holder in the server's domain that is as fast, so that a
 // server that holds the range would be a standby server.
 func (c *coverageMap) isStandby(s *Server, r models.Layers) bool {
-	fastest, own := c.fastest[s.Domain], stepTime(c.engine, s.Kind)
+	fastest, own := c.fastest[s.Domain], stepTime(c.engine, s.Kind, c.layout(s.Domain).Sequences)
 	for l := r.First; l < r.End; l++ {
 		if fastest[l] == 0 || fastest[l] > own {
 			return false
@@ -133,17 +121,10 @@
 	return true
 }
 
-// stepTime returns how long one token step of all layers with wantedSequences keeps a server of the kind busy, including the
-// share of prompt reading: while each answer is generated, the prompt of another one is read.
-func stepTime(e *catalog.Engine, k *catalog.Kind) time.Duration {
-	step := chain.StepTime(e, k, e.Layers, wantedSequences, usualTokens(e))
-	reading := chain.ReadTime(e, k, e.Layers, e.UsualPrompt)
-	return step + wantedSequences*reading/time.Duration(max(e.UsualAnswer, 1))
-}
-
 // placedBefore reports whether the empty server a gets layers before b.
-func placedBefore(e *catalog.Engine, a, b *Server) bool {
-	switch timeA, timeB := stepTime(e, a.Kind), stepTime(e, b.Kind); {
+func (c *coverageMap) placedBefore(a, b *Server) bool {
+	step := func(s *Server) time.Duration { return stepTime(c.engine, s.Kind, c.layout(s.Domain).Sequences) }
+	switch timeA, timeB := step(a), step(b); {
 	case a.Domain != b.Domain:
 		return a.Domain < b.Domain
 	case timeA != timeB:
--- a/placement/move.go
+++ b/placement/move.go
@@ -8,7 +8,7 @@
 // A server that holds the only copy of a layer in its domain is never moved, whatever it could cover: its layers would be
 // missing while the new ones load.
 func move(e *catalog.Engine, c *coverageMap, servers []Server) []Order {
-	live := settledCoverageMap(e, servers)
+	live := settledCoverageMap(e, servers, c.layouts)
 	var best Order
 	highest := 0.0
 	for i := range servers {
--- /dev/null
+++ b/placement/planner.go
@@ -0,0 +1,81 @@
+package placement
+
+import (
+	"fmt"
+	"strings"
+
+	"junctioncross/catalog"
+)
+
+// maxKnownLayouts limits the layouts that a Planner keeps.
+const maxKnownLayouts = 256
+
+// planKey names what a layout depends on.
+type planKey struct {
+	engine *catalog.Engine
+	kinds  string
+}
+
+// Planner plans the layouts of domains and keeps them, since the same servers are asked for in each round. What it returns
+// depends only on the arguments. It is not safe for concurrent use.
+type Planner struct {
+	known map[planKey]Layout
+}
+
+// NewPlanner returns a Planner that knows no layouts yet.
+func NewPlanner() *Planner { return &Planner{known: map[planKey]Layout{}} }
+
+// Layouts returns the layout of each domain. It depends only on how many servers of each kind a domain has, whatever they hold,
+// so that each leader plans the same. Servers without a known kind do not count.
+func (p *Planner) Layouts(e *catalog.Engine, servers []Server) map[string]Layout {
+	kinds := map[string]kindCounts{}
+	for i := range servers {
+		s := &servers[i]
+		if s.Kind != nil {
+			kinds[s.Domain] = kinds[s.Domain].add(s.Kind)
+		}
+	}
+	out := make(map[string]Layout, len(kinds))
+	for domain, counts := range kinds {
+		counts.sort()
+		out[domain] = p.layout(e, counts)
+	}
+	return out
+}
+
+// layout returns the layout of a domain with the given servers.
+func (p *Planner) layout(e *catalog.Engine, counts kindCounts) Layout {
+	var text strings.Builder
+	for _, c := range counts {
+		fmt.Fprintf(&text, "%d %q ", c.servers, c.kind.Name)
+	}
+	key := planKey{engine: e, kinds: text.String()}
+	if l, ok := p.known[key]; ok {
+		return l
+	}
+	if len(p.known) >= maxKnownLayouts {
+		clear(p.known)
+	}
+	l := planDomain(e, counts)
+	p.known[key] = l
+	return l
+}
+
+// Decide returns the next orders that bring the servers nearer to what they should hold. It gives layers to empty servers
+// first; only if there are none to give, one server moves, and only if none can, domains with missing layers are retiled.
+func (p *Planner) Decide(e *catalog.Engine, servers []Server) []Order {
+	c := newCoverageMap(e, servers, p.Layouts(e, servers))
+	if orders := append(fillEmpty(c, servers), replaceLost(c, servers)...); len(orders) > 0 {
+		return orders
+	}
+	if orders := move(e, c, servers); len(orders) > 0 {
+		return orders
+	}
+	return retile(e, servers, c.layouts)
+}
+
+// Decide returns the orders of a Planner that knows no layouts yet.
+func Decide(e *catalog.Engine, servers []Server) []Order { return NewPlanner().Decide(e, servers) }
+
+// Summary returns the coverage as a Planner that knows no layouts yet gives it.
+func Summary(e *catalog.Engine, servers []Server) []Coverage { return NewPlanner().Summary(e, servers) }
--- a/placement/replace.go
+++ b/placement/replace.go
@@ -25,12 +25,12 @@
 
 // replaceIn gives the missing layers of one domain to its reserved servers.
 func (c *coverageMap) replaceIn(domain string, reserved []*Server) []Order {
-	size := func(s *Server) int { return LayersOf(c.engine, s.Kind, wantedSequences) }
+	size := func(s *Server) int { return LayersOf(c.engine, s.Kind, c.layout(domain).Sequences) }
 	sort.Slice(reserved, func(i, j int) bool {
 		if a, b := size(reserved[i]), size(reserved[j]); a != b {
 			return a < b
 		}
-		return placedBefore(c.engine, reserved[i], reserved[j])
+		return c.placedBefore(reserved[i], reserved[j])
 	})
 	var orders []Order
 	for hasMissing(c.ofDomain(domain)) && len(reserved) > 0 {
--- a/placement/retile.go
+++ b/placement/retile.go
@@ -8,23 +8,23 @@
 	"junctioncross/models"
 )
 
-// minRetiledSequences is the number of sequences that the servers of a domain must still have memory for after it is
-// retiled.
+// minRetiledSequences is the number of sequences that the servers of a domain whose layout is not planned must still have
+// memory for after it is retiled.
 const minRetiledSequences = 24
 
 // retile returns the orders that bring the servers of a domain with missing layers to a tiling of the whole model, with as
 // much memory for sequences as that leaves. It is the last resort, for domains that have lost servers for good and have none
 // to spare. The servers keep their order along the model, so that their ranges shift by few layers, and a server drops a layer
 // only when another one holds it.
-func retile(e *catalog.Engine, servers []Server) []Order {
-	live := settledCoverageMap(e, servers)
-	planned := newCoverageMap(e, servers)
+func retile(e *catalog.Engine, servers []Server, layouts map[string]Layout) []Order {
+	live := settledCoverageMap(e, servers, layouts)
+	planned := newCoverageMap(e, servers, layouts)
 	var orders []Order
 	for domain, members := range settledByDomain(servers) {
 		if !hasMissing(planned.ofDomain(domain)) {
 			continue
 		}
-		for _, o := range tiling(e, members) {
+		for _, o := range tiling(e, members, planned.layout(domain)) {
 			s := o.server
 			if o.layers == s.Layers {
 				continue
@@ -77,9 +77,9 @@
 
 // tiling divides the model among the servers, in the order of the layers that they hold now; it returns nil when their
 // memory is too small.
-func tiling(e *catalog.Engine, members []*Server) []tile {
+func tiling(e *catalog.Engine, members []*Server, plan Layout) []tile {
 	sequences := 0
-	for s := minRetiledSequences; s <= wantedSequences && totalLayers(e, members, s) >= e.Layers; s += 4 {
+	for s := plan.retiled(); s <= plan.Sequences && totalLayers(e, members, s) >= e.Layers; s += 4 {
 		sequences = s
 	}
 	if sequences == 0 {
@@ -124,7 +124,7 @@
 		return Order{ID: s.ID, Layers: target, Moves: true}, true
 	}
 	union := models.Layers{First: min(s.Layers.First, target.First), End: max(s.Layers.End, target.End)}
-	if union != s.Layers && sequencesOf(e, s.Kind, union.Count()) >= minRetiledSequences/2 {
+	if union != s.Layers && sequencesOf(e, s.Kind, union.Count()) >= float64(live.layout(s.Domain).retiled()/2) {
 		return Order{ID: s.ID, Layers: union, Moves: true}, true
 	}
 	return Order{}, false
--- a/placement/standby.go
+++ b/placement/standby.go
@@ -1,6 +1,6 @@
 package placement
 
-// layerBudget counts, for each domain, the layers that servers can hold with wantedSequences beside them: all servers, those
+// layerBudget counts, for each domain, the layers that servers can hold with the room of its layout beside them: all servers, those
 // that hold nothing yet, and the standby servers.
 type layerBudget struct {
 	all     map[string]int
@@ -16,7 +16,7 @@
 		if s.Kind == nil {
 			continue
 		}
-		n := LayersOf(c.engine, s.Kind, wantedSequences)
+		n := LayersOf(c.engine, s.Kind, c.layout(s.Domain).Sequences)
 		out.all[s.Domain] += n
 		switch held := s.Layers.Count(); {
 		case held > n:
@@ -29,7 +29,7 @@
 }
 
 // mayBeStandby reports whether a server may be a standby server; usual is the number of layers that it can hold with
-// wantedSequences beside them, and layers the number of layers of the model. Standbys are limited to the memory that is left
+// the room of the layout beside them, and layers the number of layers of the model. Standbys are limited to the memory that is left
 // over when the domain holds as many whole copies of the model as it can; they are the slowest servers, which are placed last.
 func (s layerBudget) mayBeStandby(domain string, usual, layers int) bool {
 	leftOver := s.all[domain] % layers
