leader: log the planned layouts and publish them as gauges

Cause: operators could not see what room is planned, or why. Change: line "layout planned" at the start of a term and on change, gauges jx_layout_*, fields of "coverage". Measured: nothing.

--- a/leader/term.go
+++ b/leader/term.go
@@ -54,12 +54,14 @@
 	arrivals map[string]arrivals
 	// coverage is what was last logged.
 	coverage []placement.Coverage
+	planner  *placement.Planner
+	layouts  layoutLog
 }
 
 func newTerm(l *Leader) *term {
 	return &term{
 		leader: l, pending: map[string]*pendingOrder{}, orders: map[string]int64{}, knownSince: map[string]time.Time{},
-		lastArrival: l.clock.Now(), arrivals: map[string]arrivals{},
+		lastArrival: l.clock.Now(), arrivals: map[string]arrivals{}, planner: placement.NewPlanner(), layouts: newLayoutLog(l.log, l.stats),
 	}
 }
 
@@ -86,7 +88,8 @@
 		}
 		available = append(available, t.projected(engine, s))
 	}
-	coverage := placement.Summary(engine, available)
+	coverage := t.planner.Summary(engine, available)
+	t.layouts.record(engine, t.planner.Layouts(engine, available))
 	t.logCoverage(engine, coverage)
 	missing := missingShares(engine, coverage)
 	t.keepInPlace(available, missing)
@@ -94,7 +97,7 @@
 	if !t.mayGiveOrders(available, missing) {
 		return
 	}
-	orders := placement.Decide(engine, available)
+	orders := t.planner.Decide(engine, available)
 	t.sendOrders(ctx, engine, orders, byID)
 }
 
@@ -116,7 +119,8 @@
 	for _, c := range coverage {
 		t.leader.log.WithFields(logrus.Fields{
 			"model": engine.Model, "of_domain": c.Domain, "missing": c.Missing, "room": c.Room, "servers": c.Servers,
-			"empty": c.Empty, "orders_under_way": len(t.pending),
+			"empty": c.Empty, "orders_under_way": len(t.pending), "wanted": c.Wanted, "copies": c.Copies, "rate": c.Rate,
+			"after_loss": c.RateAfterLoss,
 		}).Info("coverage")
 		t.warnOfShortage(engine, c)
 	}
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -116,6 +116,7 @@
 		orderRefused{},
 		orderWithoutEffect{},
 		coverage{},
+		layoutPlanned{},
 		domainTooSmall{},
 	}
 )
--- a/schema/orders.go
+++ b/schema/orders.go
@@ -97,6 +97,37 @@
 	Empty int64 `log:"empty"`
 	// Number of orders whose effect is not visible yet.
 	OrdersUnderWay int64 `log:"orders_under_way"`
+	// Number of sequences that each server should have memory for; 0 for the whole fleet.
+	Wanted int64 `log:"wanted"`
+	// Number of copies of the model that the servers should hold together.
+	Copies float64 `log:"copies"`
+	// Streams a second that are expected to be completed when the planned room is full; 0 if the costs are not known.
+	Rate float64 `log:"rate"`
+	// The same after the loss of the server, or of the domain of the fleet, whose loss costs most.
+	AfterLoss float64 `log:"after_loss"`
+}
+
+// How much room the servers of a domain should leave beside the layers of a model, and what is expected of that; logged at the
+// start of a term and after a change.
+type layoutPlanned struct {
+	_ struct{} `msg:"layout planned" level:"info"`
+	// The model.
+	Model string `log:"model"`
+	// The domain.
+	OfDomain string `log:"of_domain"`
+	// Number of sequences that each server should have memory for.
+	Sequences int64 `log:"sequences"`
+	// Number of copies of the model that the servers hold together then.
+	Copies float64 `log:"copies"`
+	// Number of sequences that the servers of a layer have memory for then, at the layer where it is lowest.
+	Room int64 `log:"room"`
+	// Streams a second that are expected to be completed when this room is full; 0 if the costs are not known.
+	Rate float64 `log:"rate"`
+	// The same after the loss of the server whose loss costs most.
+	AfterLoss float64 `log:"after_loss"`
+	// Whether the domain has the usual number of sequences, since it is too small to be planned, the costs are not known or no
+	// other number is expected to serve as much.
+	Default bool `log:"default"`
 }
 
 // The servers of a domain cannot hold a complete copy of the model with the usual room for sequences.
