--- a/placement/layout.go
+++ b/placement/layout.go
@@ -36,7 +36,7 @@
 	Default bool
 }
 
-// defaultLayout is the layout of a domain without servers.
+// defaultLayout is the layout of a domain for which none is known.
 func defaultLayout() Layout { return Layout{Sequences: wantedSequences, Default: true} }
 
 // standby returns the number of sequences that a standby server should have memory for.
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -64,14 +64,18 @@
 // Decide returns the next orders that bring the servers nearer to what they should hold. It gives layers to empty servers
 // first; only if there are none to give, one server moves, and only if none can, domains with missing layers are retiled.
 func (p *Planner) Decide(e *catalog.Engine, servers []Server) []Order {
-	c := newCoverageMap(e, servers, p.Layouts(e, servers))
+	return decide(newCoverageMap(e, servers, p.Layouts(e, servers)), servers)
+}
+
+// decide returns the next orders under the layouts of the coverage map.
+func decide(c *coverageMap, servers []Server) []Order {
 	if orders := append(fillEmpty(c, servers), replaceLost(c, servers)...); len(orders) > 0 {
 		return orders
 	}
-	if orders := move(e, c, servers); len(orders) > 0 {
+	if orders := move(c.engine, c, servers); len(orders) > 0 {
 		return orders
 	}
-	return retile(e, servers, c.layouts)
+	return retile(c.engine, servers, c.layouts)
 }
 
 // Decide returns the orders of a Planner that knows no layouts yet.
