placement: keep plans by the engine's figures

Cause: each version of the configuration brings a new engine with the same figures, and plans were kept by its address. Change: the key is the text of the figures, which is made once for each engine.

--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -138,6 +138,21 @@
 	})
 }
 
+// TestAPlanIsMadeOnceForTheSameFigures asks for the layout of the same servers under two versions of the configuration, and then
+// with other costs.
+func TestAPlanIsMadeOnceForTheSameFigures(t *testing.T) {
+	planner := NewPlanner()
+	for _, c := range []struct {
+		step  time.Duration
+		plans int
+	}{{time.Millisecond, 1}, {time.Millisecond, 1}, {2 * time.Millisecond, 2}} {
+		e := smallEngine()
+		e.Step = c.step
+		planner.Layouts(e, []Server{{ID: "1", Domain: "a", Kind: &e.Kinds[0]}})
+		require.Len(t, planner.known, c.plans)
+	}
+}
+
 // TestSmallDomainsAndUnknownCostsKeepTheUsualNumber checks what is planned where nothing is to be planned, and that the orders
 // then are those of one number of sequences for all.
 func TestSmallDomainsAndUnknownCostsKeepTheUsualNumber(t *testing.T) {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -7,23 +7,27 @@
 	"junctioncross/catalog"
 )
 
-// maxKnownLayouts limits the layouts that a Planner keeps.
-const maxKnownLayouts = 256
+const (
+	// maxKnownLayouts and maxKnownEngines limit what a Planner keeps.
+	maxKnownLayouts = 256
+	maxKnownEngines = 16
+)
 
-// planKey names what a layout depends on.
-type planKey struct {
-	engine *catalog.Engine
-	kinds  string
-}
+// planKey names what a layout depends on: the engine's figures and the servers of each kind.
+type planKey struct{ engine, kinds string }
 
 // Planner plans the layouts of domains and keeps them, since the same servers are asked for in each round. What it returns
 // depends only on the arguments. It is not safe for concurrent use.
 type Planner struct {
 	known map[planKey]Layout
+	// figures holds the figures of engines as text: a new version of the configuration mostly repeats them.
+	figures map[*catalog.Engine]string
 }
 
 // NewPlanner returns a Planner that knows no layouts yet.
-func NewPlanner() *Planner { return &Planner{known: map[planKey]Layout{}} }
+func NewPlanner() *Planner {
+	return &Planner{known: map[planKey]Layout{}, figures: map[*catalog.Engine]string{}}
+}
 
 // Layouts returns the layout of each domain. It depends only on how many servers of each kind a domain has, whatever they hold,
 // so that each leader plans the same. Servers without a known kind do not count.
@@ -49,7 +53,7 @@
 	for _, c := range counts {
 		fmt.Fprintf(&text, "%d %q ", c.servers, c.kind.Name)
 	}
-	key := planKey{engine: e, kinds: text.String()}
+	key := planKey{engine: p.figuresOf(e), kinds: text.String()}
 	if l, ok := p.known[key]; ok {
 		return l
 	}
@@ -61,6 +65,19 @@
 	return l
 }
 
+// figuresOf returns the figures of an engine as text.
+func (p *Planner) figuresOf(e *catalog.Engine) string {
+	if text, ok := p.figures[e]; ok {
+		return text
+	}
+	if len(p.figures) >= maxKnownEngines {
+		clear(p.figures)
+	}
+	text := fmt.Sprintf("%+v", *e)
+	p.figures[e] = text
+	return text
+}
+
 // Decide returns the next orders that bring the servers nearer to what they should hold. It gives layers to empty servers
 // first; only if there are none to give, one server moves, and only if none can, domains with missing layers are retiled.
 func (p *Planner) Decide(e *catalog.Engine, servers []Server) []Order {
