--- /dev/null
+++ b/placement/planner.go
@@ -0,0 +1,102 @@
+package placement
+
+import (
+	"fmt"
+	"strings"
+
+	"junctioncross/catalog"
+)
+
+const (
+	// maxKnownLayouts and maxKnownEngines limit what a Planner keeps.
+	maxKnownLayouts = 256
+	maxKnownEngines = 16
+)
+
+// planKey names what a layout depends on: the engine's figures and the servers of each kind.
+type planKey struct{ engine, kinds string }
+
+// Planner plans the layouts of domains and keeps them, since the same servers are asked for in each round. What it returns
+// depends only on the arguments. It is not safe for concurrent use.
+type Planner struct {
+	known map[planKey]Layout
+	// figures holds the figures of engines as text: a new version of the configuration mostly repeats them.
+	figures map[*catalog.Engine]string
+}
+
+// NewPlanner returns a Planner that knows no layouts yet.
+func NewPlanner() *Planner {
+	return &Planner{known: map[planKey]Layout{}, figures: map[*catalog.Engine]string{}}
+}
+
+// Layouts returns the layout of each domain. It depends only on how many servers of each kind a domain has, whatever they hold,
+// so that each leader plans the same. Servers without a known kind do not count.
+func (p *Planner) Layouts(e *catalog.Engine, servers []Server) map[string]Layout {
+	kinds := map[string]kindCounts{}
+	for i := range servers {
+		s := &servers[i]
+		if s.Kind != nil {
+			kinds[s.Domain] = kinds[s.Domain].add(s.Kind)
+		}
+	}
+	out := make(map[string]Layout, len(kinds))
+	for domain, counts := range kinds {
+		counts.sort()
+		out[domain] = p.layout(e, counts)
+	}
+	return out
+}
+
+// layout returns the layout of a domain with the given servers.
+func (p *Planner) layout(e *catalog.Engine, counts kindCounts) Layout {
+	var text strings.Builder
+	for _, c := range counts {
+		fmt.Fprintf(&text, "%d %q ", c.servers, c.kind.Name)
+	}
+	key := planKey{engine: p.figuresOf(e), kinds: text.String()}
+	if l, ok := p.known[key]; ok {
+		return l
+	}
+	if len(p.known) >= maxKnownLayouts {
+		clear(p.known)
+	}
+	l := planDomain(e, counts)
+	p.known[key] = l
+	return l
+}
+
+// figuresOf returns the figures of an engine as text.
+func (p *Planner) figuresOf(e *catalog.Engine) string {
+	if text, ok := p.figures[e]; ok {
+		return text
+	}
+	if len(p.figures) >= maxKnownEngines {
+		clear(p.figures)
+	}
+	text := fmt.Sprintf("%+v", *e)
+	p.figures[e] = text
+	return text
+}
+
+// Decide returns the next orders that bring the servers nearer to what they should hold. It gives layers to empty servers
+// first; only if there are none to give, one server moves, and only if none can, domains with missing layers are retiled.
+func (p *Planner) Decide(e *catalog.Engine, servers []Server) []Order {
+	return decide(newCoverageMap(e, servers, p.Layouts(e, servers)), servers)
+}
+
+// decide returns the next orders under the layouts of the coverage map.
+func decide(c *coverageMap, servers []Server) []Order {
+	if orders := append(fillEmpty(c, servers), replaceLost(c, servers)...); len(orders) > 0 {
+		return orders
+	}
+	if orders := move(c.engine, c, servers); len(orders) > 0 {
+		return orders
+	}
+	return retile(c.engine, servers, c.layouts)
+}
+
+// Decide returns the orders of a Planner that knows no layouts yet.
+func Decide(e *catalog.Engine, servers []Server) []Order { return NewPlanner().Decide(e, servers) }
+
+// Summary returns the coverage as a Planner that knows no layouts yet gives it.
+func Summary(e *catalog.Engine, servers []Server) []Coverage { return NewPlanner().Summary(e, servers) }
