demand, relay: pass load reports and totals between instances

Cause: each instance of a large fleet sees few of the streams of its domain. Change: demand.Book keeps the reports of the instances of a domain and the totals of domains; polls of the servers feed carry reports to the relay and bring totals back; relays fetch the totals of other domains by a new call of package link, and an instance whose relay answers no polls exchanges reports by the same call. Fleets without relays send nothing.

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -17,6 +17,7 @@
 	"junctioncross/chart"
 	"junctioncross/config"
 	"junctioncross/decision"
+	"junctioncross/demand"
 	"junctioncross/follow"
 	"junctioncross/forward"
 	"junctioncross/front"
@@ -63,6 +64,7 @@
 	Membership *membership.Membership
 	Registry   *relay.Registry
 	Relay      *relay.Source
+	Exchange   *relay.Exchange
 	Links      *link.Client
 	Trust      link.Trust
 	Stats      *metrics.Registry
@@ -118,13 +120,15 @@
 		func(b *membership.View) relay.Fleet { return b },
 		func(b *follow.FleetView) relay.SharedReports { return b },
 		func(t *quarantine.Publisher) relay.Ends { return t },
+		newLoadBook,
+		func(b *demand.Book) relay.Loads { return b },
 		func(t *quarantine.Publisher) forward.EndPublisher { return t },
 		newQuarantineBook, newEndStore, quarantine.NewPublisher,
 		func(b *membership.View) link.Trust { return keys.NewFleetKeyFrom(b.Key) },
 		func(clock *timer.Service) backend.EngineClient { return platform.NewEngineClient(clock) },
 		timer.NewSuspendable, metrics.New, follow.NewFleetView, follow.New, newStdoutQueue, newHostedLog, decision.NewRecorder,
 		forwardSettings, forward.New, newFront, newOrderLeader, newChecks, newMembershipView, newRegistry, newMembership, relaySelf,
-		relay.New, link.NewClient,
+		relay.New, relay.NewExchange, link.NewClient,
 	)
 }
 
@@ -155,6 +159,10 @@
 	return quarantine.NewBook(quarantine.Settings{Ends: q.Ends, EndsOfOne: q.EndsOfOne, Keep: q.Keep, MaxRequests: q.Most})
 }
 
+func newLoadBook(settings *config.Hosted) *demand.Book {
+	return demand.NewBook(settings.Instance.Domain)
+}
+
 func newEndStore(settings *config.Hosted, store *platform.Store, clock *timer.Service) quarantine.EndStore {
 	return platform.NewEndStore(store, clock, settings.Quarantine.Keep)
 }
--- /dev/null
+++ b/demand/check.go
@@ -0,0 +1,114 @@
+package demand
+
+import (
+	"math"
+	"time"
+)
+
+// Reason says why a report or totals were dropped.
+type Reason string
+
+// Reasons for which reports and totals are dropped.
+const (
+	// ReasonAge means a negative age or one of more than maxAge.
+	ReasonAge Reason = "age"
+	// ReasonNumber means a number that is negative, not finite or more than maxNumber.
+	ReasonNumber Reason = "number"
+	// ReasonName means an empty or too long name.
+	ReasonName Reason = "name"
+	// ReasonClasses means more classes than a report or totals may have.
+	ReasonClasses Reason = "classes"
+	// ReasonService means a service that the instance doesn't know.
+	ReasonService Reason = "service"
+	// ReasonFull means that the book has no room for a further instance, service or domain.
+	ReasonFull Reason = "full"
+)
+
+const (
+	// maxAge is the greatest age that a sender may state.
+	maxAge = 10 * time.Second
+	// maxNumber bounds each number, so that sums cannot overflow.
+	maxNumber = 1e9
+	// maxLifetime bounds the mean lifetime of streams.
+	maxLifetime = 24 * time.Hour
+	// maxNameBytes bounds the names of instances, domains, services and client accounts.
+	maxNameBytes = 128
+	// MaxReportClasses bounds the classes of one report, and maxClasses those of the totals of a service.
+	MaxReportClasses = 32
+	maxClasses       = 64
+	// maxServices bounds the services of one instance, and maxDomains and maxInstances the domains and the instances of a domain.
+	maxServices  = 32
+	maxDomains   = 16
+	maxInstances = 4096
+)
+
+// fault returns why a report cannot be used; it is empty for a usable one.
+func (r *Report) fault() Reason {
+	if !nameUsable(r.Service) {
+		return ReasonName
+	}
+	if len(r.Classes) > MaxReportClasses {
+		return ReasonClasses
+	}
+	counts := [...]int{r.UnderWay, r.Waiting, r.ToldToReturn}
+	return loadFault(counts[:], [...]float64{r.Room, r.ToldRate}, r.Lifetime, &r.Ends, r.Classes)
+}
+
+// fault returns why totals cannot be used; it is empty for usable ones.
+func (t *Totals) fault() Reason {
+	if !nameUsable(t.Service) || !nameUsable(t.Domain) {
+		return ReasonName
+	}
+	if !ageUsable(t.Age) {
+		return ReasonAge
+	}
+	counts := [...]int{t.Instances, t.UnderWay, t.Waiting, t.ToldToReturn}
+	return loadFault(counts[:], [...]float64{t.Room, t.ToldRate}, t.Lifetime, &t.Ends, t.Classes)
+}
+
+func loadFault(counts []int, others [2]float64, lifetime time.Duration, ends *Ends, classes []Rates) Reason {
+	for _, n := range counts {
+		if !numberUsable(float64(n)) {
+			return ReasonNumber
+		}
+	}
+	for _, n := range ends {
+		if !numberUsable(n) {
+			return ReasonNumber
+		}
+	}
+	if !numberUsable(others[0]) || !numberUsable(others[1]) || lifetime < 0 || lifetime > maxLifetime {
+		return ReasonNumber
+	}
+	if len(classes) > maxClasses {
+		return ReasonClasses
+	}
+	for i := range classes {
+		if fault := classes[i].fault(); fault != "" {
+			return fault
+		}
+	}
+	return ""
+}
+
+func (r *Rates) fault() Reason {
+	if len(r.Class.Account) > maxNameBytes {
+		return ReasonName
+	}
+	for _, n := range [...]float64{r.Offered, r.Refused, r.Returned} {
+		if !numberUsable(n) {
+			return ReasonNumber
+		}
+	}
+	if rank := r.Class.Rank; math.Abs(float64(rank.Account)) > maxNumber || math.Abs(float64(rank.Route)) > maxNumber {
+		return ReasonNumber
+	}
+	return ""
+}
+
+// numberUsable is false for a number that is not finite as well.
+func numberUsable(n float64) bool { return n >= 0 && n <= maxNumber }
+
+func nameUsable(name string) bool { return name != "" && len(name) <= maxNameBytes }
+
+func ageUsable(age time.Duration) bool { return age >= 0 && age <= maxAge }
--- a/demand/report.go
+++ b/demand/report.go
@@ -38,6 +38,10 @@
 	Lifetime time.Duration `cbor:"5,keyasint,omitempty"`
 	Ends     Ends          `cbor:"6,keyasint,omitempty"`
 	Classes  []Rates       `cbor:"7,keyasint,omitempty"`
+	// ToldToReturn is the number of refused callers whom the instance told to return at a time that has not come yet.
+	ToldToReturn int `cbor:"8,keyasint,omitempty"`
+	// ToldRate is the number of callers that the instance lately told to return, a second.
+	ToldRate float64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Totals is the load on one service from all instances of a failure domain, as far as their reports are known.
@@ -54,4 +58,8 @@
 	Lifetime time.Duration `cbor:"8,keyasint,omitempty"`
 	Ends     Ends          `cbor:"9,keyasint,omitempty"`
 	Classes  []Rates       `cbor:"10,keyasint,omitempty"`
+	// ToldToReturn is the number of refused callers who were told to return at a time that has not come yet.
+	ToldToReturn int `cbor:"11,keyasint,omitempty"`
+	// ToldRate is the number of callers that were lately told to return, a second.
+	ToldRate float64 `cbor:"12,keyasint,omitempty"`
 }
--- /dev/null
+++ b/demand/sum.go
@@ -0,0 +1,74 @@
+package demand
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// sum adds up the reports of a domain on one service.
+type sum struct {
+	totals Totals
+	rooms  []float64
+	// life is the sum of the lifetimes weighted by streams, and plainLife the sum without weights.
+	life, plainLife float64
+	// age is the sum of the ages of the reports at the time of the summation.
+	age time.Duration
+}
+
+// add adds the report of one instance.
+func (s *sum) add(r *Report, age time.Duration) {
+	t := &s.totals
+	t.Instances++
+	t.UnderWay += r.UnderWay
+	t.Waiting += r.Waiting
+	t.ToldToReturn += r.ToldToReturn
+	t.ToldRate += r.ToldRate
+	for i, n := range r.Ends {
+		t.Ends[i] += n
+	}
+	for i := range r.Classes {
+		s.addRates(&r.Classes[i])
+	}
+	s.rooms = append(s.rooms, r.Room)
+	s.life += float64(r.Lifetime) * float64(r.UnderWay)
+	s.plainLife += float64(r.Lifetime)
+	s.age += age
+}
+
+// addRates adds the rates of a class. Beyond maxClasses, a further class counts with its neighbour in the order.
+func (s *sum) addRates(r *Rates) {
+	classes := s.totals.Classes
+	at, found := slices.BinarySearchFunc(classes, r.Class, func(have Rates, want Class) int { return have.Class.Compare(want) })
+	switch {
+	case found:
+	case len(classes) >= maxClasses:
+		at = min(at, maxClasses-1)
+	default:
+		s.totals.Classes = slices.Insert(classes, at, Rates{Class: r.Class})
+	}
+	have := &s.totals.Classes[at]
+	have.Offered += r.Offered
+	have.Refused += r.Refused
+	have.Returned += r.Returned
+}
+
+// result returns the totals. The room is the median, since all instances see the same room.
+func (s *sum) result() Totals {
+	t := s.totals
+	slices.Sort(s.rooms)
+	n := len(s.rooms)
+	t.Room = (s.rooms[(n-1)/2] + s.rooms[n/2]) / 2
+	if t.UnderWay > 0 {
+		t.Lifetime = time.Duration(s.life / float64(t.UnderWay))
+	} else {
+		t.Lifetime = time.Duration(s.plainLife / float64(n))
+	}
+	t.Age = s.age / time.Duration(n)
+	return t
+}
+
+// Compare orders classes by rank and then by account.
+func (c Class) Compare(other Class) int {
+	return cmp.Or(c.Rank.Compare(other.Rank), cmp.Compare(c.Account, other.Account))
+}
--- a/link/wire.go
+++ b/link/wire.go
@@ -50,6 +50,8 @@
 	KindPoll
 	// KindRecords returns the registration records of the instances.
 	KindRecords
+	// KindTotals returns the totals of the load reports of a failure domain.
+	KindTotals
 )
 
 // Errors of calls.
--- a/relay/breaker_test.go
+++ b/relay/breaker_test.go
@@ -21,7 +21,7 @@
 	early := 0
 	for _, m := range all {
 		self := Self{Name: m.Name, Domain: m.Domain, RelaysFrom: 2, ApplyTime: applyDeadline}
-		s := New(self, nil, staticFleet(all), nil, nil, nil, timer.New(fake), metrics.New(), nil)
+		s := New(self, nil, staticFleet(all), nil, nil, nil, nil, timer.New(fake), metrics.New(), nil)
 		// The configuration was confirmed just now, so that an instance has time before its first probe.
 		s.logs[follow.FeedConfig].append(update{position: 1, known: fake.Now()}, false)
 		for _, u := range s.upstreams() {
@@ -35,7 +35,7 @@
 		}
 	}
 	require.Equal(t, 6, early, "two of each domain")
-	one := New(Self{Name: all[5].Name, Domain: all[5].Domain, RelaysFrom: 2, ApplyTime: applyDeadline}, nil, staticFleet(all), nil, nil, nil, timer.New(fake), metrics.New(), nil)
+	one := New(Self{Name: all[5].Name, Domain: all[5].Domain, RelaysFrom: 2, ApplyTime: applyDeadline}, nil, staticFleet(all), nil, nil, nil, nil, timer.New(fake), metrics.New(), nil)
 	for _, u := range one.upstreams() {
 		one.backoffs[u.addr] = backoff{until: fake.Now().Add(-refusalAge), refused: true}
 	}
--- /dev/null
+++ b/relay/exchange.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"junctioncross/membership"
+	"junctioncross/retry"
+)
+
+const (
+	// exchangePeriod is how often a relay fetches the totals of the other domains.
+	exchangePeriod = 400 * time.Millisecond
+	// maxExchangeBackoff is the longest time for which a relay is not asked after failures, as one that doesn't know the call.
+	maxExchangeBackoff = 5 * time.Second
+	// quietTime is how long after the last answer to a poll an instance exchanges load reports with its relay by a call of its
+	// own: longer than a relay holds a poll. A relay that has lost the store answers no polls, but knows the load.
+	quietTime = pollHold + 400*time.Millisecond
+	// quietPeriod is the time between two of these calls.
+	quietPeriod = pollHold
+	// startQuietTime is how long after its start an instance makes no such calls.
+	startQuietTime = 5 * time.Second
+)
+
+// Exchange fetches the totals of the other domains from their relays while this instance is a relay or serves as one. Other
+// instances exchange load reports with their relay while it answers no polls.
+type Exchange struct {
+	source *Source
+
+	mu sync.Mutex
+	// backoffs says until when relays that failed are not asked, by address.
+	backoffs map[string]backoff
+}
+
+// NewExchange returns an Exchange for a Source and fetches totals until ctx ends.
+func NewExchange(ctx context.Context, source *Source) *Exchange {
+	e := &Exchange{source: source, backoffs: map[string]backoff{}}
+	source.setLoadDue(startQuietTime)
+	ticks := source.clock.Subscribe(exchangePeriod)
+	go func() {
+		defer ticks.Stop()
+		for {
+			select {
+			case <-ticks.C():
+				e.fetchAll(ctx)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return e
+}
+
+// fetchAll fetches the totals of each other domain if there may be somebody to pass them on to, and exchanges reports with the
+// own relay if that is due.
+func (e *Exchange) fetchAll(ctx context.Context) {
+	s := e.source
+	now := s.clock.Now()
+	if !s.usesRelays() || len(s.fleet.Key()) == 0 {
+		return
+	}
+	e.forget(now)
+	relaying := s.isRelay() || s.loads.Reporters(now) > 0
+	var all sync.WaitGroup
+	for domain, list := range ranked(s.fleet.Members()) {
+		q, due := totalsRequest{}, relaying
+		if domain == s.self.Domain {
+			q, due = e.ownRequest(now)
+		}
+		if due {
+			all.Go(func() { e.fetch(ctx, list, q) })
+		}
+	}
+	all.Wait()
+}
+
+// ownRequest returns the request to the relay of the own domain, and whether it is due.
+func (e *Exchange) ownRequest(now time.Time) (totalsRequest, bool) {
+	s := e.source
+	if s.isRelay() || now.Sub(s.begun) < time.Duration(s.loadDue.Load()) {
+		return totalsRequest{}, false
+	}
+	load := s.ownLoad(now)
+	if load != nil {
+		s.setLoadDue(quietPeriod)
+	}
+	return totalsRequest{Load: load}, load != nil
+}
+
+// fetch fetches totals from the relay of a domain or, while that is backed off, from the standby relay.
+func (e *Exchange) fetch(ctx context.Context, list []membership.Instance, q totalsRequest) {
+	s := e.source
+	for _, m := range list[:min(ownRelaysAsked, len(list))] {
+		if m.Name == s.self.Name || !e.mayAsk(m.Addr, s.clock.Now()) {
+			continue
+		}
+		limited, cancel := s.clock.WithTimeout(ctx, exchangePeriod)
+		reply, err := s.peers.totals(limited, m.Addr, q)
+		cancel()
+		e.note(m.Addr, err)
+		if err == nil {
+			s.addTotals(reply.Totals)
+		} else {
+			s.stats.Counter("totals_not_fetched_total").Inc(1)
+		}
+		return
+	}
+}
+
+func (e *Exchange) mayAsk(addr string, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !now.Before(e.backoffs[addr].until)
+}
+
+// note records whether a relay answered.
+func (e *Exchange) note(addr string, err error) {
+	now := e.source.clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err == nil {
+		delete(e.backoffs, addr)
+		return
+	}
+	failures := e.backoffs[addr].failures
+	until := now.Add(retry.Backoff(exchangePeriod, maxExchangeBackoff, failures))
+	e.backoffs[addr] = backoff{until: until, failures: failures + 1}
+}
+
+// forget drops the back-offs that ended long ago, so that those of instances that have left don't pile up.
+func (e *Exchange) forget(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for addr, b := range e.backoffs {
+		if now.Sub(b.until) > maxExchangeBackoff {
+			delete(e.backoffs, addr)
+		}
+	}
+}
--- a/relay/fleetstart_test.go
+++ b/relay/fleetstart_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/demand"
 	"junctioncross/follow"
 	"junctioncross/membership"
 	"junctioncross/metrics"
@@ -143,7 +144,7 @@
 	for i, m := range s.members {
 		self := Self{Name: m.Name, Domain: m.Domain, Addr: m.Addr, RelaysFrom: relayThreshold, ApplyTime: applyDeadline}
 		s.views[i] = membership.NewView(relayThreshold)
-		s.sources[i] = New(self, simStore{s}, s.views[i], follow.NewFleetView(), noEnds{}, nil, clock, stats, s.log)
+		s.sources[i] = New(self, simStore{s}, s.views[i], follow.NewFleetView(), noEnds{}, demand.NewBook(m.Domain), nil, clock, stats, s.log)
 		s.sources[i].peers = simPeers{s, i}
 		s.registries[i] = NewRegistry(self, simRegistry{s}, s.views[i], nil, clock)
 		s.registries[i].peers = simPeers{s, i}
--- a/relay/fleetstore_test.go
+++ b/relay/fleetstore_test.go
@@ -154,6 +154,10 @@
 	return t, o.transfer(ctx, j, float64(1+len(t.Records)))
 }
 
+func (o simPeers) totals(context.Context, string, totalsRequest) (totalsReply, error) {
+	return totalsReply{}, link.ErrRefused
+}
+
 func (o simPeers) transfer(ctx context.Context, j int, bytes float64) error {
 	err := o.sim.links[j].transfer(ctx, bytes)
 	if err == nil {
--- a/relay/log_test.go
+++ b/relay/log_test.go
@@ -113,7 +113,7 @@
 	log.SetOutput(io.Discard)
 	all := instances(1, 30)
 	self := Self{Name: all[9].Name, Domain: all[9].Domain, RelaysFrom: 24, ApplyTime: applyDeadline}
-	s := New(self, scenarioStore{sim: newSimulation(all, scenario{})}, staticFleet(all), nil, noEnds{}, nil, timer.NewReal(), metrics.New(), log)
+	s := New(self, scenarioStore{sim: newSimulation(all, scenario{})}, staticFleet(all), nil, noEnds{}, nil, nil, timer.NewReal(), metrics.New(), log)
 	s.peers = laterRelay{}
 	s.logs[follow.FeedConfig].reset(updateAt(5, Record{Key: "kept", Revision: 2}, Record{Key: "gone", Revision: 3}), false)
 	got, err := s.catchUp(t.Context(), s.upstreams()[0], follow.FeedConfig, 5)
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -12,6 +12,8 @@
 	poll(ctx context.Context, addr string, p poll) (pollReply, error)
 	// records requests the registration records from the relay at addr.
 	records(ctx context.Context, addr string, q recordsRequest) (recordsReply, error)
+	// totals requests the totals of its domain from the relay at addr.
+	totals(ctx context.Context, addr string, q totalsRequest) (totalsReply, error)
 	// connect connects to the instance at addr unless there is a connection already.
 	connect(ctx context.Context, addr string) error
 }
@@ -27,6 +29,10 @@
 	return link.Call[recordsRequest, recordsReply](ctx, l.client, addr, link.KindRecords, q)
 }
 
+func (l linkPeers) totals(ctx context.Context, addr string, q totalsRequest) (totalsReply, error) {
+	return link.Call[totalsRequest, totalsReply](ctx, l.client, addr, link.KindTotals, q)
+}
+
 func (l linkPeers) connect(ctx context.Context, addr string) error {
 	return l.client.Connect(ctx, addr)
 }
--- a/relay/platform_test.go
+++ b/relay/platform_test.go
@@ -163,6 +163,10 @@
 	return recordsReply{}, link.ErrRefused
 }
 
+func (o scenarioPeers) totals(context.Context, string, totalsRequest) (totalsReply, error) {
+	return totalsReply{}, link.ErrRefused
+}
+
 func (o scenarioPeers) connect(ctx context.Context, addr string) error {
 	j, now := o.sim.index[addr], o.sim.now()
 	if o.sim.partitioned(o.i, j, now) || o.sim.killed(j, now) {
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"junctioncross/backend"
+	"junctioncross/demand"
 	"junctioncross/follow"
 	"junctioncross/keys"
 	"junctioncross/link"
@@ -54,6 +55,8 @@
 	// Name and Domain identify the polling instance; the relay of its domain counts the instances that poll it by them.
 	Name   string `cbor:"9,keyasint,omitempty"`
 	Domain string `cbor:"10,keyasint,omitempty"`
+	// Load holds the polling instance's own load reports.
+	Load *ownLoad `cbor:"11,keyasint,omitempty"`
 }
 
 // pollReply is the answer to a poll.
@@ -75,6 +78,8 @@
 	Counts map[string]int `cbor:"8,keyasint,omitempty"`
 	// Packed holds the records in compressed form, in place of Records.
 	Packed []byte `cbor:"9,keyasint,omitempty"`
+	// Totals holds the totals of the load reports of all domains that are known.
+	Totals []demand.Totals `cbor:"10,keyasint,omitempty"`
 }
 
 // Register adds the handler of polls to the calls that the instance answers.
@@ -82,6 +87,7 @@
 	link.Handle(mux, link.KindPoll, func(ctx context.Context, _ keys.Identity, p poll) (pollReply, error) {
 		return s.serve(ctx, p)
 	})
+	s.registerTotals(mux)
 }
 
 // serve holds a poll until there are updates or its hold time has passed.
@@ -95,6 +101,7 @@
 	}
 	s.applyPolledReports(p.Reports)
 	s.ends.Adopt(p.Ends)
+	s.addPolledLoad(p.Load, arrived)
 	s.notePoller(p)
 	s.noteDirectPeer(p.DirectAddr, arrived)
 	wait := s.clock.After(s.holdTime(p.Feed))
@@ -138,6 +145,7 @@
 	switch p.Feed {
 	case follow.FeedServers:
 		r.Reports, r.Mark = s.reportsSince(p.Mark)
+		r.Totals = s.knownTotals()
 	case follow.FeedConfig:
 		r.Counts = s.instanceCounts()
 	case follow.FeedQuarantine:
@@ -221,6 +229,7 @@
 	defer cancel()
 	sentAt := s.clock.Now()
 	s.attachReports(&p, addr, sentAt)
+	s.attachLoad(&p, sentAt)
 	if p.Feed == follow.FeedQuarantine {
 		p.Ends = s.ends.Unpublished()
 	}
@@ -247,6 +256,7 @@
 		}
 	}
 	s.applyReply(p, r, addr, sentAt)
+	s.addPolledTotals(p, r.Totals, addr)
 	s.fleet.NoteCounts(r.Counts)
 	// Known counts from when the poll arrived. Counting from when it was sent, which was earlier, makes the result a little too
 	// old rather than too new.
--- a/relay/rejecting_test.go
+++ b/relay/rejecting_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/demand"
 	"junctioncross/follow"
 	"junctioncross/keys"
 	"junctioncross/link"
@@ -53,7 +54,7 @@
 	s := newStore()
 	self := relay.Self{Name: "self", Domain: "east", RelaysFrom: 2, ApplyTime: 3 * time.Second}
 	clock := timer.New(clockwork.NewFakeClock())
-	one := relay.New(self, rejectingStore{view{store: s, caller: "self"}}, f, follow.NewFleetView(), noEnds{}, links, clock, metrics.New(), log)
+	one := relay.New(self, rejectingStore{view{store: s, caller: "self"}}, f, follow.NewFleetView(), noEnds{}, demand.NewBook("east"), links, clock, metrics.New(), log)
 	for n := range 4 {
 		_, err := one.Next(t.Context(), follow.FeedServers, 1)
 		require.ErrorIs(t, err, follow.ErrUnavailable)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/demand"
 	"junctioncross/follow"
 	"junctioncross/keys"
 	"junctioncross/link"
@@ -67,6 +68,8 @@
 // last confirmed.
 type instance struct {
 	*relay.Source
+	name      string
+	book      *demand.Book
 	mu        sync.Mutex
 	serverIDs []string
 	// ends is the number of changes of the quarantine feed.
@@ -155,7 +158,8 @@
 		clock, stats := timer.NewReal(), metrics.New()
 		links := link.NewClient(trust, stats)
 		self := relay.Self{Name: m.Name, Domain: m.Domain, Addr: m.Addr, RelaysFrom: 2, ApplyTime: 3 * time.Second}
-		one := &instance{Source: relay.New(self, over(m.Name), f, reports(m.Name), ends(m.Name), links, clock, stats, log)}
+		book := demand.NewBook(m.Domain)
+		one := &instance{Source: relay.New(self, over(m.Name), f, reports(m.Name), ends(m.Name), book, links, clock, stats, log), name: m.Name, book: book}
 		mux := link.NewMux()
 		one.Register(mux)
 		server, err := link.Listen(m.Addr, trust, mux, stats, log)
@@ -167,6 +171,7 @@
 			_ = server.Close()
 		}
 		t.Cleanup(one.stop)
+		relay.NewExchange(ctx, one.Source)
 		go func() { one.follow(ctx, follow.FeedConfig) }()
 		go func() { one.follow(ctx, follow.FeedServers) }()
 		go func() { one.follow(ctx, follow.FeedQuarantine) }()
--- a/relay/simulation_test.go
+++ b/relay/simulation_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"junctioncross/demand"
 	"junctioncross/follow"
 	"junctioncross/membership"
 	"junctioncross/metrics"
@@ -87,7 +88,7 @@
 func (s *simulation) start(i int) {
 	m := s.members[i]
 	fleetView, book, clock := follow.NewFleetView(), quarantine.NewBook(quarantine.Settings{Keep: time.Hour, MaxRequests: 1000}), timer.NewReal()
-	source := New(Self{Name: m.Name, Domain: m.Domain, Addr: m.Addr, RelaysFrom: 24, ApplyTime: s.applyDeadline}, scenarioStore{s, i}, staticFleet(s.members), fleetView, noEnds{}, nil, clock, metrics.New(), s.log)
+	source := New(Self{Name: m.Name, Domain: m.Domain, Addr: m.Addr, RelaysFrom: 24, ApplyTime: s.applyDeadline}, scenarioStore{s, i}, staticFleet(s.members), fleetView, noEnds{}, demand.NewBook(m.Domain), nil, clock, metrics.New(), s.log)
 	source.peers = scenarioPeers{s, i}
 	ctx, stop := context.WithCancel(context.Background())
 	s.mu.Lock()
--- a/relay/source.go
+++ b/relay/source.go
@@ -88,6 +88,9 @@
 	pollers *pollerCounter
 	reports SharedReports
 	ends    Ends
+	loads   Loads
+	// loadDue is when load reports are next exchanged by a call of their own, in nanoseconds since begun.
+	loadDue atomic.Int64
 	begun   time.Time
 	// lastWorse is when another instance last reported that a server has become silent or slow, in nanoseconds since begun.
 	lastWorse atomic.Int64
@@ -118,11 +121,11 @@
 
 // New returns a Source.
 func New(
-	self Self, store Store, fleet Fleet, reports SharedReports, ends Ends, links *link.Client, clock *timer.Service,
-	stats *metrics.Registry, log *logrus.Logger,
+	self Self, store Store, fleet Fleet, reports SharedReports, ends Ends, loads Loads, links *link.Client,
+	clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
 ) *Source {
 	return &Source{
-		self: self, store: store, fleet: fleet, reports: reports, ends: ends, begun: clock.Now(),
+		self: self, store: store, fleet: fleet, reports: reports, ends: ends, loads: loads, begun: clock.Now(),
 		reportMarks: map[string]time.Duration{}, peers: linkPeers{client: links}, clock: clock, stats: stats, log: log,
 		logs: [feeds]*feedLog{newFeedLog(), newFeedLog(), newFeedLog()}, epoch: newEpoch(), pollers: newPollerCounter(clock),
 		backoffs: map[string]backoff{}, breaker: storeBreaker{apply: self.ApplyTime}, random: rand.Float64,
