forward: report load, and predict Retry-After from the domain's totals

Cause: an instance of a large fleet predicts when room comes free from the few streams of its own. Change: it reports the load of each chained service every 0.2 s (rates by class in a window of 5 s); a refused caller is told when the ends that all instances of the domain expect suffice for those waiting and told to return there, counted on to now by the age of the reports. When the totals are missing or old it predicts from its own streams as before and logs the change once. Gauges domain_*, field forecast of refusals.

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -142,7 +142,7 @@
 
 func forwardSettings(settings *config.Hosted) forward.Settings {
 	s := forward.Settings{
-		Domain: settings.Instance.Domain, StallTime: settings.Engines.StallTime,
+		Instance: settings.Instance.Name, Domain: settings.Instance.Domain, StallTime: settings.Engines.StallTime,
 		Repeats: retry.Limit{
 			Window: settings.Repeats.Window, Share: retryShare * settings.Repeats.Share, Fixed: retryShare * settings.Repeats.Slack,
 		},
--- a/forward/demand.go
+++ b/forward/demand.go
@@ -18,8 +18,8 @@
 	sufficientRoomShare  = 0.9
 )
 
-// demand describes who needs the room of a service.
-type demand struct {
+// roomDemand describes who needs the room of a service.
+type roomDemand struct {
 	// underWay is the number of streams that have room, waiting those that wait for it, and toldToRetry the callers who were
 	// told to come back later. The returned ones are those of returning callers.
 	underWay, returnedUnderWay int
@@ -32,10 +32,10 @@
 }
 
 // demand returns who needs room now.
-func (q *queue) demand(now time.Time) demand {
+func (q *queue) demand(now time.Time) roomDemand {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	d := demand{underWay: len(q.underWay), waiting: len(q.waiting), toldToRetry: q.dueRetriesLocked(now, now.Add(time.Hour))}
+	d := roomDemand{underWay: len(q.underWay), waiting: len(q.waiting), toldToRetry: q.dueRetriesLocked(now, now.Add(time.Hour))}
 	for f := range q.underWay {
 		if f.returned {
 			d.returnedUnderWay++
@@ -54,18 +54,23 @@
 
 // outlastsCause reports whether first tries are refused although there would be room for them alone. The load is then kept up
 // by retries, and the original cause of the overload may be gone (metastable overload).
-func (d demand) outlastsCause(room float64) bool {
+func (d roomDemand) outlastsCause(room float64) bool {
 	return d.firstTries > 0 && float64(d.refusedFirstTries) >= overloadRefusedShare*float64(d.firstTries) &&
 		d.firstTriesAlone <= sufficientRoomShare*room
 }
 
-// countTry counts a stream if it is the first try of its caller.
+// countTry counts a stream, as the first try of its caller or as a later one.
 func (h *Handler) countTry(f *inflight) {
-	if q := h.queueOf(f.r.group.Service().Name); !f.returned {
-		q.mu.Lock()
-		defer q.mu.Unlock()
-		q.firstTries.Add(h.clock.Now())
+	q, now := h.queueOf(f.r.group.Service().Name), h.clock.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	counters := q.classes.of(f.r.class(), now)
+	if f.returned {
+		counters.returned.add(now)
+		return
 	}
+	q.firstTries.Add(now)
+	counters.offered.add(now)
 }
 
 // countRefused counts a stream if it is the first try of its caller and is refused.
@@ -76,7 +81,9 @@
 	q := h.queueOf(f.r.group.Service().Name)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.refusedFirstTries.Add(h.clock.Now())
+	now := h.clock.Now()
+	q.refusedFirstTries.Add(now)
+	q.classes.of(f.r.class(), now).refused.add(now)
 }
 
 // measureDemand exports who needs the room of a service, and how much of that room is this instance's share.
@@ -98,4 +105,5 @@
 		outlasts = 1
 	}
 	h.gauge("overload_outlasts", "service", name, outlasts)
+	h.measureDomain(name, now)
 }
--- a/forward/forecast.go
+++ b/forward/forecast.go
@@ -18,16 +18,21 @@
 	placesPerEnd float64
 }
 
-// expectedPlaces returns how many places are expected to become free within a time: up to a mean lifetime from the streams
-// under way, by their ages, and after that at the mean rate of the streams that follow them.
+// expectedPlaces returns how many places are expected to become free within a time.
 func (c *forecast) expectedPlaces(within time.Duration) float64 {
+	return c.expectedEnds(within) * c.placesPerEnd
+}
+
+// expectedEnds returns how many own streams are expected to end within a time: up to a mean lifetime from the streams under way,
+// by their ages, and after that at the mean rate of the streams that follow them.
+func (c *forecast) expectedEnds(within time.Duration) float64 {
 	mean := c.lifetimes.mean()
 	near, far := min(within, mean), max(within-mean, 0)
 	ends := float64(len(c.ages)) * float64(far) / float64(mean)
 	for _, age := range c.ages {
 		ends += c.lifetimes.endLikelihood(age, near)
 	}
-	return ends * c.placesPerEnd
+	return ends
 }
 
 // likelihood returns how likely at least so many places become free within a time.
@@ -43,15 +48,18 @@
 	return minTime(limit, func(within time.Duration) bool { return c.likelihood(places, within) >= likelihood })
 }
 
-// atLeast returns the likelihood of at least n events when expected ones are expected and their rate is itself uncertain, by a
-// negative binomial distribution with the size parameter dispersion.
-func atLeast(n int, expected float64) float64 {
-	part := expected / (dispersion + expected)
-	term := math.Pow(1-part, dispersion)
+// atLeast returns the likelihood of at least n events when expected ones are expected from the own streams.
+func atLeast(n int, expected float64) float64 { return atLeastOf(n, expected, dispersion) }
+
+// atLeastOf returns the likelihood of at least n events when expected ones are expected and their rate is itself uncertain, by a
+// negative binomial distribution with the given size parameter.
+func atLeastOf(n int, expected, size float64) float64 {
+	part := expected / (size + expected)
+	term := math.Pow(1-part, size)
 	fewer := 0.0
 	for k := range n {
 		fewer += term
-		term *= part * (float64(k) + dispersion) / float64(k+1)
+		term *= part * (float64(k) + size) / float64(k+1)
 	}
 	return max(1-fewer, 0)
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -14,6 +14,7 @@
 	"junctioncross/call"
 	"junctioncross/catalog"
 	"junctioncross/decision"
+	"junctioncross/demand"
 	"junctioncross/follow"
 	"junctioncross/front"
 	"junctioncross/metrics"
@@ -25,8 +26,9 @@
 
 // Settings are the limits that a Handler applies; they come from the settings file.
 type Settings struct {
-	// Domain is the failure domain of the instance.
-	Domain string
+	// Instance is the name of the instance, and Domain its failure domain.
+	Instance string
+	Domain   string
 	// KeysAge is how long ago the keys may have been confirmed for requests with a key to be accepted; 0 means any time.
 	KeysAge time.Duration
 	// Repeats is the limit on retries of all instances together.
@@ -68,6 +70,8 @@
 	retryLog, lanesLog logLimiter
 	ends               *quarantine.Book
 	publisher          EndPublisher
+	// loads holds the load reports of the failure domain; it may be nil.
+	loads *demand.Book
 
 	mu           sync.Mutex
 	lanes        map[string]*laneCache
@@ -84,11 +88,11 @@
 func New(
 	ctx context.Context, settings Settings, fleetView *follow.FleetView, codec call.Codec, engines backend.EngineClient,
 	clock *timer.Service, stats *metrics.Registry, record *decision.Recorder, instances Instances, ends *quarantine.Book,
-	publisher EndPublisher,
+	publisher EndPublisher, loads *demand.Book,
 ) *Handler {
 	h := &Handler{
 		fleetView: fleetView, codec: codec, engines: engines, clock: clock, stats: stats, record: record, instances: instances,
-		ends: ends, publisher: publisher,
+		ends: ends, publisher: publisher, loads: loads,
 		budget: retry.NewBudget(settings.Repeats, clock.Now()),
 		lanes:  map[string]*laneCache{}, queues: map[string]*queue{}, longestWaits: longestWaits{},
 		loadRatio: loadRatio{estimate: initialLoadRatio},
@@ -96,6 +100,7 @@
 	h.ApplySettings(settings)
 	h.watch = newWatcher(ctx, h)
 	startProber(ctx, h)
+	startLoadReports(ctx, h)
 	return h
 }
 
@@ -131,6 +136,8 @@
 	ran []*backend.Server
 	// sends counts how often the request was sent to a server.
 	sends int
+	// forecast says from which streams the Retry-After time of a refused request was predicted.
+	forecast string
 	// digest is the fingerprint, once computed.
 	digest *quarantine.Fingerprint
 }
--- /dev/null
+++ b/forward/loadreport_test.go
@@ -0,0 +1,104 @@
+package forward
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/catalog"
+	"junctioncross/decision"
+	"junctioncross/demand"
+)
+
+// TestALoadReportDescribesTheOwnStreams gives an instance three streams under way, a waiting request, and callers of two
+// priorities, of whom some are refused.
+func TestALoadReportDescribesTheOwnStreams(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newFakeEngineClient(g))
+	q := h.queueOf("s")
+	for range 3 {
+		q.addUnderWay(newUnbegun(h, g), clock.Now())
+	}
+	q.join(newUnbegun(h, g))
+	urgent, refused, returned := newUnbegun(h, g), newUnbegun(h, g), newUnbegun(h, g)
+	urgent.r.urgency = urgencyOf(&catalog.Account{Priority: 1}, &catalog.Route{Priority: 2})
+	refused.r.urgency = urgencyOf(&catalog.Account{Priority: 3}, &catalog.Route{})
+	returned.r.urgency, returned.returned = refused.r.urgency, true
+	for _, f := range []*inflight{urgent, urgent, refused, returned} {
+		h.countTry(f)
+	}
+	h.countRefused(refused, notRun{})
+	h.retryAfter(refused.r)
+	got := h.loadReport("s", g, clock.Now())
+	require.Equal(t, "s", got.Service)
+	require.Equal(t, 3, got.UnderWay)
+	require.Equal(t, 1, got.Waiting)
+	require.Equal(t, 1, got.ToldToReturn)
+	require.InDelta(t, 1, got.ToldRate, 0)
+	require.Positive(t, got.Room)
+	require.InDelta(t, initialLifetime.Seconds(), got.Lifetime.Seconds(), 0.3)
+	for i := 1; i < len(got.Ends); i++ {
+		require.Greater(t, got.Ends[i], got.Ends[i-1])
+	}
+	require.Equal(t, []demand.Rates{
+		{Class: demand.Class{Rank: demand.Rank{Account: 1, Route: 2}}, Offered: 0.4},
+		{Class: demand.Class{Rank: demand.Rank{Account: 3}}, Offered: 0.2, Refused: 0.2, Returned: 0.2},
+	}, got.Classes)
+	clock.Advance(rateSlots * rateSlot)
+	require.Empty(t, h.loadReport("s", g, clock.Now()).Classes)
+}
+
+func TestTheClassesOfALoadReportAreBounded(t *testing.T) {
+	var c classRates
+	now := time.Unix(100, 0)
+	for i := range 10 * demand.MaxReportClasses {
+		c.of(demand.Class{Rank: demand.Rank{Account: i}}, now).offered.add(now)
+	}
+	offered := 0.0
+	for _, r := range c.rates(now) {
+		offered += r.Offered
+	}
+	require.Len(t, c.counters, demand.MaxReportClasses)
+	require.InDelta(t, 10*demand.MaxReportClasses, offered*rateSlots*rateSlot.Seconds(), 1e-6, "no request is lost")
+	later := now.Add(rateSlots * rateSlot)
+	c.of(demand.Class{Rank: demand.Rank{Account: -1}}, later).offered.add(later)
+	require.Len(t, c.counters, 1, "classes without requests make room")
+}
+
+// TestTheFallbackToOwnStreamsIsLoggedOncePerChange lets the load of a domain become known, lost and known again.
+func TestTheFallbackToOwnStreamsIsLoggedOncePerChange(t *testing.T) {
+	h, clock := testHandler(t, nil)
+	log, hook := test.NewNullLogger()
+	h.record = decision.NewRecorder(log, h.clock, h.stats)
+	h.loads = demand.NewBook("a")
+	l := &loadReporter{h: h, known: map[string]bool{}}
+	tick := func(reporting bool) {
+		for range 20 {
+			for i := range 5 {
+				if reporting {
+					h.loads.AddReports(fmt.Sprint("i-", i), []demand.Report{{Service: "s", UnderWay: 7, Room: 40}}, 0, clock.Now())
+				}
+			}
+			l.noteKnown([]string{"s"}, clock.Now())
+			clock.Advance(loadReportPeriod)
+		}
+	}
+	tick(false)
+	require.Empty(t, hook.AllEntries(), "what was never known is not lost")
+	tick(true)
+	h.measureDomain("s", clock.Now())
+	require.Contains(t, scrape(t, h), `jx_domain_instances_reporting{service="s"} 5`)
+	require.Contains(t, scrape(t, h), `jx_domain_streams_under_way{service="s"} 35`)
+	tick(false)
+	h.measureDomain("s", clock.Now())
+	require.Contains(t, scrape(t, h), `jx_domain_instances_reporting{service="s"} 0`)
+	tick(true)
+	var messages []string
+	for _, e := range hook.AllEntries() {
+		messages = append(messages, e.Message)
+	}
+	require.Equal(t, []string{"domain load known", "domain load unknown", "domain load known"}, messages)
+}
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -130,7 +130,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return withFullRetryBudget(New(t.Context(), Settings{Domain: "a", Repeats: retry.Limit{Window: 10 * time.Second, Fixed: 100}, LongestBackOff: time.Hour},
-		follow.NewFleetView(), platform.Codec{}, nil, clock, stats, decision.NewRecorder(log, clock, stats), oneInstance{}, testBook(), noPublisher{}))
+		follow.NewFleetView(), platform.Codec{}, nil, clock, stats, decision.NewRecorder(log, clock, stats), oneInstance{}, testBook(), noPublisher{}, nil))
 }
 
 // frontOf serves requests of a route with the servers through a handler.
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -48,6 +48,9 @@
 	retryTimes []time.Time
 	// firstTries and refusedFirstTries count the recent first tries, and those of them that were refused.
 	firstTries, refusedFirstTries *retry.WindowCounter
+	// classes counts the recent requests by class, and told the callers who were told to come back.
+	classes classRates
+	told    rateCounter
 }
 
 func newQueue() *queue {
@@ -56,6 +59,7 @@
 		outages: newSample(initialOutage), ratios: newSample(ratioUnit),
 		endedWhileWaiting: initialEnds, admitted: initialEnds, underWay: map[*inflight]time.Time{},
 		firstTries: retry.NewWindowCounter(recentSlots, slotTime), refusedFirstTries: retry.NewWindowCounter(recentSlots, slotTime),
+		told: newRateCounter(toldSlots, toldSlot),
 	}
 }
 
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -13,9 +13,13 @@
 // refuse tells the caller that the request was not run and after which time to try again.
 func (h *Handler) refuse(r *request, reason models.Reason, after time.Duration) {
 	h.stats.Refused(reason, models.FateNotRun)
-	h.record.Last(r.meta.ID, "refused", h.fields(r, decision.Fields{
+	fields := h.fields(r, decision.Fields{
 		"reason": reason, "fate": models.FateNotRun, "retry_after_ms": after.Milliseconds(), "wait_ms": r.meta.Wait.Milliseconds(),
-	}))
+	})
+	if r.forecast != "" {
+		fields["forecast"] = r.forecast
+	}
+	h.record.Last(r.meta.ID, "refused", fields)
 	head := h.codec.AppendRetryAfter(ownHead(fasthttp.StatusServiceUnavailable), after)
 	r.x.Answer(head, []byte(string(reason)+": not run\n"))
 }
--- a/forward/retryafter.go
+++ b/forward/retryafter.go
@@ -45,7 +45,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	rateDelay, _ := h.rateLimitDelay(r.group, lanes, q.placesBeforeRetryLocked(now, limit), now)
-	after := q.timeToRoomLocked(q.forecastLocked(now, h.watch.stalled), now, limit)
+	after := h.timeToRoomLocked(r, q, now, limit)
 	switch {
 	case known:
 		after += usableIn
@@ -55,10 +55,22 @@
 	after = max(withRetryJitter(after), minimum)
 	after = max(min(max(after, rateDelay), limit), usableIn)
 	q.retryTimes = append(q.retryTimes, now.Add(after))
+	q.told.add(now)
 	h.stats.Histogram("come_back_ms").Update(after.Milliseconds())
 	return after
 }
 
+// timeToRoomLocked returns when there is room for a caller that is refused now: from the load of the domain if it is known, and
+// otherwise from the own streams.
+func (h *Handler) timeToRoomLocked(r *request, q *queue, now time.Time, limit time.Duration) time.Duration {
+	if d, known := h.domainForecast(r.group.Service().Name, now); known {
+		r.forecast = forecastDomain
+		return d.timeToRoom(limit)
+	}
+	r.forecast = forecastOwn
+	return q.timeToRoomLocked(q.forecastLocked(now, h.watch.stalled), now, limit)
+}
+
 // placesBeforeRetryLocked returns how many places must become free before a caller that is refused now gets room: those for the
 // waiting requests, for callers who were told to come back within limit, and its own.
 func (q *queue) placesBeforeRetryLocked(now time.Time, limit time.Duration) float64 {
--- a/relay/exchange_test.go
+++ b/relay/exchange_test.go
@@ -53,8 +53,10 @@
 // startExchange starts the exchange of an instance of the domain east; the relays are east-1 and west-1.
 func startExchange(ctx context.Context, self string, relaysFrom int, peers *totalsPeers) (*Source, *demand.Book) {
 	fleet := staticFleet{
-		{Name: "east-1", Domain: "east", Addr: "east-1", Power: 2}, {Name: "east-2", Domain: "east", Addr: "east-2", Power: 1},
-		{Name: "west-1", Domain: "west", Addr: "west-1", Power: 2}, {Name: "west-2", Domain: "west", Addr: "west-2", Power: 1},
+		{Name: "east-1", Domain: "east", Addr: "east-1", Power: 2},
+		{Name: "east-2", Domain: "east", Addr: "east-2", Power: 1},
+		{Name: "west-1", Domain: "west", Addr: "west-1", Power: 2},
+		{Name: "west-2", Domain: "west", Addr: "west-2", Power: 1},
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/schema/beliefs.go
+++ b/schema/beliefs.go
@@ -165,6 +165,27 @@
 	Crossing int64 `log:"crossing"`
 }
 
+// The totals of the load reports of the instance's domain have become known for a service; retry times are predicted from them.
+type domainLoadKnown struct {
+	_ struct{} `msg:"domain load known" level:"info"`
+	noRequest
+	// The service.
+	Service string `log:"service"`
+	// Number of instances whose reports are included.
+	Instances int64 `log:"instances"`
+	// Mean age of these reports.
+	AgeMS int64 `log:"age_ms"`
+}
+
+// The totals of the load reports of the instance's domain are too old or missing; retry times are predicted from the instance's
+// own streams.
+type domainLoadUnknown struct {
+	_ struct{} `msg:"domain load unknown" level:"warning"`
+	noRequest
+	// The service.
+	Service string `log:"service"`
+}
+
 // Retries for a service were requested from the retry budget; logged at most once a second for each service.
 type retries struct {
 	_ struct{} `msg:"repeats" level:"info"`
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -91,6 +91,8 @@
 		serverSlow{},
 		serverNormal{},
 		lanes{},
+		domainLoadKnown{},
+		domainLoadUnknown{},
 		retries{},
 		instancesCounted{},
 		instancesNotCounted{},
--- a/schema/requests.go
+++ b/schema/requests.go
@@ -212,6 +212,8 @@
 	RetryAfterMS int64 `log:"retry_after_ms"`
 	// How long the caller was willing to wait.
 	WaitMS int64 `log:"wait_ms"`
+	// Whether the time was predicted from the load of the failure domain (domain) or from the instance's streams (own).
+	Forecast string `log:"forecast,optional"`
 }
 
 // The request ended because the configuration in force does not have its route or its key.
