demand: drop messages with too many reports at once

Cause: the search for a second report on a service takes time that grows with the square of their number, and only the size of a message bounded that. Change: more reports or totals than a book can hold are dropped unread. Result: TestTheMemoryOfABookIsBounded covers both.

--- a/demand/book.go
+++ b/demand/book.go
@@ -130,6 +130,8 @@
 		return []Reason{ReasonName}
 	case !ageUsable(age):
 		return []Reason{ReasonAge}
+	case len(reports) > maxServices:
+		return []Reason{ReasonFull}
 	case instance == b.own.name:
 		return nil
 	}
--- a/demand/book_test.go
+++ b/demand/book_test.go
@@ -146,8 +146,11 @@
 		for service := range maxServices + 5 {
 			totals = append(totals, Totals{Service: fmt.Sprint("s-", service), Domain: fmt.Sprint("d-", domain)})
 		}
+		b.AddTotals(totals, start)
+		totals = nil
 	}
-	b.AddTotals(totals, start)
+	require.Equal(t, []Reason{ReasonFull}, b.AddTotals(make([]Totals, maxDomains*maxServices+1), start))
+	require.Equal(t, []Reason{ReasonFull}, b.AddReports("i-0", make([]Report, maxServices+1), 0, start))
 	require.Len(t, b.received, maxDomains*maxServices)
 	for i := range 10 {
 		r := reportOf(1, 0, 1)
--- a/demand/totals.go
+++ b/demand/totals.go
@@ -87,6 +87,9 @@
 func (b *Book) AddTotals(totals []Totals, now time.Time) []Reason {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(totals) > maxServices*maxDomains {
+		return []Reason{ReasonFull}
+	}
 	var dropped []Reason
 	for i := range totals {
 		if reason := b.addTotalsLocked(&totals[i], now); reason != "" {
