admission: add the controller that admits by rank

Under overload each instance decided alone, and the most urgent requests were refused wherever they arrived. A controller computes the share of each rank that is admitted from the totals of the domain.

--- /dev/null
+++ b/admission/allot.go
@@ -0,0 +1,158 @@
+package admission
+
+const (
+	// floorShare is the share of first tries that each rank keeps, as a part of the share that all ranks together get. It is
+	// above a quarter, so that a rank keeps a quarter when it is counted over short times too.
+	floorShare = 0.35
+	// returnedShare is the part of a rank's room for its returned callers while its first tries, or those of less urgent
+	// ranks, need the room.
+	returnedShare = 0.1
+	// levelSteps is the number of halvings that find the level of fair parts.
+	levelSteps = 48
+)
+
+// allot divides the capacity, in requests a second, among the entries, which are in the order of their ranks.
+func (c *Controller) allot(perSecond float64) {
+	left := c.allotFloors(perSecond)
+	for group := range c.ranks {
+		left -= c.allotFirst(group, left)
+	}
+	for group := range c.ranks {
+		want := 0.0
+		for i := range group {
+			want += group[i].returned - group[i].allotedReturned
+		}
+		give := min(want, left)
+		c.spread(group, give, want)
+		left -= give
+	}
+}
+
+// allotFloors bounds the entries by the ceilings, gives each its guarantee and its floor, and returns what is left.
+func (c *Controller) allotFloors(perSecond float64) float64 {
+	offered, guaranteed := 0.0, 0.0
+	for i := range c.entries {
+		e := &c.entries[i]
+		e.limit, e.guaranteed, e.allotedReturned, e.byCeiling = e.offered, 0, 0, false
+		offered += e.offered
+	}
+	for i := range c.settings.Parts {
+		guaranteed += c.applyPart(&c.settings.Parts[i], perSecond)
+	}
+	floor := 0.0
+	if offered > 0 {
+		floor = min(floorShare*max(perSecond-guaranteed, 0)/offered, 1)
+	}
+	left := perSecond
+	for i := range c.entries {
+		e := &c.entries[i]
+		e.alloted = min(max(e.guaranteed, floor*e.limit), e.limit)
+		left -= e.alloted
+	}
+	return max(left, 0)
+}
+
+// applyPart applies an operator's request and returns what it guarantees, in requests a second.
+func (c *Controller) applyPart(p *Part, perSecond float64) float64 {
+	offered := 0.0
+	for i := range c.entries {
+		if p.selects(c.entries[i].class) {
+			offered += c.entries[i].limit
+		}
+	}
+	if offered <= 0 {
+		return 0
+	}
+	ceiling, guarantee := min(p.Ceiling*perSecond/offered, 1), min(p.Guarantee*perSecond/offered, 1)
+	for i := range c.entries {
+		e := &c.entries[i]
+		if !p.selects(e.class) {
+			continue
+		}
+		e.byCeiling = e.byCeiling || ceiling < 1
+		e.limit *= ceiling
+		e.guaranteed = max(e.guaranteed, min(guarantee*e.offered, e.limit))
+	}
+	return guarantee * offered
+}
+
+// allotFirst gives the first tries of a rank, and a part of its returned callers, what they need of left, and returns how much
+// that is.
+func (c *Controller) allotFirst(group []entry, left float64) float64 {
+	want, limit, returned := 0.0, 0.0, 0.0
+	for i := range group {
+		want += group[i].limit - group[i].alloted
+		limit += group[i].limit
+		returned += group[i].returned
+	}
+	forReturned := min(returned, returnedShare*limit, returnedShare*(left+limit-want))
+	forReturned = min(forReturned, left)
+	c.spread(group, forReturned, returned)
+	give := min(want, left-forReturned)
+	switch {
+	case want <= 0:
+	case c.settings.Accounts:
+		fairParts(group, limit-want+give)
+	default:
+		for i := range group {
+			group[i].alloted += (group[i].limit - group[i].alloted) * give / want
+		}
+	}
+	return give + forReturned
+}
+
+// spread gives the returned callers of a rank so much of what they still want. Where accounts are told apart, an account gets
+// in proportion to its weight, and no more than it wants.
+func (c *Controller) spread(group []entry, give, want float64) {
+	if want <= 0 || give <= 0 {
+		return
+	}
+	if !c.settings.Accounts {
+		for i := range group {
+			group[i].allotedReturned += (group[i].returned - group[i].allotedReturned) * give / want
+		}
+		return
+	}
+	total := give
+	for i := range group {
+		total += group[i].allotedReturned
+	}
+	level := levelOf(group, total, returnedPart)
+	for i := range group {
+		group[i].allotedReturned = returnedPart(&group[i], level)
+	}
+}
+
+// fairParts gives the first tries of the accounts of a rank so much in all, each by its weight and no more than it needs.
+func fairParts(group []entry, total float64) {
+	level := levelOf(group, total, firstPart)
+	for i := range group {
+		group[i].alloted = firstPart(&group[i], level)
+	}
+}
+
+func firstPart(e *entry, level float64) float64 {
+	return min(e.limit, max(e.guaranteed, level*e.weight))
+}
+
+func returnedPart(e *entry, level float64) float64 { return min(e.returned, level*e.weight) }
+
+// levelOf returns the level at which the parts of a group add up to total (max-min fairness).
+func levelOf(group []entry, total float64, part func(*entry, float64) float64) float64 {
+	low, high := 0.0, 0.0
+	for i := range group {
+		high = max(high, max(group[i].offered, group[i].returned)/group[i].weight)
+	}
+	for range levelSteps {
+		middle, sum := (low+high)/2, 0.0
+		for i := range group {
+			sum += part(&group[i], middle)
+		}
+		if sum > total {
+			high = middle
+		} else {
+			low = middle
+		}
+	}
+	return low
+}
--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,209 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"junctioncross/demand"
+)
+
+const (
+	// fallTime and riseTime are how fast the level of a class follows a lower and a higher share.
+	fallTime = 250 * time.Millisecond
+	riseTime = 500 * time.Millisecond
+	// openLevel is the level from which on all requests of a class are admitted.
+	openLevel = 0.995
+	// maxStep bounds the time that one update makes up.
+	maxStep = time.Second
+)
+
+// entry is what a Controller keeps for a class.
+type entry struct {
+	class  demand.Class
+	weight float64
+	// offered and returned are the requests a second of first tries and of returned callers, and refused the refused first
+	// tries.
+	offered, returned, refused float64
+	// limit bounds what the first tries get; guaranteed is what they get before others. byCeiling is true if a ceiling binds.
+	limit, guaranteed float64
+	byCeiling         bool
+	// alloted and allotedReturned are what first tries and returned callers get, in requests a second.
+	alloted, allotedReturned float64
+	// level and returnedLevel are the shares that are admitted now, and credit and returnedCredit what is left of them from
+	// the latest requests.
+	level, returnedLevel   float64
+	credit, returnedCredit float64
+}
+
+// Controller decides on the requests for one service on one instance. It is not safe for concurrent use.
+type Controller struct {
+	settings Settings
+	// random returns a random number in [0, 1).
+	random func() float64
+	// entries are sorted by rank, then by account; former holds those of the update before.
+	entries, former []entry
+	capacity        capacity
+	updated         time.Time
+	// limiting is true while levels are below 1, or the room is short.
+	limiting bool
+}
+
+// New returns a Controller that admits everything until it has totals. The random numbers, in [0, 1), keep the decisions of
+// instances independent of each other.
+func New(settings Settings, random func() float64) *Controller {
+	return &Controller{settings: settings, random: random}
+}
+
+// Clear forgets all totals, so that everything is admitted; there are none that can be used.
+func (c *Controller) Clear() {
+	c.entries, c.capacity, c.limiting, c.updated = c.entries[:0], capacity{}, false, time.Time{}
+}
+
+// Update computes the levels from new totals. Totals that cannot be true are not used, and it returns false for them.
+func (c *Controller) Update(t *demand.Totals, now time.Time) bool {
+	if !c.settings.active() || !valid(t) || now.Before(c.updated) {
+		return false
+	}
+	dt := maxStep
+	if !c.updated.IsZero() {
+		dt = min(now.Sub(c.updated), maxStep)
+	}
+	if !c.load(t.Classes) {
+		return false
+	}
+	c.updated = now
+	short := c.capacity.update(t, c.unexplained(), dt)
+	perSecond := c.capacity.perSecond(t)
+	c.allot(perSecond)
+	c.limiting = c.settings.limits() && (short || c.limiting && !c.open())
+	c.follow(dt)
+	return true
+}
+
+// load replaces the entries by those of new rates; the levels of classes that were there before are kept. False means that a
+// class is there twice, and nothing is changed.
+func (c *Controller) load(classes []demand.Rates) bool {
+	next := c.former[:0]
+	for i := range classes {
+		r := &classes[i]
+		next = append(next, entry{
+			class: r.Class, weight: c.settings.weight(r.Class.Account), offered: r.Offered, returned: r.Returned, refused: r.Refused,
+			level: 1, returnedLevel: 1,
+		})
+	}
+	c.former = next
+	slices.SortFunc(next, func(a, b entry) int { return compareClasses(a.class, b.class) })
+	for i := 1; i < len(next); i++ {
+		if next[i].class == next[i-1].class {
+			return false
+		}
+	}
+	for i := range next {
+		e := &next[i]
+		if old := c.entryOf(e.class); old != nil {
+			e.level, e.returnedLevel, e.credit, e.returnedCredit = old.level, old.returnedLevel, old.credit, old.returnedCredit
+			continue
+		}
+		e.level, e.returnedLevel = c.levelOfNew(e.class)
+		e.credit, e.returnedCredit = c.random(), c.random()
+	}
+	c.entries, c.former = next, c.entries
+	return true
+}
+
+func compareClasses(a, b demand.Class) int {
+	return cmp.Or(a.Rank.Compare(b.Rank), cmp.Compare(a.Account, b.Account))
+}
+
+// entryOf returns the entry of a class, or nil.
+func (c *Controller) entryOf(class demand.Class) *entry {
+	i, ok := slices.BinarySearchFunc(c.entries, class, func(e entry, k demand.Class) int { return compareClasses(e.class, k) })
+	if !ok {
+		return nil
+	}
+	return &c.entries[i]
+}
+
+// levelOfNew returns the levels of a class that has not been seen: those of the class before it in the order of ranks, which is
+// as urgent or more so.
+func (c *Controller) levelOfNew(class demand.Class) (first, returned float64) {
+	i, _ := slices.BinarySearchFunc(c.entries, class, func(e entry, k demand.Class) int { return compareClasses(e.class, k) })
+	if i == 0 || !c.settings.Ranks || c.settings.Accounts && c.entries[i-1].class.Rank == class.Rank {
+		return 1, 1
+	}
+	return c.entries[i-1].level, c.entries[i-1].returnedLevel
+}
+
+// unexplained returns the part of the first tries that was refused although the levels admit them.
+func (c *Controller) unexplained() float64 {
+	offered, refused := 0.0, 0.0
+	for i := range c.entries {
+		e := &c.entries[i]
+		if e.level < openLevel {
+			continue
+		}
+		offered += e.offered
+		refused += min(e.refused, e.offered)
+	}
+	if offered <= 0 {
+		return 0
+	}
+	return refused / offered
+}
+
+// open reports whether everything is admitted.
+func (c *Controller) open() bool {
+	for i := range c.entries {
+		if c.entries[i].level < openLevel || c.entries[i].returnedLevel < openLevel {
+			return false
+		}
+	}
+	return true
+}
+
+// follow moves the levels towards the shares that the classes get.
+func (c *Controller) follow(dt time.Duration) {
+	for i := range c.entries {
+		e := &c.entries[i]
+		first, returned := share(e.limit, e.offered), share(e.limit, e.offered)
+		if c.limiting {
+			first, returned = share(e.alloted, e.offered), share(e.allotedReturned, e.returned)
+		}
+		e.level = approach(e.level, first, dt)
+		e.returnedLevel = approach(e.returnedLevel, returned, dt)
+	}
+}
+
+func share(alloted, wanted float64) float64 {
+	if wanted <= 0 || alloted >= wanted {
+		return 1
+	}
+	return alloted / wanted
+}
+
+func approach(level, to float64, dt time.Duration) float64 {
+	constant := riseTime
+	if to < level {
+		constant = fallTime
+	}
+	return level + (to-level)*gain(dt, constant)
+}
+
+// ranks yields the entries of each rank, the most urgent first, or all at once if ranks do not count.
+func (c *Controller) ranks(yield func([]entry) bool) {
+	if !c.settings.Ranks {
+		yield(c.entries)
+		return
+	}
+	for from := 0; from < len(c.entries); {
+		to := from + 1
+		for to < len(c.entries) && c.entries[to].class.Rank == c.entries[from].class.Rank {
+			to++
+		}
+		if !yield(c.entries[from:to]) {
+			return
+		}
+		from = to
+	}
+}
--- /dev/null
+++ b/admission/decide.go
@@ -0,0 +1,79 @@
+package admission
+
+import (
+	"time"
+
+	"junctioncross/demand"
+)
+
+// Decide decides on one request. Each instance admits the share of a class evenly among its requests, beginning at a random
+// point, so that the share also holds in sum where each instance has few requests.
+func (c *Controller) Decide(class demand.Class, try Try, now time.Time) Decision {
+	if try == Resumed || c.updated.IsZero() || now.Sub(c.updated) > maxAge {
+		return Admitted{}
+	}
+	e := c.entryOf(class)
+	if e == nil {
+		return c.decideNew(class, try)
+	}
+	level, credit := e.level, &e.credit
+	if try == Returned {
+		level, credit = e.returnedLevel, &e.returnedCredit
+	}
+	if level >= openLevel {
+		return Admitted{}
+	}
+	*credit += level
+	if *credit >= 1 {
+		*credit--
+		return Admitted{}
+	}
+	return Refused{Reason: c.reasonOf(e), Rank: class.Rank, Level: level}
+}
+
+// decideNew decides on a request of a class that is not in the totals yet.
+func (c *Controller) decideNew(class demand.Class, try Try) Decision {
+	level, returned := c.levelOfNew(class)
+	if try == Returned {
+		level = returned
+	}
+	if level >= openLevel || c.random() < level {
+		return Admitted{}
+	}
+	return Refused{Reason: ReasonRank, Rank: class.Rank, Level: level}
+}
+
+func (c *Controller) reasonOf(e *entry) Reason {
+	switch {
+	case e.byCeiling:
+		return ReasonCeiling
+	case c.settings.Accounts:
+		return ReasonAccount
+	default:
+		return ReasonRank
+	}
+}
+
+// Level is the share of the requests of a rank that is admitted.
+type Level struct {
+	Rank demand.Rank
+	// First is the share of the first tries, and Returned that of the returned callers.
+	First, Returned float64
+}
+
+// AppendLevels appends the levels of all ranks, the most urgent first, to levels.
+func (c *Controller) AppendLevels(levels []Level) []Level {
+	for group := range c.ranks {
+		if len(group) == 0 {
+			continue
+		}
+		offered, admitted, returned, admittedReturned := 0.0, 0.0, 0.0, 0.0
+		for i := range group {
+			e := &group[i]
+			offered, admitted = offered+e.offered, admitted+e.offered*e.level
+			returned, admittedReturned = returned+e.returned, admittedReturned+e.returned*e.returnedLevel
+		}
+		levels = append(levels, Level{Rank: group[0].class.Rank, First: share(admitted, offered), Returned: share(admittedReturned, returned)})
+	}
+	return levels
+}
--- /dev/null
+++ b/admission/valid.go
@@ -0,0 +1,47 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"junctioncross/demand"
+)
+
+const (
+	// maxCount bounds the streams, and the requests a second, that totals can hold.
+	maxCount = 1e7
+	// maxLifetime bounds the mean lifetime of streams, and maxAge the age of totals that are used.
+	maxLifetime = time.Hour
+	maxAge      = 3 * time.Second
+	// maxClasses bounds the classes of a service.
+	maxClasses = 4096
+)
+
+// valid reports whether the totals can be those of a service; others are not used.
+func valid(t *demand.Totals) bool {
+	if t.Instances < 1 || t.UnderWay < 0 || t.Waiting < 0 || t.UnderWay > maxCount || t.Waiting > maxCount {
+		return false
+	}
+	if !quantity(t.Room) || t.Room <= 0 || t.Lifetime <= 0 || t.Lifetime > maxLifetime || t.Age < 0 || t.Age > maxAge {
+		return false
+	}
+	for _, n := range t.Ends {
+		if !quantity(n) || n > float64(t.UnderWay)+1 {
+			return false
+		}
+	}
+	return len(t.Classes) <= maxClasses && validRates(t.Classes)
+}
+
+func validRates(classes []demand.Rates) bool {
+	for i := range classes {
+		c := &classes[i]
+		if !quantity(c.Offered) || !quantity(c.Refused) || !quantity(c.Returned) || c.Class.Rank.Account < 0 || c.Class.Rank.Route < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// quantity reports whether n is a number of streams, or of requests a second, that can be.
+func quantity(n float64) bool { return !math.IsNaN(n) && n >= 0 && n <= maxCount }
