--- a/admission/allot.go
+++ b/admission/allot.go
@@ -3,7 +3,10 @@
 const (
 	// floorShare is the share of first tries that each rank keeps, as a part of the share that all ranks together get. It is
 	// above a quarter, so that a rank keeps a quarter when it is counted over short times too.
-	floorShare = 0.35
+	floorShare = 0.42
+	// floorRise is the additional part that the most urgent rank keeps; it falls evenly to none for the least urgent one, so that
+	// the order of the ranks holds where all have little more than their floors.
+	floorRise = 0.4
 	// returnedShare is the part of a rank's room for its returned callers while its first tries, or those of less urgent
 	// ranks, need the room.
 	returnedShare = 0.1
@@ -43,11 +46,18 @@
 	if offered > 0 {
 		floor = min(floorShare*max(perSecond-guaranteed, 0)/offered, 1)
 	}
-	left := perSecond
-	for i := range c.entries {
-		e := &c.entries[i]
-		e.alloted = min(max(e.guaranteed, floor*e.limit), e.limit)
-		left -= e.alloted
+	left, ranks, rank := perSecond, 0, 0
+	for range c.ranks {
+		ranks++
+	}
+	for group := range c.ranks {
+		rank++
+		share := floor * (1 + floorRise*float64(ranks-rank)/float64(max(ranks-1, 1)))
+		for i := range group {
+			e := &group[i]
+			e.alloted = min(max(e.guaranteed, share*e.limit), e.limit)
+			left -= e.alloted
+		}
 	}
 	return max(left, 0)
 }
--- a/admission/capacity.go
+++ b/admission/capacity.go
@@ -14,58 +14,85 @@
 	// targetFill is the number of streams under way and waiting, as a multiple of the room, that keeps the room full and the
 	// waits short.
 	targetFill = 1.02
-	// fillTime is how long it takes to bring these streams to their target; it is longer than totals are old.
-	fillTime = 2 * time.Second
+	// fillTime and drainTime are how long it takes to bring these streams to their target, from below and from above; they are
+	// longer than totals are old.
+	fillTime  = 4 * time.Second
+	drainTime = 2 * time.Second
 	// shortFill is the same multiple from which on the room counts as short.
 	shortFill = 0.92
+	// tightFill is the multiple below which the room is no longer short.
+	tightFill = 0.85
 	// shortRefused is the part of the first tries whose refusal, not by the levels, shows that the room is short.
 	shortRefused = 0.02
 	// waitingShare is the number of waiting requests, as a part of the room, which shows that no room is free.
-	waitingShare = 0.03
+	waitingShare = 0.01
+	// idleWaitingShare is the same part below which some room may be free.
+	idleWaitingShare = 0.005
 	// minFoundShare is the least part of the reported room that is taken for the room that these instances find.
 	minFoundShare = 0.2
 	// loseTime and regainTime are how fast the room that is found follows less and more room.
-	loseTime   = time.Second
+	loseTime   = 250 * time.Millisecond
 	regainTime = 5 * time.Second
 	// endsTime is how fast the rate of ends is followed.
 	endsTime = 2 * time.Second
 	// minCapacityShare is the least part of the room that is given out anew while too many streams wait.
 	minCapacityShare = 0.25
+	// smoothTime is how fast the capacity follows the totals.
+	smoothTime = 500 * time.Millisecond
 	// endsHorizon is the index of the horizon from which the rate of ends is taken.
 	endsHorizon = 2
 )
 
+// fullness says how full the room is. While it is tight, it counts as short if it was short before.
+type fullness int
+
+const (
+	roomFree fullness = iota
+	roomTight
+	roomShort
+)
+
 // capacity estimates how many streams a second find room.
 type capacity struct {
 	// found is the room that the instances of the totals find; other instances, or lost servers, may take the rest.
 	found float64
 	// ends is the rate at which streams ended while the room was full, a second.
 	ends float64
+	// smooth is the capacity without its short-lived changes, a second.
+	smooth float64
 }
 
 // update takes in new totals, dt after the former ones; refused is the part of the first tries that was refused, not by the
-// levels. It reports whether the room is short.
-func (c *capacity) update(t *demand.Totals, refused float64, dt time.Duration) bool {
+// levels. It returns how full the room is.
+func (c *capacity) update(t *demand.Totals, refused float64, dt time.Duration) fullness {
 	used := float64(t.UnderWay)
 	if c.found == 0 {
 		c.found = t.Room
 	}
-	noneFree := refused > shortRefused || float64(t.Waiting) > waitingShare*t.Room+1
-	if noneFree && used < shortFill*c.found {
+	noneFree := refused > shortRefused || float64(t.Waiting) > waitingShare*c.found+1
+	switch {
+	case noneFree && used < c.found:
 		c.found += (max(used, minFoundShare*t.Room) - c.found) * gain(dt, loseTime)
-	} else {
+	case float64(t.Waiting) < idleWaitingShare*c.found:
 		c.found += (t.Room - c.found) * gain(dt, regainTime)
 	}
 	c.found = max(min(c.found, t.Room), used)
 	if used >= shortFill*c.found {
 		c.ends += (t.Ends[endsHorizon]/demand.Horizons[endsHorizon].Seconds() - c.ends) * gain(dt, endsTime)
 	}
-	return noneFree || used+float64(t.Waiting) >= shortFill*c.found
+	switch filled := used + float64(t.Waiting); {
+	case noneFree || filled >= shortFill*c.found:
+		return roomShort
+	case filled >= tightFill*c.found:
+		return roomTight
+	default:
+		return roomFree
+	}
 }
 
 // perSecond returns how many streams a second are to be admitted: as many as end, and those that fill the room or shorten the
 // queue.
-func (c *capacity) perSecond(t *demand.Totals) float64 {
+func (c *capacity) perSecond(t *demand.Totals, dt time.Duration) float64 {
 	used, waiting := float64(t.UnderWay), float64(t.Waiting)
 	inRoom := t.Lifetime.Seconds()
 	if used > 0 {
@@ -73,7 +100,16 @@
 		inRoom *= max(used/(used+waiting), 0.5)
 	}
 	ending := max(usableShare*c.found/inRoom, c.ends)
-	return max(ending+(targetFill*c.found-used-waiting)/fillTime.Seconds(), minCapacityShare*ending)
+	missing, within := targetFill*c.found-used-waiting, fillTime
+	if missing < 0 {
+		within = drainTime
+	}
+	now := max(ending+missing/within.Seconds(), minCapacityShare*ending)
+	if c.smooth == 0 {
+		c.smooth = now
+	}
+	c.smooth += (now - c.smooth) * gain(dt, smoothTime)
+	return c.smooth
 }
 
 // gain returns the part of a difference that is made up in dt, if it decays with the time constant.
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -73,10 +73,10 @@
 		return false
 	}
 	c.updated = now
-	short := c.capacity.update(t, c.unexplained(), dt)
-	perSecond := c.capacity.perSecond(t)
+	room := c.capacity.update(t, c.unexplained(), dt)
+	perSecond := c.capacity.perSecond(t, dt)
 	c.allot(perSecond)
-	c.limiting = c.settings.limits() && (short || c.limiting && !c.open())
+	c.limiting = c.settings.limits() && (room == roomShort || c.limiting && (room == roomTight || c.wanted() > perSecond))
 	c.follow(dt)
 	return true
 }
@@ -152,14 +152,13 @@
 	return refused / offered
 }
 
-// open reports whether everything is admitted.
-func (c *Controller) open() bool {
+// wanted returns how many requests a second want room.
+func (c *Controller) wanted() float64 {
+	sum := 0.0
 	for i := range c.entries {
-		if c.entries[i].level < openLevel || c.entries[i].returnedLevel < openLevel {
-			return false
-		}
+		sum += c.entries[i].offered + c.entries[i].returned
 	}
-	return true
+	return sum
 }
 
 // follow moves the levels towards the shares that the classes get.
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -19,6 +19,8 @@
 	// objective is the time in which callers want their answers to begin, and maxTries how often they try.
 	objective = 800 * time.Millisecond
 	maxTries  = 4
+	// maxOvertaken is how often a waiting request is overtaken at most.
+	maxOvertaken = 3
 )
 
 // traffic is the load at a time: the requests a second of each class.
@@ -26,12 +28,12 @@
 
 // caller is one caller of a service.
 type caller struct {
-	class            demand.Class
-	born, tried      time.Duration
-	tries, instance  int
-	eager            bool
-	served, inTime   bool
-	waitingSinceTick int
+	class           demand.Class
+	born, tried     time.Duration
+	tries, instance int
+	eager           bool
+	served, inTime  bool
+	overtaken       int
 }
 
 // load plays callers against instances with a common room.
@@ -90,7 +92,7 @@
 
 // play runs the load for a time.
 func (l *load) play(until time.Duration) {
-	for n := 0; l.now < until; n, l.now = n+1, l.now+tick {
+	for n := int(l.now / tick); l.now < until; n, l.now = n+1, l.now+tick {
 		for _, part := range l.ends[n] {
 			l.underWay[part]--
 		}
@@ -140,7 +142,7 @@
 
 // try sends a caller's request to a random instance.
 func (l *load) try(c *caller, n int) {
-	c.instance, c.tried, c.waitingSinceTick = l.random.IntN(len(l.controllers)), l.now, n
+	c.instance, c.tried, c.overtaken = l.random.IntN(len(l.controllers)), l.now, 0
 	c.tries++
 	first := c.tries == 1 || c.eager
 	if first {
@@ -211,7 +213,8 @@
 	for l.used() < int(l.room) && len(l.waiting) > 0 {
 		at := l.random.IntN(len(l.waiting))
 		for i, c := range l.waiting {
-			if c.instance == l.waiting[at].instance && c.class.Rank.Compare(l.waiting[at].class.Rank) < 0 {
+			if c.instance == l.waiting[at].instance && c.class.Rank.Compare(l.waiting[at].class.Rank) < 0 && l.waiting[at].overtaken < maxOvertaken {
+				l.waiting[at].overtaken++
 				at = i
 			}
 		}
