forward: ask admission before a new stream looks for room

Services whose routes or accounts have different priorities consult the admission controller; what is refused gets the reason rank. Without totals of the domain nothing is refused.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -69,9 +69,7 @@
 	if !c.updated.IsZero() {
 		dt = min(now.Sub(c.updated), maxStep)
 	}
-	if !c.load(t.Classes) {
-		return false
-	}
+	c.load(t.Classes)
 	c.updated = now
 	room := c.capacity.update(t, c.unexplained(), dt)
 	perSecond := c.capacity.perSecond(t, dt)
@@ -81,24 +79,39 @@
 	return true
 }
 
-// load replaces the entries by those of new rates; the levels of classes that were there before are kept. False means that a
-// class is there twice, and nothing is changed.
-func (c *Controller) load(classes []demand.Rates) bool {
+// load replaces the entries by those of new rates; the levels of classes that were there before are kept.
+func (c *Controller) load(classes []demand.Rates) {
 	next := c.former[:0]
 	for i := range classes {
 		r := &classes[i]
+		class := c.settings.class(r.Class)
 		next = append(next, entry{
-			class: r.Class, weight: c.settings.weight(r.Class.Account), offered: r.Offered, returned: r.Returned, refused: r.Refused,
-			level: 1, returnedLevel: 1,
+			class: class, weight: c.settings.weight(class.Account), offered: r.Offered, returned: r.Returned, refused: r.Refused,
 		})
 	}
-	c.former = next
 	slices.SortFunc(next, func(a, b entry) int { return compareClasses(a.class, b.class) })
-	for i := 1; i < len(next); i++ {
-		if next[i].class == next[i-1].class {
-			return false
+	next = merge(next)
+	c.keepLevels(next)
+	c.entries, c.former = next, c.entries
+}
+
+// merge adds up the rates of sorted entries of the same class.
+func merge(entries []entry) []entry {
+	kept := 0
+	for i := range entries {
+		if kept > 0 && entries[kept-1].class == entries[i].class {
+			into := &entries[kept-1]
+			into.offered, into.returned, into.refused = into.offered+entries[i].offered, into.returned+entries[i].returned, into.refused+entries[i].refused
+			continue
 		}
+		entries[kept] = entries[i]
+		kept++
 	}
+	return entries[:kept]
+}
+
+// keepLevels gives new entries the levels that their classes have now.
+func (c *Controller) keepLevels(next []entry) {
 	for i := range next {
 		e := &next[i]
 		if old := c.entryOf(e.class); old != nil {
@@ -108,8 +121,6 @@
 		e.level, e.returnedLevel = c.levelOfNew(e.class)
 		e.credit, e.returnedCredit = c.random(), c.random()
 	}
-	c.entries, c.former = next, c.entries
-	return true
 }
 
 func compareClasses(a, b demand.Class) int {
--- a/admission/decide.go
+++ b/admission/decide.go
@@ -12,7 +12,11 @@
 	if try == Resumed || c.updated.IsZero() || now.Sub(c.updated) > maxAge {
 		return Admitted{}
 	}
+	class = c.settings.class(class)
 	e := c.entryOf(class)
+	if e == nil {
+		e = c.entryOf(demand.Class{Rank: class.Rank})
+	}
 	if e == nil {
 		return c.decideNew(class, try)
 	}
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -48,3 +48,11 @@
 func (s *Settings) limits() bool {
 	return s.Ranks || s.Accounts || slices.ContainsFunc(s.Parts, func(p Part) bool { return p.Guarantee > 0 })
 }
+
+// class returns the class in which requests are counted: without the account where accounts do not matter.
+func (s *Settings) class(c demand.Class) demand.Class {
+	if !s.Accounts && !slices.ContainsFunc(s.Parts, func(p Part) bool { return p.Account != "" }) {
+		c.Account = ""
+	}
+	return c
+}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -41,13 +41,14 @@
 	// hosts holds the routes of each host, the longest prefix first.
 	hosts map[string][]*Route
 	// keys maps each bearer key to its account; it is nil if callers need no key.
-	keys map[string]*Account
+	keys     map[string]*Account
+	accounts []Account
 }
 
 // New validates the content and returns its Catalog; the error names the first invalid route or service.
 func New(content *Content) (*Catalog, error) {
 	c := &Catalog{
-		version: content.Version, limits: content.Limits,
+		version: content.Version, limits: content.Limits, accounts: content.Accounts,
 		services: make(map[string]*Service, len(content.Services)), hosts: map[string][]*Route{},
 	}
 	for i := range content.Services {
@@ -135,6 +136,18 @@
 	return out
 }
 
+// Routes returns all routes in no particular order.
+func (c *Catalog) Routes() []*Route {
+	var out []*Route
+	for _, routes := range c.hosts {
+		out = append(out, routes...)
+	}
+	return out
+}
+
+// Accounts returns all client accounts; there are none if callers need no key.
+func (c *Catalog) Accounts() []Account { return c.accounts }
+
 // Route returns the route of the host with the longest prefix that matches the path, or nil.
 func (c *Catalog) Route(host, path string) *Route {
 	for _, r := range c.hosts[host] {
--- a/config/hosted.go
+++ b/config/hosted.go
@@ -1,6 +1,10 @@
 package config
 
-import "time"
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
 
 // Hosted is the content of the settings file of jxd serve, which runs in front of a platform's backend servers.
 type Hosted struct {
@@ -16,7 +20,9 @@
 	Relays   HostedRelays   `yaml:"relays"`
 	// Quarantine defines when a request is no longer sent to any server, because servers have terminated while they ran it.
 	Quarantine HostedQuarantine `yaml:"quarantine"`
-	Log        Log              `yaml:"log"`
+	// Admission defines which requests are refused first while the room of a service is short.
+	Admission HostedAdmission `yaml:"admission"`
+	Log       Log             `yaml:"log"`
 }
 
 // HostedInstance identifies the entry instance that this process is.
@@ -120,6 +126,32 @@
 	Most int `yaml:"most" validate:"min=16,max=1000000"`
 }
 
+// HostedAdmission defines which requests for a chained service are refused first while its room is short.
+type HostedAdmission struct {
+	// Ranks refuses the least urgent requests first, on all instances alike; it has an effect only on services whose routes or
+	// accounts have different priorities.
+	Ranks bool `yaml:"ranks"`
+	// Accounts divides the room fairly among the client accounts of requests that are equally urgent.
+	Accounts bool `yaml:"accounts"`
+	// Parts are requests for parts of the room. Each names a route or an account (route, account), the greatest part of the room
+	// (ceiling, from 0 to 1), the part that it gets before others (guarantee, from 0 to 1; not more than 1 in sum), and for an
+	// account its weight among the accounts (weight, 1 if it is missing).
+	Parts []HostedPart `yaml:"parts" validate:"dive"`
+}
+
+// HostedPart is a request for a part of the room of the services of a route, or of those that an account uses.
+type HostedPart struct {
+	// Route is the name of a route, and Account that of a client account; one of them is given.
+	Route   *string `yaml:"route"`
+	Account *string `yaml:"account"`
+	// Ceiling is the greatest part of the room.
+	Ceiling *float64 `yaml:"ceiling" validate:"omitempty,min=0,max=1"`
+	// Guarantee is the part of the room that is given before others get any.
+	Guarantee float64 `yaml:"guarantee" validate:"min=0,max=1"`
+	// Weight is the weight of an account among the accounts.
+	Weight *float64 `yaml:"weight" validate:"omitempty,min=0.001,max=1000"`
+}
+
 // DefaultHosted returns the defaults for settings that are missing in the file.
 func DefaultHosted() Hosted {
 	return Hosted{
@@ -133,6 +165,7 @@
 		Servers:    HostedServers{LongestBackOff: time.Hour},
 		Relays:     HostedRelays{From: 24, ApplyTime: 3 * time.Second},
 		Quarantine: HostedQuarantine{Ends: 3, EndsOfOne: 4, Keep: 10 * time.Minute, Most: 4096},
+		Admission:  HostedAdmission{Ranks: true},
 		Log:        defaultLog(),
 	}
 }
@@ -143,5 +176,12 @@
 
 // ParseHosted reads and checks settings of jxd serve in YAML; errors show name as the file name.
 func ParseHosted(name string, body []byte) (*Hosted, error) {
-	return decode(name, body, DefaultHosted())
+	settings, err := decode(name, body, DefaultHosted())
+	if err != nil {
+		return nil, err
+	}
+	if err := checkParts(settings.Admission.Parts); err != nil {
+		return nil, errors.Wrap(err, name)
+	}
+	return settings, nil
 }
--- a/decision/recorder.go
+++ b/decision/recorder.go
@@ -57,6 +57,9 @@
 	}
 }
 
+// Log returns the logger for lines about no particular request, which are always written.
+func (r *Recorder) Log() *logrus.Logger { return r.log }
+
 // sampledLogger returns a logger like log for lines that may be omitted.
 func sampledLogger(log *logrus.Logger) *logrus.Logger {
 	out, ok := log.Out.(sampler)
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -37,6 +37,8 @@
 	StallTime time.Duration
 	// LongestBackOff limits for how long a server may ask the instance to send it no requests.
 	LongestBackOff time.Duration
+	// Admission defines which requests are refused first while the room of a service is short.
+	Admission AdmissionSettings
 }
 
 // Instances returns the number of instances that share the limits.
@@ -66,6 +68,7 @@
 	budget    *retry.Budget
 	// retryLog and lanesLog limit the rate of the log lines about the retries and the lanes of each service.
 	retryLog, lanesLog logLimiter
+	admissions         *admissions
 	ends               *quarantine.Book
 	publisher          EndPublisher
 
@@ -88,7 +91,7 @@
 ) *Handler {
 	h := &Handler{
 		fleetView: fleetView, codec: codec, engines: engines, clock: clock, stats: stats, record: record, instances: instances,
-		ends: ends, publisher: publisher,
+		ends: ends, publisher: publisher, admissions: newAdmissions(),
 		budget: retry.NewBudget(settings.Repeats, clock.Now()),
 		lanes:  map[string]*laneCache{}, queues: map[string]*queue{}, longestWaits: longestWaits{},
 		loadRatio: loadRatio{estimate: initialLoadRatio},
@@ -103,6 +106,7 @@
 func (h *Handler) ApplySettings(settings Settings) {
 	h.settings.Store(&settings)
 	h.budget.SetLimit(settings.Repeats)
+	h.reviewAdmissions(nil)
 }
 
 // KeysConfirmed reports whether the keys were confirmed recently enough for requests with a key to be accepted.
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -15,8 +15,10 @@
 
 // inflight is the state of one stream under way, over all its attempts.
 type inflight struct {
-	r      *request
-	events events
+	r *request
+	// firstTriesFirst is true if first tries go before returning callers of the same rank.
+	firstTriesFirst bool
+	events          events
 
 	// first is the first server of the present path, and conn the connection to it.
 	first *backend.Server
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -27,8 +27,8 @@
 	maxEnds     = 64.0
 )
 
-// queue holds the requests of one service that wait for room. The order is by urgency, then returning callers before others,
-// then by arrival. It also keeps the statistics from which room is predicted.
+// queue holds the requests of one service that wait for room. The order is by urgency, then returning callers before others, or
+// after them where ranks differ, then by arrival. It also keeps the statistics from which room is predicted.
 type queue struct {
 	mu      sync.Mutex
 	waiting []*inflight
@@ -80,6 +80,9 @@
 	if c := f.r.urgency.compare(other.r.urgency); c != 0 {
 		return c < 0 && other.r.overtaken < maxOvertaken
 	}
+	if f.firstTriesFirst || other.firstTriesFirst {
+		return !f.returned && other.returned && other.r.overtaken < maxOvertaken
+	}
 	return f.returned && !other.returned
 }
 
@@ -171,7 +174,7 @@
 		}
 		places += other.places()
 	}
-	if !f.returned {
+	if !f.returned && !f.firstTriesFirst {
 		places += float64(q.dueRetriesLocked(now, until))
 	}
 	return places
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -20,6 +20,10 @@
 	f := &inflight{r: r, events: events{last: parseResumeAfter(r.meta.ResumeAfter)}}
 	f.need, f.returned = h.needOf(r), h.hasReturned(r)
 	h.countTry(f)
+	if refused, ok := h.admit(f); !ok {
+		h.concludeStream(ctx, f, refused)
+		return
+	}
 	var last outcome
 	for attempt := 1; ; attempt++ {
 		path, instead := h.nextPath(ctx, f, last)
--- a/models/fate.go
+++ b/models/fate.go
@@ -71,6 +71,8 @@
 	ReasonNoServer Reason = "no_server"
 	// ReasonNoRoom means that no path has enough free memory for the stream.
 	ReasonNoRoom Reason = "no_room"
+	// ReasonLowRank means that the room is kept for more urgent requests, or for those of other accounts.
+	ReasonLowRank Reason = "rank"
 	// ReasonStreamBroken means that a stream broke off after its caller had received a part of it.
 	ReasonStreamBroken Reason = "broken"
 	// ReasonAttemptsUsedUp means that the request has used up the attempts that its route allows.
