--- a/admission/allot.go
+++ b/admission/allot.go
@@ -3,10 +3,10 @@
 const (
 	// floorShare is the share of first tries that each rank keeps, as a part of the share that all ranks together get. It is
 	// above a quarter, so that a rank keeps a quarter when it is counted over short times too.
-	floorShare = 0.42
+	floorShare = 0.41
 	// floorRise is the additional part that the most urgent rank keeps; it falls evenly to none for the least urgent one, so that
 	// the order of the ranks holds where all have little more than their floors.
-	floorRise = 0.4
+	floorRise = 0.15
 	// returnedShare is the part of a rank's room for its returned callers while its first tries, or those of less urgent
 	// ranks, need the room.
 	returnedShare = 0.1
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -172,19 +172,34 @@
 	return sum
 }
 
-// follow moves the levels towards the shares that the classes get.
+// follow moves the levels towards the shares that the classes get. The first tries of no rank get a greater one than those of a more urgent rank, unless
+// accounts or parts of the room are told apart, which the shares of a rank then depend on.
 func (c *Controller) follow(dt time.Duration) {
-	for i := range c.entries {
-		e := &c.entries[i]
-		first, returned := share(e.limit, e.offered), share(e.limit, e.offered)
-		if c.limiting {
-			first, returned = share(e.alloted, e.offered), share(e.allotedReturned, e.returned)
+	ordered := !c.settings.Accounts && len(c.settings.Parts) == 0
+	first := 1.0
+	for group := range c.ranks {
+		for i := range group {
+			c.followOne(&group[i], dt)
+			if ordered {
+				group[i].level = min(group[i].level, first)
+			}
+		}
+		if len(group) > 0 {
+			first = group[0].level
 		}
-		e.level = approach(e.level, first, dt)
-		e.returnedLevel = approach(e.returnedLevel, returned, dt)
 	}
 }
 
+func (c *Controller) followOne(e *entry, dt time.Duration) {
+	first := share(e.limit, e.offered)
+	returned := first
+	if c.limiting {
+		first, returned = share(e.alloted, e.offered), share(e.allotedReturned, e.returned)
+	}
+	e.level = approach(e.level, first, dt)
+	e.returnedLevel = approach(e.returnedLevel, returned, dt)
+}
+
 func share(alloted, wanted float64) float64 {
 	if wanted <= 0 || alloted >= wanted {
 		return 1
--- a/admission/decide.go
+++ b/admission/decide.go
@@ -77,7 +77,14 @@
 			offered, admitted = offered+e.offered, admitted+e.offered*e.level
 			returned, admittedReturned = returned+e.returned, admittedReturned+e.returned*e.returnedLevel
 		}
-		levels = append(levels, Level{Rank: group[0].class.Rank, First: share(admitted, offered), Returned: share(admittedReturned, returned)})
+		level := Level{Rank: group[0].class.Rank, First: group[0].level, Returned: group[0].returnedLevel}
+		if offered > 0 {
+			level.First = share(admitted, offered)
+		}
+		if returned > 0 {
+			level.Returned = share(admittedReturned, returned)
+		}
+		levels = append(levels, level)
 	}
 	return levels
 }
