--- a/admission/accounts_test.go
+++ b/admission/accounts_test.go
@@ -109,3 +109,21 @@
 	got := admittedAfter(admission.Settings{Parts: []admission.Part{{Account: "bound", Ceiling: 0.1}}}, totals)
 	require.Less(t, got["bound"], 20.0)
 }
+
+// TestAccountsAreFairInsideTheirRank has a large and a small account in each of two ranks.
+func TestAccountsAreFairInsideTheirRank(t *testing.T) {
+	totals := fullTotals(nil)
+	for rank, offered := range []map[string]float64{{"a": 40, "b": 10}, {"c": 200, "d": 10}} {
+		for _, account := range []string{"a", "b", "c", "d"} {
+			if rate := offered[account]; rate > 0 {
+				class := demand.Class{Rank: demand.Rank{Account: rank}, Account: account}
+				totals.Classes = append(totals.Classes, demand.Rates{Class: class, Offered: rate})
+			}
+		}
+	}
+	got := admittedAfter(admission.Settings{Ranks: true, Accounts: true}, totals)
+	require.InDelta(t, 40, got["a"], 0.1)
+	require.InDelta(t, 10, got["b"], 0.1)
+	require.InDelta(t, 10, got["d"], 0.1)
+	require.InDelta(t, 38, got["c"], 6)
+}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -101,7 +101,9 @@
 	for i := range entries {
 		if kept > 0 && entries[kept-1].class == entries[i].class {
 			into := &entries[kept-1]
-			into.offered, into.returned, into.refused = into.offered+entries[i].offered, into.returned+entries[i].returned, into.refused+entries[i].refused
+			into.offered += entries[i].offered
+			into.returned += entries[i].returned
+			into.refused += entries[i].refused
 			continue
 		}
 		entries[kept] = entries[i]
@@ -172,8 +174,8 @@
 	return sum
 }
 
-// follow moves the levels towards the shares that the classes get. The first tries of no rank get a greater one than those of a more urgent rank, unless
-// accounts or parts of the room are told apart, which the shares of a rank then depend on.
+// follow moves the levels towards the shares that the classes get. The first tries of no rank get a greater one than those of a
+// more urgent rank, unless accounts or parts of the room are told apart, on which the shares then depend.
 func (c *Controller) follow(dt time.Duration) {
 	ordered := !c.settings.Accounts && len(c.settings.Parts) == 0
 	first := 1.0
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -118,10 +118,11 @@
 	}
 	s.updated = now
 	totals, known := h.admissions.loads.Totals(service, h.settings.Load().Domain, now)
-	if !known {
+	switch {
+	case !known:
 		s.controller.Clear()
-	} else {
-		s.controller.Update(&totals, now)
+	case !s.controller.Update(&totals, now) && s.plan.active():
+		h.stats.Counter("admission_totals_unusable_total").Inc(1)
 	}
 	if known != s.known {
 		s.known = known
