--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,236 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"junctioncross/demand"
+)
+
+const (
+	// fallTime and riseTime are how fast the level of a class follows a lower and a higher share.
+	fallTime = 250 * time.Millisecond
+	riseTime = 500 * time.Millisecond
+	// openLevel is the level from which on all requests of a class are admitted.
+	openLevel = 0.995
+	// maxStep bounds the time that one update makes up.
+	maxStep = time.Second
+)
+
+// entry is what a Controller keeps for a class.
+type entry struct {
+	class  demand.Class
+	weight float64
+	// offered and returned are the requests a second of first tries and of returned callers, and refused the refused first
+	// tries.
+	offered, returned, refused float64
+	// limit bounds what the first tries get; guaranteed is what they get before others. byCeiling is true if a ceiling binds.
+	limit, guaranteed float64
+	byCeiling         bool
+	// alloted and allotedReturned are what first tries and returned callers get, in requests a second.
+	alloted, allotedReturned float64
+	// level and returnedLevel are the shares that are admitted now, and credit and returnedCredit what is left of them from
+	// the latest requests.
+	level, returnedLevel   float64
+	credit, returnedCredit float64
+}
+
+// Controller decides on the requests for one service on one instance. It is not safe for concurrent use.
+type Controller struct {
+	settings Settings
+	// random returns a random number in [0, 1).
+	random func() float64
+	// entries are sorted by rank, then by account; former holds those of the update before.
+	entries, former []entry
+	capacity        capacity
+	updated         time.Time
+	// limiting is true while levels are below 1, or the room is short.
+	limiting bool
+}
+
+// New returns a Controller that admits everything until it has totals. The random numbers, in [0, 1), keep the decisions of
+// instances independent of each other.
+func New(settings Settings, random func() float64) *Controller {
+	return &Controller{settings: settings, random: random}
+}
+
+// Clear forgets all totals, so that everything is admitted; there are none that can be used.
+func (c *Controller) Clear() {
+	c.entries, c.capacity, c.limiting, c.updated = c.entries[:0], capacity{}, false, time.Time{}
+}
+
+// Update computes the levels from new totals. Totals that cannot be true are not used, and it returns false for them.
+func (c *Controller) Update(t *demand.Totals, now time.Time) bool {
+	if !c.settings.active() || !valid(t) || now.Before(c.updated) {
+		return false
+	}
+	dt := maxStep
+	if !c.updated.IsZero() {
+		dt = min(now.Sub(c.updated), maxStep)
+	}
+	c.load(t.Classes)
+	c.updated = now
+	room := c.capacity.update(t, c.unexplained(), dt)
+	perSecond := c.capacity.perSecond(t, dt)
+	c.allot(perSecond)
+	c.limiting = c.settings.limits() && (room == roomShort || c.limiting && (room == roomTight || c.wanted() > perSecond))
+	c.follow(dt)
+	return true
+}
+
+// load replaces the entries by those of new rates; the levels of classes that were there before are kept.
+func (c *Controller) load(classes []demand.Rates) {
+	next := c.former[:0]
+	for i := range classes {
+		r := &classes[i]
+		class := c.settings.class(r.Class)
+		next = append(next, entry{
+			class: class, weight: c.settings.weight(class.Account), offered: r.Offered, returned: r.Returned, refused: r.Refused,
+		})
+	}
+	slices.SortFunc(next, func(a, b entry) int { return compareClasses(a.class, b.class) })
+	next = merge(next)
+	c.keepLevels(next)
+	c.entries, c.former = next, c.entries
+}
+
+// merge adds up the rates of sorted entries of the same class.
+func merge(entries []entry) []entry {
+	kept := 0
+	for i := range entries {
+		if kept > 0 && entries[kept-1].class == entries[i].class {
+			into := &entries[kept-1]
+			into.offered += entries[i].offered
+			into.returned += entries[i].returned
+			into.refused += entries[i].refused
+			continue
+		}
+		entries[kept] = entries[i]
+		kept++
+	}
+	return entries[:kept]
+}
+
+// keepLevels gives new entries the levels that their classes have now.
+func (c *Controller) keepLevels(next []entry) {
+	for i := range next {
+		e := &next[i]
+		if old := c.entryOf(e.class); old != nil {
+			e.level, e.returnedLevel, e.credit, e.returnedCredit = old.level, old.returnedLevel, old.credit, old.returnedCredit
+			continue
+		}
+		e.level, e.returnedLevel = c.levelOfNew(e.class)
+		e.credit, e.returnedCredit = c.random(), c.random()
+	}
+}
+
+func compareClasses(a, b demand.Class) int {
+	return cmp.Or(a.Rank.Compare(b.Rank), cmp.Compare(a.Account, b.Account))
+}
+
+// entryOf returns the entry of a class, or nil.
+func (c *Controller) entryOf(class demand.Class) *entry {
+	i, ok := slices.BinarySearchFunc(c.entries, class, func(e entry, k demand.Class) int { return compareClasses(e.class, k) })
+	if !ok {
+		return nil
+	}
+	return &c.entries[i]
+}
+
+// levelOfNew returns the levels of a class that has not been seen: those of the class before it in the order of ranks, which is
+// as urgent or more so.
+func (c *Controller) levelOfNew(class demand.Class) (first, returned float64) {
+	i, _ := slices.BinarySearchFunc(c.entries, class, func(e entry, k demand.Class) int { return compareClasses(e.class, k) })
+	if i == 0 || !c.settings.Ranks || c.settings.Accounts && c.entries[i-1].class.Rank == class.Rank {
+		return 1, 1
+	}
+	return c.entries[i-1].level, c.entries[i-1].returnedLevel
+}
+
+// unexplained returns the part of the first tries that was refused although the levels admit them.
+func (c *Controller) unexplained() float64 {
+	offered, refused := 0.0, 0.0
+	for i := range c.entries {
+		e := &c.entries[i]
+		if e.level < openLevel {
+			continue
+		}
+		offered += e.offered
+		refused += min(e.refused, e.offered)
+	}
+	if offered <= 0 {
+		return 0
+	}
+	return refused / offered
+}
+
+// wanted returns how many requests a second want room.
+func (c *Controller) wanted() float64 {
+	sum := 0.0
+	for i := range c.entries {
+		sum += c.entries[i].offered + c.entries[i].returned
+	}
+	return sum
+}
+
+// follow moves the levels towards the shares that the classes get. The first tries of no rank get a greater one than those of a
+// more urgent rank, unless accounts or parts of the room are told apart, on which the shares then depend.
+func (c *Controller) follow(dt time.Duration) {
+	ordered := !c.settings.Accounts && len(c.settings.Parts) == 0
+	first := 1.0
+	for group := range c.ranks {
+		for i := range group {
+			c.followOne(&group[i], dt)
+			if ordered {
+				group[i].level = min(group[i].level, first)
+			}
+		}
+		if len(group) > 0 {
+			first = group[0].level
+		}
+	}
+}
+
+func (c *Controller) followOne(e *entry, dt time.Duration) {
+	first := share(e.limit, e.offered)
+	returned := first
+	if c.limiting {
+		first, returned = share(e.alloted, e.offered), share(e.allotedReturned, e.returned)
+	}
+	e.level = approach(e.level, first, dt)
+	e.returnedLevel = approach(e.returnedLevel, returned, dt)
+}
+
+func share(alloted, wanted float64) float64 {
+	if wanted <= 0 || alloted >= wanted {
+		return 1
+	}
+	return alloted / wanted
+}
+
+func approach(level, to float64, dt time.Duration) float64 {
+	constant := riseTime
+	if to < level {
+		constant = fallTime
+	}
+	return level + (to-level)*gain(dt, constant)
+}
+
+// ranks yields the entries of each rank, the most urgent first, or all at once if ranks do not count.
+func (c *Controller) ranks(yield func([]entry) bool) {
+	if !c.settings.Ranks {
+		yield(c.entries)
+		return
+	}
+	for from := 0; from < len(c.entries); {
+		to := from + 1
+		for to < len(c.entries) && c.entries[to].class.Rank == c.entries[from].class.Rank {
+			to++
+		}
+		if !yield(c.entries[from:to]) {
+			return
+		}
+		from = to
+	}
+}
--- a/forward/classrates.go
+++ b/forward/classrates.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// rateSlots intervals of rateSlot make up the window over which the rates of load reports are counted.
+	// rateSlots intervals of rateSlot make up the window over which the rates of load reports are counted: short, since
+	// admission follows them through bursts of a few seconds.
 	rateSlots = 5
-	rateSlot  = time.Second
+	rateSlot  = 200 * time.Millisecond
 	// toldSlots intervals of toldSlot make up the window for the callers who were told to return: it is short, since between two
 	// reports their number is worked out from this rate.
 	toldSlots = 4
@@ -88,7 +89,11 @@
 	return out
 }
 
-// class returns the class of a request; accounts are not told apart.
-func (r *request) class() demand.Class {
-	return demand.Class{Rank: demand.Rank{Account: r.urgency.account, Route: r.urgency.route}}
+// classOf returns the class of a request; accounts are told apart only where admission divides the room among them.
+func (h *Handler) classOf(r *request) demand.Class {
+	class := demand.Class{Rank: rankOf(r.urgency)}
+	if h.settings.Load().Admission.TellsAccounts() {
+		class.Account = r.account
+	}
+	return class
 }
--- a/forward/demand.go
+++ b/forward/demand.go
@@ -64,7 +64,7 @@
 	q, now := h.queueOf(f.r.group.Service().Name), h.clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	counters := q.classes.of(f.r.class(), now)
+	counters := q.classes.of(h.classOf(f.r), now)
 	if f.returned {
 		counters.returned.add(now)
 		return
@@ -83,7 +83,7 @@
 	defer q.mu.Unlock()
 	now := h.clock.Now()
 	q.refusedFirstTries.Add(now)
-	q.classes.of(f.r.class(), now).refused.add(now)
+	q.classes.of(h.classOf(f.r), now).refused.add(now)
 }
 
 // measureDemand exports who needs the room of a service, and how much of that room is this instance's share.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -39,6 +39,8 @@
 	StallTime time.Duration
 	// LongestBackOff limits for how long a server may ask the instance to send it no requests.
 	LongestBackOff time.Duration
+	// Admission defines which requests are refused first while the room of a service is short.
+	Admission AdmissionSettings
 }
 
 // Instances returns the number of instances that share the limits.
@@ -68,6 +70,7 @@
 	budget    *retry.Budget
 	// retryLog and lanesLog limit the rate of the log lines about the retries and the lanes of each service.
 	retryLog, lanesLog logLimiter
+	admissions         *admissions
 	ends               *quarantine.Book
 	publisher          EndPublisher
 	// loads holds the load reports of the failure domain; it may be nil.
@@ -92,11 +95,14 @@
 ) *Handler {
 	h := &Handler{
 		fleetView: fleetView, codec: codec, engines: engines, clock: clock, stats: stats, record: record, instances: instances,
-		ends: ends, publisher: publisher, loads: loads,
+		ends: ends, publisher: publisher, loads: loads, admissions: newAdmissions(),
 		budget: retry.NewBudget(settings.Repeats, clock.Now()),
 		lanes:  map[string]*laneCache{}, queues: map[string]*queue{}, longestWaits: longestWaits{},
 		loadRatio: loadRatio{estimate: initialLoadRatio},
 	}
+	if loads != nil {
+		h.SetLoads(loads)
+	}
 	h.ApplySettings(settings)
 	h.watch = newWatcher(ctx, h)
 	startProber(ctx, h)
@@ -108,6 +114,7 @@
 func (h *Handler) ApplySettings(settings Settings) {
 	h.settings.Store(&settings)
 	h.budget.SetLimit(settings.Repeats)
+	h.reviewAdmissions(nil)
 }
 
 // KeysConfirmed reports whether the keys were confirmed recently enough for requests with a key to be accepted.
