--- a/forward/loadreport_test.go
+++ b/forward/loadreport_test.go
@@ -44,8 +44,8 @@
 		require.Greater(t, got.Ends[i], got.Ends[i-1])
 	}
 	require.Equal(t, []demand.Rates{
-		{Class: demand.Class{Rank: demand.Rank{Account: 1, Route: 2}}, Offered: 0.4},
-		{Class: demand.Class{Rank: demand.Rank{Account: 3}}, Offered: 0.2, Refused: 0.2, Returned: 0.2},
+		{Class: demand.Class{Rank: demand.Rank{Account: 1, Route: 2}}, Offered: 2},
+		{Class: demand.Class{Rank: demand.Rank{Account: 3}}, Offered: 1, Refused: 1, Returned: 1},
 	}, got.Classes)
 	clock.Advance(rateSlots * rateSlot)
 	require.Empty(t, h.loadReport("s", g, clock.Now()).Classes)
