forward: reset the gauges of levels that are no longer in force

The gauge of a rank kept its last value after a reload that switched the admission by rank off (34 instead of 100 in TestAReloadSwitchesAdmissionByRank).

--- a/forward/admission.go
+++ b/forward/admission.go
@@ -148,6 +148,7 @@
 		plan := planAdmission(c, service.Name, &settings.Admission)
 		s := former[service.Name]
 		if s == nil || !reflect.DeepEqual(s.plan.settings, plan.settings) {
+			h.openLevels(service.Name, s)
 			s = &serviceAdmission{controller: admission.New(plan.settings, rand.Float64), labels: map[loadtotals.Rank]string{}}
 		}
 		s.plan = plan
@@ -157,6 +158,16 @@
 	h.logUnusableParts(c, &settings.Admission)
 }
 
+// openLevels exports that everything is admitted, for an admission to a service that is no longer in force.
+func (h *Handler) openLevels(service string, s *serviceAdmission) {
+	if s == nil {
+		return
+	}
+	for _, label := range s.labels {
+		h.stats.Gauge(levelGauge(service, label)).Update(inPercent(1))
+	}
+}
+
 // reviewAdmissions computes and logs what is in force, if it has changed, and exports the levels of the services.
 func (h *Handler) reviewAdmissions(groups map[string]*backend.Group) {
 	a := h.admissions
--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -186,5 +186,7 @@
 		a.h.ApplySettings(settings)
 		require.Contains(t, a.log.String(), "ranks="+strconv.FormatBool(ranks), "before any request")
 		require.Equal(t, !ranks, a.admitted(&content.Routes[1], false, "", 100) == 100)
+		a.h.Measure()
 	}
+	require.EqualValues(t, 100, a.stats.Gauge(levelGauge("s", "2.2")).Value(), "it is off")
 }
