--- a/admission/allot.go
+++ b/admission/allot.go
@@ -6,7 +6,7 @@
 	floorShare = 0.41
 	// floorRise is the additional part that the most urgent rank keeps; it falls evenly to none for the least urgent one, so that
 	// the order of the ranks holds where all have little more than their floors.
-	floorRise = 0.15
+	floorRise = 0.25
 	// returnedShare is the part of a rank's room for its returned callers while its first tries, or those of less urgent
 	// ranks, need the room.
 	returnedShare = 0.1
@@ -40,7 +40,7 @@
 		offered += e.offered
 	}
 	for i := range c.settings.Parts {
-		guaranteed += c.applyPart(&c.settings.Parts[i], perSecond)
+		guaranteed += c.applyPart(&c.settings.Parts[i])
 	}
 	floor := 0.0
 	if offered > 0 {
@@ -63,8 +63,8 @@
 }
 
 // applyPart applies an operator's request and returns what it guarantees, in requests a second.
-func (c *Controller) applyPart(p *Part, perSecond float64) float64 {
-	offered := 0.0
+func (c *Controller) applyPart(p *Part) float64 {
+	offered, whole := 0.0, c.capacity.ending
 	for i := range c.entries {
 		if p.selects(c.entries[i].class) {
 			offered += c.entries[i].limit
@@ -73,7 +73,7 @@
 	if offered <= 0 {
 		return 0
 	}
-	ceiling, guarantee := min(p.Ceiling*perSecond/offered, 1), min(p.Guarantee*perSecond/offered, 1)
+	ceiling, guarantee := min(p.Ceiling*whole/offered, 1), min(p.Guarantee*whole/offered, 1)
 	for i := range c.entries {
 		e := &c.entries[i]
 		if !p.selects(e.class) {
--- a/admission/capacity.go
+++ b/admission/capacity.go
@@ -8,20 +8,16 @@
 )
 
 const (
-	// usableShare is the part of the room that streams use on average; the rest is between the end of one and the start of the
-	// next.
-	usableShare = 0.98
-	// targetFill is the number of streams under way and waiting, as a multiple of the room, that keeps the room full and the
-	// waits short.
-	targetFill = 1.02
-	// fillTime and drainTime are how long it takes to bring these streams to their target, from below and from above; they are
-	// longer than totals are old.
-	fillTime  = 4 * time.Second
-	drainTime = 2 * time.Second
-	// shortFill is the same multiple from which on the room counts as short.
-	shortFill = 0.92
-	// tightFill is the multiple below which the room is no longer short.
-	tightFill = 0.85
+	// queueTime is the mean wait at which the queue rarely empties, so that no room stays free.
+	queueTime = 300 * time.Millisecond
+	// fillTime and drainTime are how long it takes to bring the streams under way and waiting to their target, from below and
+	// from above; they are longer than totals are old.
+	fillTime  = 2 * time.Second
+	drainTime = 3 * time.Second
+	// shortFill is the number of these streams, as a multiple of the room, from which on the room counts as short, and tightFill
+	// that below which it no longer does.
+	shortFill = 0.97
+	tightFill = 0.9
 	// shortRefused is the part of the first tries whose refusal, not by the levels, shows that the room is short.
 	shortRefused = 0.02
 	// waitingShare is the number of waiting requests, as a part of the room, which shows that no room is free.
@@ -32,7 +28,7 @@
 	minFoundShare = 0.2
 	// loseTime and regainTime are how fast the room that is found follows less and more room.
 	loseTime   = 250 * time.Millisecond
-	regainTime = 5 * time.Second
+	regainTime = 15 * time.Second
 	// endsTime is how fast the rate of ends is followed.
 	endsTime = 2 * time.Second
 	// minCapacityShare is the least part of the room that is given out anew while too many streams wait.
@@ -58,6 +54,8 @@
 	found float64
 	// ends is the rate at which streams ended while the room was full, a second.
 	ends float64
+	// ending is how many streams a second end while the room is full; parts of the room are parts of it.
+	ending float64
 	// smooth is the capacity without its short-lived changes, a second.
 	smooth float64
 }
@@ -90,8 +88,8 @@
 	}
 }
 
-// perSecond returns how many streams a second are to be admitted: as many as end, and those that fill the room or shorten the
-// queue.
+// perSecond returns how many streams a second are to be admitted: as many as end, corrected by what is missing to a full room and
+// a queue of queueTime.
 func (c *capacity) perSecond(t *demand.Totals, dt time.Duration) float64 {
 	used, waiting := float64(t.UnderWay), float64(t.Waiting)
 	inRoom := t.Lifetime.Seconds()
@@ -99,12 +97,12 @@
 		// By Little's law, the part of the lifetime that is not spent in the queue.
 		inRoom *= max(used/(used+waiting), 0.5)
 	}
-	ending := max(usableShare*c.found/inRoom, c.ends)
-	missing, within := targetFill*c.found-used-waiting, fillTime
+	c.ending = max(c.found/inRoom, c.ends)
+	missing, within := c.found+queueTime.Seconds()*c.ending-used-waiting, fillTime
 	if missing < 0 {
 		within = drainTime
 	}
-	now := max(ending+missing/within.Seconds(), minCapacityShare*ending)
+	now := max(c.ending+missing/within.Seconds(), minCapacityShare*c.ending)
 	if c.smooth == 0 {
 		c.smooth = now
 	}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -8,15 +8,8 @@
 	"junctioncross/demand"
 )
 
-const (
-	// fallTime and riseTime are how fast the level of a class follows a lower and a higher share.
-	fallTime = 250 * time.Millisecond
-	riseTime = 500 * time.Millisecond
-	// openLevel is the level from which on all requests of a class are admitted.
-	openLevel = 0.995
-	// maxStep bounds the time that one update makes up.
-	maxStep = time.Second
-)
+// maxStep bounds the time that one update makes up.
+const maxStep = time.Second
 
 // entry is what a Controller keeps for a class.
 type entry struct {
@@ -69,7 +62,7 @@
 	if !c.updated.IsZero() {
 		dt = min(now.Sub(c.updated), maxStep)
 	}
-	c.load(t.Classes)
+	c.load(t.Classes, dt)
 	c.updated = now
 	room := c.capacity.update(t, c.unexplained(), dt)
 	perSecond := c.capacity.perSecond(t, dt)
@@ -79,8 +72,9 @@
 	return true
 }
 
-// load replaces the entries by those of new rates; the levels of classes that were there before are kept.
-func (c *Controller) load(classes []demand.Rates) {
+// load replaces the entries by those of new rates, dt after the former ones; the levels of classes that were there before are
+// kept.
+func (c *Controller) load(classes []demand.Rates, dt time.Duration) {
 	next := c.former[:0]
 	for i := range classes {
 		r := &classes[i]
@@ -91,7 +85,7 @@
 	}
 	slices.SortFunc(next, func(a, b entry) int { return compareClasses(a.class, b.class) })
 	next = merge(next)
-	c.keepLevels(next)
+	c.keepLevels(next, dt)
 	c.entries, c.former = next, c.entries
 }
 
@@ -112,12 +106,13 @@
 	return entries[:kept]
 }
 
-// keepLevels gives new entries the levels that their classes have now.
-func (c *Controller) keepLevels(next []entry) {
+// keepLevels gives new entries the levels that their classes have now, and makes their rates follow the former ones.
+func (c *Controller) keepLevels(next []entry, dt time.Duration) {
 	for i := range next {
 		e := &next[i]
 		if old := c.entryOf(e.class); old != nil {
 			e.level, e.returnedLevel, e.credit, e.returnedCredit = old.level, old.returnedLevel, old.credit, old.returnedCredit
+			e.offered, e.returned = followRate(old.offered, e.offered, dt), followRate(old.returned, e.returned, dt)
 			continue
 		}
 		e.level, e.returnedLevel = c.levelOfNew(e.class)
@@ -174,49 +169,6 @@
 	return sum
 }
 
-// follow moves the levels towards the shares that the classes get. The first tries of no rank get a greater one than those of a
-// more urgent rank, unless accounts or parts of the room are told apart, on which the shares then depend.
-func (c *Controller) follow(dt time.Duration) {
-	ordered := !c.settings.Accounts && len(c.settings.Parts) == 0
-	first := 1.0
-	for group := range c.ranks {
-		for i := range group {
-			c.followOne(&group[i], dt)
-			if ordered {
-				group[i].level = min(group[i].level, first)
-			}
-		}
-		if len(group) > 0 {
-			first = group[0].level
-		}
-	}
-}
-
-func (c *Controller) followOne(e *entry, dt time.Duration) {
-	first := share(e.limit, e.offered)
-	returned := first
-	if c.limiting {
-		first, returned = share(e.alloted, e.offered), share(e.allotedReturned, e.returned)
-	}
-	e.level = approach(e.level, first, dt)
-	e.returnedLevel = approach(e.returnedLevel, returned, dt)
-}
-
-func share(alloted, wanted float64) float64 {
-	if wanted <= 0 || alloted >= wanted {
-		return 1
-	}
-	return alloted / wanted
-}
-
-func approach(level, to float64, dt time.Duration) float64 {
-	constant := riseTime
-	if to < level {
-		constant = fallTime
-	}
-	return level + (to-level)*gain(dt, constant)
-}
-
 // ranks yields the entries of each rank, the most urgent first, or all at once if ranks do not count.
 func (c *Controller) ranks(yield func([]entry) bool) {
 	if !c.settings.Ranks {
--- a/admission/decide.go
+++ b/admission/decide.go
@@ -12,13 +12,14 @@
 	if try == Resumed || c.updated.IsZero() || now.Sub(c.updated) > maxAge {
 		return Admitted{}
 	}
+	rank := class.Rank
 	class = c.settings.class(class)
 	e := c.entryOf(class)
 	if e == nil {
 		e = c.entryOf(demand.Class{Rank: class.Rank})
 	}
 	if e == nil {
-		return c.decideNew(class, try)
+		return c.decideNew(class, rank, try)
 	}
 	level, credit := e.level, &e.credit
 	if try == Returned {
@@ -32,11 +33,11 @@
 		*credit--
 		return Admitted{}
 	}
-	return Refused{Reason: c.reasonOf(e), Rank: class.Rank, Level: level}
+	return Refused{Reason: c.reasonOf(e), Rank: rank, Level: level}
 }
 
 // decideNew decides on a request of a class that is not in the totals yet.
-func (c *Controller) decideNew(class demand.Class, try Try) Decision {
+func (c *Controller) decideNew(class demand.Class, rank demand.Rank, try Try) Decision {
 	level, returned := c.levelOfNew(class)
 	if try == Returned {
 		level = returned
@@ -44,12 +45,12 @@
 	if level >= openLevel || c.random() < level {
 		return Admitted{}
 	}
-	return Refused{Reason: ReasonRank, Rank: class.Rank, Level: level}
+	return Refused{Reason: ReasonRank, Rank: rank, Level: level}
 }
 
 func (c *Controller) reasonOf(e *entry) Reason {
 	switch {
-	case e.byCeiling:
+	case e.byCeiling && (!c.limiting || e.alloted >= e.limit):
 		return ReasonCeiling
 	case c.settings.Accounts:
 		return ReasonAccount
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -49,10 +49,17 @@
 	return s.Ranks || s.Accounts || slices.ContainsFunc(s.Parts, func(p Part) bool { return p.Guarantee > 0 })
 }
 
-// class returns the class in which requests are counted: without the account where accounts do not matter.
+// class returns the class in which requests are counted: without the account where accounts do not matter, and without the
+// priorities where ranks do not, so that an account has one fair part.
 func (s *Settings) class(c demand.Class) demand.Class {
 	if !s.Accounts && !slices.ContainsFunc(s.Parts, func(p Part) bool { return p.Account != "" }) {
 		c.Account = ""
 	}
+	if !s.Ranks {
+		c.Rank.Account = 0
+		if !slices.ContainsFunc(s.Parts, func(p Part) bool { return p.Account == "" }) {
+			c.Rank.Route = 0
+		}
+	}
 	return c
 }
