forward: plan the queries of diagnoses

Each diagnosis asked the first server of a path every 250 ms, whatever was known of it. A plan now decides for each server whether its last answers, shared reports and refusals leave anything to learn. A server that was found well is asked again after growing pauses; ended servers are not asked.

--- a/backend/server.go
+++ b/backend/server.go
@@ -92,6 +92,8 @@
 	// answeredAt is when the server last answered a state query of this instance, and silentAt is when it last failed to.
 	answeredAt time.Time
 	silentAt   time.Time
+	// refusedAt is when the server last caused the refusal of a request of this instance.
+	refusedAt time.Time
 	// firstStageAtLoad is the value of firstStage when load was set, which load includes.
 	firstStageAtLoad int64
 	// failRate is the exponential moving average of failures: 1 for a request that failed, 0 for one that did not.
--- a/forward/findings.go
+++ b/forward/findings.go
@@ -32,22 +32,33 @@
 
 // queryServers queries servers, all at once. Dead are those that refuse the connection, do not answer two queries, or are named
 // by the first server of the path as the one that it waits for.
-func (w *watcher) queryServers(ctx context.Context, first *backend.Server, group *backend.Group, servers map[*backend.Server]bool) *findings {
+// Servers of which enough is known are not queried.
+func (w *watcher) queryServers(
+	ctx context.Context, first *backend.Server, group *backend.Group, servers map[*backend.Server]suspicion,
+) *findings {
 	found := &findings{
 		now: w.handler.clock.Now(), dead: map[*backend.Server]bool{}, holds: map[*backend.Server]models.Layers{},
 	}
-	servers[first] = true
 	var all sync.WaitGroup
-	for s := range servers {
-		if s == first || s.TryQuery(found.now) {
-			all.Go(func() { w.queryOne(ctx, found, s, group, s == first) })
+	for s, why := range servers {
+		switch saved := w.plan.decide(s, why, w.handler.reportLag(s), found.now); saved {
+		case queryNow:
+			s.NoteQuery(found.now)
+			all.Go(func() { w.queryOne(ctx, found, s, group, why, s == first) })
+		case savedEnded:
+			found.addDead(s)
+			w.handler.countSaved(saved)
+		default:
+			w.handler.countSaved(saved)
 		}
 	}
 	all.Wait()
 	return found
 }
 
-func (w *watcher) queryOne(ctx context.Context, found *findings, s *backend.Server, group *backend.Group, first bool) {
+func (w *watcher) queryOne(
+	ctx context.Context, found *findings, s *backend.Server, group *backend.Group, why suspicion, first bool,
+) {
 	h := w.handler
 	report, err := w.queryTwice(ctx, s)
 	h.applyReport(s, report, err, "slow stream")
@@ -58,6 +69,7 @@
 		found.addDead(s)
 		return
 	}
+	w.plan.noteWell(s, why, found.now)
 	if h.reportsNewerLayers(s) {
 		found.mu.Lock()
 		found.holds[s] = report.Layers
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -248,6 +248,7 @@
 func (h *Handler) recordRefusal(r *request, server *backend.Server, s *sentRequest) {
 	now := h.clock.Now()
 	server.ReleaseTrial()
+	server.NoteRefused(now)
 	if s.info.Status == fasthttp.StatusMisdirectedRequest {
 		server.NoteStaleLayers(now)
 	} else {
--- a/forward/query.go
+++ b/forward/query.go
@@ -52,13 +52,22 @@
 // reportsNewerLayers reports whether what a server reports about its layers is newer than its entry. A report is some time old,
 // so the entry of a server that has just loaded layers is received before a report shows them.
 func (h *Handler) reportsNewerLayers(server *backend.Server) bool {
-	lag := time.Duration(0)
+	return server.LayersFor(h.clock.Now()) > h.reportLag(server)+reportSlack
+}
+
+// reportLag returns the maximum age of the state that a report of the server describes.
+func (h *Handler) reportLag(server *backend.Server) time.Duration {
 	if c := h.fleetView.Current().Catalog(); c != nil {
 		if service := c.Service(server.Service()); service != nil && service.Engine != nil {
-			lag = service.Engine.ReportLag
+			return service.Engine.ReportLag
 		}
 	}
-	return server.LayersFor(h.clock.Now()) > lag+reportSlack
+	return 0
+}
+
+// countSaved counts a state query that a diagnosis did not need.
+func (h *Handler) countSaved(reason querySaving) {
+	h.stats.Counter("inquiries_saved_total{reason=\"" + string(reason) + "\"}").Inc(1)
 }
 
 // applyOtherIncarnation handles a report of another incarnation of the server: a later one means that this one has ended, an
--- /dev/null
+++ b/forward/queryplan.go
@@ -0,0 +1,160 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"junctioncross/backend"
+)
+
+const (
+	// firstQueryPause is how long a server that a diagnosis found well is not queried again. The pause doubles with each such
+	// answer up to maxQueryPause while streams through the server stay slow.
+	firstQueryPause = 250 * time.Millisecond
+	maxQueryPause   = time.Second
+	// slowMemory is how long a server must have had no stalled streams for its next stall to count as a new one.
+	slowMemory = 2 * time.Second
+	// slowStalls is how many stall limits a stream may be overdue before a slow but living server no longer explains it.
+	slowStalls = 2
+	// sharedSettleTime is how much longer than healthyTime streams must have been still before a report of another instance
+	// shows that the server outlived their last progress: the report seems newer by the time that it was in transit.
+	sharedSettleTime = 100 * time.Millisecond
+	// minReportLag is how old a report may be to be used in place of a query where no lag of reports is configured.
+	minReportLag = 200 * time.Millisecond
+)
+
+// querySaving is the reason why a diagnosis does not query a server.
+type querySaving string
+
+const (
+	// queryNow means that the server has to be queried.
+	queryNow querySaving = ""
+	// savedEnded: the server is known to have terminated.
+	savedEnded querySaving = "ended"
+	// savedQueried: the instance has queried the server since its streams stand still.
+	savedQueried querySaving = "just queried"
+	// savedReport: a report of the last moments shows that the server answers.
+	savedReport querySaving = "recent report"
+	// savedWell: diagnoses have found the server well, and its streams stay slow.
+	savedWell querySaving = "found well"
+)
+
+// suspicion is why a server may be what stalls some streams.
+type suspicion struct {
+	// stillSince is when a stream last made progress through the server, or was last sent to it.
+	stillSince time.Time
+	// overdue is by how much the most overdue of the streams is late, and stallLimit its stall limit.
+	overdue    time.Duration
+	stallLimit time.Duration
+}
+
+// queryHistory is what diagnoses have found out about a server whose streams stay slow.
+type queryHistory struct {
+	// suspectedAt is when a diagnosis last suspected the server.
+	suspectedAt time.Time
+	// wellAt is the moment at which the server was last known to be well, and well the number of findings in a row.
+	wellAt time.Time
+	well   int
+	// answeredAt is when a diagnosis last got an answer, and explained how overdue streams were then.
+	answeredAt time.Time
+	explained  time.Duration
+}
+
+// queryPlan decides which servers a diagnosis queries. It is safe for concurrent use.
+type queryPlan struct {
+	mu        sync.Mutex
+	histories map[*backend.Server]*queryHistory
+}
+
+func newQueryPlan() *queryPlan { return &queryPlan{histories: map[*backend.Server]*queryHistory{}} }
+
+// decide returns whether a diagnosis has to query a server, or why it need not.
+func (p *queryPlan) decide(s *backend.Server, why suspicion, lag time.Duration, now time.Time) querySaving {
+	if s.Ended() {
+		return savedEnded
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.history(s, now).decide(s.QueryState(), why, max(lag, minReportLag), s.Suspected(now), now)
+}
+
+// noteWell records that the server has answered the query of a diagnosis that began at the given time.
+func (p *queryPlan) noteWell(s *backend.Server, why suspicion, at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.history(s, at)
+	h.answeredAt, h.explained = at, why.overdue
+	h.foundWell(at)
+}
+
+// history returns the history of a server; the caller holds the lock.
+func (p *queryPlan) history(s *backend.Server, now time.Time) *queryHistory {
+	for server, h := range p.histories {
+		if now.Sub(h.suspectedAt) > slowMemory {
+			delete(p.histories, server)
+		}
+	}
+	h := p.histories[s]
+	if h == nil {
+		h = &queryHistory{}
+		p.histories[s] = h
+	}
+	h.suspectedAt = later(h.suspectedAt, now)
+	return h
+}
+
+// decide returns whether the server has to be queried; lag is the age up to which a report stands for a query.
+func (h *queryHistory) decide(q backend.QueryState, why suspicion, lag time.Duration, suspected bool, now time.Time) querySaving {
+	settled := why.stillSince.Add(healthyTime)
+	queried := now.Sub(q.QueriedAt) < firstQueryPause
+	switch {
+	case queried && q.QueriedAt.After(settled):
+		return savedQueried
+	case suspected, q.Silent && q.ReportedAt.After(h.answeredAt), q.RefusedAt.After(q.QueriedAt), h.unexplained(why, now):
+		return queryNow
+	}
+	if !q.Own {
+		settled = settled.Add(sharedSettleTime)
+	}
+	recent := !q.Silent && q.ReportedAt.After(settled)
+	if recent && q.ReportedAt.Sub(h.wellAt) >= firstQueryPause {
+		h.foundWell(q.ReportedAt)
+	}
+	switch {
+	case recent && now.Sub(q.ReportedAt) <= lag:
+		return savedReport
+	case now.Sub(h.wellAt) < h.pause():
+		return savedWell
+	default:
+		return queryNow
+	}
+}
+
+// unexplained reports whether streams have been still for longer than a slow but living server explains, and the server has not
+// answered since. What it has explained before, it explains up to twice the time.
+func (h *queryHistory) unexplained(why suspicion, now time.Time) bool {
+	explained := max(slowStalls*why.stallLimit, 2*h.explained)
+	return why.overdue > explained && h.answeredAt.Before(now.Add(explained-why.overdue))
+}
+
+// foundWell notes that the server was well at a moment.
+func (h *queryHistory) foundWell(at time.Time) {
+	h.wellAt = later(h.wellAt, at)
+	h.well++
+}
+
+// pause returns how long after the last finding the server is not queried again.
+func (h *queryHistory) pause() time.Duration {
+	if h.well == 0 {
+		return 0
+	}
+	return min(firstQueryPause<<min(h.well-1, 8), maxQueryPause)
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -41,10 +41,15 @@
 	streams map[*inflight]struct{}
 	// lastDiagnosed holds when the paths that start at a server were last diagnosed.
 	lastDiagnosed map[*backend.Server]time.Time
+
+	plan *queryPlan
 }
 
 func newWatcher(ctx context.Context, h *Handler) *watcher {
-	w := &watcher{handler: h, start: h.clock.Now(), streams: map[*inflight]struct{}{}, lastDiagnosed: map[*backend.Server]time.Time{}}
+	w := &watcher{
+		handler: h, start: h.clock.Now(), streams: map[*inflight]struct{}{}, lastDiagnosed: map[*backend.Server]time.Time{},
+		plan: newQueryPlan(),
+	}
 	ticks := h.clock.Subscribe(watchPeriod)
 	go func() {
 		defer ticks.Stop()
@@ -80,12 +85,20 @@
 }
 
 // stalled reports whether the stream is stalled: without progress for longer than it should be.
-func (w *watcher) stalled(f *inflight) bool {
-	limit := max(time.Duration(stallShare*float64(f.r.route.PauseObjective)), minStall)
+func (w *watcher) stalled(f *inflight) bool { return w.overdue(f) > 0 }
+
+// stallLimit returns how long a stream that has begun may be without progress before it counts as stalled.
+func stallLimit(f *inflight) time.Duration {
+	return max(time.Duration(stallShare*float64(f.r.route.PauseObjective)), minStall)
+}
+
+// overdue returns for how long the stream has been stalled; it is not positive if it is not.
+func (w *watcher) overdue(f *inflight) time.Duration {
+	limit := stallLimit(f)
 	if !f.progressed.Load() {
 		limit = firstEventSlack + time.Duration(f.firstEventDue.Load())
 	}
-	return f.pause(w.handler) > limit
+	return f.pause(w.handler) - limit
 }
 
 // scan starts a diagnosis for each first server that has stalled streams.
@@ -121,7 +134,7 @@
 // that use a dead server get a new path although they have not been stalled for long themselves.
 func (w *watcher) diagnose(ctx context.Context, first *backend.Server, group *backend.Group, streams []*inflight) {
 	w.handler.stats.Counter("looks_total").Inc(1)
-	found := w.queryServers(ctx, first, group, w.suspects(streams))
+	found := w.queryServers(ctx, first, group, w.suspects(first, streams))
 	for _, s := range found.deadServers() {
 		w.moveStalledStreams(s, group)
 	}
@@ -164,25 +177,43 @@
 // from the death of a server to the first diagnosis: the shortest stall minus the usual time between events.
 const healthyTime = 45 * time.Millisecond
 
-// suspects returns the servers that the streams use, without those that have just made progress with other streams.
-func (w *watcher) suspects(streams []*inflight) map[*backend.Server]bool {
-	lastProgress := map[*backend.Server]int64{}
+// suspects returns the servers that the streams use, without those that have just made progress with other streams, and the
+// first server, which also says which servers its streams wait for.
+func (w *watcher) suspects(first *backend.Server, streams []*inflight) map[*backend.Server]suspicion {
+	lastProgress := w.lastProgress()
+	out := map[*backend.Server]suspicion{}
+	now := w.handler.clock.Since(w.start)
+	for _, f := range streams {
+		sentOrProgressed, overdue := time.Duration(f.lastAt.Load()), w.overdue(f)
+		servers := f.path().servers
+		if !slices.Contains(servers, first) {
+			servers = append(slices.Clone(servers), first)
+		}
+		for _, s := range servers {
+			if s != first && lastProgress[s] >= now-healthyTime {
+				continue
+			}
+			why := out[s]
+			why.stillSince = later(why.stillSince, w.start.Add(max(lastProgress[s], sentOrProgressed)))
+			if overdue >= why.overdue {
+				why.overdue, why.stallLimit = overdue, stallLimit(f)
+			}
+			out[s] = why
+		}
+	}
+	return out
+}
+
+// lastProgress returns when streams last made progress through each server, as time since the start.
+func (w *watcher) lastProgress() map[*backend.Server]time.Duration {
+	out := map[*backend.Server]time.Duration{}
 	for _, f := range w.active() {
-		at := f.lastAt.Load()
+		at := time.Duration(f.lastAt.Load())
 		if !f.progressed.Load() {
 			continue
 		}
 		for _, s := range f.path().servers {
-			lastProgress[s] = max(lastProgress[s], at)
-		}
-	}
-	out := map[*backend.Server]bool{}
-	limit := int64(w.handler.clock.Since(w.start) - healthyTime)
-	for _, f := range streams {
-		for _, s := range f.path().servers {
-			if lastProgress[s] < limit {
-				out[s] = true
-			}
+			out[s] = max(out[s], at)
 		}
 	}
 	return out
