forward: look early at streams that a slow server no longer explains

A server that was found well is trusted while its streams stay slow. A stream that is still for longer than before is diagnosed after 100 ms instead of 250 ms.

--- a/forward/queryplan.go
+++ b/forward/queryplan.go
@@ -12,10 +12,12 @@
 	// answer up to maxQueryPause while streams through the server stay slow.
 	firstQueryPause = 250 * time.Millisecond
 	maxQueryPause   = time.Second
-	// slowMemory is how long a server must have had no stalled streams for its next stall to count as a new one.
-	slowMemory = 2 * time.Second
-	// slowStalls is how many stall limits a stream may be overdue before a slow but living server no longer explains it.
-	slowStalls = 2
+	// slowMemory is how long a server must have had no stalled streams for its next stall to count as a new one: longer than
+	// the time between two diagnoses of a slow server.
+	slowMemory = 600 * time.Millisecond
+	// slowStalls is how many stall limits a stream may be overdue before a slow but living server no longer explains it, as long
+	// as no longer stall of its streams has been seen.
+	slowStalls = 1
 	// sharedSettleTime is how much longer than healthyTime streams must have been still before a report of another instance
 	// shows that the server outlived their last progress: the report seems newer by the time that it was in transit.
 	sharedSettleTime = 100 * time.Millisecond
@@ -83,10 +85,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.history(s, at)
-	h.answeredAt, h.explained = at, why.overdue
+	h.answeredAt, h.explained = at, min(max(h.explained, why.overdue), maxQueryPause/2)
 	h.foundWell(at)
 }
 
+// urgent reports whether one of the servers of a stream has to be queried before the next regular diagnosis: one that was found
+// well while its streams were slow, and no longer explains how long the stream has been still.
+func (p *queryPlan) urgent(servers []*backend.Server, why suspicion, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range servers {
+		h := p.histories[s]
+		if h != nil && h.well > 0 && h.unexplained(why, now) && now.Sub(s.QueryState().QueriedAt) >= firstQueryPause {
+			return true
+		}
+	}
+	return false
+}
+
 // history returns the history of a server; the caller holds the lock.
 func (p *queryPlan) history(s *backend.Server, now time.Time) *queryHistory {
 	for server, h := range p.histories {
@@ -117,7 +133,7 @@
 		settled = settled.Add(sharedSettleTime)
 	}
 	recent := !q.Silent && q.ReportedAt.After(settled)
-	if recent && q.ReportedAt.Sub(h.wellAt) >= firstQueryPause {
+	if !q.Silent && (recent || h.well > 0) && q.ReportedAt.Sub(h.wellAt) >= sharedSettleTime {
 		h.foundWell(q.ReportedAt)
 	}
 	switch {
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -24,6 +24,8 @@
 	// diagnosePeriod is the least time between two diagnoses of the paths that start at one server. A server's report is
 	// about that old, so that an earlier diagnosis would find nothing new.
 	diagnosePeriod = 250 * time.Millisecond
+	// urgentPeriod is that time when slow but living servers no longer explain how long streams have been still.
+	urgentPeriod = 100 * time.Millisecond
 	// crowdedAge is the greatest age of a server's report at which the requests that it names as waiting count as still
 	// waiting: requests wait on a server for some hundred milliseconds.
 	crowdedAge = time.Second
@@ -113,7 +115,7 @@
 		}
 	}
 	for first, streams := range byFirst {
-		if now.Sub(w.lastDiagnosed[first]) < diagnosePeriod {
+		if !w.dueForDiagnosis(now.Sub(w.lastDiagnosed[first]), streams, now) {
 			continue
 		}
 		group := w.group(first.Service())
@@ -130,6 +132,16 @@
 	}
 }
 
+// dueForDiagnosis reports whether streams of a first server are to be diagnosed, a time after the last diagnosis.
+func (w *watcher) dueForDiagnosis(after time.Duration, streams []*inflight, now time.Time) bool {
+	if after < urgentPeriod || after >= diagnosePeriod {
+		return after >= diagnosePeriod
+	}
+	return slices.ContainsFunc(streams, func(f *inflight) bool {
+		return w.plan.urgent(f.path().servers, suspicion{overdue: w.overdue(f), stallLimit: stallLimit(f)}, now)
+	})
+}
+
 // diagnose queries the servers that may have stalled some streams. The findings are applied to all streams of the service: those
 // that use a dead server get a new path although they have not been stalled for long themselves.
 func (w *watcher) diagnose(ctx context.Context, first *backend.Server, group *backend.Group, streams []*inflight) {
