backend, follow, relay, forward: share findings about servers

Each instance found out alone which servers are dead, leave, are full or give up layers. A finding now goes to the relay at once, from there to the domain and to the relays of the other domains. It keeps new work away for 250 ms to 1 s from its moment, and is taken back when the server answers.

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -116,7 +116,7 @@
 		func(s *platform.Store) leader.Lock { return platform.NewLeaderLock(s) },
 		func(b *membership.View) forward.Instances { return b },
 		func(b *membership.View) relay.Fleet { return b },
-		func(b *follow.FleetView) relay.SharedReports { return b },
+		newSharedReports,
 		func(t *quarantine.Publisher) relay.Ends { return t },
 		func(t *quarantine.Publisher) forward.EndPublisher { return t },
 		newQuarantineBook, newEndStore, quarantine.NewPublisher,
@@ -193,6 +193,12 @@
 	}
 }
 
+// newSharedReports returns the fleet view as what relays pass on; the findings of this instance carry its name.
+func newSharedReports(view *follow.FleetView, self relay.Self) relay.SharedReports {
+	view.Identify(self.Name, self.Domain)
+	return view
+}
+
 func newRegistry(
 	self relay.Self, store *platform.Store, fleet relay.Fleet, links *link.Client, clock *timer.Service,
 ) *relay.Registry {
--- a/backend/memory.go
+++ b/backend/memory.go
@@ -44,7 +44,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := &s.memory
-	if now.Sub(m.refusedAt) < fullBackOff {
+	if now.Sub(m.refusedAt) < fullBackOff || s.finding.full(now) {
 		return 1, true
 	}
 	if m.total <= 0 || now.Sub(m.at) > age {
--- a/backend/server.go
+++ b/backend/server.go
@@ -94,6 +94,8 @@
 	silentAt   time.Time
 	// refusedAt is when the server last caused the refusal of a request of this instance.
 	refusedAt time.Time
+	// finding is the finding of another instance that keeps new work away.
+	finding heldFinding
 	// firstStageAtLoad is the value of firstStage when load was set, which load includes.
 	firstStageAtLoad int64
 	// failRate is the exponential moving average of failures: 1 for a request that failed, 0 for one that did not.
--- a/backend/sharedreport.go
+++ b/backend/sharedreport.go
@@ -31,6 +31,9 @@
 	Total float64 `cbor:"6,keyasint,omitempty"`
 	// Waiting is the number of requests that waited for memory or a place in the batch.
 	Waiting int `cbor:"7,keyasint,omitempty"`
+	// Findings holds findings about servers. They travel in an element of their own, without an ID, which instances that know no
+	// findings ignore.
+	Findings []Finding `cbor:"9,keyasint,omitempty"`
 }
 
 // reportSource describes where the latest report on a server comes from.
@@ -52,6 +55,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answeredAt = now
+	s.takeBackLocked(now)
 }
 
 // AnsweredSince reports whether the server has answered a state query of this instance after the given time.
@@ -114,6 +118,9 @@
 	}
 	was := s.reportLocked(now).bad()
 	s.reportSource = reportSource{queriedAt: at, learnedAt: now, silent: r.Silent}
+	if !r.Silent {
+		s.takeBackLocked(at.Add(-minNewer))
+	}
 	if !r.Silent && r.Total > 0 {
 		s.pace, s.paceAt = r.Pace, at
 		s.memory.used, s.memory.total, s.memory.waiting = r.Used, r.Total, r.Waiting
--- a/backend/status.go
+++ b/backend/status.go
@@ -26,7 +26,7 @@
 func (s *Server) isAside(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Before(s.asideUntil) || now.Before(s.staleUntil)
+	return now.Before(s.asideUntil) || now.Before(s.staleUntil) || s.finding.aside(now)
 }
 
 // SetAside keeps new work away from the server until the given time. Of two such times, the later one holds.
@@ -50,11 +50,13 @@
 	s.SetAside(now.Add(pause))
 }
 
-// NoteAccepted records that the server accepted work, so that its earlier refusals no longer count.
+// NoteAccepted records that the server accepted work, so that its earlier refusals and findings of other
+// instances no longer count.
 func (s *Server) NoteAccepted() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refusals = 0
+	s.finding = heldFinding{}
 }
 
 // TryQuery reports whether the server's state may be queried now. If so, it records a query: the caller must make it.
@@ -108,6 +110,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.staleUntil = time.Time{}
+	if s.finding.kind == FindingStaleLayers {
+		s.finding = heldFinding{}
+	}
 }
 
 // Usable reports whether the server may get new work.
--- /dev/null
+++ b/follow/findings.go
@@ -0,0 +1,160 @@
+package follow
+
+import (
+	"sync"
+	"time"
+
+	"junctioncross/backend"
+)
+
+// findingWakePeriod is the least time between two findings that are passed on at once; others wait for the next poll.
+const findingWakePeriod = 200 * time.Millisecond
+
+// FindingEvent is what became of a finding at this instance.
+type FindingEvent struct {
+	Finding backend.Finding
+	Outcome FindingOutcome
+	// Received is true for a finding that another instance has passed on.
+	Received bool
+}
+
+// FindingInForce is a finding of another instance that keeps new work away from a server.
+type FindingInForce struct {
+	Server *backend.Server
+	Kind   backend.FindingKind
+	Source string
+	Age    time.Duration
+	// At is when the finding was made, as far as this instance knows.
+	At time.Time
+	// Left is how long it stays in force unless it is taken back.
+	Left time.Duration
+}
+
+// findings is the book of findings of a FleetView, and who is told of them. It is safe for concurrent use.
+type findings struct {
+	mu           sync.Mutex
+	book         findingBook
+	name, domain string
+	observe      func(FindingEvent)
+	lastWake     time.Time
+	urgent       chan struct{}
+}
+
+// Identify names this instance and its domain; before that it makes no findings.
+func (v *FleetView) Identify(name, domain string) {
+	v.findings.mu.Lock()
+	defer v.findings.mu.Unlock()
+	v.findings.name, v.findings.domain = name, domain
+}
+
+// ObserveFindings sets the function that is called with what becomes of findings.
+func (v *FleetView) ObserveFindings(observe func(FindingEvent)) {
+	v.findings.mu.Lock()
+	defer v.findings.mu.Unlock()
+	v.findings.observe = observe
+}
+
+// UrgentFindings returns a channel that receives a value when this instance has made a finding.
+func (v *FleetView) UrgentFindings() <-chan struct{} { return v.findings.urgent }
+
+// NoteFinding records what this instance has found out about a server, to be passed on while instances share reports.
+func (v *FleetView) NoteFinding(server *backend.Server, kind backend.FindingKind, now time.Time) {
+	if !v.ReportsShared(now) {
+		return
+	}
+	f := v.findings
+	f.mu.Lock()
+	found := backend.Finding{
+		Server: server.ID(), Born: server.Incarnation().Born, Kind: kind, Source: f.name, Domain: f.domain,
+	}
+	isNew := f.name != "" && f.book.addOwn(&keptFinding{Finding: found, server: server, at: now, learnedAt: now, own: true})
+	f.mu.Unlock()
+	if !isNew {
+		return
+	}
+	f.tell([]FindingEvent{{Finding: found, Outcome: FindingSent}})
+	select {
+	case f.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// Findings returns the findings of other instances that are in force.
+func (v *FleetView) Findings(now time.Time) []FindingInForce {
+	f := v.findings
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []FindingInForce
+	for _, k := range f.book.inForce(now) {
+		out = append(out, FindingInForce{
+			Server: k.server, Kind: k.Kind, Source: k.Source, At: k.at, Age: now.Sub(k.at), Left: k.until.Sub(now),
+		})
+	}
+	return out
+}
+
+// withFindings adds the findings since a moment to reports, in an element of their own.
+func (v *FleetView) withFindings(reports []backend.SharedReport, after, now time.Time, ownOnly bool) []backend.SharedReport {
+	v.findings.mu.Lock()
+	defer v.findings.mu.Unlock()
+	if found := v.findings.book.since(after, now, ownOnly); len(found) > 0 {
+		reports = append(reports, backend.SharedReport{Findings: found})
+	}
+	return reports
+}
+
+// applyFindings applies the findings of one message, and reports whether those that wait for findings should be told at once.
+func (v *FleetView) applyFindings(received []backend.Finding, now time.Time) bool {
+	f := v.findings
+	var events []FindingEvent
+	f.mu.Lock()
+	worse := false
+	for i, found := range received {
+		if found.Source == f.name && f.name != "" {
+			continue
+		}
+		outcome := droppedTooMany
+		if i < maxFindings {
+			outcome = v.applyLocked(found, now)
+		}
+		worse = worse || outcome == FindingApplied
+		events = append(events, FindingEvent{Finding: found, Outcome: outcome, Received: true})
+	}
+	for _, k := range f.book.takenBack(now) {
+		k.Age = now.Sub(k.at)
+		events = append(events, FindingEvent{Finding: k.Finding, Outcome: FindingTakenBack})
+	}
+	worse = worse && now.Sub(f.lastWake) >= findingWakePeriod
+	if worse {
+		f.lastWake = now
+	}
+	f.mu.Unlock()
+	f.tell(events)
+	return worse
+}
+
+func (v *FleetView) applyLocked(found backend.Finding, now time.Time) FindingOutcome {
+	current := v.Current()
+	server := current.server(found.Server)
+	if o := validate(found, server); o != findingValid {
+		return o
+	}
+	servers := 1
+	if group := current.Group(server.Service()); group != nil {
+		servers = len(group.Servers())
+	}
+	return v.findings.book.add(&keptFinding{Finding: found, server: server, at: now.Add(-found.Age), learnedAt: now}, servers, now)
+}
+
+// tell passes events to the observer.
+func (f *findings) tell(events []FindingEvent) {
+	f.mu.Lock()
+	observe := f.observe
+	f.mu.Unlock()
+	if observe == nil {
+		return
+	}
+	for _, e := range events {
+		observe(e)
+	}
+}
--- a/follow/reports.go
+++ b/follow/reports.go
@@ -31,24 +31,26 @@
 			}
 		}
 	}
-	return out
+	return v.withFindings(out, after, now, ownOnly)
 }
 
 // ApplySharedReports applies reports that other instances share, and returns whether they show that a server has become
-// silent or slow.
+// silent or slow, or hold a finding that takes a server out of use.
 func (v *FleetView) ApplySharedReports(reports []backend.SharedReport, now time.Time) bool {
 	if len(reports) == 0 {
 		return false
 	}
 	v.lastShared.Store(&now)
 	worse := false
+	var found []backend.Finding
 	for _, r := range reports {
+		found = append(found, r.Findings...)
 		// A report on another incarnation of the server does not apply to this one.
 		if s := v.Current().server(r.ID); s != nil && s.Incarnation().Born == r.Born {
 			worse = s.ApplySharedReport(r, now) || worse
 		}
 	}
-	return worse
+	return v.applyFindings(found, now) || worse
 }
 
 // ReportsShared reports whether instances share their reports on servers at present.
--- a/follow/snapshot.go
+++ b/follow/snapshot.go
@@ -36,11 +36,12 @@
 	listed atomic.Pointer[time.Time]
 	// lastShared is when this instance last received reports on servers from another instance.
 	lastShared atomic.Pointer[time.Time]
+	findings   *findings
 }
 
 // NewFleetView returns a FleetView with an empty Snapshot.
 func NewFleetView() *FleetView {
-	v := &FleetView{}
+	v := &FleetView{findings: &findings{urgent: make(chan struct{}, 1)}}
 	v.current.Store(&Snapshot{})
 	v.confirmed.Store(&time.Time{})
 	v.listed.Store(&time.Time{})
--- a/forward/gauges.go
+++ b/forward/gauges.go
@@ -11,6 +11,7 @@
 func (h *Handler) Measure() {
 	now := h.clock.Now()
 	h.measureRetries()
+	h.measureFindings(now)
 	for name, group := range h.fleetView.Current().Groups() {
 		h.measureServers(name, group, now)
 		if group.Graph() != nil {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -249,11 +249,13 @@
 	now := h.clock.Now()
 	server.ReleaseTrial()
 	server.NoteRefused(now)
+	filled, known := server.Filled(now, maxReportAge, 1)
 	if s.info.Status == fasthttp.StatusMisdirectedRequest {
 		server.NoteStaleLayers(now)
 	} else {
 		h.noteFull(r, server, now)
 	}
+	h.shareRefusal(r, server, s, filled, known, now)
 	h.record.Failure(r.meta.ID, "turned away", h.fields(r, decision.Fields{
 		"server": server.ID(), "address": server.Addr(), "status": s.info.Status, "fault": s.info.Fault,
 		"retry_after_ms": s.info.RetryAfter.Milliseconds(), "leaving": s.info.Leaving,
--- a/forward/query.go
+++ b/forward/query.go
@@ -104,9 +104,12 @@
 	if err != nil {
 		server.Suspect(now.Add(suspectTime))
 		server.NoteSilent(now)
+		kind := backend.FindingSilent
 		if errors.Is(err, backend.ErrNotListening) {
+			kind = backend.FindingNotListening
 			server.MarkEnded()
 		}
+		h.fleetView.NoteFinding(server, kind, now)
 		fields["error"] = err.Error()
 		h.record.Failure("", "server does not answer", fields)
 		return
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -45,6 +45,8 @@
 	lastDiagnosed map[*backend.Server]time.Time
 
 	plan *queryPlan
+	// findingLog limits the rate of the log lines about findings of other instances, by line and server.
+	findingLog logLimiter
 }
 
 func newWatcher(ctx context.Context, h *Handler) *watcher {
@@ -52,6 +54,7 @@
 		handler: h, start: h.clock.Now(), streams: map[*inflight]struct{}{}, lastDiagnosed: map[*backend.Server]time.Time{},
 		plan: newQueryPlan(),
 	}
+	h.fleetView.ObserveFindings(w.observeFinding)
 	ticks := h.clock.Subscribe(watchPeriod)
 	go func() {
 		defer ticks.Stop()
@@ -60,6 +63,7 @@
 			select {
 			case <-ticks.C():
 				w.scan(ctx)
+				w.refuteFindings(h.clock.Now())
 				w.evacuate(ctx, backlog, w.group)
 			case <-ctx.Done():
 				return
--- a/relay/reports.go
+++ b/relay/reports.go
@@ -56,15 +56,17 @@
 	s.reports.ApplySharedReports(r.Reports, s.clock.Now())
 }
 
-// applyPolledReports applies the reports in a poll. If they show that a server has become silent or slow, all waiting polls of
+// applyPolledReports applies the reports in a poll. If they show that a server has become silent or slow, or hold a
+// finding that takes a server out of use, all waiting polls of
 // the servers feed are answered at once.
 func (s *Source) applyPolledReports(reports []backend.SharedReport) {
-	now := s.clock.Now()
-	if !s.reports.ApplySharedReports(reports, now) {
-		return
+	worse := s.reports.ApplySharedReports(reports, s.clock.Now())
+	if s.hasFindings(reports) {
+		s.pushFindings()
+	}
+	if worse {
+		s.wakePolls()
 	}
-	s.lastWorse.Store(int64(now.Sub(s.begun)))
-	s.logs[follow.FeedServers].notify()
 }
 
 // reportsSince returns the reports for an instance that knows those up to mark, and the next mark.
--- a/relay/source.go
+++ b/relay/source.go
@@ -91,6 +91,7 @@
 	begun   time.Time
 	// lastWorse is when another instance last reported that a server has become silent or slow, in nanoseconds since begun.
 	lastWorse atomic.Int64
+	push      pusher
 
 	upstreamCache upstreamCache
 
@@ -99,6 +100,8 @@
 	reportsSent time.Time
 	// reportMarks holds the Mark of the last answer of each other instance, by address.
 	reportMarks map[string]time.Duration
+	// endedEarly is when a poll last ended early because of a finding.
+	endedEarly time.Time
 	// breaker decides whether the store is asked while relays refuse.
 	breaker storeBreaker
 	// backoffs says until when upstreams that failed are not polled, by address.
@@ -231,13 +234,13 @@
 // pollUpstream asks one upstream for updates of a feed.
 func (s *Source) pollUpstream(ctx context.Context, u upstream, feed follow.Feed, after follow.Position, noWait bool) (update, error) {
 	if !u.direct() {
-		got, err := s.pollInstance(ctx, u.addr, poll{Feed: feed, After: after, NoWait: noWait})
+		got, err := s.pollForUpdates(ctx, u.addr, poll{Feed: feed, After: after, NoWait: noWait})
 		if errors.Is(err, errBehind) {
 			return s.catchUp(ctx, u, feed, after)
 		}
 		return got, err
 	}
-	got, err := s.watchStore(ctx, feed, after, noWait)
+	got, err := s.watchForUpdates(ctx, feed, after, noWait)
 	if err != nil && ctx.Err() == nil && !errors.Is(err, follow.ErrHistoryGone) && !errors.Is(err, errStoreSuspect) {
 		s.storeLost()
 	}
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -81,7 +81,7 @@
 		lostWrites{},
 		restoredEntry{},
 		leaveNotice{},
-		serverBackOff{},
+		serverBackOff{}, findingApplied{}, findingTakenBack{},
 		serverLimit{},
 		serverLimitRemoved{},
 		newerIncarnation{},
--- a/schema/servers.go
+++ b/schema/servers.go
@@ -214,3 +214,30 @@
 	_ struct{} `msg:"server is well" level:"info"`
 	serverReport
 }
+
+// A server gets no new work for a moment, because another instance has found it silent, refusing, full or without its layers.
+type findingApplied struct {
+	_ struct{} `msg:"server out of use by a finding" level:"warning"`
+	noRequest
+	finding
+}
+
+// A server gets new work again, because it has answered since another instance found it silent, refusing, full or without its
+// layers.
+type findingTakenBack struct {
+	_ struct{} `msg:"finding taken back" level:"warning"`
+	noRequest
+	finding
+}
+
+// finding is embedded in lines about what another instance has found out about a server.
+type finding struct {
+	// Id of the backend server.
+	Server string `log:"server"`
+	// What was found: silent, not listening, refusing, giving up layers, or full.
+	Kind string `log:"kind"`
+	// Name of the instance that found it.
+	Source string `log:"source"`
+	// How long ago it was found.
+	AgeMS int64 `log:"age_ms"`
+}
