--- /dev/null
+++ b/follow/findingbook_test.go
@@ -0,0 +1,252 @@
+package follow
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
+	"junctioncross/catalog"
+)
+
+// findingFleet returns a view of n servers of each domain, and when it stands.
+func findingFleet(domains []string, n int) (*FleetView, []*backend.Server, time.Time) {
+	v := NewFleetView()
+	var servers []*backend.Server
+	byID := map[string]*backend.Server{}
+	for _, domain := range domains {
+		for i := range n {
+			s := backend.NewServer(backend.Entry{ID: fmt.Sprint(domain, "-", i), Service: "s", Domain: domain, Born: 7})
+			servers, byID[s.ID()] = append(servers, s), s
+		}
+	}
+	group := backend.NewGroup(&catalog.Service{Name: "s"}, servers)
+	v.current.Store(&Snapshot{groups: map[string]*backend.Group{"s": group}, byID: byID})
+	v.Identify("self", "a")
+	return v, servers, time.Unix(1000, 0)
+}
+
+func about(s *backend.Server, kind backend.FindingKind, source, domain string) backend.Finding {
+	return backend.Finding{Server: s.ID(), Born: 7, Kind: kind, Age: 100 * time.Millisecond, Source: source, Domain: domain}
+}
+
+func apply(v *FleetView, now time.Time, found ...backend.Finding) bool {
+	return v.ApplySharedReports([]backend.SharedReport{{Findings: found}}, now)
+}
+
+func unusable(servers []*backend.Server, now time.Time) int {
+	n := 0
+	for _, s := range servers {
+		if !s.Usable(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestAFindingKeepsNewWorkAwayForItsTime applies one finding of each kind.
+func TestAFindingKeepsNewWorkAwayForItsTime(t *testing.T) {
+	for kind := backend.FindingSilent; kind <= backend.FindingFull; kind++ {
+		v, servers, now := findingFleet([]string{"a"}, 8)
+		out := func(at time.Time) bool {
+			filled, known := servers[0].Filled(at, time.Second, 1)
+			return !servers[0].Usable(at) || known && filled >= 1
+		}
+		require.True(t, apply(v, now, about(servers[0], kind, "other", "a")), kind)
+		require.True(t, out(now), kind)
+		require.Len(t, v.Findings(now), 1)
+		end := now.Add(kind.HoldTime() - 100*time.Millisecond)
+		require.True(t, out(end.Add(-time.Millisecond)), kind)
+		require.False(t, out(end), kind)
+		require.Empty(t, v.Findings(end))
+		require.LessOrEqual(t, kind.HoldTime(), time.Second)
+	}
+}
+
+// TestAnAnswerTakesAFindingBack has a server answer a query, or accept a request, or be reported well, after it was found silent
+// or refusing.
+func TestAnAnswerTakesAFindingBack(t *testing.T) {
+	v, servers, now := findingFleet([]string{"a"}, 32)
+	var events []FindingEvent
+	v.ObserveFindings(func(e FindingEvent) { events = append(events, e) })
+	apply(v, now, about(servers[0], backend.FindingSilent, "x", "a"), about(servers[1], backend.FindingRefusing, "y", "a"),
+		about(servers[2], backend.FindingNotListening, "z", "a"), about(servers[3], backend.FindingRefusing, "z", "a"))
+	require.Equal(t, 4, unusable(servers, now))
+	later := now.Add(150 * time.Millisecond)
+	servers[0].NoteAnswer(later)
+	servers[1].NoteAccepted()
+	servers[3].NoteAnswer(later)
+	v.ApplySharedReports([]backend.SharedReport{{ID: servers[2].ID(), Born: 7, Age: 10 * time.Millisecond, Total: 1, Pace: 1}}, later)
+	require.Equal(t, 1, unusable(servers, later), "an answer to a query does not refute a refusal")
+	taken := 0
+	for _, e := range events {
+		if e.Outcome == FindingTakenBack {
+			taken++
+		}
+	}
+	require.Equal(t, 3, taken)
+	require.False(t, apply(v, later, about(servers[0], backend.FindingSilent, "w", "a")), "the server answered after that moment")
+}
+
+// TestOneLyingInstanceCannotTakeTheServers has one instance claim without end that all servers are dead, and a few instances lie
+// together without support of each other.
+func TestOneLyingInstanceCannotTakeTheServers(t *testing.T) {
+	v, servers, start := findingFleet([]string{"a"}, 40)
+	random := rand.New(rand.NewPCG(1, 1))
+	lost := map[*backend.Server]time.Duration{}
+	const step, length = 50 * time.Millisecond, 20 * time.Second
+	for at := time.Duration(0); at < length; at += step {
+		now := start.Add(at)
+		kind := backend.FindingKind(1 + random.IntN(4))
+		for _, i := range random.Perm(len(servers)) {
+			apply(v, now, about(servers[i], kind, "liar", "a"))
+		}
+		require.LessOrEqual(t, unusable(servers, now), 40/8)
+		for _, s := range servers {
+			if !s.Usable(now) {
+				lost[s] += step
+			}
+		}
+	}
+	for s, total := range lost {
+		require.LessOrEqual(t, total, length/4, s.ID())
+	}
+	v, servers, start = findingFleet([]string{"a"}, 40)
+	for i, s := range servers {
+		apply(v, start, about(s, backend.FindingRefusing, fmt.Sprint("liar-", i), "a"))
+	}
+	require.LessOrEqual(t, unusable(servers, start), 40/4)
+}
+
+// TestTwoSourcesOrOwnEvidenceSupportAFinding has a second instance, or this one, find what a first one repeats.
+func TestTwoSourcesOrOwnEvidenceSupportAFinding(t *testing.T) {
+	v, servers, now := findingFleet([]string{"a"}, 8)
+	require.True(t, apply(v, now, about(servers[0], backend.FindingRefusing, "x", "a")))
+	now = now.Add(600 * time.Millisecond)
+	apply(v, now, about(servers[0], backend.FindingRefusing, "x", "a"))
+	require.True(t, servers[0].Usable(now), "one source does not extend its own finding")
+	apply(v, now, about(servers[0], backend.FindingRefusing, "y", "a"))
+	require.False(t, servers[0].Usable(now), "a second source does")
+	apply(v, now.Add(500*time.Millisecond), about(servers[0], backend.FindingRefusing, "x", "a"))
+	require.False(t, servers[0].Usable(now.Add(500*time.Millisecond)))
+
+	v.lastShared.Store(&now)
+	v.NoteFinding(servers[1], backend.FindingSilent, now)
+	apply(v, now, about(servers[1], backend.FindingSilent, "x", "a"))
+	require.False(t, servers[1].Usable(now))
+	require.Len(t, v.OwnReports(now.Add(-time.Second), now.Add(time.Millisecond)), 1, "the own finding is passed on")
+}
+
+// TestAnInstanceThatIsCutOffTakesNoServersOfOtherDomains has an instance lose all servers of other domains at once, as one whose
+// domain is cut off does; a server of its own domain is silent as well.
+func TestAnInstanceThatIsCutOffTakesNoServersOfOtherDomains(t *testing.T) {
+	v, servers, now := findingFleet([]string{"a", "b", "c"}, 20)
+	for _, s := range servers[20:] {
+		apply(v, now, about(s, backend.FindingSilent, "cut", "a"))
+	}
+	require.Zero(t, unusable(servers, now))
+	apply(v, now, about(servers[0], backend.FindingSilent, "cut", "a"))
+	require.Equal(t, 1, unusable(servers, now))
+	apply(v, now, about(servers[30], backend.FindingSilent, "well", "c"))
+	require.Equal(t, 2, unusable(servers, now), "another source is believed")
+}
+
+// TestBadFindingsChangeNothing applies findings that are unusable for each of the reasons.
+func TestBadFindingsChangeNothing(t *testing.T) {
+	v, servers, now := findingFleet([]string{"a"}, 100)
+	outcomes := map[FindingOutcome]int{}
+	v.ObserveFindings(func(e FindingEvent) { outcomes[e.Outcome]++ })
+	change := func(c func(*backend.Finding)) {
+		f := about(servers[0], backend.FindingSilent, "x", "a")
+		c(&f)
+		require.False(t, apply(v, now, f))
+	}
+	change(func(f *backend.Finding) { f.Kind = 77 })
+	change(func(f *backend.Finding) { f.Source = "" })
+	change(func(f *backend.Finding) { f.Domain = string(make([]byte, 1000)) })
+	change(func(f *backend.Finding) { f.Server = "nobody" })
+	change(func(f *backend.Finding) { f.Born = 8 })
+	change(func(f *backend.Finding) { f.Age = -time.Second })
+	change(func(f *backend.Finding) { f.Age = 1 << 62 })
+	many := make([]backend.Finding, maxFindings)
+	for i := range many {
+		many[i] = about(servers[0], 77, "x", "a")
+	}
+	require.False(t, apply(v, now, append(many, about(servers[1], backend.FindingSilent, "x", "a"))...))
+	require.Zero(t, unusable(servers, now))
+	require.Equal(t, map[FindingOutcome]int{
+		droppedGarbled: 3 + maxFindings, droppedUnknown: 1, droppedIncarnation: 1, droppedFuture: 1, droppedOld: 1, droppedTooMany: 1,
+	}, outcomes)
+	require.Empty(t, v.Reports(now.Add(-time.Second), now), "they are not passed on")
+}
+
+// oldReport is a shared report as builds without findings know it.
+type oldReport struct {
+	ID     string        `cbor:"1,keyasint"`
+	Age    time.Duration `cbor:"2,keyasint"`
+	Silent bool          `cbor:"3,keyasint,omitempty"`
+}
+
+// TestBuildsWithAndWithoutFindingsReadEachOther passes messages between them.
+func TestBuildsWithAndWithoutFindingsReadEachOther(t *testing.T) {
+	v, servers, now := findingFleet([]string{"a"}, 8)
+	fromNew, err := cbor.Marshal([]backend.SharedReport{{Findings: []backend.Finding{about(servers[0], 1, "x", "a")}}})
+	require.NoError(t, err)
+	var old []oldReport
+	require.NoError(t, cbor.Unmarshal(fromNew, &old))
+	require.Equal(t, []oldReport{{}}, old, "a report about no server")
+	fromOld, err := cbor.Marshal([]oldReport{{ID: servers[0].ID(), Silent: true}})
+	require.NoError(t, err)
+	var reports []backend.SharedReport
+	require.NoError(t, cbor.Unmarshal(fromOld, &reports))
+	require.Empty(t, reports[0].Findings)
+	require.False(t, v.ApplySharedReports(reports, now), "another incarnation")
+}
+
+// TestGarbledMessagesTakeNoMoreServersThanTheLimit decodes messages in which random bytes were changed.
+func TestGarbledMessagesTakeNoMoreServersThanTheLimit(t *testing.T) {
+	const rounds = 20000
+	random := rand.New(rand.NewPCG(5, 5))
+	v, servers, now := findingFleet([]string{"a"}, 40)
+	for range rounds {
+		found := make([]backend.Finding, 1+random.IntN(4))
+		for i := range found {
+			found[i] = about(servers[random.IntN(len(servers))], backend.FindingKind(1+random.IntN(5)), "x", "a")
+		}
+		message, err := cbor.Marshal([]backend.SharedReport{{Findings: found}})
+		require.NoError(t, err)
+		for range 1 + random.IntN(4) {
+			message[random.IntN(len(message))] = byte(random.Uint32())
+		}
+		now = now.Add(time.Millisecond)
+		var reports []backend.SharedReport
+		if cbor.Unmarshal(message, &reports) != nil {
+			continue
+		}
+		for i := range reports {
+			// Only what findings do is tested; whole reports have had no such limits before.
+			reports[i].ID = ""
+		}
+		v.ApplySharedReports(reports, now)
+		require.LessOrEqual(t, len(v.findings.book.kept), maxFindingsHeld)
+	}
+	require.Zero(t, unusable(servers, now.Add(time.Second)))
+}
+
+// TestAFloodOfFindingsWakesRarely passes a thousand different findings of many sources within a second.
+func TestAFloodOfFindingsWakesRarely(t *testing.T) {
+	v, servers, now := findingFleet([]string{"a"}, 100)
+	wakes := 0
+	for i := range 1000 {
+		now = now.Add(time.Millisecond)
+		if apply(v, now, about(servers[i%100], backend.FindingRefusing, fmt.Sprint("i", i/10), "a")) {
+			wakes++
+		}
+	}
+	require.LessOrEqual(t, wakes, int(time.Second/findingWakePeriod)+1)
+	require.Positive(t, wakes)
+}
--- a/forward/queryplan_test.go
+++ b/forward/queryplan_test.go
@@ -183,3 +183,66 @@
 	require.LessOrEqual(t, 4*queries(true, false), queries(true, true))
 	require.LessOrEqual(t, 3*queries(false, false), queries(false, true))
 }
+
+// planCase is a server with streams that have been still for simStall and a little more.
+func planCase() (*queryPlan, *backend.Server, suspicion, time.Time) {
+	now := time.Unix(1000, 0)
+	why := suspicion{stillSince: now.Add(-simStall - 40*time.Millisecond), overdue: 40 * time.Millisecond, stallLimit: simStall}
+	return newQueryPlan(), backend.NewServer(backend.Entry{ID: "s"}), why, now
+}
+
+// TestAServerOfWhichEnoughIsKnownIsNotQueried gives a server the facts that save a query, one at a time.
+func TestAServerOfWhichEnoughIsKnownIsNotQueried(t *testing.T) {
+	p, s, why, now := planCase()
+	require.Equal(t, queryNow, p.decide(s, why, planLag, now), "nothing is known")
+
+	p, s, why, now = planCase()
+	s.NoteQuery(now.Add(-50 * time.Millisecond))
+	require.Equal(t, savedQueried, p.decide(s, why, planLag, now), "queried since the streams stand still")
+
+	p, s, why, now = planCase()
+	s.NoteQuery(now.Add(-140 * time.Millisecond))
+	require.Equal(t, queryNow, p.decide(s, why, planLag, now), "queried before the streams stood still")
+
+	p, s, why, now = planCase()
+	s.SetMemory(1, 10, 0, now.Add(-50*time.Millisecond))
+	require.Equal(t, savedReport, p.decide(s, why, planLag, now), "answered since the streams stand still")
+
+	p, s, why, now = planCase()
+	s.ApplySharedReport(backend.SharedReport{ID: "s", Age: 50 * time.Millisecond, Total: 1, Pace: 1}, now)
+	require.Equal(t, queryNow, p.decide(s, why, planLag, now), "a shared report may be older than it seems")
+
+	p, s, why, now = planCase()
+	s.MarkEnded()
+	require.Equal(t, savedEnded, p.decide(s, why, planLag, now))
+}
+
+// TestAServerFoundWellIsQueriedAgainAtOnce has something happen after a server was found well several times.
+func TestAServerFoundWellIsQueriedAgainAtOnce(t *testing.T) {
+	found := func() (*queryPlan, *backend.Server, suspicion, time.Time) {
+		p, s, why, now := planCase()
+		for range 4 {
+			p.noteWell(s, why, now)
+			now = now.Add(300 * time.Millisecond)
+		}
+		why.stillSince = now.Add(-simStall - 40*time.Millisecond)
+		return p, s, why, now
+	}
+	p, s, why, now := found()
+	require.Equal(t, savedWell, p.decide(s, why, planLag, now))
+	require.Equal(t, queryNow, p.decide(s, why, planLag, now.Add(maxQueryPause)), "the pause is over")
+
+	p, s, why, now = found()
+	s.NoteRefused(now)
+	require.Equal(t, queryNow, p.decide(s, why, planLag, now), "a refusal")
+
+	p, s, why, now = found()
+	s.ApplySharedReport(backend.SharedReport{ID: "s", Age: 50 * time.Millisecond, Silent: true}, now)
+	require.Equal(t, queryNow, p.decide(s, why, planLag, now), "silent to another instance")
+
+	p, s, why, now = found()
+	why.overdue = 2*simStall + time.Millisecond
+	now = now.Add(300 * time.Millisecond)
+	require.Equal(t, queryNow, p.decide(s, why, planLag, now), "still for too long")
+	require.True(t, p.urgent([]*backend.Server{s}, why, now))
+}
