--- a/follow/findingbook.go
+++ b/follow/findingbook.go
@@ -22,9 +22,11 @@
 	// cutOffServers is the number of servers of other domains that cannot be reached by an instance which is probably cut off
 	// itself.
 	cutOffServers = 3
-	// maxFindings bounds the findings of one message, and maxFindingsHeld those that are kept.
-	maxFindings     = 64
-	maxFindingsHeld = 1024
+	// maxFindings bounds the findings of one message, maxFindingsHeld those that are kept, and maxFindingsOfOne those that are
+	// kept of one source, so that a source that floods the book leaves room for others.
+	maxFindings      = 64
+	maxFindingsHeld  = 1024
+	maxFindingsOfOne = 128
 	// maxNameLength bounds the names in a finding.
 	maxNameLength = 128
 )
@@ -116,9 +118,12 @@
 // add keeps a valid finding of another instance and decides on its effect; servers is the number of servers of its service.
 func (b *findingBook) add(k *keptFinding, servers int, now time.Time) FindingOutcome {
 	b.forget(now)
-	if b.knows(k) || !b.keep(k) {
+	if b.knows(k) {
 		return ignoredKnown
 	}
+	if !b.keep(k) {
+		return ignoredLimit
+	}
 	if b.cutOff(k) {
 		b.dropUnreachable(k.Source, k.Domain, now)
 		return ignoredCutOff
@@ -260,7 +265,13 @@
 
 // keep adds a finding unless there are too many.
 func (b *findingBook) keep(k *keptFinding) bool {
-	if len(b.kept) >= maxFindingsHeld {
+	ofSource := 0
+	for _, other := range b.kept {
+		if other.Source == k.Source {
+			ofSource++
+		}
+	}
+	if len(b.kept) >= maxFindingsHeld || ofSource >= maxFindingsOfOne {
 		return false
 	}
 	b.kept = append(b.kept, k)
--- a/follow/findingbook_test.go
+++ b/follow/findingbook_test.go
@@ -250,3 +250,21 @@
 	require.LessOrEqual(t, wakes, int(time.Second/findingWakePeriod)+1)
 	require.Positive(t, wakes)
 }
+
+// TestASourceThatFloodsLeavesRoomForOthers has one instance repeat findings of all kinds about all servers.
+func TestASourceThatFloodsLeavesRoomForOthers(t *testing.T) {
+	v, servers, now := findingFleet([]string{"a"}, 100)
+	for range 20 {
+		now = now.Add(ownFindingPeriod)
+		for _, s := range servers {
+			for kind := backend.FindingSilent; kind <= backend.FindingFull; kind++ {
+				apply(v, now, about(s, kind, "flood", "a"))
+			}
+		}
+	}
+	require.LessOrEqual(t, len(v.findings.book.kept), maxFindingsOfOne)
+	last := servers[len(servers)-1]
+	require.True(t, last.Usable(now))
+	apply(v, now, about(last, backend.FindingRefusing, "other", "a"))
+	require.False(t, last.Usable(now))
+}
