backend, forward: share how often diagnoses found a server well

Each instance counted only its own diagnoses, so that an instance whose streams stall for a moment now and then asked anew what others had just found. A shared report now says when a diagnosis last found its server well; after four in a row an instance takes over the pause.

--- a/backend/querystate.go
+++ b/backend/querystate.go
@@ -14,6 +14,35 @@
 	Silent     bool
 	// RefusedAt is when the server last caused the refusal of a request of this instance.
 	RefusedAt time.Time
+	// FoundWellAt is when a diagnosis of stalled streams of any instance last found the server well, FoundWell how often in a row.
+	FoundWellAt time.Time
+	FoundWell   int
+}
+
+// foundWellMemory is how long after a diagnosis has found the server well the next one counts as another.
+const foundWellMemory = 600 * time.Millisecond
+
+// maxFoundWellAge is how old such a diagnosis may be to be passed on to other instances.
+const maxFoundWellAge = time.Second
+
+// foundWell counts the diagnoses of stalled streams in a row, of all instances, that found a server well; at is the time of the
+// last one.
+type foundWell struct {
+	at    time.Time
+	count int
+}
+
+// note adds a diagnosis, unless it is one that was counted before.
+func (f *foundWell) note(at time.Time) {
+	since := at.Sub(f.at)
+	switch {
+	case since < minNewer:
+		return
+	case since > foundWellMemory:
+		f.count = 0
+	}
+	f.at = at
+	f.count++
 }
 
 // QueryState returns what is known of the state queries to the server.
@@ -23,9 +52,17 @@
 	return QueryState{
 		QueriedAt: s.queriedAt, AnsweredAt: s.answeredAt, RefusedAt: s.refusedAt,
 		ReportedAt: s.reportSource.queriedAt, Own: s.reportSource.own, Silent: s.reportSource.silent,
+		FoundWellAt: s.foundWell.at, FoundWell: s.foundWell.count,
 	}
 }
 
+// NoteFoundWell records that a diagnosis of stalled streams that began at a time has found the server well.
+func (s *Server) NoteFoundWell(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.foundWell.note(at)
+}
+
 // NoteQuery records that this instance queries the server now.
 func (s *Server) NoteQuery(now time.Time) {
 	s.mu.Lock()
--- a/backend/server.go
+++ b/backend/server.go
@@ -94,6 +94,7 @@
 	silentAt   time.Time
 	// refusedAt is when the server last caused the refusal of a request of this instance.
 	refusedAt time.Time
+	foundWell foundWell
 	// finding is the finding of another instance that keeps new work away.
 	finding heldFinding
 	// firstStageAtLoad is the value of firstStage when load was set, which load includes.
--- a/backend/sharedreport.go
+++ b/backend/sharedreport.go
@@ -31,6 +31,8 @@
 	Total float64 `cbor:"6,keyasint,omitempty"`
 	// Waiting is the number of requests that waited for memory or a place in the batch.
 	Waiting int `cbor:"7,keyasint,omitempty"`
+	// FoundWell is how long ago a diagnosis of stalled streams last found the server well; 0 means that none has lately.
+	FoundWell time.Duration `cbor:"10,keyasint,omitempty"`
 	// Findings holds findings about servers. They travel in an element of their own, without an ID, which instances that know no
 	// findings ignore.
 	Findings []Finding `cbor:"9,keyasint,omitempty"`
@@ -94,6 +96,9 @@
 // reportLocked returns the latest report on the server; the caller holds the lock.
 func (s *Server) reportLocked(now time.Time) SharedReport {
 	r := SharedReport{ID: s.incarnation.ID, Born: s.incarnation.Born, Age: now.Sub(s.reportSource.queriedAt), Silent: s.reportSource.silent}
+	if age := now.Sub(s.foundWell.at); age <= maxFoundWellAge {
+		r.FoundWell = max(age, 1)
+	}
 	if !r.Silent {
 		r.Pace, r.Used, r.Total, r.Waiting = s.pace, s.memory.used, s.memory.total, s.memory.waiting
 	}
@@ -112,6 +117,9 @@
 func (s *Server) ApplySharedReport(r SharedReport, now time.Time) bool {
 	at := now.Add(-r.Age)
 	s.mu.Lock()
+	if r.FoundWell > 0 && r.FoundWell <= maxFoundWellAge {
+		s.foundWell.note(now.Add(-r.FoundWell))
+	}
 	if at.Sub(s.reportSource.queriedAt) < minNewer {
 		s.mu.Unlock()
 		return false
--- a/forward/queryplan.go
+++ b/forward/queryplan.go
@@ -15,6 +15,9 @@
 	// slowMemory is how long a server must have had no stalled streams for its next stall to count as a new one: longer than
 	// the time between two diagnoses of a slow server.
 	slowMemory = 600 * time.Millisecond
+	// minSharedWell is how often in a row diagnoses of all instances must have found a server well for its streams to count as slow
+	// at an instance that has not queried it.
+	minSharedWell = 4
 	// slowStalls is how many stall limits a stream may be overdue before a slow but living server no longer explains it, as long
 	// as no longer stall of its streams has been seen.
 	slowStalls = 1
@@ -87,6 +90,7 @@
 	h := p.history(s, at)
 	h.answeredAt, h.explained = at, min(max(h.explained, why.overdue), maxQueryPause/2)
 	h.foundWell(at)
+	s.NoteFoundWell(at)
 }
 
 // urgent reports whether one of the servers of a stream has to be queried before the next regular diagnosis: one that was found
@@ -129,6 +133,7 @@
 	case suspected, q.Silent && q.ReportedAt.After(h.answeredAt), q.RefusedAt.After(q.QueriedAt), h.unexplained(why, now):
 		return queryNow
 	}
+	h.adopt(q, now)
 	if !q.Own {
 		settled = settled.Add(sharedSettleTime)
 	}
@@ -153,6 +158,13 @@
 	return why.overdue > explained && h.answeredAt.Before(now.Add(explained-why.overdue))
 }
 
+// adopt takes over what diagnoses of other instances have found lately.
+func (h *queryHistory) adopt(q backend.QueryState, now time.Time) {
+	if q.FoundWell >= minSharedWell && q.FoundWellAt.After(h.wellAt) && now.Sub(q.FoundWellAt) < maxQueryPause {
+		h.wellAt, h.well = q.FoundWellAt, max(h.well, q.FoundWell)
+	}
+}
+
 // foundWell notes that the server was well at a moment.
 func (h *queryHistory) foundWell(at time.Time) {
 	h.wellAt = later(h.wellAt, at)
--- a/forward/queryplan_test.go
+++ b/forward/queryplan_test.go
@@ -49,7 +49,7 @@
 
 const (
 	simStall  = 110 * time.Millisecond
-	simShared = 250 * time.Millisecond
+	simShared = 400 * time.Millisecond
 )
 
 func (p *planSim) run(length time.Duration) {
@@ -78,7 +78,7 @@
 func applyAnswers(s *backend.Server, answers []sharedAnswer, self int, at time.Duration, start time.Time) {
 	for _, a := range answers {
 		if a.from != self && a.queried+simShared <= at && a.queried+simShared > at-watchPeriod {
-			s.ApplySharedReport(backend.SharedReport{ID: "s", Age: at - a.queried, Total: 1, Pace: 4}, start.Add(at))
+			s.ApplySharedReport(backend.SharedReport{ID: "s", Age: at - a.queried, FoundWell: at - a.queried, Total: 1, Pace: 4}, start.Add(at))
 		}
 	}
 }
@@ -246,3 +246,22 @@
 	require.Equal(t, queryNow, p.decide(s, why, planLag, now), "still for too long")
 	require.True(t, p.urgent([]*backend.Server{s}, why, now))
 }
+
+// TestInstancesOfADomainQueryCrowdedServersTogether lets 30 instances have streams on one server that stall for a moment about once
+// a second: each instance alone sees hardly two stalls in a row.
+func TestInstancesOfADomainQueryCrowdedServersTogether(t *testing.T) {
+	crowdedGap := func(r *rand.Rand) time.Duration {
+		if r.Float64() < 0.03 {
+			return time.Duration(120+r.IntN(200)) * time.Millisecond
+		}
+		return time.Duration(20+r.IntN(20)) * time.Millisecond
+	}
+	queries := func(share, always bool) int {
+		p := &planSim{random: rand.New(rand.NewPCG(1, 2)), instances: 30, share: share, always: always, gap: crowdedGap}
+		p.run(20 * time.Second)
+		return p.queries
+	}
+	before, alone, shared := queries(true, true), queries(false, false), queries(true, false)
+	t.Log("before", before, "alone", alone, "shared", shared)
+	require.LessOrEqual(t, 2*shared, before)
+}
