--- a/follow/findings.go
+++ b/follow/findings.go
@@ -54,8 +54,14 @@
 	v.findings.observe = observe
 }
 
-// UrgentFindings returns a channel that receives a value when this instance has made a finding.
-func (v *FleetView) UrgentFindings() <-chan struct{} { return v.findings.urgent }
+// UrgentFindings returns a channel that receives a value when this instance has made a finding; it is nil as long as no instance
+// has shared a report.
+func (v *FleetView) UrgentFindings() <-chan struct{} {
+	if v.lastShared.Load().IsZero() {
+		return nil
+	}
+	return v.findings.urgent
+}
 
 // NoteFinding records what this instance has found out about a server, to be passed on while instances share reports.
 func (v *FleetView) NoteFinding(server *backend.Server, kind backend.FindingKind, now time.Time) {
