--- a/schema/lines.go
+++ b/schema/lines.go
@@ -93,6 +93,8 @@
 		serverSlow{},
 		serverNormal{},
 		lanes{},
+		domainLoadKnown{},
+		domainLoadUnknown{},
 		retries{},
 		instancesCounted{},
 		instancesNotCounted{},
@@ -118,6 +120,7 @@
 		orderRefused{},
 		orderWithoutEffect{},
 		coverage{},
+		layoutPlanned{},
 		domainTooSmall{},
 	}
 )
