--- a/forward/findings.go
+++ b/forward/findings.go
@@ -32,22 +32,46 @@
 
 // queryServers queries servers, all at once. Dead are those that refuse the connection, do not answer two queries, or are named
 // by the first server of the path as the one that it waits for.
-func (w *watcher) queryServers(ctx context.Context, first *backend.Server, group *backend.Group, servers map[*backend.Server]bool) *findings {
+// Servers of which enough is known are not queried.
+func (w *watcher) queryServers(
+	ctx context.Context, first *backend.Server, group *backend.Group, servers map[*backend.Server]suspicion,
+) *findings {
 	found := &findings{
 		now: w.handler.clock.Now(), dead: map[*backend.Server]bool{}, holds: map[*backend.Server]models.Layers{},
 	}
-	servers[first] = true
 	var all sync.WaitGroup
-	for s := range servers {
-		if s == first || s.TryQuery(found.now) {
-			all.Go(func() { w.queryOne(ctx, found, s, group, s == first) })
+	for s, why := range servers {
+		switch saved := w.decideQuery(s, why, s == first, found.now); saved {
+		case queryNow:
+			s.NoteQuery(found.now)
+			all.Go(func() { w.queryOne(ctx, found, s, group, why, s == first) })
+		case savedEnded:
+			found.addDead(s)
+			w.handler.countSaved(saved)
+		default:
+			w.handler.countSaved(saved)
 		}
 	}
 	all.Wait()
 	return found
 }
 
-func (w *watcher) queryOne(ctx context.Context, found *findings, s *backend.Server, group *backend.Group, first bool) {
+// decideQuery returns whether a server has to be queried. While instances share no reports, the first server always is and the
+// others as often as any reason allows.
+func (w *watcher) decideQuery(s *backend.Server, why suspicion, first bool, now time.Time) querySaving {
+	switch {
+	case w.handler.fleetView.ReportsShared(now):
+		return w.plan.decide(s, why, w.handler.reportLag(s), now)
+	case first || s.MayQuery(now):
+		return queryNow
+	default:
+		return savedQueried
+	}
+}
+
+func (w *watcher) queryOne(
+	ctx context.Context, found *findings, s *backend.Server, group *backend.Group, why suspicion, first bool,
+) {
 	h := w.handler
 	report, err := w.queryTwice(ctx, s)
 	h.applyReport(s, report, err, "slow stream")
@@ -58,6 +82,9 @@
 		found.addDead(s)
 		return
 	}
+	if h.fleetView.ReportsShared(found.now) {
+		w.plan.noteWell(s, why, found.now)
+	}
 	if h.reportsNewerLayers(s) {
 		found.mu.Lock()
 		found.holds[s] = report.Layers
--- a/forward/gauges.go
+++ b/forward/gauges.go
@@ -12,6 +12,7 @@
 	now := h.clock.Now()
 	h.measureRetries()
 	h.reviewAdmissions(h.fleetView.Current().Groups())
+	h.measureFindings(now)
 	for name, group := range h.fleetView.Current().Groups() {
 		h.measureServers(name, group, now)
 		if group.Graph() != nil {
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -82,6 +82,8 @@
 		restoredEntry{},
 		leaveNotice{},
 		serverBackOff{},
+		findingApplied{},
+		findingTakenBack{},
 		serverLimit{},
 		serverLimitRemoved{},
 		newerIncarnation{},
