loadview, forward: show the load of services at /load

What an operator asks when callers complain was spread over metrics and log lines. The listener for metrics now answers GET /load with the totals of the domains, the levels of admission, what of its settings is in force and why, retries, lanes, coverage and the servers out of use.

--- a/app/checks.go
+++ b/app/checks.go
@@ -17,7 +17,7 @@
 	"junctioncross/timer"
 )
 
-// checks serves the load balancer's readiness checks, the metrics and the profiles of a hosted instance.
+// checks serves the load balancer's readiness checks, the metrics, the load and the profiles of a hosted instance.
 type checks struct {
 	settings *config.Hosted
 	view     *follow.FleetView
@@ -26,6 +26,7 @@
 	clock    *timer.Service
 	stats    *metrics.Registry
 	log      *logrus.Logger
+	load     *loadPage
 	leaving  atomic.Bool
 	// lastReady is the last answer to a readiness check; only changes are logged.
 	lastReady atomic.Bool
@@ -35,13 +36,16 @@
 	settings *config.Hosted, view *follow.FleetView, server *front.Server, handler *forward.Handler,
 	clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
 ) *checks {
-	return &checks{settings: settings, view: view, front: server, handler: handler, clock: clock, stats: stats, log: log}
+	return &checks{
+		settings: settings, view: view, front: server, handler: handler, clock: clock, stats: stats, log: log,
+		load: &loadPage{handler: handler, findings: noFindings, log: log},
+	}
 }
 
 // leave makes the load balancer's readiness check fail from now on.
 func (c *checks) leave() { c.leaving.Store(true) }
 
-// listen starts the listeners for readiness checks and for metrics and profiles.
+// listen starts the listeners for readiness checks and for metrics, load and profiles.
 func (c *checks) listen() error {
 	readiness := &fasthttp.Server{
 		Handler: c.readiness, Logger: discardLogger{}, NoDefaultServerHeader: true, ReadTimeout: time.Minute,
@@ -106,6 +110,8 @@
 		if err := c.stats.Write(ctx); err != nil {
 			c.log.WithError(err).Warn("metrics not written")
 		}
+	case path == "/load":
+		c.load.serve(ctx, c.clock.Now())
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -75,6 +75,8 @@
 	publisher          EndPublisher
 	// loads holds the load reports of the failure domain; it may be nil.
 	loads *demand.Book
+	// outOfUse notes since when servers have got no new work.
+	outOfUse outOfUse
 
 	mu           sync.Mutex
 	lanes        map[string]*laneCache
--- a/forward/loadreport.go
+++ b/forward/loadreport.go
@@ -63,6 +63,7 @@
 		l.h.stats.Counter("load_reports_dropped_total{reason=\"" + string(reason) + "\"}").Inc(1)
 	}
 	l.noteKnown(names, now)
+	l.h.outOfUse.note(snapshot, l.h.instances.Instances(), now)
 }
 
 // noteKnown logs for which services the totals have become known, or are not known any more.
