jxctl: show the load of services from several instances

jxctl load asks the metrics listeners of instances for /load, merges what they say (the newest totals win) and prints tables of at most 130 columns, or JSON. An instance that gives no page is named with its error; only if none answers is the exit status 1.

--- a/cmd/jxctl/main.go
+++ b/cmd/jxctl/main.go
@@ -20,6 +20,7 @@
 	Plan     planCommand     `cmd:"" help:"Make or show the plan for an intent; nothing changes."`
 	Confirm  confirmCommand  `cmd:"" help:"Confirm a plan: its configuration comes into force."`
 	Status   statusCommand   `cmd:"" help:"Show every instance with the revision that it has in force."`
+	Load     loadCommand     `cmd:"" help:"Show the load on chained services, admission, and servers out of use."`
 	History  historyCommand  `cmd:"" help:"Show the confirmed plans, the newest first."`
 	Certify  certifyCommand  `cmd:"" help:"Make an authority, certificates and keys for development."`
 	Why      whyCommand      `cmd:"" help:"Tell from logs what happened to a request, and why."`
--- a/loadview/merge.go
+++ b/loadview/merge.go
@@ -49,7 +49,10 @@
 
 // Merge returns what the pages show together; those of an instance that is there twice count once.
 func Merge(pages []Page, failed []Failure) Fleet {
-	f := Fleet{Asked: len(pages) + len(failed), Answered: len(pages), Failed: failed}
+	f := Fleet{
+		Asked: len(pages) + len(failed), Answered: len(pages), Failed: append([]Failure{}, failed...), Services: []MergedService{},
+		Findings: []Finding{},
+	}
 	seen := map[string]bool{}
 	for i := range pages {
 		p := &pages[i]
--- a/schema/beliefs.go
+++ b/schema/beliefs.go
@@ -70,6 +70,12 @@
 	failure
 }
 
+// A request for the load could not be answered.
+type loadNotWritten struct {
+	_ struct{} `msg:"load not written" level:"warning"`
+	failure
+}
+
 // The machine was suspended while its monotonic clock stood still; what the instance learned before counts as older by
 // that time.
 type machineSuspended struct {
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -56,6 +56,7 @@
 		settingsNotReloaded{},
 		readiness{},
 		metricsNotWritten{},
+		loadNotWritten{},
 		machineSuspended{},
 		clockNotRead{},
 		dependencyLost{},
