--- a/cmd/jxctl/load.go
+++ b/cmd/jxctl/load.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"os/signal"
 	"slices"
@@ -129,7 +130,7 @@
 	}
 	answer, err := client.Do(request)
 	if err != nil {
-		return loadview.Page{}, errors.Wrap(err, "jxctl: ask")
+		return loadview.Page{}, errors.Wrap(withoutURL(err), "jxctl: ask")
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
@@ -137,3 +138,12 @@
 	}
 	return loadview.Parse(answer.Body)
 }
+
+// withoutURL returns the cause of the error of a call, without its address, which is printed anyway.
+func withoutURL(err error) error {
+	var failed *url.Error
+	if errors.As(err, &failed) {
+		return failed.Err
+	}
+	return err
+}
