--- a/app/checks.go
+++ b/app/checks.go
@@ -38,7 +38,7 @@
 ) *checks {
 	return &checks{
 		settings: settings, view: view, front: server, handler: handler, clock: clock, stats: stats, log: log,
-		load: &loadPage{handler: handler, findings: noFindings, log: log},
+		load: &loadPage{handler: handler, findings: findingsOf(handler), log: log},
 	}
 }
 
--- a/app/loadpage.go
+++ b/app/loadpage.go
@@ -14,8 +14,18 @@
 // findingSource returns the findings of other instances that are in force.
 type findingSource func(now time.Time) []loadview.Finding
 
-// noFindings is the source of an instance that shares no findings.
-func noFindings(time.Time) []loadview.Finding { return []loadview.Finding{} }
+// findingsOf returns the source of the findings that are in force at a handler.
+func findingsOf(h *forward.Handler) findingSource {
+	return func(now time.Time) []loadview.Finding {
+		out := []loadview.Finding{}
+		for _, f := range h.Findings(now) {
+			out = append(out, loadview.Finding{
+				Service: f.Server.Service(), Kind: f.Kind.String(), Server: f.Server.ID(), Source: f.Source, AgeMS: f.Age.Milliseconds(),
+			})
+		}
+		return out
+	}
+}
 
 // loadPage serves what the instance knows of the load on its chained services.
 type loadPage struct {
--- a/forward/loadpage_test.go
+++ b/forward/loadpage_test.go
@@ -81,7 +81,7 @@
 				part = append(part, demand.Rates{Class: r.Class, Offered: r.Offered / 4, Refused: r.Refused / 4, Returned: r.Returned / 4})
 			}
 			book.AddReports(fmt.Sprint("i-", i), []demand.Report{{
-				Service: "s", UnderWay: 100, Waiting: 2, Room: 400, Lifetime: 4 * time.Second, Classes: part, ToldToReturn: 5,
+				Service: "s", UnderWay: 100, Waiting: 8, Room: 400, Lifetime: 4320 * time.Millisecond, Classes: part, ToldToReturn: 5,
 			}}, 0, now)
 		}
 		book.AddTotals([]demand.Totals{{Service: "s", Domain: "b", Instances: 3, UnderWay: 7, Room: 90, Lifetime: time.Second}}, now)
@@ -106,8 +106,8 @@
 	own, other := s.Domains[0], s.Domains[1]
 	require.Equal(t, "a", own.Domain)
 	require.True(t, own.TotalsKnown)
-	require.Equal(t, []int{4, 400, 8, 20}, []int{own.Instances, own.UnderWay, own.Waiting, own.ToldToReturn})
-	require.EqualValues(t, 4000, own.LifetimeMS)
+	require.Equal(t, []int{4, 400, 32, 20}, []int{own.Instances, own.UnderWay, own.Waiting, own.ToldToReturn})
+	require.EqualValues(t, 4320, own.LifetimeMS)
 	require.Len(t, own.Classes, 2)
 	require.InDelta(t, 140, own.Classes[1].Offered, 1e-9)
 	require.InDelta(t, 1, own.Classes[0].Level.First, 0)
