demand, forward: admit by the load of all domains

Cause: admission took the room of the own domain for all there is, so that callers who shift to one domain would have been refused for their rank while another domain has room. Change: the levels follow the sum of the totals of all domains that are known.

--- a/demand/book_test.go
+++ b/demand/book_test.go
@@ -172,3 +172,27 @@
 	b.AddTotals([]Totals{{Service: "s", Domain: "d"}}, start.Add(maxAge+time.Second))
 	require.Len(t, b.received, 1, "old totals make room")
 }
+
+// TestAShiftOfCallersLeavesTheRoomOfTheFleet has twice as many streams in one domain as it has room, while another has none.
+func TestAShiftOfCallersLeavesTheRoomOfTheFleet(t *testing.T) {
+	b := NewBook("east")
+	_, ok := b.Fleet("chat", start)
+	require.False(t, ok)
+	b.SetOwn("a", []Report{reportOf(300, 4, 300)}, start)
+	b.AddReports("b", []Report{reportOf(300, 0, 300)}, 0, start)
+	west := Totals{Service: "chat", Domain: "west", Instances: 3, Room: 350, Lifetime: time.Second, Age: 500 * time.Millisecond}
+	west.Classes = []Rates{{Class: Class{Rank: Rank{Account: 1}}, Offered: 4}, {Class: Class{Rank: Rank{Account: 2}}, Offered: 2}}
+	require.Empty(t, b.AddTotals([]Totals{west}, start))
+	got, ok := b.Fleet("chat", start)
+	require.True(t, ok)
+	require.Equal(t, Totals{
+		Service: "chat", Instances: 5, Age: 500 * time.Millisecond, UnderWay: 600, Waiting: 4, Room: 650, Lifetime: 3 * time.Second,
+		Ends: Ends{2, 4, 6, 12, 18, 20}, ToldToReturn: 4,
+		Classes: []Rates{
+			{Class: Class{Rank: Rank{Account: 1}}, Offered: 10, Refused: 2, Returned: 1}, {Class: Class{Rank: Rank{Account: 2}}, Offered: 2},
+		},
+	}, got)
+	got, ok = b.Fleet("chat", start.Add(FreshTime-west.Age+1))
+	require.True(t, ok)
+	require.InDelta(t, 300, got.Room, 0, "the totals of the other domain are too old")
+}
--- a/demand/sum.go
+++ b/demand/sum.go
@@ -28,7 +28,7 @@
 		t.Ends[i] += n
 	}
 	for i := range r.Classes {
-		s.addRates(&r.Classes[i])
+		t.addRates(&r.Classes[i])
 	}
 	s.rooms = append(s.rooms, r.Room)
 	s.life += float64(r.Lifetime) * float64(r.UnderWay)
@@ -37,17 +37,16 @@
 }
 
 // addRates adds the rates of a class. Beyond maxClasses, a further class counts with its neighbour in the order.
-func (s *sum) addRates(r *Rates) {
-	classes := s.totals.Classes
-	at, found := slices.BinarySearchFunc(classes, r.Class, func(have Rates, want Class) int { return have.Class.Compare(want) })
+func (t *Totals) addRates(r *Rates) {
+	at, found := slices.BinarySearchFunc(t.Classes, r.Class, func(have Rates, want Class) int { return have.Class.Compare(want) })
 	switch {
 	case found:
-	case len(classes) >= maxClasses:
+	case len(t.Classes) >= maxClasses:
 		at = min(at, maxClasses-1)
 	default:
-		s.totals.Classes = slices.Insert(classes, at, Rates{Class: r.Class})
+		t.Classes = slices.Insert(t.Classes, at, Rates{Class: r.Class})
 	}
-	have := &s.totals.Classes[at]
+	have := &t.Classes[at]
 	have.Offered += r.Offered
 	have.Refused += r.Refused
 	have.Returned += r.Returned
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -25,16 +25,17 @@
 	maxRankLabels = 64
 )
 
-// Loads knows the load on services from all instances of a failure domain.
+// Loads knows the load on services from all instances.
 type Loads interface {
-	// Totals returns the load on a service, or false if it is not known well enough.
-	Totals(service, domain string, now time.Time) (demand.Totals, bool)
+	// Fleet returns the load on a service in all domains, since a stream may take room in another domain than its instance's, or
+	// false if it is not known well enough.
+	Fleet(service string, now time.Time) (demand.Totals, bool)
 }
 
 // noLoads knows no load.
 type noLoads struct{}
 
-func (noLoads) Totals(string, string, time.Time) (demand.Totals, bool) {
+func (noLoads) Fleet(string, time.Time) (demand.Totals, bool) {
 	return demand.Totals{}, false
 }
 
@@ -117,7 +118,7 @@
 		return
 	}
 	s.updated = now
-	totals, known := h.admissions.loads.Totals(service, h.settings.Load().Domain, now)
+	totals, known := h.admissions.loads.Fleet(service, now)
 	switch {
 	case !known:
 		s.controller.Clear()
--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -30,7 +30,7 @@
 	asked   int
 }
 
-func (f *fakeLoads) Totals(string, string, time.Time) (demand.Totals, bool) {
+func (f *fakeLoads) Fleet(string, time.Time) (demand.Totals, bool) {
 	f.asked++
 	return f.totals, !f.unknown
 }
