retry: order who may take from the budget

The last retries of a bucket went to whoever asked first. A claim now names the position of its rank and whether its answer can still be in time; each class of claims leaves a part of the bucket to those before it. An unused retry can be returned, which never makes the budget larger than if it had not been taken. Take is a claim that goes before all others, as before.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -77,15 +78,7 @@
 // Take takes a retry for a service out of the budget and reports whether it is allowed; instances is the number of instances that
 // share the Limit.
 func (b *Budget) Take(service string, instances int, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	k := b.bucket(service)
-	k.refill(b.limit, instances, now)
-	if k.tokens < 1 {
-		return false
-	}
-	k.tokens--
-	return true
+	return b.TakeFor(Claim{}, service, instances, now) == Granted
 }
 
 // Allowance returns the state of the budget for a service; instances is the number of instances that share the Limit.
@@ -119,15 +112,27 @@
 	tokens float64
 	// refilledAt is when the part of Limit.Fixed was last added.
 	refilledAt time.Time
+	// taken holds when the tokens were taken that may be returned, oldest first. They count towards the capacity of the bucket, so
+	// that it never holds more than if they had not been taken.
+	taken []time.Time
 	// requests counts the requests of at most one window.
 	requests *WindowCounter
 }
 
-// refill adds the part of Limit.Fixed for the time since the last refill, and drops tokens beyond the capacity of the bucket. It
-// must run before a request is counted, since the capacity may depend on earlier requests only.
-func (k *bucket) refill(limit Limit, instances int, now time.Time) {
+// refill adds the part of Limit.Fixed for the time since the last refill, drops tokens beyond the capacity of the bucket, and returns
+// that capacity. It must run before a request is counted, since the capacity may depend on earlier requests only.
+func (k *bucket) refill(limit Limit, instances int, now time.Time) (capacity float64) {
 	fixed := limit.Fixed / float64(instances)
 	k.tokens += refillFraction * fixed * now.Sub(k.refilledAt).Seconds() / limit.Window.Seconds()
 	k.refilledAt = now
-	k.tokens = min(k.tokens, burstFraction*(limit.Share*float64(k.requests.Sum(now))+fixed))
+	capacity = burstFraction * limit.perWindow(k.requests.Sum(now), instances)
+	k.tokens = min(k.tokens, capacity)
+	excess := int(math.Ceil(k.tokens + float64(len(k.taken)) - capacity))
+	k.taken = slices.Delete(k.taken, 0, min(max(excess, 0), len(k.taken)))
+	return capacity
+}
+
+// perWindow returns the retries that the Limit allows one instance in a Window with so many of its requests.
+func (l Limit) perWindow(requests, instances int) float64 {
+	return l.Share*float64(requests) + l.Fixed/float64(instances)
 }
