forward: tell servers how urgent a request is

Servers let the more urgent requests in first, but no request said how urgent it is. The urgency now follows from the position of a request's rank among the ranks of its service, computed once for a configuration; a returning caller goes behind first tries of its rank. Where all ranks of a service are alike nothing is sent, as before. A caller's own header is dropped, as before.

--- a/call/request.go
+++ b/call/request.go
@@ -33,6 +33,17 @@
 	Layers models.Layers
 }
 
+// Urgency says how urgent a request is among all that a server may let in.
+type Urgency struct {
+	// Named is false when all requests of the service are equally urgent, so that the head says nothing.
+	Named bool
+	// Level is from 0, the most urgent, to MaxUrgencyLevel.
+	Level int
+}
+
+// MaxUrgencyLevel is the Level of the least urgent requests.
+const MaxUrgencyLevel = 9
+
 // SendParams holds what is added to the head of a request when it is sent to a server.
 type SendParams struct {
 	// Target is the id of the server that is to run the request; a server with another id must refuse it.
@@ -45,6 +56,8 @@
 	Path []Stage
 	// ResumeAfter is the id of the last event that was passed on to the caller.
 	ResumeAfter string
+	// Urgency is how urgent the request is.
+	Urgency Urgency
 	// BodyBytes is the length of the body, or -1 for a request without one.
 	BodyBytes int
 }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -42,13 +43,15 @@
 	hosts map[string][]*Route
 	// keys maps each bearer key to its account; it is nil if callers need no key.
 	keys map[string]*Account
+	// accounts holds the client accounts.
+	accounts []Account
 }
 
 // New validates the content and returns its Catalog; the error names the first invalid route or service.
 func New(content *Content) (*Catalog, error) {
 	c := &Catalog{
 		version: content.Version, limits: content.Limits,
-		services: make(map[string]*Service, len(content.Services)), hosts: map[string][]*Route{},
+		services: make(map[string]*Service, len(content.Services)), hosts: map[string][]*Route{}, accounts: content.Accounts,
 	}
 	for i := range content.Services {
 		s := &content.Services[i]
@@ -145,6 +148,22 @@
 	return nil
 }
 
+// RoutesTo returns the routes that have the service among their targets, in no particular order.
+func (c *Catalog) RoutesTo(service string) []*Route {
+	var out []*Route
+	for _, routes := range c.hosts {
+		for _, r := range routes {
+			if slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service }) {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+// Accounts returns the client accounts; the caller must not change the slice.
+func (c *Catalog) Accounts() []Account { return c.accounts }
+
 // NeedsKeys reports whether callers need a key for routes that are not public.
 func (c *Catalog) NeedsKeys() bool { return c.keys != nil }
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -64,6 +64,7 @@
 	instances Instances
 	watch     *watcher
 	budget    *retry.Budget
+	ranks     rankCache
 	// retryLog and lanesLog limit the rate of the log lines about the retries and the lanes of each service.
 	retryLog, lanesLog logLimiter
 	ends               *quarantine.Book
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -32,6 +32,7 @@
 func (h *Handler) plain(ctx context.Context, r *request) {
 	var tried []*backend.Server
 	var last outcome = notRun{reason: models.ReasonNoServer}
+	urgency := h.urgencyFor(r)
 	for {
 		server := h.pick(r.group, tried)
 		if server == nil {
@@ -46,7 +47,7 @@
 			break
 		}
 		tried = append(tried, server)
-		last = h.tryPlain(ctx, r, server, tried)
+		last = h.tryPlain(ctx, r, server, tried, urgency)
 		// A further attempt is useless once the caller has disconnected or the deadline has passed.
 		if ctx.Err() != nil || !h.mayRetry(r, last, len(tried)) {
 			break
@@ -86,7 +87,9 @@
 }
 
 // tryPlain makes one attempt, at one server.
-func (h *Handler) tryPlain(ctx context.Context, r *request, server *backend.Server, tried []*backend.Server) outcome {
+func (h *Handler) tryPlain(
+	ctx context.Context, r *request, server *backend.Server, tried []*backend.Server, urgency call.Urgency,
+) outcome {
 	server.Reserve(0)
 	defer server.Release(0)
 	server.Chosen()
@@ -100,7 +103,7 @@
 		"server": server.ID(), "address": server.Addr(), "attempt": len(tried), "own_running": server.Running(),
 	}))
 	// If one idle connection has failed silently, the others may have as well: a retry opens a new one.
-	s, err := h.send(attemptCtx, r, server, &call.SendParams{}, len(tried) > 1 || !r.route.MayRetry())
+	s, err := h.send(attemptCtx, r, server, &call.SendParams{Urgency: urgency}, len(tried) > 1 || !r.route.MayRetry())
 	if s == nil {
 		return h.unsentAttempt(ctx, r, server, err)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -106,8 +106,10 @@
 		"predicted_read_us": path.Read.Microseconds(), "tokens": f.need.Tokens, "lane_load": f.laneLoad, "returned": f.returned,
 		"resume_after": f.events.resumeAfter(),
 	}))
-	s, err := h.send(ctx, r, f.first, &call.SendParams{Path: f.path().stages(), ResumeAfter: f.events.resumeAfter()},
-		attempt > 1 || !r.route.MayRetry())
+	params := &call.SendParams{
+		Path: f.path().stages(), ResumeAfter: f.events.resumeAfter(), Urgency: h.rankOf(r, f.first.Service()).level(f.returned),
+	}
+	s, err := h.send(ctx, r, f.first, params, attempt > 1 || !r.route.MayRetry())
 	if s == nil {
 		return h.unsentAttempt(ctx, r, f.first, err)
 	}
