forward: retry on another path, and leave the last retries to those in time

A rejected request went back to paths through the same servers as soon as these no longer counted as full; the retry budget was spent in the order of arrival; a caller without a retry waited for room first; a path could close between its choice and the send; and a retry that was taken but not used was lost.

A retry now avoids the servers that rejected it and prefers a path that shares none with the rejected one. The path is looked at again just before the send and chosen anew, without counting an attempt. Streams name their rank and whether they can be in time for a retry, hear at once when there is none, with the time to the next one, and give back what they did not use. Plain services are unchanged.

--- a/forward/choice.go
+++ b/forward/choice.go
@@ -45,6 +45,8 @@
 	timeLeft time.Duration
 	// load is the used share of each lane's memory, as far as known.
 	load []float64
+	// avoid is what the request is to avoid after rejections.
+	avoid avoidance
 }
 
 // newLaneChoice returns a choice for one of the given number of instances, which all choose in the same way.
@@ -93,10 +95,13 @@
 	total, fastest := 0.0, c.fastest()
 	for i := range c.lanes {
 		weights[i] = c.weight(i, fastest)
-		if c.lanes[i].Step*time.Duration(c.steps) > c.timeLeft {
+		if c.tooSlow(i) {
 			weights[i] *= tooSlowWeight
 		}
-		total += weights[i]
+	}
+	c.avoid.narrow(c.lanes, weights, c.tooSlow)
+	for _, w := range weights {
+		total += w
 	}
 	point, last := rand.Float64()*total, -1
 	for i, w := range weights {
@@ -111,6 +116,9 @@
 	return last
 }
 
+// tooSlow reports whether the answer is not expected to end in time on a lane.
+func (c *laneChoice) tooSlow(i int) bool { return c.lanes[i].Step*time.Duration(c.steps) > c.timeLeft }
+
 // weight returns the weight of a lane: its free memory, times its speed relative to the fastest lane, times a factor for its
 // domain.
 func (c *laneChoice) weight(i int, fastest time.Duration) float64 {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -44,12 +44,22 @@
 	stopWatching func() bool
 }
 
+// destination is where a request is sent.
+type destination struct {
+	server *backend.Server
+	// fresh asks for a new connection.
+	fresh bool
+	// open reports just before the request is sent whether it may be; nil means that it may.
+	open func() bool
+}
+
 // connect returns a connection for a request, or the reason why nothing may be sent to the server.
-func (h *Handler) connect(ctx context.Context, server *backend.Server, fresh bool) (*backend.Conn, error) {
+func (h *Handler) connect(ctx context.Context, to destination) (*backend.Conn, error) {
+	server := to.server
 	if server.BackedOff(h.clock.Now()) {
 		return nil, errBackedOff
 	}
-	conn, err := server.Connect(ctx, h.clock.Now(), fresh)
+	conn, err := server.Connect(ctx, h.clock.Now(), to.fresh)
 	if err != nil {
 		return nil, err
 	}
@@ -62,6 +72,10 @@
 		conn.Keep(h.clock.Now(), 0)
 		return nil, errBackedOff
 	}
+	if to.open != nil && !to.open() {
+		conn.Keep(h.clock.Now(), 0)
+		return nil, errPathClosed
+	}
 	if !server.TakePermit(h.instances.Instances(), h.clock.Now()) {
 		conn.Keep(h.clock.Now(), 0)
 		return nil, errOverLimit
@@ -69,13 +83,14 @@
 	return conn, nil
 }
 
-// send opens a connection and writes the request; the error is backend.ErrDial, errBackedOff or errOverLimit when nothing
-// was sent.
-func (h *Handler) send(ctx context.Context, r *request, server *backend.Server, s *call.SendParams, fresh bool) (*sentRequest, error) {
-	conn, err := h.connect(ctx, server, fresh)
+// send opens a connection and writes the request; the error is backend.ErrDial, errBackedOff, errPathClosed or errOverLimit when
+// nothing was sent.
+func (h *Handler) send(ctx context.Context, r *request, to destination, s *call.SendParams) (*sentRequest, error) {
+	conn, err := h.connect(ctx, to)
 	if err != nil {
 		return nil, err
 	}
+	server := to.server
 	out := &sentRequest{server: server, conn: conn, at: h.clock.Now()}
 	// Closing the connection tells a server to stop; it also ends the read that waits for the answer.
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -126,6 +126,8 @@
 	deadline time.Time
 	// retryGranted is true while the request holds a retry of the budget that has not reached a server yet.
 	retryGranted bool
+	// retryTaken is when that retry was taken.
+	retryTaken time.Time
 	// runs counts the servers that may have run the request.
 	runs int
 	// ran lists these servers.
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -1,10 +1,13 @@
 package forward
 
 import (
+	"time"
+
 	"junctioncross/backend"
 	"junctioncross/chain"
 	"junctioncross/decision"
 	"junctioncross/models"
+	"junctioncross/retry"
 )
 
 // chosenPath is a path that was chosen for a stream from the servers of a group.
@@ -13,6 +16,10 @@
 	path  chain.Path
 	// load is the share of the lane's memory that was thought to be taken.
 	load float64
+	// at is when the path was chosen.
+	at time.Time
+	// retryTaken is when the retry for it was taken from the budget.
+	retryTaken time.Time
 }
 
 // handOver has a stream resumed on a path with another first server, after the last event that was passed on; text is the log
@@ -27,9 +34,11 @@
 	if !ok || !first.Suspected(h.clock.Now()) && resolvePath(group, next.path.Hops).crossings() > f.path().crossings() {
 		return false
 	}
+	claim := h.claimOf(f, group.Service().Name)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.startsAt(f, first) || !h.takeRetry(f.r) {
+	next.retryTaken = h.clock.Now()
+	if !w.startsAt(f, first) || h.takeRetryAs(f.r, claim, next.retryTaken) != retry.Granted {
 		return false
 	}
 	f.next.Store(&next)
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -33,6 +33,12 @@
 	longestPause time.Duration
 	// progressed is true once the server of the present attempt has sent an event.
 	progressed atomic.Bool
+	// begun is true once a part of the answer has been passed on.
+	begun atomic.Bool
+	// chosenAt is when the path of the present attempt was chosen, and rechosen how often a path was chosen again before it was sent;
+	// only the goroutine of the request uses them.
+	chosenAt time.Time
+	rechosen int
 	// ranSince is when the first event of the present attempt came; only the goroutine of the request uses it.
 	ranSince time.Time
 
@@ -44,6 +50,8 @@
 	next atomic.Pointer[chosenPath]
 
 	mu sync.Mutex
+	// rejections is what earlier attempts say about servers.
+	rejections rejections
 	// earlierServers lists the servers that ran the stream before the present attempt. That attempt started at attemptStart
 	// and is expected to last for expectedLifetime, or for predictedLifetime by the cost model alone; the latter is 0 for an
 	// attempt that resumes a stream.
@@ -168,6 +176,7 @@
 func (f *inflight) noteAccepted() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.rejections.path = nil
 	for _, s := range f.servers {
 		s.NoteAccepted()
 	}
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -41,3 +41,30 @@
 	head []byte
 	body []byte
 }
+
+// withoutPath returns the outcome of a stream that has not begun and finds no path after an attempt that ended like this.
+func withoutPath(last outcome) outcome {
+	switch last.(type) {
+	case nil:
+		return notRun{reason: models.ReasonNoRoom}
+	case handedOver:
+		// The path for which the stream left its server was closed before it was sent there.
+		return failed{reason: models.RetryBroken}
+	default:
+		return last
+	}
+}
+
+// reasonOf returns the reason why an attempt did not deliver the answer, or an empty reason.
+func reasonOf(last outcome) models.Reason {
+	switch o := last.(type) {
+	case notRun:
+		return o.reason
+	case failed:
+		return o.reason
+	case quarantined:
+		return models.ReasonQuarantined
+	default:
+		return ""
+	}
+}
--- a/forward/pass.go
+++ b/forward/pass.go
@@ -71,6 +71,7 @@
 }
 
 func (h *Handler) pass(f *inflight, s *sentRequest, out []byte) {
+	f.begun.Store(true)
 	if f.r.x.Begun() {
 		f.r.x.Stream(out)
 		return
--- a/forward/path.go
+++ b/forward/path.go
@@ -58,7 +58,7 @@
 func (h *Handler) choosePath(f *inflight) (chain.Path, bool) {
 	p, ok := h.choosePathIn(f, f.r.group)
 	if ok {
-		f.laneLoad = p.load
+		f.laneLoad, f.chosenAt = p.load, p.at
 	}
 	return p.path, ok
 }
@@ -69,15 +69,18 @@
 	lanes := h.lanesOf(group, now)
 	if len(lanes) > 0 {
 		choice := newLaneChoice(group, lanes, h.settings.Load().Domain, h.instances.Instances(), now)
+		choice.avoid = f.avoid(group, now)
 		choice.steps, choice.timeLeft = int(streamSlack*float64(f.need.Tokens-f.need.Prompt)), h.remaining(f.r)
 		i := choice.pick()
 		if i < 0 {
 			return chosenPath{}, false
 		}
-		return chosenPath{group: group, path: lanes[i].Path, load: choice.load[i]}, true
+		return chosenPath{group: group, path: lanes[i].Path, load: choice.load[i], at: now}, true
 	}
-	path, ok := chain.Choose(group.Graph(), h.chainState(group, now), f.need)
-	return chosenPath{group: group, path: path}, ok
+	state := h.chainState(group, now)
+	state.avoid = f.avoid(group, now)
+	path, ok := chain.Choose(group.Graph(), state, f.need)
+	return chosenPath{group: group, path: path, at: now}, ok
 }
 
 func (h *Handler) laneCacheOf(service string) *laneCache {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -14,6 +14,7 @@
 	"junctioncross/catalog"
 	"junctioncross/decision"
 	"junctioncross/models"
+	"junctioncross/retry"
 )
 
 const (
@@ -39,7 +40,7 @@
 			break
 		}
 		if !h.maySend(r) {
-			last = h.outOfBudget(r, last)
+			last = h.outOfBudget(r, last, retry.Spent)
 			break
 		}
 		if k, ok := h.quarantineOf(r); ok {
@@ -103,7 +104,8 @@
 		"server": server.ID(), "address": server.Addr(), "attempt": len(tried), "own_running": server.Running(),
 	}))
 	// If one idle connection has failed silently, the others may have as well: a retry opens a new one.
-	s, err := h.send(attemptCtx, r, server, &call.SendParams{Urgency: urgency}, len(tried) > 1 || !r.route.MayRetry())
+	to := destination{server: server, fresh: len(tried) > 1 || !r.route.MayRetry()}
+	s, err := h.send(attemptCtx, r, to, &call.SendParams{Urgency: urgency})
 	if s == nil {
 		return h.unsentAttempt(ctx, r, server, err)
 	}
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -85,8 +85,8 @@
 	if !ok {
 		return chain.Path{}, models.ReasonNoRoom
 	}
-	if !h.maySend(f.r) {
-		return chain.Path{}, models.ReasonRetryBudgetSpent
+	if verdict := h.maySendStream(f); verdict != retry.Granted {
+		return chain.Path{}, budgetReason(verdict)
 	}
 	return path, ""
 }
--- a/forward/retries.go
+++ b/forward/retries.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"time"
+
 	"junctioncross/decision"
 	"junctioncross/models"
 	"junctioncross/retry"
@@ -12,37 +14,111 @@
 
 // maySend reports whether the request may be sent. A request that has reached no server yet needs no retry of the budget,
 // and a retry that was taken and reached no server is used for the next attempt.
-func (h *Handler) maySend(r *request) bool {
-	if r.sends > 0 && !r.retryGranted {
-		r.retryGranted = h.takeRetry(r)
+func (h *Handler) maySend(r *request) bool { return h.maySendAs(r, retry.Claim{}) == retry.Granted }
+
+// maySendStream is maySend for a stream, which may have to leave the retries that are left to others.
+func (h *Handler) maySendStream(f *inflight) retry.Verdict {
+	if !f.r.needsRetry() {
+		return retry.Granted
 	}
-	return r.sends == 0 || r.retryGranted
+	return h.maySendAs(f.r, h.claimOf(f, f.r.group.Service().Name))
+}
+
+// checkRetry returns what maySendStream would return, and takes no retry.
+func (h *Handler) checkRetry(f *inflight) retry.Verdict {
+	if !f.r.needsRetry() {
+		return retry.Granted
+	}
+	service := f.r.group.Service().Name
+	verdict, _ := h.budget.Check(h.claimOf(f, service), service, h.instances.Instances(), h.clock.Now())
+	return verdict
+}
+
+// needsRetry reports whether the request needs a retry of the budget to be sent, and holds none.
+func (r *request) needsRetry() bool { return r.sends > 0 && !r.retryGranted }
+
+func (h *Handler) maySendAs(r *request, claim retry.Claim) retry.Verdict {
+	if !r.needsRetry() {
+		return retry.Granted
+	}
+	now := h.clock.Now()
+	verdict := h.takeRetryAs(r, claim, now)
+	if verdict == retry.Granted {
+		r.retryGranted, r.retryTaken = true, now
+	}
+	return verdict
 }
 
 // takeRetry takes one retry from the budget of the service.
 func (h *Handler) takeRetry(r *request) bool {
-	service, now := r.group.Service().Name, h.clock.Now()
-	allowed := h.budget.Take(service, h.instances.Instances(), now)
-	if allowed {
+	return h.takeRetryAs(r, retry.Claim{}, h.clock.Now()) == retry.Granted
+}
+
+// takeRetryAs is takeRetry for a request that may have to leave the retries that are left to others.
+func (h *Handler) takeRetryAs(r *request, claim retry.Claim, now time.Time) retry.Verdict {
+	service := r.group.Service().Name
+	verdict := h.budget.TakeFor(claim, service, h.instances.Instances(), now)
+	if verdict == retry.Granted {
 		h.stats.Counter("repeats_total{service=\"" + service + "\"}").Inc(1)
 	}
 	if h.retryLog.allow(service, now) {
 		h.record.Routine("", "repeats", h.allowanceFields(service, decision.Fields{"service": service}))
 	}
-	return allowed
+	return verdict
 }
 
-// outOfBudget returns how the last attempt ended, with the empty budget as the reason that there is no further one.
-func (h *Handler) outOfBudget(r *request, last outcome) outcome {
-	h.stats.Counter("repeats_out_of_budget_total").Inc(1)
-	fields := h.allowanceFields(r.group.Service().Name, decision.Fields{"reason": models.ReasonRetryBudgetSpent})
+// returnRetry gives back the retry that a stream holds at its end: nothing was sent with it.
+func (h *Handler) returnRetry(f *inflight) {
+	if next := f.takeNext(); next != nil {
+		h.giveBack(f.r, next.retryTaken)
+	}
+	if f.r.retryGranted {
+		f.r.retryGranted = false
+		h.giveBack(f.r, f.r.retryTaken)
+	}
+}
+
+func (h *Handler) giveBack(r *request, taken time.Time) {
+	h.budget.Return(r.group.Service().Name, taken, h.instances.Instances(), h.clock.Now())
+	h.stats.Counter("repeats_returned_total").Inc(1)
+}
+
+// budgetReason returns the reason of a refusal for want of a retry.
+func budgetReason(verdict retry.Verdict) models.Reason {
+	if verdict == retry.Kept {
+		return models.ReasonRetryBudgetKept
+	}
+	return models.ReasonRetryBudgetSpent
+}
+
+// outOfBudget returns how the last attempt ended, with the budget as the reason that there is no further one.
+func (h *Handler) outOfBudget(r *request, last outcome, verdict retry.Verdict) outcome {
+	reason := budgetReason(verdict)
+	if verdict == retry.Kept {
+		h.stats.Counter("repeats_kept_for_others_total").Inc(1)
+	} else {
+		h.stats.Counter("repeats_out_of_budget_total").Inc(1)
+	}
+	fields := h.allowanceFields(r.group.Service().Name, decision.Fields{"reason": reason})
 	h.record.Failure(r.meta.ID, "no repeat", h.fields(r, fields))
 	if _, ok := last.(notRun); ok {
-		return notRun{reason: models.ReasonRetryBudgetSpent}
+		return notRun{reason: reason}
 	}
 	return last
 }
 
+// retryAfterReason returns the Retry-After time for a caller who is refused for a reason. A stream that was refused for want of a
+// retry is also told to wait until the budget has one again, as far as callers follow.
+func (h *Handler) retryAfterReason(r *request, reason models.Reason) time.Duration {
+	after := h.retryAfter(r)
+	if reason != models.ReasonRetryBudgetSpent || r.group.Graph() == nil {
+		return after
+	}
+	_, refilled := h.budget.Check(retry.Claim{}, r.group.Service().Name, h.instances.Instances(), h.clock.Now())
+	limit := time.Duration(maxRetryAfterShare * float64(max(h.remaining(r), 0)))
+	return max(after, min(withRetryJitter(refilled), limit))
+}
+
 // allowance returns the retry budget of a service.
 func (h *Handler) allowance(service string) retry.Allowance {
 	return h.budget.Allowance(service, h.instances.Instances(), h.clock.Now())
--- a/forward/state.go
+++ b/forward/state.go
@@ -45,13 +45,15 @@
 	loadRatio float64
 	// instances is the number of instances that share the rate limits of the servers.
 	instances int
+	// avoid is what the request is to avoid after rejections.
+	avoid avoidance
 	// ignoreMemory makes all memory count as free, whatever the servers reported of it.
 	ignoreMemory bool
 }
 
 // Usable implements chain.State.
 func (s *chainState) Usable(i int) bool {
-	return s.servers[i].Usable(s.now) && s.servers[i].WithinLimit(s.instances, s.now)
+	return !s.avoid.bars(i) && s.servers[i].Usable(s.now) && s.servers[i].WithinLimit(s.instances, s.now)
 }
 
 // Sequences implements chain.State.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -10,6 +10,7 @@
 	"junctioncross/chain"
 	"junctioncross/decision"
 	"junctioncross/models"
+	"junctioncross/retry"
 )
 
 // streamBuffer is the size in bytes of the buffer for one read from a server; it holds some events.
@@ -21,7 +22,7 @@
 	f.need, f.returned = h.needOf(r), h.hasReturned(r)
 	h.countTry(f)
 	var last outcome
-	for attempt := 1; ; attempt++ {
+	for attempt := 1; ; {
 		path, instead := h.nextPath(ctx, f, last)
 		if instead != nil {
 			last = instead
@@ -31,18 +32,25 @@
 			last = k
 			break
 		}
-		last = h.attempt(ctx, f, path, attempt)
+		ended := h.attempt(ctx, f, path, attempt)
+		if _, again := ended.(rechoose); again {
+			continue
+		}
+		last = ended
 		if !h.mayContinue(f, last, attempt) {
 			break
 		}
+		attempt++
 	}
+	h.returnRetry(f)
 	h.concludeStream(ctx, f, last)
 }
 
 // nextPath returns the path for the next attempt, or the outcome with which the stream ends if there is none.
 func (h *Handler) nextPath(ctx context.Context, f *inflight, last outcome) (chain.Path, outcome) {
 	if next := f.takeNext(); next != nil {
-		f.r.group, f.laneLoad, f.r.retryGranted = next.group, next.load, true
+		f.r.group, f.laneLoad, f.chosenAt = next.group, next.load, next.at
+		f.r.retryGranted, f.r.retryTaken = true, next.retryTaken
 		return next.path, nil
 	}
 	if f.r.x.Begun() {
@@ -52,14 +60,16 @@
 		}
 		return path, nil
 	}
+	// A wait for room would be in vain without a retry.
+	if verdict := h.checkRetry(f); verdict != retry.Granted {
+		return chain.Path{}, h.outOfBudget(f.r, last, verdict)
+	}
 	path, ok := h.awaitPath(ctx, f)
-	switch {
-	case !ok && last == nil:
-		return chain.Path{}, notRun{reason: models.ReasonNoRoom}
-	case !ok:
-		return chain.Path{}, last
-	case !h.maySend(f.r):
-		return chain.Path{}, h.outOfBudget(f.r, last)
+	if !ok {
+		return chain.Path{}, withoutPath(last)
+	}
+	if verdict := h.maySendStream(f); verdict != retry.Granted {
+		return chain.Path{}, h.outOfBudget(f.r, last, verdict)
 	}
 	return path, nil
 }
@@ -109,10 +119,14 @@
 	params := &call.SendParams{
 		Path: f.path().stages(), ResumeAfter: f.events.resumeAfter(), Urgency: h.rankOf(r, f.first.Service()).level(f.returned),
 	}
-	s, err := h.send(ctx, r, f.first, params, attempt > 1 || !r.route.MayRetry())
+	to := destination{
+		server: f.first, fresh: attempt > 1 || !r.route.MayRetry(), open: func() bool { return h.mayStillSend(f) },
+	}
+	s, err := h.send(ctx, r, to, params)
 	if s == nil {
-		return h.unsentAttempt(ctx, r, f.first, err)
+		return h.unsentStream(ctx, f, err)
 	}
+	h.countPath(f)
 	f.conn = s.conn
 	f.touch(h)
 	h.watch.add(f)
@@ -184,6 +198,7 @@
 			server = at
 		}
 	}
+	f.noteRejection(server, h.clock.Now())
 	h.recordRefusal(f.r, server, s)
 	h.queryIfActive(server, "refusal")
 	if f.pause(h) >= h.settings.Load().StallTime/2 {
@@ -257,17 +272,3 @@
 		"most_runs": r.route.MaxAttempts, "still_ms": f.pause(h).Milliseconds(), "patience_ms": patienceOf(r.route).Milliseconds(),
 	}))
 }
-
-// reasonOf returns the reason why an attempt did not deliver the answer, or an empty reason.
-func reasonOf(last outcome) models.Reason {
-	switch o := last.(type) {
-	case notRun:
-		return o.reason
-	case failed:
-		return o.reason
-	case quarantined:
-		return models.ReasonQuarantined
-	default:
-		return ""
-	}
-}
--- a/models/fate.go
+++ b/models/fate.go
@@ -77,6 +77,8 @@
 	ReasonAttemptsUsedUp Reason = "attempts_used_up"
 	// ReasonRetryBudgetSpent means that the service's retry budget is used up.
 	ReasonRetryBudgetSpent Reason = "repeat_budget_spent"
+	// ReasonRetryBudgetKept means that the retries that are left are kept for requests that are more urgent or not yet late.
+	ReasonRetryBudgetKept Reason = "repeat_budget_kept"
 	// ReasonQuarantined means that the request is quarantined, since backend servers terminated while they ran it.
 	ReasonQuarantined Reason = "quarantined"
 )
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -107,14 +106,20 @@
 	return k
 }
 
+// takenToken is a token that was taken out of a bucket. Worth is what is left of it if it is returned: where the bucket would have
+// been full with the token, the token would have been lost.
+type takenToken struct {
+	at    time.Time
+	worth float64
+}
+
 // bucket is the token bucket of one service; a token is one retry.
 type bucket struct {
 	tokens float64
 	// refilledAt is when the part of Limit.Fixed was last added.
 	refilledAt time.Time
-	// taken holds when the tokens were taken that may be returned, oldest first. They count towards the capacity of the bucket, so
-	// that it never holds more than if they had not been taken.
-	taken []time.Time
+	// taken holds the tokens that may be returned, oldest first.
+	taken []takenToken
 	// requests counts the requests of at most one window.
 	requests *WindowCounter
 }
@@ -127,11 +132,28 @@
 	k.refilledAt = now
 	capacity = burstFraction * limit.perWindow(k.requests.Sum(now), instances)
 	k.tokens = min(k.tokens, capacity)
-	excess := int(math.Ceil(k.tokens + float64(len(k.taken)) - capacity))
-	k.taken = slices.Delete(k.taken, 0, min(max(excess, 0), len(k.taken)))
+	k.trimTaken(capacity)
 	return capacity
 }
 
+// trimTaken lowers the worth of the taken tokens, the oldest first, to what the bucket has room for.
+func (k *bucket) trimTaken(capacity float64) {
+	excess := k.tokens - capacity
+	for _, one := range k.taken {
+		excess += one.worth
+	}
+	done := 0
+	for ; excess > 0 && done < len(k.taken); done++ {
+		one := &k.taken[done]
+		if one.worth > excess {
+			one.worth -= excess
+			break
+		}
+		excess -= one.worth
+	}
+	k.taken = slices.Delete(k.taken, 0, done)
+}
+
 // perWindow returns the retries that the Limit allows one instance in a Window with so many of its requests.
 func (l Limit) perWindow(requests, instances int) float64 {
 	return l.Share*float64(requests) + l.Fixed/float64(instances)
--- a/retry/claim.go
+++ b/retry/claim.go
@@ -69,7 +69,7 @@
 	verdict, _ := k.verdict(c, capacity)
 	if verdict == Granted {
 		k.tokens--
-		k.taken = append(k.taken, now)
+		k.taken = append(k.taken, takenToken{at: now, worth: 1})
 	}
 	return verdict
 }
@@ -89,17 +89,17 @@
 	return verdict, time.Duration(missing / perWindow * float64(b.limit.Window))
 }
 
-// Return gives back a retry that was taken at the given time and not used. It is dropped if the bucket would have been full since, so
-// that the budget is never larger than if the retry had not been taken.
+// Return gives back a retry that was taken at the given time and not used. As much of it is dropped as the bucket would have had no
+// room for since, so that the budget is never larger than if the retry had not been taken.
 func (b *Budget) Return(service string, taken time.Time, instances int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.bucket(service)
 	k.refill(b.limit, instances, now)
-	i := slices.IndexFunc(k.taken, taken.Equal)
+	i := slices.IndexFunc(k.taken, func(one takenToken) bool { return one.at.Equal(taken) })
 	if i < 0 {
 		return
 	}
+	k.tokens += k.taken[i].worth
 	k.taken = slices.Delete(k.taken, i, i+1)
-	k.tokens++
 }
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -14,6 +14,7 @@
 var (
 	requestLines = []any{
 		sentStream{},
+		pathClosed{},
 		sentPlain{},
 		refusedByServer{},
 		streamBroken{},
--- a/schema/requests.go
+++ b/schema/requests.go
@@ -24,6 +24,18 @@
 	ResumeAfter string `log:"resume_after"`
 }
 
+// A stream was not sent along the path of its line "sent", since a server of it has just stopped taking new work; another path is chosen.
+type pathClosed struct {
+	_ struct{} `msg:"not sent, path closed" level:"info"`
+	decisionFields
+	// Id of the first server of the path.
+	Server string `log:"server"`
+	// The servers of the path with their layers.
+	Path string `log:"path"`
+	// How often a path of this request was chosen again so far.
+	Rechosen int64 `log:"rechosen"`
+}
+
 // A request of a plain service was sent to a server.
 type sentPlain struct {
 	_ struct{} `msg:"sent" level:"info"`
@@ -101,12 +113,12 @@
 	Ends int64 `log:"ends"`
 }
 
-// The request is not retried, since the instance's share of the retry budget is spent.
+// The request is not retried, since the instance's share of the retry budget is spent or what is left of it is kept for others.
 type noRetry struct {
 	_ struct{} `msg:"no repeat" level:"warning"`
 	decisionFields
 	retryBudget
-	// Always repeat_budget_spent.
+	// repeat_budget_spent, or repeat_budget_kept if what is left is kept for requests that are more urgent or not yet late.
 	Reason string `log:"reason"`
 }
 
