--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -41,15 +43,16 @@
 	// hosts holds the routes of each host, the longest prefix first.
 	hosts map[string][]*Route
 	// keys maps each bearer key to its account; it is nil if callers need no key.
-	keys     map[string]*Account
+	keys map[string]*Account
+	// accounts holds the client accounts.
 	accounts []Account
 }
 
 // New validates the content and returns its Catalog; the error names the first invalid route or service.
 func New(content *Content) (*Catalog, error) {
 	c := &Catalog{
-		version: content.Version, limits: content.Limits, accounts: content.Accounts,
-		services: make(map[string]*Service, len(content.Services)), hosts: map[string][]*Route{},
+		version: content.Version, limits: content.Limits,
+		services: make(map[string]*Service, len(content.Services)), hosts: map[string][]*Route{}, accounts: content.Accounts,
 	}
 	for i := range content.Services {
 		s := &content.Services[i]
@@ -145,9 +148,6 @@
 	return out
 }
 
-// Accounts returns all client accounts; there are none if callers need no key.
-func (c *Catalog) Accounts() []Account { return c.accounts }
-
 // Route returns the route of the host with the longest prefix that matches the path, or nil.
 func (c *Catalog) Route(host, path string) *Route {
 	for _, r := range c.hosts[host] {
@@ -158,6 +158,23 @@
 	return nil
 }
 
+// RoutesTo returns the routes that send requests to a service, sorted by name.
+func (c *Catalog) RoutesTo(service string) []*Route {
+	var out []*Route
+	for _, routes := range c.hosts {
+		for _, r := range routes {
+			if slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 }) {
+				out = append(out, r)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b *Route) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Accounts returns the client accounts, none if callers need no key; the caller must not change the slice.
+func (c *Catalog) Accounts() []Account { return c.accounts }
+
 // NeedsKeys reports whether callers need a key for routes that are not public.
 func (c *Catalog) NeedsKeys() bool { return c.keys != nil }
 
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -90,7 +90,7 @@
 		return nil, true
 	}
 	h.updateAdmissionLocked(name, s, now)
-	decided := s.controller.Decide(demand.Class{Rank: rankOf(f.r.urgency), Account: f.r.account}, f.try(), now)
+	decided := s.controller.Decide(demand.Class{Rank: f.r.rank, Account: f.r.account}, f.try(), now)
 	switch d := decided.(type) {
 	case admission.Refused:
 		h.stats.Counter(refusedCounter(name, s.label(d.Rank), d.Reason)).Inc(1)
--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -83,7 +83,7 @@
 	admitted := 0
 	for i := range 50 + n {
 		a.clock.Advance(totalsPeriod)
-		r := &request{x: &front.Exchange{}, route: route, group: a.group, urgency: urgencyOf(nil, route), meta: call.Meta{ResumeAfter: resumeAfter}}
+		r := &request{x: &front.Exchange{}, route: route, group: a.group, rank: rankOf(nil, route), meta: call.Meta{ResumeAfter: resumeAfter}}
 		last, ok := a.h.admit(&inflight{r: r, returned: returned})
 		if !ok {
 			require.Equal(a.t, notRun{reason: models.ReasonLowRank}, last)
@@ -159,7 +159,7 @@
 func TestFirstTriesWaitBeforeReturningOnesWhereRanksDiffer(t *testing.T) {
 	q := newQueue()
 	waiting := func(returned bool) *inflight {
-		f := newWaiting(urgency{}, returned)
+		f := newWaiting(demand.Rank{}, returned)
 		f.firstTriesFirst = true
 		q.join(f)
 		return f
--- a/forward/admissionpage.go
+++ b/forward/admissionpage.go
@@ -80,7 +80,7 @@
 	toService := func(r *catalog.Route) bool { return r.Name == p.Route }
 	shares := p.Ceiling < 1 || p.Guarantee > 0
 	switch {
-	case p.Route != "" && !slices.ContainsFunc(routesTo(c, service), toService):
+	case p.Route != "" && !slices.ContainsFunc(c.RoutesTo(service), toService):
 		return loadview.Setting{Why: "the route does not lead to this service"}
 	case p.Weight > 0 && !shares && !s.Accounts:
 		return loadview.Setting{Why: "a weight has an effect with admission.accounts only, which is off"}
--- a/forward/admissionplan.go
+++ b/forward/admissionplan.go
@@ -1,14 +1,12 @@
 package forward
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"strings"
 
 	"junctioncross/admission"
 	"junctioncross/catalog"
-	"junctioncross/demand"
 )
 
 // AdmissionSettings define which requests are refused first while the room of a chained service is short.
@@ -51,8 +49,8 @@
 
 // planAdmission returns what is in force for a service under a configuration.
 func planAdmission(c *catalog.Catalog, service string, s *AdmissionSettings) admissionPlan {
-	routes := routesTo(c, service)
-	p := admissionPlan{unlike: len(ranksOf(c, routes)) > 1, priorities: prioritiesOf(c, routes)}
+	routes := c.RoutesTo(service)
+	p := admissionPlan{unlike: len(ranksOf(c, service)) > 1, priorities: prioritiesOf(c, routes)}
 	p.settings = admission.Settings{Ranks: s.Ranks && p.unlike, Accounts: s.Accounts && c.NeedsKeys()}
 	for i := range s.Parts {
 		part := &s.Parts[i]
@@ -94,7 +92,7 @@
 		return unusablePart{field: field + "route", name: p.Route, why: "the configuration has no such route"}, true
 	}
 	for _, t := range named[0].Targets {
-		for _, other := range routesTo(c, t.Service) {
+		for _, other := range c.RoutesTo(t.Service) {
 			if other.Name != p.Route && other.Priority == named[0].Priority {
 				why := "route " + other.Name + " of the same service has the same priority, so that they cannot be told apart"
 				return unusablePart{field: field + "route", name: p.Route, why: why}, true
@@ -104,33 +102,6 @@
 	return unusablePart{}, false
 }
 
-// routesTo returns the routes to a service, sorted by name.
-func routesTo(c *catalog.Catalog, service string) []*catalog.Route {
-	routes := slices.DeleteFunc(c.Routes(), func(r *catalog.Route) bool {
-		return !slices.ContainsFunc(r.Targets, func(t catalog.Target) bool { return t.Service == service && t.Weight > 0 })
-	})
-	slices.SortFunc(routes, func(a, b *catalog.Route) int { return cmp.Compare(a.Name, b.Name) })
-	return routes
-}
-
-// ranksOf returns the ranks that requests on the routes can have.
-func ranksOf(c *catalog.Catalog, routes []*catalog.Route) map[demand.Rank]bool {
-	ranks := map[demand.Rank]bool{}
-	for _, r := range routes {
-		if r.Public || !c.NeedsKeys() {
-			ranks[rankOf(urgencyOf(nil, r))] = true
-			continue
-		}
-		accounts := c.Accounts()
-		for i := range accounts {
-			ranks[rankOf(urgencyOf(&accounts[i], r))] = true
-		}
-	}
-	return ranks
-}
-
-func rankOf(u urgency) demand.Rank { return demand.Rank{Account: u.account, Route: u.route} }
-
 // maxPriorityNames bounds the names in a log line.
 const maxPriorityNames = 32
 
--- a/forward/classrates.go
+++ b/forward/classrates.go
@@ -91,7 +91,7 @@
 
 // classOf returns the class of a request; accounts are told apart only where admission divides the room among them.
 func (h *Handler) classOf(r *request) demand.Class {
-	class := demand.Class{Rank: rankOf(r.urgency)}
+	class := demand.Class{Rank: r.rank}
 	if h.settings.Load().Admission.TellsAccounts() {
 		class.Account = r.account
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -68,6 +68,7 @@
 	instances Instances
 	watch     *watcher
 	budget    *retry.Budget
+	ranks     rankCache
 	// retryLog and lanesLog limit the rate of the log lines about the retries and the lanes of each service.
 	retryLog, lanesLog logLimiter
 	admissions         *admissions
@@ -131,7 +132,7 @@
 	meta    call.Meta
 	route   *catalog.Route
 	account string
-	urgency urgency
+	rank    demand.Rank
 	// overtaken counts the later requests that were served before this one; the lock of the queue guards it.
 	overtaken int
 	group     *backend.Group
@@ -139,6 +140,8 @@
 	deadline time.Time
 	// retryGranted is true while the request holds a retry of the budget that has not reached a server yet.
 	retryGranted bool
+	// retryTaken is when that retry was taken.
+	retryTaken time.Time
 	// runs counts the servers that may have run the request.
 	runs int
 	// ran lists these servers.
@@ -196,7 +199,7 @@
 		h.deny(r, fasthttp.StatusNotFound, models.ReasonNotFound, age)
 		return false
 	}
-	r.urgency = urgencyOf(nil, r.route)
+	r.rank = rankOf(nil, r.route)
 	if c.NeedsKeys() && !r.route.Public {
 		if !h.KeysConfirmed() {
 			h.refuse(r, models.ReasonKeysUnconfirmed, defaultRetryAfter)
@@ -207,7 +210,7 @@
 			h.deny(r, fasthttp.StatusUnauthorized, models.ReasonUnauthorized, age)
 			return false
 		}
-		r.account, r.urgency = account.Name, urgencyOf(account, r.route)
+		r.account, r.rank = account.Name, rankOf(account, r.route)
 	}
 	r.group = snapshot.Group(r.route.Pick(rand.Float64()))
 	if !h.finishes(r) {
--- a/forward/loadpage_test.go
+++ b/forward/loadpage_test.go
@@ -40,8 +40,8 @@
 	return u, nil
 }
 
-// twoDomains are two copies of the model in domain a, and the first half of one in domain b.
-func twoDomains() []backend.Entry {
+// unevenDomains are two copies of the model in domain a, and the first half of one in domain b.
+func unevenDomains() []backend.Entry {
 	var out []backend.Entry
 	for i, s := range twoCopies().Servers() {
 		out = append(out, backend.Entry{ID: s.ID(), Service: "s", Addr: s.Addr(), Domain: "a", Kind: "k", Layers: s.Layers(), Revision: int64(i + 1)})
@@ -51,7 +51,7 @@
 	})
 }
 
-// newLoadedHandler returns a handler with the servers of twoDomains and a book of load reports.
+// newLoadedHandler returns a handler with the servers of unevenDomains and a book of load reports.
 func newLoadedHandler(t *testing.T, content *catalog.Content, settings AdmissionSettings) (*admitter, *demand.Book) {
 	a := newAdmitter(t, &catalog.Content{Version: 1}, settings, noLoads{})
 	c, err := catalog.New(content)
@@ -61,7 +61,7 @@
 	a.h.SetLoads(book)
 	view := follow.NewFleetView()
 	a.h.fleetView, a.h.budget = view, retry.NewBudget(retry.Limit{Window: 10 * time.Second, Fixed: 100}, a.clock.Now())
-	follow.New(t.Context(), entries{confirming{catalog: c, at: a.clock.Now()}, twoDomains()}, view, a.h.ends, a.h.clock, a.stats, a.h.record.Log())
+	follow.New(t.Context(), entries{confirming{catalog: c, at: a.clock.Now()}, unevenDomains()}, view, a.h.ends, a.h.clock, a.stats, a.h.record.Log())
 	require.Eventually(t, func() bool {
 		g := view.Current().Group("s")
 		return g != nil && len(g.Servers()) == 5
--- a/forward/loadreport_test.go
+++ b/forward/loadreport_test.go
@@ -24,9 +24,9 @@
 	}
 	q.join(newUnbegun(h, g))
 	urgent, refused, returned := newUnbegun(h, g), newUnbegun(h, g), newUnbegun(h, g)
-	urgent.r.urgency = urgencyOf(&catalog.Account{Priority: 1}, &catalog.Route{Priority: 2})
-	refused.r.urgency = urgencyOf(&catalog.Account{Priority: 3}, &catalog.Route{})
-	returned.r.urgency, returned.returned = refused.r.urgency, true
+	urgent.r.rank = rankOf(&catalog.Account{Priority: 1}, &catalog.Route{Priority: 2})
+	refused.r.rank = rankOf(&catalog.Account{Priority: 3}, &catalog.Route{})
+	returned.r.rank, returned.returned = refused.r.rank, true
 	for _, f := range []*inflight{urgent, urgent, refused, returned} {
 		h.countTry(f)
 	}
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -81,7 +81,7 @@
 
 // before reports whether a request goes ahead of one that has waited longer.
 func (f *inflight) before(other *inflight) bool {
-	if c := f.r.urgency.compare(other.r.urgency); c != 0 {
+	if c := f.r.rank.Compare(other.r.rank); c != 0 {
 		return c < 0 && other.r.overtaken < maxOvertaken
 	}
 	if f.firstTriesFirst || other.firstTriesFirst {
--- a/forward/queue_test.go
+++ b/forward/queue_test.go
@@ -10,17 +10,18 @@
 
 	"junctioncross/catalog"
 	"junctioncross/chain"
+	"junctioncross/demand"
 	"junctioncross/front"
 )
 
 // newWaiting returns a request that waits for room.
-func newWaiting(u urgency, returned bool) *inflight {
-	return &inflight{r: &request{urgency: u}, returned: returned}
+func newWaiting(rank demand.Rank, returned bool) *inflight {
+	return &inflight{r: &request{rank: rank}, returned: returned}
 }
 
 func TestRequestsWaitInTheOrderInWhichTheyCame(t *testing.T) {
 	q := newQueue()
-	a, b := newWaiting(urgency{}, false), newWaiting(urgency{}, false)
+	a, b := newWaiting(demand.Rank{}, false), newWaiting(demand.Rank{}, false)
 	require.Zero(t, q.join(a))
 	require.Equal(t, 1, q.join(b))
 	require.True(t, q.isFirst(a))
@@ -31,8 +32,8 @@
 
 func TestReturningCallersGoFirst(t *testing.T) {
 	q := newQueue()
-	early, late := newWaiting(urgency{}, false), newWaiting(urgency{}, false)
-	back, backLater := newWaiting(urgency{}, true), newWaiting(urgency{}, true)
+	early, late := newWaiting(demand.Rank{}, false), newWaiting(demand.Rank{}, false)
+	back, backLater := newWaiting(demand.Rank{}, true), newWaiting(demand.Rank{}, true)
 	q.join(early)
 	require.Zero(t, q.join(back))
 	require.Equal(t, 1, q.join(backLater))
@@ -106,8 +107,8 @@
 // TestMoreUrgentRequestsGoFirst queues the less urgent requests first, one of them from a returning caller.
 func TestMoreUrgentRequestsGoFirst(t *testing.T) {
 	q := newQueue()
-	lessAccount, lessRoute := newWaiting(urgency{account: 2, route: 0}, true), newWaiting(urgency{account: 1, route: 2}, false)
-	most, mostLater := newWaiting(urgency{account: 1, route: 1}, false), newWaiting(urgency{account: 1, route: 1}, false)
+	lessAccount, lessRoute := newWaiting(demand.Rank{Account: 2, Route: 0}, true), newWaiting(demand.Rank{Account: 1, Route: 2}, false)
+	most, mostLater := newWaiting(demand.Rank{Account: 1, Route: 1}, false), newWaiting(demand.Rank{Account: 1, Route: 1}, false)
 	for _, f := range []*inflight{lessAccount, lessRoute, most, mostLater} {
 		q.join(f)
 	}
@@ -120,25 +121,25 @@
 // TestLessUrgentRequestsAreNotOvertakenForever lets a more urgent request arrive for each turn.
 func TestLessUrgentRequestsAreNotOvertakenForever(t *testing.T) {
 	q := newQueue()
-	less := newWaiting(urgency{account: 2}, false)
+	less := newWaiting(demand.Rank{Account: 2}, false)
 	q.join(less)
 	for range maxOvertaken {
-		f := newWaiting(urgency{account: 1}, false)
+		f := newWaiting(demand.Rank{Account: 1}, false)
 		q.join(f)
 		require.True(t, q.isFirst(f))
 		q.leave(f)
 	}
-	q.join(newWaiting(urgency{account: 1}, false))
+	q.join(newWaiting(demand.Rank{Account: 1}, false))
 	require.True(t, q.isFirst(less))
 }
 
 func TestTheAccountIsRankedBeforeTheRoute(t *testing.T) {
 	urgent, background := &catalog.Route{Priority: 0}, &catalog.Route{Priority: 3}
 	account := &catalog.Account{Priority: 1}
-	require.Negative(t, urgencyOf(account, background).compare(urgencyOf(&catalog.Account{Priority: 2}, urgent)))
-	require.Negative(t, urgencyOf(account, urgent).compare(urgencyOf(account, background)))
-	require.Zero(t, urgencyOf(account, background).compare(urgencyOf(account, background)))
-	require.Negative(t, urgencyOf(nil, urgent).compare(urgencyOf(account, urgent)), "a public route is ranked by itself")
+	require.Negative(t, rankOf(account, background).Compare(rankOf(&catalog.Account{Priority: 2}, urgent)))
+	require.Negative(t, rankOf(account, urgent).Compare(rankOf(account, background)))
+	require.Zero(t, rankOf(account, background).Compare(rankOf(account, background)))
+	require.Negative(t, rankOf(nil, urgent).Compare(rankOf(account, urgent)), "a public route is ranked by itself")
 }
 
 // TestARequestThatWaitsForRoomEndsWhenItsCallerDisconnects cancels a request that never gets its turn.
