leader: keep what is known of servers for each service

The map of first sightings, order counts and pending orders was shared by all chained services, and tracking the servers of one forgot those of the others: no empty server of two services ever came to the end of its reservation, and orders without an answer were forgotten.

--- /dev/null
+++ b/leader/orders.go
@@ -0,0 +1,149 @@
+package leader
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"junctioncross/backend"
+	"junctioncross/catalog"
+	"junctioncross/models"
+	"junctioncross/placement"
+)
+
+const (
+	// orderTimeout limits a call that gives an order to a server or queries its state.
+	orderTimeout = 500 * time.Millisecond
+	// maxConcurrentOrders limits the orders that are sent at the same time.
+	maxConcurrentOrders = 8
+	// orderSlack is how much longer than the load time an order may take to show in the server's entry: one or two
+	// heartbeats.
+	orderSlack = 3 * time.Second
+	// orderCheckDelay is how long after an order without a known outcome the server is queried for it.
+	orderCheckDelay = 700 * time.Millisecond
+)
+
+// pendingOrder is an order that the server's entry does not show yet.
+type pendingOrder struct {
+	layers models.Layers
+	// since is when the order was sent or its server was last queried.
+	since time.Time
+	// timeout is how long after since the order may take before the server is queried.
+	timeout time.Duration
+	// uncertain is true while it is unknown whether the server accepted the order.
+	uncertain bool
+}
+
+// checkPending forgets orders that the servers' entries show, and queries servers whose orders are uncertain or overdue.
+func (t *serviceTerm) checkPending(ctx context.Context, servers []*backend.Server) {
+	now := t.leader.clock.Now()
+	for _, s := range servers {
+		p := t.pending[s.Incarnation().String()]
+		switch {
+		case p == nil:
+		case s.Layers() == p.layers:
+			delete(t.pending, s.Incarnation().String())
+		case p.uncertain && now.Sub(p.since) >= orderCheckDelay, now.Sub(p.since) >= p.timeout:
+			t.checkOrder(ctx, s, p)
+		}
+	}
+}
+
+// checkOrder queries a server for the outcome of its order.
+func (t *serviceTerm) checkOrder(ctx context.Context, s *backend.Server, p *pendingOrder) {
+	l := t.leader
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	report, err := l.engines.Report(ctx, s.Addr())
+	if err != nil || report.Born != s.Incarnation().Born {
+		// The server may be gone or have restarted, which its entry will show. Until then it counts as holding what it was
+		// ordered to hold.
+		p.since = l.clock.Now()
+		return
+	}
+	t.orders[s.Incarnation().String()] = report.Orders
+	if report.Busy {
+		// Whether the server is carrying out this order or another one shows only when it has finished.
+		p.since = l.clock.Now()
+		return
+	}
+	p.uncertain = false
+	if report.Layers == p.layers {
+		p.since = l.clock.Now()
+		return
+	}
+	delete(t.pending, s.Incarnation().String())
+	l.log.WithFields(logrus.Fields{
+		"server": s.ID(), "layers": p.layers.String(), "holds": report.Layers.String(), "orders": report.Orders,
+	}).Warn("order had no effect")
+}
+
+// sendOrders sends the orders, maxConcurrentOrders at a time, and records their outcomes.
+func (t *serviceTerm) sendOrders(ctx context.Context, engine *catalog.Engine, orders []placement.Order, byID map[string]*backend.Server) {
+	results := make([]error, len(orders))
+	slots := make(chan struct{}, maxConcurrentOrders)
+	var all sync.WaitGroup
+	for i, o := range orders {
+		slots <- struct{}{}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			results[i] = t.sendOrder(ctx, byID[o.ID], o)
+			<-slots
+		}()
+	}
+	all.Wait()
+	for i, o := range orders {
+		t.recordOrder(ctx, engine, byID[o.ID], o, results[i])
+	}
+}
+
+func (t *serviceTerm) sendOrder(ctx context.Context, s *backend.Server, o placement.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	order := backend.PlaceOrder{Layers: o.Layers, ExpectOrders: t.expectedOrders(s), Cut: o.Moves && mayCut(s)}
+	return t.leader.engines.Place(ctx, s.Addr(), s.ID(), order)
+}
+
+// mayCut reports whether an order may cut the streams that pass through a server. A server moves only to cover missing
+// layers that keep its domain from serving, and waiting for the streams to end would keep them missing for longer. Streams
+// whose later stage is cut get another server for it within a fraction of a second. Cutting at the first server of their
+// paths would end the streams, so that such a server waits while they are handed over.
+func mayCut(s *backend.Server) bool { return s.Layers().First > 0 }
+
+// expectedOrders returns the number of orders that the server is known to have accepted.
+func (t *serviceTerm) expectedOrders(s *backend.Server) int64 {
+	return t.orders[s.Incarnation().String()]
+}
+
+// recordOrder logs an order and its outcome and keeps it as pending.
+func (t *serviceTerm) recordOrder(ctx context.Context, engine *catalog.Engine, s *backend.Server, o placement.Order, err error) {
+	l := t.leader
+	l.stats.Counter("orders_total").Inc(1)
+	load := time.Duration(float64(engine.LoadTime) * float64(o.Layers.Count()) / float64(engine.Layers))
+	p := &pendingOrder{layers: o.Layers, since: l.clock.Now(), timeout: 2*load + orderSlack}
+	fields := logrus.Fields{
+		"server": s.ID(), "address": s.Addr(), "layers": o.Layers.String(), "moves": o.Moves, "expect_orders": t.expectedOrders(s),
+		"lease": l.lease.grant.Lease,
+	}
+	switch {
+	case err == nil:
+		t.pending[s.Incarnation().String()] = p
+		t.orders[s.Incarnation().String()] = t.expectedOrders(s) + 1
+		l.log.WithFields(fields).Info("order given")
+	case errors.Is(err, backend.ErrNoAnswer):
+		p.uncertain = true
+		t.pending[s.Incarnation().String()] = p
+		l.log.WithFields(fields).WithError(err).Warn("order without an answer")
+	default:
+		l.stats.Counter("orders_refused_total").Inc(1)
+		l.log.WithFields(fields).WithError(err).Warn("order refused")
+		// A server that is carrying out an order of a former leader refuses all others until it has finished.
+		p.uncertain = true
+		t.pending[s.Incarnation().String()] = p
+		t.checkOrder(ctx, s, p)
+	}
+}
--- a/leader/term_test.go
+++ b/leader/term_test.go
@@ -81,10 +81,10 @@
 	})
 }
 
-func newTestTerm(t *testing.T, engines backend.EngineClient) (*term, *clockwork.FakeClock) {
+func newTestTerm(t *testing.T, engines backend.EngineClient) (*serviceTerm, *clockwork.FakeClock) {
 	fake := clockwork.NewFakeClock()
 	log := testlog.New(t)
-	return newTerm(&Leader{engines: engines, clock: timer.New(fake), stats: metrics.New(), log: log}), fake
+	return newServiceTerm(&Leader{engines: engines, clock: timer.New(fake), stats: metrics.New(), log: log}), fake
 }
 
 func newFakeServers() *fakeServers {
