leader: end with the context, also when Stop is not called

A goroutine that waited for the stop channel ran on for ever after the context had ended. Stop cancels the context itself now. TestNothingRunsOnAfterTheContextEnds failed before.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -60,7 +60,7 @@
 	clock    *timer.Service
 	stats    *metrics.Registry
 	log      *logrus.Logger
-	stop     chan struct{}
+	cancel   context.CancelFunc
 	done     chan struct{}
 
 	lease lease
@@ -73,17 +73,14 @@
 	ctx context.Context, lock Lock, upstream Upstream, holder string, fleet *follow.FleetView, engines backend.EngineClient,
 	clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
 ) *Leader {
+	ctx, cancel := context.WithCancel(ctx)
 	l := &Leader{
 		lock: lock, upstream: upstream, holder: holder, fleet: fleet, engines: engines, clock: clock, stats: stats, log: log,
-		stop: make(chan struct{}), done: make(chan struct{}), lease: lease{clock: clock},
+		cancel: cancel, done: make(chan struct{}), lease: lease{clock: clock},
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	go func() {
-		<-l.stop
-		cancel()
-	}()
 	go func() {
 		defer close(l.done)
+		defer cancel()
 		l.run(ctx)
 		l.resign()
 	}()
@@ -92,7 +89,7 @@
 
 // Stop stops the Leader, releases the lock and returns when that is done.
 func (l *Leader) Stop() {
-	close(l.stop)
+	l.cancel()
 	<-l.done
 }
 
