order: withdraw drains when the lease is lost

The times since when servers were being drained were kept, and nothing withdrew the announcement, so that a later drain of the same server could be taken for an old one that the whole domain knows of. TestDrainBeginsAnewAfterTheLeaseIsLost failed before.

--- a/order/leader.go
+++ b/order/leader.go
@@ -91,8 +91,11 @@
 		l.stats.Counter("lease_errors_total").Inc(1)
 	}
 	fence, heldFor, held := l.lease.Held()
-	l.leads.Store(held)
+	led := l.leads.Swap(held)
 	if !held {
+		if led {
+			l.withdrawDrains()
+		}
 		return
 	}
 	l.giveOrders(fence, heldFor)
@@ -101,10 +104,17 @@
 func (l *Leader) stepDown() {
 	if l.leads.Swap(false) {
 		l.lease.Abandon()
-		l.fleet.SetMoving(nil)
+		l.withdrawDrains()
 	}
 }
 
+// withdrawDrains forgets which servers are being drained and announces that none is: another leader may leave them in place, and
+// the time of a later drain counts from its own beginning.
+func (l *Leader) withdrawDrains() {
+	clear(l.moving)
+	l.fleet.SetMoving(nil)
+}
+
 func (l *Leader) giveOrders(fence uint64, heldFor time.Duration) {
 	d := Decide(l.fleet.Targets(), l.fleet.Seen(), maxMoves)
 	l.updateMoving(d.Drain)
