leader: ask a server before an order

A new term knows no order counts, a term forgets those of servers whose entries were away, and entries show neither that a server is busy nor, at once, what it holds: such orders were sent and refused, and servers that were dead but still listed got orders in vain, whose layers then counted as held. The leader now reads the server's report first and sends its count with the order. A busy server is asked again later, one that is silent gets nothing for a while and its layers count as in its entry, one whose entry is behind waits for the entry. A report that cannot be read does not keep an order back.

--- a/leader/orders.go
+++ b/leader/orders.go
@@ -35,6 +35,8 @@
 	timeout time.Duration
 	// uncertain is true while it is unknown whether the server accepted the order.
 	uncertain bool
+	// unsent is true for an order that was not sent, since the server is busy or its entry is behind.
+	unsent bool
 }
 
 // checkPending forgets orders that the servers' entries show, and queries servers whose orders are uncertain or overdue.
@@ -76,6 +78,9 @@
 		return
 	}
 	delete(t.pending, s.Incarnation().String())
+	if p.unsent {
+		return
+	}
 	l.log.WithFields(logrus.Fields{
 		"server": s.ID(), "layers": p.layers.String(), "holds": report.Layers.String(), "orders": report.Orders,
 	}).Warn("order had no effect")
@@ -83,7 +88,7 @@
 
 // sendOrders sends the orders, maxConcurrentOrders at a time, and records their outcomes.
 func (t *serviceTerm) sendOrders(ctx context.Context, engine *catalog.Engine, orders []placement.Order, byID map[string]*backend.Server) {
-	results := make([]error, len(orders))
+	results := make([]outcome, len(orders))
 	slots := make(chan struct{}, maxConcurrentOrders)
 	var all sync.WaitGroup
 	for i, o := range orders {
@@ -101,11 +106,33 @@
 	}
 }
 
-func (t *serviceTerm) sendOrder(ctx context.Context, s *backend.Server, o placement.Order) error {
+// outcome is what became of an order: the number of orders that the server had taken before, and the error.
+type outcome struct {
+	expect int64
+	err    error
+}
+
+// sendOrder queries the server and gives it the order if it can take it. The server's own count of orders goes with the order,
+// since former leaders may have given some; so the order must not be based on an entry that the server has outrun. A server whose
+// report cannot be read is ordered by what is known of it.
+func (t *serviceTerm) sendOrder(ctx context.Context, s *backend.Server, o placement.Order) outcome {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	order := backend.PlaceOrder{Layers: o.Layers, ExpectOrders: t.expectedOrders(s), Cut: o.Moves && mayCut(s)}
-	return t.leader.engines.Place(ctx, s.Addr(), s.ID(), order)
+	decidedOn := s.Layers()
+	report, err := t.leader.engines.Report(ctx, s.Addr())
+	expect := t.expectedOrders(s)
+	switch {
+	case errors.Is(err, backend.ErrNoAnswer), err == nil && report.Born != s.Incarnation().Born:
+		return outcome{expect, errSilent}
+	case err == nil && report.Busy:
+		return outcome{report.Orders, errBusy}
+	case err == nil && report.Layers != decidedOn:
+		return outcome{report.Orders, outrunError{report.Layers}}
+	case err == nil:
+		expect = report.Orders
+	}
+	order := backend.PlaceOrder{Layers: o.Layers, ExpectOrders: expect, Cut: o.Moves && mayCut(s)}
+	return outcome{expect, t.leader.engines.Place(ctx, s.Addr(), s.ID(), order)}
 }
 
 // mayCut reports whether an order may cut the streams that pass through a server. A server moves only to cover missing
@@ -120,19 +147,23 @@
 }
 
 // recordOrder logs an order and its outcome and keeps it as pending.
-func (t *serviceTerm) recordOrder(ctx context.Context, engine *catalog.Engine, s *backend.Server, o placement.Order, err error) {
-	l := t.leader
+func (t *serviceTerm) recordOrder(ctx context.Context, engine *catalog.Engine, s *backend.Server, o placement.Order, result outcome) {
+	l, err := t.leader, result.err
+	t.orders[s.Incarnation().String()] = result.expect
+	if t.heldBack(s, o, err) {
+		return
+	}
 	l.stats.Counter("orders_total").Inc(1)
 	load := time.Duration(float64(engine.LoadTime) * float64(o.Layers.Count()) / float64(engine.Layers))
 	p := &pendingOrder{layers: o.Layers, since: l.clock.Now(), timeout: 2*load + orderSlack}
 	fields := logrus.Fields{
-		"server": s.ID(), "address": s.Addr(), "layers": o.Layers.String(), "moves": o.Moves, "expect_orders": t.expectedOrders(s),
+		"server": s.ID(), "address": s.Addr(), "layers": o.Layers.String(), "moves": o.Moves, "expect_orders": result.expect,
 		"lease": l.lease.grant.Lease,
 	}
 	switch {
 	case err == nil:
 		t.pending[s.Incarnation().String()] = p
-		t.orders[s.Incarnation().String()] = t.expectedOrders(s) + 1
+		t.orders[s.Incarnation().String()] = result.expect + 1
 		l.log.WithFields(fields).Info("order given")
 	case errors.Is(err, backend.ErrNoAnswer):
 		p.uncertain = true
--- a/leader/service.go
+++ b/leader/service.go
@@ -26,6 +26,8 @@
 	waitingSince time.Time
 	// arrivals records when servers appeared in each domain.
 	arrivals map[string]arrivals
+	// silentUntil holds the servers that did not answer before an order, with the time until which they get none.
+	silentUntil map[string]time.Time
 	// coverage is what was last logged.
 	coverage []placement.Coverage
 }
@@ -34,6 +36,7 @@
 	return &serviceTerm{
 		leader: l, pending: map[string]*pendingOrder{}, orders: map[string]int64{}, knownSince: map[string]time.Time{},
 		lastArrival: l.clock.Now(), arrivals: map[string]arrivals{},
+		silentUntil: map[string]time.Time{},
 	}
 }
 
@@ -122,7 +125,10 @@
 // projected returns a server with the layers that it will hold when the order under way is done.
 func (t *serviceTerm) projected(engine *catalog.Engine, s *backend.Server) placement.Server {
 	v := placement.Server{ID: s.Incarnation().String(), Domain: s.Domain(), Kind: engine.Kind(s.Kind()), Layers: s.Layers(), Settled: true}
-	if p := t.pending[s.Incarnation().String()]; p != nil {
+	if t.leader.clock.Now().Before(t.silentUntil[v.ID]) {
+		v.Settled = false
+	}
+	if p := t.pending[v.ID]; p != nil {
 		v.Layers, v.Settled = p.layers, false
 	}
 	return v
@@ -145,6 +151,7 @@
 			delete(t.knownSince, id)
 			delete(t.pending, id)
 			delete(t.orders, id)
+			delete(t.silentUntil, id)
 		}
 	}
 }
