placement, leader: change as few servers as the gain calls for

A domain with missing layers and no server to spare was tiled anew as a whole. Now any number of neighbours may take other ranges, and the plan whose gain exceeds its cost by most is carried out; among equal moves the safest is made. Orders are counted by reason, refusals by cause.

--- a/leader/fleet_test.go
+++ b/leader/fleet_test.go
@@ -52,6 +52,8 @@
 	mu sync.Mutex
 	// given, refused and unanswered count orders by their outcome, reports the queries of states.
 	given, refused, unanswered, reports int
+	// garbled makes all reports unreadable.
+	garbled bool
 	// gap is the number of rounds, over the domains, in which a domain lacked a layer.
 	gap int
 }
@@ -184,8 +186,11 @@
 	defer f.mu.Unlock()
 	f.reports++
 	m := f.byAddr[addr]
-	if m.dead {
+	switch {
+	case m.dead:
 		return backend.Report{}, backend.ErrNoAnswer
+	case f.garbled:
+		return backend.Report{}, backend.ErrGarbled
 	}
 	return backend.Report{Born: m.entry.Born, Busy: f.busy(m), Layers: m.holds, Orders: m.orders}, nil
 }
--- a/leader/orders.go
+++ b/leader/orders.go
@@ -87,7 +87,7 @@
 }
 
 // sendOrders sends the orders, maxConcurrentOrders at a time, and records their outcomes.
-func (t *serviceTerm) sendOrders(ctx context.Context, engine *catalog.Engine, orders []placement.Order, byID map[string]*backend.Server) {
+func (t *serviceTerm) sendOrders(ctx context.Context, engine *catalog.Engine, orders []reasonedOrder, byID map[string]*backend.Server) {
 	results := make([]outcome, len(orders))
 	slots := make(chan struct{}, maxConcurrentOrders)
 	var all sync.WaitGroup
@@ -96,7 +96,7 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			results[i] = t.sendOrder(ctx, byID[o.ID], o)
+			results[i] = t.sendOrder(ctx, byID[o.ID], o.Order)
 			<-slots
 		}()
 	}
@@ -106,6 +106,20 @@
 	}
 }
 
+// reasonedOrder is an order with its reason.
+type reasonedOrder struct {
+	placement.Order
+	reason placement.Reason
+}
+
+// refusalCause returns the cause of a refusal, for the name of a counter.
+func refusalCause(err error) string {
+	if errors.Is(err, backend.ErrStale) {
+		return "stale"
+	}
+	return "other"
+}
+
 // outcome is what became of an order: the number of orders that the server had taken before, and the error.
 type outcome struct {
 	expect int64
@@ -147,17 +161,18 @@
 }
 
 // recordOrder logs an order and its outcome and keeps it as pending.
-func (t *serviceTerm) recordOrder(ctx context.Context, engine *catalog.Engine, s *backend.Server, o placement.Order, result outcome) {
+func (t *serviceTerm) recordOrder(ctx context.Context, engine *catalog.Engine, s *backend.Server, o reasonedOrder, result outcome) {
 	l, err := t.leader, result.err
 	t.orders[s.Incarnation().String()] = result.expect
-	if t.heldBack(s, o, err) {
+	if t.heldBack(s, o.Order, err) {
 		return
 	}
 	l.stats.Counter("orders_total").Inc(1)
+	l.stats.Counter("orders_" + string(o.reason) + "_total").Inc(1)
 	load := time.Duration(float64(engine.LoadTime) * float64(o.Layers.Count()) / float64(engine.Layers))
 	p := &pendingOrder{layers: o.Layers, since: l.clock.Now(), timeout: 2*load + orderSlack}
 	fields := logrus.Fields{
-		"server": s.ID(), "address": s.Addr(), "layers": o.Layers.String(), "moves": o.Moves, "expect_orders": result.expect,
+		"server": s.ID(), "address": s.Addr(), "layers": o.Layers.String(), "moves": o.Moves, "reason": string(o.reason), "expect_orders": result.expect,
 		"lease": l.lease.grant.Lease,
 	}
 	switch {
@@ -166,11 +181,13 @@
 		t.orders[s.Incarnation().String()] = result.expect + 1
 		l.log.WithFields(fields).Info("order given")
 	case errors.Is(err, backend.ErrNoAnswer):
+		l.stats.Counter("orders_unanswered_total").Inc(1)
 		p.uncertain = true
 		t.pending[s.Incarnation().String()] = p
 		l.log.WithFields(fields).WithError(err).Warn("order without an answer")
 	default:
 		l.stats.Counter("orders_refused_total").Inc(1)
+		l.stats.Counter("orders_refused_" + refusalCause(err) + "_total").Inc(1)
 		l.log.WithFields(fields).WithError(err).Warn("order refused")
 		// A server that is carrying out an order of a former leader refuses all others until it has finished.
 		p.uncertain = true
--- a/leader/service.go
+++ b/leader/service.go
@@ -62,7 +62,20 @@
 		return
 	}
 	orders := placement.Decide(engine, available)
-	t.sendOrders(ctx, engine, orders, byID)
+	t.sendOrders(ctx, engine, withReasons(available, orders), byID)
+}
+
+// withReasons returns the orders with their reasons.
+func withReasons(servers []placement.Server, orders []placement.Order) []reasonedOrder {
+	byID := make(map[string]*placement.Server, len(servers))
+	for i := range servers {
+		byID[servers[i].ID] = &servers[i]
+	}
+	out := make([]reasonedOrder, 0, len(orders))
+	for _, o := range orders {
+		out = append(out, reasonedOrder{Order: o, reason: placement.ReasonFor(byID[o.ID], o)})
+	}
+	return out
 }
 
 // missingShares returns the fraction of a model's layers that each domain lacks.
--- a/leader/trouble_test.go
+++ b/leader/trouble_test.go
@@ -117,24 +117,53 @@
 	require.Equal(t, len(f.machines), f.given, "no orders beyond the first ones")
 }
 
-// TestFewOrdersWhileServersCrashAndComeBack lets a server of one of three domains crash every few seconds and come back empty.
+// TestFewOrdersWhileServersCrashAndComeBack lets three servers of a domain crash at once and come back empty one after the other,
+// in each of three domains in turn.
 func TestFewOrdersWhileServersCrashAndComeBack(t *testing.T) {
 	f, leader := placedFleet(t, "a", "b", "c")
 	random := rand.New(rand.NewPCG(1, 2))
-	const crashes = 30
+	const crashes, atOnce = 8, 3
+	members := len(unlikeKinds())
 	before := f.given
-	for range crashes {
-		m := f.machines[random.IntN(len(f.machines))]
-		f.crash(m)
-		f.rounds(t, leader, time.Duration(4+random.IntN(6))*time.Second)
-		f.restart(m)
-		f.rounds(t, leader, time.Duration(1+random.IntN(4))*time.Second)
+	for n := range crashes {
+		var lost []*machine
+		for _, i := range random.Perm(members)[:atOnce] {
+			lost = append(lost, f.machines[n%3*members+i])
+			f.crash(lost[len(lost)-1])
+		}
+		for _, m := range lost {
+			f.rounds(t, leader, time.Duration(5+random.IntN(4))*time.Second)
+			f.restart(m)
+		}
+		f.rounds(t, leader, 5*time.Second)
 	}
 	f.rounds(t, leader, 20*time.Second)
 	t.Logf("orders %d, refused %d, rounds with a hole %d, reports %d", f.given-before, f.refused, f.gap, f.reports)
+	require.LessOrEqual(t, f.given-before, 75)
+	require.LessOrEqual(t, f.gap, 334, "holes are closed as soon as before")
 	for domain, missing := range f.missing() {
 		require.Zero(t, missing, domain)
 	}
 	require.Zero(t, f.refused)
-	require.LessOrEqual(t, f.given-before, 4*crashes)
+}
+
+// TestOrdersAreCountedByReason loses a server and counts the orders that follow, by reason and in all.
+func TestOrdersAreCountedByReason(t *testing.T) {
+	f, leader := placedFleet(t, "a")
+	count := func(name string) int64 { return leader.leader.stats.Counter("orders_" + name + "total").Count() }
+	require.EqualValues(t, len(f.machines), count("fill_"))
+	f.crash(f.soleHolder())
+	f.rounds(t, leader, 20*time.Second)
+	require.Positive(t, count("move_")+count("retile_"))
+	require.Equal(t, count(""), count("fill_")+count("replace_")+count("move_")+count("retile_"))
+	require.Zero(t, count("refused_"))
+}
+
+// TestReportsThatCannotBeReadKeepNoOrderBack loses a server while no report can be read.
+func TestReportsThatCannotBeReadKeepNoOrderBack(t *testing.T) {
+	f, leader := placedFleet(t, "a")
+	f.garbled = true
+	f.crash(f.soleHolder())
+	f.rounds(t, leader, 20*time.Second)
+	require.Zero(t, f.missing()["a"])
 }
--- a/placement/retile.go
+++ b/placement/retile.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"sort"
 
 	"junctioncross/catalog"
@@ -12,10 +11,9 @@
 // retiled.
 const minRetiledSequences = 24
 
-// retile returns the orders that bring the servers of a domain with missing layers to a tiling of the whole model, with as
-// much memory for sequences as that leaves. It is the last resort, for domains that have lost servers for good and have none
-// to spare. The servers keep their order along the model, so that their ranges shift by few layers, and a server drops a layer
-// only when another one holds it.
+// retile returns the orders that cover the missing layers of domains that have lost servers and have none to spare. Those
+// neighbours along the model get other ranges for which the gain outweighs the cost by most; often one server holds more, or two
+// share what is missing. A server drops a layer only when another one holds it.
 func retile(e *catalog.Engine, servers []Server) []Order {
 	live := settledCoverageMap(e, servers)
 	planned := newCoverageMap(e, servers)
@@ -24,13 +22,10 @@
 		if !hasMissing(planned.ofDomain(domain)) {
 			continue
 		}
-		for _, o := range tiling(e, members) {
-			s := o.server
-			if o.layers == s.Layers {
-				continue
-			}
-			if order, ok := nextOrder(e, live, s, o.layers); ok {
-				orders = append(orders, order)
+		for _, p := range windowPlans(e, planned, members) {
+			if next := nextOrders(e, live, p.tiles); len(next) > 0 {
+				orders = append(orders, next...)
+				break
 			}
 		}
 	}
@@ -38,6 +33,20 @@
 	return orders
 }
 
+// nextOrders returns the next orders that bring servers to their new ranges.
+func nextOrders(e *catalog.Engine, live *coverageMap, tiles []tile) []Order {
+	var orders []Order
+	for _, t := range tiles {
+		if t.layers == t.server.Layers {
+			continue
+		}
+		if order, ok := nextOrder(e, live, t.server, t.layers); ok {
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
 // hasMissing reports whether a layer of the domain has no holder.
 func hasMissing(domain []float64) bool {
 	for _, room := range domain {
@@ -69,43 +78,12 @@
 	return out
 }
 
-// tile is the range that a server should hold when the domain is retiled.
+// tile is the range that a server should hold when its domain is retiled.
 type tile struct {
 	server *Server
 	layers models.Layers
 }
 
-// tiling divides the model among the servers, in the order of the layers that they hold now; it returns nil when their
-// memory is too small.
-func tiling(e *catalog.Engine, members []*Server) []tile {
-	sequences := 0
-	for s := minRetiledSequences; s <= wantedSequences && totalLayers(e, members, s) >= e.Layers; s += 4 {
-		sequences = s
-	}
-	if sequences == 0 {
-		return nil
-	}
-	sort.SliceStable(members, func(i, j int) bool {
-		a, b := members[i].Layers, members[j].Layers
-		if a.First+a.End != b.First+b.End {
-			return a.First+a.End < b.First+b.End
-		}
-		return members[i].ID < members[j].ID
-	})
-	total := float64(totalLayers(e, members, sequences))
-	tiles := make([]tile, 0, len(members))
-	sum := 0.0
-	for _, s := range members {
-		n := LayersOf(e, s.Kind, sequences)
-		// Layers that the servers can hold beyond one copy are spread evenly as overlaps between neighbours.
-		first := int(math.Floor(sum * float64(e.Layers) / total))
-		first = min(first, e.Layers-n)
-		tiles = append(tiles, tile{server: s, layers: models.Layers{First: first, End: first + n}})
-		sum += float64(n)
-	}
-	return tiles
-}
-
 // totalLayers returns the number of layers that the servers can hold together with the given number of sequences beside them.
 func totalLayers(e *catalog.Engine, members []*Server, sequences int) int {
 	total := 0
--- /dev/null
+++ b/placement/window.go
@@ -0,0 +1,179 @@
+package placement
+
+import (
+	"math"
+	"sort"
+
+	"junctioncross/catalog"
+	"junctioncross/models"
+)
+
+// windowSteps divides the range from minRetiledSequences to wantedSequences into the numbers of sequences that are tried.
+const windowSteps = 6
+
+// maxWorseSizes is the number of sizes without a better plan after which no more neighbours are tried: each one more costs more.
+const maxWorseSizes = 3
+
+// layoutPlan is a set of new ranges for neighbouring servers that covers all missing layers of their domain.
+type layoutPlan struct {
+	tiles []tile
+	net   float64
+}
+
+// windowPlans returns the worthwhile plans for a domain with missing layers, the best one first: any number of neighbours along
+// the model may take other ranges, and all other servers keep theirs.
+func windowPlans(e *catalog.Engine, c *coverageMap, members []*Server) []layoutPlan {
+	sortAlongModel(members)
+	var plans []layoutPlan
+	highest, worse := 0.0, 0
+	for size := 1; size <= len(members) && worse < maxWorseSizes; size = nextSize(size, len(members)) {
+		before := highest
+		for first := 0; first+size <= len(members); first++ {
+			for _, p := range c.plansFor(e, members, members[first:first+size]) {
+				plans, highest = append(plans, p), max(highest, p.net)
+			}
+		}
+		if before > 0 && highest == before {
+			worse++
+		}
+	}
+	sort.SliceStable(plans, func(i, j int) bool { return plans[i].net > plans[j].net })
+	return plans
+}
+
+// nextSize returns the next number of neighbours to try: each one at first, then in growing steps up to all of them.
+func nextSize(size, all int) int {
+	if size == all {
+		return all + 1
+	}
+	return min(size+max(size/4, 1), all)
+}
+
+// plansFor returns the worthwhile plans that change only the servers of a window.
+func (c *coverageMap) plansFor(e *catalog.Engine, members, window []*Server) []layoutPlan {
+	domain := members[0].Domain
+	before := c.domainValue(domain)
+	for _, s := range window {
+		c.add(s, s.Layers, -1)
+	}
+	defer func() {
+		for _, s := range window {
+			c.add(s, s.Layers, 1)
+		}
+	}()
+	span := missingSpan(c.ofDomain(domain))
+	var plans []layoutPlan
+	for step := range windowSteps {
+		sequences := minRetiledSequences + step*(wantedSequences-minRetiledSequences)/(windowSteps-1)
+		tiles := spread(e, window, span, sequences)
+		if tiles == nil {
+			break
+		}
+		for _, option := range [][]tile{tiles, keepHeld(e, tiles, sequences)} {
+			made := c.changeTo(domain, option, before)
+			made.gain += wholeCopyValue * float64(len(members))
+			if made.worthwhile() {
+				plans = append(plans, layoutPlan{tiles: option, net: made.net()})
+			}
+		}
+	}
+	return plans
+}
+
+// changeTo returns what it brings and costs that servers, which are not counted now, get new ranges; before is the domain's value
+// with their present ranges.
+func (c *coverageMap) changeTo(domain string, tiles []tile, before float64) change {
+	var out change
+	for _, t := range tiles {
+		kept := common(t.layers, t.server.Layers)
+		out.loaded += t.layers.Count() - kept
+		if kept < t.server.Layers.Count() {
+			out.cut++
+		}
+		c.add(t.server, t.layers, 1)
+	}
+	out.gain = before - c.domainValue(domain)
+	for _, t := range tiles {
+		c.add(t.server, t.layers, -1)
+	}
+	return out
+}
+
+// domainValue returns the value of another holder of each layer in the domain.
+func (c *coverageMap) domainValue(domain string) float64 {
+	return c.rangeValue(domain, models.Layers{First: 0, End: c.engine.Layers})
+}
+
+// missingSpan returns the shortest range that includes all layers without a holder.
+func missingSpan(domain []float64) models.Layers {
+	span := models.Layers{}
+	for l, room := range domain {
+		if room >= minRoom {
+			continue
+		}
+		if span.Count() == 0 {
+			span.First = l
+		}
+		span.End = l + 1
+	}
+	return span
+}
+
+// spread divides a range among servers in their order, as many layers to each as it can hold with the given number of sequences
+// beside them; it returns nil when their memory is too small.
+func spread(e *catalog.Engine, servers []*Server, span models.Layers, sequences int) []tile {
+	total := totalLayers(e, servers, sequences)
+	if total < span.Count() {
+		return nil
+	}
+	tiles := make([]tile, 0, len(servers))
+	sum := 0
+	for _, s := range servers {
+		n := LayersOf(e, s.Kind, sequences)
+		// Layers that the servers can hold beyond one copy are spread evenly as overlaps between neighbours.
+		first := span.First + int(math.Floor(float64(sum)*float64(span.Count())/float64(total)))
+		count := min(n, span.Count())
+		first = min(first, span.End-count)
+		tiles = append(tiles, tile{server: s, layers: models.Layers{First: first, End: first + count}})
+		sum += n
+	}
+	return tiles
+}
+
+// keepHeld returns the tiles, each extended by what its server holds if that leaves memory for the given number of sequences.
+func keepHeld(e *catalog.Engine, tiles []tile, sequences int) []tile {
+	out := make([]tile, 0, len(tiles))
+	for _, t := range tiles {
+		both := hull(t.server.Layers, t.layers)
+		if sequencesOf(e, t.server.Kind, both.Count()) >= float64(sequences) {
+			t.layers = both
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+// hull returns the shortest range that includes two others.
+func hull(a, b models.Layers) models.Layers {
+	switch {
+	case a.Count() == 0:
+		return b
+	case b.Count() == 0:
+		return a
+	}
+	return models.Layers{First: min(a.First, b.First), End: max(a.End, b.End)}
+}
+
+// common returns the number of layers that two ranges share.
+func common(a, b models.Layers) int { return max(min(a.End, b.End)-max(a.First, b.First), 0) }
+
+// sortAlongModel sorts servers by the middle of the ranges that they hold.
+func sortAlongModel(members []*Server) {
+	sort.SliceStable(members, func(i, j int) bool {
+		a, b := members[i].Layers, members[j].Layers
+		if a.First+a.End != b.First+b.End {
+			return a.First+a.End < b.First+b.End
+		}
+		return members[i].ID < members[j].ID
+	})
+}
--- a/schema/common.go
+++ b/schema/common.go
@@ -172,6 +172,8 @@
 	Layers string `log:"layers"`
 	// Whether the server holds other layers now.
 	Moves bool `log:"moves"`
+	// Why the server gets the order: fill, replace, move or retile.
+	Reason string `log:"reason"`
 	// Number of orders that the server is known to have taken.
 	ExpectOrders int64 `log:"expect_orders"`
 	// The lease that the leader lock is attached to.
