--- a/leader/orders.go
+++ b/leader/orders.go
@@ -17,8 +17,8 @@
 const (
 	// orderTimeout limits a call that gives an order to a server or queries its state.
 	orderTimeout = 500 * time.Millisecond
-	// maxConcurrentOrders limits the orders that are sent at the same time.
-	maxConcurrentOrders = 8
+	// maxConcurrentOrders limits the servers that are called at the same time; an order takes two calls.
+	maxConcurrentOrders = 16
 	// orderSlack is how much longer than the load time an order may take to show in the server's entry: one or two
 	// heartbeats.
 	orderSlack = 3 * time.Second
@@ -42,6 +42,7 @@
 // checkPending forgets orders that the servers' entries show, and queries servers whose orders are uncertain or overdue.
 func (t *serviceTerm) checkPending(ctx context.Context, servers []*backend.Server) {
 	now := t.leader.clock.Now()
+	var due []*backend.Server
 	for _, s := range servers {
 		p := t.pending[s.Incarnation().String()]
 		switch {
@@ -49,58 +50,79 @@
 		case s.Layers() == p.layers:
 			delete(t.pending, s.Incarnation().String())
 		case p.uncertain && now.Sub(p.since) >= orderCheckDelay, now.Sub(p.since) >= p.timeout:
-			t.checkOrder(ctx, s, p)
+			due = append(due, s)
 		}
 	}
+	t.checkOrders(ctx, due)
 }
 
-// checkOrder queries a server for the outcome of its order.
-func (t *serviceTerm) checkOrder(ctx context.Context, s *backend.Server, p *pendingOrder) {
-	l := t.leader
+// checkOrders queries servers for the outcome of their orders.
+func (t *serviceTerm) checkOrders(ctx context.Context, servers []*backend.Server) {
+	reports := make([]*backend.Report, len(servers))
+	concurrently(len(servers), func(i int) { reports[i] = t.report(ctx, servers[i]) })
+	for i, s := range servers {
+		t.checkOrder(s, reports[i])
+	}
+}
+
+// report returns the report of an incarnation of a server, or nil without one.
+func (t *serviceTerm) report(ctx context.Context, s *backend.Server) *backend.Report {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	report, err := l.engines.Report(ctx, s.Addr())
+	report, err := t.leader.engines.Report(ctx, s.Addr())
 	if err != nil || report.Born != s.Incarnation().Born {
+		return nil
+	}
+	return &report
+}
+
+// checkOrder compares the order of a server with its report, which is nil if there is none.
+func (t *serviceTerm) checkOrder(s *backend.Server, report *backend.Report) {
+	p := t.pending[s.Incarnation().String()]
+	p.since = t.leader.clock.Now()
+	if report == nil {
 		// The server may be gone or have restarted, which its entry will show. Until then it counts as holding what it was
 		// ordered to hold.
-		p.since = l.clock.Now()
 		return
 	}
 	t.orders[s.Incarnation().String()] = report.Orders
 	if report.Busy {
 		// Whether the server is carrying out this order or another one shows only when it has finished.
-		p.since = l.clock.Now()
 		return
 	}
 	p.uncertain = false
 	if report.Layers == p.layers {
-		p.since = l.clock.Now()
 		return
 	}
 	delete(t.pending, s.Incarnation().String())
 	if p.unsent {
 		return
 	}
-	l.log.WithFields(logrus.Fields{
+	t.leader.log.WithFields(logrus.Fields{
 		"server": s.ID(), "layers": p.layers.String(), "holds": report.Layers.String(), "orders": report.Orders,
 	}).Warn("order had no effect")
 }
 
-// sendOrders sends the orders, maxConcurrentOrders at a time, and records their outcomes.
-func (t *serviceTerm) sendOrders(ctx context.Context, engine *catalog.Engine, orders []reasonedOrder, byID map[string]*backend.Server) {
-	results := make([]outcome, len(orders))
+// concurrently calls a function for each of n servers, maxConcurrentOrders at a time, and returns when all calls have returned.
+func concurrently(n int, call func(int)) {
 	slots := make(chan struct{}, maxConcurrentOrders)
 	var all sync.WaitGroup
-	for i, o := range orders {
+	for i := range n {
 		slots <- struct{}{}
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			results[i] = t.sendOrder(ctx, byID[o.ID], o.Order)
+			call(i)
 			<-slots
 		}()
 	}
 	all.Wait()
+}
+
+// sendOrders sends the orders and records their outcomes.
+func (t *serviceTerm) sendOrders(ctx context.Context, engine *catalog.Engine, orders []reasonedOrder, byID map[string]*backend.Server) {
+	results := make([]outcome, len(orders))
+	concurrently(len(orders), func(i int) { results[i] = t.sendOrder(ctx, byID[orders[i].ID], orders[i].Order) })
 	for i, o := range orders {
 		t.recordOrder(ctx, engine, byID[o.ID], o, results[i])
 	}
@@ -164,7 +186,7 @@
 func (t *serviceTerm) recordOrder(ctx context.Context, engine *catalog.Engine, s *backend.Server, o reasonedOrder, result outcome) {
 	l, err := t.leader, result.err
 	t.orders[s.Incarnation().String()] = result.expect
-	if t.heldBack(s, o.Order, err) {
+	if t.holdBack(s, o.Order, err) {
 		return
 	}
 	l.stats.Counter("orders_total").Inc(1)
@@ -172,8 +194,8 @@
 	load := time.Duration(float64(engine.LoadTime) * float64(o.Layers.Count()) / float64(engine.Layers))
 	p := &pendingOrder{layers: o.Layers, since: l.clock.Now(), timeout: 2*load + orderSlack}
 	fields := logrus.Fields{
-		"server": s.ID(), "address": s.Addr(), "layers": o.Layers.String(), "moves": o.Moves, "reason": string(o.reason), "expect_orders": result.expect,
-		"lease": l.lease.grant.Lease,
+		"server": s.ID(), "address": s.Addr(), "layers": o.Layers.String(), "moves": o.Moves, "reason": string(o.reason),
+		"expect_orders": result.expect, "lease": l.lease.grant.Lease,
 	}
 	switch {
 	case err == nil:
@@ -192,6 +214,6 @@
 		// A server that is carrying out an order of a former leader refuses all others until it has finished.
 		p.uncertain = true
 		t.pending[s.Incarnation().String()] = p
-		t.checkOrder(ctx, s, p)
+		t.checkOrder(s, t.report(ctx, s))
 	}
 }
--- a/leader/service.go
+++ b/leader/service.go
@@ -26,17 +26,20 @@
 	waitingSince time.Time
 	// arrivals records when servers appeared in each domain.
 	arrivals map[string]arrivals
-	// silentUntil holds the servers that did not answer before an order, with the time until which they get none.
-	silentUntil map[string]time.Time
+	// silent holds the servers that did not answer before an order.
+	silent map[string]silence
 	// coverage is what was last logged.
 	coverage []placement.Coverage
+	planner  *placement.Planner
+	layouts  layoutLog
+	heldBack heldBackCount
 }
 
 func newServiceTerm(l *Leader) *serviceTerm {
 	return &serviceTerm{
 		leader: l, pending: map[string]*pendingOrder{}, orders: map[string]int64{}, knownSince: map[string]time.Time{},
 		lastArrival: l.clock.Now(), arrivals: map[string]arrivals{},
-		silentUntil: map[string]time.Time{},
+		silent: map[string]silence{}, planner: placement.NewPlanner(), layouts: newLayoutLog(l.log, l.stats),
 	}
 }
 
@@ -53,7 +56,8 @@
 		}
 		available = append(available, t.projected(engine, s))
 	}
-	coverage := placement.Summary(engine, available)
+	coverage := t.planner.Summary(engine, available)
+	t.layouts.record(engine, t.planner.Layouts(engine, available))
 	t.logCoverage(engine, coverage)
 	missing := missingShares(engine, coverage)
 	t.keepInPlace(available, missing)
@@ -61,7 +65,7 @@
 	if !t.mayGiveOrders(available, missing) {
 		return
 	}
-	orders := placement.Decide(engine, available)
+	orders := t.planner.Decide(engine, available)
 	t.sendOrders(ctx, engine, withReasons(available, orders), byID)
 }
 
@@ -96,7 +100,8 @@
 	for _, c := range coverage {
 		t.leader.log.WithFields(logrus.Fields{
 			"model": engine.Model, "of_domain": c.Domain, "missing": c.Missing, "room": c.Room, "servers": c.Servers,
-			"empty": c.Empty, "orders_under_way": len(t.pending),
+			"empty": c.Empty, "orders_under_way": len(t.pending), "wanted": c.Wanted, "copies": c.Copies, "rate": c.Rate,
+			"after_loss": c.RateAfterLoss,
 		}).Info("coverage")
 		t.warnOfShortage(engine, c)
 	}
@@ -138,7 +143,7 @@
 // projected returns a server with the layers that it will hold when the order under way is done.
 func (t *serviceTerm) projected(engine *catalog.Engine, s *backend.Server) placement.Server {
 	v := placement.Server{ID: s.Incarnation().String(), Domain: s.Domain(), Kind: engine.Kind(s.Kind()), Layers: s.Layers(), Settled: true}
-	if t.leader.clock.Now().Before(t.silentUntil[v.ID]) {
+	if t.leader.clock.Now().Before(t.silent[v.ID].until) {
 		v.Settled = false
 	}
 	if p := t.pending[v.ID]; p != nil {
@@ -164,7 +169,7 @@
 			delete(t.knownSince, id)
 			delete(t.pending, id)
 			delete(t.orders, id)
-			delete(t.silentUntil, id)
+			delete(t.silent, id)
 		}
 	}
 }
--- a/placement/move.go
+++ b/placement/move.go
@@ -15,13 +15,14 @@
 	net  float64
 }
 
-// move lets one server drop layers that have other holders in its domain and load layers that are missing there: the server
-// that covers most missing layers, among equals one whose layers all have two other holders, then the one with the highest gain.
+// move lets one server drop layers that have other holders in its domain and load layers that are missing or held with far less
+// room there: the server that covers most missing layers, among equals one whose layers all have two other holders, then the one
+// with the highest gain.
 //
 // A server that holds the only copy of a layer in its domain is never moved, whatever it could cover: its layers would be
 // missing while the new ones load.
 func move(e *catalog.Engine, c *coverageMap, servers []Server) []Order {
-	live := settledCoverageMap(e, servers)
+	live := settledCoverageMap(e, servers, c.layouts)
 	holders := countHolders(e, servers)
 	var best *candidate
 	for i := range servers {
@@ -46,7 +47,7 @@
 	r, value := c.bestRange(s.Domain, s.Layers.Count())
 	covered := c.missingValue(s.Domain, r)
 	moved := change{gain: value - c.rangeValue(s.Domain, s.Layers), loaded: r.Count(), cut: 1}
-	if covered == 0 || !moved.worthwhile() {
+	if !moved.worthwhile() || covered == 0 && moved.net() < missingInDomain/2 {
 		return nil
 	}
 	return &candidate{
@@ -69,9 +70,10 @@
 // missingValue returns the value of the layers of a range that have no holder in the domain.
 func (c *coverageMap) missingValue(domain string, r models.Layers) float64 {
 	d, total := c.ofDomain(domain), 0.0
+	wanted := c.layout(domain).Sequences
 	for l := r.First; l < r.End; l++ {
 		if d[l] < minRoom {
-			total += c.layerValue(d, l)
+			total += c.layerValue(d, l, wanted)
 		}
 	}
 	return total
--- a/placement/move_test.go
+++ b/placement/move_test.go
@@ -32,7 +32,7 @@
 		held := models.Layers{First: first, End: first + 4}
 		all = append(all, Server{ID: string(rune('a' + i)), Domain: "d", Kind: e.Kind("k"), Layers: held, Settled: true})
 	}
-	orders := move(e, newCoverageMap(e, all), all)
+	orders := move(e, newCoverageMap(e, all, nil), all)
 	require.Len(t, orders, 1)
 	require.Contains(t, []string{"c", "d", "e"}, orders[0].ID)
 	require.Equal(t, models.Layers{First: 8, End: 12}, orders[0].Layers)
@@ -57,14 +57,14 @@
 		}
 		given, steps := 0, 0
 		for range 40 {
-			if hasMissing(newCoverageMap(e, all).ofDomain("d")) {
+			if hasMissing(newCoverageMap(e, all, nil).ofDomain("d")) {
 				steps++
 			}
 			orders := Decide(e, all)
 			given += len(orders)
 			carryOut(all, orders)
 		}
-		require.False(t, hasMissing(newCoverageMap(e, all).ofDomain("d")))
+		require.False(t, hasMissing(newCoverageMap(e, all, nil).ofDomain("d")))
 		require.LessOrEqual(t, given, 20, "lost %d", lost)
 		require.LessOrEqual(t, steps, 2, "lost %d", lost)
 	}
--- a/placement/retile.go
+++ b/placement/retile.go
@@ -7,44 +7,63 @@
 	"junctioncross/models"
 )
 
-// minRetiledSequences is the number of sequences that the servers of a domain must still have memory for after it is
-// retiled.
+// minRetiledSequences is the number of sequences that the servers of a domain whose layout is not planned must still have
+// memory for after it is retiled.
 const minRetiledSequences = 24
 
+const (
+	// maxComparedPlans is the highest number of plans of a domain that are compared with a tiling.
+	maxComparedPlans = 48
+	// sameTime is a difference in time that does not count, as the number of layers that a server loads in it.
+	sameTime = 1
+)
+
 // retile returns the orders that cover the missing layers of domains that have lost servers and have none to spare. Those
 // neighbours along the model get other ranges for which the gain outweighs the cost by most; often one server holds more, or two
 // share what is missing. A server drops a layer only when another one holds it.
-func retile(e *catalog.Engine, servers []Server) []Order {
-	live := settledCoverageMap(e, servers)
-	planned := newCoverageMap(e, servers)
+func retile(c *coverageMap, servers []Server) []Order {
+	if !c.lacksLayers() {
+		return nil
+	}
+	live := settledCoverageMap(c.engine, servers, c.layouts)
 	var orders []Order
 	for domain, members := range settledByDomain(servers) {
-		if !hasMissing(planned.ofDomain(domain)) {
-			continue
-		}
-		for _, p := range windowPlans(e, planned, members) {
-			if next := nextOrders(e, live, p.tiles); len(next) > 0 {
-				orders = append(orders, next...)
-				break
-			}
+		if hasMissing(c.ofDomain(domain)) {
+			orders = append(orders, retileDomain(c, live, members)...)
 		}
 	}
 	sort.Slice(orders, func(i, j int) bool { return orders[i].ID < orders[j].ID })
 	return orders
 }
 
-// nextOrders returns the next orders that bring servers to their new ranges.
-func nextOrders(e *catalog.Engine, live *coverageMap, tiles []tile) []Order {
-	var orders []Order
-	for _, t := range tiles {
-		if t.layers == t.server.Layers {
-			continue
+// retileDomain returns the next orders for a domain with missing layers: those of the best plan for neighbours that covers the
+// missing layers as soon as a tiling of the whole model among all servers would, and otherwise those of that tiling.
+func retileDomain(c, live *coverageMap, members []*Server) []Order {
+	e, domain := c.engine, members[0].Domain
+	sortAlongModel(members)
+	chosen := tiling(e, members, c.layout(domain))
+	latest := never - 1
+	if soonest := live.timeToCover(domain, chosen); soonest < never {
+		latest = soonest + sameTime
+	}
+	plans := windowPlans(e, c, members)
+	for _, p := range plans[:min(len(plans), maxComparedPlans)] {
+		if live.timeToCover(domain, p.tiles) <= latest {
+			chosen = p.tiles
+			break
 		}
-		if order, ok := nextOrder(e, live, t.server, t.layers); ok {
-			orders = append(orders, order)
+	}
+	return ordersOf(nextOrders(e, live, chosen))
+}
+
+// lacksLayers reports whether a layer has no holder in some domain.
+func (c *coverageMap) lacksLayers() bool {
+	for _, d := range c.byDomain {
+		if hasMissing(d) {
+			return true
 		}
 	}
-	return orders
+	return false
 }
 
 // hasMissing reports whether a layer of the domain has no holder.
@@ -84,6 +103,18 @@
 	layers models.Layers
 }
 
+// tiling divides the model among the servers, which are sorted along the model; it returns nil when their memory is too small.
+func tiling(e *catalog.Engine, members []*Server, plan Layout) []tile {
+	sequences := 0
+	for s := plan.retiled(); s <= plan.Sequences && totalLayers(e, members, s) >= e.Layers; s += 4 {
+		sequences = s
+	}
+	if sequences == 0 {
+		return nil
+	}
+	return spread(e, members, models.Layers{First: 0, End: e.Layers}, sequences)
+}
+
 // totalLayers returns the number of layers that the servers can hold together with the given number of sequences beside them.
 func totalLayers(e *catalog.Engine, members []*Server, sequences int) int {
 	total := 0
@@ -92,30 +123,3 @@
 	}
 	return total
 }
-
-// nextOrder returns the next order that brings a server from the range that it holds to the target range: the target itself if
-// every layer that the server drops has another holder, otherwise the range that spans both if it fits; false means that neither
-// is possible now.
-func nextOrder(e *catalog.Engine, live *coverageMap, s *Server, target models.Layers) (Order, bool) {
-	if live.othersHold(s, target) {
-		live.add(s, s.Layers, -1)
-		return Order{ID: s.ID, Layers: target, Moves: true}, true
-	}
-	union := models.Layers{First: min(s.Layers.First, target.First), End: max(s.Layers.End, target.End)}
-	if union != s.Layers && sequencesOf(e, s.Kind, union.Count()) >= minRetiledSequences/2 {
-		return Order{ID: s.ID, Layers: union, Moves: true}, true
-	}
-	return Order{}, false
-}
-
-// othersHold reports whether every layer that the server would drop for the target range has another holder in its domain.
-func (c *coverageMap) othersHold(s *Server, target models.Layers) bool {
-	d := c.ofDomain(s.Domain)
-	own := max(sequencesOf(c.engine, s.Kind, s.Layers.Count()), 1)
-	for l := s.Layers.First; l < s.Layers.End; l++ {
-		if (l < target.First || l >= target.End) && d[l]-own < minRoom {
-			return false
-		}
-	}
-	return true
-}
--- a/placement/window.go
+++ b/placement/window.go
@@ -8,11 +8,17 @@
 	"junctioncross/models"
 )
 
-// windowSteps divides the range from minRetiledSequences to wantedSequences into the numbers of sequences that are tried.
-const windowSteps = 6
-
-// maxWorseSizes is the number of sizes without a better plan after which no more neighbours are tried: each one more costs more.
-const maxWorseSizes = 3
+const (
+	// windowSteps divides the range from the lowest to the highest number of sequences into the numbers that are tried.
+	windowSteps = 6
+	// maxWorseSizes is the number of sizes without a better plan after which no more neighbours are tried: each one more costs
+	// more.
+	maxWorseSizes = 3
+	// maxWindow is the highest number of neighbours that are tried.
+	maxWindow = 48
+	// windowStarts is about the number of windows of one size that are tried.
+	windowStarts = 8
+)
 
 // layoutPlan is a set of new ranges for neighbouring servers that covers all missing layers of their domain.
 type layoutPlan struct {
@@ -20,20 +26,22 @@
 	net   float64
 }
 
-// windowPlans returns the worthwhile plans for a domain with missing layers, the best one first: any number of neighbours along
-// the model may take other ranges, and all other servers keep theirs.
+// windowPlans returns the worthwhile plans for a domain with missing layers, the best one first: neighbours along the model may
+// take other ranges, and all other servers keep theirs. The servers are sorted along the model.
 func windowPlans(e *catalog.Engine, c *coverageMap, members []*Server) []layoutPlan {
-	sortAlongModel(members)
+	before, after := around(members, missingSpan(c.ofDomain(members[0].Domain)))
 	var plans []layoutPlan
 	highest, worse := 0.0, 0
-	for size := 1; size <= len(members) && worse < maxWorseSizes; size = nextSize(size, len(members)) {
-		before := highest
-		for first := 0; first+size <= len(members); first++ {
+	largest := min(len(members), maxWindow)
+	for size := 1; size <= largest && worse < maxWorseSizes; size = nextSize(size, largest) {
+		last := highest
+		stride := max(size/windowStarts, 1)
+		for first := max(before-size, 0); first <= min(after, len(members)-size); first += stride {
 			for _, p := range c.plansFor(e, members, members[first:first+size]) {
 				plans, highest = append(plans, p), max(highest, p.net)
 			}
 		}
-		if before > 0 && highest == before {
+		if last > 0 && highest == last {
 			worse++
 		}
 	}
@@ -41,12 +49,19 @@
 	return plans
 }
 
-// nextSize returns the next number of neighbours to try: each one at first, then in growing steps up to all of them.
-func nextSize(size, all int) int {
-	if size == all {
-		return all + 1
+// around returns the number of servers the middle of whose range lies before a span of layers, and before its end.
+func around(members []*Server, span models.Layers) (before, after int) {
+	before = sort.Search(len(members), func(i int) bool { return members[i].Layers.First+members[i].Layers.End >= 2*span.First })
+	after = sort.Search(len(members), func(i int) bool { return members[i].Layers.First+members[i].Layers.End >= 2*span.End })
+	return before, after
+}
+
+// nextSize returns the next number of neighbours to try: each one at first, then in growing steps up to the largest.
+func nextSize(size, largest int) int {
+	if size == largest {
+		return largest + 1
 	}
-	return min(size+max(size/4, 1), all)
+	return min(size+max(size/4, 1), largest)
 }
 
 // plansFor returns the worthwhile plans that change only the servers of a window.
@@ -61,10 +76,10 @@
 			c.add(s, s.Layers, 1)
 		}
 	}()
-	span := missingSpan(c.ofDomain(domain))
+	span, layout := missingSpan(c.ofDomain(domain)), c.layout(domain)
 	var plans []layoutPlan
-	for step := range windowSteps {
-		sequences := minRetiledSequences + step*(wantedSequences-minRetiledSequences)/(windowSteps-1)
+	for i := range windowSteps {
+		sequences := layout.retiled() + i*(layout.Sequences-layout.retiled())/(windowSteps-1)
 		tiles := spread(e, window, span, sequences)
 		if tiles == nil {
 			break
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -91,6 +91,8 @@
 		serverSlow{},
 		serverNormal{},
 		lanes{},
+		domainLoadKnown{},
+		domainLoadUnknown{},
 		retries{},
 		instancesCounted{},
 		instancesNotCounted{},
@@ -114,8 +116,10 @@
 		orderFailed{},
 		orderUnanswered{},
 		orderRefused{},
+		orderHeldBack{},
 		orderWithoutEffect{},
 		coverage{},
+		layoutPlanned{},
 		domainTooSmall{},
 	}
 )
