--- a/placement/former_test.go
+++ b/placement/former_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sort"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -134,12 +135,15 @@
 		Layers: 80, LayerMB: 100, TokenBytes: 800000, UsualPrompt: 100, UsualAnswer: 40,
 		Kinds: []catalog.Kind{{Name: "k", MemoryMB: 800, StepPace: 1, ReadPace: 1}, {Name: "l", MemoryMB: 2400, StepPace: 2, ReadPace: 2}},
 	}
+	planned := *like
+	planned.Step, planned.StepPerSequence, planned.ReadPerSecond = time.Millisecond, 20*time.Microsecond, 1e5
 	many := func(n int, kind string) []string { return slices.Repeat([]string{kind}, n) }
 	return map[string]lossCase{
 		"bare":     {like, many(20, "k")},
 		"one copy": {like, many(28, "k")},
 		"large":    {like, many(5, "l")},
 		"mixed":    {like, append(many(14, "k"), many(3, "l")...)},
+		"planned":  {&planned, many(30, "k")},
 		"copies":   {like, many(60, "k")},
 	}
 }
