--- a/leader/heldback.go
+++ b/leader/heldback.go
@@ -67,6 +67,9 @@
 		delete(t.silent, id)
 		return false
 	}
+	if t.pending[id] != nil {
+		delete(t.silent, id)
+	}
 	t.leader.stats.Counter("orders_held_back_" + cause + "_total").Inc(1)
 	t.logHeldBack(s, o, cause)
 	return true
--- a/leader/orders.go
+++ b/leader/orders.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// orderTimeout limits a call that gives an order to a server or queries its state.
+	// orderTimeout limits the calls that query a server and give it an order, or only query it.
 	orderTimeout = 500 * time.Millisecond
 	// maxConcurrentOrders limits the servers that are called at the same time; an order takes two calls.
 	maxConcurrentOrders = 16
--- a/leader/services_test.go
+++ b/leader/services_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
@@ -13,8 +14,6 @@
 	"junctioncross/models"
 	"junctioncross/testlog"
 	"junctioncross/timer"
-
-	"github.com/jonboulle/clockwork"
 )
 
 // twoServices returns two chained services, each with a server that holds the whole model and one more.
