--- a/app/hosted.go
+++ b/app/hosted.go
@@ -118,7 +118,7 @@
 		func(s *platform.Store) leader.Lock { return platform.NewLeaderLock(s) },
 		func(b *membership.View) forward.Instances { return b },
 		func(b *membership.View) relay.Fleet { return b },
-		func(b *follow.FleetView) relay.SharedReports { return b },
+		newSharedReports,
 		func(t *quarantine.Publisher) relay.Ends { return t },
 		newLoadBook,
 		func(b *demand.Book) relay.Loads { return b },
@@ -148,12 +148,35 @@
 		},
 		DrainTime: settings.Engines.DrainTime, LongestBackOff: settings.Servers.LongestBackOff,
 	}
+	s.Admission = admissionSettings(&settings.Admission)
 	if settings.Keys.Strict {
 		s.KeysAge = time.Duration(keysAgeShare * float64(settings.Keys.RevokeTime))
 	}
 	return s
 }
 
+func admissionSettings(settings *config.HostedAdmission) forward.AdmissionSettings {
+	out := forward.AdmissionSettings{Ranks: settings.Ranks, Accounts: settings.Accounts}
+	for i := range settings.Parts {
+		p := &settings.Parts[i]
+		part := forward.AdmissionPart{Ceiling: 1, Guarantee: p.Guarantee}
+		if p.Route != nil {
+			part.Route = *p.Route
+		}
+		if p.Account != nil {
+			part.Account = *p.Account
+		}
+		if p.Ceiling != nil {
+			part.Ceiling = *p.Ceiling
+		}
+		if p.Weight != nil {
+			part.Weight = *p.Weight
+		}
+		out.Parts = append(out.Parts, part)
+	}
+	return out
+}
+
 func newQuarantineBook(settings *config.Hosted) *quarantine.Book {
 	q := settings.Quarantine
 	return quarantine.NewBook(quarantine.Settings{Ends: q.Ends, EndsOfOne: q.EndsOfOne, Keep: q.Keep, MaxRequests: q.Most})
@@ -201,6 +224,12 @@
 	}
 }
 
+// newSharedReports returns the fleet view as what relays pass on; the findings of this instance carry its name.
+func newSharedReports(view *follow.FleetView, self relay.Self) relay.SharedReports {
+	view.Identify(self.Name, self.Domain)
+	return view
+}
+
 func newRegistry(
 	self relay.Self, store *platform.Store, fleet relay.Fleet, links *link.Client, clock *timer.Service,
 ) *relay.Registry {
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -24,6 +24,8 @@
 	// diagnosePeriod is the least time between two diagnoses of the paths that start at one server. A server's report is
 	// about that old, so that an earlier diagnosis would find nothing new.
 	diagnosePeriod = 250 * time.Millisecond
+	// urgentPeriod is that time when slow but living servers no longer explain how long streams have been still.
+	urgentPeriod = 100 * time.Millisecond
 	// crowdedAge is the greatest age of a server's report at which the requests that it names as waiting count as still
 	// waiting: requests wait on a server for some hundred milliseconds.
 	crowdedAge = time.Second
@@ -41,10 +43,18 @@
 	streams map[*inflight]struct{}
 	// lastDiagnosed holds when the paths that start at a server were last diagnosed.
 	lastDiagnosed map[*backend.Server]time.Time
+
+	plan *queryPlan
+	// findingLog limits the rate of the log lines about findings of other instances, by line and server.
+	findingLog logLimiter
 }
 
 func newWatcher(ctx context.Context, h *Handler) *watcher {
-	w := &watcher{handler: h, start: h.clock.Now(), streams: map[*inflight]struct{}{}, lastDiagnosed: map[*backend.Server]time.Time{}}
+	w := &watcher{
+		handler: h, start: h.clock.Now(), streams: map[*inflight]struct{}{}, lastDiagnosed: map[*backend.Server]time.Time{},
+		plan: newQueryPlan(),
+	}
+	h.fleetView.ObserveFindings(w.observeFinding)
 	ticks := h.clock.Subscribe(watchPeriod)
 	go func() {
 		defer ticks.Stop()
@@ -53,6 +63,7 @@
 			select {
 			case <-ticks.C():
 				w.scan(ctx)
+				w.refuteFindings(h.clock.Now())
 				w.evacuate(ctx, backlog, w.group)
 			case <-ctx.Done():
 				return
@@ -80,12 +91,20 @@
 }
 
 // stalled reports whether the stream is stalled: without progress for longer than it should be.
-func (w *watcher) stalled(f *inflight) bool {
-	limit := max(time.Duration(stallShare*float64(f.r.route.PauseObjective)), minStall)
+func (w *watcher) stalled(f *inflight) bool { return w.overdue(f) > 0 }
+
+// stallLimit returns how long a stream that has begun may be without progress before it counts as stalled.
+func stallLimit(f *inflight) time.Duration {
+	return max(time.Duration(stallShare*float64(f.r.route.PauseObjective)), minStall)
+}
+
+// overdue returns for how long the stream has been stalled; it is not positive if it is not.
+func (w *watcher) overdue(f *inflight) time.Duration {
+	limit := stallLimit(f)
 	if !f.progressed.Load() {
 		limit = firstEventSlack + time.Duration(f.firstEventDue.Load())
 	}
-	return f.pause(w.handler) > limit
+	return f.pause(w.handler) - limit
 }
 
 // scan starts a diagnosis for each first server that has stalled streams.
@@ -100,7 +119,7 @@
 		}
 	}
 	for first, streams := range byFirst {
-		if now.Sub(w.lastDiagnosed[first]) < diagnosePeriod {
+		if !w.dueForDiagnosis(now.Sub(w.lastDiagnosed[first]), streams, now) {
 			continue
 		}
 		group := w.group(first.Service())
@@ -121,7 +140,7 @@
 // that use a dead server get a new path although they have not been stalled for long themselves.
 func (w *watcher) diagnose(ctx context.Context, first *backend.Server, group *backend.Group, streams []*inflight) {
 	w.handler.stats.Counter("looks_total").Inc(1)
-	found := w.queryServers(ctx, first, group, w.suspects(streams))
+	found := w.queryServers(ctx, first, group, w.suspects(first, streams))
 	for _, s := range found.deadServers() {
 		w.moveStalledStreams(s, group)
 	}
@@ -160,34 +179,6 @@
 	}
 }
 
-// healthyTime is how recently a server must have made progress with a stream to be taken as healthy. It is less than the time
-// from the death of a server to the first diagnosis: the shortest stall minus the usual time between events.
-const healthyTime = 45 * time.Millisecond
-
-// suspects returns the servers that the streams use, without those that have just made progress with other streams.
-func (w *watcher) suspects(streams []*inflight) map[*backend.Server]bool {
-	lastProgress := map[*backend.Server]int64{}
-	for _, f := range w.active() {
-		at := f.lastAt.Load()
-		if !f.progressed.Load() {
-			continue
-		}
-		for _, s := range f.path().servers {
-			lastProgress[s] = max(lastProgress[s], at)
-		}
-	}
-	out := map[*backend.Server]bool{}
-	limit := int64(w.handler.clock.Since(w.start) - healthyTime)
-	for _, f := range streams {
-		for _, s := range f.path().servers {
-			if lastProgress[s] < limit {
-				out[s] = true
-			}
-		}
-	}
-	return out
-}
-
 // count returns the number of streams under way.
 func (w *watcher) count() int {
 	w.mu.Lock()
