--- a/placement/planner.go
+++ b/placement/planner.go
@@ -92,7 +92,7 @@
 	if orders := move(c.engine, c, servers); len(orders) > 0 {
 		return orders
 	}
-	return retile(c.engine, servers, c.layouts)
+	return retile(c, servers)
 }
 
 // Decide returns the orders of a Planner that knows no layouts yet.
--- a/placement/retile.go
+++ b/placement/retile.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"sort"
 
 	"junctioncross/catalog"
@@ -12,32 +11,61 @@
 // memory for after it is retiled.
 const minRetiledSequences = 24
 
-// retile returns the orders that bring the servers of a domain with missing layers to a tiling of the whole model, with as
-// much memory for sequences as that leaves. It is the last resort, for domains that have lost servers for good and have none
-// to spare. The servers keep their order along the model, so that their ranges shift by few layers, and a server drops a layer
-// only when another one holds it.
-func retile(e *catalog.Engine, servers []Server, layouts map[string]Layout) []Order {
-	live := settledCoverageMap(e, servers, layouts)
-	planned := newCoverageMap(e, servers, layouts)
+const (
+	// maxComparedPlans is the highest number of plans of a domain that are compared with a tiling.
+	maxComparedPlans = 48
+	// sameTime is a difference in time that does not count, as the number of layers that a server loads in it.
+	sameTime = 1
+)
+
+// retile returns the orders that cover the missing layers of domains that have lost servers and have none to spare. Those
+// neighbours along the model get other ranges for which the gain outweighs the cost by most; often one server holds more, or two
+// share what is missing. A server drops a layer only when another one holds it.
+func retile(c *coverageMap, servers []Server) []Order {
+	if !c.lacksLayers() {
+		return nil
+	}
+	live := settledCoverageMap(c.engine, servers, c.layouts)
 	var orders []Order
 	for domain, members := range settledByDomain(servers) {
-		if !hasMissing(planned.ofDomain(domain)) {
-			continue
-		}
-		for _, o := range tiling(e, members, planned.layout(domain)) {
-			s := o.server
-			if o.layers == s.Layers {
-				continue
-			}
-			if order, ok := nextOrder(e, live, s, o.layers); ok {
-				orders = append(orders, order)
-			}
+		if hasMissing(c.ofDomain(domain)) {
+			orders = append(orders, retileDomain(c, live, members)...)
 		}
 	}
 	sort.Slice(orders, func(i, j int) bool { return orders[i].ID < orders[j].ID })
 	return orders
 }
 
+// retileDomain returns the next orders for a domain with missing layers: those of the best plan for neighbours that covers the
+// missing layers as soon as a tiling of the whole model among all servers would, and otherwise those of that tiling.
+func retileDomain(c, live *coverageMap, members []*Server) []Order {
+	e, domain := c.engine, members[0].Domain
+	sortAlongModel(members)
+	chosen := tiling(e, members, c.layout(domain))
+	latest := never - 1
+	if soonest := live.timeToCover(domain, chosen); soonest < never {
+		latest = soonest + sameTime
+	}
+	plans := windowPlans(e, c, members)
+	for _, p := range plans[:min(len(plans), maxComparedPlans)] {
+		if live.timeToCover(domain, p.tiles) <= latest {
+			chosen = p.tiles
+			break
+		}
+	}
+	return ordersOf(nextOrders(e, live, chosen))
+}
+
+// lacksLayers reports whether a layer has no holder in some domain.
+func (c *coverageMap) lacksLayers() bool {
+	for _, d := range c.byDomain {
+		if hasMissing(d) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasMissing reports whether a layer of the domain has no holder.
 func hasMissing(domain []float64) bool {
 	for _, room := range domain {
@@ -69,14 +97,13 @@
 	return out
 }
 
-// tile is the range that a server should hold when the domain is retiled.
+// tile is the range that a server should hold when its domain is retiled.
 type tile struct {
 	server *Server
 	layers models.Layers
 }
 
-// tiling divides the model among the servers, in the order of the layers that they hold now; it returns nil when their
-// memory is too small.
+// tiling divides the model among the servers, which are sorted along the model; it returns nil when their memory is too small.
 func tiling(e *catalog.Engine, members []*Server, plan Layout) []tile {
 	sequences := 0
 	for s := plan.retiled(); s <= plan.Sequences && totalLayers(e, members, s) >= e.Layers; s += 4 {
@@ -85,25 +112,7 @@
 	if sequences == 0 {
 		return nil
 	}
-	sort.SliceStable(members, func(i, j int) bool {
-		a, b := members[i].Layers, members[j].Layers
-		if a.First+a.End != b.First+b.End {
-			return a.First+a.End < b.First+b.End
-		}
-		return members[i].ID < members[j].ID
-	})
-	total := float64(totalLayers(e, members, sequences))
-	tiles := make([]tile, 0, len(members))
-	sum := 0.0
-	for _, s := range members {
-		n := LayersOf(e, s.Kind, sequences)
-		// Layers that the servers can hold beyond one copy are spread evenly as overlaps between neighbours.
-		first := int(math.Floor(sum * float64(e.Layers) / total))
-		first = min(first, e.Layers-n)
-		tiles = append(tiles, tile{server: s, layers: models.Layers{First: first, End: first + n}})
-		sum += float64(n)
-	}
-	return tiles
+	return spread(e, members, models.Layers{First: 0, End: e.Layers}, sequences)
 }
 
 // totalLayers returns the number of layers that the servers can hold together with the given number of sequences beside them.
@@ -114,30 +123,3 @@
 	}
 	return total
 }
-
-// nextOrder returns the next order that brings a server from the range that it holds to the target range: the target itself if
-// every layer that the server drops has another holder, otherwise the range that spans both if it fits; false means that neither
-// is possible now.
-func nextOrder(e *catalog.Engine, live *coverageMap, s *Server, target models.Layers) (Order, bool) {
-	if live.othersHold(s, target) {
-		live.add(s, s.Layers, -1)
-		return Order{ID: s.ID, Layers: target, Moves: true}, true
-	}
-	union := models.Layers{First: min(s.Layers.First, target.First), End: max(s.Layers.End, target.End)}
-	if union != s.Layers && sequencesOf(e, s.Kind, union.Count()) >= float64(live.layout(s.Domain).retiled()/2) {
-		return Order{ID: s.ID, Layers: union, Moves: true}, true
-	}
-	return Order{}, false
-}
-
-// othersHold reports whether every layer that the server would drop for the target range has another holder in its domain.
-func (c *coverageMap) othersHold(s *Server, target models.Layers) bool {
-	d := c.ofDomain(s.Domain)
-	own := max(sequencesOf(c.engine, s.Kind, s.Layers.Count()), 1)
-	for l := s.Layers.First; l < s.Layers.End; l++ {
-		if (l < target.First || l >= target.End) && d[l]-own < minRoom {
-			return false
-		}
-	}
-	return true
-}
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -124,6 +124,7 @@
 		orderFailed{},
 		orderUnanswered{},
 		orderRefused{},
+		orderHeldBack{},
 		orderWithoutEffect{},
 		coverage{},
 		layoutPlanned{},
--- a/schema/orders.go
+++ b/schema/orders.go
@@ -67,6 +67,22 @@
 	failure
 }
 
+// Orders were not sent: the server does not answer, is carrying out another order, or holds other layers than its entry. The
+// line is about one of them; it is written at most once a second for each service.
+type orderHeldBack struct {
+	_ struct{} `msg:"order held back" level:"info"`
+	// The server of the order.
+	Server string `log:"server"`
+	// The address of the server.
+	Address string `log:"address"`
+	// The layers that it would have been ordered to hold.
+	Layers string `log:"layers"`
+	// Why: silent, busy or outrun.
+	Cause string `log:"cause"`
+	// Number of orders held back since the last such line.
+	Orders int64 `log:"orders"`
+}
+
 // A server took an order and does not hold the layers that it was ordered to.
 type orderWithoutEffect struct {
 	_ struct{} `msg:"order had no effect" level:"warning"`
