forward: bound the queries of diagnoses of all instances

Change: diagnoses share two queries a second of each server; the first server of a path goes first, then those of which nothing was heard for longest.

--- a/forward/findings.go
+++ b/forward/findings.go
@@ -31,8 +31,9 @@
 }
 
 // queryServers queries servers, all at once. Dead are those that refuse the connection, do not answer two queries, or are named
-// by the first server of the path as the one that it waits for.
-// Servers of which enough is known are not queried.
+// by the first server of the path as the one that it waits for. Servers of which enough is known are not queried, nor, while
+// reports are shared, those for which the quota does not suffice: the first server is queried before others, and then those of
+// which nothing was heard for longest.
 func (w *watcher) queryServers(
 	ctx context.Context, first *backend.Server, group *backend.Group, servers map[*backend.Server]suspicion,
 ) *findings {
@@ -40,8 +41,13 @@
 		now: w.handler.clock.Now(), dead: map[*backend.Server]bool{}, holds: map[*backend.Server]models.Layers{},
 	}
 	var all sync.WaitGroup
-	for s, why := range servers {
-		switch saved := w.decideQuery(s, why, s == first, found.now); saved {
+	for _, s := range queryOrder(first, servers) {
+		why := servers[s]
+		saved := w.decideQuery(s, why, s == first, found.now)
+		if saved == queryNow && !w.withinQuota(group, found.now) {
+			saved = savedQuota
+		}
+		switch saved {
 		case queryNow:
 			s.NoteQuery(found.now)
 			all.Go(func() { w.queryOne(ctx, found, s, group, why, s == first) })
@@ -56,6 +62,32 @@
 	return found
 }
 
+// queryOrder returns the servers in the order in which they are queried while there are not enough queries for all.
+func queryOrder(first *backend.Server, servers map[*backend.Server]suspicion) []*backend.Server {
+	reported := make(map[*backend.Server]time.Time, len(servers))
+	for s := range servers {
+		reported[s] = s.QueryState().ReportedAt
+	}
+	return slices.SortedFunc(maps.Keys(servers), func(a, b *backend.Server) int {
+		switch {
+		case a == b:
+			return 0
+		case a == first:
+			return -1
+		case b == first:
+			return 1
+		default:
+			return reported[a].Compare(reported[b])
+		}
+	})
+}
+
+// withinQuota takes a query out of the quota, which holds while instances share reports.
+func (w *watcher) withinQuota(group *backend.Group, now time.Time) bool {
+	h := w.handler
+	return !h.fleetView.ReportsShared(now) || w.quota.take(len(group.Servers()), h.instances.Instances(), now)
+}
+
 // decideQuery returns whether a server has to be queried. While instances share no reports, the first server always is and the
 // others as often as any reason allows.
 func (w *watcher) decideQuery(s *backend.Server, why suspicion, first bool, now time.Time) querySaving {
--- a/forward/queryplan.go
+++ b/forward/queryplan.go
@@ -41,6 +41,8 @@
 	savedQueried querySaving = "just queried"
 	// savedReport: a report of the last moments shows that the server answers.
 	savedReport querySaving = "recent report"
+	// savedQuota: the instance has made its part of the queries of all instances.
+	savedQuota querySaving = "quota"
 	// savedWell: diagnoses have found the server well, and its streams stay slow.
 	savedWell querySaving = "found well"
 )
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -44,7 +44,8 @@
 	// lastDiagnosed holds when the paths that start at a server were last diagnosed.
 	lastDiagnosed map[*backend.Server]time.Time
 
-	plan *queryPlan
+	plan  *queryPlan
+	quota *queryQuota
 	// findingLog limits the rate of the log lines about findings of other instances, by line and server.
 	findingLog logLimiter
 }
@@ -52,7 +53,7 @@
 func newWatcher(ctx context.Context, h *Handler) *watcher {
 	w := &watcher{
 		handler: h, start: h.clock.Now(), streams: map[*inflight]struct{}{}, lastDiagnosed: map[*backend.Server]time.Time{},
-		plan: newQueryPlan(),
+		plan: newQueryPlan(), quota: newQueryQuota(h.clock.Now()),
 	}
 	h.fleetView.ObserveFindings(w.observeFinding)
 	ticks := h.clock.Subscribe(watchPeriod)
