--- a/capacity/hosted.go
+++ b/capacity/hosted.go
@@ -34,6 +34,7 @@
 			b.get("sweep_serving_ms_30")/1000, b.get("sweep_serving_ms_100")/1000, b.get("sweep_serving_ms_300")/1000),
 	)
 	rows = append(rows, b.fleetRows()...)
+	rows = append(rows, b.loadRows()...)
 	return Role{
 		name: "Instance of jxd serve (one relay in each domain)", mechanism: "relay, follow, membership, forward", rows: rows,
 		twice: "from 985 instances on: the relay's answers in steady state, 2.5 to 5 a second for each instance of its domain, and changes of" +
