--- a/forward/admission.go
+++ b/forward/admission.go
@@ -105,7 +105,7 @@
 	switch {
 	case f.r.meta.ResumeAfter != "" || f.r.x.Begun():
 		return admission.Resumed
-	case f.returned:
+	case f.certainlyReturned:
 		return admission.Returned
 	default:
 		return admission.FirstTry
--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -84,7 +84,7 @@
 	for i := range 50 + n {
 		a.clock.Advance(totalsPeriod)
 		r := &request{x: &front.Exchange{}, route: route, group: a.group, rank: rankOf(nil, route), meta: call.Meta{ResumeAfter: resumeAfter}}
-		last, ok := a.h.admit(&inflight{r: r, returned: returned})
+		last, ok := a.h.admit(&inflight{r: r, returned: returned, certainlyReturned: returned})
 		if !ok {
 			require.Equal(a.t, notRun{reason: models.ReasonLowRank}, last)
 		}
--- a/forward/claim.go
+++ b/forward/claim.go
@@ -15,7 +15,7 @@
 		return claim
 	}
 	left := f.r.x.Arrived().Add(f.r.route.Objective).Sub(h.clock.Now())
-	claim.Late = tooLate(f.returned, left, h.queueOf(service).usualFirstEvent())
+	claim.Late = tooLate(f.certainlyReturned, left, h.queueOf(service).usualFirstEvent())
 	return claim
 }
 
--- a/forward/demand.go
+++ b/forward/demand.go
@@ -65,24 +65,28 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	counters := q.classes.of(h.classOf(f.r), now)
-	if f.returned {
+	if f.certainlyReturned {
 		counters.returned.add(now)
-		return
+	} else {
+		counters.offered.add(now)
+	}
+	if !f.returned {
+		q.firstTries.Add(now)
 	}
-	q.firstTries.Add(now)
-	counters.offered.add(now)
 }
 
 // countRefused counts a stream if it is the first try of its caller and is refused.
 func (h *Handler) countRefused(f *inflight, last outcome) {
-	if _, ok := last.(notRun); !ok || f.returned || f.r.x.Begun() {
+	if _, ok := last.(notRun); !ok || f.certainlyReturned || f.r.x.Begun() {
 		return
 	}
 	q := h.queueOf(f.r.group.Service().Name)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := h.clock.Now()
-	q.refusedFirstTries.Add(now)
+	if !f.returned {
+		q.refusedFirstTries.Add(now)
+	}
 	q.classes.of(h.classOf(f.r), now).refused.add(now)
 }
 
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -71,7 +71,9 @@
 	laneLoad float64
 	// returned is true for a returning caller: one that was refused before, or that resumes a stream which broke off.
 	returned bool
-	repairs  int
+	// certainlyReturned is true if the caller's remaining time leaves no doubt about that.
+	certainlyReturned bool
+	repairs           int
 	// verified is true once the first server of the present attempt was asked whether it knows the stream.
 	verified bool
 	// repairing is true while a repair is under way.
--- a/forward/loadreport_test.go
+++ b/forward/loadreport_test.go
@@ -26,7 +26,7 @@
 	urgent, refused, returned := newUnbegun(h, g), newUnbegun(h, g), newUnbegun(h, g)
 	urgent.r.rank = rankOf(&catalog.Account{Priority: 1}, &catalog.Route{Priority: 2})
 	refused.r.rank = rankOf(&catalog.Account{Priority: 3}, &catalog.Route{})
-	returned.r.rank, returned.returned = refused.r.rank, true
+	returned.r.rank, returned.returned, returned.certainlyReturned = refused.r.rank, true, true
 	for _, f := range []*inflight{urgent, urgent, refused, returned} {
 		h.countTry(f)
 	}
--- a/forward/ranks.go
+++ b/forward/ranks.go
@@ -98,5 +98,5 @@
 // urgencyFor returns the urgency that servers are told of a request of a plain service.
 func (h *Handler) urgencyFor(r *request) call.Urgency {
 	p := h.rankPosition(r, r.group.Service().Name)
-	return p.level(p.unlike() && h.hasReturned(r))
+	return p.level(p.unlike() && h.earlierTryOf(r).certain)
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -19,7 +19,8 @@
 // stream handles a request to a chained engine, whose servers each run some of the layers.
 func (h *Handler) stream(ctx context.Context, r *request) {
 	f := &inflight{r: r, events: events{last: parseResumeAfter(r.meta.ResumeAfter)}}
-	f.need, f.returned = h.needOf(r), h.hasReturned(r)
+	f.need = h.needOf(r)
+	h.noteEarlierTry(f)
 	h.countTry(f)
 	if refused, ok := h.admit(f); !ok {
 		h.concludeStream(ctx, f, refused)
