quarantine: split the book by concern

Records of ends, expiry and publication get files of their own (record.go, expire.go, unpublished.go). All lines are moved only.

--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -1,16 +1,11 @@
 package quarantine
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// maxAttempts is the number of attempts that are kept for each end. Two different ones suffice to tell whether an end
-// occurred in an attempt other than a given one.
-const maxAttempts = 2
-
 // Settings say when a request is quarantined, that is, sent to no server any more.
 type Settings struct {
 	// Ends is the number of servers that must have terminated under a request of which the caller has made several
@@ -31,30 +26,6 @@
 // ran beside one that terminated a server.
 const minPublishedClear = 2
 
-const (
-	// releasedFactor is how long a released request is remembered, as a multiple of Settings.Keep. A request is released
-	// when its ends expire, and is tried again then: the first server that terminates under it quarantines it again, not
-	// only the third.
-	releasedFactor = 6
-	// minKeepShare is the share of Settings.Keep for which the record of an end lasts at least. An end whose record is gone
-	// sooner was cleared by another instance.
-	minKeepShare = 0.5
-)
-
-// endState is how far the confirmation and publication of an end have come.
-type endState int
-
-const (
-	// suspected ends already count on this instance; it is being checked whether the server has terminated.
-	suspected endState = iota
-	// confirmed ends have yet to be written to the store, where all instances read them.
-	confirmed
-	// published ends have been written to the store.
-	published
-	// listed ends have been read from the store.
-	listed
-)
-
 // Book records which servers terminated under which requests, and decides which requests are quarantined.
 type Book struct {
 	settings Settings
@@ -72,20 +43,6 @@
 	republish chan struct{}
 }
 
-// requestRecord is a request under which servers have terminated. It holds the ends by server.
-type requestRecord struct {
-	ends map[string]*endRecord
-}
-
-// endRecord is what is known of one end.
-type endRecord struct {
-	attempts []string
-	at       time.Time
-	state    endState
-	// publishedHere is true when this instance wrote the end to the store.
-	publishedHere bool
-}
-
 // NewBook returns a Book without ends.
 func NewBook(settings Settings) *Book {
 	return &Book{
@@ -126,13 +83,6 @@
 	return true
 }
 
-// addAttempt records an attempt in which the end occurred, up to maxAttempts.
-func (e *endRecord) addAttempt(attempt string) {
-	if len(e.attempts) < maxAttempts && !slices.Contains(e.attempts, attempt) {
-		e.attempts = append(e.attempts, attempt)
-	}
-}
-
 // Withdraw removes an end that is only suspected, since the server turned out to be running.
 func (b *Book) Withdraw(e End) {
 	b.mu.Lock()
@@ -218,87 +168,6 @@
 	return 0
 }
 
-// Unpublished returns ends that have to be written to the store, and cleared ones that have to be removed from it, up to a
-// total number.
-func (b *Book) Unpublished(limit int) (ends, cleared []End) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	cleared = slices.Clone(b.cleared[:min(limit, len(b.cleared))])
-	for request, r := range b.requests {
-		for server, record := range r.ends {
-			if len(ends)+len(cleared) >= limit {
-				return ends, cleared
-			}
-			if record.state == confirmed {
-				ends = append(ends, End{Request: request, Server: server, Attempt: record.attempts[0]})
-			}
-		}
-	}
-	return ends, cleared
-}
-
-// MarkPublished records that what Unpublished returned was written.
-func (b *Book) MarkPublished(ends, cleared []End) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, e := range ends {
-		if r := b.requests[e.Request]; r != nil && r.ends[e.Server] != nil {
-			r.ends[e.Server].state, r.ends[e.Server].publishedHere = max(r.ends[e.Server].state, published), true
-		}
-	}
-	b.cleared = b.cleared[len(cleared):]
-}
-
-// Republish has the ends that this instance wrote written once more, since the store may have lost them. Ends that other
-// instances wrote are left to them, and count here as before.
-func (b *Book) Republish() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, r := range b.requests {
-		for _, record := range r.ends {
-			if record.publishedHere {
-				record.state = confirmed
-			}
-		}
-	}
-	select {
-	case b.republish <- struct{}{}:
-	default:
-	}
-}
-
-// Expire removes the ends that have expired, and forgets requests that were released long ago.
-func (b *Book) Expire(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for request, r := range b.requests {
-		for server, record := range r.ends {
-			if now.Sub(record.at) > b.settings.Keep {
-				b.expireLocked(request, server, now)
-			}
-		}
-	}
-	for request, releasedAt := range b.released {
-		if now.Sub(releasedAt) > releasedFactor*b.settings.Keep {
-			delete(b.released, request)
-		}
-	}
-}
-
-// expireLocked removes an end that no longer counts. If the request was quarantined until then, it is remembered as
-// released. The caller holds the lock.
-func (b *Book) expireLocked(request Fingerprint, server string, now time.Time) {
-	r := b.requests[request]
-	if r == nil || r.ends[server] == nil {
-		return
-	}
-	expired := now.Sub(r.ends[server].at) >= time.Duration(minKeepShare*float64(b.settings.Keep))
-	if _, wasReleased := b.released[request]; expired && (wasReleased || len(r.ends) >= b.settings.Ends) && len(b.released) < b.settings.MaxRequests {
-		b.released[request] = now
-	}
-	b.forgetLocked(request, server)
-}
-
 // recordLocked returns the record of a request, which it adds if needed; if there are too many, another one is evicted.
 func (b *Book) recordLocked(request Fingerprint) *requestRecord {
 	if r := b.requests[request]; r != nil {
@@ -344,26 +213,3 @@
 	delete(b.requests, request)
 	b.size.Store(int64(len(b.requests)))
 }
-
-// hasOtherAttempt reports whether a server terminated under another attempt.
-func (r *requestRecord) hasOtherAttempt(attempt string) bool {
-	for _, record := range r.ends {
-		for _, a := range record.attempts {
-			if a != attempt {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// latestEnd returns when the instance learned of the latest end.
-func (r *requestRecord) latestEnd() time.Time {
-	var last time.Time
-	for _, record := range r.ends {
-		if record.at.After(last) {
-			last = record.at
-		}
-	}
-	return last
-}
