pipeline: split the runner

The execution, the pass over the stages and the retries get files of their own, the errors join errors.go. Lines are moved only; cancelTimeout stands outside of a group now.

--- a/pipeline/errors.go
+++ b/pipeline/errors.go
@@ -3,9 +3,17 @@
 import (
 	"fmt"
 
+	"github.com/pkg/errors"
+
 	"junctioncross/models"
 )
 
+// errSlow ends an attempt because a server of its path has become slow and another path exists.
+var errSlow = errors.New("pipeline: a server has become slow")
+
+// errNoPath means that no path of usable servers exists.
+var errNoPath = errors.New("pipeline: no path of usable servers")
+
 // Failure is the error of a request whose answer could not be completed; it tells the reason and whether the request may have
 // run.
 type Failure struct {
@@ -27,3 +35,9 @@
 func (f *Failure) Error() string {
 	return fmt.Sprintf("pipeline: %s (%s): %v", f.reason, f.fate, f.cause)
 }
+
+// emitError wraps an error of the emit function.
+type emitError struct{ cause error }
+
+// Error implements error.
+func (e *emitError) Error() string { return "pipeline: caller disconnected: " + e.cause.Error() }
