control: split the loop

Dependencies (deps.go), handling of messages (handle.go) and what others ask of the loop (ask.go) get files of their own. All lines are moved only. go build and go vet pass; the package has no tests of its own.

--- a/control/loop.go
+++ b/control/loop.go
@@ -2,22 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"junctioncross/admit"
-	"junctioncross/engine"
 	"junctioncross/gossip"
-	"junctioncross/link"
 	"junctioncross/member"
-	"junctioncross/metrics"
-	"junctioncross/pool"
-	"junctioncross/revision"
-	"junctioncross/timer"
 	"junctioncross/view"
 )
 
@@ -40,35 +30,6 @@
 	forgetAfter = 5 * time.Minute
 )
 
-// Self identifies this instance.
-type Self struct {
-	Name        string
-	Domain      string
-	PeerAddr    string
-	Incarnation uint64
-	// Seeds are the addresses of instances that are contacted while no other instance is known.
-	Seeds []string
-	// ListAddr is the address of the platform's instance list.
-	ListAddr string
-}
-
-// Process returns a name for this incarnation of the instance, for records that have to distinguish one start from the next.
-func (s Self) Process() string { return fmt.Sprintf("%s/%d", s.Name, s.Incarnation) }
-
-// Deps are the dependencies of the control loop.
-type Deps struct {
-	Store     *revision.Store
-	Keeper    *revision.Keeper
-	Snapshots *view.SnapshotHolder
-	Gates     *admit.Gates
-	Pool      *pool.Pool
-	Engines   *engine.Client
-	Links     *link.Client
-	Clock     *timer.Service
-	Stats     *metrics.Registry
-	Log       *logrus.Logger
-}
-
 // Loop is the control goroutine and its helper goroutines.
 type Loop struct {
 	self  Self
@@ -150,28 +111,6 @@
 	return l
 }
 
-// post sends a message to the control goroutine; it drops the message if that has stopped.
-func (l *Loop) post(m message) {
-	select {
-	case l.inbox <- m:
-	case <-l.stopped:
-	}
-}
-
-// ask posts a message that carries a channel for the answer and waits for the answer. It returns the zero value if the control
-// goroutine has stopped.
-func ask[A any](l *Loop, build func(answer chan A) message) A {
-	answer := make(chan A, 1)
-	l.post(build(answer))
-	select {
-	case a := <-answer:
-		return a
-	case <-l.stopped:
-		var zero A
-		return zero
-	}
-}
-
 func (l *Loop) run(ctx context.Context) {
 	defer close(l.stopped)
 	fast := l.deps.Clock.Subscribe(fastPeriod)
@@ -235,84 +174,3 @@
 		l.publishSnapshot()
 	}
 }
-
-func (l *Loop) handle(m message) {
-	switch m := m.(type) {
-	case exchangeRequested:
-		m.answer <- exchangeResponse{Updates: l.table.Delta(m.digest), Digest: l.table.Digest()}
-	case deltaRequested:
-		m.answer <- l.table.Delta(m.digest)
-	case updatesArrived:
-		l.mergeUpdates(m.updates)
-	case reportArrived:
-		l.handleReport(m)
-	case listArrived:
-		l.handleList(m.lines)
-	case configurationChanged:
-		l.applyConfiguration()
-	case kvAnswered:
-		l.kvAnswers++
-	case movingChanged:
-		l.table.Set(entryMoving, encode(m.names))
-		l.scheduleUpdate()
-	case statusRequested:
-		m.answer <- l.statuses()
-	case listRequested:
-		m.answer <- append([]member.ListedInstance(nil), l.listed...)
-	case serversRequested:
-		m.answer <- l.domainServers()
-	case leaveRequested:
-		l.announceLeave(m)
-	}
-}
-
-// mergeUpdates merges updates from other instances into the table.
-func (l *Loop) mergeUpdates(updates []gossip.Update) {
-	if !l.table.Merge(updates, l.deps.Clock.Now()) {
-		return
-	}
-	l.refreshMembers()
-	l.chargeRemote()
-	l.scheduleUpdate()
-	l.fetchNewer()
-}
-
-// applyConfiguration applies a configuration that has just come into force.
-func (l *Loop) applyConfiguration() {
-	f := l.deps.Keeper.InForce()
-	if f == nil || l.index != nil && l.index.Revision() >= f.Head().Revision {
-		return
-	}
-	l.index = view.NewIndex(f)
-	l.deps.Stats.Gauge("revision").Update(int64(f.Head().Revision))
-	l.deps.Log.WithField("revision", f.Head().Revision).Info("configuration in force")
-	l.syncBackends()
-	l.mergeBackends()
-	l.publishSnapshot()
-	l.publishStatus()
-	l.exchangeWithAll()
-}
-
-// announceLeave publishes that this instance is stopping.
-func (l *Loop) announceLeave(m leaveRequested) {
-	l.leaving = true
-	l.publishStatus()
-	l.refreshMembers()
-	l.exchangeWithAll()
-	close(m.done)
-}
-
-// Leave notifies the other instances that this one is stopping.
-func (l *Loop) Leave() {
-	ask(l, func(done chan struct{}) message { return leaveRequested{done: done} })
-}
-
-// Statuses returns what is known about the instances of the domain.
-func (l *Loop) Statuses() []InstanceStatus {
-	return ask(l, func(answer chan []InstanceStatus) message { return statusRequested{answer: answer} })
-}
-
-// Listed returns the platform's instance list as it was last read.
-func (l *Loop) Listed() []member.ListedInstance {
-	return ask(l, func(answer chan []member.ListedInstance) message { return listRequested{answer: answer} })
-}
