--- a/follow/loop.go
+++ b/follow/loop.go
@@ -26,9 +26,6 @@
 	maxLoggedEntries = 100
 )
 
-// errUnknownService means that an entry names a service that is not in the configuration.
-var errUnknownService = errors.New("follow: no such service")
-
 // Loop owns the control state of an instance: it applies the events of the feeds and publishes snapshots.
 type Loop struct {
 	view   *FleetView
@@ -55,17 +52,6 @@
 	terse bool
 }
 
-// trackedServer is what is known of one server.
-type trackedServer struct {
-	server *backend.Server
-	// entry is the newest usable one.
-	entry backend.Entry
-	// missingSince is when the server's entry vanished around an outage of the store; zero while there is an entry.
-	missingSince time.Time
-	// unusable is true while the server's entry describes no usable server.
-	unusable bool
-}
-
 // New returns a Loop and starts it; it stops when ctx ends.
 func New(
 	ctx context.Context, source Source, view *FleetView, ends *quarantine.Book, clock *timer.Service, stats *metrics.Registry,
@@ -204,98 +190,6 @@
 	return true
 }
 
-func (l *Loop) applyEntry(e backend.Entry) bool {
-	k := l.servers[e.ID]
-	if k == nil {
-		return l.addServer(e)
-	}
-	k.missingSince = time.Time{}
-	if e.Revision < k.entry.Revision || k.entry.Incarnation().After(e.Incarnation()) {
-		// The entry comes late, or is one of an earlier incarnation.
-		late, known := Position(e.Revision), Position(k.entry.Revision)
-		l.log.WithFields(logrus.Fields{
-			"server": e.ID, "revision": late.Revision(), "known": known.Revision(), "era": late.Era(), "known_era": known.Era(),
-		}).Warn("late entry ignored")
-		return false
-	}
-	if e.Service != k.entry.Service && !l.hasService(e.Service) {
-		return l.markUnusable(EntryUnusable{ID: e.ID, Field: "service", Value: e.Service, Err: errUnknownService})
-	}
-	if !k.entry.SameIncarnation(e) {
-		l.noteRestart(k.server)
-		return l.addServer(e)
-	}
-	return l.updateServer(k, e)
-}
-
-// addServer adds the server of the first entry of an incarnation.
-func (l *Loop) addServer(e backend.Entry) bool {
-	k := &trackedServer{server: l.newServer(e), entry: e}
-	l.servers[e.ID] = k
-	k.server.NoteLayers(l.clock.Now())
-	l.noteLeaving(k)
-	if !l.terse {
-		l.logServer(e, "server known")
-	}
-	return true
-}
-
-// updateServer applies a newer entry of a known incarnation.
-func (l *Loop) updateServer(k *trackedServer, e backend.Entry) bool {
-	old, wasUnusable := k.entry, k.unusable
-	k.entry, k.unusable = e, false
-	k.server.Update(e)
-	if e.Layers != old.Layers {
-		k.server.NoteLayers(l.clock.Now())
-	}
-	l.noteLeaving(k)
-	if old.Same(e) && !wasUnusable {
-		return false
-	}
-	if !l.terse {
-		l.logServer(e, "server changed")
-	}
-	return true
-}
-
-// noteLeaving records when the instance first learned that a server is leaving.
-func (l *Loop) noteLeaving(k *trackedServer) {
-	if k.entry.Leaving {
-		k.server.NoteLeaving(l.clock.Now())
-	}
-}
-
-func (l *Loop) logServer(e backend.Entry, message string) {
-	l.log.WithFields(logrus.Fields{
-		"server": e.ID, "address": e.Addr, "service": e.Service, "server_domain": e.Domain, "kind": e.Kind, "leaving": e.Leaving,
-		"layers": e.Layers.String(), "revision": Position(e.Revision).Revision(), "era": Position(e.Revision).Era(),
-	}).Info(message)
-}
-
-// hasService reports whether the configuration in force has a service.
-func (l *Loop) hasService(service string) bool {
-	return l.catalog != nil && l.catalog.Service(service) != nil
-}
-
-// noteRestart records that a server has restarted under its id: whatever ran on its former incarnation is lost.
-func (l *Loop) noteRestart(s *backend.Server) {
-	s.MarkReplaced()
-	l.log.WithFields(logrus.Fields{"server": s.ID(), "address": s.Addr(), "born": s.Incarnation().Born}).Info("server started again")
-}
-
-// markUnusable takes a server out of use when its entry describes no usable server, until there is a usable entry. The
-// requests that it runs go on.
-func (l *Loop) markUnusable(c EntryUnusable) bool {
-	l.stats.Counter("entries_unusable_total{field=\"" + c.Field + "\"}").Inc(1)
-	l.log.WithFields(logrus.Fields{"server": c.ID, "field": c.Field, "value": c.Value}).WithError(c.Err).Warn("entry names no server to use")
-	k := l.servers[c.ID]
-	if k == nil || k.unusable {
-		return false
-	}
-	k.unusable = true
-	return true
-}
-
 // publish replaces the snapshot if something has changed. All changes of an event become visible at once.
 func (l *Loop) publish(changed bool) {
 	if !changed || l.catalog == nil {
