fleet: split by the machines that are started

All lines are moved only. Checked: the lines of the diff without imports are the same before and after; go build and go vet pass.

--- a/fleet/engines.go
+++ b/fleet/engines.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"fmt"
 	"time"
 
 	"junctioncross/engine"
+	"junctioncross/intent"
+	"junctioncross/ports"
 	"junctioncross/standin"
 )
 
@@ -23,3 +26,81 @@
 func EngineTally(e *Engine) (standin.EngineTally, error) {
 	return Get[standin.EngineTally](e.Addr, "/test/tally")
 }
+
+// Engine is one model engine of a fleet.
+type Engine struct {
+	Process    *Process
+	Name       string
+	Domain     string
+	Kind       string
+	Addr       string
+	linkMicros float64
+	// advertised is the address under which entry instances reach the engine.
+	advertised string
+}
+
+func (f *Fleet) startEngines() error {
+	addrs, err := ports.Free(len(f.spec.Domains) * len(f.spec.Engines))
+	if err != nil {
+		return err
+	}
+	for _, domain := range f.spec.Domains {
+		first := len(f.engines)
+		for i, kind := range f.spec.Engines {
+			e := &Engine{Name: fmt.Sprintf("%s-%s%d", domain, kind, i), Domain: domain, Kind: kind, Addr: addrs[len(f.engines)]}
+			if n := len(f.spec.LinkMicros); n > 0 {
+				e.linkMicros = f.spec.LinkMicros[i%n]
+			}
+			if e.advertised, err = f.proxies.engineAddr(e); err != nil {
+				return err
+			}
+			f.engines = append(f.engines, e)
+		}
+		if err := f.startDomainEngines(f.engines[first:]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startDomainEngines(engines []*Engine) error {
+	if f.spec.SharedEngines && len(engines) > 0 {
+		return f.startEngineProcess(engines...)
+	}
+	for _, e := range engines {
+		if err := f.startEngineProcess(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartEngine starts the process of an engine again.
+func (f *Fleet) StartEngine(e *Engine) error { return f.startEngineProcess(e) }
+
+// startEngineProcess starts one process that runs the given engines, all with the kind and the link of the first.
+func (f *Fleet) startEngineProcess(engines ...*Engine) error {
+	k := f.kind(engines[0].Kind)
+	args := []string{
+		"engine", "--weights", f.weightsAddr, "--layer-micros", fmt.Sprint(k.LayerMicros),
+		"--sequence-micros", fmt.Sprint(k.SequenceMicros), "--max-batch", fmt.Sprint(k.MaxBatch),
+		"--link", time.Duration(engines[0].linkMicros * float64(time.Microsecond)).String(),
+	}
+	for _, e := range engines {
+		args = append(args, "--listen", e.Addr, "--name", e.Name)
+	}
+	p, err := f.starter.start(engines[0].Name, f.program("jxfake"), args...)
+	for _, e := range engines {
+		e.Process = p
+	}
+	return err
+}
+
+func (f *Fleet) kind(name string) intent.Kind {
+	for _, k := range f.spec.Kinds {
+		if k.Name == name {
+			return k
+		}
+	}
+	return intent.Kind{}
+}
--- /dev/null
+++ b/fleet/keys.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"path/filepath"
+	"time"
+
+	"junctioncross/keys"
+	"junctioncross/operator"
+)
+
+// OperatorName is the name in the operator's certificate of a fleet.
+const OperatorName = "operator"
+
+func (f *Fleet) keyDir() string { return filepath.Join(f.dir, "keys") }
+
+func (f *Fleet) makeKeys() error {
+	now := time.Now()
+	a, err := keys.NewAuthority(now)
+	if err != nil {
+		return err
+	}
+	if err := a.Write(f.keyDir()); err != nil {
+		return err
+	}
+	for _, e := range f.entries {
+		if err := a.Issue(f.keyDir(), keys.NewIdentity(keys.RoleInstance, e.Domain, e.Name), now); err != nil {
+			return err
+		}
+	}
+	return a.Issue(f.keyDir(), keys.NewIdentity(keys.RoleOperator, "", OperatorName), now)
+}
+
+// Operator returns an operator's client of an entry instance.
+func (f *Fleet) Operator(e *Entry) (*operator.Client, error) {
+	certs, err := keys.NewCertReloader(keys.Files{
+		Authority:   filepath.Join(f.keyDir(), keys.FileAuthority),
+		Certificate: filepath.Join(f.keyDir(), OperatorName+".pem"),
+		Key:         filepath.Join(f.keyDir(), OperatorName+"-key.pem"),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewClient(e.Ops, certs), nil
+}
