schema: split the lines about requests

Checked: the lines of the diff without imports are the same before and after; go build, go vet and go test of the package pass.

--- /dev/null
+++ b/schema/attempts.go
@@ -0,0 +1,111 @@
+package schema
+
+// A stream was sent along a path.
+type sentStream struct {
+	_ struct{} `msg:"sent" level:"info"`
+	decisionFields
+	// Id of the first server of the path.
+	Server string `log:"server"`
+	// Number of the attempt.
+	Attempt int64 `log:"attempt"`
+	// The servers of the path with their layers.
+	Path string `log:"path"`
+	// Predicted time of a step.
+	PredictedStepUS int64 `log:"predicted_step_us"`
+	// Predicted time to read the prompt (prefill).
+	PredictedReadUS int64 `log:"predicted_read_us"`
+	// Number of tokens for which memory was reserved.
+	Tokens int64 `log:"tokens"`
+	// Share of the lane's memory that was estimated to be in use.
+	LaneLoad float64 `log:"lane_load"`
+	// Whether this is a returning caller: one that was refused before.
+	Returned bool `log:"returned"`
+	// Id of the event after which the stream resumes; empty if it starts from the beginning.
+	ResumeAfter string `log:"resume_after"`
+}
+
+// A request of a plain service was sent to a server.
+type sentPlain struct {
+	_ struct{} `msg:"sent" level:"info"`
+	decisionFields
+	server
+	// Number of the attempt.
+	Attempt int64 `log:"attempt"`
+	// Number of requests of this instance on the server, including this one.
+	OwnRunning int64 `log:"own_running"`
+}
+
+// A server refused the request; it has not run there.
+type refusedByServer struct {
+	_ struct{} `msg:"turned away" level:"warning"`
+	decisionFields
+	server
+	// HTTP status of the answer.
+	Status int64 `log:"status"`
+	// Address of the server on the path that caused the refusal, if the answer names one.
+	Fault string `log:"fault"`
+	// Back-off that the server asked this instance for; 0 if it asked for none.
+	RetryAfterMS int64 `log:"retry_after_ms"`
+	// Whether the answer says that the server is leaving.
+	Leaving bool `log:"leaving"`
+}
+
+// The stream from a server ended before the answer was complete.
+type streamBroken struct {
+	_ struct{} `msg:"attempt broken" level:"warning"`
+	decisionFields
+	server
+	// The path that the stream used.
+	Path string `log:"path"`
+	// How the answer ended.
+	Error string `log:"error"`
+	// Number of the last event that was passed on; -1 before the first.
+	LastEvent int64 `log:"last_event"`
+	// Number of servers that may have run the request.
+	Runs int64 `log:"runs"`
+	// Whether the server's entry has vanished from the store.
+	Gone bool `log:"gone"`
+	// How long the server has been known to be leaving.
+	LeavingMS int64 `log:"leaving_ms"`
+	fingerprint
+}
+
+// The answer of a plain service ended before it was complete.
+type plainBroken struct {
+	_ struct{} `msg:"attempt broken" level:"warning"`
+	decisionFields
+	server
+	fingerprint
+	// The reason that the failure is counted under.
+	Reason string `log:"reason"`
+	// How the answer ended.
+	Error string `log:"error"`
+}
+
+// A server terminated shortly after it had started to run the request.
+type terminatedUnderRequest struct {
+	_ struct{} `msg:"server ended under a request" level:"warning"`
+	request
+	server
+	fingerprint
+	// Number of servers that have terminated while they ran the request, so far.
+	Ends int64 `log:"ends"`
+}
+
+// A server has run the request without terminating, although others had terminated under it: the request is cleared.
+type requestCleared struct {
+	_ struct{} `msg:"request proved harmless" level:"warning"`
+	request
+	fingerprint
+	// Number of servers that had terminated while they ran the request.
+	Ends int64 `log:"ends"`
+}
+
+// The request is not retried, since the instance's share of the retry budget is spent.
+type noRetry struct {
+	_ struct{} `msg:"no repeat" level:"warning"`
+	decisionFields
+	retryBudget
+	// Always repeat_budget_spent.
+	Reason string `log:"reason"`
+}
