timer: draw the half-random delay in one place

membership, follow and the reading of the instance list in control each drew a delay between half of a limit and the limit. timer.HalfJitter does that for all of them. In control the result may differ from the former formula by the rounding of one nanosecond.

--- a/control/poll.go
+++ b/control/poll.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net/http"
 	"sort"
 	"time"
@@ -12,6 +11,7 @@
 
 	"junctioncross/engine"
 	"junctioncross/member"
+	"junctioncross/timer"
 )
 
 const (
@@ -121,8 +121,7 @@
 				l.deps.Stats.Counter("list_errors_total").Inc(1)
 			}
 		}
-		pause := time.Duration(float64(listPeriod) * (0.5 + rand.Float64()/2))
-		if !l.deps.Clock.Sleep(ctx, pause) {
+		if !l.deps.Clock.Sleep(ctx, timer.HalfJitter(listPeriod)) {
 			return
 		}
 	}
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -112,7 +111,5 @@
 func (p *poller) backOff(ctx context.Context) {
 	full := retry.Backoff(minBackoff, maxBackoff, p.failures)
 	p.failures++
-	// Half of the pause is random, so that instances that failed together do not retry together.
-	pause := full/2 + time.Duration(rand.Float64()*float64(full/2))
-	p.clock.Sleep(ctx, pause)
+	p.clock.Sleep(ctx, timer.HalfJitter(full))
 }
--- a/membership/delay.go
+++ b/membership/delay.go
@@ -1,9 +1,6 @@
 package membership
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 const (
 	// emptyFleetDelay is how long an instance of full power that finds no records waits before it joins. Instances that start
@@ -39,12 +36,6 @@
 	firstCountRetryDelay = 500 * time.Millisecond
 )
 
-// halfJitter returns a random delay between half of limit and limit, so that instances that failed together do not retry
-// together.
-func halfJitter(limit time.Duration) time.Duration {
-	return limit/2 + time.Duration(rand.Float64()*float64(limit/2))
-}
-
 // emptyFleetDelayOf returns how long an instance of the given power that finds no records waits before it joins.
 func emptyFleetDelayOf(power float64) time.Duration {
 	if power <= 0 {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -59,7 +59,7 @@
 // startUp reads the records. An instance that joins a running fleet knows at once which instances to poll. Among instances
 // that find no records the strongest register first, and the others read once more before they do.
 func (m *Membership) startUp(ctx context.Context) {
-	for !m.refresh(ctx) && m.clock.Sleep(ctx, halfJitter(firstCountRetryDelay)) {
+	for !m.refresh(ctx) && m.clock.Sleep(ctx, timer.HalfJitter(firstCountRetryDelay)) {
 		continue
 	}
 	m.adoptRecord()
@@ -98,7 +98,7 @@
 	}
 	if m.trackCount(); m.lease == 0 {
 		// Without the jitter many instances without a record would read at the same moment.
-		return halfJitter(m.nextReadDelayWithoutRecord())
+		return timer.HalfJitter(m.nextReadDelayWithoutRecord())
 	}
 	return m.nextReadDelay()
 }
--- a/membership/ownrecord.go
+++ b/membership/ownrecord.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"junctioncross/timer"
 )
 
 const (
@@ -34,7 +36,7 @@
 	case errors.Is(err, ErrTaken):
 		m.stats.Counter("records_taken_total").Inc(1)
 		m.list(ctx)
-		return halfJitter(slotTakenDelay)
+		return timer.HalfJitter(slotTakenDelay)
 	case err != nil:
 		m.log.WithError(err).Warn("record of the instance not written")
 		return retryDelay
