keys: name the files of a certificate holder in one place

fleet built the three paths twice, with the suffixes that Authority.Issue keeps to itself. keys.FilesOf returns them. cmd/jxctl builds them a third time; it is left alone here.

--- a/fleet/entries.go
+++ b/fleet/entries.go
@@ -70,11 +70,8 @@
 		return err
 	}
 	settings.Platform = config.Platform{KV: kv, Instances: list}
-	settings.Keys = config.Keys{
-		Authority:   filepath.Join(f.keyDir(), keys.FileAuthority),
-		Certificate: filepath.Join(f.keyDir(), e.Name+".pem"),
-		Key:         filepath.Join(f.keyDir(), e.Name+"-key.pem"),
-	}
+	files := keys.FilesOf(f.keyDir(), e.Name)
+	settings.Keys = config.Keys{Authority: files.Authority, Certificate: files.Certificate, Key: files.Key}
 	settings.Limits.QueueWait = f.spec.QueueWait
 	body, err := yaml.Marshal(settings)
 	if err != nil {
--- a/fleet/keys.go
+++ b/fleet/keys.go
@@ -32,11 +32,7 @@
 
 // Operator returns an operator's client of an entry instance.
 func (f *Fleet) Operator(e *Entry) (*operator.Client, error) {
-	certs, err := keys.NewCertReloader(keys.Files{
-		Authority:   filepath.Join(f.keyDir(), keys.FileAuthority),
-		Certificate: filepath.Join(f.keyDir(), OperatorName+".pem"),
-		Key:         filepath.Join(f.keyDir(), OperatorName+"-key.pem"),
-	})
+	certs, err := keys.NewCertReloader(keys.FilesOf(f.keyDir(), OperatorName))
 	if err != nil {
 		return nil, err
 	}
--- a/keys/authority.go
+++ b/keys/authority.go
@@ -97,6 +97,15 @@
 	return writePEM(filepath.Join(dir, id.name+suffixCert), "CERTIFICATE", der)
 }
 
+// FilesOf returns the paths under which Write and Issue have written the files of the holder of that name into a directory.
+func FilesOf(dir, name string) Files {
+	return Files{
+		Authority:   filepath.Join(dir, FileAuthority),
+		Certificate: filepath.Join(dir, name+suffixCert),
+		Key:         filepath.Join(dir, name+suffixKey),
+	}
+}
+
 // certificateTemplate returns the template of the certificate of an identity, for both ends of TLS connections.
 func certificateTemplate(id Identity, now time.Time) *x509.Certificate {
 	return &x509.Certificate{
