standin: apply a change with faults in one place

LocalKV.Write and LocalKV.Delete decided alike, line by line, which error a lost call, a lost response or another revision gives; LocalKV.change does that for both.

--- a/standin/local.go
+++ b/standin/local.go
@@ -61,28 +61,30 @@
 
 // Write implements kv.Store.
 func (l *LocalKV) Write(_ context.Context, put kv.Put) (kv.Revision, error) {
-	failed, lost := l.drawFaults()
-	if failed {
-		return 0, kv.ErrUnavailable
-	}
-	r, ok := l.keys.Write(put)
-	switch {
-	case lost:
-		return 0, kv.ErrOutcomeUnknown
-	case !ok:
-		return 0, kv.ErrConflict
-	default:
-		return r.Revision, nil
+	var r kv.Record
+	err := l.change(func() (ok bool) {
+		r, ok = l.keys.Write(put)
+		return ok
+	})
+	if err != nil {
+		return 0, err
 	}
+	return r.Revision, nil
 }
 
 // Delete implements kv.Store.
 func (l *LocalKV) Delete(_ context.Context, key string, expect kv.Revision) error {
+	return l.change(func() bool { return l.keys.Delete(key, expect) })
+}
+
+// change makes a change that reports whether the key had the expected revision, unless the call is lost; if the response is lost,
+// the change is made and the outcome unknown.
+func (l *LocalKV) change(apply func() bool) error {
 	failed, lost := l.drawFaults()
 	if failed {
 		return kv.ErrUnavailable
 	}
-	ok := l.keys.Delete(key, expect)
+	ok := apply()
 	switch {
 	case lost:
 		return kv.ErrOutcomeUnknown
