quarantine: look up the record of an end in one place

Three places looked it up with a nil check of the request and of the server, one of them four times in two lines; endLocked does that.

--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -87,7 +87,7 @@
 func (b *Book) Withdraw(e End) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r := b.requests[e.Request]; r != nil && r.ends[e.Server] != nil && r.ends[e.Server].state == suspected {
+	if record := b.endLocked(e.Request, e.Server); record != nil && record.state == suspected {
 		b.forgetLocked(e.Request, e.Server)
 	}
 }
@@ -168,6 +168,15 @@
 	return 0
 }
 
+// endLocked returns the record of an end, or nil if there is none.
+func (b *Book) endLocked(request Fingerprint, server string) *endRecord {
+	r := b.requests[request]
+	if r == nil {
+		return nil
+	}
+	return r.ends[server]
+}
+
 // recordLocked returns the record of a request, which it adds if needed; if there are too many, another one is evicted.
 func (b *Book) recordLocked(request Fingerprint) *requestRecord {
 	if r := b.requests[request]; r != nil {
--- a/quarantine/expire.go
+++ b/quarantine/expire.go
@@ -33,12 +33,14 @@
 // expireLocked removes an end that no longer counts. If the request was quarantined until then, it is remembered as
 // released. The caller holds the lock.
 func (b *Book) expireLocked(request Fingerprint, server string, now time.Time) {
-	r := b.requests[request]
-	if r == nil || r.ends[server] == nil {
+	record := b.endLocked(request, server)
+	if record == nil {
 		return
 	}
-	expired := now.Sub(r.ends[server].at) >= time.Duration(minKeepShare*float64(b.settings.Keep))
-	if _, wasReleased := b.released[request]; expired && (wasReleased || len(r.ends) >= b.settings.Ends) && len(b.released) < b.settings.MaxRequests {
+	expired := now.Sub(record.at) >= time.Duration(minKeepShare*float64(b.settings.Keep))
+	_, wasReleased := b.released[request]
+	quarantined := wasReleased || len(b.requests[request].ends) >= b.settings.Ends
+	if expired && quarantined && len(b.released) < b.settings.MaxRequests {
 		b.released[request] = now
 	}
 	b.forgetLocked(request, server)
--- a/quarantine/unpublished.go
+++ b/quarantine/unpublished.go
@@ -26,8 +26,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, e := range ends {
-		if r := b.requests[e.Request]; r != nil && r.ends[e.Server] != nil {
-			r.ends[e.Server].state, r.ends[e.Server].publishedHere = max(r.ends[e.Server].state, published), true
+		if record := b.endLocked(e.Request, e.Server); record != nil {
+			record.state, record.publishedHere = max(record.state, published), true
 		}
 	}
 	b.cleared = b.cleared[len(cleared):]
