--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -66,3 +66,58 @@
 	}
 	return last
 }
+
+// endLocked returns the record of an end, or nil if there is none.
+func (b *Book) endLocked(request Fingerprint, server string) *endRecord {
+	r := b.requests[request]
+	if r == nil {
+		return nil
+	}
+	return r.ends[server]
+}
+
+// recordLocked returns the record of a request, which it adds if needed; if there are too many, another one is evicted.
+func (b *Book) recordLocked(request Fingerprint) *requestRecord {
+	if r := b.requests[request]; r != nil {
+		return r
+	}
+	if len(b.requests) >= b.settings.MaxRequests {
+		b.evictLocked()
+	}
+	r := &requestRecord{ends: map[string]*endRecord{}}
+	b.requests[request] = r
+	b.size.Store(int64(len(b.requests)))
+	return r
+}
+
+// evictLocked removes a request with the fewest ends, so that a flood of requests with one end each evicts none of the
+// quarantined ones.
+func (b *Book) evictLocked() {
+	var least Fingerprint
+	fewest := 0
+	for request, r := range b.requests {
+		if fewest == 0 || len(r.ends) < fewest {
+			least, fewest = request, len(r.ends)
+		}
+		if fewest == 1 {
+			break
+		}
+	}
+	b.removeLocked(least)
+}
+
+func (b *Book) forgetLocked(request Fingerprint, server string) {
+	r := b.requests[request]
+	if r == nil {
+		return
+	}
+	delete(r.ends, server)
+	if len(r.ends) == 0 {
+		b.removeLocked(request)
+	}
+}
+
+func (b *Book) removeLocked(request Fingerprint) {
+	delete(b.requests, request)
+	b.size.Store(int64(len(b.requests)))
+}
