--- a/follow/entries.go
+++ b/follow/entries.go
@@ -23,36 +23,37 @@
 	unusable bool
 }
 
+// applyEntry applies an entry of a server, unless it comes late, and reports whether it made a difference.
 func (l *Loop) applyEntry(e backend.Entry) bool {
-	k := l.servers[e.ID]
-	if k == nil {
+	tracked := l.servers[e.ID]
+	if tracked == nil {
 		return l.addServer(e)
 	}
-	k.missingSince = time.Time{}
-	if e.Revision < k.entry.Revision || k.entry.Incarnation().After(e.Incarnation()) {
+	tracked.missingSince = time.Time{}
+	if e.Revision < tracked.entry.Revision || tracked.entry.Incarnation().After(e.Incarnation()) {
 		// The entry comes late, or is one of an earlier incarnation.
-		late, known := Position(e.Revision), Position(k.entry.Revision)
+		late, known := Position(e.Revision), Position(tracked.entry.Revision)
 		l.log.WithFields(logrus.Fields{
 			"server": e.ID, "revision": late.Revision(), "known": known.Revision(), "era": late.Era(), "known_era": known.Era(),
 		}).Warn("late entry ignored")
 		return false
 	}
-	if e.Service != k.entry.Service && !l.hasService(e.Service) {
+	if e.Service != tracked.entry.Service && !l.hasService(e.Service) {
 		return l.markUnusable(EntryUnusable{ID: e.ID, Field: "service", Value: e.Service, Err: errUnknownService})
 	}
-	if !k.entry.SameIncarnation(e) {
-		l.noteRestart(k.server)
+	if !tracked.entry.SameIncarnation(e) {
+		l.noteRestart(tracked.server)
 		return l.addServer(e)
 	}
-	return l.updateServer(k, e)
+	return l.updateServer(tracked, e)
 }
 
 // addServer adds the server of the first entry of an incarnation.
 func (l *Loop) addServer(e backend.Entry) bool {
-	k := &trackedServer{server: l.newServer(e), entry: e}
-	l.servers[e.ID] = k
-	k.server.NoteLayers(l.clock.Now())
-	l.noteLeaving(k)
+	tracked := &trackedServer{server: l.newServer(e), entry: e}
+	l.servers[e.ID] = tracked
+	tracked.server.NoteLayers(l.clock.Now())
+	l.noteLeaving(tracked)
 	if !l.terse {
 		l.logServer(e, "server known")
 	}
@@ -60,14 +61,14 @@
 }
 
 // updateServer applies a newer entry of a known incarnation.
-func (l *Loop) updateServer(k *trackedServer, e backend.Entry) bool {
-	old, wasUnusable := k.entry, k.unusable
-	k.entry, k.unusable = e, false
-	k.server.Update(e)
+func (l *Loop) updateServer(tracked *trackedServer, e backend.Entry) bool {
+	old, wasUnusable := tracked.entry, tracked.unusable
+	tracked.entry, tracked.unusable = e, false
+	tracked.server.Update(e)
 	if e.Layers != old.Layers {
-		k.server.NoteLayers(l.clock.Now())
+		tracked.server.NoteLayers(l.clock.Now())
 	}
-	l.noteLeaving(k)
+	l.noteLeaving(tracked)
 	if old.Same(e) && !wasUnusable {
 		return false
 	}
@@ -78,9 +79,9 @@
 }
 
 // noteLeaving records when the instance first learned that a server is leaving.
-func (l *Loop) noteLeaving(k *trackedServer) {
-	if k.entry.Leaving {
-		k.server.NoteLeaving(l.clock.Now())
+func (l *Loop) noteLeaving(tracked *trackedServer) {
+	if tracked.entry.Leaving {
+		tracked.server.NoteLeaving(l.clock.Now())
 	}
 }
 
@@ -106,11 +107,12 @@
 // requests that it runs go on.
 func (l *Loop) markUnusable(c EntryUnusable) bool {
 	l.stats.Counter("entries_unusable_total{field=\"" + c.Field + "\"}").Inc(1)
-	l.log.WithFields(logrus.Fields{"server": c.ID, "field": c.Field, "value": c.Value}).WithError(c.Err).Warn("entry names no server to use")
-	k := l.servers[c.ID]
-	if k == nil || k.unusable {
+	l.log.WithFields(logrus.Fields{"server": c.ID, "field": c.Field, "value": c.Value}).WithError(c.Err).
+		Warn("entry names no server to use")
+	tracked := l.servers[c.ID]
+	if tracked == nil || tracked.unusable {
 		return false
 	}
-	k.unusable = true
+	tracked.unusable = true
 	return true
 }
--- a/follow/former.go
+++ b/follow/former.go
@@ -53,12 +53,12 @@
 // rememberFormer keeps a removed server if it has left, or if it has announced something that still holds, such as a
 // back-off. Servers without a start time are not kept: their incarnations cannot be distinguished, and the next one has
 // announced nothing yet.
-func (l *Loop) rememberFormer(k *trackedServer, hasLeft bool) {
-	s := k.server
+func (l *Loop) rememberFormer(tracked *trackedServer, hasLeft bool) {
+	s := tracked.server
 	if s.Incarnation().Born == 0 || !hasLeft && !s.HasNotices(l.clock.Now()) || len(l.former) >= maxFormer {
 		return
 	}
-	l.former[s.Incarnation()] = formerServer{server: s, entry: k.entry, hasLeft: hasLeft}
+	l.former[s.Incarnation()] = formerServer{server: s, entry: tracked.entry, hasLeft: hasLeft}
 }
 
 // formerRetention is how long a server without an entry is remembered. Leases in the platform's store last for ten
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -82,6 +82,7 @@
 	return l
 }
 
+// handle applies an event of a feed.
 func (l *Loop) handle(e FeedEvent) {
 	switch e := e.(type) {
 	case fullFeed:
@@ -107,6 +108,7 @@
 	}
 }
 
+// handleFailure records a failed call of a feed; only the first of several in a row is logged.
 func (l *Loop) handleFailure(f feedFailure) {
 	if !errors.Is(f.err, ErrHistoryGone) {
 		// A store that no longer has the history is available all the same.
@@ -119,6 +121,7 @@
 	}
 }
 
+// noteRegained logs the first successful call of a feed after failed ones.
 func (l *Loop) noteRegained(feed Feed) {
 	if l.failing[feed] {
 		l.failing[feed] = false
@@ -126,6 +129,7 @@
 	}
 }
 
+// confirm records the time as of which a feed is known to be complete.
 func (l *Loop) confirm(feed Feed, at time.Time) {
 	var newest *atomic.Pointer[time.Time]
 	switch feed {
@@ -176,6 +180,7 @@
 	return changed
 }
 
+// applyConfig puts a configuration in force unless it is older than the present one, and reports whether it did.
 func (l *Loop) applyConfig(c *catalog.Catalog) bool {
 	if l.storeOutdated = l.catalog != nil && c.Version() < l.catalog.Version(); l.storeOutdated {
 		l.log.WithFields(logrus.Fields{"version": c.Version(), "in_force": l.catalog.Version()}).Warn("older configuration ignored")
@@ -196,10 +201,10 @@
 		return
 	}
 	byService, byID := map[string][]*backend.Server{}, make(map[string]*backend.Server, len(l.servers))
-	for id, k := range l.servers {
-		byID[id] = k.server
-		if !k.unusable {
-			byService[k.server.Service()] = append(byService[k.server.Service()], k.server)
+	for id, tracked := range l.servers {
+		byID[id] = tracked.server
+		if !tracked.unusable {
+			byService[tracked.server.Service()] = append(byService[tracked.server.Service()], tracked.server)
 		}
 	}
 	groups := map[string]*backend.Group{}
--- a/follow/missing.go
+++ b/follow/missing.go
@@ -21,19 +21,19 @@
 // handleVanished handles a vanished entry: the server is removed, or kept for expiryGrace around an outage of the store.
 // It reports whether the server was removed.
 func (l *Loop) handleVanished(id string) bool {
-	k := l.servers[id]
-	if k == nil {
+	tracked := l.servers[id]
+	if tracked == nil {
 		return false
 	}
 	now := l.clock.Now()
-	if l.inOutageWindow(now) && !k.server.Leaving() {
-		if k.missingSince.IsZero() {
-			k.missingSince = now
+	if l.inOutageWindow(now) && !tracked.server.Leaving() {
+		if tracked.missingSince.IsZero() {
+			tracked.missingSince = now
 			l.log.WithField("server", id).Info("server entry vanished around an outage of the store, kept for now")
 		}
 		return false
 	}
-	l.remove(id, k)
+	l.remove(id, tracked)
 	return true
 }
 
@@ -42,20 +42,21 @@
 	return !l.lastFailure.IsZero() && now.Sub(l.lastFailure) < outageWindow
 }
 
-func (l *Loop) remove(id string, k *trackedServer) {
-	since := k.missingSince
+// remove removes a server, and remembers it in case its entry comes back.
+func (l *Loop) remove(id string, tracked *trackedServer) {
+	since := tracked.missingSince
 	if since.IsZero() {
 		since = l.clock.Now()
 	}
-	k.server.NoteLeaving(since)
+	tracked.server.NoteLeaving(since)
 	hasLeft := !l.inOutageWindow(l.clock.Now())
 	if hasLeft {
-		k.server.Remove()
+		tracked.server.Remove()
 	} else {
-		k.server.MarkGone()
+		tracked.server.MarkGone()
 	}
-	l.rememberFormer(k, hasLeft)
-	l.log.WithFields(logrus.Fields{"server": id, "address": k.server.Addr()}).Info("server gone")
+	l.rememberFormer(tracked, hasLeft)
+	l.log.WithFields(logrus.Fields{"server": id, "address": tracked.server.Addr()}).Info("server gone")
 	delete(l.servers, id)
 }
 
@@ -84,9 +85,9 @@
 func (l *Loop) housekeep() {
 	now := l.clock.Now()
 	dropped := false
-	for id, k := range l.servers {
-		if !k.missingSince.IsZero() && now.Sub(k.missingSince) >= expiryGrace && !l.failing[FeedServers] {
-			l.remove(id, k)
+	for id, tracked := range l.servers {
+		if !tracked.missingSince.IsZero() && now.Sub(tracked.missingSince) >= expiryGrace && !l.failing[FeedServers] {
+			l.remove(id, tracked)
 			dropped = true
 		}
 	}
@@ -94,8 +95,8 @@
 	if dropped {
 		l.markPossiblyLeaving()
 	}
-	for _, k := range l.servers {
-		k.server.CloseExpired(now)
+	for _, tracked := range l.servers {
+		tracked.server.CloseExpired(now)
 	}
 	l.forgetFormer(now)
 	l.ends.Expire(now)
