pipeline: say what started means

execution.started did not say that an answer has started, but that a server may have run a frame: mayHaveRun. Five declarations got a comment. Private names and comments only. go vet and go test of the package pass.

--- a/pipeline/execution.go
+++ b/pipeline/execution.go
@@ -12,8 +12,10 @@
 	"junctioncross/route"
 )
 
+// cancelTimeout bounds one call that tells a server to delete what it holds for an attempt.
 const cancelTimeout = 500 * time.Millisecond
 
+// attemptChart is the state machine of a request across its attempts.
 var attemptChart = chart.MustLoad("attempt")
 
 // execution is the state of one request across all its attempts.
@@ -29,8 +31,8 @@
 	// prompt is the number of prompt tokens, and produced that of answer tokens.
 	prompt   int
 	produced int
-	// started is true once a server may have run a frame.
-	started bool
+	// mayHaveRun is true once a server may have run a frame.
+	mayHaveRun bool
 	// avoid lists the servers that failed an earlier attempt.
 	avoid pool.Avoid
 	// retries counts the attempts after the first, and countedFailures the failed attempts that count against maxAttempts.
@@ -122,6 +124,7 @@
 	}
 }
 
+// fields returns the fields that identify the attempt in the log.
 func (e *execution) fields() logrus.Fields {
 	return logrus.Fields{"request": e.request.ID, "account": e.request.Account, "attempt": e.number}
 }
--- a/pipeline/pass.go
+++ b/pipeline/pass.go
@@ -66,7 +66,7 @@
 	result, err := server.Batcher().Run(ctx, &frame)
 	if err != nil {
 		if !engine.NotStarted(err) {
-			e.started = true
+			e.mayHaveRun = true
 		}
 		if ctx.Err() == nil {
 			server.Failed(e.runner.clock.Now())
@@ -75,7 +75,7 @@
 		}
 		return result, err
 	}
-	e.started = true
+	e.mayHaveRun = true
 	server.Succeeded()
 	return result, nil
 }
--- a/pipeline/retry.go
+++ b/pipeline/retry.go
@@ -48,7 +48,7 @@
 	if errors.As(cause, &emitErr) || ctx.Err() != nil {
 		return e.fail("gone", models.ReasonCallerGone, cause)
 	}
-	if errors.Is(cause, errNoPath) && !e.started {
+	if errors.Is(cause, errNoPath) && !e.mayHaveRun {
 		return e.fail("exhausted", models.ReasonNoPipeline, cause)
 	}
 	if e.brokenAt.IsZero() {
@@ -84,14 +84,16 @@
 	return e.failure(reason, cause)
 }
 
+// failure returns the Failure of a request that ends now.
 func (e *execution) failure(reason models.Reason, cause error) error {
 	fate := models.FateNotRun
-	if e.started {
+	if e.mayHaveRun {
 		fate = models.FateUnknown
 	}
 	return &Failure{reason: reason, fate: fate, cause: cause}
 }
 
+// retryReason returns the reason under which a retry after an error is counted.
 func retryReason(err error) models.Reason {
 	switch {
 	case errors.Is(err, errSlow):
