standin: name and explain the fields of the engine

step, steps, sequence, sequences and started stood side by side without a word: lastStep, reportSequence and startsOf are renamed, the others explained; a queued frame is q, not w.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -35,27 +35,35 @@
 	settings    EngineSettings
 	incarnation uint64
 
-	mu              sync.Mutex
-	model           Model
-	layers          models.Layers
-	state           engine.State
-	fence           uint64
-	loads           int
-	attempts        map[engine.AttemptID]*attemptState
-	leaving         bool
+	mu     sync.Mutex
+	model  Model
+	layers models.Layers
+	state  engine.State
+	// fence is the highest fencing token that an order had.
+	fence uint64
+	// loads is the number of orders that made the engine load layers; only the load of the latest one counts when it ends.
+	loads    int
+	attempts map[engine.AttemptID]*attemptState
+	leaving  bool
+	// newSinceLeaving is the number of attempts started since the engine announced that it is leaving.
 	newSinceLeaving int
 	waiting         []*queuedFrame
-	step            time.Duration
-	running         int
-	sequence        uint64
-	lastReport      engine.Report
-	lastReportAt    time.Time
-	slow            float64
-	hung            bool
-	started         map[string]int
-	busy            time.Duration
-	steps           int
-	sequences       int
+	// lastStep is the time of the last step, and running the number of sequences in the present one.
+	lastStep time.Duration
+	running  int
+	// reportSequence is the number of the last report, which is answered again until it is older than ReportLag.
+	reportSequence uint64
+	lastReport     engine.Report
+	lastReportAt   time.Time
+	// slow is a factor of the step time.
+	slow float64
+	hung bool
+	// startsOf is the number of attempts that the engine has started for each request.
+	startsOf map[string]int
+	// busy is the time spent in steps; steps and sequences count the steps and the frames run in them.
+	busy      time.Duration
+	steps     int
+	sequences int
 	// overshoot is how much longer than intended the last step took; only the batch loop uses it.
 	overshoot time.Duration
 	wake      chan struct{}
@@ -68,7 +76,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		state:       engine.StateEmpty,
 		attempts:    map[engine.AttemptID]*attemptState{},
-		started:     map[string]int{},
+		startsOf:    map[string]int{},
 		slow:        1,
 		wake:        make(chan struct{}, 1),
 	}
@@ -81,13 +89,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if now.Sub(e.lastReportAt) >= e.settings.ReportLag {
-		e.sequence++
+		e.reportSequence++
 		e.lastReportAt = now
 		e.lastReport = engine.Report{
-			Name: e.settings.Name, Incarnation: e.incarnation, Sequence: e.sequence,
+			Name: e.settings.Name, Incarnation: e.incarnation, Sequence: e.reportSequence,
 			State: e.state, Model: e.model.name, Version: e.model.version, Layers: e.layers,
 			Leaving: e.leaving, Running: e.running, Waiting: len(e.waiting),
-			StepMicros: e.step.Microseconds(), Fence: e.fence,
+			StepMicros: e.lastStep.Microseconds(), Fence: e.fence,
 		}
 	}
 	report := e.lastReport
@@ -121,6 +129,7 @@
 	return true
 }
 
+// finishLoading makes the engine ready, unless a later order has made it load other layers.
 func (e *Engine) finishLoading(load int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/engineattempt.go
+++ b/standin/engineattempt.go
@@ -33,16 +33,18 @@
 	return result
 }
 
+// startAttempt adds an empty cache for an attempt; e.mu must be held.
 func (e *Engine) startAttempt(id engine.AttemptID) *attemptState {
 	s := &attemptState{cache: make([]uint64, e.layers.Count())}
 	e.attempts[id] = s
-	e.started[id.Request]++
+	e.startsOf[id.Request]++
 	if e.leaving {
 		e.newSinceLeaving++
 	}
 	return s
 }
 
+// runLayers runs the input through the layers and sets the output, or the next token after the last layer; e.mu must be held.
 func (e *Engine) runLayers(s *attemptState, input []uint64, result *engine.Result) {
 	output := make([]uint64, len(input))
 	for i, act := range input {
--- a/standin/enginebatch.go
+++ b/standin/enginebatch.go
@@ -33,16 +33,17 @@
 	e.signal()
 	done.Wait()
 	reply := engine.StepReply{Results: make([]engine.Result, len(items))}
-	for i, w := range items {
-		reply.Results[i] = w.result
+	for i, q := range items {
+		reply.Results[i] = q.result
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	reply.StepMicros = e.step.Microseconds()
+	reply.StepMicros = e.lastStep.Microseconds()
 	reply.Leaving = e.leaving
 	return reply
 }
 
+// signal has the batch loop look at the queue again.
 func (e *Engine) signal() {
 	select {
 	case e.wake <- struct{}{}:
@@ -50,6 +51,7 @@
 	}
 }
 
+// loop runs the batches, one after the other.
 func (e *Engine) loop() {
 	for range e.wake {
 		for {
@@ -73,12 +75,12 @@
 	batch := make([]*queuedFrame, 0, e.settings.MaxBatch)
 	rest := make([]*queuedFrame, 0, len(e.waiting))
 	best := highestPriority(e.waiting)
-	for _, w := range e.waiting {
-		if len(batch) < e.settings.MaxBatch && w.frame.Priority == best {
-			batch = append(batch, w)
+	for _, q := range e.waiting {
+		if len(batch) < e.settings.MaxBatch && q.frame.Priority == best {
+			batch = append(batch, q)
 			continue
 		}
-		rest = append(rest, w)
+		rest = append(rest, q)
 	}
 	for len(batch) < e.settings.MaxBatch && len(rest) > 0 {
 		batch = append(batch, rest[0])
@@ -91,12 +93,13 @@
 
 func highestPriority(queue []*queuedFrame) int {
 	best := queue[0].frame.Priority
-	for _, w := range queue {
-		best = max(best, w.frame.Priority)
+	for _, q := range queue {
+		best = max(best, q.frame.Priority)
 	}
 	return best
 }
 
+// runBatch takes the time of one step and computes the frames of a batch.
 func (e *Engine) runBatch(batch []*queuedFrame) {
 	step := e.stepTime(batch)
 	// time.Sleep may take up to a millisecond too long; the next step is shorter by the excess.
@@ -105,24 +108,26 @@
 	e.overshoot = min(max(time.Since(start)-(step-e.overshoot), 0), maxOvershoot)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.step = step
+	e.lastStep = step
 	e.running = 0
 	e.busy += step
 	e.steps++
 	e.sequences += len(batch)
-	for _, w := range batch {
-		w.result = e.runFrame(&w.frame)
-		w.done.Done()
+	for _, q := range batch {
+		q.result = e.runFrame(&q.frame)
+		q.done.Done()
 	}
 }
 
+// stepTime returns how long the step of a batch takes.
 func (e *Engine) stepTime(batch []*queuedFrame) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	prefill := 0
-	for _, w := range batch {
-		prefill += max(len(w.frame.Input), len(w.frame.Text)/4) - 1
+	for _, q := range batch {
+		prefill += max(len(q.frame.Input), len(q.frame.Text)/4) - 1
 	}
-	perLayer := e.settings.LayerMicros + e.settings.SequenceMicros*float64(len(batch)) + e.settings.PrefillMicros*float64(max(prefill, 0))
+	perLayer := e.settings.LayerMicros + e.settings.SequenceMicros*float64(len(batch)) +
+		e.settings.PrefillMicros*float64(max(prefill, 0))
 	return time.Duration(perLayer * e.slow * float64(e.layers.Count()) * float64(time.Microsecond))
 }
--- a/standin/enginetally.go
+++ b/standin/enginetally.go
@@ -18,8 +18,8 @@
 func (e *Engine) Tally() EngineTally {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	started := make(map[string]int, len(e.started))
-	for k, v := range e.started {
+	started := make(map[string]int, len(e.startsOf))
+	for k, v := range e.startsOf {
 		started[k] = v
 	}
 	return EngineTally{
