control: put a head of another instance in force in one place

fetchFrom and pollInstance offered a head with the segments of its instance and posted the change alike; offerFrom does that for both. A failed offer is now counted after the change is posted, not before; nothing reads the counter in between.

--- a/control/others.go
+++ b/control/others.go
@@ -52,11 +52,7 @@
 	if err != nil || a.Head == nil {
 		return
 	}
-	changed, err := l.deps.Keeper.Offer(*a.Head, l.segmentFrom(ctx, addr))
-	if err != nil {
+	if err := l.offerFrom(ctx, addr, *a.Head); err != nil {
 		l.deps.Stats.Counter("config_fetch_failed_total").Inc(1)
 	}
-	if changed {
-		l.post(configurationChanged{})
-	}
 }
--- a/control/relay.go
+++ b/control/relay.go
@@ -152,6 +152,7 @@
 	}()
 }
 
+// fetchFrom requests the head of an instance of the domain and puts it in force if it is newer.
 func (l *Loop) fetchFrom(addr string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
@@ -159,6 +160,11 @@
 	if err != nil {
 		return err
 	}
+	return l.offerFrom(ctx, addr, head)
+}
+
+// offerFrom puts a head that an instance sent in force if it is newer, with the segments of that instance.
+func (l *Loop) offerFrom(ctx context.Context, addr string, head revision.Head) error {
 	changed, err := l.deps.Keeper.Offer(head, l.segmentFrom(ctx, addr))
 	if changed {
 		l.post(configurationChanged{})
