--- a/control/handle.go
+++ b/control/handle.go
@@ -6,6 +6,7 @@
 	"junctioncross/view"
 )
 
+// handle handles one message on the control goroutine.
 func (l *Loop) handle(m message) {
 	switch m := m.(type) {
 	case exchangeRequested:
--- a/control/loop.go
+++ b/control/loop.go
@@ -40,9 +40,12 @@
 	stopped chan struct{}
 
 	// The fields below are shared with helper and other goroutines.
+
+	// relay is true while this instance is one of the relays of its domain.
 	relay atomic.Bool
 	// chosen is true while this instance ranks first for the leadership of its domain, and leads while it holds that.
-	chosen   atomic.Bool
+	chosen atomic.Bool
+	// fetching is true while a newer configuration is fetched from another instance.
 	fetching atomic.Bool
 	// alone is true while no other live instance of the domain is known.
 	alone atomic.Bool
@@ -56,21 +59,26 @@
 	relayProgress map[string]kvProgress
 
 	// Only the control goroutine uses the fields below.
-	table         *gossip.Table
-	members       members
-	statusCache   *cache[InstanceStatus]
-	backendCache  *cache[backendStatus]
-	namesCache    *cache[[]string]
-	usageCache    *cache[[]modelUsage]
-	index         *view.Index
-	backends      map[string]*backend
+
+	// table holds what the instances of the domain publish.
+	table        *gossip.Table
+	members      members
+	statusCache  *cache[InstanceStatus]
+	backendCache *cache[backendStatus]
+	namesCache   *cache[[]string]
+	usageCache   *cache[[]modelUsage]
+	// index is that of the configuration in force; nil while there is none.
+	index    *view.Index
+	backends map[string]*backend
+	// listed is the platform's instance list as it was last read, and listedLeaving the servers that it has marked as leaving.
 	listed        []member.ListedInstance
 	listedLeaving map[string]bool
-	kvAnswers     uint64
-	demand        map[string]float64
-	leaving       bool
-	fastTicks     int
-	slowTicks     int
+	// kvAnswers is the number of answers that this instance has received from the key-value service.
+	kvAnswers uint64
+	demand    map[string]float64
+	leaving   bool
+	fastTicks int
+	slowTicks int
 	// updatesDue delivers when the collected updates have to be applied and passed on; it is nil while there are none.
 	updatesDue <-chan time.Time
 	polls      map[string]*poll
@@ -111,6 +119,7 @@
 	return l
 }
 
+// run is the control goroutine.
 func (l *Loop) run(ctx context.Context) {
 	defer close(l.stopped)
 	fast := l.deps.Clock.Subscribe(fastPeriod)
@@ -151,6 +160,7 @@
 	l.startExchange()
 }
 
+// fastTick renews the limits, polls the servers, and exchanges updates now and then even if there are none.
 func (l *Loop) fastTick() {
 	l.setLimits()
 	l.startPolls()
@@ -160,6 +170,7 @@
 	}
 }
 
+// slowTick does the work that no event triggers: heartbeats, silent instances, and what this instance publishes of its load.
 func (l *Loop) slowTick() {
 	now := l.deps.Clock.Now()
 	l.slowTicks++
--- a/control/poll.go
+++ b/control/poll.go
@@ -103,6 +103,7 @@
 	l.scheduleUpdate()
 }
 
+// statusOf returns what is published of a server after a report.
 func statusOf(r engine.Report) backendStatus {
 	return backendStatus{
 		Incarnation: r.Incarnation, Sequence: r.Sequence, State: r.State,
@@ -127,6 +128,7 @@
 	}
 }
 
+// readList reads the platform's instance list.
 func (l *Loop) readList(ctx context.Context) ([]member.ListedInstance, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.self.ListAddr+member.PathInstances, http.NoBody)
 	if err != nil {
