--- a/membership/ownrecord.go
+++ b/membership/ownrecord.go
@@ -30,6 +30,7 @@
 	}
 }
 
+// join writes the record to a slot, and returns the delay until the next step.
 func (m *Membership) join(ctx context.Context, slot Slot) time.Duration {
 	lease, err := m.registry.Join(ctx, m.self, slot, recordTTL)
 	switch {
--- a/membership/slot.go
+++ b/membership/slot.go
@@ -66,6 +66,7 @@
 	}
 }
 
+// recordsByDomain returns the number of records of each domain.
 func recordsByDomain(records []Record) map[string]int {
 	out := map[string]int{}
 	for _, r := range records {
--- a/membership/view.go
+++ b/membership/view.go
@@ -56,6 +56,7 @@
 	v.notifyLocked()
 }
 
+// notifyLocked is notify for a caller that holds the lock.
 func (v *View) notifyLocked() {
 	close(v.changed)
 	v.changed = make(chan struct{})
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -46,7 +46,8 @@
 // NewBook returns a Book without ends.
 func NewBook(settings Settings) *Book {
 	return &Book{
-		settings: settings, requests: map[Fingerprint]*requestRecord{}, released: map[Fingerprint]time.Time{}, republish: make(chan struct{}, 1),
+		settings: settings, requests: map[Fingerprint]*requestRecord{}, released: map[Fingerprint]time.Time{},
+		republish: make(chan struct{}, 1),
 	}
 }
 
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -106,6 +106,7 @@
 	b.removeLocked(least)
 }
 
+// forgetLocked removes an end, and its request with the last one; the caller holds the lock.
 func (b *Book) forgetLocked(request Fingerprint, server string) {
 	r := b.requests[request]
 	if r == nil {
@@ -117,6 +118,7 @@
 	}
 }
 
+// removeLocked removes a request with all its ends; the caller holds the lock.
 func (b *Book) removeLocked(request Fingerprint) {
 	delete(b.requests, request)
 	b.size.Store(int64(len(b.requests)))
