--- a/fleet/engines.go
+++ b/fleet/engines.go
@@ -29,16 +29,18 @@
 
 // Engine is one model engine of a fleet.
 type Engine struct {
-	Process    *Process
-	Name       string
-	Domain     string
-	Kind       string
-	Addr       string
+	Process *Process
+	Name    string
+	Domain  string
+	Kind    string
+	Addr    string
+	// linkMicros is the one-way delay of the link to the engine, in microseconds.
 	linkMicros float64
 	// advertised is the address under which entry instances reach the engine.
 	advertised string
 }
 
+// startEngines starts the engines of all domains.
 func (f *Fleet) startEngines() error {
 	addrs, err := ports.Free(len(f.spec.Domains) * len(f.spec.Engines))
 	if err != nil {
@@ -63,6 +65,7 @@
 	return nil
 }
 
+// startDomainEngines starts the engines of one domain, each in a process of its own unless they share one.
 func (f *Fleet) startDomainEngines(engines []*Engine) error {
 	if f.spec.SharedEngines && len(engines) > 0 {
 		return f.startEngineProcess(engines...)
@@ -96,6 +99,7 @@
 	return err
 }
 
+// kind returns the kind of that name.
 func (f *Fleet) kind(name string) intent.Kind {
 	for _, k := range f.spec.Kinds {
 		if k.Name == name {
--- a/fleet/entries.go
+++ b/fleet/entries.go
@@ -26,6 +26,7 @@
 	advertised string
 }
 
+// startEntries writes the keys and the platform's list, and starts the entry instances.
 func (f *Fleet) startEntries() error {
 	for d, domain := range f.spec.Domains {
 		for i := range f.spec.Entries[d] {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -33,7 +33,8 @@
 		return nil, errors.Wrap(err, "fleet: directory")
 	}
 	f := &Fleet{spec: spec, bin: bin, dir: dir, starter: newStarter(dir), proxies: newProxies(spec.Proxied)}
-	for _, step := range []func() error{f.startPlatform, f.startEngines, f.startServices, f.startEntries, f.configure, f.AwaitServing} {
+	steps := []func() error{f.startPlatform, f.startEngines, f.startServices, f.startEntries, f.configure, f.AwaitServing}
+	for _, step := range steps {
 		if err := step(); err != nil {
 			f.Stop()
 			return nil, err
@@ -74,6 +75,7 @@
 
 func (f *Fleet) program(name string) string { return filepath.Join(f.bin, name) }
 
+// startPlatform starts the fakes of the key-value service, the instance list and the weight store.
 func (f *Fleet) startPlatform() error {
 	addrs, err := ports.Free(3)
 	if err != nil {
--- a/fleet/keys.go
+++ b/fleet/keys.go
@@ -13,6 +13,7 @@
 
 func (f *Fleet) keyDir() string { return filepath.Join(f.dir, "keys") }
 
+// makeKeys writes the certificates and keys of the entry instances and of the operator.
 func (f *Fleet) makeKeys() error {
 	now := time.Now()
 	a, err := keys.NewAuthority(now)
--- a/fleet/services.go
+++ b/fleet/services.go
@@ -13,6 +13,7 @@
 	Addr    string
 }
 
+// startServices starts the processes of the plain services.
 func (f *Fleet) startServices() error {
 	for _, s := range f.spec.Services {
 		addrs, err := ports.Free(s.Count)
