--- a/control/loop.go
+++ b/control/loop.go
@@ -2,22 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"junctioncross/admit"
-	"junctioncross/engine"
 	"junctioncross/gossip"
-	"junctioncross/link"
 	"junctioncross/member"
-	"junctioncross/metrics"
-	"junctioncross/pool"
-	"junctioncross/revision"
-	"junctioncross/timer"
 	"junctioncross/view"
 )
 
@@ -40,35 +30,6 @@
 	forgetAfter = 5 * time.Minute
 )
 
-// Self identifies this instance.
-type Self struct {
-	Name        string
-	Domain      string
-	PeerAddr    string
-	Incarnation uint64
-	// Seeds are the addresses of instances that are contacted while no other instance is known.
-	Seeds []string
-	// ListAddr is the address of the platform's instance list.
-	ListAddr string
-}
-
-// Process returns a name for this incarnation of the instance, for records that have to distinguish one start from the next.
-func (s Self) Process() string { return fmt.Sprintf("%s/%d", s.Name, s.Incarnation) }
-
-// Deps are the dependencies of the control loop.
-type Deps struct {
-	Store     *revision.Store
-	Keeper    *revision.Keeper
-	Snapshots *view.SnapshotHolder
-	Gates     *admit.Gates
-	Pool      *pool.Pool
-	Engines   *engine.Client
-	Links     *link.Client
-	Clock     *timer.Service
-	Stats     *metrics.Registry
-	Log       *logrus.Logger
-}
-
 // Loop is the control goroutine and its helper goroutines.
 type Loop struct {
 	self  Self
@@ -79,9 +40,12 @@
 	stopped chan struct{}
 
 	// The fields below are shared with helper and other goroutines.
+
+	// relay is true while this instance is one of the relays of its domain.
 	relay atomic.Bool
 	// chosen is true while this instance ranks first for the leadership of its domain, and leads while it holds that.
-	chosen   atomic.Bool
+	chosen atomic.Bool
+	// fetching is true while a newer configuration is fetched from another instance.
 	fetching atomic.Bool
 	// alone is true while no other live instance of the domain is known.
 	alone atomic.Bool
@@ -95,21 +59,26 @@
 	relayProgress map[string]kvProgress
 
 	// Only the control goroutine uses the fields below.
-	table         *gossip.Table
-	members       members
-	statusCache   *cache[InstanceStatus]
-	backendCache  *cache[backendStatus]
-	namesCache    *cache[[]string]
-	usageCache    *cache[[]modelUsage]
-	index         *view.Index
-	backends      map[string]*backend
+
+	// table holds what the instances of the domain publish.
+	table        *gossip.Table
+	members      members
+	statusCache  *cache[InstanceStatus]
+	backendCache *cache[backendStatus]
+	namesCache   *cache[[]string]
+	usageCache   *cache[[]modelUsage]
+	// index is that of the configuration in force; nil while there is none.
+	index    *view.Index
+	backends map[string]*backend
+	// listed is the platform's instance list as it was last read, and listedLeaving the servers that it has marked as leaving.
 	listed        []member.ListedInstance
 	listedLeaving map[string]bool
-	kvAnswers     uint64
-	demand        map[string]float64
-	leaving       bool
-	fastTicks     int
-	slowTicks     int
+	// kvAnswers is the number of answers that this instance has received from the key-value service.
+	kvAnswers uint64
+	demand    map[string]float64
+	leaving   bool
+	fastTicks int
+	slowTicks int
 	// updatesDue delivers when the collected updates have to be applied and passed on; it is nil while there are none.
 	updatesDue <-chan time.Time
 	polls      map[string]*poll
@@ -150,28 +119,7 @@
 	return l
 }
 
-// post sends a message to the control goroutine; it drops the message if that has stopped.
-func (l *Loop) post(m message) {
-	select {
-	case l.inbox <- m:
-	case <-l.stopped:
-	}
-}
-
-// ask posts a message that carries a channel for the answer and waits for the answer. It returns the zero value if the control
-// goroutine has stopped.
-func ask[A any](l *Loop, build func(answer chan A) message) A {
-	answer := make(chan A, 1)
-	l.post(build(answer))
-	select {
-	case a := <-answer:
-		return a
-	case <-l.stopped:
-		var zero A
-		return zero
-	}
-}
-
+// run is the control goroutine.
 func (l *Loop) run(ctx context.Context) {
 	defer close(l.stopped)
 	fast := l.deps.Clock.Subscribe(fastPeriod)
@@ -212,6 +160,7 @@
 	l.startExchange()
 }
 
+// fastTick renews the limits, polls the servers, and exchanges updates now and then even if there are none.
 func (l *Loop) fastTick() {
 	l.setLimits()
 	l.startPolls()
@@ -221,6 +170,7 @@
 	}
 }
 
+// slowTick does the work that no event triggers: heartbeats, silent instances, and what this instance publishes of its load.
 func (l *Loop) slowTick() {
 	now := l.deps.Clock.Now()
 	l.slowTicks++
@@ -235,84 +185,3 @@
 		l.publishSnapshot()
 	}
 }
-
-func (l *Loop) handle(m message) {
-	switch m := m.(type) {
-	case exchangeRequested:
-		m.answer <- exchangeResponse{Updates: l.table.Delta(m.digest), Digest: l.table.Digest()}
-	case deltaRequested:
-		m.answer <- l.table.Delta(m.digest)
-	case updatesArrived:
-		l.mergeUpdates(m.updates)
-	case reportArrived:
-		l.handleReport(m)
-	case listArrived:
-		l.handleList(m.lines)
-	case configurationChanged:
-		l.applyConfiguration()
-	case kvAnswered:
-		l.kvAnswers++
-	case movingChanged:
-		l.table.Set(entryMoving, encode(m.names))
-		l.scheduleUpdate()
-	case statusRequested:
-		m.answer <- l.statuses()
-	case listRequested:
-		m.answer <- append([]member.ListedInstance(nil), l.listed...)
-	case serversRequested:
-		m.answer <- l.domainServers()
-	case leaveRequested:
-		l.announceLeave(m)
-	}
-}
-
-// mergeUpdates merges updates from other instances into the table.
-func (l *Loop) mergeUpdates(updates []gossip.Update) {
-	if !l.table.Merge(updates, l.deps.Clock.Now()) {
-		return
-	}
-	l.refreshMembers()
-	l.chargeRemote()
-	l.scheduleUpdate()
-	l.fetchNewer()
-}
-
-// applyConfiguration applies a configuration that has just come into force.
-func (l *Loop) applyConfiguration() {
-	f := l.deps.Keeper.InForce()
-	if f == nil || l.index != nil && l.index.Revision() >= f.Head().Revision {
-		return
-	}
-	l.index = view.NewIndex(f)
-	l.deps.Stats.Gauge("revision").Update(int64(f.Head().Revision))
-	l.deps.Log.WithField("revision", f.Head().Revision).Info("configuration in force")
-	l.syncBackends()
-	l.mergeBackends()
-	l.publishSnapshot()
-	l.publishStatus()
-	l.exchangeWithAll()
-}
-
-// announceLeave publishes that this instance is stopping.
-func (l *Loop) announceLeave(m leaveRequested) {
-	l.leaving = true
-	l.publishStatus()
-	l.refreshMembers()
-	l.exchangeWithAll()
-	close(m.done)
-}
-
-// Leave notifies the other instances that this one is stopping.
-func (l *Loop) Leave() {
-	ask(l, func(done chan struct{}) message { return leaveRequested{done: done} })
-}
-
-// Statuses returns what is known about the instances of the domain.
-func (l *Loop) Statuses() []InstanceStatus {
-	return ask(l, func(answer chan []InstanceStatus) message { return statusRequested{answer: answer} })
-}
-
-// Listed returns the platform's instance list as it was last read.
-func (l *Loop) Listed() []member.ListedInstance {
-	return ask(l, func(answer chan []member.ListedInstance) message { return listRequested{answer: answer} })
-}
--- a/control/poll.go
+++ b/control/poll.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net/http"
 	"sort"
 	"time"
@@ -12,6 +11,7 @@
 
 	"junctioncross/engine"
 	"junctioncross/member"
+	"junctioncross/timer"
 )
 
 const (
@@ -103,6 +103,7 @@
 	l.scheduleUpdate()
 }
 
+// statusOf returns what is published of a server after a report.
 func statusOf(r engine.Report) backendStatus {
 	return backendStatus{
 		Incarnation: r.Incarnation, Sequence: r.Sequence, State: r.State,
@@ -121,13 +122,13 @@
 				l.deps.Stats.Counter("list_errors_total").Inc(1)
 			}
 		}
-		pause := time.Duration(float64(listPeriod) * (0.5 + rand.Float64()/2))
-		if !l.deps.Clock.Sleep(ctx, pause) {
+		if !l.deps.Clock.Sleep(ctx, timer.HalfJitter(listPeriod)) {
 			return
 		}
 	}
 }
 
+// readList reads the platform's instance list.
 func (l *Loop) readList(ctx context.Context) ([]member.ListedInstance, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.self.ListAddr+member.PathInstances, http.NoBody)
 	if err != nil {
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -26,9 +26,6 @@
 	maxLoggedEntries = 100
 )
 
-// errUnknownService means that an entry names a service that is not in the configuration.
-var errUnknownService = errors.New("follow: no such service")
-
 // Loop owns the control state of an instance: it applies the events of the feeds and publishes snapshots.
 type Loop struct {
 	view   *FleetView
@@ -55,17 +52,6 @@
 	terse bool
 }
 
-// trackedServer is what is known of one server.
-type trackedServer struct {
-	server *backend.Server
-	// entry is the newest usable one.
-	entry backend.Entry
-	// missingSince is when the server's entry vanished around an outage of the store; zero while there is an entry.
-	missingSince time.Time
-	// unusable is true while the server's entry describes no usable server.
-	unusable bool
-}
-
 // New returns a Loop and starts it; it stops when ctx ends.
 func New(
 	ctx context.Context, source Source, view *FleetView, ends *quarantine.Book, clock *timer.Service, stats *metrics.Registry,
@@ -96,6 +82,7 @@
 	return l
 }
 
+// handle applies an event of a feed.
 func (l *Loop) handle(e FeedEvent) {
 	switch e := e.(type) {
 	case fullFeed:
@@ -121,6 +108,7 @@
 	}
 }
 
+// handleFailure records a failed call of a feed; only the first of several in a row is logged.
 func (l *Loop) handleFailure(f feedFailure) {
 	if !errors.Is(f.err, ErrHistoryGone) {
 		// A store that no longer has the history is available all the same.
@@ -133,6 +121,7 @@
 	}
 }
 
+// noteRegained logs the first successful call of a feed after failed ones.
 func (l *Loop) noteRegained(feed Feed) {
 	if l.failing[feed] {
 		l.failing[feed] = false
@@ -140,6 +129,7 @@
 	}
 }
 
+// confirm records the time as of which a feed is known to be complete.
 func (l *Loop) confirm(feed Feed, at time.Time) {
 	var newest *atomic.Pointer[time.Time]
 	switch feed {
@@ -190,6 +180,7 @@
 	return changed
 }
 
+// applyConfig puts a configuration in force unless it is older than the present one, and reports whether it did.
 func (l *Loop) applyConfig(c *catalog.Catalog) bool {
 	if l.storeOutdated = l.catalog != nil && c.Version() < l.catalog.Version(); l.storeOutdated {
 		l.log.WithFields(logrus.Fields{"version": c.Version(), "in_force": l.catalog.Version()}).Warn("older configuration ignored")
@@ -204,108 +195,16 @@
 	return true
 }
 
-func (l *Loop) applyEntry(e backend.Entry) bool {
-	k := l.servers[e.ID]
-	if k == nil {
-		return l.addServer(e)
-	}
-	k.missingSince = time.Time{}
-	if e.Revision < k.entry.Revision || k.entry.Incarnation().After(e.Incarnation()) {
-		// The entry comes late, or is one of an earlier incarnation.
-		late, known := Position(e.Revision), Position(k.entry.Revision)
-		l.log.WithFields(logrus.Fields{
-			"server": e.ID, "revision": late.Revision(), "known": known.Revision(), "era": late.Era(), "known_era": known.Era(),
-		}).Warn("late entry ignored")
-		return false
-	}
-	if e.Service != k.entry.Service && !l.hasService(e.Service) {
-		return l.markUnusable(EntryUnusable{ID: e.ID, Field: "service", Value: e.Service, Err: errUnknownService})
-	}
-	if !k.entry.SameIncarnation(e) {
-		l.noteRestart(k.server)
-		return l.addServer(e)
-	}
-	return l.updateServer(k, e)
-}
-
-// addServer adds the server of the first entry of an incarnation.
-func (l *Loop) addServer(e backend.Entry) bool {
-	k := &trackedServer{server: l.newServer(e), entry: e}
-	l.servers[e.ID] = k
-	k.server.NoteLayers(l.clock.Now())
-	l.noteLeaving(k)
-	if !l.terse {
-		l.logServer(e, "server known")
-	}
-	return true
-}
-
-// updateServer applies a newer entry of a known incarnation.
-func (l *Loop) updateServer(k *trackedServer, e backend.Entry) bool {
-	old, wasUnusable := k.entry, k.unusable
-	k.entry, k.unusable = e, false
-	k.server.Update(e)
-	if e.Layers != old.Layers {
-		k.server.NoteLayers(l.clock.Now())
-	}
-	l.noteLeaving(k)
-	if old.Same(e) && !wasUnusable {
-		return false
-	}
-	if !l.terse {
-		l.logServer(e, "server changed")
-	}
-	return true
-}
-
-// noteLeaving records when the instance first learned that a server is leaving.
-func (l *Loop) noteLeaving(k *trackedServer) {
-	if k.entry.Leaving {
-		k.server.NoteLeaving(l.clock.Now())
-	}
-}
-
-func (l *Loop) logServer(e backend.Entry, message string) {
-	l.log.WithFields(logrus.Fields{
-		"server": e.ID, "address": e.Addr, "service": e.Service, "server_domain": e.Domain, "kind": e.Kind, "leaving": e.Leaving,
-		"layers": e.Layers.String(), "revision": Position(e.Revision).Revision(), "era": Position(e.Revision).Era(),
-	}).Info(message)
-}
-
-// hasService reports whether the configuration in force has a service.
-func (l *Loop) hasService(service string) bool {
-	return l.catalog != nil && l.catalog.Service(service) != nil
-}
-
-// noteRestart records that a server has restarted under its id: whatever ran on its former incarnation is lost.
-func (l *Loop) noteRestart(s *backend.Server) {
-	s.MarkReplaced()
-	l.log.WithFields(logrus.Fields{"server": s.ID(), "address": s.Addr(), "born": s.Incarnation().Born}).Info("server started again")
-}
-
-// markUnusable takes a server out of use when its entry describes no usable server, until there is a usable entry. The
-// requests that it runs go on.
-func (l *Loop) markUnusable(c EntryUnusable) bool {
-	l.stats.Counter("entries_unusable_total{field=\"" + c.Field + "\"}").Inc(1)
-	l.log.WithFields(logrus.Fields{"server": c.ID, "field": c.Field, "value": c.Value}).WithError(c.Err).Warn("entry names no server to use")
-	k := l.servers[c.ID]
-	if k == nil || k.unusable {
-		return false
-	}
-	k.unusable = true
-	return true
-}
-
 // publish replaces the snapshot if something has changed. All changes of an event become visible at once.
 func (l *Loop) publish(changed bool) {
 	if !changed || l.catalog == nil {
 		return
 	}
 	byService, byID := map[string][]*backend.Server{}, make(map[string]*backend.Server, len(l.servers))
-	for id, k := range l.servers {
-		byID[id] = k.server
-		if !k.unusable {
-			byService[k.server.Service()] = append(byService[k.server.Service()], k.server)
+	for id, tracked := range l.servers {
+		byID[id] = tracked.server
+		if !tracked.unusable {
+			byService[tracked.server.Service()] = append(byService[tracked.server.Service()], tracked.server)
 		}
 	}
 	groups := map[string]*backend.Group{}
--- /dev/null
+++ b/quarantine/record.go
@@ -0,0 +1,125 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// maxAttempts is the number of attempts that are kept for each end. Two different ones suffice to tell whether an end
+// occurred in an attempt other than a given one.
+const maxAttempts = 2
+
+// endState is how far the confirmation and publication of an end have come.
+type endState int
+
+const (
+	// suspected ends already count on this instance; it is being checked whether the server has terminated.
+	suspected endState = iota
+	// confirmed ends have yet to be written to the store, where all instances read them.
+	confirmed
+	// published ends have been written to the store.
+	published
+	// listed ends have been read from the store.
+	listed
+)
+
+// requestRecord is a request under which servers have terminated. It holds the ends by server.
+type requestRecord struct {
+	ends map[string]*endRecord
+}
+
+// endRecord is what is known of one end.
+type endRecord struct {
+	attempts []string
+	at       time.Time
+	state    endState
+	// publishedHere is true when this instance wrote the end to the store.
+	publishedHere bool
+}
+
+// addAttempt records an attempt in which the end occurred, up to maxAttempts.
+func (e *endRecord) addAttempt(attempt string) {
+	if len(e.attempts) < maxAttempts && !slices.Contains(e.attempts, attempt) {
+		e.attempts = append(e.attempts, attempt)
+	}
+}
+
+// hasOtherAttempt reports whether a server terminated under another attempt.
+func (r *requestRecord) hasOtherAttempt(attempt string) bool {
+	for _, record := range r.ends {
+		for _, a := range record.attempts {
+			if a != attempt {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// latestEnd returns when the instance learned of the latest end.
+func (r *requestRecord) latestEnd() time.Time {
+	var last time.Time
+	for _, record := range r.ends {
+		if record.at.After(last) {
+			last = record.at
+		}
+	}
+	return last
+}
+
+// endLocked returns the record of an end, or nil if there is none.
+func (b *Book) endLocked(request Fingerprint, server string) *endRecord {
+	r := b.requests[request]
+	if r == nil {
+		return nil
+	}
+	return r.ends[server]
+}
+
+// recordLocked returns the record of a request, which it adds if needed; if there are too many, another one is evicted.
+func (b *Book) recordLocked(request Fingerprint) *requestRecord {
+	if r := b.requests[request]; r != nil {
+		return r
+	}
+	if len(b.requests) >= b.settings.MaxRequests {
+		b.evictLocked()
+	}
+	r := &requestRecord{ends: map[string]*endRecord{}}
+	b.requests[request] = r
+	b.size.Store(int64(len(b.requests)))
+	return r
+}
+
+// evictLocked removes a request with the fewest ends, so that a flood of requests with one end each evicts none of the
+// quarantined ones.
+func (b *Book) evictLocked() {
+	var least Fingerprint
+	fewest := 0
+	for request, r := range b.requests {
+		if fewest == 0 || len(r.ends) < fewest {
+			least, fewest = request, len(r.ends)
+		}
+		if fewest == 1 {
+			break
+		}
+	}
+	b.removeLocked(least)
+}
+
+// forgetLocked removes an end, and its request with the last one; the caller holds the lock.
+func (b *Book) forgetLocked(request Fingerprint, server string) {
+	r := b.requests[request]
+	if r == nil {
+		return
+	}
+	delete(r.ends, server)
+	if len(r.ends) == 0 {
+		b.removeLocked(request)
+	}
+}
+
+// removeLocked removes a request with all its ends; the caller holds the lock.
+func (b *Book) removeLocked(request Fingerprint) {
+	delete(b.requests, request)
+	b.size.Store(int64(len(b.requests)))
+}
