pipeline: let lost connections not use up the attempts of a begun answer

An answer broke off with retries_exhausted when only a terminated engine still held its layers: behind a proxy its connection is accepted and closed, each such loss counted as an attempt, and 13 of them pass in about a second, before a restarted engine has loaded the layers.

After the first token, the loss of a server that was already lost since the last token no longer counts; as for refusals, resumeTimeout bounds these retries. The first loss of each server after a token still counts, so a request that terminates its servers is cut off as before.

--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,9 +22,9 @@
 const (
 	// maxAttempts bounds the failed attempts of one request that count; see execution.exhausted.
 	maxAttempts = 12
-	// resumeTimeout bounds how long an answer that has begun is retried while servers start none of its frames. Those retries do not
-	// count as attempts: the servers that hold the layers may be reloading them, and since they refuse at once, the refusals would
-	// use up all attempts before the layers are loaded.
+	// resumeTimeout bounds how long an answer that has begun is retried while servers start none of its frames, or while only servers
+	// that it has lost hold its layers. Those retries do not count as attempts: the other servers may be loading the layers, and
+	// since a refusal or a lost connection comes at once, the retries would use up all attempts before the layers are loaded.
 	resumeTimeout = 5 * time.Second
 	cancelTimeout = 500 * time.Millisecond
 )
@@ -100,6 +101,9 @@
 	started bool
 	// avoid lists the servers that failed an earlier attempt.
 	avoid pool.Avoid
+	// lost lists the servers that gave no answer since the last token; lostAgain is true if the attempt ended at one of them.
+	lost      []int
+	lostAgain bool
 	// retries counts the attempts after the first, and countedFailures the failed attempts that count against maxAttempts.
 	retries         int
 	countedFailures int
@@ -128,6 +132,7 @@
 		return errNoPath
 	}
 	e.path = path
+	e.lostAgain = false
 	e.number++
 	e.fire("chosen")
 	for {
@@ -150,6 +155,7 @@
 	if !e.brokenAt.IsZero() {
 		e.runner.stats.Counter("recoveries_total").Inc(1)
 		e.brokenAt = time.Time{}
+		e.lost = e.lost[:0]
 	}
 	e.tokens = append(e.tokens, result.Output[0])
 	e.produced++
@@ -263,6 +269,8 @@
 		return
 	}
 	e.avoid.Lost = append(e.avoid.Lost, server)
+	e.lostAgain = slices.Contains(e.lost, server)
+	e.lost = append(e.lost, server)
 }
 
 // release makes the servers of the path delete what they hold for the attempt; err is the attempt's error.
@@ -319,10 +327,11 @@
 }
 
 // exhausted counts a failed attempt and reports whether no other may follow. For an answer that has begun, attempts that no
-// server started do not count; they are bounded by resumeTimeout. Before an answer begins they count, so that the caller is soon
-// refused and can send the request elsewhere.
+// server started do not count, nor do those that lost a server again; they are bounded by resumeTimeout. The first loss of each
+// server after a token counts, since the servers may terminate because of the request. Before an answer begins all attempts count,
+// so that the caller is soon refused and can send the request elsewhere.
 func (e *execution) exhausted(cause error) bool {
-	if e.produced > 0 && (errors.Is(cause, errNoPath) || engine.NotStarted(cause)) {
+	if e.produced > 0 && (e.lostAgain || errors.Is(cause, errNoPath) || engine.NotStarted(cause)) {
 		return e.runner.clock.Since(e.brokenAt) >= resumeTimeout
 	}
 	e.countedFailures++
--- a/pipeline/runner_test.go
+++ b/pipeline/runner_test.go
@@ -44,6 +44,9 @@
 	corruptAt   atomic.Int32
 	failFrom    atomic.Int32
 	calls       atomic.Int32
+	// closing, if not nil, is the number of calls whose connections are still to be closed without running them. Servers may share
+	// it.
+	closing atomic.Pointer[atomic.Int32]
 	// refuses is true while the server starts no frame, like a server that loads other layers.
 	refuses atomic.Bool
 }
@@ -77,6 +80,10 @@
 		closeConnection(ctx)
 		return
 	}
+	if left := s.closing.Load(); left != nil && left.Add(-1) >= 0 {
+		closeConnection(ctx)
+		return
+	}
 	if s.refuses.Load() {
 		refuse(ctx)
 		return
@@ -208,6 +215,48 @@
 	require.Equal(t, wantText("hello there", 10), text.String())
 }
 
+// TestAnAnswerThatHasBegunIsResumedAfterLostConnections guards against cutting an answer off while no server of a stage can be
+// reached: behind a proxy, the connection to a server that has terminated is accepted and closed. The servers of one half of the
+// model close more connections in the middle of the answer than a request has attempts, as when one has terminated and the other
+// is loading its layers.
+func TestAnAnswerThatHasBegunIsResumedAfterLostConnections(t *testing.T) {
+	const moreThanAttempts = 14
+	b := newTestbed(t)
+	var closing atomic.Int32
+	closing.Store(moreThanAttempts)
+	var text strings.Builder
+	q := &pipeline.Request{ID: "r", Model: modelName, Prompt: "hello there", MaxTokens: 10, Graph: func() *route.Graph { return b.graph }}
+	err := b.runner.Run(t.Context(), q, func(token pipeline.Token) error {
+		if text.Len() == 0 {
+			b.servers[1].closing.Store(&closing)
+			b.servers[3].closing.Store(&closing)
+		}
+		text.WriteString(token.Piece)
+		return nil
+	})
+	require.NoError(t, err)
+	require.Negative(t, closing.Load(), "all connections were closed")
+	require.Equal(t, wantText("hello there", 10), text.String())
+}
+
+// TestAnAnswerThatKeepsLosingItsServersIsCutOff guards against losing servers without end to a request under which they terminate:
+// each token is followed by a lost connection.
+func TestAnAnswerThatKeepsLosingItsServersIsCutOff(t *testing.T) {
+	b := newTestbed(t)
+	var closing atomic.Int32
+	b.servers[1].closing.Store(&closing)
+	b.servers[3].closing.Store(&closing)
+	q := &pipeline.Request{ID: "r", Model: modelName, Prompt: "hello there", MaxTokens: 30, Graph: func() *route.Graph { return b.graph }}
+	tokens := 0
+	err := b.runner.Run(t.Context(), q, func(pipeline.Token) error {
+		tokens++
+		closing.Store(1)
+		return nil
+	})
+	require.Equal(t, models.FateUnknown, fateOf(t, err))
+	require.Less(t, tokens, 14)
+}
+
 // TestARequestThatNoServerStartsIsRefusedAsNotRun checks that a request that all servers refuse from the beginning fails with
 // FateNotRun, so that its caller can send it to another instance.
 func TestARequestThatNoServerStartsIsRefusedAsNotRun(t *testing.T) {
