fleet: end a fault although its answer was wrong, and print the reason

When an answer was not as expected, the subtest ended before its engine was started again, so that the wait for serving engines failed too, 40 s later ("d-0 knows 5 serving engines"), and hid the cause. The fault now ends at the cleanup of its subtest, with the same check, and the failure prints finish, reason and fate.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -89,7 +89,7 @@
 	require.NoError(t, err)
 	require.Equal(t, 200, r.Status, "%s", r.Reason)
 	want, _, _ := standin.NewModel(m.Name, m.Version, m.Layers).Answer(load.PromptText(prompt), limit)
-	require.Equal(t, want, r.Text)
+	require.Equal(t, want, r.Text, "finish %q, reason %q, fate %q", r.Finish, r.Reason, r.Fate)
 	return r
 }
 
@@ -131,10 +131,10 @@
 					if n == 0 {
 						begun = true
 						require.NoError(t, tt.begin(e))
+						t.Cleanup(func() { require.NoError(t, tt.end(e)) })
 					}
 				})
 				require.True(t, begun, "the answer ended before the fault")
-				require.NoError(t, tt.end(e))
 			})
 		}
 		require.NoError(t, f.AwaitServing())
