membership: let the others read before joining an empty fleet after an outage

Once a silent store answers again, the first reads of instances that started together are spread over the timeout of a call, but the strongest joined from 0.3 s after their own read on. Those that read later found the first few records, took them for a fleet too small for relays, and both wrote a record and read all feeds from the store; where hundreds did so, the calls for records and lists no longer ended in time over the store's link, and nobody got the feeds. After a failed first read an empty fleet is now joined a call timeout later.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -51,6 +51,9 @@
 	// instance knows no relay and no key to authenticate with, and reads all feeds from the store, which costs more than
 	// reading the records.
 	firstCountRetryDelay = 500 * time.Millisecond
+	// firstCountSpread is added to emptyFleetDelay after a failed first read: once the store answers again, the first reads that
+	// succeed are spread over as much as the timeout of a call.
+	firstCountSpread = callTimeout
 	// callTimeout bounds one call to the registry.
 	callTimeout = time.Second
 	// AssumedInstances is the number of instances that is assumed until they are counted. It is twice the size of the largest
@@ -141,14 +144,18 @@
 // startUp reads the records. An instance that joins a running fleet knows at once which instances to poll. Among instances
 // that find no records the strongest register first, and the others read once more before they do.
 func (m *Membership) startUp(ctx context.Context) {
+	failed := false
 	for !m.refresh(ctx) && m.clock.Sleep(ctx, halfJitter(firstCountRetryDelay)) {
-		continue
+		failed = true
 	}
 	m.adoptRecord()
 	alone := len(m.Members()) == 0
 	if alone {
 		m.clock.Sleep(ctx, emptyFleetDelayOf(m.self.Power))
 	}
+	if alone && failed {
+		m.clock.Sleep(ctx, firstCountSpread)
+	}
 	m.clock.Sleep(ctx, time.Duration(rand.Float64()*float64(startJitter)))
 	if !alone || !m.list(ctx) {
 		return
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -176,6 +176,44 @@
 	require.Equal(t, "k", string(one.Key()))
 }
 
+// TestTheFirstToReadAfterAnOutageJoinsAfterTheOthersHaveRead starts an instance of full power in a fleet without records while the
+// store is down. The reads of the others that failed together with its own may end by a timeout of a call later, and one that then
+// found the first few records would take them for the whole fleet, and read all feeds from the store.
+func TestTheFirstToReadAfterAnOutageJoinsAfterTheOthersHaveRead(t *testing.T) {
+	const (
+		outage    = 3 * time.Second
+		otherRead = time.Second
+		joined    = 3 * time.Second
+		step      = 10 * time.Millisecond
+	)
+	r := &fakeRegistry{members: map[int64]membership.Instance{}, down: true}
+	fake := clockwork.NewFakeClock()
+	clock := timer.New(fake)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	self := membership.Instance{Name: "i-0", Domain: "east", Addr: "addr-0", Power: 1}
+	newKey := func() ([]byte, error) { return []byte("k"), nil }
+	one := membership.New(t.Context(), membership.NewView(relayThreshold), r, self, newKey, clock, metrics.New(), log)
+	pass := func(limit time.Duration, until func() bool) {
+		for ; limit > 0 && !until(); limit -= step {
+			require.NoError(t, fake.BlockUntilContext(t.Context(), 1))
+			fake.Advance(step)
+			require.NoError(t, fake.BlockUntilContext(t.Context(), 1))
+		}
+	}
+	hasJoined := func() bool { return r.newest() > 0 }
+	pass(outage, func() bool { return false })
+	r.mu.Lock()
+	r.down = false
+	r.mu.Unlock()
+	pass(outage, one.Empty)
+	require.True(t, one.Empty())
+	pass(otherRead, hasJoined)
+	require.False(t, hasJoined(), "the others may not have read yet")
+	pass(joined, hasJoined)
+	require.True(t, hasJoined())
+}
+
 // TestRestartedInstanceKeepsItsRecord restarts an instance before its record has expired, as happens when the whole fleet
 // restarts: writing a new record costs twenty times the calls of renewing the old one.
 func TestRestartedInstanceKeepsItsRecord(t *testing.T) {
