--- a/membership/delay.go
+++ b/membership/delay.go
@@ -34,6 +34,9 @@
 	// instance knows no relay and no key to authenticate with, and reads all feeds from the store, which costs more than
 	// reading the records.
 	firstCountRetryDelay = 500 * time.Millisecond
+	// firstCountSpread is added to emptyFleetDelay after a failed first read: once the store answers again, the first reads that
+	// succeed are spread over as much as the timeout of a call.
+	firstCountSpread = callTimeout
 )
 
 // emptyFleetDelayOf returns how long an instance of the given power that finds no records waits before it joins.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -59,14 +59,18 @@
 // startUp reads the records. An instance that joins a running fleet knows at once which instances to poll. Among instances
 // that find no records the strongest register first, and the others read once more before they do.
 func (m *Membership) startUp(ctx context.Context) {
+	failed := false
 	for !m.refresh(ctx) && m.clock.Sleep(ctx, timer.HalfJitter(firstCountRetryDelay)) {
-		continue
+		failed = true
 	}
 	m.adoptRecord()
 	alone := len(m.Members()) == 0
 	if alone {
 		m.clock.Sleep(ctx, emptyFleetDelayOf(m.self.Power))
 	}
+	if alone && failed {
+		m.clock.Sleep(ctx, firstCountSpread)
+	}
 	m.clock.Sleep(ctx, time.Duration(rand.Float64()*float64(startJitter)))
 	if !alone || !m.list(ctx) {
 		return
--- a/pipeline/execution.go
+++ b/pipeline/execution.go
@@ -35,6 +35,9 @@
 	mayHaveRun bool
 	// avoid lists the servers that failed an earlier attempt.
 	avoid pool.Avoid
+	// lost lists the servers that gave no answer since the last token; lostAgain is true if the attempt ended at one of them.
+	lost      []int
+	lostAgain bool
 	// retries counts the attempts after the first, and countedFailures the failed attempts that count against maxAttempts.
 	retries         int
 	countedFailures int
@@ -51,6 +54,7 @@
 		return errNoPath
 	}
 	e.path = path
+	e.lostAgain = false
 	e.number++
 	e.fire("chosen")
 	for {
@@ -73,6 +77,7 @@
 	if !e.brokenAt.IsZero() {
 		e.runner.stats.Counter("recoveries_total").Inc(1)
 		e.brokenAt = time.Time{}
+		e.lost = e.lost[:0]
 	}
 	e.tokens = append(e.tokens, result.Output[0])
 	e.produced++
--- a/pipeline/pass.go
+++ b/pipeline/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -87,4 +88,6 @@
 		return
 	}
 	e.avoid.Lost = append(e.avoid.Lost, server)
+	e.lostAgain = slices.Contains(e.lost, server)
+	e.lost = append(e.lost, server)
 }
--- a/pipeline/retry.go
+++ b/pipeline/retry.go
@@ -16,9 +16,9 @@
 const (
 	// maxAttempts bounds the failed attempts of one request that count; see execution.exhausted.
 	maxAttempts = 12
-	// resumeTimeout bounds how long an answer that has begun is retried while servers start none of its frames. Those retries do not
-	// count as attempts: the servers that hold the layers may be reloading them, and since they refuse at once, the refusals would
-	// use up all attempts before the layers are loaded.
+	// resumeTimeout bounds how long an answer that has begun is retried while servers start none of its frames, or while only servers
+	// that it has lost hold its layers. Those retries do not count as attempts: the other servers may be loading the layers, and
+	// since a refusal or a lost connection comes at once, the retries would use up all attempts before the layers are loaded.
 	resumeTimeout = 5 * time.Second
 )
 
@@ -68,10 +68,11 @@
 }
 
 // exhausted counts a failed attempt and reports whether no other may follow. For an answer that has begun, attempts that no
-// server started do not count; they are bounded by resumeTimeout. Before an answer begins they count, so that the caller is soon
-// refused and can send the request elsewhere.
+// server started do not count, nor do those that lost a server again; they are bounded by resumeTimeout. The first loss of each
+// server after a token counts, since the servers may terminate because of the request. Before an answer begins all attempts count,
+// so that the caller is soon refused and can send the request elsewhere.
 func (e *execution) exhausted(cause error) bool {
-	if e.produced > 0 && (errors.Is(cause, errNoPath) || engine.NotStarted(cause)) {
+	if e.produced > 0 && (e.lostAgain || errors.Is(cause, errNoPath) || engine.NotStarted(cause)) {
 		return e.runner.clock.Since(e.brokenAt) >= resumeTimeout
 	}
 	e.countedFailures++
