--- a/admission/capacity.go
+++ b/admission/capacity.go
@@ -8,14 +8,15 @@
 )
 
 const (
-	// queueTime is the mean wait at which the queue rarely empties, so that no room stays free.
+	// queueTime is the mean wait that is aimed at while the room is short: the queue then rarely empties, so that no room stays
+	// free.
 	queueTime = 300 * time.Millisecond
 	// fillTime and drainTime are how long it takes to bring the streams under way and waiting to their target, from below and
 	// from above; they are longer than totals are old.
 	fillTime  = 2 * time.Second
 	drainTime = 3 * time.Second
-	// shortFill is the number of these streams, as a multiple of the room, from which on the room counts as short, and tightFill
-	// that below which it no longer does.
+	// shortFill is the number of streams under way and waiting, as a part of the room that is found, from which on the room
+	// counts as short, and tightFill that below which it no longer does.
 	shortFill = 0.97
 	tightFill = 0.9
 	// shortRefused is the part of the first tries whose refusal, not by the levels, shows that the room is short.
@@ -26,16 +27,18 @@
 	idleWaitingShare = 0.005
 	// minFoundShare is the least part of the reported room that is taken for the room that these instances find.
 	minFoundShare = 0.2
-	// loseTime and regainTime are how fast the room that is found follows less and more room.
+	// loseTime and regainTime are the time constants with which the room that is found follows less and more room.
 	loseTime   = 250 * time.Millisecond
 	regainTime = 15 * time.Second
-	// endsTime is how fast the rate of ends is followed.
+	// endsTime is the time constant with which the rate of ends is followed.
 	endsTime = 2 * time.Second
-	// minCapacityShare is the least part of the room that is given out anew while too many streams wait.
+	// minCapacityShare is the least capacity, as a part of the streams that end a second, while too many streams wait.
 	minCapacityShare = 0.25
-	// smoothTime is how fast the capacity follows the totals.
+	// mtimeInRoomTimeShare is the least part of the lifetime that streams are taken to spend in the room.
+	mtimeInRoomTimeShare = 0.5
+	// smoothTime is the time constant with which the capacity follows the totals.
 	smoothTime = 500 * time.Millisecond
-	// endsHorizon is the index of the horizon from which the rate of ends is taken.
+	// endsHorizon is the index, in demand.Horizons, of the time over which the rate of ends is taken.
 	endsHorizon = 2
 )
 
@@ -92,21 +95,21 @@
 // a queue of queueTime.
 func (c *capacity) perSecond(t *demand.Totals, dt time.Duration) float64 {
 	used, waiting := float64(t.UnderWay), float64(t.Waiting)
-	inRoom := t.Lifetime.Seconds()
+	timeInRoom := t.Lifetime.Seconds()
 	if used > 0 {
 		// By Little's law, the part of the lifetime that is not spent in the queue.
-		inRoom *= max(used/(used+waiting), 0.5)
+		timeInRoom *= max(used/(used+waiting), mtimeInRoomTimeShare)
 	}
-	c.ending = max(c.found/inRoom, c.ends)
+	c.ending = max(c.found/timeInRoom, c.ends)
 	missing, within := c.found+queueTime.Seconds()*c.ending-used-waiting, fillTime
 	if missing < 0 {
 		within = drainTime
 	}
-	now := max(c.ending+missing/within.Seconds(), minCapacityShare*c.ending)
+	target := max(c.ending+missing/within.Seconds(), minCapacityShare*c.ending)
 	if c.smooth == 0 {
-		c.smooth = now
+		c.smooth = target
 	}
-	c.smooth += (now - c.smooth) * gain(dt, smoothTime)
+	c.smooth += (target - c.smooth) * gain(dt, smoothTime)
 	return c.smooth
 }
 
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -1,14 +1,13 @@
 package admission
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"junctioncross/demand"
 )
 
-// maxStep bounds the time that one update makes up.
+// maxStep bounds the time between two updates that the levels and estimates follow.
 const maxStep = time.Second
 
 // entry is what a Controller keeps for a class.
@@ -18,11 +17,12 @@
 	// offered and returned are the requests a second of first tries and of returned callers, and refused the refused first
 	// tries.
 	offered, returned, refused float64
-	// limit bounds what the first tries get; guaranteed is what they get before others. byCeiling is true if a ceiling binds.
+	// limit bounds what the first tries get, and guaranteed is what they get before others, in requests a second. byCeiling is
+	// true if a ceiling makes limit less than offered.
 	limit, guaranteed float64
 	byCeiling         bool
-	// alloted and allotedReturned are what first tries and returned callers get, in requests a second.
-	alloted, allotedReturned float64
+	// allotted and allottedReturned are what first tries and returned callers get, in requests a second.
+	allotted, allottedReturned float64
 	// level and returnedLevel are the shares that are admitted now, and credit and returnedCredit what is left of them from
 	// the latest requests.
 	level, returnedLevel   float64
@@ -38,17 +38,17 @@
 	entries, former []entry
 	capacity        capacity
 	updated         time.Time
-	// limiting is true while levels are below 1, or the room is short.
+	// limiting is true from when the room is short until it is free and suffices for all requests.
 	limiting bool
 }
 
-// New returns a Controller that admits everything until it has totals. The random numbers, in [0, 1), keep the decisions of
-// instances independent of each other.
+// New returns a Controller that admits everything until it has totals; random returns random numbers in [0, 1), which keep the
+// decisions of instances independent of each other.
 func New(settings Settings, random func() float64) *Controller {
 	return &Controller{settings: settings, random: random}
 }
 
-// Clear forgets all totals, so that everything is admitted; there are none that can be used.
+// Clear forgets all totals, so that everything is admitted; it is called when there are none that can be used.
 func (c *Controller) Clear() {
 	c.entries, c.capacity, c.limiting, c.updated = c.entries[:0], capacity{}, false, time.Time{}
 }
@@ -64,7 +64,7 @@
 	}
 	c.load(t.Classes, dt)
 	c.updated = now
-	room := c.capacity.update(t, c.unexplained(), dt)
+	room := c.capacity.update(t, c.unexplainedRefusals(), dt)
 	perSecond := c.capacity.perSecond(t, dt)
 	c.allot(perSecond)
 	c.limiting = c.settings.limits() && (room == roomShort || c.limiting && (room == roomTight || c.wanted() > perSecond))
@@ -83,7 +83,7 @@
 			class: class, weight: c.settings.weight(class.Account), offered: r.Offered, returned: r.Returned, refused: r.Refused,
 		})
 	}
-	slices.SortFunc(next, func(a, b entry) int { return compareClasses(a.class, b.class) })
+	slices.SortFunc(next, func(a, b entry) int { return a.class.Compare(b.class) })
 	next = merge(next)
 	c.keepLevels(next, dt)
 	c.entries, c.former = next, c.entries
@@ -120,31 +120,27 @@
 	}
 }
 
-func compareClasses(a, b demand.Class) int {
-	return cmp.Or(a.Rank.Compare(b.Rank), cmp.Compare(a.Account, b.Account))
-}
-
 // entryOf returns the entry of a class, or nil.
 func (c *Controller) entryOf(class demand.Class) *entry {
-	i, ok := slices.BinarySearchFunc(c.entries, class, func(e entry, k demand.Class) int { return compareClasses(e.class, k) })
+	i, ok := slices.BinarySearchFunc(c.entries, class, func(e entry, k demand.Class) int { return e.class.Compare(k) })
 	if !ok {
 		return nil
 	}
 	return &c.entries[i]
 }
 
-// levelOfNew returns the levels of a class that has not been seen: those of the class before it in the order of ranks, which is
-// as urgent or more so.
+// levelOfNew returns the levels of a class without an entry: those of the class before it in the order of ranks, which is as
+// urgent or more so. They are 1 if there is none, if ranks do not count, or for a further account of a rank with fair parts.
 func (c *Controller) levelOfNew(class demand.Class) (first, returned float64) {
-	i, _ := slices.BinarySearchFunc(c.entries, class, func(e entry, k demand.Class) int { return compareClasses(e.class, k) })
+	i, _ := slices.BinarySearchFunc(c.entries, class, func(e entry, k demand.Class) int { return e.class.Compare(k) })
 	if i == 0 || !c.settings.Ranks || c.settings.Accounts && c.entries[i-1].class.Rank == class.Rank {
 		return 1, 1
 	}
 	return c.entries[i-1].level, c.entries[i-1].returnedLevel
 }
 
-// unexplained returns the part of the first tries that was refused although the levels admit them.
-func (c *Controller) unexplained() float64 {
+// unexplainedRefusals returns the part of the first tries that was refused although the levels admit them.
+func (c *Controller) unexplainedRefusals() float64 {
 	offered, refused := 0.0, 0.0
 	for i := range c.entries {
 		e := &c.entries[i]
--- a/admission/decide.go
+++ b/admission/decide.go
@@ -16,6 +16,7 @@
 	class = c.settings.class(class)
 	e := c.entryOf(class)
 	if e == nil {
+		// Instances that do not tell accounts apart report the rank without an account.
 		e = c.entryOf(demand.Class{Rank: class.Rank})
 	}
 	if e == nil {
@@ -48,9 +49,10 @@
 	return Refused{Reason: ReasonRank, Rank: rank, Level: level}
 }
 
+// reasonOf returns the reason of a refusal by the levels of an entry.
 func (c *Controller) reasonOf(e *entry) Reason {
 	switch {
-	case e.byCeiling && (!c.limiting || e.alloted >= e.limit):
+	case e.byCeiling && (!c.limiting || e.allotted >= e.limit):
 		return ReasonCeiling
 	case c.settings.Accounts:
 		return ReasonAccount
--- a/admission/levels.go
+++ b/admission/levels.go
@@ -6,19 +6,19 @@
 )
 
 const (
-	// fallTime and riseTime are how fast the level of a class follows a lower and a higher share.
+	// fallTime and riseTime are the time constants with which the level of a class follows a lower and a higher share.
 	fallTime = 250 * time.Millisecond
 	riseTime = 500 * time.Millisecond
 	// openLevel is the level from which on all requests of a class are admitted.
 	openLevel = 0.995
-	// ratesTime is how fast rates follow changes that chance explains, and chanceDeviations how many standard deviations of a
-	// count over a second these have at most; greater changes count at once.
+	// ratesTime is the time constant with which rates follow changes that may be due to chance: those of at most
+	// chanceDeviations standard deviations of a count over a second. Greater changes count at once.
 	ratesTime        = 4 * time.Second
 	chanceDeviations = 4
 )
 
-// follow moves the levels towards the shares that the classes get. The first tries of no rank get a greater one than those of a
-// more urgent rank, unless accounts or parts of the room are told apart, on which the shares then depend.
+// follow moves the levels towards the shares that the classes get. Where these depend on ranks alone, the level of the first
+// tries of a rank is at most that of the more urgent ranks.
 func (c *Controller) follow(dt time.Duration) {
 	ordered := !c.settings.Accounts && len(c.settings.Parts) == 0
 	first := 1.0
@@ -35,23 +35,26 @@
 	}
 }
 
+// followOne moves the levels of one entry towards what it was allotted, or towards its limit while nothing else limits it.
 func (c *Controller) followOne(e *entry, dt time.Duration) {
 	first := share(e.limit, e.offered)
 	returned := first
 	if c.limiting {
-		first, returned = share(e.alloted, e.offered), share(e.allotedReturned, e.returned)
+		first, returned = share(e.allotted, e.offered), share(e.allottedReturned, e.returned)
 	}
 	e.level = approach(e.level, first, dt)
 	e.returnedLevel = approach(e.returnedLevel, returned, dt)
 }
 
-func share(alloted, wanted float64) float64 {
-	if wanted <= 0 || alloted >= wanted {
+// share returns which part of the wanted requests is admitted.
+func share(allotted, wanted float64) float64 {
+	if wanted <= 0 || allotted >= wanted {
 		return 1
 	}
-	return alloted / wanted
+	return allotted / wanted
 }
 
+// approach returns the level after it has moved towards another one for dt.
 func approach(level, to float64, dt time.Duration) float64 {
 	constant := riseTime
 	if to < level {
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -10,6 +10,7 @@
 )
 
 const (
+	// tick is the step of a play. In each slot the instances report once, and windowSlots slots make up the window of rates.
 	tick        = 10 * time.Millisecond
 	slot        = 250 * time.Millisecond
 	slotTicks   = int(slot / tick)
@@ -45,7 +46,7 @@
 	traffic         traffic
 	room            float64
 	controllers     []*admission.Controller
-	// parts is the number of groups of instances that know only each other, and lost the part of the totals that are lost.
+	// parts is the number of groups of instances that know only each other, and lost the part of the totals that gets lost.
 	parts int
 	lost  float64
 
@@ -135,7 +136,7 @@
 	return out
 }
 
-// poisson returns the number of arrivals in a tick, the sum of a few binary ones for each.
+// poisson returns a random number of arrivals in a tick, by a Poisson distribution with the given mean.
 func (l *load) poisson(mean float64) int {
 	n, sum := 0, l.arrivals.ExpFloat64()
 	for sum < mean {
--- a/admission/valid.go
+++ b/admission/valid.go
@@ -22,11 +22,11 @@
 	if t.Instances < 1 || t.UnderWay < 0 || t.Waiting < 0 || t.UnderWay > maxCount || t.Waiting > maxCount {
 		return false
 	}
-	if !quantity(t.Room) || t.Room <= 0 || t.Lifetime <= 0 || t.Lifetime > maxLifetime || t.Age < 0 || t.Age > maxAge {
+	if !plausible(t.Room) || t.Room <= 0 || t.Lifetime <= 0 || t.Lifetime > maxLifetime || t.Age < 0 || t.Age > maxAge {
 		return false
 	}
 	for _, n := range t.Ends {
-		if !quantity(n) || n > float64(t.UnderWay)+1 {
+		if !plausible(n) || n > float64(t.UnderWay)+1 {
 			return false
 		}
 	}
@@ -36,12 +36,12 @@
 func validRates(classes []demand.Rates) bool {
 	for i := range classes {
 		c := &classes[i]
-		if !quantity(c.Offered) || !quantity(c.Refused) || !quantity(c.Returned) || c.Class.Rank.Account < 0 || c.Class.Rank.Route < 0 {
+		if !plausible(c.Offered) || !plausible(c.Refused) || !plausible(c.Returned) || c.Class.Rank.Account < 0 || c.Class.Rank.Route < 0 {
 			return false
 		}
 	}
 	return true
 }
 
-// quantity reports whether n is a number of streams, or of requests a second, that can be.
-func quantity(n float64) bool { return !math.IsNaN(n) && n >= 0 && n <= maxCount }
+// plausible reports whether n can be a number of streams, or of requests a second.
+func plausible(n float64) bool { return !math.IsNaN(n) && n >= 0 && n <= maxCount }
