demand, loadview: say what numbers count and which names are refused

Names the weighted lifetimes by what they hold, adds missing doc comments, and corrects those that left out a case (a service reported twice, a lifetime that is too long).

--- a/demand/book.go
+++ b/demand/book.go
@@ -10,11 +10,11 @@
 const (
 	// FreshTime is the greatest age of totals that are used.
 	FreshTime = 2 * time.Second
-	// reportTTL is how long the reports of an instance count after they were made: longer than the time between two of its polls
-	// when one of them is lost.
+	// reportTTL is how long the reports of an instance count after they were made. It is meant to outlast the time between two
+	// polls of the instance when one of them is lost.
 	reportTTL = 2500 * time.Millisecond
-	// summedAtOnce is the number of instances up to which each change of a report changes the sums at once. The sums of more
-	// instances are computed at most every sumTimePerInstance for each instance.
+	// summedAtOnce is the number of other instances up to which the sums follow each change of a report at once. The sums of n
+	// more than that are computed at most once every n times sumTimePerInstance.
 	summedAtOnce       = 32
 	sumTimePerInstance = 50 * time.Microsecond
 )
@@ -179,4 +179,5 @@
 	return usable, dropped
 }
 
+// expired reports whether the reports no longer count.
 func (r *reporter) expired(now time.Time) bool { return now.Sub(r.at) > reportTTL }
--- a/demand/check.go
+++ b/demand/check.go
@@ -12,9 +12,9 @@
 const (
 	// ReasonAge means a negative age or one of more than maxAge.
 	ReasonAge Reason = "age"
-	// ReasonNumber means a number that is negative, not finite or more than maxNumber.
+	// ReasonNumber means a number that is negative, not finite or more than maxNumber, or a lifetime of more than maxLifetime.
 	ReasonNumber Reason = "number"
-	// ReasonName means an empty or too long name.
+	// ReasonName means an empty or too long name, or a service that an instance reports twice.
 	ReasonName Reason = "name"
 	// ReasonClasses means more classes than a report or totals may have.
 	ReasonClasses Reason = "classes"
@@ -66,6 +66,7 @@
 	return loadFault(counts[:], [...]float64{t.Room, t.ToldRate}, t.Lifetime, &t.Ends, t.Classes)
 }
 
+// loadFault returns why the load of a report or totals cannot be used; counts and others hold its numbers.
 func loadFault(counts []int, others [2]float64, lifetime time.Duration, ends *Ends, classes []Rates) Reason {
 	for _, n := range counts {
 		if !numberUsable(float64(n)) {
@@ -91,6 +92,7 @@
 	return ""
 }
 
+// fault returns why rates cannot be used; it is empty for usable ones.
 func (r *Rates) fault() Reason {
 	if len(r.Class.Account) > maxNameBytes {
 		return ReasonName
@@ -106,9 +108,11 @@
 	return ""
 }
 
-// numberUsable is false for a number that is not finite as well.
+// numberUsable reports whether a number can be used; NaN cannot, since each comparison with it is false.
 func numberUsable(n float64) bool { return n >= 0 && n <= maxNumber }
 
+// nameUsable reports whether a name is neither empty nor too long.
 func nameUsable(name string) bool { return name != "" && len(name) <= maxNameBytes }
 
+// ageUsable reports whether a sender may state an age.
 func ageUsable(age time.Duration) bool { return age >= 0 && age <= maxAge }
--- a/demand/fleet.go
+++ b/demand/fleet.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Fleet returns the load on a service from all domains whose totals are known, with an empty Domain and the greatest Age of them.
+// Fleet returns the load on a service in all domains whose totals are known, with an empty Domain and the greatest Age of them.
 // It returns false if the totals of the own domain are unknown.
 func (b *Book) Fleet(service string, now time.Time) (Totals, bool) {
 	b.mu.Lock()
@@ -25,9 +25,9 @@
 // fleetSum adds up the totals of domains.
 type fleetSum struct {
 	totals Totals
-	// life is the sum of the lifetimes weighted by streams, and plainLife the sum without weights, over the number of domains.
-	life, plainLife float64
-	domains         int
+	// weightedLifetime is the sum of the lifetimes, in nanoseconds, times the streams under way, and lifetime the sum without weights.
+	weightedLifetime, lifetime float64
+	domains                    int
 }
 
 // add adds the totals of a domain. Unlike in the sum of reports, the rooms add up: each domain has its own.
@@ -46,17 +46,18 @@
 	for i := range t.Classes {
 		all.addRates(&t.Classes[i])
 	}
-	f.life += float64(t.Lifetime) * float64(t.UnderWay)
-	f.plainLife += float64(t.Lifetime)
+	f.weightedLifetime += float64(t.Lifetime) * float64(t.UnderWay)
+	f.lifetime += float64(t.Lifetime)
 	f.domains++
 }
 
+// result returns the sum, with the mean lifetime over streams, or over domains while no stream is under way.
 func (f *fleetSum) result() Totals {
 	t := f.totals
 	if t.UnderWay > 0 {
-		t.Lifetime = time.Duration(f.life / float64(t.UnderWay))
+		t.Lifetime = time.Duration(f.weightedLifetime / float64(t.UnderWay))
 	} else {
-		t.Lifetime = time.Duration(f.plainLife / float64(f.domains))
+		t.Lifetime = time.Duration(f.lifetime / float64(f.domains))
 	}
 	return t
 }
--- a/demand/report.go
+++ b/demand/report.go
@@ -44,13 +44,14 @@
 	ToldRate float64 `cbor:"9,keyasint,omitempty"`
 }
 
-// Totals is the load on one service from all instances of a failure domain, as far as their reports are known.
+// Totals is the load on one service from all instances of a failure domain, as far as their reports are known, or the sum of
+// several domains (see Book.Fleet).
 type Totals struct {
 	Service string `cbor:"1,keyasint"`
 	Domain  string `cbor:"2,keyasint"`
 	// Instances is the number of instances whose reports are included.
 	Instances int `cbor:"3,keyasint,omitempty"`
-	// Age is the mean age of these reports.
+	// Age is the mean age of these reports; that of the sum of several domains is the greatest of theirs.
 	Age      time.Duration `cbor:"4,keyasint,omitempty"`
 	UnderWay int           `cbor:"5,keyasint,omitempty"`
 	Waiting  int           `cbor:"6,keyasint,omitempty"`
--- a/demand/sum.go
+++ b/demand/sum.go
@@ -10,8 +10,8 @@
 type sum struct {
 	totals Totals
 	rooms  []float64
-	// life is the sum of the lifetimes weighted by streams, and plainLife the sum without weights.
-	life, plainLife float64
+	// weightedLifetime is the sum of the lifetimes, in nanoseconds, times the streams under way, and lifetime the sum without weights.
+	weightedLifetime, lifetime float64
 	// age is the sum of the ages of the reports at the time of the summation.
 	age time.Duration
 }
@@ -31,8 +31,8 @@
 		t.addRates(&r.Classes[i])
 	}
 	s.rooms = append(s.rooms, r.Room)
-	s.life += float64(r.Lifetime) * float64(r.UnderWay)
-	s.plainLife += float64(r.Lifetime)
+	s.weightedLifetime += float64(r.Lifetime) * float64(r.UnderWay)
+	s.lifetime += float64(r.Lifetime)
 	s.age += age
 }
 
@@ -59,9 +59,9 @@
 	n := len(s.rooms)
 	t.Room = (s.rooms[(n-1)/2] + s.rooms[n/2]) / 2
 	if t.UnderWay > 0 {
-		t.Lifetime = time.Duration(s.life / float64(t.UnderWay))
+		t.Lifetime = time.Duration(s.weightedLifetime / float64(t.UnderWay))
 	} else {
-		t.Lifetime = time.Duration(s.plainLife / float64(n))
+		t.Lifetime = time.Duration(s.lifetime / float64(n))
 	}
 	t.Age = s.age / time.Duration(n)
 	return t
--- a/demand/totals.go
+++ b/demand/totals.go
@@ -14,6 +14,7 @@
 	return b.totalsLocked(service, domain, now)
 }
 
+// totalsLocked is Totals for a caller that holds the lock.
 func (b *Book) totalsLocked(service, domain string, now time.Time) (Totals, bool) {
 	found, known := find(b.received, service, domain)
 	best, ok := found.as(now)
@@ -99,6 +100,7 @@
 	return dropped
 }
 
+// addTotalsLocked takes over one of the totals; it returns why it is dropped, or an empty reason.
 func (b *Book) addTotalsLocked(t *Totals, now time.Time) Reason {
 	if fault := t.fault(); fault != "" {
 		return fault
@@ -121,8 +123,7 @@
 // insertLocked adds totals on a service or domain on which there were none.
 func (b *Book) insertLocked(got dated, now time.Time) Reason {
 	b.received = slices.DeleteFunc(b.received, func(d dated) bool { return now.Sub(d.at) > maxAge })
-	services := 0
-	domains := 0
+	services, domains := 0, 0
 	for i, d := range b.received {
 		if d.Domain == got.Domain {
 			services++
--- a/loadview/doc.go
+++ b/loadview/doc.go
@@ -1,3 +1,3 @@
-// Package loadview holds what an instance shows operators of the load on its chained services, and merges what several instances
-// show.
+// Package loadview defines the page with which an instance shows operators the load on its chained services, whose servers each
+// run some of the layers of a model, and merges the pages of several instances.
 package loadview
--- a/loadview/merge.go
+++ b/loadview/merge.go
@@ -7,7 +7,7 @@
 
 // Fleet is what several instances show together.
 type Fleet struct {
-	// Asked and Answered are the numbers of instances.
+	// Asked and Answered are the numbers of addresses that were asked and that gave a page.
 	Asked    int             `json:"asked"`
 	Answered int             `json:"answered"`
 	Failed   []Failure       `json:"failed"`
@@ -24,7 +24,8 @@
 // MergedService is the load on one service as several instances show it.
 type MergedService struct {
 	Service string `json:"service"`
-	// Domains have the newest totals that an instance knows, Instances what each one says of itself.
+	// Domains have the newest totals that an instance knows, and Instances what each one says of itself; OutOfUse are the servers
+	// that get no new work of some instance.
 	Domains   []Domain       `json:"domains"`
 	Instances []InstancePart `json:"instances"`
 	OutOfUse  []SeenServer   `json:"out_of_use"`
@@ -63,8 +64,8 @@
 		for j := range p.Services {
 			f.service(p.Services[j].Service).add(p, &p.Services[j])
 		}
-		for _, one := range p.Findings {
-			f.addFinding(one)
+		for _, finding := range p.Findings {
+			f.addFinding(finding)
 		}
 	}
 	slices.SortFunc(f.Services, func(a, b MergedService) int { return cmp.Compare(a.Service, b.Service) })
@@ -75,16 +76,17 @@
 	return f
 }
 
-// Only returns the part of the fleet's load that is about one service.
+// Only returns what is about one service, with the findings that name no service.
 func (f *Fleet) Only(service string) Fleet {
 	out := *f
 	out.Services = slices.DeleteFunc(slices.Clone(f.Services), func(s MergedService) bool { return s.Service != service })
-	out.Findings = slices.DeleteFunc(slices.Clone(f.Findings), func(one Finding) bool {
-		return one.Service != "" && one.Service != service
+	out.Findings = slices.DeleteFunc(slices.Clone(f.Findings), func(finding Finding) bool {
+		return finding.Service != "" && finding.Service != service
 	})
 	return out
 }
 
+// service returns the load on the service with a name, which it adds if it is missing.
 func (f *Fleet) service(name string) *MergedService {
 	for i := range f.Services {
 		if f.Services[i].Service == name {
@@ -96,15 +98,15 @@
 }
 
 // addFinding adds a finding, or keeps the newer of two that say the same.
-func (f *Fleet) addFinding(one Finding) {
+func (f *Fleet) addFinding(finding Finding) {
 	for i := range f.Findings {
 		have := &f.Findings[i]
-		if have.Server == one.Server && have.Kind == one.Kind && have.Source == one.Source && have.Service == one.Service {
-			have.AgeMS = min(have.AgeMS, one.AgeMS)
+		if have.Server == finding.Server && have.Kind == finding.Kind && have.Source == finding.Source && have.Service == finding.Service {
+			have.AgeMS = min(have.AgeMS, finding.AgeMS)
 			return
 		}
 	}
-	f.Findings = append(f.Findings, one)
+	f.Findings = append(f.Findings, finding)
 }
 
 func compareFindings(a, b Finding) int {
@@ -113,6 +115,7 @@
 	)
 }
 
+// add adds what a page says of the service.
 func (m *MergedService) add(p *Page, s *Service) {
 	m.Instances = append(m.Instances, InstancePart{
 		Instance: p.Instance, Domain: p.Domain, Own: s.Own, Admission: s.Admission, Retries: s.Retries, Lanes: s.Lanes,
@@ -125,8 +128,8 @@
 	}
 }
 
-// addDomain keeps the newer of two totals. Levels are known to instances of the domain only, so they are kept in any case; of two
-// coverages, the one with fewer usable servers is kept, since it is the one that explains complaints.
+// addDomain adds a domain, or merges it with the one of that name: the newer totals are kept, with the levels of either, since
+// only instances of the domain know these, and the coverage with fewer usable servers.
 func (m *MergedService) addDomain(d *Domain) {
 	for i := range m.Domains {
 		have := &m.Domains[i]
@@ -169,7 +172,8 @@
 	return out
 }
 
-// addServer adds that an instance uses a server no longer, for the longest of the times that instances name.
+// addServer adds that a server gets no new work of an instance. Instances that name the same reason share an entry, with the
+// longest of their times.
 func (m *MergedService) addServer(s *Server, instance string) {
 	for i := range m.OutOfUse {
 		have := &m.OutOfUse[i]
--- a/loadview/page.go
+++ b/loadview/page.go
@@ -28,7 +28,7 @@
 	Instance string    `json:"instance"`
 	Domain   string    `json:"domain"`
 	Services []Service `json:"services"`
-	// Findings are what other instances have found out about servers and is in force here.
+	// Findings are what other instances have found out about servers, as far as it is in force here.
 	Findings []Finding `json:"findings"`
 }
 
@@ -45,7 +45,7 @@
 	OutOfUseCount int      `json:"out_of_use_count"`
 }
 
-// Own is the part of the load that the instance itself has.
+// Own is the part of the load that the instance itself has, with the mean lifetime of its streams.
 type Own struct {
 	UnderWay     int   `json:"under_way"`
 	Waiting      int   `json:"waiting"`
@@ -58,9 +58,10 @@
 	Domain string `json:"domain"`
 	// TotalsKnown is true if totals from the domain's load reports are known; AgeMS is the mean age of these reports, and
 	// Instances the number of instances that they are from.
-	TotalsKnown  bool    `json:"totals_known"`
-	AgeMS        int64   `json:"age_ms"`
-	Instances    int     `json:"instances"`
+	TotalsKnown bool  `json:"totals_known"`
+	AgeMS       int64 `json:"age_ms"`
+	Instances   int   `json:"instances"`
+	// Room is the number of sequences for which there is memory, and ToldToReturn that of refused callers who are to come back.
 	Room         float64 `json:"room"`
 	UnderWay     int     `json:"under_way"`
 	Waiting      int     `json:"waiting"`
@@ -72,12 +73,12 @@
 	Coverage   Coverage `json:"coverage"`
 }
 
-// Class is the requests that compete for room on equal terms, in requests a second.
+// Class is a set of requests that compete for room on equal terms, with their rates.
 type Class struct {
 	Rank Rank `json:"rank"`
 	// Account is empty where accounts are not told apart.
 	Account string `json:"account,omitempty"`
-	// Offered and Refused count the first tries of callers, Returned their later tries.
+	// Offered and Refused are the first tries of callers a second, and Returned their later tries.
 	Offered  float64 `json:"offered_per_s"`
 	Refused  float64 `json:"refused_per_s"`
 	Returned float64 `json:"returned_per_s"`
@@ -115,19 +116,19 @@
 	Ranks    Setting `json:"ranks"`
 	Accounts Setting `json:"accounts"`
 	Parts    []Part  `json:"parts"`
-	// TotalsKnown is false while nothing is decided, since the load of the domain is not known.
+	// TotalsKnown is false while nothing is refused, since the load on the service is not known.
 	TotalsKnown bool `json:"totals_known"`
 	// Levels are what is admitted of each rank, the most urgent first.
 	Levels []RankLevel `json:"levels"`
 }
 
-// Setting says whether a setting is in force, and why.
+// Setting says whether a setting is in force, and why it is or is not.
 type Setting struct {
 	InForce bool   `json:"in_force"`
 	Why     string `json:"why"`
 }
 
-// Part is a request for a part of the room; either Route or Account is named.
+// Part is an operator's request for a part of the room; either Route or Account is named.
 type Part struct {
 	Field     string  `json:"field"`
 	Route     string  `json:"route,omitempty"`
@@ -147,7 +148,8 @@
 // Retries is the retry budget of the instance for a service.
 type Retries struct {
 	Left float64 `json:"left"`
-	// Requests is the number of requests of the window, and Fixed the part that does not depend on it.
+	// Left is the number of retries that are left, Requests that of the requests in the window from which the budget follows, and
+	// Fixed the part of the budget that does not depend on them.
 	Requests int     `json:"requests"`
 	Fixed    float64 `json:"fixed"`
 }
