forward, app: split long functions, and name what differing ranks and rejections are

Moves the attempt of a stream and the settings of the handler to files of their own, splits what a report applies and logs, and replaces figurative comments. Log fields stay.

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -29,7 +29,6 @@
 	"junctioncross/platform"
 	"junctioncross/quarantine"
 	"junctioncross/relay"
-	"junctioncross/retry"
 	"junctioncross/timer"
 )
 
@@ -140,43 +139,6 @@
 	return newLogger(queue, settings.Log, instanceHook{name: settings.Instance.Name, domain: settings.Instance.Domain})
 }
 
-func forwardSettings(settings *config.Hosted) forward.Settings {
-	s := forward.Settings{
-		Instance: settings.Instance.Name, Domain: settings.Instance.Domain, StallTime: settings.Engines.StallTime,
-		Repeats: retry.Limit{
-			Window: settings.Repeats.Window, Share: retryShare * settings.Repeats.Share, Fixed: retryShare * settings.Repeats.Slack,
-		},
-		DrainTime: settings.Engines.DrainTime, LongestBackOff: settings.Servers.LongestBackOff,
-	}
-	s.Admission = admissionSettings(&settings.Admission)
-	if settings.Keys.Strict {
-		s.KeysAge = time.Duration(keysAgeShare * float64(settings.Keys.RevokeTime))
-	}
-	return s
-}
-
-func admissionSettings(settings *config.HostedAdmission) forward.AdmissionSettings {
-	out := forward.AdmissionSettings{Ranks: settings.Ranks, Accounts: settings.Accounts}
-	for i := range settings.Parts {
-		p := &settings.Parts[i]
-		part := forward.AdmissionPart{Ceiling: 1, Guarantee: p.Guarantee}
-		if p.Route != nil {
-			part.Route = *p.Route
-		}
-		if p.Account != nil {
-			part.Account = *p.Account
-		}
-		if p.Ceiling != nil {
-			part.Ceiling = *p.Ceiling
-		}
-		if p.Weight != nil {
-			part.Weight = *p.Weight
-		}
-		out.Parts = append(out.Parts, part)
-	}
-	return out
-}
-
 func newQuarantineBook(settings *config.Hosted) *quarantine.Book {
 	q := settings.Quarantine
 	return quarantine.NewBook(quarantine.Settings{Ends: q.Ends, EndsOfOne: q.EndsOfOne, Keep: q.Keep, MaxRequests: q.Most})
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -19,8 +19,8 @@
 	totalsPeriod = 100 * time.Millisecond
 	// levelLogStep is the change of a level that is logged.
 	levelLogStep = 0.25
-	// unknownRank is the label of the ranks beyond maxRankLabels.
-	unknownRank = "other"
+	// otherRanks is the label in metrics of the ranks beyond maxRankLabels.
+	otherRanks = "other"
 	// maxRankLabels bounds the ranks of a service that metrics tell apart.
 	maxRankLabels = 64
 )
--- a/forward/admissionlog.go
+++ b/forward/admissionlog.go
@@ -16,25 +16,25 @@
 func (h *Handler) logAdmission(service string, plan *admissionPlan, version int64) {
 	h.record.Log().WithFields(decision.Fields{
 		"service": service, "ranks": plan.settings.Ranks, "accounts": plan.settings.Accounts, "parts": len(plan.settings.Parts),
-		"unlike": plan.unlike, "priorities": plan.priorities, "version": version,
+		"unlike": plan.ranksDiffer, "priorities": plan.priorities, "version": version,
 	}).Info("admission in force")
 }
 
 // logUnusableParts logs the requests for parts of the room that the configuration cannot follow.
 func (h *Handler) logUnusableParts(c *catalog.Catalog, s *AdmissionSettings) {
 	for i := range s.Parts {
-		if p, unusable := unusable(c, i, &s.Parts[i]); unusable {
+		if p, unusable := checkPart(c, i, &s.Parts[i]); unusable {
 			h.record.Log().WithFields(decision.Fields{"field": p.field, "name": p.name, "reason": p.why}).Error("part of the room not in force")
 		}
 	}
 }
 
-// logTotals logs that the load of the failure domain is known now, or no longer.
+// logTotals logs that the load on a service is known now, or no longer.
 func (h *Handler) logTotals(service string, known bool) {
 	h.record.Log().WithFields(decision.Fields{"service": service, "known": known}).Info("admission totals")
 }
 
-// logLevelsLocked logs the levels of a service if one of them has changed much.
+// logLevelsLocked logs the levels of a service if one of them has changed by levelLogStep or more since the latest line.
 func (h *Handler) logLevelsLocked(service string, s *serviceAdmission, now time.Time) {
 	if !changedMuch(s.levels, s.logged) || !h.admissions.levelLog.allow(service, now) {
 		return
@@ -43,7 +43,7 @@
 	h.record.Log().WithFields(decision.Fields{"service": service, "levels": describeLevels(s.levels)}).Info("admission levels")
 }
 
-// changedMuch reports whether a level differs much from the one that was logged, or from 1 if none was.
+// changedMuch reports whether a level differs by levelLogStep or more from the one that was logged, or from 1 if none was.
 func changedMuch(levels, logged []admission.Level) bool {
 	for i := range levels {
 		former := 1.0
@@ -75,13 +75,14 @@
 		return l
 	}
 	if len(s.labels) >= maxRankLabels {
-		return unknownRank
+		return otherRanks
 	}
 	l := rankLabel(rank)
 	s.labels[rank] = l
 	return l
 }
 
+// rankLabel returns the priorities of the account and of the route, such as 1.2.
 func rankLabel(rank demand.Rank) string { return fmt.Sprintf("%d.%d", rank.Account, rank.Route) }
 
 func levelGauge(service, rank string) string {
--- a/forward/admissionpage.go
+++ b/forward/admissionpage.go
@@ -42,7 +42,7 @@
 	switch {
 	case !s.Ranks:
 		return loadview.Setting{Why: "admission.ranks is off"}
-	case !p.unlike:
+	case !p.ranksDiffer:
 		return loadview.Setting{Why: "all requests have the same rank: " + p.priorities}
 	default:
 		return loadview.Setting{InForce: true, Why: "requests have different ranks: " + p.priorities}
@@ -61,7 +61,7 @@
 	}
 }
 
-// partInForce says whether a request for a part of the room is in force for a service.
+// partInForce returns a request for a part of the room, with whether it is in force for a service.
 func partInForce(c *catalog.Catalog, service string, s *AdmissionSettings, index int) loadview.Part {
 	p := &s.Parts[index]
 	out := loadview.Part{
@@ -72,21 +72,22 @@
 	return out
 }
 
+// partSetting returns whether a request for a part of the room is in force for a service, and why.
 func partSetting(c *catalog.Catalog, service string, s *AdmissionSettings, index int) loadview.Setting {
 	p := &s.Parts[index]
-	if bad, unusable := unusable(c, index, p); unusable {
+	if bad, unusable := checkPart(c, index, p); unusable {
 		return loadview.Setting{Why: bad.why}
 	}
-	toService := func(r *catalog.Route) bool { return r.Name == p.Route }
-	shares := p.Ceiling < 1 || p.Guarantee > 0
+	named := func(r *catalog.Route) bool { return r.Name == p.Route }
+	asksForRoom := p.Ceiling < 1 || p.Guarantee > 0
 	switch {
-	case p.Route != "" && !slices.ContainsFunc(c.RoutesTo(service), toService):
+	case p.Route != "" && !slices.ContainsFunc(c.RoutesTo(service), named):
 		return loadview.Setting{Why: "the route does not lead to this service"}
-	case p.Weight > 0 && !shares && !s.Accounts:
+	case p.Weight > 0 && !asksForRoom && !s.Accounts:
 		return loadview.Setting{Why: "a weight has an effect with admission.accounts only, which is off"}
-	case p.Weight > 0 && !shares && !c.NeedsKeys():
+	case p.Weight > 0 && !asksForRoom && !c.NeedsKeys():
 		return loadview.Setting{Why: "the configuration has no accounts with keys"}
-	case !shares && p.Weight <= 0:
+	case !asksForRoom && p.Weight <= 0:
 		return loadview.Setting{Why: "it asks for nothing: the ceiling is 1 and the guarantee 0"}
 	default:
 		return loadview.Setting{InForce: true, Why: "the configuration has what it names"}
--- a/forward/admissionplan.go
+++ b/forward/admissionplan.go
@@ -34,9 +34,9 @@
 // admissionPlan is what is in force for one service.
 type admissionPlan struct {
 	settings admission.Settings
-	// unlike is true if requests for the service can have different ranks, and priorities lists where these come from.
-	unlike     bool
-	priorities string
+	// ranksDiffer is true if requests for the service can have different ranks, and priorities lists where these come from.
+	ranksDiffer bool
+	priorities  string
 }
 
 // active reports whether there is anything to decide for the service.
@@ -50,11 +50,11 @@
 // planAdmission returns what is in force for a service under a configuration.
 func planAdmission(c *catalog.Catalog, service string, s *AdmissionSettings) admissionPlan {
 	routes := c.RoutesTo(service)
-	p := admissionPlan{unlike: len(ranksOf(c, service)) > 1, priorities: prioritiesOf(c, routes)}
-	p.settings = admission.Settings{Ranks: s.Ranks && p.unlike, Accounts: s.Accounts && c.NeedsKeys()}
+	p := admissionPlan{ranksDiffer: len(ranksOf(c, service)) > 1, priorities: prioritiesOf(c, routes)}
+	p.settings = admission.Settings{Ranks: s.Ranks && p.ranksDiffer, Accounts: s.Accounts && c.NeedsKeys()}
 	for i := range s.Parts {
 		part := &s.Parts[i]
-		if _, unusable := unusable(c, i, part); unusable {
+		if _, unusable := checkPart(c, i, part); unusable {
 			continue
 		}
 		if part.Weight > 0 {
@@ -78,8 +78,8 @@
 	return p
 }
 
-// unusable reports whether the configuration cannot follow a request for a part of the room, and why.
-func unusable(c *catalog.Catalog, index int, p *AdmissionPart) (unusablePart, bool) {
+// checkPart reports whether the configuration cannot follow a request for a part of the room, and why.
+func checkPart(c *catalog.Catalog, index int, p *AdmissionPart) (unusablePart, bool) {
 	field := fmt.Sprintf("admission.parts[%d].", index)
 	if p.Account != "" {
 		if slices.ContainsFunc(c.Accounts(), func(a catalog.Account) bool { return a.Name == p.Account }) {
--- a/forward/avoid.go
+++ b/forward/avoid.go
@@ -8,12 +8,12 @@
 	"junctioncross/chain"
 )
 
-// rejectionTime is how long a rejection speaks for its server: reports on its memory are about as old.
+// rejectionTime is how long a server that rejected a stream is not to get it again: reports on its memory are about that old.
 const rejectionTime = 250 * time.Millisecond
 
-// rejections is what the earlier attempts of a stream say about servers.
+// rejections is what is known from the earlier attempts of a stream that servers rejected.
 type rejections struct {
-	// until holds the servers that rejected the stream, and for how long that speaks.
+	// until holds the servers that rejected the stream, and until when they are not to get it again.
 	until map[*backend.Server]time.Time
 	// path holds the servers of the last path that was rejected, and crossings how often it crossed domains. It is nil once a path
 	// was accepted.
@@ -35,8 +35,8 @@
 
 // avoidance is what the rejections of a stream mean for the lanes of a group; its zero value avoids nothing.
 type avoidance struct {
-	// rejected and barred say of each server of the group whether it has rejected the stream, and whether that still speaks; shared
-	// says whether it was on the last path that was rejected.
+	// For each server of the group, rejected says whether it has rejected the stream, barred whether it is not to get the stream
+	// yet, and shared whether it was on the last path that was rejected.
 	rejected, barred, shared []bool
 	// crossings is how often that path crossed domains.
 	crossings int
@@ -62,12 +62,12 @@
 	return a
 }
 
-// bars reports whether a server rejected the stream so lately that it is not to be asked again.
+// bars reports whether a server rejected the stream so lately that it is not to get it yet.
 func (a *avoidance) bars(server int) bool { return len(a.barred) > 0 && a.barred[server] }
 
-// narrow sets the weights of the lanes to 0 that the stream is not to take. Lanes through a server whose rejection still speaks are
-// never taken. Of the others, those are preferred that share no server with the rejected path, cross domains no more often than it and
-// are fast enough; then those without a server that rejected the stream earlier.
+// narrow sets the weights of the lanes to 0 that the stream is not to take. Lanes through a barred server are never taken. Of the
+// others, those are preferred that share no server with the rejected path, cross domains no more often than it and are fast enough;
+// then those without a server that rejected the stream earlier.
 func (a *avoidance) narrow(lanes []chain.Lane, weights []float64, tooSlow func(lane int) bool) {
 	if len(a.barred) == 0 {
 		return
@@ -77,8 +77,8 @@
 		l := &lanes[i]
 		return !passes(l, a.rejected) && !passes(l, a.shared) && l.Crossings <= a.crossings && !tooSlow(i)
 	}
-	unasked := func(i int) bool { return !passes(&lanes[i], a.rejected) }
-	for _, preferred := range []func(int) bool{apart, unasked} {
+	notRejected := func(i int) bool { return !passes(&lanes[i], a.rejected) }
+	for _, preferred := range []func(int) bool{apart, notRejected} {
 		if anyWith(weights, preferred) {
 			keepOnly(weights, preferred)
 			return
--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -52,7 +52,7 @@
 			h.giveUp(r, fasthttp.StatusBadGateway, o.reason, nil)
 			return
 		}
-		h.refuse(r, o.reason, h.retryAfterReason(r, o.reason))
+		h.refuse(r, o.reason, h.retryAfterFor(r, o.reason))
 	case quarantined:
 		h.refuseQuarantined(r, o)
 	case failed:
--- a/forward/demand.go
+++ b/forward/demand.go
@@ -18,7 +18,7 @@
 	sufficientRoomShare  = 0.9
 )
 
-// roomDemand describes who needs the room of a service.
+// roomDemand describes whose streams need the room of a service.
 type roomDemand struct {
 	// underWay is the number of streams that have room, waiting those that wait for it, and toldToRetry the callers who were
 	// told to come back later. The returned ones are those of returning callers.
--- a/forward/domainforecast.go
+++ b/forward/domainforecast.go
@@ -11,7 +11,8 @@
 	// domainDispersion is the size parameter of the distribution of the places that become free in a domain: their rate is known
 	// better than from the few streams of one instance (see dispersion).
 	domainDispersion = 30.0
-	// maxCountedPlaces is the number of places up to which their distribution is computed; for more, its median is the mean.
+	// maxCountedPlaces is the number of places up to which their distribution is computed; for more, the mean is taken for the
+	// median.
 	maxCountedPlaces = 64
 )
 
@@ -60,7 +61,8 @@
 	})
 }
 
-// asLikelyAsNot reports whether at least so many places become free with a likelihood of one half when so many are expected.
+// asLikelyAsNot reports whether at least so many places become free with a likelihood of one half or more when expected ones are
+// expected.
 func asLikelyAsNot(places, expected float64) bool {
 	if places > maxCountedPlaces {
 		return expected >= places
--- a/forward/loadpage.go
+++ b/forward/loadpage.go
@@ -86,6 +86,7 @@
 	return slices.DeleteFunc(h.loads.All(now), func(t demand.Totals) bool { return t.Service != name })
 }
 
+// setTotals sets the fields of a domain that come from its totals.
 func setTotals(d *loadview.Domain, t *demand.Totals) {
 	d.TotalsKnown, d.AgeMS, d.Instances = true, t.Age.Milliseconds(), t.Instances
 	d.Room, d.UnderWay, d.Waiting = t.Room, t.UnderWay, t.Waiting
@@ -98,6 +99,7 @@
 	}
 }
 
+// loadRank returns a rank as the page shows it.
 func loadRank(r demand.Rank) loadview.Rank { return loadview.Rank{Account: r.Account, Route: r.Route} }
 
 // classLevels are what is admitted of the classes of a service.
@@ -107,7 +109,7 @@
 	levels  []admission.ClassLevel
 }
 
-// addTo sets the levels of classes.
+// addTo sets the levels of classes that admission decides on.
 func (c *classLevels) addTo(classes []loadview.Class) {
 	if c.classOf == nil {
 		return
--- a/forward/loadreport.go
+++ b/forward/loadreport.go
@@ -13,8 +13,8 @@
 const (
 	// loadReportPeriod is how often the instance updates its own load reports.
 	loadReportPeriod = 200 * time.Millisecond
-	// forever is later than any time at which a refused caller returns.
-	forever = 24 * time.Hour
+	// maxReturnTime is longer than any time after which a refused caller returns.
+	maxReturnTime = 24 * time.Hour
 )
 
 // loadReporter keeps the own load reports up to date, and notes for which services the totals of the domain are known.
@@ -102,7 +102,7 @@
 	c := q.forecastLocked(now, stalled)
 	r := demand.Report{
 		UnderWay: len(q.underWay), Waiting: len(q.waiting), Lifetime: q.lifetimes.mean(), Classes: q.classes.rates(now),
-		ToldToReturn: q.dueRetriesLocked(now, now.Add(forever)), ToldRate: q.told.perSecond(now),
+		ToldToReturn: q.dueRetriesLocked(now, now.Add(maxReturnTime)), ToldRate: q.told.perSecond(now),
 	}
 	for i, within := range demand.Horizons {
 		r.Ends[i] = c.expectedEnds(within)
--- a/forward/outofuse.go
+++ b/forward/outofuse.go
@@ -36,6 +36,7 @@
 	o.since = next
 }
 
+// noteLocked notes in next the reason of a server that is out of use, with the earlier time if the reason is the same.
 func (o *outOfUse) noteLocked(next map[*backend.Server]notedReason, s *backend.Server, instances int, now time.Time) {
 	out, ok := s.OutOfUse(instances, now)
 	if !ok {
@@ -84,6 +85,7 @@
 	return list[:min(len(list), loadview.MaxServers)], len(list)
 }
 
+// silentOf returns who got no answer from a server, as a value of loadview.Server.Silent.
 func silentOf(s *backend.Server) string {
 	switch silent, own := s.Silent(); {
 	case silent && own:
--- a/forward/query.go
+++ b/forward/query.go
@@ -120,6 +120,12 @@
 	}
 	server.NoteAnswer(now)
 	h.applyNotice("", server, report.Notice)
+	h.applyLoad(server, report, fields, now)
+	h.recordReport(server, report, fields, why, now)
+}
+
+// applyLoad applies what a report says of the load of its server, and adds it to the fields of a log line.
+func (h *Handler) applyLoad(server *backend.Server, report backend.Report, fields decision.Fields, now time.Time) {
 	if report.Limit.Named {
 		// A report without a limit says nothing about the limit that answers to requests name.
 		h.noteLimit("", server, report.Limit, now)
@@ -128,6 +134,10 @@
 	server.SetMemory(report.Used, report.Total, report.Waiting, now)
 	fields["pace"], fields["running"], fields["waiting"] = report.Pace, report.Running, report.Waiting
 	fields["memory_used"], fields["memory"], fields["layers"] = report.Used, report.Total, report.Layers.String()
+}
+
+// recordReport logs what a report says of its server, and notes layers that are newer than the server's entry.
+func (h *Handler) recordReport(server *backend.Server, report backend.Report, fields decision.Fields, why string, now time.Time) {
 	switch {
 	case report.Layers != server.Layers() && h.reportsNewerLayers(server):
 		// A server that got more layers than its entry names still holds those of every path that was chosen by the entry.
--- a/forward/queryplan.go
+++ b/forward/queryplan.go
@@ -12,16 +12,16 @@
 	// answer up to maxQueryPause while streams through the server stay slow.
 	firstQueryPause = 250 * time.Millisecond
 	maxQueryPause   = time.Second
-	// slowMemory is how long a server must have had no stalled streams for its next stall to count as a new one: longer than
-	// the time between two diagnoses of a slow server.
-	slowMemory = 600 * time.Millisecond
+	// historyTime is how long the history of a server is kept after a diagnosis last suspected it: longer than the time between
+	// two diagnoses of a slow server.
+	historyTime = 600 * time.Millisecond
 	// minSharedWell is how often in a row diagnoses of all instances must have found a server well for its streams to count as slow
 	// at an instance that has not queried it.
 	minSharedWell = 4
-	// maxExplained bounds how overdue a stream may be that a slow server explains.
+	// maxExplained bounds by how much a stream may be overdue because its server is slow.
 	maxExplained = 500 * time.Millisecond
-	// pauseMemory is how long the longest pause of a slow server's streams explains others.
-	pauseMemory = 2 * time.Second
+	// pauseHistoryTime is for how long the longest pause of a slow server's streams explains others.
+	pauseHistoryTime = 2 * time.Second
 	// sharedSettleTime is how much longer than healthyTime streams must have been still before a report of another instance
 	// shows that the server outlived their last progress: the report seems newer by the time that it was in transit.
 	sharedSettleTime = 100 * time.Millisecond
@@ -39,7 +39,7 @@
 	savedEnded querySaving = "ended"
 	// savedQueried: the instance has queried the server since its streams stand still.
 	savedQueried querySaving = "just queried"
-	// savedReport: a report of the last moments shows that the server answers.
+	// savedReport: a report that is recent enough shows that the server answers.
 	savedReport querySaving = "recent report"
 	// savedQuota: the instance has made its part of the queries of all instances.
 	savedQuota querySaving = "quota"
@@ -60,12 +60,12 @@
 type queryHistory struct {
 	// suspectedAt is when a diagnosis last suspected the server.
 	suspectedAt time.Time
-	// wellAt is the moment at which the server was last known to be well, and well the number of findings in a row.
+	// wellAt is when the server was last known to be well, and well how often in a row it was found to be.
 	wellAt time.Time
 	well   int
 	// answeredAt is when a diagnosis last got an answer.
 	answeredAt time.Time
-	// explained is how overdue streams were lately that moved again, or whose server answered, and explainedAt when.
+	// explained is by how much streams were lately overdue that moved again, or whose server answered, and explainedAt when.
 	explained   time.Duration
 	explainedAt time.Time
 }
@@ -85,14 +85,14 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.history(s, now).decide(s.QueryState(), why, max(lag, minReportLag), s.Suspected(now), now)
+	return p.historyLocked(s, now).decide(s.QueryState(), why, max(lag, minReportLag), s.Suspected(now), now)
 }
 
 // noteWell records that the server has answered the query of a diagnosis that began at the given time.
 func (p *queryPlan) noteWell(s *backend.Server, why suspicion, at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.history(s, at)
+	h := p.historyLocked(s, at)
 	h.answeredAt = at
 	h.notePause(why.overdue, at)
 	h.foundWell(at)
@@ -124,10 +124,10 @@
 	return false
 }
 
-// history returns the history of a server; the caller holds the lock.
-func (p *queryPlan) history(s *backend.Server, now time.Time) *queryHistory {
+// historyLocked returns the history of a server, which now counts as suspected, and forgets servers that are not any more.
+func (p *queryPlan) historyLocked(s *backend.Server, now time.Time) *queryHistory {
 	for server, h := range p.histories {
-		if now.Sub(h.suspectedAt) > slowMemory {
+		if now.Sub(h.suspectedAt) > historyTime {
 			delete(p.histories, server)
 		}
 	}
@@ -168,8 +168,8 @@
 	}
 }
 
-// unexplained reports whether streams have been still for longer than a slow but living server explains: as long as its streams
-// paused lately, and at least one stall limit beyond the stall. An answer of the server since then counts for firstQueryPause.
+// unexplained reports whether streams are overdue by more than a slow but living server explains: the longest pause of its streams
+// lately, or their stall limit if that is longer. An answer of the server since then counts for firstQueryPause.
 func (h *queryHistory) unexplained(why suspicion, now time.Time) bool {
 	explained := max(why.stallLimit, h.explained)
 	if why.overdue <= explained {
@@ -178,9 +178,9 @@
 	return h.answeredAt.Before(now.Add(explained-why.overdue)) || now.Sub(h.answeredAt) >= firstQueryPause
 }
 
-// notePause records how overdue a stream was that the server explains, if that is longer than others lately.
+// notePause records by how much a stream was overdue because the server is slow, if that is more than others were lately.
 func (h *queryHistory) notePause(overdue time.Duration, now time.Time) {
-	if overdue >= h.explained || now.Sub(h.explainedAt) > pauseMemory {
+	if overdue >= h.explained || now.Sub(h.explainedAt) > pauseHistoryTime {
 		h.explained, h.explainedAt = min(overdue, maxExplained), now
 	}
 }
@@ -198,7 +198,7 @@
 	h.well++
 }
 
-// pause returns how long after the last finding the server is not queried again.
+// pause returns how long the server is not queried again after it was last found well.
 func (h *queryHistory) pause() time.Duration {
 	if h.well == 0 {
 		return 0
--- a/forward/ranks.go
+++ b/forward/ranks.go
@@ -18,16 +18,16 @@
 }
 
 // of returns the ranks that the requests of a service can have, the most urgent first.
-func (b *rankCache) of(c *catalog.Catalog, service string) []demand.Rank {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.catalog != c {
-		b.catalog, b.ranks = c, map[string][]demand.Rank{}
+func (r *rankCache) of(c *catalog.Catalog, service string) []demand.Rank {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.catalog != c {
+		r.catalog, r.ranks = c, map[string][]demand.Rank{}
 	}
-	ranks, known := b.ranks[service]
+	ranks, known := r.ranks[service]
 	if !known {
 		ranks = ranksOf(c, service)
-		b.ranks[service] = ranks
+		r.ranks[service] = ranks
 	}
 	return ranks
 }
@@ -52,8 +52,8 @@
 // position is the position of a request's rank among all ranks of its service; 0 is the most urgent.
 type position struct{ at, of int }
 
-// unlike reports whether requests of other ranks may compete with the request.
-func (p position) unlike() bool { return p.of > 1 }
+// ranksDiffer reports whether requests of other ranks may compete with the request.
+func (p position) ranksDiffer() bool { return p.of > 1 }
 
 // positionOf returns the position of a rank. One that a newer configuration lacks counts as the next less urgent one.
 func positionOf(ranks []demand.Rank, r demand.Rank) position {
@@ -73,15 +73,15 @@
 const (
 	// levelsPerRank is how many levels of urgency a rank has: one for first tries and one for returning callers.
 	levelsPerRank = 2
-	// rankLevels is how many ranks can be told apart in what servers are told.
+	// rankLevels is how many ranks the levels of urgency tell apart.
 	rankLevels = (call.MaxUrgencyLevel + 1) / levelsPerRank
 )
 
-// level returns the urgency that servers are told: nothing where all requests of the service are equally urgent; otherwise a first try
-// goes before a returned one of the same rank, and both before those of the next rank. Where there are more ranks than levels,
-// neighbours share one.
+// level returns the urgency that servers are told: none where all requests of the service are equally urgent. Otherwise a first try
+// goes before a returned one of the same rank, and both before those of the next rank; where there are more ranks than rankLevels,
+// neighbours share their levels.
 func (p position) level(returned bool) call.Urgency {
-	if !p.unlike() {
+	if !p.ranksDiffer() {
 		return call.Urgency{}
 	}
 	at := p.at
@@ -98,5 +98,5 @@
 // urgencyFor returns the urgency that servers are told of a request of a plain service.
 func (h *Handler) urgencyFor(r *request) call.Urgency {
 	p := h.rankPosition(r, r.group.Service().Name)
-	return p.level(p.unlike() && h.earlierTryOf(r).certain)
+	return p.level(p.ranksDiffer() && h.earlierTryOf(r).certain)
 }
--- a/forward/retries.go
+++ b/forward/retries.go
@@ -8,6 +8,7 @@
 	"junctioncross/retry"
 )
 
+// countRequest counts a request for the retry budget of its service.
 func (h *Handler) countRequest(r *request) {
 	h.budget.CountRequest(r.group.Service().Name, h.instances.Instances(), h.clock.Now())
 }
@@ -16,7 +17,7 @@
 // and a retry that was taken and reached no server is used for the next attempt.
 func (h *Handler) maySend(r *request) bool { return h.maySendAs(r, retry.Claim{}) == retry.Granted }
 
-// maySendStream is maySend for a stream, which may have to leave the retries that are left to others.
+// maySendStream is maySend for a stream, which may have to leave the last retries to others.
 func (h *Handler) maySendStream(f *inflight) retry.Verdict {
 	if !f.r.needsRetry() {
 		return retry.Granted
@@ -37,6 +38,7 @@
 // needsRetry reports whether the request needs a retry of the budget to be sent, and holds none.
 func (r *request) needsRetry() bool { return r.sends > 0 && !r.retryGranted }
 
+// maySendAs is maySend for a request with a claim to a retry.
 func (h *Handler) maySendAs(r *request, claim retry.Claim) retry.Verdict {
 	if !r.needsRetry() {
 		return retry.Granted
@@ -54,7 +56,7 @@
 	return h.takeRetryAs(r, retry.Claim{}, h.clock.Now()) == retry.Granted
 }
 
-// takeRetryAs is takeRetry for a request that may have to leave the retries that are left to others.
+// takeRetryAs is takeRetry for a request with a claim; it may have to leave the last retries to others.
 func (h *Handler) takeRetryAs(r *request, claim retry.Claim, now time.Time) retry.Verdict {
 	service := r.group.Service().Name
 	verdict := h.budget.TakeFor(claim, service, h.instances.Instances(), now)
@@ -78,12 +80,13 @@
 	}
 }
 
+// giveBack gives back a retry of the budget that was taken at the given time.
 func (h *Handler) giveBack(r *request, taken time.Time) {
 	h.budget.Return(r.group.Service().Name, taken, h.instances.Instances(), h.clock.Now())
 	h.stats.Counter("repeats_returned_total").Inc(1)
 }
 
-// budgetReason returns the reason of a refusal for want of a retry.
+// budgetReason returns the reason of a refusal for lack of a retry.
 func budgetReason(verdict retry.Verdict) models.Reason {
 	if verdict == retry.Kept {
 		return models.ReasonRetryBudgetKept
@@ -107,9 +110,9 @@
 	return last
 }
 
-// retryAfterReason returns the Retry-After time for a caller who is refused for a reason. A stream that was refused for want of a
-// retry is also told to wait until the budget has one again, as far as callers follow.
-func (h *Handler) retryAfterReason(r *request, reason models.Reason) time.Duration {
+// retryAfterFor returns the Retry-After time for a caller who is refused for a reason. A stream that was refused for lack of a
+// retry is also told to wait until the budget has one again, within the limit for Retry-After times.
+func (h *Handler) retryAfterFor(r *request, reason models.Reason) time.Duration {
 	after := h.retryAfter(r)
 	if reason != models.ReasonRetryBudgetSpent || r.group.Graph() == nil {
 		return after
--- a/forward/returning.go
+++ b/forward/returning.go
@@ -6,7 +6,8 @@
 	// returningShare detects returning callers: if a caller is ready to wait for less than this part of the longest wait of its
 	// route, it has used up some of its time elsewhere.
 	returningShare = 0.98
-	// certainShare is the same part below which the caller has certainly returned: the waits of first tries differ by some tenth.
+	// certainShare is the same part below which the caller has certainly returned; between the two shares it may also be a first
+	// try whose caller waits less long than others.
 	certainShare = 0.8
 	// longestWaitDecay multiplies the longest wait with each request, so that it follows callers that become less patient.
 	longestWaitDecay = 0.9995
@@ -52,12 +53,12 @@
 	return earlierTry{likely: share < returningShare, certain: share < certainShare}
 }
 
-// noteEarlierTry records on a stream whether its caller has tried before. Where requests of unlike ranks compete, only a caller who
+// noteEarlierTry records on a stream whether its caller has tried before. Where requests of different ranks compete, only a caller who
 // certainly has counts as returning: a first try that is taken for a later one would be put behind others.
 func (h *Handler) noteEarlierTry(f *inflight) {
 	try := h.earlierTryOf(f.r)
 	f.returned, f.certainlyReturned = try.likely, try.certain
-	if h.rankPosition(f.r, f.r.group.Service().Name).unlike() {
+	if h.rankPosition(f.r, f.r.group.Service().Name).ranksDiffer() {
 		f.returned = try.certain
 	}
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 
-	"github.com/valyala/fasthttp"
-
 	"junctioncross/backend"
-	"junctioncross/call"
 	"junctioncross/chain"
 	"junctioncross/decision"
 	"junctioncross/models"
@@ -104,71 +101,6 @@
 	}
 }
 
-// attempt sends the request along a path and passes its events on until the answer ends.
-func (h *Handler) attempt(ctx context.Context, f *inflight, path chain.Path, attempt int) outcome {
-	r := f.r
-	f.assign(r.group, path.Hops)
-	defer f.release()
-	f.first = r.group.Servers()[path.Hops[0].Server]
-	f.firstEventDue.Store(int64(path.Read + path.Step))
-	f.events.dropPartial()
-	f.beginAttempt(h, path, attempt)
-	f.first.AddFirstStage(1)
-	defer f.first.AddFirstStage(-1)
-	f.first.Chosen()
-	h.record.Routine(r.meta.ID, "sent", h.fields(r, decision.Fields{
-		"server": f.first.ID(), "attempt": attempt, "path": f.path().describe(), "predicted_step_us": path.Step.Microseconds(),
-		"predicted_read_us": path.Read.Microseconds(), "tokens": f.need.Tokens, "lane_load": f.laneLoad, "returned": f.returned,
-		"resume_after": f.events.resumeAfter(),
-	}))
-	params := &call.SendParams{
-		Path: f.path().stages(), ResumeAfter: f.events.resumeAfter(), Urgency: h.rankPosition(r, f.first.Service()).level(f.returned),
-	}
-	to := destination{
-		server: f.first, fresh: attempt > 1 || !r.route.MayRetry(), open: func() bool { return h.mayStillSend(f) },
-	}
-	s, err := h.send(ctx, r, to, params)
-	if s == nil {
-		return h.unsentStream(ctx, f, err)
-	}
-	h.countPath(f)
-	f.conn = s.conn
-	f.touch(h)
-	h.watch.add(f)
-	defer h.watch.remove(f)
-	if err == nil {
-		err = h.receive(r, s)
-	}
-	if err != nil {
-		h.finish(s, false)
-		return h.brokenStream(ctx, f, err)
-	}
-	h.observeLoad(f, s)
-	if s.info.Status != fasthttp.StatusOK {
-		return h.refusedStream(f, s)
-	}
-	if !s.info.Sealed {
-		h.finish(s, false)
-		return h.brokenStream(ctx, f, errMalformed)
-	}
-	f.refusals = 0
-	f.noteAccepted()
-	err = h.passEvents(f, s)
-	// A connection that is kept may carry another request at once, and a hand-over of this stream must not close it then.
-	h.watch.remove(f)
-	h.finish(s, err == nil)
-	if err != nil {
-		return h.brokenStream(ctx, f, err)
-	}
-	r.ranOn(f.first)
-	f.first.Observe(true)
-	f.first.Succeeded()
-	h.clearEnds(r)
-	h.observeLifetime(f)
-	h.queueOf(f.first.Service()).ended(h.clock.Since(r.x.Arrived()))
-	return delivered{}
-}
-
 func (h *Handler) observeLoad(f *inflight, s *sentRequest) {
 	f.first.SetLoad(s.info.Load, h.clock.Now())
 	h.mu.Lock()
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -24,7 +24,7 @@
 	// diagnosePeriod is the least time between two diagnoses of the paths that start at one server. A server's report is
 	// about that old, so that an earlier diagnosis would find nothing new.
 	diagnosePeriod = 250 * time.Millisecond
-	// urgentPeriod is that time when slow but living servers no longer explain how long streams have been still.
+	// urgentPeriod is that time for streams that have been still for longer than slow but living servers explain.
 	urgentPeriod = 100 * time.Millisecond
 	// crowdedAge is the greatest age of a server's report at which the requests that it names as waiting count as still
 	// waiting: requests wait on a server for some hundred milliseconds.
@@ -99,7 +99,7 @@
 	return max(time.Duration(stallShare*float64(f.r.route.PauseObjective)), minStall)
 }
 
-// overdue returns for how long the stream has been stalled; it is not positive if it is not.
+// overdue returns for how long the stream has been stalled; it is 0 or less if it is not.
 func (w *watcher) overdue(f *inflight) time.Duration {
 	limit := stallLimit(f)
 	if !f.progressed.Load() {
