cmd, config, catalog, app: document cells, priorities and checks, and split hosted.go

Moves constructors of the hosted instance, and what a server's refusal records, to files of their own. Settings, flags and printed text stay.

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -4,7 +4,6 @@
 	"context"
 	"os"
 	"runtime/debug"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,7 +12,6 @@
 
 	"junctioncross/backend"
 	"junctioncross/call"
-	"junctioncross/catalog"
 	"junctioncross/chart"
 	"junctioncross/config"
 	"junctioncross/decision"
@@ -139,73 +137,6 @@
 	return newLogger(queue, settings.Log, instanceHook{name: settings.Instance.Name, domain: settings.Instance.Domain})
 }
 
-func newQuarantineBook(settings *config.Hosted) *quarantine.Book {
-	q := settings.Quarantine
-	return quarantine.NewBook(quarantine.Settings{Ends: q.Ends, EndsOfOne: q.EndsOfOne, Keep: q.Keep, MaxRequests: q.Most})
-}
-
-func newLoadBook(settings *config.Hosted) *demand.Book {
-	return demand.NewBook(settings.Instance.Domain)
-}
-
-func newEndStore(settings *config.Hosted, store *platform.Store, clock *timer.Service) quarantine.EndStore {
-	return platform.NewEndStore(store, clock, settings.Quarantine.Keep)
-}
-
-func newFront(
-	codec call.Codec, handler *forward.Handler, view *follow.FleetView, clock *timer.Service, stats *metrics.Registry,
-) *front.Server {
-	limits := func() catalog.Limits {
-		if c := view.Current().Catalog(); c != nil {
-			return c.Limits()
-		}
-		return catalog.Limits{}
-	}
-	return front.New(codec, handler, limits, maxConnections, clock, stats)
-}
-
-func newMembershipView(settings *config.Hosted) *membership.View {
-	return membership.NewView(settings.Relays.From)
-}
-
-func newMembership(
-	ctx context.Context, settings *config.Hosted, view *membership.View, registry *relay.Registry, clock *timer.Service,
-	stats *metrics.Registry, log *logrus.Logger,
-) *membership.Membership {
-	self := membership.Instance{
-		Name: settings.Instance.Name, Domain: settings.Instance.Domain, Addr: settings.Listen.Peers, Power: settings.Instance.Power,
-	}
-	newKey := func() ([]byte, error) { return keys.NewFleetKey(clock.Now()) }
-	return membership.New(ctx, view, registry, self, newKey, clock, stats, log)
-}
-
-func relaySelf(settings *config.Hosted) relay.Self {
-	return relay.Self{
-		Name: settings.Instance.Name, Domain: settings.Instance.Domain, Addr: settings.Listen.Peers, RelaysFrom: settings.Relays.From,
-		ApplyTime: settings.Relays.ApplyTime,
-	}
-}
-
-// newSharedReports returns the fleet view as what relays pass on; the findings of this instance carry its name.
-func newSharedReports(view *follow.FleetView, self relay.Self) relay.SharedReports {
-	view.Identify(self.Name, self.Domain)
-	return view
-}
-
-func newRegistry(
-	self relay.Self, store *platform.Store, fleet relay.Fleet, links *link.Client, clock *timer.Service,
-) *relay.Registry {
-	return relay.NewRegistry(self, platform.NewInstanceRegistry(store), fleet, links, clock)
-}
-
-func newOrderLeader(
-	ctx context.Context, settings *config.Hosted, lock leader.Lock, upstream leader.Upstream, view *follow.FleetView,
-	engines backend.EngineClient, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
-) *leader.Leader {
-	holder := settings.Instance.Name + "/" + strconv.FormatInt(clock.Now().UnixNano(), 36)
-	return leader.New(ctx, lock, upstream, holder, view, engines, clock, stats, log)
-}
-
 func (i *hosted) run(signals Signals) error {
 	defer i.Queue.Flush()
 	machine := chart.New(chart.MustLoad("instance"))
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -11,7 +11,8 @@
 
 // Account is a client account.
 type Account struct {
-	Name     string
+	Name string
+	// Priority says how urgent the account's requests are; the smaller it is, the more urgent they are.
 	Priority int
 	// Keys are the bearer keys that authenticate the account's callers.
 	Keys []string
@@ -44,7 +45,7 @@
 	hosts map[string][]*Route
 	// keys maps each bearer key to its account; it is nil if callers need no key.
 	keys map[string]*Account
-	// accounts holds the client accounts.
+	// accounts are those of the content.
 	accounts []Account
 }
 
--- a/catalog/route.go
+++ b/catalog/route.go
@@ -43,7 +43,9 @@
 	// PauseObjective is the longest pause between events that callers expect.
 	PauseObjective time.Duration
 	// Public is true if callers need no key.
-	Public   bool
+	Public bool
+	// Priority says how urgent requests of the route are among those that are as urgent by their account; the smaller it is, the
+	// more urgent they are.
 	Priority int
 }
 
--- a/cmd/jxctl/load.go
+++ b/cmd/jxctl/load.go
@@ -29,6 +29,7 @@
 // errNoLoad is the error for instances of which none gave a page.
 var errNoLoad = errors.New("jxctl: no instance answered")
 
+// loadCommand shows the load that instances know of.
 type loadCommand struct {
 	Addresses []string      `arg:"" name:"addr" help:"Addresses of the metrics listeners (listen.metrics) of instances, IP number and port."`
 	Service   string        `help:"Show this service only."`
@@ -85,6 +86,7 @@
 	return nil
 }
 
+// write writes what the instances say, as JSON or as tables.
 func (l *loadCommand) write(out *bytes.Buffer, fleet *loadview.Fleet) error {
 	if l.JSON {
 		return writeJSON(out, fleet)
--- a/cmd/jxctl/loadadmission.go
+++ b/cmd/jxctl/loadadmission.go
@@ -38,6 +38,7 @@
 	return lines
 }
 
+// settingLine says whether a setting is in force, and why on a line of its own.
 func settingLine(what string, s loadview.Setting) string {
 	state := "not in force"
 	if s.InForce {
--- a/cmd/jxctl/loadtable.go
+++ b/cmd/jxctl/loadtable.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// nameWidth, domainWidth and listWidth bound the cells of a table, and lineWidth all lines.
+	// nameWidth, domainWidth and listWidth bound the cells of a table, and lineWidth all lines, in characters.
 	nameWidth   = 20
 	domainWidth = 14
 	listWidth   = 36
@@ -35,6 +35,7 @@
 	return nil
 }
 
+// writeFleet writes which instances answered, the tables of each service and the findings.
 func writeFleet(out io.Writer, f *loadview.Fleet) error {
 	fmt.Fprintf(out, "%d of %d instances answered\n", f.Answered, f.Asked)
 	for _, one := range f.Failed {
@@ -67,22 +68,23 @@
 	asked := len(s.Instances)
 	return writeTable(out, "servers out of use", "SERVER\tDOMAIN\tREASON\tSINCE\tLEFT\tSILENT TO\tOUT OF USE FOR", len(s.OutOfUse), func(i int) string {
 		one := &s.OutOfUse[i]
-		by := fmt.Sprintf("%d of %d: %s", len(one.SeenBy), asked, strings.Join(one.SeenBy[:min(len(one.SeenBy), 2)], ", "))
-		return row(name(one.Server.Server), domain(one.Domain), name(one.Reason), span(one.SinceMS), span(one.LeftMS), name(one.Silent), clip(by, listWidth))
+		seenBy := fmt.Sprintf("%d of %d: %s", len(one.SeenBy), asked, strings.Join(one.SeenBy[:min(len(one.SeenBy), 2)], ", "))
+		return row(name(one.Server.Server), domain(one.Domain), name(one.Reason), span(one.SinceMS), span(one.LeftMS), name(one.Silent), clip(seenBy, listWidth))
 	})
 }
 
+// writeDomains writes the load and the servers of each domain.
 func writeDomains(out io.Writer, s *loadview.MergedService) error {
 	const head = "DOMAIN\tROOM\tUNDER WAY\tWAITING\tTOLD\tLIFETIME\tINSTANCES\tAGE\tUSABLE\tENTRY ROOM\tWITHOUT HOLDER"
 	return writeTable(out, "load by domain", head, len(s.Domains), func(i int) string {
 		d := &s.Domains[i]
-		cover := row(fmt.Sprintf("%d/%d", d.Coverage.Usable, d.Coverage.Servers), number(d.Coverage.Room), gaps(&d.Coverage))
+		coverage := row(fmt.Sprintf("%d/%d", d.Coverage.Usable, d.Coverage.Servers), number(d.Coverage.Room), gaps(&d.Coverage))
 		if !d.TotalsKnown {
-			return row(domain(d.Domain), "not known", "", "", "", "", "", "", cover)
+			return row(domain(d.Domain), "not known", "", "", "", "", "", "", coverage)
 		}
 		return row(
 			domain(d.Domain), number(d.Room), fmt.Sprint(d.UnderWay), fmt.Sprint(d.Waiting), fmt.Sprint(d.ToldToReturn),
-			span(d.LifetimeMS), fmt.Sprint(d.Instances), span(d.AgeMS), cover,
+			span(d.LifetimeMS), fmt.Sprint(d.Instances), span(d.AgeMS), coverage,
 		)
 	})
 }
@@ -93,6 +95,7 @@
 	class  *loadview.Class
 }
 
+// writeClasses writes the rates of each class, with what the instance admits of it.
 func writeClasses(out io.Writer, s *loadview.MergedService) error {
 	var rows []classRow
 	for i := range s.Domains {
@@ -116,6 +119,7 @@
 	})
 }
 
+// writeInstances writes what each instance says of itself.
 func writeInstances(out io.Writer, s *loadview.MergedService) error {
 	const head = "INSTANCE\tDOMAIN\tUNDER WAY\tWAITING\tTOLD\tRETRIES LEFT\tLANES\tOWN\tOTHERS\tCROSSING\tLEVELS"
 	return writeTable(out, "instances (room of their lanes in the own domain, in others, and crossing)", head, len(s.Instances), func(i int) string {
@@ -135,7 +139,7 @@
 	})
 }
 
-// lowest names the rank of which the least is admitted.
+// lowest names the rank of which the smallest share of first tries is admitted, and that share.
 func lowest(levels []loadview.RankLevel) string {
 	least := &levels[0]
 	for i := range levels {
--- a/cmd/jxctl/table.go
+++ b/cmd/jxctl/table.go
@@ -25,12 +25,16 @@
 	return w.Flush()
 }
 
+// row joins the cells of a row.
 func row(cells ...string) string { return strings.Join(cells, "\t") }
 
+// name returns the cell for a name.
 func name(s string) string { return cell(s, nameWidth) }
 
+// domain returns the cell for the name of a failure domain.
 func domain(s string) string { return cell(s, domainWidth) }
 
+// cell returns a text in at most width characters; an empty one is shown as a dash.
 func cell(s string, width int) string {
 	if s == "" {
 		return "-"
@@ -38,7 +42,7 @@
 	return clip(s, width)
 }
 
-// clip bounds a text and replaces what is not printable, since it comes from other machines.
+// clip bounds a text to width characters and replaces those that are not printable, since it comes from other machines.
 func clip(s string, width int) string {
 	out := []rune(strings.ToValidUTF8(s, "?"))
 	if len(out) > width {
@@ -58,7 +62,7 @@
 
 func percent(share float64) string { return fmt.Sprintf("%.0f%%", 100*share) }
 
-// span returns a time in the largest unit that leaves two digits or more.
+// span returns a time in milliseconds as text: in seconds, or in minutes from ten minutes on; 0 is shown as a dash.
 func span(ms int64) string {
 	d := time.Duration(ms) * time.Millisecond
 	switch {
--- a/config/hosted.go
+++ b/config/hosted.go
@@ -144,11 +144,11 @@
 	// Route is the name of a route, and Account that of a client account; one of them is given.
 	Route   *string `yaml:"route"`
 	Account *string `yaml:"account"`
-	// Ceiling is the greatest part of the room.
+	// Ceiling is the greatest part of the room, from 0 to 1; 1 if it is missing.
 	Ceiling *float64 `yaml:"ceiling" validate:"omitempty,min=0,max=1"`
-	// Guarantee is the part of the room that is given before others get any.
+	// Guarantee is the part of the room that is given before others get any, from 0 to Ceiling.
 	Guarantee float64 `yaml:"guarantee" validate:"min=0,max=1"`
-	// Weight is the weight of an account among the accounts.
+	// Weight is the weight of an account among the accounts; 1 if it is missing.
 	Weight *float64 `yaml:"weight" validate:"omitempty,min=0.001,max=1000"`
 }
 
--- a/config/parts.go
+++ b/config/parts.go
@@ -6,7 +6,10 @@
 	"github.com/pkg/errors"
 )
 
-// checkParts returns an error that names the first field of the requests for parts of the room that cannot be followed.
+// roundingSlack is by how much guarantees may add up to more than 1, since sums of decimal fractions are rounded.
+const roundingSlack = 1e-9
+
+// checkParts checks the requests for parts of the room; the error names the first field that cannot be followed.
 func checkParts(parts []HostedPart) error {
 	total := 0.0
 	seen := map[string]int{}
@@ -20,14 +23,14 @@
 		}
 		seen[p.key()] = i
 		total += p.Guarantee
-		if total > 1+1e-9 {
+		if total > 1+roundingSlack {
 			return errors.Errorf("%s.guarantee: the guarantees add up to more than 1", at)
 		}
 	}
 	return nil
 }
 
-// key identifies what a part is for.
+// key identifies the route or account that a request names.
 func (p *HostedPart) key() string {
 	if p.Route != nil {
 		return "route " + *p.Route
@@ -35,6 +38,7 @@
 	return "account " + *p.Account
 }
 
+// check checks one request; at is the setting that the error names.
 func (p *HostedPart) check(at string) error {
 	switch {
 	case p.Route == nil && p.Account == nil:
--- a/forward/queryquota_test.go
+++ b/forward/queryquota_test.go
@@ -45,7 +45,7 @@
 	require.False(t, q.take(1, 1, now))
 }
 
-// TestTheFirstServerIsQueriedBeforeOthers and then the one of which nothing was heard for longest.
+// TestTheFirstServerIsQueriedBeforeOthers checks also that the server of which nothing was heard for longest follows.
 func TestTheFirstServerIsQueriedBeforeOthers(t *testing.T) {
 	now := time.Unix(1000, 0)
 	named := func(id string, heard time.Duration) *backend.Server {
--- a/forward/resend_test.go
+++ b/forward/resend_test.go
@@ -28,7 +28,7 @@
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(event), event)
 }
 
-// rejecting answers that the request was not run, for want of room at the server with the address.
+// rejecting answers that the request was not run, for lack of room at the server with the address.
 func rejecting(addr func() string) func(net.Conn, int) {
 	return func(c net.Conn, _ int) {
 		_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nAt-Server: "+addr()+"\r\nContent-Length: 0\r\n\r\n")
@@ -67,6 +67,7 @@
 	g.handler.stream(ctx, r)
 }
 
+// streamFront returns a front that sends each request along the servers of a group, over a route with retries.
 func streamFront(t *testing.T, h *Handler, group *backend.Group) *front.Server {
 	route := &catalog.Route{
 		Name: "r", RetryPolicy: catalog.RetryResume, Stream: true, MaxAttempts: 2, Timeout: time.Minute, Objective: 10 * time.Second,
--- a/forward/returning_test.go
+++ b/forward/returning_test.go
@@ -24,10 +24,10 @@
 			return f
 		}
 		require.False(t, tried(20*time.Second).returned)
-		unlike := len(priorities) > 1
+		ranksDiffer := len(priorities) > 1
 		for _, wait := range []time.Duration{17 * time.Second, 18 * time.Second, 19 * time.Second} {
 			f := tried(wait)
-			require.Equal(t, !unlike, f.returned, "wait %s, unlike ranks %t", wait, unlike)
+			require.Equal(t, !ranksDiffer, f.returned, "wait %s, different ranks %t", wait, ranksDiffer)
 			require.False(t, f.certainlyReturned)
 		}
 		f := tried(14 * time.Second)
