--- a/admission/accounts_test.go
+++ b/admission/accounts_test.go
@@ -16,7 +16,8 @@
 const (
 	eagerAccount = "eager"
 	largeAccount = "large"
-	smallCount   = 22
+	// smallCount is the number of small accounts.
+	smallCount = 22
 	// smallLoad is the load of the small accounts, as a part of the room.
 	smallLoad = 0.433
 )
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -50,9 +50,10 @@
 	parts int
 	lost  float64
 
-	now      time.Duration
-	callers  []*caller
-	waiting  []*caller
+	now     time.Duration
+	callers []*caller
+	waiting []*caller
+	// returns holds the callers that come back, and ends the parts whose streams end, by the number of the tick.
 	returns  map[int][]*caller
 	ends     map[int][]int
 	underWay []int
@@ -60,6 +61,7 @@
 	// slots holds the rates of the latest slots, and totals the latest totals, for each part.
 	slots  [][]map[demand.Class]*demand.Rates
 	totals [][]demand.Totals
+	// levels are those of the first instance in each slot, and begun the times at which streams began.
 	levels [][]admission.Level
 	begun  []time.Duration
 }
@@ -85,6 +87,7 @@
 
 func (l *load) clock() time.Time { return time.Unix(1000, 0).Add(l.now) }
 
+// part returns the part of the fleet to which an instance belongs.
 func (l *load) part(instance int) int { return instance % l.parts }
 
 func (l *load) ratesOf(c *caller) *demand.Rates {
@@ -95,7 +98,7 @@
 	return rates[c.class]
 }
 
-// play runs the load for a time.
+// play runs the load until a time since the start; n is the number of the tick.
 func (l *load) play(until time.Duration) {
 	for n := int(l.now / tick); l.now < until; n, l.now = n+1, l.now+tick {
 		for _, part := range l.ends[n] {
@@ -172,6 +175,7 @@
 	l.waiting = append(l.waiting, c)
 }
 
+// used returns the number of streams that have room.
 func (l *load) used() int {
 	sum := 0
 	for _, n := range l.underWay {
@@ -180,6 +184,7 @@
 	return sum
 }
 
+// begin gives room to a caller's stream and draws its lifetime.
 func (l *load) begin(c *caller, n int) {
 	c.served, c.inTime = true, l.now-c.born <= objective
 	l.begun = append(l.begun, l.now)
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -39,7 +39,7 @@
 	return demand.Totals{}, false
 }
 
-// admissions decides on requests for chained services while their room is short.
+// admissions decides on requests for chained services, whose servers each run some of the layers, while their room is short.
 type admissions struct {
 	mu    sync.Mutex
 	loads Loads
@@ -74,7 +74,7 @@
 	h.admissions.loads = loads
 }
 
-// admit decides on a new stream. It returns false, with the outcome, if the room is kept for others.
+// admit decides whether a new stream may look for room. It returns false, with the outcome, if the room is kept for others.
 func (h *Handler) admit(f *inflight) (outcome, bool) {
 	a, now := h.admissions, h.clock.Now()
 	a.mu.Lock()
@@ -159,7 +159,7 @@
 	h.logUnusableParts(c, &settings.Admission)
 }
 
-// openLevels exports that everything is admitted, for an admission to a service that is no longer in force.
+// openLevels exports levels of 100 % for an admission to a service that is replaced by another one.
 func (h *Handler) openLevels(service string, s *serviceAdmission) {
 	if s == nil {
 		return
--- a/forward/claim.go
+++ b/forward/claim.go
@@ -6,7 +6,7 @@
 	"junctioncross/retry"
 )
 
-// claimOf returns the claim of a stream of a service to a retry.
+// claimOf returns the claim of a stream to a retry from the budget of a service.
 func (h *Handler) claimOf(f *inflight, service string) retry.Claim {
 	rank := h.rankPosition(f.r, service)
 	claim := retry.Claim{Position: rank.at, Ranks: rank.of}
--- a/forward/domainforecast.go
+++ b/forward/domainforecast.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// domainDispersion is the size parameter of the distribution of the places that become free in a domain: their rate is known
-	// better than from the few streams of one instance (see dispersion).
+	// domainDispersion is the size parameter of the negative binomial distribution of the places that become free in a domain. It
+	// is greater than dispersion, since their rate is known better than from the few streams of one instance.
 	domainDispersion = 30.0
 	// maxCountedPlaces is the number of places up to which their distribution is computed; for more, the mean is taken for the
 	// median.
--- a/forward/findings.go
+++ b/forward/findings.go
@@ -31,9 +31,8 @@
 }
 
 // queryServers queries servers, all at once. Dead are those that refuse the connection, do not answer two queries, or are named
-// by the first server of the path as the one that it waits for. Servers of which enough is known are not queried, nor, while
-// reports are shared, those for which the quota does not suffice: the first server is queried before others, and then those of
-// which nothing was heard for longest.
+// by the first server of the path as the one that it waits for. Servers of which enough is known are not queried. While instances
+// share reports, a quota limits the queries: the first server comes before others, then those of which nothing was heard for longest.
 func (w *watcher) queryServers(
 	ctx context.Context, first *backend.Server, group *backend.Group, servers map[*backend.Server]suspicion,
 ) *findings {
@@ -43,19 +42,19 @@
 	var all sync.WaitGroup
 	for _, s := range queryOrder(first, servers) {
 		why := servers[s]
-		saved := w.decideQuery(s, why, s == first, found.now)
-		if saved == queryNow && !w.withinQuota(group, found.now) {
-			saved = savedQuota
+		saving := w.decideQuery(s, why, s == first, found.now)
+		if saving == queryNow && !w.withinQuota(group, found.now) {
+			saving = savedQuota
 		}
-		switch saved {
+		switch saving {
 		case queryNow:
 			s.NoteQuery(found.now)
 			all.Go(func() { w.queryOne(ctx, found, s, group, why, s == first) })
 		case savedEnded:
 			found.addDead(s)
-			w.handler.countSaved(saved)
+			w.handler.countSaved(saving)
 		default:
-			w.handler.countSaved(saved)
+			w.handler.countSaved(saving)
 		}
 	}
 	all.Wait()
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -74,7 +74,7 @@
 	admissions         *admissions
 	ends               *quarantine.Book
 	publisher          EndPublisher
-	// loads holds the load reports of the failure domain; it may be nil.
+	// loads holds the load reports of the failure domain; it is nil if load is not reported.
 	loads *demand.Book
 	// outOfUse notes since when servers have got no new work.
 	outOfUse outOfUse
--- a/forward/queryplan.go
+++ b/forward/queryplan.go
@@ -29,7 +29,7 @@
 	minReportLag = 200 * time.Millisecond
 )
 
-// querySaving is the reason why a diagnosis does not query a server.
+// querySaving is the reason why a diagnosis does not query a server, or queryNow if it does.
 type querySaving string
 
 const (
--- a/forward/queryplan_test.go
+++ b/forward/queryplan_test.go
@@ -31,7 +31,8 @@
 	found []time.Duration
 }
 
-// simViewer is one instance: its view of the server, its plan and the events of its stream.
+// simViewer is one instance: its view of the server, its plan, the times of the latest and the next event of its stream, and whether
+// it has queried the server after its death.
 type simViewer struct {
 	server         *backend.Server
 	plan           *queryPlan
@@ -48,6 +49,7 @@
 }
 
 const (
+	// simStall is the stall limit of the streams, and simShared the time that a report takes to the other instances.
 	simStall  = 110 * time.Millisecond
 	simShared = 400 * time.Millisecond
 )
@@ -75,6 +77,7 @@
 	}
 }
 
+// applyAnswers applies the reports of other instances that arrive at a time.
 func applyAnswers(s *backend.Server, answers []sharedAnswer, self int, at time.Duration, start time.Time) {
 	for _, a := range answers {
 		if a.from != self && a.queried+simShared <= at && a.queried+simShared > at-watchPeriod {
