--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -10,6 +10,7 @@
 )
 
 const (
+	// tick is the step of a play. In each slot the instances report once, and windowSlots slots make up the window of rates.
 	tick        = 10 * time.Millisecond
 	slot        = 250 * time.Millisecond
 	slotTicks   = int(slot / tick)
@@ -45,13 +46,14 @@
 	traffic         traffic
 	room            float64
 	controllers     []*admission.Controller
-	// parts is the number of groups of instances that know only each other, and lost the part of the totals that are lost.
+	// parts is the number of groups of instances that know only each other, and lost the part of the totals that gets lost.
 	parts int
 	lost  float64
 
-	now      time.Duration
-	callers  []*caller
-	waiting  []*caller
+	now     time.Duration
+	callers []*caller
+	waiting []*caller
+	// returns holds the callers that come back, and ends the parts whose streams end, by the number of the tick.
 	returns  map[int][]*caller
 	ends     map[int][]int
 	underWay []int
@@ -59,6 +61,7 @@
 	// slots holds the rates of the latest slots, and totals the latest totals, for each part.
 	slots  [][]map[demand.Class]*demand.Rates
 	totals [][]demand.Totals
+	// levels are those of the first instance in each slot, and begun the times at which streams began.
 	levels [][]admission.Level
 	begun  []time.Duration
 }
@@ -84,6 +87,7 @@
 
 func (l *load) clock() time.Time { return time.Unix(1000, 0).Add(l.now) }
 
+// part returns the part of the fleet to which an instance belongs.
 func (l *load) part(instance int) int { return instance % l.parts }
 
 func (l *load) ratesOf(c *caller) *demand.Rates {
@@ -94,7 +98,7 @@
 	return rates[c.class]
 }
 
-// play runs the load for a time.
+// play runs the load until a time since the start; n is the number of the tick.
 func (l *load) play(until time.Duration) {
 	for n := int(l.now / tick); l.now < until; n, l.now = n+1, l.now+tick {
 		for _, part := range l.ends[n] {
@@ -135,7 +139,7 @@
 	return out
 }
 
-// poisson returns the number of arrivals in a tick, the sum of a few binary ones for each.
+// poisson returns a random number of arrivals in a tick, by a Poisson distribution with the given mean.
 func (l *load) poisson(mean float64) int {
 	n, sum := 0, l.arrivals.ExpFloat64()
 	for sum < mean {
@@ -171,6 +175,7 @@
 	l.waiting = append(l.waiting, c)
 }
 
+// used returns the number of streams that have room.
 func (l *load) used() int {
 	sum := 0
 	for _, n := range l.underWay {
@@ -179,6 +184,7 @@
 	return sum
 }
 
+// begin gives room to a caller's stream and draws its lifetime.
 func (l *load) begin(c *caller, n int) {
 	c.served, c.inTime = true, l.now-c.born <= objective
 	l.begun = append(l.begun, l.now)
