admission, demand: use totals whose streams end within more than a lifetime

Cause: load reports count streams that begin later among those that end within 8 s; admission took more ends than streams for impossible and used no totals of real reports, so that no level ever moved outside of its tests. One report with an absurd number, which demand accepted, could do the same to a service. Change: ends beyond the streams under way count as those; a report's numbers are bounded where it arrives. The new test feeds admission with real reports; it fails on the code before.

--- a/admission/capacity.go
+++ b/admission/capacity.go
@@ -79,7 +79,9 @@
 	}
 	c.found = max(min(c.found, t.Room), used)
 	if used >= shortFill*c.found {
-		c.ends += (t.Ends[endsHorizon]/demand.Horizons[endsHorizon].Seconds() - c.ends) * gain(dt, endsTime)
+		// Reports may count streams that begin within the horizon.
+		ending := min(t.Ends[endsHorizon], used) / demand.Horizons[endsHorizon].Seconds()
+		c.ends += (ending - c.ends) * gain(dt, endsTime)
 	}
 	switch filled := used + float64(t.Waiting); {
 	case noneFree || filled >= shortFill*c.found:
--- a/admission/valid.go
+++ b/admission/valid.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxCount bounds the streams, and the requests a second, that totals can hold.
-	maxCount = 1e7
+	// maxCount bounds the streams, and the requests a second, that totals can hold: the sum of all that reports may name.
+	maxCount = 1e10
 	// maxLifetime bounds the mean lifetime of streams, and maxAge the age of totals that are used.
 	maxLifetime = time.Hour
 	maxAge      = 3 * time.Second
@@ -26,7 +26,7 @@
 		return false
 	}
 	for _, n := range t.Ends {
-		if !plausible(n) || n > float64(t.UnderWay)+1 {
+		if !plausible(n) {
 			return false
 		}
 	}
--- a/demand/check.go
+++ b/demand/check.go
@@ -1,7 +1,6 @@
 package demand
 
 import (
-	"math"
 	"time"
 )
 
@@ -12,7 +11,7 @@
 const (
 	// ReasonAge means a negative age or one of more than maxAge.
 	ReasonAge Reason = "age"
-	// ReasonNumber means a number that is negative, not finite or more than maxNumber, or a lifetime of more than maxLifetime.
+	// ReasonNumber means a number that is negative, not finite or out of bounds, or a lifetime of more than maxLifetime.
 	ReasonNumber Reason = "number"
 	// ReasonName means an empty or too long name, or a service that an instance reports twice.
 	ReasonName Reason = "name"
@@ -27,10 +26,12 @@
 const (
 	// maxAge is the greatest age that a sender may state.
 	maxAge = 10 * time.Second
-	// maxNumber bounds each number, so that sums cannot overflow.
-	maxNumber = 1e9
+	// maxReportNumber bounds each number of a report: an instance holds far fewer streams. maxNumber bounds those of totals, so that
+	// sums cannot overflow.
+	maxReportNumber = 1e5
+	maxNumber       = 1e9
 	// maxLifetime bounds the mean lifetime of streams.
-	maxLifetime = 24 * time.Hour
+	maxLifetime = time.Hour
 	// maxNameBytes bounds the names of instances, domains, services and client accounts.
 	maxNameBytes = 128
 	// MaxReportClasses bounds the classes of one report, and maxClasses those of the totals of a service.
@@ -51,7 +52,7 @@
 		return ReasonClasses
 	}
 	counts := [...]int{r.UnderWay, r.Waiting, r.ToldToReturn}
-	return loadFault(counts[:], [...]float64{r.Room, r.ToldRate}, r.Lifetime, &r.Ends, r.Classes)
+	return loadFault(maxReportNumber, counts[:], [...]float64{r.Room, r.ToldRate}, r.Lifetime, &r.Ends, r.Classes)
 }
 
 // fault returns why totals cannot be used; it is empty for usable ones.
@@ -63,53 +64,54 @@
 		return ReasonAge
 	}
 	counts := [...]int{t.Instances, t.UnderWay, t.Waiting, t.ToldToReturn}
-	return loadFault(counts[:], [...]float64{t.Room, t.ToldRate}, t.Lifetime, &t.Ends, t.Classes)
+	return loadFault(maxNumber, counts[:], [...]float64{t.Room, t.ToldRate}, t.Lifetime, &t.Ends, t.Classes)
 }
 
-// loadFault returns why the load of a report or totals cannot be used; counts and others hold its numbers.
-func loadFault(counts []int, others [2]float64, lifetime time.Duration, ends *Ends, classes []Rates) Reason {
+// loadFault returns why the load of a report or totals cannot be used; counts and others hold its numbers, of which none may exceed
+// the limit.
+func loadFault(
+	limit float64, counts []int, others [2]float64, lifetime time.Duration, ends *Ends, classes []Rates,
+) Reason {
 	for _, n := range counts {
-		if !numberUsable(float64(n)) {
+		if !numberUsable(float64(n), limit) {
 			return ReasonNumber
 		}
 	}
-	for _, n := range ends {
-		if !numberUsable(n) {
+	for _, n := range append(others[:], ends[:]...) {
+		if !numberUsable(n, limit) {
 			return ReasonNumber
 		}
 	}
-	if !numberUsable(others[0]) || !numberUsable(others[1]) || lifetime < 0 || lifetime > maxLifetime {
+	if lifetime < 0 || lifetime > maxLifetime {
 		return ReasonNumber
 	}
 	if len(classes) > maxClasses {
 		return ReasonClasses
 	}
 	for i := range classes {
-		if fault := classes[i].fault(); fault != "" {
+		if fault := classes[i].fault(limit); fault != "" {
 			return fault
 		}
 	}
 	return ""
 }
 
-// fault returns why rates cannot be used; it is empty for usable ones.
-func (r *Rates) fault() Reason {
+// fault returns why rates cannot be used, of which none may exceed the limit; it is empty for usable ones.
+func (r *Rates) fault(limit float64) Reason {
 	if len(r.Class.Account) > maxNameBytes {
 		return ReasonName
 	}
-	for _, n := range [...]float64{r.Offered, r.Refused, r.Returned} {
-		if !numberUsable(n) {
+	rank := r.Class.Rank
+	for _, n := range [...]float64{r.Offered, r.Refused, r.Returned, float64(rank.Account), float64(rank.Route)} {
+		if !numberUsable(n, limit) {
 			return ReasonNumber
 		}
 	}
-	if rank := r.Class.Rank; math.Abs(float64(rank.Account)) > maxNumber || math.Abs(float64(rank.Route)) > maxNumber {
-		return ReasonNumber
-	}
 	return ""
 }
 
 // numberUsable reports whether a number can be used; NaN cannot, since each comparison with it is false.
-func numberUsable(n float64) bool { return n >= 0 && n <= maxNumber }
+func numberUsable(n, limit float64) bool { return n >= 0 && n <= limit }
 
 // nameUsable reports whether a name is neither empty nor too long.
 func nameUsable(name string) bool { return name != "" && len(name) <= maxNameBytes }
--- a/forward/loadreport_test.go
+++ b/forward/loadreport_test.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/admission"
 	"junctioncross/catalog"
 	"junctioncross/decision"
 	"junctioncross/demand"
@@ -102,3 +103,29 @@
 	}
 	require.Equal(t, []string{"domain load known", "domain load unknown", "domain load known"}, messages)
 }
+
+// TestTheTotalsOfRealReportsMoveLevels has two instances whose streams end within three seconds, as their own load reports say, and
+// twice as many callers as the room is for.
+func TestTheTotalsOfRealReportsMoveLevels(t *testing.T) {
+	book, now := demand.NewBook("a"), time.Unix(1000, 0)
+	q := newQueue()
+	for i := range 40 {
+		q.addUnderWay(&inflight{}, now.Add(-time.Duration(i)*100*time.Millisecond))
+	}
+	urgent, background := demand.Class{Rank: demand.Rank{}}, demand.Class{Rank: demand.Rank{Account: 2, Route: 2}}
+	c := admission.New(admission.Settings{Ranks: true}, func() float64 { return 0.5 })
+	for ; now.Before(time.Unix(1010, 0)); now = now.Add(totalsPeriod) {
+		r := q.loadReport(now, func(*inflight) bool { return false })
+		r.Service, r.Room = "s", 80
+		r.Waiting, r.Classes = 4, []demand.Rates{{Class: urgent, Offered: 10}, {Class: background, Offered: 20}}
+		require.Empty(t, book.SetOwn("i-0", []demand.Report{r}, now))
+		require.Empty(t, book.AddReports("i-1", []demand.Report{r}, 0, now))
+		totals, ok := book.Fleet("s", now)
+		require.True(t, ok)
+		require.True(t, c.Update(&totals, now), "%+v", totals)
+	}
+	levels := c.AppendLevels(nil)
+	require.Len(t, levels, 2)
+	require.InDelta(t, 1, levels[0].First, 0)
+	require.Less(t, levels[1].First, 0.9)
+}
