--- a/placement/cover.go
+++ b/placement/cover.go
@@ -70,12 +70,12 @@
 
 const (
 	// missingInFleet and missingInDomain are the values of holding a layer that has no holder at all, or none in the domain.
-	// A layer whose holders have the room of one server of the layout has a value of about 1. Without any holder no request is served,
-	// without one in the domain paths cross to other domains.
+	// A layer whose holders have the room of one server of the layout has a value of about 1. Without any holder no request is
+	// served; without one in the domain paths cross to other domains.
 	missingInFleet  = 10000.0
 	missingInDomain = 100.0
-	// loadCost is subtracted from the value of a move for each layer that it loads. Loading takes seconds of one server, which
-	// costs little compared with a missing layer: that sends all paths of its domain elsewhere.
+	// loadCost is subtracted from the gain of a change for each layer that it loads. It is low compared with the value of a missing
+	// layer: loading takes seconds of one server, a missing layer sends all paths of its domain over the links between domains.
 	loadCost = 2.0
 	// minRoom is the number of sequences below which a layer counts as having no holder; rounding may leave a small
 	// remainder there.
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -11,9 +11,8 @@
 
 const (
 	// wantedSequences is the number of sequences that a server should have memory for beside its layers in a domain whose
-	// layout is not planned; see Layout. A higher number
-	// leaves less memory for layers: with only one bare copy of the model in each domain, the loss of one server sends all
-	// paths of its domain over the links between domains.
+	// layout is not planned; see Layout. A higher number leaves less memory for layers: where a domain holds only one copy of
+	// the model, the loss of one server sends all paths of its domain over the links between domains.
 	wantedSequences = 96
 	// standbySequences is the same for a standby server: one whose layers all have another holder in its domain that is as
 	// fast. It takes over from lost servers and takes the overflow of the others, and covers more layers with less room for
--- a/placement/layout.go
+++ b/placement/layout.go
@@ -8,10 +8,10 @@
 
 const (
 	// minPlannedCopies is the number of copies of the weights that the memory of a domain must be able to hold for its layout
-	// to be planned. In smaller ones another copy is worth more than room.
+	// to be planned. In smaller domains another copy is worth more than room.
 	minPlannedCopies = 3.0
-	// spareCopies is the part of a copy that the layout of a domain must hold beside a whole one after the loss of its largest
-	// server.
+	// spareCopies is the part of a copy that the servers of a domain must hold beside a whole copy after the loss of the one that
+	// holds most layers.
 	spareCopies = 0.1
 	// rateAccuracy is the accuracy of predicted rates: rates that differ by no more than this fraction count as equal.
 	rateAccuracy = 0.05
@@ -32,7 +32,7 @@
 	// Rate is the number of streams a second that are expected to be completed when the room is full, AfterLoss the same after
 	// the loss of the server whose loss costs most. Both are zero if the engine's costs are not known.
 	Rate, AfterLoss float64
-	// Default is true if the domain is not planned, but has the usual number of sequences.
+	// Default is true if the domain has wantedSequences because it is not planned or no planned layout is eligible.
 	Default bool
 }
 
@@ -54,30 +54,31 @@
 	if !hasCosts(e) || counts.copiesOfWeights(e) < minPlannedCopies {
 		return usual
 	}
-	return mostRoom(usual, compared(e, counts, empty, usual))
+	return mostRoom(usual, eligibleLayouts(e, counts, empty, usual))
 }
 
-// compared returns the layouts that do not lose to the usual one.
-func compared(e *catalog.Engine, counts kindCounts, empty []Server, usual Layout) []Layout {
-	var fit []Layout
+// eligibleLayouts returns the candidates that survive the loss of a server and do not lose to the usual layout.
+func eligibleLayouts(e *catalog.Engine, counts kindCounts, empty []Server, usual Layout) []Layout {
+	var eligible []Layout
 	for _, n := range candidates(e, counts) {
 		l := layoutOf(e, counts, empty, n)
 		if l.losesTo(usual) || !survivesLoss(e, counts, n) {
 			continue
 		}
-		fit = append(fit, l)
+		eligible = append(eligible, l)
 	}
-	return fit
+	return eligible
 }
 
-// mostRoom returns the layout with the most room among those whose value is about the highest; without any it is the usual one.
-func mostRoom(usual Layout, fit []Layout) Layout {
+// mostRoom returns the layout with the most room among the eligible ones whose value is about the highest; without any it is the usual
+// one.
+func mostRoom(usual Layout, eligible []Layout) Layout {
 	highest := 0.0
-	for _, l := range fit {
+	for _, l := range eligible {
 		highest = max(highest, l.value())
 	}
 	best := usual
-	for _, l := range fit {
+	for _, l := range eligible {
 		if l.value() >= (1-rateAccuracy)*highest && (best.Default || l.betterThan(best)) {
 			best = l
 		}
@@ -108,7 +109,8 @@
 		e.UsualAnswer > 0 && e.TokenBytes > 0
 }
 
-// survivesLoss reports whether the domain holds a whole copy and some spare after the loss of its largest server.
+// survivesLoss reports whether the domain holds a whole copy and spareCopies more after the loss of the server that holds most
+// layers.
 func survivesLoss(e *catalog.Engine, counts kindCounts, sequences int) bool {
 	total, largest := 0, 0
 	for _, c := range counts {
--- a/placement/move.go
+++ b/placement/move.go
@@ -10,9 +10,10 @@
 	order Order
 	// covered is the value of the missing layers that the move covers.
 	covered float64
-	// safe is true if all layers of the server have two other holders in its domain, so that none is down to one while it loads.
+	// safe is true if all layers of the server have two other holders in its domain, so that each still has two while it loads.
 	safe bool
-	net  float64
+	// net is the gain without the costs; see change.
+	net float64
 }
 
 // move lets one server drop layers that have other holders in its domain and load layers that are missing or held with far less
@@ -47,6 +48,7 @@
 	r, value := c.bestRange(s.Domain, s.Layers.Count())
 	covered := c.missingValue(s.Domain, r)
 	moved := change{gain: value - c.rangeValue(s.Domain, s.Layers), loaded: r.Count(), cut: 1}
+	// A move that covers no missing layer must gain at least half of what covering one is worth.
 	if !moved.worthwhile() || covered == 0 && moved.net() < missingInDomain/2 {
 		return nil
 	}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -13,20 +13,20 @@
 	maxKnownEngines = 16
 )
 
-// planKey names what a layout depends on: the engine's figures and the servers of each kind.
-type planKey struct{ engine, kinds string }
+// layoutKey identifies what a layout depends on: the engine's figures and the servers of each kind.
+type layoutKey struct{ engine, kinds string }
 
 // Planner plans the layouts of domains and keeps them, since the same servers are asked for in each round. What it returns
 // depends only on the arguments. It is not safe for concurrent use.
 type Planner struct {
-	known map[planKey]Layout
+	known map[layoutKey]Layout
 	// figures holds the figures of engines as text: a new version of the configuration mostly repeats them.
 	figures map[*catalog.Engine]string
 }
 
 // NewPlanner returns a Planner that knows no layouts yet.
 func NewPlanner() *Planner {
-	return &Planner{known: map[planKey]Layout{}, figures: map[*catalog.Engine]string{}}
+	return &Planner{known: map[layoutKey]Layout{}, figures: map[*catalog.Engine]string{}}
 }
 
 // Layouts returns the layout of each domain. It depends only on how many servers of each kind a domain has, whatever they hold,
@@ -53,7 +53,7 @@
 	for _, c := range counts {
 		fmt.Fprintf(&text, "%d %q ", c.servers, c.kind.Name)
 	}
-	key := planKey{engine: p.figuresOf(e), kinds: text.String()}
+	key := layoutKey{engine: p.figuresOf(e), kinds: text.String()}
 	if l, ok := p.known[key]; ok {
 		return l
 	}
--- a/placement/rate.go
+++ b/placement/rate.go
@@ -8,7 +8,7 @@
 )
 
 // stepTime returns how long one token step of all layers with the given number of sequences keeps a server of the kind busy,
-// including the share of prompt reading: while each answer is generated, the prompt of another one is read.
+// including the share of prompt reading: in the time in which an answer is generated, one prompt is read for each sequence.
 func stepTime(e *catalog.Engine, k *catalog.Kind, sequences int) time.Duration {
 	step := chain.StepTime(e, k, e.Layers, float64(sequences), usualTokens(e))
 	reading := chain.ReadTime(e, k, e.Layers, e.UsualPrompt)
--- a/placement/retile.go
+++ b/placement/retile.go
@@ -12,9 +12,11 @@
 const minRetiledSequences = 24
 
 const (
+	// tilingStep is the difference between the numbers of sequences that tiling tries.
+	tilingStep = 4
 	// maxComparedPlans is the highest number of plans of a domain that are compared with a tiling.
 	maxComparedPlans = 48
-	// sameTime is a difference in time that does not count, as the number of layers that a server loads in it.
+	// sameTime is how much longer than the tiling a plan may take, as the number of layers that a server loads in that time.
 	sameTime = 1
 )
 
@@ -103,10 +105,11 @@
 	layers models.Layers
 }
 
-// tiling divides the model among the servers, which are sorted along the model; it returns nil when their memory is too small.
-func tiling(e *catalog.Engine, members []*Server, plan Layout) []tile {
+// tiling divides the model among the servers, which are sorted along the model, with as many sequences for each as their memory
+// allows; it returns nil when their memory is too small.
+func tiling(e *catalog.Engine, members []*Server, layout Layout) []tile {
 	sequences := 0
-	for s := plan.retiled(); s <= plan.Sequences && totalLayers(e, members, s) >= e.Layers; s += 4 {
+	for s := layout.retiled(); s <= layout.Sequences && totalLayers(e, members, s) >= e.Layers; s += tilingStep {
 		sequences = s
 	}
 	if sequences == 0 {
--- a/placement/step.go
+++ b/placement/step.go
@@ -80,7 +80,7 @@
 	maxSteps = 2
 	// stepDelay is how long a step takes beside loading, as the number of layers that a server loads in that time.
 	stepDelay = 4
-	// never is a time that no plan takes.
+	// never stands for a time that is not reached: the missing layers stay missing.
 	never = math.MaxInt
 )
 
@@ -121,7 +121,7 @@
 	return longest
 }
 
-// copyOf returns a copy of the coverage of one domain.
+// copyOf returns a copy of the coverage of one domain, without the sums over all domains.
 func (c *coverageMap) copyOf(domain string) *coverageMap {
 	return &coverageMap{
 		engine: c.engine, layouts: c.layouts, all: make([]float64, c.engine.Layers),
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -78,14 +78,14 @@
 		domains = append(domains, domain)
 	}
 	sort.Strings(domains)
-	highest := 0.0
+	highestRate := 0.0
 	for _, domain := range domains {
 		l := layouts[domain]
 		all.Copies += l.Copies
 		all.Rate += l.Rate
-		highest = max(highest, l.Rate)
+		highestRate = max(highestRate, l.Rate)
 	}
-	all.RateAfterLoss = all.Rate - highest
+	all.RateAfterLoss = all.Rate - highestRate
 }
 
 // count fills in the fields that follow from the room of each layer and from Short.
--- a/placement/trial.go
+++ b/placement/trial.go
@@ -33,7 +33,7 @@
 	return out
 }
 
-// try fills a domain whose servers hold nothing.
+// try fills a domain whose servers hold nothing with the given number of sequences for each server.
 func try(e *catalog.Engine, empty []Server, sequences int) trial {
 	c := newCoverageMap(e, empty, map[string]Layout{"": {Sequences: sequences}})
 	t := trial{engine: e, servers: slices.Clone(empty)}
@@ -49,7 +49,7 @@
 	return t
 }
 
-// roomWithout returns the number of sequences that paths have memory for, without a server; nil means that none is lost.
+// roomWithout returns the number of sequences that paths have memory for without a server. A nil server means that none is lost.
 func (t *trial) roomWithout(lost *Server) float64 {
 	own, first := 0.0, t.first
 	var held models.Layers
@@ -72,8 +72,9 @@
 	return max(lowest, 0)
 }
 
-// rateWithout returns the number of streams a second that are completed when that room is full and the streams are spread
-// evenly over the holders of each layer.
+// rateWithout returns the number of streams a second that are completed without a server when the remaining room is full and the
+// streams are spread evenly over the holders of each layer; held is the number of layers that the servers of each kind hold
+// together. A nil server means that none is lost.
 func (t *trial) rateWithout(counts kindCounts, held []int, lost *Server) float64 {
 	layers := t.layers
 	if lost != nil {
@@ -84,20 +85,21 @@
 		return 0
 	}
 	e := t.engine
-	each := int(math.Ceil(room * float64(e.Layers) / float64(layers)))
+	sequences := int(math.Ceil(room * float64(e.Layers) / float64(layers)))
 	lifetime := 0.0
 	for i, c := range counts {
 		own := held[i]
 		if lost != nil && lost.Kind == c.kind {
 			own -= lost.Layers.Count()
 		}
-		time := time.Duration(e.UsualAnswer)*stepTime(e, c.kind, each) + chain.ReadTime(e, c.kind, e.Layers, e.UsualPrompt)
-		lifetime += time.Seconds() * float64(own) / float64(layers)
+		answerTime := time.Duration(e.UsualAnswer)*stepTime(e, c.kind, sequences) + chain.ReadTime(e, c.kind, e.Layers, e.UsualPrompt)
+		lifetime += answerTime.Seconds() * float64(own) / float64(layers)
 	}
 	return room / lifetime
 }
 
-// layoutOf returns the layout of a domain whose servers have memory for the given number of sequences beside their layers.
+// layoutOf returns the layout of a domain whose servers have memory for the given number of sequences beside their layers; empty
+// holds these servers without layers.
 func layoutOf(e *catalog.Engine, counts kindCounts, empty []Server, sequences int) Layout {
 	t := try(e, empty, sequences)
 	l := Layout{Sequences: sequences, Copies: float64(t.layers) / float64(e.Layers), Room: int(t.roomWithout(nil))}
--- a/placement/window.go
+++ b/placement/window.go
@@ -9,28 +9,29 @@
 )
 
 const (
-	// windowSteps divides the range from the lowest to the highest number of sequences into the numbers that are tried.
+	// windowSteps is how many numbers of sequences are tried, evenly spaced from the lowest to the highest one of a layout.
 	windowSteps = 6
-	// maxWorseSizes is the number of sizes without a better plan after which no more neighbours are tried: each one more costs
-	// more.
+	// maxWorseSizes is the number of window sizes without a better plan after which no larger ones are tried: each further server
+	// that changes its range adds to the cost.
 	maxWorseSizes = 3
-	// maxWindow is the highest number of neighbours that are tried.
+	// maxWindow is the highest number of neighbouring servers in a window.
 	maxWindow = 48
 	// windowStarts is about the number of windows of one size that are tried.
 	windowStarts = 8
 )
 
-// layoutPlan is a set of new ranges for neighbouring servers that covers all missing layers of their domain.
-type layoutPlan struct {
+// rangePlan is a set of new ranges for neighbouring servers that covers all missing layers of their domain.
+type rangePlan struct {
 	tiles []tile
-	net   float64
+	// net is the gain without the costs; see change.
+	net float64
 }
 
 // windowPlans returns the worthwhile plans for a domain with missing layers, the best one first: neighbours along the model may
 // take other ranges, and all other servers keep theirs. The servers are sorted along the model.
-func windowPlans(e *catalog.Engine, c *coverageMap, members []*Server) []layoutPlan {
+func windowPlans(e *catalog.Engine, c *coverageMap, members []*Server) []rangePlan {
 	before, after := around(members, missingSpan(c.ofDomain(members[0].Domain)))
-	var plans []layoutPlan
+	var plans []rangePlan
 	highest, worse := 0.0, 0
 	largest := min(len(members), maxWindow)
 	for size := 1; size <= largest && worse < maxWorseSizes; size = nextSize(size, largest) {
@@ -49,14 +50,14 @@
 	return plans
 }
 
-// around returns the number of servers the middle of whose range lies before a span of layers, and before its end.
+// around returns how many servers hold a range whose middle lies before a span of layers, and before the end of the span.
 func around(members []*Server, span models.Layers) (before, after int) {
 	before = sort.Search(len(members), func(i int) bool { return members[i].Layers.First+members[i].Layers.End >= 2*span.First })
 	after = sort.Search(len(members), func(i int) bool { return members[i].Layers.First+members[i].Layers.End >= 2*span.End })
 	return before, after
 }
 
-// nextSize returns the next number of neighbours to try: each one at first, then in growing steps up to the largest.
+// nextSize returns the next window size to try: every size at first, then in growing steps up to the largest.
 func nextSize(size, largest int) int {
 	if size == largest {
 		return largest + 1
@@ -64,8 +65,8 @@
 	return min(size+max(size/4, 1), largest)
 }
 
-// plansFor returns the worthwhile plans that change only the servers of a window.
-func (c *coverageMap) plansFor(e *catalog.Engine, members, window []*Server) []layoutPlan {
+// plansFor returns the worthwhile plans that change only the servers of a window; members are all servers of its domain.
+func (c *coverageMap) plansFor(e *catalog.Engine, members, window []*Server) []rangePlan {
 	domain := members[0].Domain
 	before := c.domainValue(domain)
 	for _, s := range window {
@@ -77,7 +78,7 @@
 		}
 	}()
 	span, layout := missingSpan(c.ofDomain(domain)), c.layout(domain)
-	var plans []layoutPlan
+	var plans []rangePlan
 	for i := range windowSteps {
 		sequences := layout.retiled() + i*(layout.Sequences-layout.retiled())/(windowSteps-1)
 		tiles := spread(e, window, span, sequences)
@@ -88,15 +89,15 @@
 			made := c.changeTo(domain, option, before)
 			made.gain += wholeCopyValue * float64(len(members))
 			if made.worthwhile() {
-				plans = append(plans, layoutPlan{tiles: option, net: made.net()})
+				plans = append(plans, rangePlan{tiles: option, net: made.net()})
 			}
 		}
 	}
 	return plans
 }
 
-// changeTo returns what it brings and costs that servers, which are not counted now, get new ranges; before is the domain's value
-// with their present ranges.
+// changeTo returns the gain and the costs of new ranges for servers that the coverage does not count now; before is the domain's
+// value with their present ranges.
 func (c *coverageMap) changeTo(domain string, tiles []tile, before float64) change {
 	var out change
 	for _, t := range tiles {
