--- a/leader/heldback.go
+++ b/leader/heldback.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// maxSilence is the longest time after which a server that does not answer is queried again.
+	// maxSilence is the longest time for which a server that does not answer gets no order. The time doubles from orderCheckDelay with
+	// each further query without an answer.
 	maxSilence = 4 * orderCheckDelay
 	// heldBackLogPeriod is the shortest time between two lines on orders that are held back.
 	heldBackLogPeriod = time.Second
@@ -26,31 +27,34 @@
 	errBusy = errors.New("leader: server is busy with an order")
 )
 
-// outrunError means that the server holds other layers than the entry that the order is based on.
-type outrunError struct{ holds models.Layers }
+// outdatedEntryError means that the server holds other layers than the entry that the order is based on.
+type outdatedEntryError struct{ holds models.Layers }
 
 // Error implements error.
-func (e outrunError) Error() string {
+func (e outdatedEntryError) Error() string {
 	return "leader: server holds other layers than its entry: " + e.holds.String()
 }
 
 // silence is how long a server that did not answer gets no order.
 type silence struct {
 	until time.Time
-	wait  time.Duration
+	// wait is the length of the time that ends at until.
+	wait time.Duration
 }
 
-// heldBackCount counts the orders that are held back for the next line on them.
+// heldBackCount counts the orders that were held back since the last line on them.
 type heldBackCount struct {
 	orders int
+	// logged is when the last line was logged.
 	logged time.Time
 }
 
-// holdBack reports whether an order was not sent, and keeps what the server's report said instead.
+// holdBack reports whether an order was not sent because of the server's report. It then keeps what the report says of the server's
+// layers, or for how long a silent server gets no order.
 func (t *serviceTerm) holdBack(s *backend.Server, o placement.Order, err error) bool {
 	id, now := s.Incarnation().String(), t.leader.clock.Now()
 	var cause string
-	var outrun outrunError
+	var outdated outdatedEntryError
 	switch {
 	case errors.Is(err, errSilent):
 		cause = "silent"
@@ -58,11 +62,11 @@
 		t.silent[id] = silence{until: now.Add(wait), wait: wait}
 	case errors.Is(err, errBusy):
 		cause = "busy"
-		// A former leader has probably decided the same; if not, it shows when the server has finished.
+		// A former leader has probably given the same order. Whether it has shows when the server has finished.
 		t.pending[id] = &pendingOrder{layers: o.Layers, since: now, timeout: orderCheckDelay, uncertain: true, unsent: true}
-	case errors.As(err, &outrun):
+	case errors.As(err, &outdated):
 		cause = "outrun"
-		t.pending[id] = &pendingOrder{layers: outrun.holds, since: now, timeout: orderSlack, unsent: true}
+		t.pending[id] = &pendingOrder{layers: outdated.holds, since: now, timeout: orderSlack, unsent: true}
 	default:
 		delete(t.silent, id)
 		return false
@@ -75,7 +79,7 @@
 	return true
 }
 
-// logHeldBack logs an order that is held back, unless another one has just been.
+// logHeldBack logs an order that is held back, unless one was logged within heldBackLogPeriod.
 func (t *serviceTerm) logHeldBack(s *backend.Server, o placement.Order, cause string) {
 	now := t.leader.clock.Now()
 	t.heldBack.orders++
--- a/leader/layout.go
+++ b/leader/layout.go
@@ -20,14 +20,15 @@
 type layoutLog struct {
 	log   *logrus.Logger
 	stats *metrics.Registry
-	last  map[layoutKey]placement.Layout
+	// last holds the layouts that were last logged.
+	last map[layoutKey]placement.Layout
 }
 
 func newLayoutLog(log *logrus.Logger, stats *metrics.Registry) layoutLog {
 	return layoutLog{log: log, stats: stats, last: map[layoutKey]placement.Layout{}}
 }
 
-// record takes the layouts of the domains of a model.
+// record logs and publishes those layouts of a model's domains that differ from the last ones.
 func (r *layoutLog) record(engine *catalog.Engine, layouts map[string]placement.Layout) {
 	for _, domain := range slices.Sorted(maps.Keys(layouts)) {
 		key, l := layoutKey{model: engine.Model, domain: domain}, layouts[domain]
--- a/leader/orders.go
+++ b/leader/orders.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// orderTimeout limits the calls that query a server and give it an order, or only query it.
+	// orderTimeout limits the two calls that query a server and give it an order together, or a call that only queries it.
 	orderTimeout = 500 * time.Millisecond
 	// maxConcurrentOrders limits the servers that are called at the same time; an order takes two calls.
 	maxConcurrentOrders = 16
@@ -35,7 +35,7 @@
 	timeout time.Duration
 	// uncertain is true while it is unknown whether the server accepted the order.
 	uncertain bool
-	// unsent is true for an order that was not sent, since the server is busy or its entry is behind.
+	// unsent is true for an order that was not sent, since the server is busy or its entry is outdated.
 	unsent bool
 }
 
@@ -142,15 +142,16 @@
 	return "other"
 }
 
-// outcome is what became of an order: the number of orders that the server had taken before, and the error.
+// outcome is what became of an order.
 type outcome struct {
+	// expect is the number of orders that the server had accepted before.
 	expect int64
 	err    error
 }
 
 // sendOrder queries the server and gives it the order if it can take it. The server's own count of orders goes with the order,
-// since former leaders may have given some; so the order must not be based on an entry that the server has outrun. A server whose
-// report cannot be read is ordered by what is known of it.
+// since former leaders may have given some; the server thus accepts the order even if it was decided on an outdated entry, so that
+// this is checked here. A server whose report cannot be read gets the order with the count that is known.
 func (t *serviceTerm) sendOrder(ctx context.Context, s *backend.Server, o placement.Order) outcome {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -163,7 +164,7 @@
 	case err == nil && report.Busy:
 		return outcome{report.Orders, errBusy}
 	case err == nil && report.Layers != decidedOn:
-		return outcome{report.Orders, outrunError{report.Layers}}
+		return outcome{report.Orders, outdatedEntryError{report.Layers}}
 	case err == nil:
 		expect = report.Orders
 	}
--- a/leader/service.go
+++ b/leader/service.go
@@ -14,7 +14,8 @@
 
 // serviceTerm holds what a leader knows of its orders to the servers of one chained service, and of these servers.
 type serviceTerm struct {
-	leader  *Leader
+	leader *Leader
+	// pending holds the orders under way by incarnation.
 	pending map[string]*pendingOrder
 	// orders holds the number of orders that each incarnation of a server is known to have accepted; one that is not listed
 	// has accepted none.
@@ -26,12 +27,13 @@
 	waitingSince time.Time
 	// arrivals records when servers appeared in each domain.
 	arrivals map[string]arrivals
-	// silent holds the servers that did not answer before an order.
+	// silent holds, by incarnation, the servers that did not answer the query before an order.
 	silent map[string]silence
-	// coverage is what was last logged.
+	// coverage is the coverage that was last logged.
 	coverage []placement.Coverage
 	planner  *placement.Planner
 	layouts  layoutLog
+	// heldBack counts orders for the next line on those that are held back.
 	heldBack heldBackCount
 }
 
--- a/order/leader.go
+++ b/order/leader.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// withdrawDrains forgets which servers are being drained and announces that none is: another leader may leave them in place, and
-// the time of a later drain counts from its own beginning.
+// withdrawDrains forgets which servers are being drained and announces that none is. Another leader may decide not to drain them,
+// and propagationTime must count anew for a later drain.
 func (l *Leader) withdrawDrains() {
 	clear(l.moving)
 	l.fleet.SetMoving(nil)
