--- a/backend/finding.go
+++ b/backend/finding.go
@@ -11,7 +11,7 @@
 	FindingSilent FindingKind = 1
 	// FindingNotListening means that nothing listens at the server's address.
 	FindingNotListening FindingKind = 2
-	// FindingRefusing means that the server caused a refusal although it is not known to be full: it is dead or leaves.
+	// FindingRefusing means that the server caused a refusal although it is not known to be full: it is probably dead or leaving.
 	FindingRefusing FindingKind = 3
 	// FindingStaleLayers means that the server does not hold the layers of its entry.
 	FindingStaleLayers FindingKind = 4
@@ -46,8 +46,7 @@
 // Unreachable reports whether the kind says that the server could not be reached, which may be the fault of the instance.
 func (k FindingKind) Unreachable() bool { return k == FindingSilent || k == FindingNotListening }
 
-// HoldTime returns how long after the moment of a finding it keeps new work away from its server, as a refusal or a silence
-// that the instance meets itself.
+// HoldTime returns for how long, counted from when it was made, a finding keeps new work away from its server.
 func (k FindingKind) HoldTime() time.Duration {
 	switch k {
 	case FindingFull:
@@ -76,7 +75,8 @@
 
 // heldFinding is the finding of another instance that keeps new work away from a server.
 type heldFinding struct {
-	kind  FindingKind
+	kind FindingKind
+	// at is when the finding was made, until when its effect ends.
 	at    time.Time
 	until time.Time
 }
--- a/backend/outofuse.go
+++ b/backend/outofuse.go
@@ -36,7 +36,7 @@
 	case s.possiblyLeaving.Load():
 		return OutOfUse{Reason: ReasonPossiblyLeaving}, true
 	}
-	if out, aside := s.outForAWhile(now); aside {
+	if out, aside := s.temporarilyOut(now); aside {
 		return out, true
 	}
 	if s.circuit.Open(now) {
@@ -48,8 +48,8 @@
 	return OutOfUse{}, false
 }
 
-// outForAWhile returns the reason that ends at a known time, if there is one.
-func (s *Server) outForAWhile(now time.Time) (OutOfUse, bool) {
+// temporarilyOut returns the reason that ends at a known time, if there is one.
+func (s *Server) temporarilyOut(now time.Time) (OutOfUse, bool) {
 	s.mu.Lock()
 	suspect, stale, aside := s.suspectUntil, s.staleUntil, s.asideUntil
 	s.mu.Unlock()
--- a/backend/querystate.go
+++ b/backend/querystate.go
@@ -19,11 +19,13 @@
 	FoundWell   int
 }
 
-// foundWellMemory is how long after a diagnosis has found the server well the next one counts as another.
-const foundWellMemory = 600 * time.Millisecond
-
-// maxFoundWellAge is how old such a diagnosis may be to be passed on to other instances.
-const maxFoundWellAge = time.Second
+const (
+	// foundWellMemory is the greatest time between two diagnoses in a row that found the server well; after a longer time the count
+	// begins anew.
+	foundWellMemory = 600 * time.Millisecond
+	// maxFoundWellAge is how old such a diagnosis may be to be passed on to other instances.
+	maxFoundWellAge = time.Second
+)
 
 // foundWell counts the diagnoses of stalled streams in a row, of all instances, that found a server well; at is the time of the
 // last one.
@@ -32,7 +34,8 @@
 	count int
 }
 
-// note adds a diagnosis, unless it is one that was counted before.
+// note adds a diagnosis. One that is less than minNewer after the last one counts as the same: it has come back from another
+// instance.
 func (f *foundWell) note(at time.Time) {
 	since := at.Sub(f.at)
 	switch {
--- a/backend/status.go
+++ b/backend/status.go
@@ -50,8 +50,8 @@
 	s.SetAside(now.Add(pause))
 }
 
-// NoteAccepted records that the server accepted work, so that its earlier refusals and findings of other
-// instances no longer count.
+// NoteAccepted records that the server accepted work, so that its earlier refusals and findings of other instances no longer
+// count.
 func (s *Server) NoteAccepted() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/follow/entries.go
+++ b/follow/entries.go
@@ -85,6 +85,7 @@
 	}
 }
 
+// logServer logs a message with what an entry says of its server.
 func (l *Loop) logServer(e backend.Entry, message string) {
 	l.log.WithFields(logrus.Fields{
 		"server": e.ID, "address": e.Addr, "service": e.Service, "server_domain": e.Domain, "kind": e.Kind, "leaving": e.Leaving,
--- a/follow/findingbook.go
+++ b/follow/findingbook.go
@@ -9,14 +9,16 @@
 const (
 	// maxFindingAge is how old a finding may be to count: longer than its way through the relays of two domains.
 	maxFindingAge = time.Second
-	// evidenceTime is how long a finding supports those of other instances about the same server.
+	// evidenceTime is the greatest time between two findings of different sources about one server that support each other, and
+	// between those by which a source counts as cut off.
 	evidenceTime = 2 * time.Second
 	// repeatTime is how long after a finding that nobody supported its source may not take the same server out of use again.
 	repeatTime = 5 * time.Second
-	// ownFindingPeriod is the least time between two findings of this instance about one server.
+	// ownFindingPeriod is the least time between two findings of one kind about one server that this instance makes. Findings of
+	// another instance that are closer together are the same one, which came by different ways.
 	ownFindingPeriod = 250 * time.Millisecond
-	// findingsOfOneShare is the share of a service's servers that the unsupported findings of one instance keep out of use at
-	// most, and findingsShare that of all such findings together; each allows at least one server.
+	// findingsOfOneShare is the maximum share of a service's servers that the unsupported findings of one source keep out of use,
+	// and findingsShare that of all unsupported findings together; each allows at least one server.
 	findingsOfOneShare = 1.0 / 8
 	findingsShare      = 1.0 / 4
 	// cutOffServers is the number of servers of other domains that cannot be reached by an instance which is probably cut off
@@ -27,7 +29,7 @@
 	maxFindings      = 64
 	maxFindingsHeld  = 1024
 	maxFindingsOfOne = 128
-	// maxNameLength bounds the names in a finding.
+	// maxNameLength bounds each name in a finding, in bytes.
 	maxNameLength = 128
 )
 
@@ -37,9 +39,11 @@
 	server    *backend.Server
 	at        time.Time
 	learnedAt time.Time
-	own       bool
-	// until is when its effect ends; it is zero if it never had one. Supported is true if others had found the same.
-	until     time.Time
+	// own is true if this instance made the finding.
+	own bool
+	// until is when its effect ends; it is zero if it never had one.
+	until time.Time
+	// supported is true if another source had found a fault of the same server.
 	supported bool
 }
 
@@ -48,16 +52,16 @@
 	return k.Kind.Unreachable() && k.server.Domain() != k.Domain
 }
 
-// sharesVoice reports whether two findings count as those of one source: they come from one instance, or both say that instances
+// hasSameSource reports whether two findings count as those of one source: they come from one instance, or both say that instances
 // of one domain could not reach servers of other domains, which the loss of one link explains.
-func (k *keptFinding) sharesVoice(other *keptFinding) bool {
+func (k *keptFinding) hasSameSource(other *keptFinding) bool {
 	if k.Source == other.Source {
 		return true
 	}
 	return k.Domain == other.Domain && k.acrossDomains() && other.acrossDomains()
 }
 
-// findingBook judges findings about servers. It is not safe for concurrent use.
+// findingBook keeps the findings about servers and decides on their effect. It is not safe for concurrent use.
 type findingBook struct {
 	kept []*keptFinding
 }
@@ -101,7 +105,8 @@
 	return FindingApplied
 }
 
-// knows reports whether the finding is one that has come by another way, since its moment is known only roughly.
+// knows reports whether the finding has already come by another way. The times of both may differ, since the time of a finding is
+// computed from its age at receipt.
 func (b *findingBook) knows(k *keptFinding) bool {
 	for _, other := range b.kept {
 		same := other.Source == k.Source && other.server == k.server && other.Kind == k.Kind
@@ -115,7 +120,7 @@
 // supports reports whether another instance, or this one, has lately found a fault of the same server.
 func (b *findingBook) supports(k *keptFinding) bool {
 	for _, other := range b.kept {
-		independent := other.own || !k.sharesVoice(other)
+		independent := other.own || !k.hasSameSource(other)
 		if other.server == k.server && independent && k.at.Sub(other.at).Abs() <= evidenceTime {
 			return true
 		}
@@ -130,12 +135,12 @@
 		if other == k || other.supported || other.until.IsZero() {
 			continue
 		}
-		if k.sharesVoice(other) && other.server == k.server {
+		if k.hasSameSource(other) && other.server == k.server {
 			return ignoredRepeated
 		}
 		if now.Before(other.until) && other.server.Service() == k.server.Service() {
 			all[other.server] = true
-			if k.sharesVoice(other) {
+			if k.hasSameSource(other) {
 				ofOne[other.server] = true
 			}
 		}
@@ -146,6 +151,7 @@
 	return findingValid
 }
 
+// allowed returns the number of servers that a share of a service's servers allows: at least one.
 func allowed(servers int, share float64) int { return max(int(float64(servers)*share), 1) }
 
 // cutOff reports whether the domain of a finding's source, or the source alone, is probably cut off from other domains: several
@@ -156,14 +162,14 @@
 	}
 	lost := map[*backend.Server]bool{}
 	for _, other := range b.kept {
-		if other.acrossDomains() && k.sharesVoice(other) && k.at.Sub(other.at).Abs() <= evidenceTime {
+		if other.acrossDomains() && k.hasSameSource(other) && k.at.Sub(other.at).Abs() <= evidenceTime {
 			lost[other.server] = true
 		}
 	}
 	return len(lost) >= cutOffServers
 }
 
-// dropUnreachable ends the effect of the findings of a domain that servers of other domains cannot be reached.
+// dropUnreachable ends the effect of the findings by which instances of a domain could not reach servers of other domains.
 func (b *findingBook) dropUnreachable(domain string, now time.Time) {
 	for _, k := range b.kept {
 		if k.Domain == domain && k.acrossDomains() && now.Before(k.until) {
@@ -225,7 +231,7 @@
 func (b *findingBook) keep(k *keptFinding) bool {
 	ofSource := 0
 	for _, other := range b.kept {
-		if k.sharesVoice(other) {
+		if k.hasSameSource(other) {
 			ofSource++
 		}
 	}
@@ -236,7 +242,7 @@
 	return true
 }
 
-// forget removes the findings that are too old to count.
+// forget removes the findings that are older than repeatTime, which no rule needs any more.
 func (b *findingBook) forget(now time.Time) {
 	left := b.kept[:0]
 	for _, k := range b.kept {
--- a/follow/findingoutcome.go
+++ b/follow/findingoutcome.go
@@ -7,10 +7,14 @@
 
 // Outcomes of findings; they are the labels of counters.
 const (
-	findingValid   FindingOutcome = ""
-	FindingSent    FindingOutcome = "sent"
+	// findingValid means that there is no outcome yet: nothing speaks against the finding so far.
+	findingValid FindingOutcome = ""
+	// FindingSent means that this instance made the finding and passes it on.
+	FindingSent FindingOutcome = "sent"
+	// FindingApplied means that the finding keeps new work away from its server.
 	FindingApplied FindingOutcome = "applied"
-	// FindingTakenBack means that the server has shown that the finding is wrong or over.
+	// FindingTakenBack means that the effect of the finding has ended early: the server has shown that the finding is wrong or over,
+	// or its source is probably cut off.
 	FindingTakenBack FindingOutcome = "taken back"
 
 	droppedGarbled     FindingOutcome = "garbled"
@@ -20,8 +24,8 @@
 	droppedOld         FindingOutcome = "too old"
 	droppedTooMany     FindingOutcome = "too many"
 
-	// The finding is valid but has no effect: it is known already, its source is probably cut off, repeats itself, or keeps
-	// enough servers out of use, or the server has answered since.
+	// The finding is valid but has no effect: it is known already, its source is probably cut off, repeats itself or has reached a
+	// limit, or the finding is over or the server has answered since.
 	ignoredKnown    FindingOutcome = "known"
 	ignoredCutOff   FindingOutcome = "source cut off"
 	ignoredRepeated FindingOutcome = "repeated"
--- a/follow/findings.go
+++ b/follow/findings.go
@@ -7,7 +7,7 @@
 	"junctioncross/backend"
 )
 
-// findingWakePeriod is the least time between two findings that are passed on at once; others wait for the next poll.
+// findingWakePeriod is the least time between two messages whose findings are passed on at once; others wait for the next poll.
 const findingWakePeriod = 200 * time.Millisecond
 
 // FindingEvent is what became of a finding at this instance.
@@ -30,14 +30,18 @@
 	Left time.Duration
 }
 
-// findings is the book of findings of a FleetView, and who is told of them. It is safe for concurrent use.
+// findings holds the findings of a FleetView and the observer of what becomes of them. It is safe for concurrent use.
 type findings struct {
-	mu           sync.Mutex
-	book         findingBook
+	mu   sync.Mutex
+	book findingBook
+	// name and domain are those of this instance.
 	name, domain string
-	observe      func(FindingEvent)
-	lastWake     time.Time
-	urgent       chan struct{}
+	// observe is called with what becomes of findings; it may be nil.
+	observe func(FindingEvent)
+	// lastWake is when findings were last passed on at once.
+	lastWake time.Time
+	// urgent receives a value when this instance has made a finding.
+	urgent chan struct{}
 }
 
 // Identify names this instance and its domain; before that it makes no findings.
@@ -78,7 +82,7 @@
 	if !isNew {
 		return
 	}
-	f.tell([]FindingEvent{{Finding: found, Outcome: FindingSent}})
+	f.notify([]FindingEvent{{Finding: found, Outcome: FindingSent}})
 	select {
 	case f.urgent <- struct{}{}:
 	default:
@@ -109,12 +113,12 @@
 	return reports
 }
 
-// applyFindings applies the findings of one message, and reports whether those that wait for findings should be told at once.
+// applyFindings applies the findings of one message, and reports whether they should be passed on at once.
 func (v *FleetView) applyFindings(received []backend.Finding, now time.Time) bool {
 	f := v.findings
 	var events []FindingEvent
 	f.mu.Lock()
-	worse := false
+	applied := false
 	for i, found := range received {
 		if found.Source == f.name && f.name != "" {
 			continue
@@ -123,22 +127,23 @@
 		if i < maxFindings {
 			outcome = v.applyLocked(found, now)
 		}
-		worse = worse || outcome == FindingApplied
+		applied = applied || outcome == FindingApplied
 		events = append(events, FindingEvent{Finding: found, Outcome: outcome, Received: true})
 	}
 	for _, k := range f.book.takenBack(now) {
 		k.Age = now.Sub(k.at)
 		events = append(events, FindingEvent{Finding: k.Finding, Outcome: FindingTakenBack})
 	}
-	worse = worse && now.Sub(f.lastWake) >= findingWakePeriod
-	if worse {
+	wake := applied && now.Sub(f.lastWake) >= findingWakePeriod
+	if wake {
 		f.lastWake = now
 	}
 	f.mu.Unlock()
-	f.tell(events)
-	return worse
+	f.notify(events)
+	return wake
 }
 
+// applyLocked applies one finding; the caller holds the lock.
 func (v *FleetView) applyLocked(found backend.Finding, now time.Time) FindingOutcome {
 	current := v.Current()
 	server := current.server(found.Server)
@@ -152,8 +157,8 @@
 	return v.findings.book.add(&keptFinding{Finding: found, server: server, at: now.Add(-found.Age), learnedAt: now}, servers, now)
 }
 
-// tell passes events to the observer.
-func (f *findings) tell(events []FindingEvent) {
+// notify passes events to the observer.
+func (f *findings) notify(events []FindingEvent) {
 	f.mu.Lock()
 	observe := f.observe
 	f.mu.Unlock()
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -106,10 +106,11 @@
 	return k
 }
 
-// takenToken is a token that was taken out of a bucket. Worth is what is left of it if it is returned: where the bucket would have
-// been full with the token, the token would have been lost.
+// takenToken is a token that was taken out of a bucket and may be returned.
 type takenToken struct {
-	at    time.Time
+	at time.Time
+	// worth is the part of the token that comes back if it is returned. The rest would have been lost in the bucket, which would have
+	// been full with it.
 	worth float64
 }
 
@@ -136,22 +137,23 @@
 	return capacity
 }
 
-// trimTaken lowers the worth of the taken tokens, the oldest first, to what the bucket has room for.
+// trimTaken lowers the worth of the taken tokens, the oldest first, to what the bucket has room for, and drops those that are worth
+// nothing.
 func (k *bucket) trimTaken(capacity float64) {
 	excess := k.tokens - capacity
-	for _, one := range k.taken {
-		excess += one.worth
+	for _, t := range k.taken {
+		excess += t.worth
 	}
-	done := 0
-	for ; excess > 0 && done < len(k.taken); done++ {
-		one := &k.taken[done]
-		if one.worth > excess {
-			one.worth -= excess
+	worthless := 0
+	for ; excess > 0 && worthless < len(k.taken); worthless++ {
+		t := &k.taken[worthless]
+		if t.worth > excess {
+			t.worth -= excess
 			break
 		}
-		excess -= one.worth
+		excess -= t.worth
 	}
-	k.taken = slices.Delete(k.taken, 0, done)
+	k.taken = slices.Delete(k.taken, 0, worthless)
 }
 
 // perWindow returns the retries that the Limit allows one instance in a Window with so many of its requests.
--- a/retry/claim.go
+++ b/retry/claim.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Claim says how much a request needs a retry. The zero Claim goes before all others.
+// Claim says which requests a retry of this request goes before when the budget is short. The zero Claim goes before all others.
 type Claim struct {
 	// Position is the position of the request's rank among the Ranks of its service; 0 is the most urgent. Ranks is at most 1
 	// where all requests are equally urgent.
@@ -74,8 +74,9 @@
 	return verdict
 }
 
-// Check returns what TakeFor would return, and takes nothing. Unless the claim is Granted, after is when it is expected to be, at the
-// rate at which the budget is refilled now and if nobody else takes a retry; it is at most the window of the Limit.
+// Check returns what TakeFor would return, and takes nothing. Unless the claim is Granted, after is how long it is expected to take
+// until it is, at the rate at which the budget is refilled now and if nobody else takes a retry; it is at most the window of the
+// Limit.
 func (b *Budget) Check(c Claim, service string, instances int, now time.Time) (verdict Verdict, after time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -96,7 +97,7 @@
 	defer b.mu.Unlock()
 	k := b.bucket(service)
 	k.refill(b.limit, instances, now)
-	i := slices.IndexFunc(k.taken, func(one takenToken) bool { return one.at.Equal(taken) })
+	i := slices.IndexFunc(k.taken, func(t takenToken) bool { return t.at.Equal(taken) })
 	if i < 0 {
 		return
 	}
