--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -13,17 +13,19 @@
 const (
 	// exchangePeriod is how often a relay fetches the totals of the other domains.
 	exchangePeriod = 400 * time.Millisecond
-	// maxExchangeBackoff is the longest time for which a relay is not asked after failures, as one that doesn't know the call.
+	// maxExchangeBackoff is the longest time for which a relay is not asked after failures; a build without this call fails each time.
 	maxExchangeBackoff = 5 * time.Second
-	// quietTime is how long after the last poll that brought totals of its domain an instance exchanges load reports with its relay by a call of its
-	// own: longer than a relay holds a poll. A relay that has lost the store answers no polls, but knows the load.
-	quietTime = pollHold + 200*time.Millisecond
+	// unpolledTime is how long after the last answer to a poll with new totals of its domain an instance exchanges load reports with
+	// its relay by a call of its own: longer than a relay holds a poll. A relay that has lost the store answers no polls, but knows
+	// the load.
+	unpolledTime = pollHold + 200*time.Millisecond
 	// newTotalsAge is the greatest age of totals that count as new when a poll brings them.
 	newTotalsAge = demand.FreshTime / 2
-	// quietPeriod is the least time between two of these calls, which are made every second tick.
-	quietPeriod = 2*exchangePeriod - 100*time.Millisecond
-	// startQuietTime is how long after its start an instance makes no such calls.
-	startQuietTime = 5 * time.Second
+	// ownCallPeriod is the least time between two of these calls. It is a little shorter than two exchangePeriods, so that a call is
+	// made at every second tick.
+	ownCallPeriod = 2*exchangePeriod - 100*time.Millisecond
+	// firstCallDelay is how long after its start an instance makes no such calls.
+	firstCallDelay = 5 * time.Second
 )
 
 // Exchange fetches the totals of the other domains from their relays while this instance is a relay or serves as one. Other
@@ -39,7 +41,7 @@
 // NewExchange returns an Exchange for a Source and fetches totals until ctx ends.
 func NewExchange(ctx context.Context, source *Source) *Exchange {
 	e := &Exchange{source: source, backoffs: map[string]backoff{}}
-	source.setLoadDue(startQuietTime)
+	source.setLoadDue(firstCallDelay)
 	ticks := source.clock.Subscribe(exchangePeriod)
 	go func() {
 		defer ticks.Stop()
@@ -55,8 +57,8 @@
 	return e
 }
 
-// fetchAll fetches the totals of each other domain if there may be somebody to pass them on to, and exchanges reports with the
-// own relay if that is due.
+// fetchAll fetches the totals of each other domain if this instance is a relay or has reports of other instances, and exchanges load
+// reports with the relay of its own domain if that is due.
 func (e *Exchange) fetchAll(ctx context.Context) {
 	s := e.source
 	now := s.clock.Now()
@@ -86,7 +88,7 @@
 	}
 	load := s.ownLoad(now)
 	if load != nil {
-		s.setLoadDue(quietPeriod)
+		s.setLoadDue(ownCallPeriod)
 	}
 	return totalsRequest{Load: load}, load != nil
 }
--- a/relay/findings.go
+++ b/relay/findings.go
@@ -12,7 +12,7 @@
 const (
 	// earlyPollPeriod is the least time between two polls that end early because the instance has made a finding.
 	earlyPollPeriod = 200 * time.Millisecond
-	// earlyTimePerInstance, multiplied by the number of instances, is that time where it is longer.
+	// earlyTimePerInstance, multiplied by the number of instances, replaces earlyPollPeriod where it is longer.
 	earlyTimePerInstance = time.Millisecond
 	// pushPeriod is the least time between two messages of findings from a relay to those of other domains.
 	pushPeriod = 200 * time.Millisecond
@@ -20,15 +20,16 @@
 	pushTimeout = peerTimeout
 )
 
-// findingSource is what a SharedReports may be as well: it says when this instance has made a finding about a server.
+// findingSource says when this instance has made a finding about a server; a SharedReports may implement it.
 type findingSource interface {
+	// UrgentFindings returns a channel that receives a value when this instance has made a finding, or nil.
 	UrgentFindings() <-chan struct{}
 }
 
 // pusher passes the findings of a domain on to the relays of other domains.
 type pusher struct {
 	mu sync.Mutex
-	// pushedAt is the moment up to which findings were passed on.
+	// pushedAt is the time up to which findings were passed on.
 	pushedAt time.Time
 	// pending is true if there are findings to pass on, and running while the goroutine that does so runs.
 	pending, running bool
@@ -58,30 +59,30 @@
 		return s.pollInstance(ctx, addr, p)
 	}
 	for {
-		// The poll carries the findings that were made before it.
+		// The poll carries the findings that were made before it, so that they need not end it.
 		select {
 		case <-urgent:
 		default:
 		}
-		early, cancel := context.WithCancel(ctx)
-		gaveUp := make(chan bool, 1)
-		go func() { gaveUp <- s.awaitFinding(early, urgent, cancel) }()
-		got, err := s.pollInstance(early, addr, p)
+		pollCtx, cancel := context.WithCancel(ctx)
+		ended := make(chan bool, 1)
+		go func() { ended <- s.awaitFinding(pollCtx, urgent, cancel) }()
+		got, err := s.pollInstance(pollCtx, addr, p)
 		cancel()
-		if again := <-gaveUp; !again || err == nil || ctx.Err() != nil {
+		if endedEarly := <-ended; !endedEarly || err == nil || ctx.Err() != nil {
 			return got, err
 		}
 		s.stats.Counter("relay_polls_ended_early_total").Inc(1)
 	}
 }
 
-// awaitFinding ends a poll once this instance makes a finding, but not too soon after the last time. It returns whether it has
-// ended the poll.
+// awaitFinding calls end once this instance makes a finding, at least earlyPeriod after the last time, and reports whether it has
+// called it before ctx ended.
 func (s *Source) awaitFinding(ctx context.Context, urgent <-chan struct{}, end func()) bool {
 	s.mu.Lock()
-	rest := s.earlyPeriod() - s.clock.Since(s.endedEarly)
+	pause := s.earlyPeriod() - s.clock.Since(s.endedEarly)
 	s.mu.Unlock()
-	if rest > 0 && !s.clock.Sleep(ctx, rest) {
+	if pause > 0 && !s.clock.Sleep(ctx, pause) {
 		return false
 	}
 	select {
@@ -117,6 +118,7 @@
 	return s.watchStore(ctx, follow.FeedServers, after, noWait)
 }
 
+// urgentFindings returns the channel of a findingSource, or nil if there is none.
 func (s *Source) urgentFindings() <-chan struct{} {
 	if f, ok := s.reports.(findingSource); ok {
 		return f.UrgentFindings()
@@ -175,6 +177,7 @@
 	return true
 }
 
+// pushOnce passes the findings of the domain since the last call on to the relays of the other domains.
 func (s *Source) pushOnce() {
 	now := s.clock.Now()
 	s.push.mu.Lock()
@@ -205,7 +208,7 @@
 	all.Wait()
 }
 
-// domainFindings returns the findings of instances of this domain that this instance learned of after a moment.
+// domainFindings returns the findings of instances of this domain that this instance learned of after a time.
 func (s *Source) domainFindings(after, now time.Time) []backend.Finding {
 	var out []backend.Finding
 	for _, r := range s.reports.Reports(after, now) {
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -69,7 +69,7 @@
 	return &ownLoad{Name: s.self.Name, Domain: s.self.Domain, Reports: reports, Age: s.loads.OwnAge(now)}
 }
 
-// addPolledLoad takes over the load reports in a poll of an instance of the own domain.
+// addPolledLoad stores the load reports in a poll of an instance of the own domain.
 func (s *Source) addPolledLoad(l *ownLoad, now time.Time) {
 	if l == nil || l.Domain != s.self.Domain || l.Name == s.self.Name {
 		return
@@ -85,28 +85,30 @@
 	return s.loads.All(s.clock.Now())
 }
 
-// addPolledTotals takes over the totals in the answer to a poll, and notes when they include new ones of the own domain.
+// addPolledTotals stores the totals in the answer to a poll. If they include new ones of the own domain, it puts off the next
+// exchange of load reports by a call of their own.
 func (s *Source) addPolledTotals(totals []demand.Totals) {
 	s.addTotals(totals)
 	isNew := func(t demand.Totals) bool { return t.Domain == s.self.Domain && t.Age <= newTotalsAge }
 	if slices.ContainsFunc(totals, isNew) {
-		s.setLoadDue(quietTime)
+		s.setLoadDue(unpolledTime)
 	}
 }
 
-// setLoadDue sets how long no load reports are exchanged by a call of their own.
+// setLoadDue sets after what time load reports are next exchanged by a call of their own.
 func (s *Source) setLoadDue(after time.Duration) {
 	s.loadDue.Store(int64(s.clock.Since(s.begun) + after))
 }
 
-// addTotals takes over the totals that another instance sent. Their age counts from the receipt: on the way they have become
-// older by less than the timeout of a call.
+// addTotals stores the totals that another instance sent. Their age counts from the receipt: on the way they have become older by
+// less than the timeout of a call.
 func (s *Source) addTotals(totals []demand.Totals) {
 	if len(totals) > 0 {
 		s.countDropped(s.loads.AddTotals(totals, s.clock.Now()))
 	}
 }
 
+// countDropped counts load reports and totals that were dropped, by reason.
 func (s *Source) countDropped(reasons []demand.Reason) {
 	for _, r := range reasons {
 		s.stats.Counter(fmt.Sprintf("load_reports_dropped_total{reason=%q}", string(r))).Inc(1)
--- a/relay/reports.go
+++ b/relay/reports.go
@@ -56,9 +56,8 @@
 	s.reports.ApplySharedReports(r.Reports, s.clock.Now())
 }
 
-// applyPolledReports applies the reports in a poll. If they show that a server has become silent or slow, or hold a
-// finding that takes a server out of use, all waiting polls of
-// the servers feed are answered at once.
+// applyPolledReports applies the reports in a poll. If they show that a server has become silent or slow, or hold a finding that
+// takes a server out of use, all waiting polls of the servers feed are answered at once.
 func (s *Source) applyPolledReports(reports []backend.SharedReport) {
 	worse := s.reports.ApplySharedReports(reports, s.clock.Now())
 	if s.hasFindings(reports) {
@@ -79,7 +78,7 @@
 	return s.reports.Reports(after, now), now.Sub(s.begun)
 }
 
-// turnedWorse reports whether another instance has reported since mark that a server has become silent or slow.
+// turnedWorse reports whether waiting polls were answered since mark because of a silent or slow server or a finding.
 func (s *Source) turnedWorse(mark time.Duration) bool {
 	return time.Duration(s.lastWorse.Load()) > max(mark, 0)
 }
--- a/relay/source.go
+++ b/relay/source.go
@@ -92,9 +92,11 @@
 	// loadDue is when load reports are next exchanged by a call of their own, in nanoseconds since begun.
 	loadDue atomic.Int64
 	begun   time.Time
-	// lastWorse is when another instance last reported that a server has become silent or slow, in nanoseconds since begun.
+	// lastWorse is when all waiting polls of the servers feed were last answered because of a silent or slow server or a finding, in
+	// nanoseconds since begun.
 	lastWorse atomic.Int64
-	push      pusher
+	// push passes findings on to other domains.
+	push pusher
 
 	upstreamCache upstreamCache
 
@@ -103,7 +105,7 @@
 	reportsSent time.Time
 	// reportMarks holds the Mark of the last answer of each other instance, by address.
 	reportMarks map[string]time.Duration
-	// endedEarly is when a poll last ended early because of a finding.
+	// endedEarly is when a poll last ended early, or a relay last answered its waiting polls, because of a finding of this instance.
 	endedEarly time.Time
 	// breaker decides whether the store is asked while relays refuse.
 	breaker storeBreaker
--- a/retry/claim.go
+++ b/retry/claim.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Claim says which requests a retry of this request goes before when the budget is short. The zero Claim goes before all others.
+// Claim says how a request ranks among those that want a retry. The zero Claim goes before all others.
 type Claim struct {
 	// Position is the position of the request's rank among the Ranks of its service; 0 is the most urgent. Ranks is at most 1
 	// where all requests are equally urgent.
