--- a/placement/layout_test.go
+++ b/placement/layout_test.go
@@ -19,7 +19,7 @@
 func loadedEngine() *catalog.Engine {
 	e := engine()
 	e.TokenBytes, e.BatchSize = 360000, 192
-	e.Step, e.StepPerSequence, e.StepPerContext = 850*time.Microsecond, 2340, 3130
+	e.Step, e.StepPerSequence, e.StepPerContext = 850*time.Microsecond, 2340*time.Nanosecond, 3130*time.Nanosecond
 	e.ReadPerSecond, e.UsualPrompt, e.UsualAnswer = 321000, 730, 111
 	return e
 }
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -202,7 +202,7 @@
 func TestUnlikeFleetServesAsMuch(t *testing.T) {
 	e := &catalog.Engine{
 		Layers: 80, LayerMB: 1750, TokenBytes: 360000, BatchSize: 192, ReadPerSecond: 321000, UsualPrompt: 730, UsualAnswer: 111,
-		Step: 850 * time.Microsecond, StepPerSequence: 2340, StepPerContext: 3130,
+		Step: 850 * time.Microsecond, StepPerSequence: 2340 * time.Nanosecond, StepPerContext: 3130 * time.Nanosecond,
 		Kinds: []catalog.Kind{
 			{Name: "mid", MemoryMB: 36000, StepPace: 3.1, ReadPace: 3.2},
 			{Name: "small", MemoryMB: 21600, StepPace: 16, ReadPace: 8.2},
--- a/relay/loadfault_test.go
+++ b/relay/loadfault_test.go
@@ -20,7 +20,8 @@
 	loadFaultFrom  = 10 * time.Second
 	loadFaultUntil = 30 * time.Second
 	loadSettled    = 6 * time.Second
-	loadStep       = 200 * time.Millisecond
+	// loadStep is the time between two checks of the totals.
+	loadStep = 200 * time.Millisecond
 )
 
 // playLoad plays a fleet in which each instance has one stream and which one fault disturbs. Once the totals have settled, want
@@ -55,7 +56,7 @@
 	}
 }
 
-// wrongLoads returns a line for each totals that are not as wanted.
+// wrongLoads returns a line for the totals of each domain that an instance knows otherwise than wanted.
 func (s *simulation) wrongLoads(want func(p *simulation, at time.Duration, i int, domain string) int) []string {
 	var out []string
 	for i, m := range s.members {
@@ -102,6 +103,7 @@
 	}
 }
 
+// duringLoadFault reports whether the fault lasts at a time of the play.
 func duringLoadFault(at time.Duration) bool { return at >= loadFaultFrom && at < loadFaultUntil }
 
 // affectedWhere marks the instances for which a condition on their domain and rank holds.
--- a/relay/loadsize_test.go
+++ b/relay/loadsize_test.go
@@ -34,6 +34,7 @@
 	return r
 }
 
+// encodedSize returns the length of the CBOR encoding of a value, in bytes.
 func encodedSize(t *testing.T, value any) int {
 	encoded, err := cbor.Marshal(value)
 	require.NoError(t, err)
