--- a/backend/status.go
+++ b/backend/status.go
@@ -22,7 +22,8 @@
 	return now.Before(s.suspectUntil)
 }
 
-// isAside reports whether the server was set aside or held other layers than its entry says, for a time that is not over.
+// isAside reports whether the server was set aside, held other layers than its entry says, or has a finding of another instance
+// that sets it aside, for a time that is not over.
 func (s *Server) isAside(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/follow/findingbook.go
+++ b/follow/findingbook.go
@@ -43,7 +43,7 @@
 	own bool
 	// until is when its effect ends; it is zero if it never had one.
 	until time.Time
-	// supported is true if another source had found a fault of the same server.
+	// supported is true if another source, or this instance, had found a fault of the same server.
 	supported bool
 }
 
