--- a/leader/fleet_test.go
+++ b/leader/fleet_test.go
@@ -25,15 +25,15 @@
 	expiry = 18 * roundPeriod
 )
 
-// machine is a backend server of a fakeFleet; its entry follows its state after entryDelay.
-type machine struct {
+// fakeServer is a backend server of a fakeFleet; its entry follows its state after entryDelay.
+type fakeServer struct {
 	view  *backend.Server
 	entry backend.Entry
-	// holds is what the machine holds, next what it will hold at readyAt if it is loading.
+	// holds is what the server holds, next what it will hold at readyAt if it is loading.
 	holds, next models.Layers
 	loading     bool
 	readyAt     time.Time
-	// draining keeps the machine busy, with its new layers announced, until the given time.
+	// draining keeps the server busy, with its new layers announced, until the given time.
 	draining  time.Time
 	changedAt time.Time
 	crashedAt time.Time
@@ -42,12 +42,12 @@
 	orders    int64
 }
 
-// fakeFleet is a backend.EngineClient of machines that load layers, crash and come back.
+// fakeFleet is a backend.EngineClient of servers that load layers, crash and come back.
 type fakeFleet struct {
-	clock    *clockwork.FakeClock
-	engine   *catalog.Engine
-	machines []*machine
-	byAddr   map[string]*machine
+	clock   *clockwork.FakeClock
+	engine  *catalog.Engine
+	servers []*fakeServer
+	byAddr  map[string]*fakeServer
 
 	mu sync.Mutex
 	// given, refused and unanswered count orders by their outcome, reports the queries of states.
@@ -58,7 +58,7 @@
 	gap int
 }
 
-// unlikeEngine returns an engine of 80 layers for machines of four kinds.
+// unlikeEngine returns an engine of 80 layers for servers of four kinds.
 func unlikeEngine() *catalog.Engine {
 	return &catalog.Engine{
 		Layers: 80, LayerMB: 1750, TokenBytes: 590000, Step: time.Millisecond, ReadPerSecond: 196000,
@@ -72,17 +72,17 @@
 	}
 }
 
-// newFakeFleet returns a fleet with machines of the given kinds in each domain.
+// newFakeFleet returns a fleet with servers of the given kinds in each domain.
 func newFakeFleet(domains []string, kinds ...string) *fakeFleet {
-	f := &fakeFleet{clock: clockwork.NewFakeClock(), engine: unlikeEngine(), byAddr: map[string]*machine{}}
+	f := &fakeFleet{clock: clockwork.NewFakeClock(), engine: unlikeEngine(), byAddr: map[string]*fakeServer{}}
 	for _, domain := range domains {
 		for i, kind := range kinds {
-			m := &machine{entry: backend.Entry{
+			s := &fakeServer{entry: backend.Entry{
 				ID: fmt.Sprintf("%s%02d", domain, i), Addr: fmt.Sprintf("%s:%d", domain, i), Service: "m", Domain: domain, Kind: kind, Born: 1,
 			}}
-			m.view = backend.NewServer(m.entry)
-			f.machines = append(f.machines, m)
-			f.byAddr[m.entry.Addr] = m
+			s.view = backend.NewServer(s.entry)
+			f.servers = append(f.servers, s)
+			f.byAddr[s.entry.Addr] = s
 		}
 	}
 	return f
@@ -105,13 +105,13 @@
 // update ends loads that are due and brings the entries up to date.
 func (f *fakeFleet) update() {
 	now := f.clock.Now()
-	for _, m := range f.machines {
-		if m.loading && !now.Before(m.readyAt) {
-			m.holds, m.loading, m.changedAt = m.next, false, now
+	for _, s := range f.servers {
+		if s.loading && !now.Before(s.readyAt) {
+			s.holds, s.loading, s.changedAt = s.next, false, now
 		}
-		if !m.dead && m.entry.Layers != m.holds && now.Sub(m.changedAt) >= entryDelay {
-			m.entry.Layers = m.holds
-			m.view.Update(m.entry)
+		if !s.dead && s.entry.Layers != s.holds && now.Sub(s.changedAt) >= entryDelay {
+			s.entry.Layers = s.holds
+			s.view.Update(s.entry)
 		}
 	}
 	for _, missing := range f.missing() {
@@ -124,23 +124,23 @@
 // listed returns the servers whose entries are there.
 func (f *fakeFleet) listed() []*backend.Server {
 	var out []*backend.Server
-	for _, m := range f.machines {
-		if !m.unlisted && (!m.dead || f.clock.Since(m.crashedAt) < expiry) {
-			out = append(out, m.view)
+	for _, s := range f.servers {
+		if !s.unlisted && (!s.dead || f.clock.Since(s.crashedAt) < expiry) {
+			out = append(out, s.view)
 		}
 	}
 	return out
 }
 
-// missing returns the number of layers that no machine of a domain holds.
+// missing returns the number of layers that no server of a domain holds.
 func (f *fakeFleet) missing() map[string]int {
 	held := map[string][]bool{}
-	for _, m := range f.machines {
-		if held[m.entry.Domain] == nil {
-			held[m.entry.Domain] = make([]bool, f.engine.Layers)
+	for _, s := range f.servers {
+		if held[s.entry.Domain] == nil {
+			held[s.entry.Domain] = make([]bool, f.engine.Layers)
 		}
-		for l := m.holds.First; l < m.holds.End && !m.dead; l++ {
-			held[m.entry.Domain][l] = true
+		for l := s.holds.First; l < s.holds.End && !s.dead; l++ {
+			held[s.entry.Domain][l] = true
 		}
 	}
 	out := map[string]int{}
@@ -154,68 +154,68 @@
 	return out
 }
 
-// soleHolder returns the first machine that alone holds a layer in its domain.
-func (f *fakeFleet) soleHolder() *machine {
-	for _, m := range f.machines {
-		m.dead = true
-		missing := f.missing()[m.entry.Domain]
-		m.dead = false
+// soleHolder returns the first server that alone holds a layer in its domain.
+func (f *fakeFleet) soleHolder() *fakeServer {
+	for _, s := range f.servers {
+		s.dead = true
+		missing := f.missing()[s.entry.Domain]
+		s.dead = false
 		if missing > 0 {
-			return m
+			return s
 		}
 	}
 	return nil
 }
 
-// crash ends a machine.
-func (f *fakeFleet) crash(m *machine) { m.dead, m.crashedAt = true, f.clock.Now() }
+// crash ends a server.
+func (f *fakeFleet) crash(s *fakeServer) { s.dead, s.crashedAt = true, f.clock.Now() }
 
-// restart brings a machine back as a new incarnation that holds nothing.
-func (f *fakeFleet) restart(m *machine) {
-	entry := m.entry
+// restart brings a server back as a new incarnation that holds nothing.
+func (f *fakeFleet) restart(s *fakeServer) {
+	entry := s.entry
 	entry.Born, entry.Layers = entry.Born+1, models.Layers{}
-	*m = machine{entry: entry, view: backend.NewServer(entry)}
+	*s = fakeServer{entry: entry, view: backend.NewServer(entry)}
 }
 
-// busy reports whether a machine is carrying out an order.
-func (f *fakeFleet) busy(m *machine) bool { return m.loading || f.clock.Now().Before(m.draining) }
+// busy reports whether a server is carrying out an order.
+func (f *fakeFleet) busy(s *fakeServer) bool { return s.loading || f.clock.Now().Before(s.draining) }
 
 // Report implements backend.EngineClient.
 func (f *fakeFleet) Report(_ context.Context, addr string) (backend.Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reports++
-	m := f.byAddr[addr]
+	s := f.byAddr[addr]
 	switch {
-	case m.dead:
+	case s.dead:
 		return backend.Report{}, backend.ErrNoAnswer
 	case f.garbled:
 		return backend.Report{}, backend.ErrGarbled
 	}
-	return backend.Report{Born: m.entry.Born, Busy: f.busy(m), Layers: m.holds, Orders: m.orders}, nil
+	return backend.Report{Born: s.entry.Born, Busy: f.busy(s), Layers: s.holds, Orders: s.orders}, nil
 }
 
 // Place implements backend.EngineClient.
 func (f *fakeFleet) Place(_ context.Context, addr, id string, o backend.PlaceOrder) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m := f.byAddr[addr]
-	if m.dead {
+	s := f.byAddr[addr]
+	if s.dead {
 		f.unanswered++
 		return backend.ErrNoAnswer
 	}
-	if f.busy(m) || o.ExpectOrders != m.orders || id != m.entry.ID {
+	if f.busy(s) || o.ExpectOrders != s.orders || id != s.entry.ID {
 		f.refused++
 		return backend.ErrStale
 	}
 	f.given++
-	m.orders++
-	kept := models.Layers{First: max(m.holds.First, o.Layers.First), End: min(m.holds.End, o.Layers.End)}
+	s.orders++
+	kept := models.Layers{First: max(s.holds.First, o.Layers.First), End: min(s.holds.End, o.Layers.End)}
 	if kept.End <= kept.First {
 		kept = models.Layers{}
 	}
 	load := f.engine.LoadTime * time.Duration(o.Layers.Count()-kept.Count()) / time.Duration(f.engine.Layers)
-	m.holds, m.next, m.loading, m.readyAt, m.changedAt = kept, o.Layers, true, f.clock.Now().Add(load), f.clock.Now()
+	s.holds, s.next, s.loading, s.readyAt, s.changedAt = kept, o.Layers, true, f.clock.Now().Add(load), f.clock.Now()
 	return nil
 }
 
--- a/leader/query_test.go
+++ b/leader/query_test.go
@@ -19,12 +19,12 @@
 			f.rounds(t, leader, roundPeriod)
 		}
 	}
-	require.Equal(t, len(f.machines), f.given)
-	require.Equal(t, len(f.machines), f.reports)
+	require.Equal(t, len(f.servers), f.given)
+	require.Equal(t, len(f.servers), f.reports)
 	require.Zero(t, f.refused)
 	f.rounds(t, leader, 20*time.Second)
-	require.Equal(t, len(f.machines), f.given)
-	require.Equal(t, len(f.machines), f.reports)
+	require.Equal(t, len(f.servers), f.given)
+	require.Equal(t, len(f.servers), f.reports)
 }
 
 // TestServersAreCalledConcurrently lets each call wait until as many others are under way as may be.
@@ -45,13 +45,13 @@
 	f, leader := placedFleet(t, "a")
 	log, hook := logtest.NewNullLogger()
 	leader.leader.log = log
-	m := f.machines[len(f.machines)-1]
-	f.restart(m)
-	m.dead, m.crashedAt = true, f.clock.Now().Add(time.Hour)
+	s := f.servers[len(f.servers)-1]
+	f.restart(s)
+	s.dead, s.crashedAt = true, f.clock.Now().Add(time.Hour)
 	f.reports = 0
 	f.rounds(t, leader, 30*time.Second)
 	require.Zero(t, f.unanswered)
-	require.LessOrEqual(t, f.reports-f.given+len(f.machines), 12)
+	require.LessOrEqual(t, f.reports-f.given+len(f.servers), 12)
 	require.Positive(t, f.reports)
 	require.Positive(t, heldBackLines(hook, "silent"))
 }
@@ -62,13 +62,13 @@
 	f, leader := placedFleet(t, "a")
 	log, hook := logtest.NewNullLogger()
 	leader.leader.log = log
-	for _, m := range f.machines {
-		m.draining = f.clock.Now().Add(busy)
+	for _, s := range f.servers {
+		s.draining = f.clock.Now().Add(busy)
 	}
 	f.crash(f.soleHolder())
 	f.reports = 0
 	f.rounds(t, leader, busy)
-	require.LessOrEqual(t, f.reports, len(f.machines)*int(busy/orderCheckDelay+1))
+	require.LessOrEqual(t, f.reports, len(f.servers)*int(busy/orderCheckDelay+1))
 	require.Positive(t, heldBackLines(hook, "busy"))
 	require.LessOrEqual(t, heldBackLines(hook, "busy"), int(busy/heldBackLogPeriod))
 }
--- a/leader/trouble_test.go
+++ b/leader/trouble_test.go
@@ -24,7 +24,7 @@
 		require.Zero(t, missing, domain)
 	}
 	require.Zero(t, f.refused)
-	require.Equal(t, len(f.machines), f.given, "each server gets one order")
+	require.Equal(t, len(f.servers), f.given, "each server gets one order")
 	f.gap = 0
 	return f, leader
 }
@@ -63,12 +63,12 @@
 // crash when they are back.
 func TestServersThatComeBackListedAreOrderedByTheirOwnCount(t *testing.T) {
 	f, leader := placedFleet(t, "a", "b")
-	for _, m := range f.machines[:len(unlikeKinds())] {
-		m.unlisted = true
+	for _, s := range f.servers[:len(unlikeKinds())] {
+		s.unlisted = true
 	}
 	f.rounds(t, leader, 2*time.Second)
-	for _, m := range f.machines {
-		m.unlisted = false
+	for _, s := range f.servers {
+		s.unlisted = false
 	}
 	f.rounds(t, leader, 6*time.Second)
 	f.crash(f.soleHolder())
@@ -81,8 +81,8 @@
 // they have dropped: their entries show the new layers, but they refuse orders.
 func TestServerThatIsBusyBehindItsEntryIsNotOrdered(t *testing.T) {
 	f, leader := placedFleet(t, "a")
-	for _, m := range f.machines {
-		m.draining = f.clock.Now().Add(8 * time.Second)
+	for _, s := range f.servers {
+		s.draining = f.clock.Now().Add(8 * time.Second)
 	}
 	f.crash(f.soleHolder())
 	f.rounds(t, leader, 25*time.Second)
@@ -93,11 +93,11 @@
 // TestDeadServerThatIsStillListedGetsNoOrders restarts a server that crashes again before it has got layers, and whose entry stays.
 func TestDeadServerThatIsStillListedGetsNoOrders(t *testing.T) {
 	f, leader := placedFleet(t, "a")
-	m := f.soleHolder()
-	f.crash(m)
+	s := f.soleHolder()
+	f.crash(s)
 	f.rounds(t, leader, time.Second)
-	f.restart(m)
-	f.crash(m)
+	f.restart(s)
+	f.crash(s)
 	f.rounds(t, leader, 20*time.Second)
 	require.Zero(t, f.unanswered)
 	require.Zero(t, f.missing()["a"])
@@ -108,13 +108,13 @@
 func TestOrderIsNotBasedOnAnOldEntry(t *testing.T) {
 	f, _ := placedFleet(t, "a")
 	leader := f.newLeader(t)
-	for _, m := range f.machines {
-		m.changedAt = f.clock.Now().Add(time.Hour)
-		m.holds = models.Layers{First: m.holds.First, End: m.holds.End - 1}
+	for _, s := range f.servers {
+		s.changedAt = f.clock.Now().Add(time.Hour)
+		s.holds = models.Layers{First: s.holds.First, End: s.holds.End - 1}
 	}
 	f.crash(f.soleHolder())
 	f.rounds(t, leader, 10*time.Second)
-	require.Equal(t, len(f.machines), f.given, "no orders beyond the first ones")
+	require.Equal(t, len(f.servers), f.given, "no orders beyond the first ones")
 }
 
 // TestFewOrdersWhileServersCrashAndComeBack lets three servers of a domain crash at once and come back empty one after the other,
@@ -126,14 +126,14 @@
 	members := len(unlikeKinds())
 	before := f.given
 	for n := range crashes {
-		var lost []*machine
+		var lost []*fakeServer
 		for _, i := range random.Perm(members)[:atOnce] {
-			lost = append(lost, f.machines[n%3*members+i])
+			lost = append(lost, f.servers[n%3*members+i])
 			f.crash(lost[len(lost)-1])
 		}
-		for _, m := range lost {
+		for _, s := range lost {
 			f.rounds(t, leader, time.Duration(5+random.IntN(4))*time.Second)
-			f.restart(m)
+			f.restart(s)
 		}
 		f.rounds(t, leader, 5*time.Second)
 	}
@@ -151,7 +151,7 @@
 func TestOrdersAreCountedByReason(t *testing.T) {
 	f, leader := placedFleet(t, "a")
 	count := func(name string) int64 { return leader.leader.stats.Counter("orders_" + name + "total").Count() }
-	require.EqualValues(t, len(f.machines), count("fill_"))
+	require.EqualValues(t, len(f.servers), count("fill_"))
 	f.crash(f.soleHolder())
 	f.rounds(t, leader, 20*time.Second)
 	require.Positive(t, count("move_")+count("retile_"))
--- a/relay/breaker_test.go
+++ b/relay/breaker_test.go
@@ -35,7 +35,8 @@
 		}
 	}
 	require.Equal(t, 6, early, "two of each domain")
-	one := New(Self{Name: all[5].Name, Domain: all[5].Domain, RelaysFrom: 2, ApplyTime: applyDeadline}, nil, staticFleet(all), nil, nil, nil, nil, timer.New(fake), metrics.New(), nil)
+	self := Self{Name: all[5].Name, Domain: all[5].Domain, RelaysFrom: 2, ApplyTime: applyDeadline}
+	one := New(self, nil, staticFleet(all), nil, nil, nil, nil, timer.New(fake), metrics.New(), nil)
 	for _, u := range one.upstreams() {
 		one.backoffs[u.addr] = backoff{until: fake.Now().Add(-refusalAge), refused: true}
 	}
--- a/relay/fleetstart_test.go
+++ b/relay/fleetstart_test.go
@@ -118,7 +118,10 @@
 }
 
 func newStartSimulation(domains, each, strong, servers int) *startSimulation {
-	s := &startSimulation{index: map[string]int{}, config: compressibleBytes(configBytes), entries: compressibleBytes(servers * entryBytes), log: logrus.New(), begun: time.Now(), store: &netLink{rate: storeRate}, records: map[string]storedRecord{}}
+	s := &startSimulation{
+		index: map[string]int{}, config: compressibleBytes(configBytes), entries: compressibleBytes(servers * entryBytes),
+		log: logrus.New(), begun: time.Now(), store: &netLink{rate: storeRate}, records: map[string]storedRecord{},
+	}
 	s.log.SetOutput(io.Discard)
 	s.log.SetLevel(logrus.PanicLevel)
 	for d := range domains {
--- a/relay/rejecting_test.go
+++ b/relay/rejecting_test.go
@@ -54,7 +54,8 @@
 	s := newStore()
 	self := relay.Self{Name: "self", Domain: "east", RelaysFrom: 2, ApplyTime: 3 * time.Second}
 	clock := timer.New(clockwork.NewFakeClock())
-	one := relay.New(self, rejectingStore{view{store: s, caller: "self"}}, f, follow.NewFleetView(), noEnds{}, demand.NewBook("east"), links, clock, metrics.New(), log)
+	store := rejectingStore{view{store: s, caller: "self"}}
+	one := relay.New(self, store, f, follow.NewFleetView(), noEnds{}, demand.NewBook("east"), links, clock, metrics.New(), log)
 	for n := range 4 {
 		_, err := one.Next(t.Context(), follow.FeedServers, 1)
 		require.ErrorIs(t, err, follow.ErrUnavailable)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -159,7 +159,8 @@
 		links := link.NewClient(trust, stats)
 		self := relay.Self{Name: m.Name, Domain: m.Domain, Addr: m.Addr, RelaysFrom: 2, ApplyTime: 3 * time.Second}
 		book := demand.NewBook(m.Domain)
-		one := &instance{Source: relay.New(self, over(m.Name), f, reports(m.Name), ends(m.Name), book, links, clock, stats, log), name: m.Name, book: book}
+		source := relay.New(self, over(m.Name), f, reports(m.Name), ends(m.Name), book, links, clock, stats, log)
+		one := &instance{Source: source, name: m.Name, book: book}
 		mux := link.NewMux()
 		one.Register(mux)
 		server, err := link.Listen(m.Addr, trust, mux, stats, log)
--- a/relay/simulation_test.go
+++ b/relay/simulation_test.go
@@ -93,7 +93,10 @@
 	m := s.members[i]
 	fleetView, book, clock := follow.NewFleetView(), quarantine.NewBook(quarantine.Settings{Keep: time.Hour, MaxRequests: 1000}), timer.NewReal()
 	loads := demand.NewBook(m.Domain)
-	source := New(Self{Name: m.Name, Domain: m.Domain, Addr: m.Addr, RelaysFrom: 24, ApplyTime: s.applyDeadline}, scenarioStore{s, i}, staticFleet(s.members), fleetView, noEnds{}, loads, nil, clock, metrics.New(), s.log)
+	self := Self{Name: m.Name, Domain: m.Domain, Addr: m.Addr, RelaysFrom: 24, ApplyTime: s.applyDeadline}
+	source := New(
+		self, scenarioStore{s, i}, staticFleet(s.members), fleetView, noEnds{}, loads, nil, clock, metrics.New(), s.log,
+	)
 	source.peers = scenarioPeers{s, i}
 	ctx, stop := context.WithCancel(context.Background())
 	s.mu.Lock()
--- a/relay/start_test.go
+++ b/relay/start_test.go
@@ -47,7 +47,8 @@
 	links := link.NewClient(trust, stats)
 	t.Cleanup(links.Close)
 	self := relay.Self{Name: "self", Domain: "east", RelaysFrom: 2, ApplyTime: 3 * time.Second}
-	return relay.New(self, store, f, follow.NewFleetView(), noEnds{}, demand.NewBook("east"), links, timer.New(fake), stats, log), fake, absentRelays{addrs: addrs[1:], trust: trust, log: log}
+	source := relay.New(self, store, f, follow.NewFleetView(), noEnds{}, demand.NewBook("east"), links, timer.New(fake), stats, log)
+	return source, fake, absentRelays{addrs: addrs[1:], trust: trust, log: log}
 }
 
 // readDuration returns how long an instance takes to read the servers feed; the clock only advances while the instance waits.
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -52,7 +52,8 @@
 		log := logrus.New()
 		log.SetLevel(logrus.PanicLevel)
 		one := staticFleet{membership.Instance{Name: "self", Domain: "east"}}
-		s := New(Self{Name: "self", Domain: "east", RelaysFrom: 24, ApplyTime: applyDeadline}, store, one, nil, noEnds{}, nil, nil, timer.NewReal(), metrics.New(), log)
+		self := Self{Name: "self", Domain: "east", RelaysFrom: 24, ApplyTime: applyDeadline}
+		s := New(self, store, one, nil, noEnds{}, nil, nil, timer.NewReal(), metrics.New(), log)
 		next := func(feed follow.Feed) error {
 			_, err := s.Next(t.Context(), feed, 1)
 			return err
