--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -161,26 +161,34 @@
 		book := demand.NewBook(m.Domain)
 		source := relay.New(self, over(m.Name), f, reports(m.Name), ends(m.Name), book, links, clock, stats, log)
 		one := &instance{Source: source, name: m.Name, book: book}
-		mux := link.NewMux()
-		one.Register(mux)
-		server, err := link.Listen(m.Addr, trust, mux, stats, log)
-		require.NoError(t, err)
-		ctx, cancel := context.WithCancel(t.Context())
-		one.stop = func() {
-			cancel()
-			links.Close()
-			_ = server.Close()
-		}
-		t.Cleanup(one.stop)
-		relay.NewExchange(ctx, one.Source)
-		go func() { one.follow(ctx, follow.FeedConfig) }()
-		go func() { one.follow(ctx, follow.FeedServers) }()
-		go func() { one.follow(ctx, follow.FeedQuarantine) }()
+		one.start(t, m.Addr, trust, links, stats, log)
 		out[i] = one
 	}
 	return out
 }
 
+// start makes the instance answer calls at an address and follow all feeds until the test ends.
+func (i *instance) start(
+	t *testing.T, addr string, trust *keys.FleetKey, links *link.Client, stats *metrics.Registry, log *logrus.Logger,
+) {
+	mux := link.NewMux()
+	i.Register(mux)
+	server, err := link.Listen(addr, trust, mux, stats, log)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	i.stop = func() {
+		cancel()
+		links.Close()
+		_ = server.Close()
+	}
+	t.Cleanup(i.stop)
+	relay.NewExchange(ctx, i.Source)
+	go func() { i.follow(ctx, follow.FeedConfig) }()
+	go func() { i.follow(ctx, follow.FeedServers) }()
+	go func() { i.follow(ctx, follow.FeedQuarantine) }()
+}
+
+// soon waits until a condition holds.
 func soon(t *testing.T, what func() bool) {
 	require.Eventually(t, what, waitLimit, 10*time.Millisecond)
 }
