forward: report the room of known lanes without a search

Change: the report takes the lanes that requests and readiness checks have found; reports that know none do not count in the median.

--- a/demand/report.go
+++ b/demand/report.go
@@ -32,7 +32,7 @@
 	// UnderWay is the number of the instance's streams that have room, and Waiting the number of those that wait for it.
 	UnderWay int `cbor:"2,keyasint,omitempty"`
 	Waiting  int `cbor:"3,keyasint,omitempty"`
-	// Room is the number of sequences for which the paths inside the instance's failure domain have memory.
+	// Room is the number of sequences for which the paths inside the instance's failure domain have memory, 0 if it knows none.
 	Room float64 `cbor:"4,keyasint,omitempty"`
 	// Lifetime is the mean time from the arrival of a request to the end of its stream.
 	Lifetime time.Duration `cbor:"5,keyasint,omitempty"`
--- a/demand/sum.go
+++ b/demand/sum.go
@@ -30,7 +30,9 @@
 	for i := range r.Classes {
 		t.addRates(&r.Classes[i])
 	}
-	s.rooms = append(s.rooms, r.Room)
+	if r.Room > 0 {
+		s.rooms = append(s.rooms, r.Room)
+	}
 	s.weightedLifetime += float64(r.Lifetime) * float64(r.UnderWay)
 	s.lifetime += float64(r.Lifetime)
 	s.age += age
@@ -54,10 +56,11 @@
 
 // result returns the totals. The room is the median, since all instances see the same room.
 func (s *sum) result() Totals {
-	t := s.totals
-	slices.Sort(s.rooms)
-	n := len(s.rooms)
-	t.Room = (s.rooms[(n-1)/2] + s.rooms[n/2]) / 2
+	t, n := s.totals, s.totals.Instances
+	if rooms := len(s.rooms); rooms > 0 {
+		slices.Sort(s.rooms)
+		t.Room = (s.rooms[(rooms-1)/2] + s.rooms[rooms/2]) / 2
+	}
 	if t.UnderWay > 0 {
 		t.Lifetime = time.Duration(s.weightedLifetime / float64(t.UnderWay))
 	} else {
--- a/forward/lanes.go
+++ b/forward/lanes.go
@@ -53,6 +53,13 @@
 	return b.lanes, !slices.EqualFunc(former, b.lanes, sameLane)
 }
 
+// latest returns the lanes that the last call of get found, without a search.
+func (b *laneCache) latest() []chain.Lane {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lanes
+}
+
 // usualLanes returns the lanes of a group for requests of usual length.
 func usualLanes(group *backend.Group, usable func(int) bool, pace func(int) float64) []chain.Lane {
 	engine := group.Graph().Engine()
--- a/forward/loadreport.go
+++ b/forward/loadreport.go
@@ -5,7 +5,6 @@
 	"math"
 	"time"
 
-	"junctioncross/backend"
 	"junctioncross/decision"
 	"junctioncross/demand"
 )
@@ -55,7 +54,7 @@
 	for name, group := range snapshot.Groups() {
 		if group.Graph() != nil {
 			names = append(names, name)
-			reports = append(reports, l.h.loadReport(name, group, now))
+			reports = append(reports, l.h.loadReport(name, now))
 		}
 	}
 	l.h.loads.SetServices(names)
@@ -88,8 +87,9 @@
 }
 
 // loadReport returns the load of this instance on a service.
-func (h *Handler) loadReport(name string, group *backend.Group, now time.Time) demand.Report {
-	own, _, _ := h.sequences(h.lanesOf(group, now))
+func (h *Handler) loadReport(name string, now time.Time) demand.Report {
+	// A search for lanes takes milliseconds where there are many servers; requests and readiness checks make one often enough.
+	own, _, _ := h.sequences(h.laneCacheOf(name).latest())
 	r := h.queueOf(name).loadReport(now, h.watch.stalled)
 	r.Service, r.Room = name, float64(own)
 	return r
--- a/forward/loadreport_test.go
+++ b/forward/loadreport_test.go
@@ -33,7 +33,8 @@
 	}
 	h.countRefused(refused, notRun{})
 	h.retryAfter(refused.r)
-	got := h.loadReport("s", g, clock.Now())
+	h.lanesOf(g, clock.Now())
+	got := h.loadReport("s", clock.Now())
 	require.Equal(t, "s", got.Service)
 	require.Equal(t, 3, got.UnderWay)
 	require.Equal(t, 1, got.Waiting)
@@ -49,7 +50,7 @@
 		{Class: demand.Class{Rank: demand.Rank{Account: 3}}, Offered: 1, Refused: 1, Returned: 1},
 	}, got.Classes)
 	clock.Advance(rateSlots * rateSlot)
-	require.Empty(t, h.loadReport("s", g, clock.Now()).Classes)
+	require.Empty(t, h.loadReport("s", clock.Now()).Classes)
 }
 
 func TestTheClassesOfALoadReportAreBounded(t *testing.T) {
