forward: keep lanes for a short time while only paces change

Change: a change of paces alone waits 0.3 ms for each server; servers that stop or begin to take work count at once.

--- a/forward/lanes.go
+++ b/forward/lanes.go
@@ -17,6 +17,8 @@
 	// spare is the backing array for the states of the next call.
 	spare []serverState
 	lanes []chain.Lane
+	// searchedAt is when the lanes were last searched.
+	searchedAt time.Time
 	// withoutLaneSince is when a call first found no lane; zero while there is one.
 	withoutLaneSince time.Time
 	// crossingSince is when a call first found only lanes that cross domains; zero while there is no lane at all.
@@ -41,11 +43,11 @@
 	for _, s := range group.Servers() {
 		states = append(states, serverState{usable: s.Usable(now), pace: s.Pace(now)})
 	}
-	if b.group == group && slices.Equal(states, b.states) {
+	if b.group == group && b.upToDateLocked(states, now) {
 		b.spare = states
 		return b.lanes, false
 	}
-	b.group, b.states, b.spare = group, states, b.states
+	b.group, b.states, b.spare, b.searchedAt = group, states, b.states, now
 	// The time at which there is a lane again depends on all servers, not only on those that are backed off.
 	b.recovery = laneRecovery{}
 	former := b.lanes
@@ -53,6 +55,19 @@
 	return b.lanes, !slices.EqualFunc(former, b.lanes, sameLane)
 }
 
+// searchPeriodPerServer, multiplied by the number of servers, is how long lanes are kept although the paces of servers have changed. A
+// search takes that many times longer in large fleets, where some pace changes all the time.
+const searchPeriodPerServer = 300 * time.Microsecond
+
+// upToDateLocked reports whether the lanes need no search: the states of the servers are those of the last search, or only paces
+// differ and that search was a short time ago.
+func (b *laneCache) upToDateLocked(states []serverState, now time.Time) bool {
+	if now.Sub(b.searchedAt) >= time.Duration(len(states))*searchPeriodPerServer {
+		return slices.Equal(states, b.states)
+	}
+	return slices.EqualFunc(states, b.states, func(x, y serverState) bool { return x.usable == y.usable })
+}
+
 // latest returns the lanes that the last call of get found, without a search.
 func (b *laneCache) latest() []chain.Lane {
 	b.mu.Lock()
