--- a/admission/capacity.go
+++ b/admission/capacity.go
@@ -34,8 +34,8 @@
 	endsTime = 2 * time.Second
 	// minCapacityShare is the least capacity, as a part of the streams that end a second, while too many streams wait.
 	minCapacityShare = 0.25
-	// mtimeInRoomTimeShare is the least part of the lifetime that streams are taken to spend in the room.
-	mtimeInRoomTimeShare = 0.5
+	// minInRoomShare is the least part of the lifetime that streams are taken to spend in the room.
+	minInRoomShare = 0.5
 	// smoothTime is the time constant with which the capacity follows the totals.
 	smoothTime = 500 * time.Millisecond
 	// endsHorizon is the index, in demand.Horizons, of the time over which the rate of ends is taken.
@@ -100,7 +100,7 @@
 	timeInRoom := t.Lifetime.Seconds()
 	if used > 0 {
 		// By Little's law, the part of the lifetime that is not spent in the queue.
-		timeInRoom *= max(used/(used+waiting), mtimeInRoomTimeShare)
+		timeInRoom *= max(used/(used+waiting), minInRoomShare)
 	}
 	c.ending = max(c.found/timeInRoom, c.ends)
 	missing, within := c.found+queueTime.Seconds()*c.ending-used-waiting, fillTime
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -67,8 +67,8 @@
 	return &admissions{loads: noLoads{}, services: map[string]*serviceAdmission{}}
 }
 
-// SetLoads replaces the source of the load on services; before, none is known, and nothing is refused for its rank.
-func (h *Handler) SetLoads(loads Loads) {
+// setLoads replaces the source of the load on services; before, none is known, and nothing is refused for its rank.
+func (h *Handler) setLoads(loads Loads) {
 	h.admissions.mu.Lock()
 	defer h.admissions.mu.Unlock()
 	h.admissions.loads = loads
@@ -199,4 +199,4 @@
 	return 1
 }
 
-func inPercent(share float64) int64 { return int64(math.Round(100 * share)) }
+func inPercent(share float64) int64 { return int64(math.Round(percent * share)) }
--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -72,7 +72,7 @@
 	clock, stats, view := timer.New(fake), metrics.New(), follow.NewFleetView()
 	h := New(t.Context(), Settings{Domain: "a", Admission: settings}, view, nil, nil, clock, stats, decision.NewRecorder(log, clock, stats), oneInstance{},
 		testBook(), noPublisher{}, nil)
-	h.SetLoads(loads)
+	h.setLoads(loads)
 	follow.New(t.Context(), confirming{catalog: c, at: clock.Now()}, view, h.ends, clock, stats, log)
 	require.Eventually(t, func() bool { return view.Current().Catalog() != nil }, testTimeout, time.Millisecond)
 	return &admitter{t: t, h: h, clock: fake, group: twoCopies(), stats: stats, log: out}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -104,7 +104,7 @@
 		loadRatio: loadRatio{estimate: initialLoadRatio},
 	}
 	if loads != nil {
-		h.SetLoads(loads)
+		h.setLoads(loads)
 	}
 	h.ApplySettings(settings)
 	h.watch = newWatcher(ctx, h)
--- a/forward/loadpage_test.go
+++ b/forward/loadpage_test.go
@@ -58,7 +58,7 @@
 	require.NoError(t, err)
 	book := demand.NewBook("a")
 	a.h.loads = book
-	a.h.SetLoads(book)
+	a.h.setLoads(book)
 	view := follow.NewFleetView()
 	a.h.fleetView, a.h.budget = view, retry.NewBudget(retry.Limit{Window: 10 * time.Second, Fixed: 100}, a.clock.Now())
 	follow.New(t.Context(), entries{confirming{catalog: c, at: a.clock.Now()}, unevenDomains()}, view, a.h.ends, a.h.clock, a.stats, a.h.record.Log())
--- a/loadview/page.go
+++ b/loadview/page.go
@@ -147,9 +147,9 @@
 
 // Retries is the retry budget of the instance for a service.
 type Retries struct {
-	Left float64 `json:"left"`
 	// Left is the number of retries that are left, Requests that of the requests in the window from which the budget follows, and
 	// Fixed the part of the budget that does not depend on them.
+	Left     float64 `json:"left"`
 	Requests int     `json:"requests"`
 	Fixed    float64 `json:"fixed"`
 }
