demand: add up reports and totals of domains with one sum

Cause: the sum of an instance's reports and the sum over domains added the same nine fields and computed the mean lifetime twice.

--- a/demand/totals.go
+++ b/demand/totals.go
@@ -156,7 +156,7 @@
 	}
 	b.local = b.local[:0]
 	for service, s := range sums {
-		t := s.result()
+		t := s.ofDomain()
 		t.Service, t.Domain = service, b.domain
 		b.local = append(b.local, dated{Totals: t, at: now.Add(-t.Age)})
 	}
@@ -181,7 +181,7 @@
 			s = &sum{rooms: make([]float64, 0, len(b.others)+1)}
 			sums[r.reports[i].Service] = s
 		}
-		s.add(&r.reports[i], max(now.Sub(r.at), 0))
+		s.addReport(&r.reports[i], max(now.Sub(r.at), 0))
 	}
 	if at := r.at.Add(reportTTL); at.Before(b.expiresAt) {
 		b.expiresAt = at
