admission, forward: compute the limit for Retry-After and the need to act once

Cause: the longest Retry-After time that a caller follows, and whether the settings give anything to decide, were each computed in two places, and longestWaits.isReturning was called by tests alone. Change: retryAfterLimit and Settings.Active serve both; the test states the same cases by shareOfLongest.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -55,7 +55,7 @@
 
 // Update computes the levels from new totals. Totals that cannot be true are not used, and it returns false for them.
 func (c *Controller) Update(t *demand.Totals, now time.Time) bool {
-	if !c.settings.active() || !valid(t) || now.Before(c.updated) {
+	if !c.settings.Active() || !valid(t) || now.Before(c.updated) {
 		return false
 	}
 	dt := maxStep
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -33,8 +33,8 @@
 	return p.Route == c.Rank.Route
 }
 
-// active reports whether there is anything to decide.
-func (s *Settings) active() bool { return s.Ranks || s.Accounts || len(s.Parts) > 0 }
+// Active reports whether there is anything to decide.
+func (s *Settings) Active() bool { return s.Ranks || s.Accounts || len(s.Parts) > 0 }
 
 // weight returns the weight of an account.
 func (s *Settings) weight(account string) float64 {
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -86,7 +86,7 @@
 		return nil, true
 	}
 	f.firstTriesFirst = s.plan.settings.Ranks && now.Before(f.r.x.Arrived().Add(f.r.route.Objective))
-	if !s.plan.active() {
+	if !s.plan.settings.Active() {
 		return nil, true
 	}
 	h.updateAdmissionLocked(name, s, now)
@@ -122,7 +122,7 @@
 	switch {
 	case !known:
 		s.controller.Clear()
-	case !s.controller.Update(&totals, now) && s.plan.active():
+	case !s.controller.Update(&totals, now) && s.plan.settings.Active():
 		h.stats.Counter("admission_totals_unusable_total").Inc(1)
 	}
 	if known != s.known {
@@ -176,7 +176,7 @@
 	defer a.mu.Unlock()
 	h.planAdmissionsLocked()
 	for name, s := range a.services {
-		if groups[name] == nil || !s.plan.active() {
+		if groups[name] == nil || !s.plan.settings.Active() {
 			continue
 		}
 		h.updateAdmissionLocked(name, s, h.clock.Now())
--- a/forward/admissionpage.go
+++ b/forward/admissionpage.go
@@ -25,7 +25,7 @@
 	for i := range settings.Parts[:min(len(settings.Parts), loadview.MaxParts)] {
 		out.Parts = append(out.Parts, partInForce(a.catalog, service, settings, i))
 	}
-	if !s.plan.active() {
+	if !s.plan.settings.Active() {
 		return out, classLevels{}
 	}
 	out.TotalsKnown = s.known
--- a/forward/admissionplan.go
+++ b/forward/admissionplan.go
@@ -39,11 +39,6 @@
 	priorities  string
 }
 
-// active reports whether there is anything to decide for the service.
-func (p *admissionPlan) active() bool {
-	return p.settings.Ranks || p.settings.Accounts || len(p.settings.Parts) > 0
-}
-
 // unusablePart is a request for a part of the room that the configuration in force cannot follow.
 type unusablePart struct{ field, name, why string }
 
--- a/forward/queue_test.go
+++ b/forward/queue_test.go
@@ -46,14 +46,15 @@
 
 func TestCallersWithLessTimeThanUsualAreReturning(t *testing.T) {
 	w := longestWaits{}
-	require.False(t, w.isReturning("r", 20*time.Second))
-	require.True(t, w.isReturning("r", 16*time.Second))
-	require.False(t, w.isReturning("r", 19900*time.Millisecond), "it was sent again at once")
-	require.False(t, w.isReturning("other", 5*time.Second))
+	returning := func(route string, wait time.Duration) bool { return w.shareOfLongest(route, wait) < returningShare }
+	require.False(t, returning("r", 20*time.Second))
+	require.True(t, returning("r", 16*time.Second))
+	require.False(t, returning("r", 19900*time.Millisecond), "it was sent again at once")
+	require.False(t, returning("other", 5*time.Second))
 	for range 2000 {
-		w.isReturning("r", 10*time.Second)
+		returning("r", 10*time.Second)
 	}
-	require.False(t, w.isReturning("r", 10*time.Second), "callers have become less patient")
+	require.False(t, returning("r", 10*time.Second), "callers have become less patient")
 }
 
 func TestPathOutagesAreRecordedWhenTheyEnd(t *testing.T) {
--- a/forward/retries.go
+++ b/forward/retries.go
@@ -118,8 +118,7 @@
 		return after
 	}
 	_, refilled := h.budget.Check(retry.Claim{}, r.group.Service().Name, h.instances.Instances(), h.clock.Now())
-	limit := time.Duration(maxRetryAfterShare * float64(max(h.remaining(r), 0)))
-	return max(after, min(withRetryJitter(refilled), limit))
+	return max(after, min(withRetryJitter(refilled), h.retryAfterLimit(r)))
 }
 
 // allowance returns the retry budget of a service.
--- a/forward/retryafter.go
+++ b/forward/retryafter.go
@@ -39,7 +39,7 @@
 	if len(lanes) == 0 {
 		usableIn, known = h.usableIn(r.group, now)
 	}
-	limit := time.Duration(maxRetryAfterShare * float64(max(h.remaining(r), 0)))
+	limit := h.retryAfterLimit(r)
 	// A caller that comes back sooner than that could not be told from a new one.
 	minimum := min(time.Duration((1-returningShare)*float64(r.meta.Wait)), limit)
 	q.mu.Lock()
@@ -60,6 +60,11 @@
 	return after
 }
 
+// retryAfterLimit returns the longest Retry-After time that the caller of a request would follow.
+func (h *Handler) retryAfterLimit(r *request) time.Duration {
+	return time.Duration(maxRetryAfterShare * float64(max(h.remaining(r), 0)))
+}
+
 // timeToRoomLocked returns when there is room for a caller that is refused now: from the load of the domain if it is known, and
 // otherwise from the own streams.
 func (h *Handler) timeToRoomLocked(r *request, q *queue, now time.Time, limit time.Duration) time.Duration {
--- a/forward/returning.go
+++ b/forward/returning.go
@@ -18,11 +18,6 @@
 // longestWaits keeps the longest time that callers of each route are ready to wait.
 type longestWaits map[string]time.Duration
 
-// isReturning records how long a caller is ready to wait, and reports whether it is a returning one.
-func (w longestWaits) isReturning(route string, wait time.Duration) bool {
-	return w.shareOfLongest(route, wait) < returningShare
-}
-
 // shareOfLongest records how long a caller is ready to wait, and returns that as a part of the longest wait of its route.
 func (w longestWaits) shareOfLongest(route string, wait time.Duration) float64 {
 	if len(w) >= maxRoutes {
