placement: take the engine from the coverage map

Cause: move, windowPlans and plansFor took the engine beside the coverage map that holds it. Change: they read it there. No behaviour changes; the tests of placement pass.

--- a/placement/move.go
+++ b/placement/move.go
@@ -22,7 +22,8 @@
 //
 // A server that holds the only copy of a layer in its domain is never moved, whatever it could cover: its layers would be
 // missing while the new ones load.
-func move(e *catalog.Engine, c *coverageMap, servers []Server) []Order {
+func move(c *coverageMap, servers []Server) []Order {
+	e := c.engine
 	live := settledCoverageMap(e, servers, c.layouts)
 	holders := countHolders(e, servers)
 	var best *candidate
--- a/placement/move_test.go
+++ b/placement/move_test.go
@@ -32,7 +32,7 @@
 		held := models.Layers{First: first, End: first + 4}
 		all = append(all, Server{ID: string(rune('a' + i)), Domain: "d", Kind: e.Kind("k"), Layers: held, Settled: true})
 	}
-	orders := move(e, newCoverageMap(e, all, nil), all)
+	orders := move(newCoverageMap(e, all, nil), all)
 	require.Len(t, orders, 1)
 	require.Contains(t, []string{"c", "d", "e"}, orders[0].ID)
 	require.Equal(t, models.Layers{First: 8, End: 12}, orders[0].Layers)
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -89,7 +89,7 @@
 	if orders := append(fillEmpty(c, servers), replaceLost(c, servers)...); len(orders) > 0 {
 		return orders
 	}
-	if orders := move(c.engine, c, servers); len(orders) > 0 {
+	if orders := move(c, servers); len(orders) > 0 {
 		return orders
 	}
 	return retile(c, servers)
--- a/placement/retile.go
+++ b/placement/retile.go
@@ -48,7 +48,7 @@
 	if soonest := live.timeToCover(domain, chosen); soonest < never {
 		latest = soonest + sameTime
 	}
-	plans := windowPlans(e, c, members)
+	plans := windowPlans(c, members)
 	for _, p := range plans[:min(len(plans), maxComparedPlans)] {
 		if live.timeToCover(domain, p.tiles) <= latest {
 			chosen = p.tiles
--- a/placement/window.go
+++ b/placement/window.go
@@ -29,7 +29,7 @@
 
 // windowPlans returns the worthwhile plans for a domain with missing layers, the best one first: neighbours along the model may
 // take other ranges, and all other servers keep theirs. The servers are sorted along the model.
-func windowPlans(e *catalog.Engine, c *coverageMap, members []*Server) []rangePlan {
+func windowPlans(c *coverageMap, members []*Server) []rangePlan {
 	before, after := around(members, missingSpan(c.ofDomain(members[0].Domain)))
 	var plans []rangePlan
 	highest, worse := 0.0, 0
@@ -38,7 +38,7 @@
 		last := highest
 		stride := max(size/windowStarts, 1)
 		for first := max(before-size, 0); first <= min(after, len(members)-size); first += stride {
-			for _, p := range c.plansFor(e, members, members[first:first+size]) {
+			for _, p := range c.plansFor(members, members[first:first+size]) {
 				plans, highest = append(plans, p), max(highest, p.net)
 			}
 		}
@@ -66,7 +66,7 @@
 }
 
 // plansFor returns the worthwhile plans that change only the servers of a window; members are all servers of its domain.
-func (c *coverageMap) plansFor(e *catalog.Engine, members, window []*Server) []rangePlan {
+func (c *coverageMap) plansFor(members, window []*Server) []rangePlan {
 	domain := members[0].Domain
 	before := c.domainValue(domain)
 	for _, s := range window {
@@ -81,11 +81,11 @@
 	var plans []rangePlan
 	for i := range windowSteps {
 		sequences := layout.retiled() + i*(layout.Sequences-layout.retiled())/(windowSteps-1)
-		tiles := spread(e, window, span, sequences)
+		tiles := spread(c.engine, window, span, sequences)
 		if tiles == nil {
 			break
 		}
-		for _, option := range [][]tile{tiles, keepHeld(e, tiles, sequences)} {
+		for _, option := range [][]tile{tiles, keepHeld(c.engine, tiles, sequences)} {
 			made := c.changeTo(domain, option, before)
 			made.gain += wholeCopyValue * float64(len(members))
 			if made.worthwhile() {
