platform/fake, forward: keep the answers of chained services with the fake platform

Cause: the tests of resent streams wrote the platform's header names themselves and had a copy of the handler of the plain tests. Change: StreamAnswer and StreamRejection stand beside PlainAnswer, and groupHandler sends on the way it is given.

--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -93,11 +93,13 @@
 	_, _ = io.WriteString(c, fake.PlainAnswer("ok"))
 }
 
-// groupHandler is a front handler that sends each request to a group of plain servers.
+// groupHandler is a front handler that sends each request to a group of servers.
 type groupHandler struct {
 	handler *Handler
 	route   *catalog.Route
 	group   *backend.Group
+	// send is the handler's way for the group's service: plain or stream.
+	send func(ctx context.Context, r *request)
 }
 
 // Handle implements front.Handler.
@@ -106,7 +108,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	g.handler.countRequest(r)
-	g.handler.plain(ctx, r)
+	g.send(ctx, r)
 }
 
 // plainFront serves requests of a route with the servers.
@@ -140,7 +142,8 @@
 		backends = append(backends, ts.server)
 	}
 	group := backend.NewGroup(&catalog.Service{Name: "s"}, backends)
-	s := front.New(platform.Codec{}, groupHandler{handler: h, route: route, group: group}, func() catalog.Limits { return catalog.Limits{} }, func() int { return 100 }, timer.NewReal(), metrics.New())
+	s := front.New(platform.Codec{}, groupHandler{handler: h, route: route, group: group, send: h.plain},
+		func() catalog.Limits { return catalog.Limits{} }, func() int { return 100 }, timer.NewReal(), metrics.New())
 	require.NoError(t, s.Listen("127.0.0.1:0"))
 	t.Cleanup(s.Close)
 	return s
--- a/forward/resend_test.go
+++ b/forward/resend_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -18,20 +17,20 @@
 	"junctioncross/metrics"
 	"junctioncross/models"
 	"junctioncross/platform"
+	"junctioncross/platform/fake"
 	"junctioncross/retry"
 	"junctioncross/timer"
 )
 
 // streamed answers with a sealed stream of one event.
 func streamed(c net.Conn, _ int) {
-	event := "id: 0\ndata: x\n\n"
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(event), event)
+	_, _ = io.WriteString(c, fake.StreamAnswer("id: 0\ndata: x\n\n"))
 }
 
 // rejecting answers that the request was not run, for lack of room at the server with the address.
 func rejecting(addr func() string) func(net.Conn, int) {
 	return func(c net.Conn, _ int) {
-		_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nAt-Server: "+addr()+"\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(c, fake.StreamRejection(addr()))
 	}
 }
 
@@ -51,29 +50,13 @@
 	return backend.NewGroup(twoCopies().Service(), servers)
 }
 
-// streamHandlerOf is a front handler that sends each request along the servers of a group.
-type streamHandlerOf struct {
-	handler *Handler
-	route   *catalog.Route
-	group   *backend.Group
-}
-
-// Handle implements front.Handler.
-func (g streamHandlerOf) Handle(ctx context.Context, x *front.Exchange) {
-	r := &request{x: x, meta: x.Meta(), route: g.route, group: g.group, deadline: x.Arrived().Add(g.route.Timeout)}
-	ctx, cancel := context.WithDeadline(ctx, r.deadline)
-	defer cancel()
-	g.handler.countRequest(r)
-	g.handler.stream(ctx, r)
-}
-
 // streamFront returns a front that sends each request along the servers of a group, over a route with retries.
 func streamFront(t *testing.T, h *Handler, group *backend.Group) *front.Server {
 	route := &catalog.Route{
 		Name: "r", RetryPolicy: catalog.RetryResume, Stream: true, MaxAttempts: 2, Timeout: time.Minute, Objective: 10 * time.Second,
 		PauseObjective: time.Second,
 	}
-	s := front.New(platform.Codec{}, streamHandlerOf{handler: h, route: route, group: group},
+	s := front.New(platform.Codec{}, groupHandler{handler: h, route: route, group: group, send: h.stream},
 		func() catalog.Limits { return catalog.Limits{} }, func() int { return 100 }, timer.NewReal(), metrics.New())
 	require.NoError(t, s.Listen("127.0.0.1:0"))
 	t.Cleanup(s.Close)
