demand: name the counter of dropped reports once

Cause: forward and relay each wrote the name of the counter. Change: Reason.Counter returns it; the exported name is the same.

--- a/demand/check.go
+++ b/demand/check.go
@@ -7,6 +7,9 @@
 // Reason says why a report or totals were dropped.
 type Reason string
 
+// Counter returns the name of the counter of what was dropped for the reason.
+func (r Reason) Counter() string { return "load_reports_dropped_total{reason=\"" + string(r) + "\"}" }
+
 // Reasons for which reports and totals are dropped.
 const (
 	// ReasonAge means a negative age or one of more than maxAge.
--- a/forward/loadreport.go
+++ b/forward/loadreport.go
@@ -59,7 +59,7 @@
 	}
 	l.h.loads.SetServices(names)
 	for _, reason := range l.h.loads.SetOwn(l.h.settings.Load().Instance, reports, now) {
-		l.h.stats.Counter("load_reports_dropped_total{reason=\"" + string(reason) + "\"}").Inc(1)
+		l.h.stats.Counter(reason.Counter()).Inc(1)
 	}
 	l.noteKnown(names, now)
 	l.h.outOfUse.note(snapshot, l.h.instances.Instances(), now)
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"time"
 
@@ -111,7 +110,7 @@
 // countDropped counts load reports and totals that were dropped, by reason.
 func (s *Source) countDropped(reasons []demand.Reason) {
 	for _, r := range reasons {
-		s.stats.Counter(fmt.Sprintf("load_reports_dropped_total{reason=%q}", string(r))).Inc(1)
+		s.stats.Counter(r.Counter()).Inc(1)
 	}
 }
 
