--- a/leader/orders.go
+++ b/leader/orders.go
@@ -44,11 +44,12 @@
 	now := t.leader.clock.Now()
 	var due []*backend.Server
 	for _, s := range servers {
-		p := t.pending[s.Incarnation().String()]
+		id := s.Incarnation().String()
+		p := t.pending[id]
 		switch {
 		case p == nil:
 		case s.Layers() == p.layers:
-			delete(t.pending, s.Incarnation().String())
+			delete(t.pending, id)
 		case p.uncertain && now.Sub(p.since) >= orderCheckDelay, now.Sub(p.since) >= p.timeout:
 			due = append(due, s)
 		}
@@ -78,14 +79,15 @@
 
 // checkOrder compares the order of a server with its report, which is nil if there is none.
 func (t *serviceTerm) checkOrder(s *backend.Server, report *backend.Report) {
-	p := t.pending[s.Incarnation().String()]
+	id := s.Incarnation().String()
+	p := t.pending[id]
 	p.since = t.leader.clock.Now()
 	if report == nil {
 		// The server may be gone or have restarted, which its entry will show. Until then it counts as holding what it was
 		// ordered to hold.
 		return
 	}
-	t.orders[s.Incarnation().String()] = report.Orders
+	t.orders[id] = report.Orders
 	if report.Busy {
 		// Whether the server is carrying out this order or another one shows only when it has finished.
 		return
@@ -94,7 +96,7 @@
 	if report.Layers == p.layers {
 		return
 	}
-	delete(t.pending, s.Incarnation().String())
+	delete(t.pending, id)
 	if p.unsent {
 		return
 	}
@@ -185,8 +187,8 @@
 
 // recordOrder logs an order and its outcome and keeps it as pending.
 func (t *serviceTerm) recordOrder(ctx context.Context, engine *catalog.Engine, s *backend.Server, o reasonedOrder, result outcome) {
-	l, err := t.leader, result.err
-	t.orders[s.Incarnation().String()] = result.expect
+	l, err, id := t.leader, result.err, s.Incarnation().String()
+	t.orders[id] = result.expect
 	if t.holdBack(s, o.Order, err) {
 		return
 	}
@@ -200,13 +202,13 @@
 	}
 	switch {
 	case err == nil:
-		t.pending[s.Incarnation().String()] = p
-		t.orders[s.Incarnation().String()] = result.expect + 1
+		t.pending[id] = p
+		t.orders[id] = result.expect + 1
 		l.log.WithFields(fields).Info("order given")
 	case errors.Is(err, backend.ErrNoAnswer):
 		l.stats.Counter("orders_unanswered_total").Inc(1)
 		p.uncertain = true
-		t.pending[s.Incarnation().String()] = p
+		t.pending[id] = p
 		l.log.WithFields(fields).WithError(err).Warn("order without an answer")
 	default:
 		l.stats.Counter("orders_refused_total").Inc(1)
@@ -214,7 +216,7 @@
 		l.log.WithFields(fields).WithError(err).Warn("order refused")
 		// A server that is carrying out an order of a former leader refuses all others until it has finished.
 		p.uncertain = true
-		t.pending[s.Incarnation().String()] = p
+		t.pending[id] = p
 		t.checkOrder(s, t.report(ctx, s))
 	}
 }
