demand, forward: drop an accessor nobody reads, unexport another

Cause: Book.Domain has no caller, and Handler.Totals is called in its own package alone. Change: the first is gone, the second is totals.

--- a/demand/book.go
+++ b/demand/book.go
@@ -57,9 +57,6 @@
 // NewBook returns an empty Book of an instance in a failure domain.
 func NewBook(domain string) *Book { return &Book{domain: domain} }
 
-// Domain returns the failure domain of the instance.
-func (b *Book) Domain() string { return b.domain }
-
 // SetServices sets the services that the instance knows; reports and totals on others are dropped. Until the first call, those
 // on any service are accepted.
 func (b *Book) SetServices(names []string) {
--- a/forward/domainforecast_test.go
+++ b/forward/domainforecast_test.go
@@ -89,7 +89,7 @@
 	whole, f := refusedWith(t, 30, 0)
 	half, _ := refusedWith(t, 15, 0)
 	service, now := f.r.group.Service().Name, whole.clock.Now()
-	wholeTotals, ok := whole.Totals(service, now)
+	wholeTotals, ok := whole.totals(service, now)
 	require.True(t, ok)
 	halfTotals, ok := half.Totals(service, now)
 	require.True(t, ok)
--- a/forward/loadreport.go
+++ b/forward/loadreport.go
@@ -110,8 +110,8 @@
 	return r
 }
 
-// Totals returns the totals of the own failure domain on a service; it returns false if they are unknown or too old.
-func (h *Handler) Totals(service string, now time.Time) (demand.Totals, bool) {
+// totals returns the totals of the own failure domain on a service; it returns false if they are unknown or too old.
+func (h *Handler) totals(service string, now time.Time) (demand.Totals, bool) {
 	if h.loads == nil {
 		return demand.Totals{}, false
 	}
@@ -120,13 +120,13 @@
 
 // domainTotals returns the totals of the own domain if they tell more than the own streams do.
 func (h *Handler) domainTotals(service string, now time.Time) (demand.Totals, bool) {
-	totals, ok := h.Totals(service, now)
+	totals, ok := h.totals(service, now)
 	return totals, ok && totals.Instances > 1
 }
 
 // measureDomain exports the totals of the own domain on a service; all are 0 while they are unknown.
 func (h *Handler) measureDomain(name string, now time.Time) {
-	totals, _ := h.Totals(name, now)
+	totals, _ := h.totals(name, now)
 	refused := 0.0
 	for i := range totals.Classes {
 		refused += totals.Classes[i].Refused
