--- a/forward/domainforecast_test.go
+++ b/forward/domainforecast_test.go
@@ -91,7 +91,7 @@
 	service, now := f.r.group.Service().Name, whole.clock.Now()
 	wholeTotals, ok := whole.totals(service, now)
 	require.True(t, ok)
-	halfTotals, ok := half.Totals(service, now)
+	halfTotals, ok := half.totals(service, now)
 	require.True(t, ok)
 	require.Equal(t, 300, wholeTotals.UnderWay)
 	require.Equal(t, 150, halfTotals.UnderWay)
