reach: count connections to servers and tell when none comes up

Cause: the logs of an instance that has lost its path to all servers read as if the servers were gone. Change: connections to servers are opened by a backend.Dialer; reach.Dialer counts their outcomes and writes a line when all servers that were tried in two seconds are out of reach, and when one connects again. No decision depends on it.

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -122,7 +122,10 @@
 		func(t *quarantine.Publisher) forward.EndPublisher { return t },
 		newQuarantineBook, newEndStore, quarantine.NewPublisher,
 		func(b *membership.View) link.Trust { return keys.NewFleetKeyFrom(b.Key) },
-		func(clock *timer.Service) backend.EngineClient { return platform.NewEngineClient(clock) },
+		newDialer,
+		func(dialer backend.Dialer, clock *timer.Service) backend.EngineClient {
+			return platform.NewEngineClient(dialer, clock)
+		},
 		timer.NewSuspendable, metrics.New, follow.NewFleetView, follow.New, newStdoutQueue, newHostedLog, decision.NewRecorder,
 		forwardSettings, forward.New, newFront, newOrderLeader, newChecks, newMembershipView, newRegistry, newMembership, relaySelf,
 		relay.New, relay.NewExchange, link.NewClient,
--- a/app/hostedparts.go
+++ b/app/hostedparts.go
@@ -21,6 +21,7 @@
 	"junctioncross/metrics"
 	"junctioncross/platform"
 	"junctioncross/quarantine"
+	"junctioncross/reach"
 	"junctioncross/relay"
 	"junctioncross/timer"
 )
@@ -93,3 +94,8 @@
 	holder := settings.Instance.Name + "/" + strconv.FormatInt(clock.Now().UnixNano(), 36)
 	return leader.New(ctx, lock, upstream, holder, view, engines, clock, stats, log)
 }
+
+// newDialer returns what opens the connections to servers.
+func newDialer(clock *timer.Service, stats *metrics.Registry, log *logrus.Logger) backend.Dialer {
+	return reach.New(backend.DirectDialer{}, clock, stats, log)
+}
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -8,18 +8,9 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
-
-	"junctioncross/once"
 )
 
 const (
-	// dialTimeout is several round trips between failure domains; a server that takes longer is treated as unreachable.
-	dialTimeout = 400 * time.Millisecond
-	// unacknowledgedTimeout is how long a connection may go without an acknowledgement of sent data or keep-alive probes before
-	// it is closed; no reset arrives from a peer that is unreachable. It is less than the two seconds without an event after
-	// which callers disconnect, so that there is time to resume the stream on another path. A slow server is not affected, since
-	// its kernel still sends acknowledgements.
-	unacknowledgedTimeout = 1500 * time.Millisecond
 	// defaultIdleTime is how long a connection may be idle if the server did not say how long it keeps idle connections.
 	defaultIdleTime = 4 * time.Second
 	// idleMargin is subtracted from the idle time that the server allows, since the next request takes a while to arrive there.
@@ -51,7 +42,7 @@
 
 // Connect returns a connection that is ready for a request: an idle one, or a new one if there is none or fresh is set. It
 // returns ErrDial if no connection can be made or ctx has ended.
-func (s *Server) Connect(ctx context.Context, now time.Time, fresh bool) (*Conn, error) {
+func (s *Server) Connect(ctx context.Context, dialer Dialer, now time.Time, fresh bool) (*Conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
 	}
@@ -60,8 +51,7 @@
 			return c, nil
 		}
 	}
-	dialer := once.KeepAliveDialer(dialTimeout, unacknowledgedTimeout)
-	c, err := dialer.DialContext(ctx, "tcp4", s.addr)
+	c, err := dialer.Dial(ctx, s.addr)
 	if err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
 	}
@@ -69,8 +59,8 @@
 }
 
 // Listens reports whether something listens at the server's address. It opens a connection, which is kept for a later request.
-func (s *Server) Listens(now time.Time) bool {
-	conn, err := s.Connect(context.Background(), now, true)
+func (s *Server) Listens(dialer Dialer, now time.Time) bool {
+	conn, err := s.Connect(context.Background(), dialer, now, true)
 	if err != nil {
 		return false
 	}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -59,7 +59,7 @@
 	if server.BackedOff(h.clock.Now()) {
 		return nil, errBackedOff
 	}
-	conn, err := server.Connect(ctx, h.clock.Now(), to.fresh)
+	conn, err := server.Connect(ctx, h.dialer, h.clock.Now(), to.fresh)
 	if err != nil {
 		return nil, err
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -62,6 +62,7 @@
 	fleetView *follow.FleetView
 	codec     call.Codec
 	engines   backend.EngineClient
+	dialer    backend.Dialer
 	clock     *timer.Service
 	stats     *metrics.Registry
 	record    *decision.Recorder
@@ -93,11 +94,11 @@
 // until ctx ends.
 func New(
 	ctx context.Context, settings Settings, fleetView *follow.FleetView, codec call.Codec, engines backend.EngineClient,
-	clock *timer.Service, stats *metrics.Registry, record *decision.Recorder, instances Instances, ends *quarantine.Book,
+	dialer backend.Dialer, clock *timer.Service, stats *metrics.Registry, record *decision.Recorder, instances Instances, ends *quarantine.Book,
 	publisher EndPublisher, loads *demand.Book,
 ) *Handler {
 	h := &Handler{
-		fleetView: fleetView, codec: codec, engines: engines, clock: clock, stats: stats, record: record, instances: instances,
+		fleetView: fleetView, codec: codec, engines: engines, dialer: dialer, clock: clock, stats: stats, record: record, instances: instances,
 		ends: ends, publisher: publisher, loads: loads, admissions: newAdmissions(),
 		budget: retry.NewBudget(settings.Repeats, clock.Now()),
 		lanes:  map[string]*laneCache{}, queues: map[string]*queue{}, longestWaits: longestWaits{},
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -132,7 +132,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return withFullRetryBudget(New(t.Context(), Settings{Domain: "a", Repeats: retry.Limit{Window: 10 * time.Second, Fixed: 100}, LongestBackOff: time.Hour},
-		follow.NewFleetView(), platform.Codec{}, nil, clock, stats, decision.NewRecorder(log, clock, stats), oneInstance{}, testBook(), noPublisher{}, nil))
+		follow.NewFleetView(), platform.Codec{}, nil, backend.DirectDialer{}, clock, stats, decision.NewRecorder(log, clock, stats), oneInstance{}, testBook(), noPublisher{}, nil))
 }
 
 // frontOf serves requests of a route with the servers through a handler.
@@ -248,7 +248,7 @@
 
 // addIdleConn adds an idle connection to a server, over which a request was answered.
 func addIdleConn(t *testing.T, ts *testServer) {
-	c, err := ts.server.Connect(t.Context(), time.Now(), true)
+	c, err := ts.server.Connect(t.Context(), backend.DirectDialer{}, time.Now(), true)
 	require.NoError(t, err)
 	_, err = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.NoError(t, err)
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -83,7 +83,7 @@
 func (h *Handler) hasEnded(server *backend.Server, chained bool, broke time.Time) bool {
 	if !chained {
 		// A plain service has no state query that does not take one of its slots; whether it listens costs nothing to check.
-		return server.Ended() || !server.Listens(h.clock.Now())
+		return server.Ended() || !server.Listens(h.dialer, h.clock.Now())
 	}
 	for h.clock.Since(broke) < endCheckTimeout {
 		if server.Ended() || server.Gone() || server.SilentSince(broke) {
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -140,7 +140,7 @@
 func BenchmarkQuarantineCheckPerSend(b *testing.B) {
 	for _, ends := range []int{0, 1} {
 		b.Run(fmt.Sprint(ends), func(b *testing.B) {
-			h := &Handler{ends: testBook(), clock: timer.NewReal()}
+			h := &Handler{ends: testBook(), clock: timer.NewReal(), dialer: backend.DirectDialer{}}
 			for n := range ends {
 				h.ends.AddListed(endOf(n), time.Now())
 			}
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -112,7 +112,7 @@
 	fake := clockwork.NewFakeClock()
 	clock, stats := timer.New(fake), metrics.New()
 	log := testlog.New(t)
-	h := New(t.Context(), Settings{Domain: "a", Repeats: retry.Limit{Window: 10 * time.Second, Fixed: 100}, DrainTime: 3 * time.Second}, follow.NewFleetView(), nil, engines, clock, stats,
+	h := New(t.Context(), Settings{Domain: "a", Repeats: retry.Limit{Window: 10 * time.Second, Fixed: 100}, DrainTime: 3 * time.Second}, follow.NewFleetView(), nil, engines, backend.DirectDialer{}, clock, stats,
 		decision.NewRecorder(log, clock, stats), oneInstance{}, testBook(), noPublisher{}, nil)
 	return withFullRetryBudget(h), fake
 }
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -76,6 +76,8 @@
 		endsNotPublished{},
 		entryVanished{},
 		noAnswer{},
+		noServerInReach{},
+		serversInReach{},
 		reportNotReadable{},
 		otherIncarnationAnswers{},
 		lateEntry{},
--- a/schema/reference.go
+++ b/schema/reference.go
@@ -13,7 +13,7 @@
 	"junctioncross/doccomment"
 )
 
-//go:embed admission.go common.go attempts.go repairs.go requests.go runrequests.go beliefs.go servers.go orders.go
+//go:embed admission.go common.go attempts.go repairs.go requests.go runrequests.go beliefs.go servers.go reach.go orders.go
 var sources embed.FS
 
 const head = `# Lines of the log
