--- a/app/hosted.go
+++ b/app/hosted.go
@@ -26,8 +26,10 @@
 	"junctioncross/metrics"
 	"junctioncross/platform"
 	"junctioncross/quarantine"
+	"junctioncross/reach"
 	"junctioncross/relay"
 	"junctioncross/timer"
+	"junctioncross/tunnel"
 )
 
 const (
@@ -63,6 +65,7 @@
 	Relay      *relay.Source
 	Exchange   *relay.Exchange
 	Links      *link.Client
+	Tunnels    *tunnel.Server
 	Trust      link.Trust
 	Stats      *metrics.Registry
 	Checks     *checks
@@ -122,13 +125,14 @@
 		func(t *quarantine.Publisher) forward.EndPublisher { return t },
 		newQuarantineBook, newEndStore, quarantine.NewPublisher,
 		func(b *membership.View) link.Trust { return keys.NewFleetKeyFrom(b.Key) },
-		newDialer,
+		newTunnelClient, newTunnelServer, newDialer,
+		func(d *reach.Dialer) backend.Dialer { return d },
 		func(dialer backend.Dialer, clock *timer.Service) backend.EngineClient {
 			return platform.NewEngineClient(dialer, clock)
 		},
 		timer.NewSuspendable, metrics.New, follow.NewFleetView, follow.New, newStdoutQueue, newHostedLog, decision.NewRecorder,
 		forwardSettings, forward.New, newFront, newOrderLeader, newChecks, newMembershipView, newRegistry, newMembership, relaySelf,
-		relay.New, relay.NewExchange, link.NewClient,
+		relay.New, relay.NewExchange, link.NewClient, link.NewStreamClient,
 	)
 }
 
@@ -189,6 +193,7 @@
 	mux := link.NewMux()
 	i.Relay.Register(mux)
 	i.Registry.AddTo(mux)
+	mux.HandleStreams(i.Tunnels.ServeStream)
 	server, err := link.Listen(i.Settings.Listen.Peers, i.Trust, mux, i.Stats, i.Log)
 	if err != nil {
 		return nil, err
@@ -218,12 +223,13 @@
 	i.Log.WithFields(logrus.Fields{"running": i.Front.Running(), "grace_ms": i.Settings.Stop.Grace.Milliseconds()}).Info("stopping")
 	i.Checks.leave()
 	i.Relay.Stop()
+	i.Tunnels.Stop()
 	i.Front.Leave()
 	i.Handler.StopBy(end)
 	i.Leader.Stop()
 	event := chart.Event("expired")
 	for i.Clock.Now().Before(end) {
-		if i.Clock.Since(start) >= noticeTime && i.Front.Running() == 0 {
+		if i.Clock.Since(start) >= noticeTime && i.Front.Running()+i.Tunnels.Requests() == 0 {
 			event = "idle"
 			break
 		}
--- a/app/hostedparts.go
+++ b/app/hostedparts.go
@@ -10,6 +10,7 @@
 	"junctioncross/call"
 	"junctioncross/catalog"
 	"junctioncross/config"
+	"junctioncross/decision"
 	"junctioncross/demand"
 	"junctioncross/follow"
 	"junctioncross/forward"
@@ -24,6 +25,7 @@
 	"junctioncross/reach"
 	"junctioncross/relay"
 	"junctioncross/timer"
+	"junctioncross/tunnel"
 )
 
 func newQuarantineBook(settings *config.Hosted) *quarantine.Book {
@@ -96,6 +98,20 @@
 }
 
 // newDialer returns what opens the connections to servers.
-func newDialer(clock *timer.Service, stats *metrics.Registry, log *logrus.Logger) backend.Dialer {
-	return reach.New(backend.DirectDialer{}, clock, stats, log)
+func newDialer(ctx context.Context, tunnels *tunnel.Client, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger) *reach.Dialer {
+	return reach.New(ctx, backend.DirectDialer{}, tunnels, clock, stats, log)
+}
+
+func newTunnelClient(
+	ctx context.Context, settings *config.Hosted, fleet *membership.View, view *follow.FleetView, links *link.StreamClient,
+	clock *timer.Service, stats *metrics.Registry,
+) *tunnel.Client {
+	self := tunnel.Self{Name: settings.Instance.Name, Domain: settings.Instance.Domain}
+	return tunnel.NewClient(ctx, self, fleet, view, links, clock, stats)
+}
+
+func newTunnelServer(
+	view *follow.FleetView, paths *reach.Dialer, clock *timer.Service, stats *metrics.Registry, record *decision.Recorder,
+) *tunnel.Server {
+	return tunnel.NewServer(view, paths, clock, stats, record)
 }
--- a/app/loadpage_test.go
+++ b/app/loadpage_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"junctioncross/backend"
 	"junctioncross/decision"
 	"junctioncross/follow"
 	"junctioncross/forward"
@@ -24,7 +25,7 @@
 func TestTheMetricsListenerServesTheLoadAndTheFindings(t *testing.T) {
 	clock, stats, log := timer.New(clockwork.NewFakeClock()), metrics.New(), testlog.New(t)
 	h := forward.New(
-		t.Context(), forward.Settings{Instance: "i-1", Domain: "a"}, follow.NewFleetView(), nil, nil, nil, clock, stats,
+		t.Context(), forward.Settings{Instance: "i-1", Domain: "a"}, follow.NewFleetView(), nil, nil, backend.DirectDialer{}, clock, stats,
 		decision.NewRecorder(log, clock, stats), membership.NewView(24), quarantine.NewBook(quarantine.Settings{}), nil, nil,
 	)
 	c := newChecks(nil, nil, nil, h, clock, stats, log)
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -37,12 +37,27 @@
 	until time.Time
 }
 
+// Via returns the name of the instance through which the connection goes; empty if it uses the own links all the way.
+func (c *Conn) Via() string {
+	if tunnel, ok := c.Conn.(interface{ Peer() string }); ok {
+		return tunnel.Peer()
+	}
+	return ""
+}
+
+// Direct reports whether the connection uses the instance's own network links all the way.
+func (c *Conn) Direct() bool {
+	_, ok := c.Conn.(*net.TCPConn)
+	return ok
+}
+
 // Used reports whether the connection carried a request before, so that the server may have closed it in the meantime.
 func (c *Conn) Used() bool { return c.used }
 
-// Connect returns a connection that is ready for a request: an idle one, or a new one if there is none or fresh is set. It
+// Connect returns a connection that is ready for a request: an idle one, or a new one if there is none or fresh is set; to says what a
+// new one is for. It
 // returns ErrDial if no connection can be made or ctx has ended.
-func (s *Server) Connect(ctx context.Context, dialer Dialer, now time.Time, fresh bool) (*Conn, error) {
+func (s *Server) Connect(ctx context.Context, dialer Dialer, to Endpoint, now time.Time, fresh bool) (*Conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
 	}
@@ -51,7 +66,8 @@
 			return c, nil
 		}
 	}
-	c, err := dialer.Dial(ctx, s.addr)
+	to.Addr = s.addr
+	c, err := dialer.Dial(ctx, to)
 	if err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
 	}
@@ -60,7 +76,7 @@
 
 // Listens reports whether something listens at the server's address. It opens a connection, which is kept for a later request.
 func (s *Server) Listens(dialer Dialer, now time.Time) bool {
-	conn, err := s.Connect(context.Background(), dialer, now, true)
+	conn, err := s.Connect(context.Background(), dialer, Endpoint{}, now, true)
 	if err != nil {
 		return false
 	}
@@ -113,7 +129,7 @@
 		idle = defaultIdleTime
 	}
 	s := c.server
-	if idle <= idleMargin || s.Leaving() || c.Reader.Buffered() > 0 {
+	if idle <= idleMargin || s.Leaving() || c.Reader.Buffered() > 0 || !c.Direct() {
 		_ = c.Close()
 		return
 	}
@@ -139,7 +155,8 @@
 	s.idle = kept
 }
 
-func (s *Server) closeIdle() {
+// CloseIdle closes the connections that wait for another request.
+func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, i := range s.idle {
--- a/backend/dialer.go
+++ b/backend/dialer.go
@@ -18,16 +18,58 @@
 	unacknowledgedTimeout = 1500 * time.Millisecond
 )
 
+// Endpoint is where a connection goes, and what for.
+type Endpoint struct {
+	// Addr is the server's IP address and port.
+	Addr string
+	// Request is the id of the request that the connection is for; empty for a call that belongs to none.
+	Request string
+	// NewWork is true if the connection is to bring the server a request.
+	NewWork bool
+}
+
+// PathChange is a change of whether servers are within reach over the instance's own network links.
+type PathChange interface{ pathChange() }
+
+// PathLost means that a server is reached through another instance, and not over the own links.
+type PathLost struct {
+	// Addr is the address of the server.
+	Addr string
+	// Many is true if so many paths are lost that others probably are as well.
+	Many bool
+}
+
+// PathsRegained means that a server whose path was lost is reached over the own links again.
+type PathsRegained struct{}
+
+func (PathLost) pathChange()      {}
+func (PathsRegained) pathChange() {}
+
 // Dialer opens connections to servers.
 type Dialer interface {
-	// Dial opens a connection to the server at addr; the error means that nothing was sent.
-	Dial(ctx context.Context, addr string) (net.Conn, error)
+	// Dial opens a connection to a server; the error means that nothing was sent.
+	Dial(ctx context.Context, to Endpoint) (net.Conn, error)
+	// Lost reports whether the server at addr is reached through another instance only.
+	Lost(addr string) bool
+	// PathFailed reports whether an error on a connection to the server at addr comes from the path to it and not from the server.
+	PathFailed(addr string, conn net.Conn, err error) bool
+	// Observe sets what is called at each change.
+	Observe(func(PathChange))
 }
 
 // DirectDialer opens connections over the instance's own network links; it implements Dialer.
 type DirectDialer struct{}
 
 // Dial implements Dialer.
-func (DirectDialer) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	return once.KeepAliveDialer(dialTimeout, unacknowledgedTimeout).DialContext(ctx, "tcp4", addr)
+func (DirectDialer) Dial(ctx context.Context, to Endpoint) (net.Conn, error) {
+	return once.KeepAliveDialer(dialTimeout, unacknowledgedTimeout).DialContext(ctx, "tcp4", to.Addr)
 }
+
+// Lost implements Dialer.
+func (DirectDialer) Lost(string) bool { return false }
+
+// PathFailed implements Dialer.
+func (DirectDialer) PathFailed(string, net.Conn, error) bool { return false }
+
+// Observe implements Dialer.
+func (DirectDialer) Observe(func(PathChange)) {}
--- a/backend/keepalive_test.go
+++ b/backend/keepalive_test.go
@@ -22,7 +22,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	s := backend.NewServer(backend.Entry{ID: "1", Addr: listener.Addr().String()})
-	c, err := s.Connect(t.Context(), backend.DirectDialer{}, time.Now(), true)
+	c, err := s.Connect(t.Context(), backend.DirectDialer{}, backend.Endpoint{}, time.Now(), true)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
--- a/backend/server.go
+++ b/backend/server.go
@@ -188,6 +188,14 @@
 // MarkEnded records that the server has terminated, so that it no longer runs anything.
 func (s *Server) MarkEnded() { s.ended.Store(true) }
 
+// NoteAlive records that the server accepted a connection, so that it has not terminated after all. It changes nothing for a server of
+// which another incarnation is known.
+func (s *Server) NoteAlive() {
+	if s.ctx.Err() == nil && !s.gone.Load() {
+		s.ended.Store(false)
+	}
+}
+
 // Ended reports whether the server is known to have terminated.
 func (s *Server) Ended() bool { return s.ended.Load() }
 
@@ -204,7 +212,7 @@
 // the server could not renew it in the store.
 func (s *Server) MarkGone() {
 	s.gone.Store(true)
-	s.closeIdle()
+	s.CloseIdle()
 }
 
 // SetPossiblyLeaving sets whether the server is possibly leaving; new work is kept away from it while that is so.
--- a/backend/status.go
+++ b/backend/status.go
@@ -22,6 +22,17 @@
 	return now.Before(s.suspectUntil)
 }
 
+// ForgiveSilence takes the server out of suspicion: it did not answer since the path to it was lost.
+func (s *Server) ForgiveSilence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.asideUntil.Equal(s.suspectUntil) {
+		s.asideUntil = time.Time{}
+	}
+	s.suspectUntil, s.silentAt = time.Time{}, time.Time{}
+	s.circuit.Succeeded()
+}
+
 // isAside reports whether the server was set aside, held other layers than its entry says, or has a finding of another instance
 // that sets it aside, for a time that is not over.
 func (s *Server) isAside(now time.Time) bool {
--- a/follow/snapshot.go
+++ b/follow/snapshot.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,45 @@
 // server returns a server by its id, or nil.
 func (s *Snapshot) server(id string) *backend.Server { return s.byID[id] }
 
+// ServerAt returns the server at an address, or nil.
+func (v *FleetView) ServerAt(addr string) *backend.Server {
+	for _, g := range v.Current().groups {
+		if s := g.ByAddr(addr); s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
+// ServerOf returns the server of an incarnation, or nil.
+func (v *FleetView) ServerOf(incarnation backend.Incarnation) *backend.Server {
+	s := v.Current().server(incarnation.ID)
+	if s == nil || s.Incarnation() != incarnation {
+		return nil
+	}
+	return s
+}
+
+// OthersLike returns up to n random servers beside one, of its failure domain as far as there are any.
+func (v *FleetView) OthersLike(server *backend.Server, n int) []*backend.Server {
+	var near, far []*backend.Server
+	for _, g := range v.Current().groups {
+		for _, s := range g.Servers() {
+			switch {
+			case s == server || s.Leaving():
+			case s.Domain() == server.Domain():
+				near = append(near, s)
+			default:
+				far = append(far, s)
+			}
+		}
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	near = append(near, far...)
+	return near[:min(n, len(near))]
+}
+
 // FleetView holds the newest Snapshot for the request path, and up to when the feeds are known.
 type FleetView struct {
 	current atomic.Pointer[Snapshot]
--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -70,7 +70,7 @@
 	fake, log, out := clockwork.NewFakeClock(), logrus.New(), &bytes.Buffer{}
 	log.SetOutput(out)
 	clock, stats, view := timer.New(fake), metrics.New(), follow.NewFleetView()
-	h := New(t.Context(), Settings{Domain: "a", Admission: settings}, view, nil, nil, nil, clock, stats, decision.NewRecorder(log, clock, stats), oneInstance{},
+	h := New(t.Context(), Settings{Domain: "a", Admission: settings}, view, nil, nil, backend.DirectDialer{}, clock, stats, decision.NewRecorder(log, clock, stats), oneInstance{},
 		testBook(), noPublisher{}, nil)
 	h.setLoads(loads)
 	follow.New(t.Context(), confirming{catalog: c, at: clock.Now()}, view, h.ends, clock, stats, log)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -12,6 +12,7 @@
 
 	"junctioncross/backend"
 	"junctioncross/call"
+	"junctioncross/decision"
 )
 
 const (
@@ -54,15 +55,20 @@
 }
 
 // connect returns a connection for a request, or the reason why nothing may be sent to the server.
-func (h *Handler) connect(ctx context.Context, to destination) (*backend.Conn, error) {
+func (h *Handler) connect(ctx context.Context, r *request, to destination) (*backend.Conn, error) {
 	server := to.server
 	if server.BackedOff(h.clock.Now()) {
 		return nil, errBackedOff
 	}
-	conn, err := server.Connect(ctx, h.dialer, h.clock.Now(), to.fresh)
+	conn, err := server.Connect(ctx, h.dialer, backend.Endpoint{Request: r.meta.ID, NewWork: true}, h.clock.Now(), to.fresh)
 	if err != nil {
 		return nil, err
 	}
+	server.NoteAlive()
+	if via := conn.Via(); via != "" {
+		h.stats.Counter("sent_through_others_total").Inc(1)
+		h.record.Routine(r.meta.ID, "sent through another instance", decision.Fields{"server": server.ID(), "via": via})
+	}
 	if !conn.Used() {
 		h.stats.Counter("connections_opened_total").Inc(1)
 	}
@@ -86,7 +92,7 @@
 // send opens a connection and writes the request; the error is backend.ErrDial, errBackedOff, errPathClosed or errOverLimit when
 // nothing was sent.
 func (h *Handler) send(ctx context.Context, r *request, to destination, s *call.SendParams) (*sentRequest, error) {
-	conn, err := h.connect(ctx, to)
+	conn, err := h.connect(ctx, r, to)
 	if err != nil {
 		return nil, err
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -111,6 +111,7 @@
 	h.watch = newWatcher(ctx, h)
 	startProber(ctx, h)
 	startLoadReports(ctx, h)
+	dialer.Observe(h.watch.observePath)
 	return h
 }
 
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -84,7 +84,7 @@
 // nor has dropped its layers was left because it is silent, which counts as a failure.
 func (h *Handler) handedOverFrom(f *inflight, layers models.Layers) outcome {
 	f.r.ranOn(f.first)
-	if f.first.Leaving() || droppedStage(f.first, layers) {
+	if f.first.Leaving() || droppedStage(f.first, layers) || h.onLostPath(f) {
 		f.first.ReleaseTrial()
 	} else {
 		h.noteBreak(f.first)
--- a/forward/notice_test.go
+++ b/forward/notice_test.go
@@ -76,7 +76,7 @@
 	var all sync.WaitGroup
 	for range 20 {
 		all.Go(func() {
-			conn, err := h.connect(t.Context(), destination{server: ts.server})
+			conn, err := h.connect(t.Context(), &request{}, destination{server: ts.server})
 			if !errors.Is(err, errBackedOff) {
 				t.Errorf("connected to a backed-off server: %v, %v", conn, err)
 			}
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -21,6 +21,8 @@
 	reason models.Reason
 	// answer is the server's own error answer, or nil when there is none that can be passed on.
 	answer *heldAnswer
+	// onPath is true if the path to the server failed and not the server.
+	onPath bool
 }
 
 // handedOver means that the instance left the server on purpose and resumes the stream on another path.
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -32,6 +32,8 @@
 // plain answers a request of a service that is no chained engine.
 func (h *Handler) plain(ctx context.Context, r *request) {
 	var tried []*backend.Server
+	// sameServer is true once the request may have gone to one server by two paths.
+	sameServer := false
 	var last outcome = notRun{reason: models.ReasonNoServer}
 	urgency := h.urgencyFor(r)
 	for {
@@ -53,6 +55,10 @@
 		if ctx.Err() != nil || !h.mayRetry(r, last, len(tried)) {
 			break
 		}
+		if f, ok := last.(failed); ok && f.onPath && !sameServer {
+			sameServer = true
+			tried = tried[:len(tried)-1]
+		}
 	}
 	h.conclude(ctx, r, last)
 }
@@ -114,19 +120,19 @@
 	}
 	if err != nil {
 		h.finish(s, false)
-		return h.brokenPlain(ctx, r, server, err)
+		return h.brokenPlain(ctx, r, s, err)
 	}
 	server.SetLoad(s.info.Load, h.clock.Now())
 	body, err := readWhole(s)
 	h.finish(s, err == nil)
 	if err != nil {
-		return h.brokenPlain(ctx, r, server, err)
+		return h.brokenPlain(ctx, r, s, err)
 	}
 	return h.judgeAnswer(r, server, s, body)
 }
 
 // withSilenceLimit returns a context that ends when a server has been silent for too long and another one can take its
-// place; while there is no other one, its late answer is the best that can be had. The retry for that has been taken from
+// place, or its path is lost; otherwise its late answer is the best that can be had. The retry for that has been taken from
 // the budget by then. endAttempt must be called after the attempt.
 func (h *Handler) withSilenceLimit(ctx context.Context, r *request, tried []*backend.Server) (attemptCtx context.Context, endAttempt func()) {
 	limit := max(silenceFactor*r.route.Objective, r.route.Objective+200*time.Millisecond)
@@ -141,7 +147,7 @@
 				granted <- false
 				return
 			}
-			if h.pick(r.group, tried) != nil && h.takeRetry(r) {
+			if (h.dialer.Lost(tried[len(tried)-1].Addr()) || h.pick(r.group, tried) != nil) && h.takeRetry(r) {
 				cancel()
 				granted <- true
 				return
@@ -180,15 +186,21 @@
 
 // brokenPlain handles an attempt that ended without a complete answer. If it ended because the caller disconnected,
 // that says nothing about the server.
-func (h *Handler) brokenPlain(ctx context.Context, r *request, server *backend.Server, err error) outcome {
+func (h *Handler) brokenPlain(ctx context.Context, r *request, s *sentRequest, err error) outcome {
+	server := s.server
 	r.ranOn(server)
 	if h.callerDisconnected(ctx, r) {
 		server.ReleaseTrial()
 		return callerGone{}
 	}
-	server.Observe(false)
-	server.Failed(h.clock.Now())
-	h.suspectEnd(r, server, 0)
+	onPath := h.pathFailed(server, s.conn, err)
+	if onPath {
+		server.ReleaseTrial()
+	} else {
+		server.Observe(false)
+		server.Failed(h.clock.Now())
+		h.suspectEnd(r, server, 0)
+	}
 	reason := models.RetryBroken
 	if errors.Is(err, errStray) {
 		reason = models.RetryOutOfOrder
@@ -197,7 +209,7 @@
 		"server": server.ID(), "address": server.Addr(), "reason": reason, "error": err.Error(),
 		"fingerprint": r.fingerprint().String(),
 	}))
-	return failed{reason: reason}
+	return failed{reason: reason, onPath: onPath}
 }
 
 // judgeAnswer classifies a complete answer.
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -248,7 +248,7 @@
 
 // addIdleConn adds an idle connection to a server, over which a request was answered.
 func addIdleConn(t *testing.T, ts *testServer) {
-	c, err := ts.server.Connect(t.Context(), backend.DirectDialer{}, time.Now(), true)
+	c, err := ts.server.Connect(t.Context(), backend.DirectDialer{}, backend.Endpoint{}, time.Now(), true)
 	require.NoError(t, err)
 	_, err = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.NoError(t, err)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -154,8 +154,13 @@
 		return h.handedOverFrom(f, f.path().hops[0].Layers)
 	}
 	f.r.ranOn(f.first)
-	h.noteBreak(f.first)
-	h.suspectEnd(f.r, f.first, f.ran(h))
+	if h.pathFailed(f.first, f.conn, err) {
+		f.first.ReleaseTrial()
+		h.stats.Counter("streams_on_failed_paths_total").Inc(1)
+	} else {
+		h.noteBreak(f.first)
+		h.suspectEnd(f.r, f.first, f.ran(h))
+	}
 	if !f.r.x.Begun() && f.r.activeRuns() >= f.r.route.MaxAttempts {
 		// Another attempt is allowed only if one of the servers that ran the request has terminated.
 		h.mayStillEnd(ctx, f)
--- a/forward/suspended_test.go
+++ b/forward/suspended_test.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/backend"
 	"junctioncross/catalog"
 	"junctioncross/decision"
 	"junctioncross/follow"
@@ -49,7 +50,7 @@
 	c, err := catalog.New(&catalog.Content{Version: 1})
 	require.NoError(t, err)
 	fleetView, stats, log := follow.NewFleetView(), metrics.New(), testlog.New(t)
-	h := New(t.Context(), Settings{Domain: "a", KeysAge: 3 * time.Second}, fleetView, nil, nil, nil, clock, stats, decision.NewRecorder(log, clock, stats), oneInstance{}, testBook(), noPublisher{}, nil)
+	h := New(t.Context(), Settings{Domain: "a", KeysAge: 3 * time.Second}, fleetView, nil, nil, backend.DirectDialer{}, clock, stats, decision.NewRecorder(log, clock, stats), oneInstance{}, testBook(), noPublisher{}, nil)
 	follow.New(t.Context(), confirming{catalog: c, at: clock.Now()}, fleetView, h.ends, clock, stats, log)
 	require.Eventually(t, h.KeysConfirmed, testTimeout, time.Millisecond)
 	suspended.Store(int64(8 * time.Second))
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,6 +43,9 @@
 	// lastDiagnosed holds when the paths that start at a server were last diagnosed.
 	lastDiagnosed map[*backend.Server]time.Time
 
+	// manyPathsLost is true while many servers are reached through other instances only.
+	manyPathsLost atomic.Bool
+
 	plan  *queryPlan
 	quota *queryQuota
 	// findingLog limits the rate of the log lines about findings of other instances, by line and server.
@@ -61,6 +65,7 @@
 		for {
 			select {
 			case <-ticks.C():
+				w.cutLostPaths()
 				w.scan(ctx)
 				w.refuteFindings(h.clock.Now())
 				w.evacuate(ctx, backlog, w.group)
--- a/link/server.go
+++ b/link/server.go
@@ -18,6 +18,7 @@
 // Mux maps kinds of calls to their handlers. All handlers must be added before the server starts.
 type Mux struct {
 	handlers map[Kind]handler
+	streams  StreamHandler
 }
 
 // NewMux returns an empty Mux.
@@ -44,7 +45,7 @@
 
 // Listen starts a Server on addr, an IP number and UDP port.
 func Listen(addr string, trust Trust, mux *Mux, stats *metrics.Registry, log *logrus.Logger) (*Server, error) {
-	listener, err := quic.ListenAddr(addr, trust.Server(protocol), quicConfig())
+	listener, err := quic.ListenAddr(addr, trust.Server(protocol, streamProtocol), listenConfig())
 	if err != nil {
 		return nil, errors.Wrapf(err, "link: listen on %s", addr)
 	}
@@ -74,12 +75,20 @@
 		_ = conn.CloseWithError(1, "unknown holder")
 		return
 	}
+	serve := s.serveCall
+	if conn.ConnectionState().TLS.NegotiatedProtocol == streamProtocol {
+		serve = s.mux.streams
+	}
+	if serve == nil {
+		_ = conn.CloseWithError(1, "no streams")
+		return
+	}
 	for {
 		stream, err := conn.AcceptStream(conn.Context())
 		if err != nil {
 			return
 		}
-		go func() { s.serveStream(conn.Context(), from, stream) }()
+		go func() { serve(conn.Context(), from, stream) }()
 	}
 }
 
@@ -96,7 +105,8 @@
 	return id, err
 }
 
-func (s *Server) serveStream(ctx context.Context, from keys.Identity, stream *quic.Stream) {
+// serveCall answers one call.
+func (s *Server) serveCall(ctx context.Context, from keys.Identity, stream *quic.Stream) {
 	defer stream.Close()
 	req, err := readMessage[request](stream)
 	if err != nil {
--- a/link/wire.go
+++ b/link/wire.go
@@ -13,10 +13,17 @@
 const (
 	// protocol is the TLS application protocol (ALPN) of connections between instances.
 	protocol = "jx-link/1"
+	// streamProtocol is the protocol of connections that carry streams instead of calls.
+	streamProtocol = "jx-stream/1"
+	// maxStreams is how many streams one instance may have open at another.
+	maxStreams = 1024
 	// maxMessage is the maximum size of a request or response in bytes.
 	maxMessage = 8 << 20
 	// idleTimeout is how long a connection without traffic is kept.
 	idleTimeout = 20 * time.Second
+	// streamSilence is how long the other end of a connection for streams may be silent. It is less than the two seconds without an
+	// event after which callers disconnect.
+	streamSilence = 1500 * time.Millisecond
 )
 
 // Trust provides the TLS settings by which instances authenticate to each other.
@@ -85,6 +92,20 @@
 	}
 }
 
+// listenConfig returns the configuration of a listener; its connections carry calls or streams.
+func listenConfig() *quic.Config {
+	c := quicConfig()
+	c.MaxIncomingStreams = maxStreams
+	return c
+}
+
+// streamConfig returns the configuration of a connection for streams, which ends soon after the other end has vanished.
+func streamConfig() *quic.Config {
+	c := quicConfig()
+	c.MaxIdleTimeout, c.KeepAlivePeriod, c.HandshakeIdleTimeout = streamSilence, streamSilence/3, streamSilence
+	return c
+}
+
 func readMessage[T any](r io.Reader) (T, error) {
 	var value T
 	body, err := io.ReadAll(io.LimitReader(r, maxMessage))
--- a/reach/book_test.go
+++ b/reach/book_test.go
@@ -28,3 +28,30 @@
 	require.False(t, b.Summary(now).All())
 	require.Equal(t, Summary{}, b.Summary(now.Add(2*window)), "attempts of long ago count no more")
 }
+
+func TestManyLostPathsMakeOthersBeTriedOnBothWays(t *testing.T) {
+	b, now := NewBook(), time.Unix(0, 0)
+	require.Equal(t, OwnLinks, b.Route("new", now))
+	for _, addr := range []string{"a", "b", "c"} {
+		require.True(t, b.NoteLost(addr, now))
+		require.False(t, b.NoteLost(addr, now), "it is known")
+	}
+	b.Connected("works", now)
+	require.Equal(t, Both, b.Route("new", now))
+	require.Equal(t, OtherInstance, b.Route("a", now))
+	require.Equal(t, OwnLinks, b.Route("works", now), "a part of the servers may be within reach")
+	require.True(t, b.Connected("a", now))
+	require.Equal(t, OwnLinks, b.Route("b", now))
+}
+
+func TestAPartOfManyServersThatIsLostSaysNothingOfOthers(t *testing.T) {
+	b, now := NewBook(), time.Unix(0, 0)
+	for n := range 10 {
+		b.Connected(fmt.Sprint(n), now)
+	}
+	for _, addr := range []string{"0", "1", "2", "3"} {
+		b.NoteLost(addr, now)
+	}
+	require.Equal(t, OwnLinks, b.Route("new", now))
+	require.Equal(t, OtherInstance, b.Route("2", now))
+}
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -12,54 +13,184 @@
 	"junctioncross/backend"
 	"junctioncross/metrics"
 	"junctioncross/timer"
+	"junctioncross/tunnel"
 )
 
-// Dialer opens connections to servers and keeps a Book of the outcomes; it implements backend.Dialer.
+const (
+	// probePeriod is how often lost paths are probed, probesAtOnce how many of them at a time, and probeTimeout limits a probe.
+	probePeriod  = 500 * time.Millisecond
+	probesAtOnce = 2
+	probeTimeout = 200 * time.Millisecond
+)
+
+// Tunnels opens connections to servers through other instances.
+type Tunnels interface {
+	// Dial returns an error of package tunnel if there is no connection.
+	Dial(ctx context.Context, to backend.Endpoint) (net.Conn, error)
+}
+
+// Dialer opens connections to servers over the instance's own links, and through other instances where these do not reach; it
+// implements backend.Dialer and tunnel.DirectPaths.
 type Dialer struct {
-	direct backend.Dialer
-	clock  *timer.Service
-	stats  *metrics.Registry
-	log    *logrus.Logger
+	direct  backend.Dialer
+	tunnels Tunnels
+	clock   *timer.Service
+	stats   *metrics.Registry
+	log     *logrus.Logger
 
 	mu   sync.Mutex
 	book *Book
 	// allLost is true while all servers that were tried are out of reach.
 	allLost bool
+	observe func(backend.PathChange)
 }
 
-// New returns a Dialer that opens its connections with direct.
-func New(direct backend.Dialer, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger) *Dialer {
-	return &Dialer{direct: direct, clock: clock, stats: stats, log: log, book: NewBook()}
+// New returns a Dialer that opens connections with direct and, where these do not come up, through tunnels. It probes lost paths
+// until ctx ends.
+func New(
+	ctx context.Context, direct backend.Dialer, tunnels Tunnels, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
+) *Dialer {
+	d := &Dialer{
+		direct: direct, tunnels: tunnels, clock: clock, stats: stats, log: log, book: NewBook(), observe: func(backend.PathChange) {},
+	}
+	ticks := clock.Subscribe(probePeriod)
+	go func() {
+		defer ticks.Stop()
+		for {
+			select {
+			case <-ticks.C():
+				d.probe(ctx)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return d
+}
+
+// Observe implements backend.Dialer.
+func (d *Dialer) Observe(observe func(backend.PathChange)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.observe = observe
+}
+
+// Lost implements backend.Dialer.
+func (d *Dialer) Lost(addr string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.book.Lost(addr)
+}
+
+// PathFailed implements backend.Dialer.
+func (d *Dialer) PathFailed(addr string, conn net.Conn, err error) bool {
+	if t, ok := conn.(*tunnel.Conn); ok {
+		return !t.ServerFailed(err)
+	}
+	return d.Lost(addr)
+}
+
+// DialDirect implements tunnel.DirectPaths.
+func (d *Dialer) DialDirect(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := d.direct.Dial(ctx, backend.Endpoint{Addr: addr})
+	if err == nil || !errors.Is(ctx.Err(), context.Canceled) {
+		d.noteDirect(addr, err)
+	}
+	return c, err
 }
 
 // Dial implements backend.Dialer.
-func (d *Dialer) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	c, err := d.direct.Dial(ctx, addr)
-	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
-		return nil, err
+func (d *Dialer) Dial(ctx context.Context, to backend.Endpoint) (net.Conn, error) {
+	switch route := d.route(to.Addr); route {
+	case OwnLinksOnly:
+		return d.DialDirect(ctx, to.Addr)
+	case OtherInstance:
+		if c, err := d.dialTunnel(ctx, to); err == nil {
+			return c, nil
+		}
+		return d.DialDirect(ctx, to.Addr)
+	default:
+		return d.startRace(ctx, to, route).run(ctx)
+	}
+}
+
+func (d *Dialer) route(addr string) Route {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.book.Route(addr, d.clock.Now())
+}
+
+// dialTunnel opens a tunnel, and notes that there is none.
+func (d *Dialer) dialTunnel(ctx context.Context, to backend.Endpoint) (net.Conn, error) {
+	c, err := d.tunnels.Dial(ctx, to)
+	if errors.Is(err, tunnel.ErrUnreachable) || errors.Is(err, tunnel.ErrNotListening) {
+		d.mu.Lock()
+		d.book.NoteHopeless(to.Addr, d.clock.Now())
+		d.mu.Unlock()
 	}
-	d.note(addr, err)
 	return c, err
 }
 
-// note records the outcome of an attempt, and logs a change of whether any server is within reach.
-func (d *Dialer) note(addr string, err error) {
+// probe tries the own links to some servers whose path is lost.
+func (d *Dialer) probe(ctx context.Context) {
+	d.mu.Lock()
+	lost := d.book.LostServers()
+	d.mu.Unlock()
+	for _, addr := range lost[:min(len(lost), probesAtOnce)] {
+		go func() {
+			ctx, cancel := d.clock.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			if c, err := d.DialDirect(ctx, addr); err == nil {
+				_ = c.Close()
+			}
+		}()
+	}
+}
+
+// noteDirect records the outcome of an attempt over the own links.
+func (d *Dialer) noteDirect(addr string, err error) {
 	d.stats.Counter("server_dials_total{result=\"" + resultOf(err) + "\"}").Inc(1)
 	now := d.clock.Now()
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	regained := false
 	if err == nil {
-		d.book.Connected(addr, now)
+		regained = d.book.Connected(addr, now)
 	} else {
 		d.book.Failed(addr, now)
 	}
+	observe := d.reviewLocked(now)
+	d.mu.Unlock()
+	if regained {
+		d.log.WithField("address", addr).Info("path to servers regained")
+		observe(backend.PathsRegained{})
+	}
+}
+
+// noteLost records that a server is reached through another instance only.
+func (d *Dialer) noteLost(addr string) {
+	now := d.clock.Now()
+	d.mu.Lock()
+	isNew := d.book.NoteLost(addr, now)
+	summary := d.book.Summary(now)
+	observe := d.reviewLocked(now)
+	d.mu.Unlock()
+	if isNew {
+		d.stats.Counter("paths_lost_total").Inc(1)
+		d.log.WithFields(logrus.Fields{"address": addr, "lost": summary.Lost}).Warn("path to a server lost, others reach it")
+		observe(backend.PathLost{Addr: addr, Many: summary.many()})
+	}
+}
+
+// reviewLocked updates the gauges and logs a change of whether any server is within reach; the caller holds the lock.
+func (d *Dialer) reviewLocked(now time.Time) func(backend.PathChange) {
 	s := d.book.Summary(now)
 	d.stats.Gauge("servers_out_of_reach").Update(int64(s.OutOfReach))
-	if s.All() == d.allLost {
-		return
+	d.stats.Gauge("paths_lost").Update(int64(s.Lost))
+	if s.All() != d.allLost {
+		d.allLost = s.All()
+		d.logChange(s)
 	}
-	d.allLost = s.All()
-	d.logChange(s)
+	return d.observe
 }
 
 func (d *Dialer) logChange(s Summary) {
--- /dev/null
+++ b/reach/race.go
@@ -0,0 +1,160 @@
+package reach
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/backend"
+	"junctioncross/tunnel"
+)
+
+const (
+	// hedgeDelay is how long a connection over the own links may take before another instance is asked as well: many round trips
+	// between failure domains, and short enough for a state query to be answered through the other instance.
+	hedgeDelay = 40 * time.Millisecond
+	// lostDelay is how much longer than a tunnel a connection over the own links may take before the path counts as lost.
+	lostDelay = 100 * time.Millisecond
+)
+
+// errUnconfirmed means that the own links refused a connection and that no other instance could say whether the server has ended:
+// a path that is cut may refuse connections as well.
+var errUnconfirmed = errors.New("reach: refused, and no other instance reaches the server")
+
+// attempt is the outcome of one attempt to connect.
+type attempt struct {
+	conn net.Conn
+	err  error
+}
+
+// close closes a connection that is not needed.
+func (a attempt) close() {
+	if a.err == nil {
+		_ = a.conn.Close()
+	}
+}
+
+// race is a connection that is tried over the own links and, when these fail or take long, through another instance. The first
+// connection that comes up wins.
+type race struct {
+	dialer *Dialer
+	to     backend.Endpoint
+	// direct and tunneled receive the outcome of each attempt; they are nil before it has begun and after it has ended.
+	direct, tunneled chan attempt
+	// directErr and tunnelErr are the errors of the attempts that have failed.
+	directErr, tunnelErr error
+	// late is when a tunnel is to be tried.
+	late <-chan time.Time
+	// keepDirect lets the attempt over the own links outlast the context of the race, endDirect ends it.
+	keepDirect func() bool
+	endDirect  context.CancelFunc
+}
+
+// startRace begins with the own links, and with a tunnel at once if the route says so.
+func (d *Dialer) startRace(ctx context.Context, to backend.Endpoint, route Route) *race {
+	r := &race{dialer: d, to: to, direct: make(chan attempt, 1)}
+	directCtx, endDirect := context.WithCancel(context.WithoutCancel(ctx))
+	r.endDirect, r.keepDirect = endDirect, context.AfterFunc(ctx, endDirect)
+	go func(direct chan<- attempt) {
+		c, err := d.DialDirect(directCtx, to.Addr)
+		direct <- attempt{c, err}
+	}(r.direct)
+	if route == Both {
+		r.startTunnel(ctx)
+	} else {
+		r.late = d.clock.After(hedgeDelay)
+	}
+	return r
+}
+
+// startTunnel tries a tunnel unless that was begun before.
+func (r *race) startTunnel(ctx context.Context) {
+	r.late = nil
+	if r.tunneled != nil || r.tunnelErr != nil {
+		return
+	}
+	r.tunneled = make(chan attempt, 1)
+	go func(tunneled chan<- attempt) {
+		c, err := r.dialer.dialTunnel(ctx, r.to)
+		tunneled <- attempt{c, err}
+	}(r.tunneled)
+}
+
+// run returns the first connection that comes up.
+func (r *race) run(ctx context.Context) (net.Conn, error) {
+	for r.directErr == nil || r.tunnelErr == nil {
+		select {
+		case <-r.late:
+			r.startTunnel(ctx)
+		case a := <-r.direct:
+			r.direct = nil
+			if a.err == nil {
+				r.abandon()
+				return a.conn, nil
+			}
+			r.directErr = a.err
+			r.startTunnel(ctx)
+		case a := <-r.tunneled:
+			r.tunneled = nil
+			if a.err == nil {
+				r.tunnelWon()
+				return a.conn, nil
+			}
+			r.tunnelErr = a.err
+		case <-ctx.Done():
+			r.abandon()
+			return nil, ctx.Err()
+		}
+	}
+	r.abandon()
+	return nil, r.failure()
+}
+
+// abandon ends the attempts that still run, and closes connections that come up all the same.
+func (r *race) abandon() {
+	r.endDirect()
+	for _, running := range []chan attempt{r.direct, r.tunneled} {
+		if running != nil {
+			go func() { (<-running).close() }()
+		}
+	}
+}
+
+// tunnelWon finds out whether the own links reach the server as well.
+func (r *race) tunnelWon() {
+	if r.directErr != nil {
+		r.endDirect()
+		r.dialer.noteLost(r.to.Addr)
+		return
+	}
+	r.keepDirect()
+	go func() {
+		defer r.endDirect()
+		select {
+		case a := <-r.direct:
+			a.close()
+			if a.err == nil {
+				return
+			}
+		case <-r.dialer.clock.After(lostDelay):
+			go func() { (<-r.direct).close() }()
+		}
+		r.dialer.noteLost(r.to.Addr)
+	}()
+}
+
+// failure returns the error of a connection that came up on neither way.
+func (r *race) failure() error {
+	refused := errors.Is(r.directErr, syscall.ECONNREFUSED)
+	switch {
+	case errors.Is(r.tunnelErr, tunnel.ErrNotListening) && !refused:
+		return errors.Wrap(syscall.ECONNREFUSED, r.tunnelErr.Error())
+	case refused && (errors.Is(r.tunnelErr, tunnel.ErrUnreachable) || errors.Is(r.tunnelErr, tunnel.ErrNoPath)):
+		return errUnconfirmed
+	default:
+		return r.directErr
+	}
+}
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -46,6 +46,10 @@
 		cutByCaller{},
 		finishedJxdRun{},
 		unexpectedInAttempt{},
+		sentThroughOther{},
+		tunnelCarried{},
+		tunnelNotCarried{},
+		streamPathLost{},
 	}
 	beliefLines = []any{
 		started{},
@@ -78,6 +82,8 @@
 		noAnswer{},
 		noServerInReach{},
 		serversInReach{},
+		pathLost{},
+		pathsRegained{},
 		reportNotReadable{},
 		otherIncarnationAnswers{},
 		lateEntry{},
--- /dev/null
+++ b/tunnel/server.go
@@ -0,0 +1,227 @@
+package tunnel
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+
+	"junctioncross/backend"
+	"junctioncross/decision"
+	"junctioncross/keys"
+	"junctioncross/metrics"
+	"junctioncross/timer"
+)
+
+const (
+	// serverDialTimeout limits the connection to a server: the other instance waits for it.
+	serverDialTimeout = 150 * time.Millisecond
+	// vouchers is how many other servers must be within reach for the instance to say that a server is not, and vouchTimeout limits
+	// the connections to these. For vouchTime nothing is tried again.
+	vouchers     = 2
+	vouchTimeout = 100 * time.Millisecond
+	vouchTime    = 200 * time.Millisecond
+	// askTimeout limits the time in which an open message must arrive.
+	askTimeout = time.Second
+	// maxCarried is how many tunnels an instance carries for others at once.
+	maxCarried = 512
+	// copyBuffer is the size in bytes of the buffer for each direction of a tunnel; it holds some events.
+	copyBuffer = 4 << 10
+)
+
+// DirectPaths opens connections to servers over the instance's own network links.
+type DirectPaths interface {
+	// DialDirect opens a connection to the server at addr.
+	DialDirect(ctx context.Context, addr string) (net.Conn, error)
+	// Lost reports whether the server at addr is known not to be within reach over the own links.
+	Lost(addr string) bool
+}
+
+// Server carries the tunnels of other instances.
+type Server struct {
+	servers Servers
+	paths   DirectPaths
+	clock   *timer.Service
+	stats   *metrics.Registry
+	record  *decision.Recorder
+
+	stopping atomic.Bool
+	// carried is the number of tunnels, and requests the number of those that are for a request.
+	carried, requests atomic.Int64
+
+	mu sync.Mutex
+	// vouched holds, by failure domain, whether the own links reached servers there lately.
+	vouched map[string]voucher
+}
+
+// voucher is whether the own links reached servers of a failure domain at a time.
+type voucher struct {
+	at time.Time
+	ok bool
+}
+
+// NewServer returns a Server.
+func NewServer(servers Servers, paths DirectPaths, clock *timer.Service, stats *metrics.Registry, record *decision.Recorder) *Server {
+	return &Server{
+		servers: servers, paths: paths, clock: clock, stats: stats, record: record, vouched: map[string]voucher{},
+	}
+}
+
+// Stop makes the Server accept no further tunnels; those that it carries go on.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Requests returns the number of tunnels that are for a request.
+func (s *Server) Requests() int { return int(s.requests.Load()) }
+
+// ServeStream serves a stream of another instance; it is a link.StreamHandler.
+func (s *Server) ServeStream(ctx context.Context, _ keys.Identity, stream *quic.Stream) {
+	defer stream.CancelRead(closedByClient)
+	_ = stream.SetReadDeadline(time.Now().Add(askTimeout))
+	ask, err := readOpen(stream)
+	if err != nil {
+		stream.CancelWrite(serverBroke)
+		return
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	s.addCarried(ask, 1)
+	defer s.addCarried(ask, -1)
+	conn, verdict := s.connect(ctx, ask)
+	s.stats.Counter("tunnels_carried_total{verdict=\"" + verdict.String() + "\"}").Inc(1)
+	s.log(ask, verdict)
+	if err := writeReply(stream, reply{verdict: verdict, carried: uint16(s.carried.Load())}); err != nil || conn == nil {
+		if conn != nil {
+			_ = conn.Close()
+		}
+		_ = stream.Close()
+		return
+	}
+	pipe(stream, conn)
+}
+
+// connect opens the connection that a tunnel is asked for.
+func (s *Server) connect(ctx context.Context, ask open) (net.Conn, Verdict) {
+	server := s.servers.ServerOf(backend.Incarnation{ID: ask.Server, Born: ask.Born})
+	if verdict := s.judge(ask, server); verdict != Opened {
+		return nil, verdict
+	}
+	ctx, cancel := s.clock.WithTimeout(ctx, serverDialTimeout)
+	defer cancel()
+	conn, err := s.paths.DialDirect(ctx, server.Addr())
+	switch {
+	case err == nil:
+		return conn, Opened
+	case !s.vouch(server):
+		return nil, NoPath
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, NotListening
+	default:
+		return nil, Unreachable
+	}
+}
+
+// vouch reports whether the own links reach other servers like one that they do not reach: otherwise it is the path that is missing,
+// and nothing can be said of the server.
+func (s *Server) vouch(server *backend.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if last := s.vouched[server.Domain()]; now.Sub(last.at) <= vouchTime {
+		return last.ok
+	}
+	ok := s.reachOthers(server)
+	s.vouched[server.Domain()] = voucher{at: s.clock.Now(), ok: ok}
+	return ok
+}
+
+// reachOthers tries to connect to other servers like one.
+func (s *Server) reachOthers(server *backend.Server) bool {
+	ctx, cancel := s.clock.WithTimeout(context.Background(), vouchTimeout)
+	defer cancel()
+	others := s.servers.OthersLike(server, vouchers)
+	reached := make(chan bool, len(others))
+	for _, other := range others {
+		go func() {
+			conn, err := s.paths.DialDirect(ctx, other.Addr())
+			if err == nil {
+				_ = conn.Close()
+			}
+			reached <- err == nil
+		}()
+	}
+	for range others {
+		if !<-reached {
+			return false
+		}
+	}
+	return len(others) > 0
+}
+
+// judge reports whether the instance may try to carry a tunnel to a server, by the verdict Opened.
+func (s *Server) judge(ask open, server *backend.Server) Verdict {
+	switch {
+	case s.stopping.Load():
+		return Stopping
+	case s.carried.Load() > maxCarried:
+		return Busy
+	case server == nil:
+		return UnknownServer
+	case ask.NewWork && server.Leaving():
+		return ServerLeaving
+	case s.paths.Lost(server.Addr()):
+		return NoPath
+	default:
+		return Opened
+	}
+}
+
+func (s *Server) addCarried(ask open, n int64) {
+	s.stats.Gauge("tunnels_carried").Update(s.carried.Add(n))
+	if ask.NewWork {
+		s.requests.Add(n)
+	}
+}
+
+// log writes a line for a tunnel that is for a request.
+func (s *Server) log(ask open, verdict Verdict) {
+	if ask.Request == "" {
+		return
+	}
+	fields := decision.Fields{"peer": ask.From, "server": ask.Server, "verdict": verdict.String()}
+	if verdict == Opened {
+		s.record.Routine(ask.Request, "tunnel carried", fields)
+		return
+	}
+	s.record.Failure(ask.Request, "tunnel not carried", fields)
+}
+
+// pipe passes the bytes on in both directions until either side ends.
+func pipe(stream *quic.Stream, conn net.Conn) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		// Whatever ends the stream, the server must learn that its caller has left.
+		_, _ = io.CopyBuffer(writerOnly{conn}, stream, make([]byte, copyBuffer))
+		_ = conn.Close()
+	}()
+	_, err := io.CopyBuffer(stream, readerOnly{conn}, make([]byte, copyBuffer))
+	if err != nil {
+		stream.CancelWrite(serverBroke)
+	} else {
+		_ = stream.Close()
+	}
+	stream.CancelRead(closedByClient)
+	_ = conn.Close()
+	<-ended
+}
+
+// writerOnly and readerOnly hide the methods by which io.CopyBuffer would take another buffer.
+type (
+	writerOnly struct{ io.Writer }
+	readerOnly struct{ io.Reader }
+)
--- /dev/null
+++ b/tunnel/tunnel_test.go
@@ -0,0 +1,250 @@
+package tunnel
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
+	"junctioncross/decision"
+	"junctioncross/fault"
+	"junctioncross/keys"
+	"junctioncross/link"
+	"junctioncross/membership"
+	"junctioncross/metrics"
+	"junctioncross/ports"
+	"junctioncross/testlog"
+	"junctioncross/timer"
+)
+
+// eventuallyTimeout is far longer than what is waited for takes, so that a slow machine does not fail the test.
+const eventuallyTimeout = 30 * time.Second
+
+// fakeServers are the servers that an instance knows.
+type fakeServers struct{ all []*backend.Server }
+
+func (f fakeServers) ServerAt(addr string) *backend.Server {
+	for _, s := range f.all {
+		if s.Addr() == addr {
+			return s
+		}
+	}
+	return nil
+}
+
+func (f fakeServers) ServerOf(i backend.Incarnation) *backend.Server {
+	for _, s := range f.all {
+		if s.Incarnation() == i {
+			return s
+		}
+	}
+	return nil
+}
+
+func (f fakeServers) OthersLike(server *backend.Server, n int) []*backend.Server {
+	var out []*backend.Server
+	for _, s := range f.all {
+		if s != server && len(out) < n {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// fakePaths are own links that reach all servers but those that are cut.
+type fakePaths struct {
+	mu  sync.Mutex
+	cut map[string]bool
+}
+
+func (f *fakePaths) DialDirect(ctx context.Context, addr string) (net.Conn, error) {
+	f.mu.Lock()
+	cut := f.cut[addr]
+	f.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return backend.DirectDialer{}.Dial(ctx, backend.Endpoint{Addr: addr})
+}
+
+func (*fakePaths) Lost(string) bool { return false }
+
+// fakeFleet is a fleet of some instances with one key.
+type fakeFleet struct {
+	members []membership.Instance
+	key     []byte
+}
+
+func (f *fakeFleet) Members() []membership.Instance { return f.members }
+func (f *fakeFleet) Key() []byte                    { return f.key }
+
+// tunnelTest is a client, one instance that carries its tunnels, and servers that answer every byte.
+type tunnelTest struct {
+	client  *Client
+	carrier *Server
+	paths   *fakePaths
+	// network is between the client and the instance.
+	network *fault.UDP
+	servers []*backend.Server
+	// accepted receives the connections of the servers.
+	accepted chan net.Conn
+}
+
+func newTunnelTest(t *testing.T) *tunnelTest {
+	key, err := keys.NewFleetKey(time.Now())
+	require.NoError(t, err)
+	addrs, err := ports.Free(1)
+	require.NoError(t, err)
+	tt := &tunnelTest{paths: &fakePaths{cut: map[string]bool{}}, accepted: make(chan net.Conn, 100)}
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		tt.servers = append(tt.servers, tt.startServer(t, id))
+	}
+	tt.network, err = fault.NewUDP(addrs[0], 1)
+	require.NoError(t, err)
+	t.Cleanup(tt.network.Close)
+	fleet := &fakeFleet{members: []membership.Instance{{Name: "carrier", Domain: "a", Addr: tt.network.Addr()}, {Name: "client", Domain: "a"}}, key: key}
+	trust := keys.NewFleetKeyFrom(fleet.Key)
+	clock, stats, log, known := timer.NewReal(), metrics.New(), testlog.New(t), fakeServers{tt.servers}
+	tt.carrier = NewServer(known, tt.paths, clock, stats, decision.NewRecorder(log, clock, stats))
+	mux := link.NewMux()
+	mux.HandleStreams(tt.carrier.ServeStream)
+	listener, err := link.Listen(addrs[0], trust, mux, stats, log)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	self := Self{Name: "client", Domain: "a"}
+	tt.client = NewClient(t.Context(), self, fleet, known, link.NewStreamClient(trust), clock, stats)
+	return tt
+}
+
+func (tt *tunnelTest) startServer(t *testing.T, id string) *backend.Server {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			tt.accepted <- conn
+		}
+	}()
+	return backend.NewServer(backend.Entry{ID: id, Service: "s", Addr: listener.Addr().String(), Domain: "a", Born: 7})
+}
+
+// dial opens a tunnel to a server; a handshake on a slow machine may take several tries.
+func (tt *tunnelTest) dial(t *testing.T, server *backend.Server) (*Conn, net.Conn) {
+	var conn net.Conn
+	require.Eventually(t, func() bool {
+		var err error
+		conn, err = tt.client.Dial(t.Context(), backend.Endpoint{Addr: server.Addr(), Request: "r", NewWork: true})
+		return err == nil
+	}, eventuallyTimeout, 10*time.Millisecond)
+	return conn.(*Conn), <-tt.accepted
+}
+
+// refusal returns the error of Dial once an instance has answered.
+func (tt *tunnelTest) refusal(t *testing.T, server *backend.Server) error {
+	var err error
+	require.Eventually(t, func() bool {
+		_, err = tt.client.Dial(t.Context(), backend.Endpoint{Addr: server.Addr()})
+		require.Error(t, err)
+		return err != ErrNoPeer //nolint:errorlint // Only whether somebody answered.
+	}, eventuallyTimeout, 10*time.Millisecond)
+	return err
+}
+
+func TestATunnelCarriesBytesBothWaysAndNamesItsInstance(t *testing.T) {
+	tt := newTunnelTest(t)
+	near, far := tt.dial(t, tt.servers[0])
+	for _, way := range [][2]net.Conn{{near, far}, {far, near}} {
+		_, err := way[0].Write([]byte("hello"))
+		require.NoError(t, err)
+		got := make([]byte, 5)
+		_, err = io.ReadFull(way[1], got)
+		require.NoError(t, err)
+		require.Equal(t, "hello", string(got))
+	}
+	require.Equal(t, "carrier", near.Peer())
+	require.Equal(t, 1, tt.carrier.Requests())
+}
+
+// TestClosingATunnelClosesTheConnectionToTheServer guards against servers that work on for callers who have left.
+func TestClosingATunnelClosesTheConnectionToTheServer(t *testing.T) {
+	tt := newTunnelTest(t)
+	near, far := tt.dial(t, tt.servers[0])
+	require.NoError(t, near.Close())
+	_, err := far.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return tt.carrier.Requests() == 0 }, eventuallyTimeout, time.Millisecond)
+}
+
+func TestAServerThatClosesOrBreaksItsConnectionIsToldApartFromThePath(t *testing.T) {
+	tt := newTunnelTest(t)
+	near, far := tt.dial(t, tt.servers[0])
+	require.NoError(t, far.Close())
+	_, err := near.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.True(t, near.ServerFailed(err))
+
+	near, far = tt.dial(t, tt.servers[0])
+	require.NoError(t, far.(*net.TCPConn).SetLinger(0))
+	require.NoError(t, far.Close())
+	_, err = near.Read(make([]byte, 1))
+	require.True(t, near.ServerFailed(err), err)
+
+	near, far = tt.dial(t, tt.servers[0])
+	tt.network.Cut()
+	_, err = near.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.False(t, near.ServerFailed(err), "the instance that carries the tunnel has gone")
+	require.NoError(t, far.Close())
+}
+
+// TestAnInstanceSaysThatAServerIsGoneOnlyIfItReachesOthers guards against servers that count as gone since all paths are cut.
+func TestAnInstanceSaysThatAServerIsGoneOnlyIfItReachesOthers(t *testing.T) {
+	tt := newTunnelTest(t)
+	tt.paths.cut[tt.servers[0].Addr()] = true
+	require.ErrorIs(t, tt.refusal(t, tt.servers[0]), ErrUnreachable)
+	tt.paths.mu.Lock()
+	tt.paths.cut[tt.servers[1].Addr()] = true
+	tt.paths.mu.Unlock()
+	require.Eventually(t, func() bool {
+		_, err := tt.client.Dial(t.Context(), backend.Endpoint{Addr: tt.servers[0].Addr()})
+		return err == ErrNoPath //nolint:errorlint // The error is returned as it is.
+	}, eventuallyTimeout, 10*time.Millisecond)
+}
+
+func TestATunnelGoesOnlyWhereTheInstanceMayConnect(t *testing.T) {
+	leaving := backend.NewServer(backend.Entry{ID: "i-1", Service: "s", Addr: "127.0.0.1:1", Leaving: true})
+	works := backend.NewServer(backend.Entry{ID: "i-2", Service: "s", Addr: "127.0.0.1:2"})
+	s := &Server{paths: &fakePaths{}}
+	require.Equal(t, Opened, s.judge(open{NewWork: true}, works))
+	require.Equal(t, UnknownServer, s.judge(open{}, nil))
+	require.Equal(t, ServerLeaving, s.judge(open{NewWork: true}, leaving))
+	require.Equal(t, Opened, s.judge(open{}, leaving), "its state may be queried")
+	s.carried.Store(maxCarried + 1)
+	require.Equal(t, Busy, s.judge(open{}, works))
+	s.Stop()
+	require.Equal(t, Stopping, s.judge(open{}, works))
+}
+
+func TestAnUnknownServerIsNotAskedFor(t *testing.T) {
+	tt := newTunnelTest(t)
+	_, err := tt.client.Dial(t.Context(), backend.Endpoint{Addr: "127.0.0.1:9"})
+	require.ErrorIs(t, err, ErrNoPeer)
+}
+
+func TestAnOpenMessageIsBounded(t *testing.T) {
+	near, far := net.Pipe()
+	go func() { _, _ = near.Write([]byte{0xff, 0xff}) }()
+	_, err := readOpen(far)
+	require.Error(t, err)
+	require.Error(t, writeOpen(near, open{Request: string(make([]byte, 2*maxOpen))}))
+}
