forward, reach: a silent server has not ended while others like it are silent too

What callers saw: during a cut, streams that broke were told to all instances as servers that ended under a request, though none had; two cuts within the memory of that can stop sound requests in the whole fleet. Cause: hasEnded took silence for an end, also where the instance reached no server at all. Change: silence counts only if the own links reach two other servers of the same domain at that moment. The check is the one by which an instance that is asked for a tunnel says whether a server is gone; it stands in reach now and serves both. Result: the case 'silent like others' of TestABrokenRunCountsOnlyIfTheEngineHasEndedOrIsSilent and TestASilentServerIsToldApartFromAMissingPath; tests of forward, reach and tunnel pass with the race detector.

--- a/app/hostedparts.go
+++ b/app/hostedparts.go
@@ -98,8 +98,10 @@
 }
 
 // newDialer returns what opens the connections to servers.
-func newDialer(ctx context.Context, tunnels *tunnel.Client, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger) *reach.Dialer {
-	return reach.New(ctx, backend.DirectDialer{}, tunnels, clock, stats, log)
+func newDialer(
+	ctx context.Context, tunnels *tunnel.Client, view *follow.FleetView, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
+) *reach.Dialer {
+	return reach.New(ctx, backend.DirectDialer{}, tunnels, view, clock, stats, log)
 }
 
 func newTunnelClient(
--- a/backend/dialer.go
+++ b/backend/dialer.go
@@ -53,6 +53,9 @@
 	Lost(addr string) bool
 	// PathFailed reports whether an error on a connection to the server at addr comes from the path to it and not from the server.
 	PathFailed(addr string, conn net.Conn, err error) bool
+	// ReachesOthersLike reports whether the own links reach other servers like one. If they do not, it is the path that is missing,
+	// and the silence of the server says nothing about it.
+	ReachesOthersLike(server *Server) bool
 	// Observe sets what is called at each change.
 	Observe(func(PathChange))
 }
@@ -71,5 +74,8 @@
 // PathFailed implements Dialer.
 func (DirectDialer) PathFailed(string, net.Conn, error) bool { return false }
 
+// ReachesOthersLike implements Dialer.
+func (DirectDialer) ReachesOthersLike(*Server) bool { return true }
+
 // Observe implements Dialer.
 func (DirectDialer) Observe(func(PathChange)) {}
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -79,23 +79,26 @@
 }
 
 // hasEnded reports whether a server on which a run broke at the given time has ended, as far as can be known: a server that does
-// not answer counts as ended, one that gives any answer does not.
+// not answer counts as ended if others like it are within reach, one that gives any answer does not.
 func (h *Handler) hasEnded(server *backend.Server, chained bool, broke time.Time) bool {
 	if !chained {
 		// A plain service has no state query that does not take one of its slots; whether it listens costs nothing to check.
-		return server.Ended() || !server.Listens(h.dialer, h.clock.Now())
+		return server.Ended() || !server.Listens(h.dialer, h.clock.Now()) && h.dialer.ReachesOthersLike(server)
 	}
 	for h.clock.Since(broke) < endCheckTimeout {
-		if server.Ended() || server.Gone() || server.SilentSince(broke) {
+		if server.Ended() || server.Gone() {
 			return true
 		}
+		if server.SilentSince(broke) {
+			return h.dialer.ReachesOthersLike(server)
+		}
 		if server.AnsweredSince(broke) {
 			return false
 		}
 		h.queryState(server, "broken run")
 		<-h.clock.After(endCheckPeriod)
 	}
-	return true
+	return h.dialer.ReachesOthersLike(server)
 }
 
 // clearEnds deletes the recorded ends of a request, since a server has run it without ending.
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -110,6 +110,15 @@
 		close(e.end)
 		eventuallyAdvancing(t, clock, func() bool { unpublished, _ := h.ends.Unpublished(9); return len(unpublished) == 1 })
 	})
+	t.Run("silent like others", func(t *testing.T) {
+		g := twoCopies()
+		e := newFakeEngineClient(g)
+		e.hanging, e.end = map[string]bool{g.Servers()[0].Addr(): true}, make(chan struct{})
+		h, clock := testHandlerWith(t, e, cutOffDialer{})
+		h.suspectEnd(&request{x: &front.Exchange{}, group: g, route: onceRoute()}, g.Servers()[0], 0)
+		close(e.end)
+		eventuallyAdvancing(t, clock, func() bool { return h.ends.Size() == 0 })
+	})
 	t.Run("had run for long", func(t *testing.T) {
 		g := twoCopies()
 		h, r, _ := suspectedEnd(t, newFakeEngineClient(g, 0), g, harmlessTime)
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -109,10 +109,15 @@
 }
 
 func testHandler(t *testing.T, engines backend.EngineClient) (*Handler, *clockwork.FakeClock) {
+	return testHandlerWith(t, engines, backend.DirectDialer{})
+}
+
+// testHandlerWith is testHandler with another dialer.
+func testHandlerWith(t *testing.T, engines backend.EngineClient, dialer backend.Dialer) (*Handler, *clockwork.FakeClock) {
 	fake := clockwork.NewFakeClock()
 	clock, stats := timer.New(fake), metrics.New()
 	log := testlog.New(t)
-	h := New(t.Context(), Settings{Domain: "a", Repeats: retry.Limit{Window: 10 * time.Second, Fixed: 100}, DrainTime: 3 * time.Second}, follow.NewFleetView(), nil, engines, backend.DirectDialer{}, clock, stats,
+	h := New(t.Context(), Settings{Domain: "a", Repeats: retry.Limit{Window: 10 * time.Second, Fixed: 100}, DrainTime: 3 * time.Second}, follow.NewFleetView(), nil, engines, dialer, clock, stats,
 		decision.NewRecorder(log, clock, stats), oneInstance{}, testBook(), noPublisher{}, nil)
 	return withFullRetryBudget(h), fake
 }
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -34,6 +34,7 @@
 type Dialer struct {
 	direct  backend.Dialer
 	tunnels Tunnels
+	servers Servers
 	clock   *timer.Service
 	stats   *metrics.Registry
 	log     *logrus.Logger
@@ -43,15 +44,18 @@
 	// allLost is true while all servers that were tried are out of reach.
 	allLost bool
 	observe func(backend.PathChange)
+
+	vouching vouching
 }
 
 // New returns a Dialer that opens connections with direct and, where these do not come up, through tunnels. It probes lost paths
 // until ctx ends.
 func New(
-	ctx context.Context, direct backend.Dialer, tunnels Tunnels, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
+	ctx context.Context, direct backend.Dialer, tunnels Tunnels, servers Servers, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
 ) *Dialer {
 	d := &Dialer{
-		direct: direct, tunnels: tunnels, clock: clock, stats: stats, log: log, book: NewBook(), observe: func(backend.PathChange) {},
+		direct: direct, tunnels: tunnels, servers: servers, clock: clock, stats: stats, log: log, book: NewBook(),
+		observe: func(backend.PathChange) {}, vouching: vouching{byDomain: map[string]voucher{}},
 	}
 	ticks := clock.Subscribe(probePeriod)
 	go func() {
@@ -93,7 +97,7 @@
 // DialDirect implements tunnel.DirectPaths.
 func (d *Dialer) DialDirect(ctx context.Context, addr string) (net.Conn, error) {
 	c, err := d.direct.Dial(ctx, backend.Endpoint{Addr: addr})
-	if err == nil || !errors.Is(ctx.Err(), context.Canceled) {
+	if !errors.Is(err, context.Canceled) {
 		d.noteDirect(addr, err)
 	}
 	return c, err
--- a/reach/dialer_test.go
+++ b/reach/dialer_test.go
@@ -66,11 +66,20 @@
 
 func newDialerTest(t *testing.T) *dialerTest {
 	d := &dialerTest{direct: &fakeWay{}, tunnels: &fakeWay{}, clock: clockwork.NewFakeClock(), changes: make(chan backend.PathChange, 100)}
-	d.Dialer = New(t.Context(), d.direct, d.tunnels, timer.New(d.clock), metrics.New(), testlog.New(t))
+	d.Dialer = New(t.Context(), d.direct, d.tunnels, d, timer.New(d.clock), metrics.New(), testlog.New(t))
 	d.Observe(func(c backend.PathChange) { d.changes <- c })
 	return d
 }
 
+// OthersLike implements Servers.
+func (*dialerTest) OthersLike(_ *backend.Server, n int) []*backend.Server {
+	var out []*backend.Server
+	for k := range n {
+		out = append(out, backend.NewServer(backend.Entry{ID: "other", Addr: string(rune('x' + k)), Domain: "a"}))
+	}
+	return out
+}
+
 // dial opens a connection while time passes.
 func (d *dialerTest) dial(t *testing.T, addr string) error {
 	done := make(chan error, 1)
@@ -167,3 +176,14 @@
 	require.ErrorIs(t, err, context.Canceled)
 	require.False(t, d.Lost("a"))
 }
+
+// TestASilentServerIsToldApartFromAMissingPath guards against servers that count as ended since this instance reaches none.
+func TestASilentServerIsToldApartFromAMissingPath(t *testing.T) {
+	d := newDialerTest(t)
+	silent := backend.NewServer(backend.Entry{ID: "silent", Addr: "s", Domain: "a"})
+	require.True(t, d.ReachesOthersLike(silent))
+	d.direct.set(syscall.EHOSTUNREACH, false)
+	require.True(t, d.ReachesOthersLike(silent), "nothing is tried again at once")
+	d.clock.Advance(vouchTime + time.Millisecond)
+	require.False(t, d.ReachesOthersLike(silent))
+}
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -31,7 +31,7 @@
 const (
 	// nextPeerDelay is how long one instance is waited for before the next one is asked as well: many times what opening takes.
 	nextPeerDelay = 40 * time.Millisecond
-	// openTimeout limits the answer of one instance; it is longer than serverDialTimeout and vouchTimeout together.
+	// openTimeout limits the answer of one instance, which may try to connect to the server and to others after that.
 	openTimeout = 350 * time.Millisecond
 	// maxAsked is how many instances are asked for one tunnel, and enoughUnreachable how many that do not reach the server are enough
 	// to believe them.
@@ -54,8 +54,6 @@
 	ServerAt(addr string) *backend.Server
 	// ServerOf returns the server of an incarnation, or nil.
 	ServerOf(incarnation backend.Incarnation) *backend.Server
-	// OthersLike returns up to n random servers beside one, of its failure domain as far as there are any.
-	OthersLike(server *backend.Server, n int) []*backend.Server
 }
 
 // Self is this instance as others know it.
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -22,11 +21,6 @@
 const (
 	// serverDialTimeout limits the connection to a server: the other instance waits for it.
 	serverDialTimeout = 150 * time.Millisecond
-	// vouchers is how many other servers must be within reach for the instance to say that a server is not, and vouchTimeout limits
-	// the connections to these. For vouchTime nothing is tried again.
-	vouchers     = 2
-	vouchTimeout = 100 * time.Millisecond
-	vouchTime    = 200 * time.Millisecond
 	// askTimeout limits the time in which an open message must arrive.
 	askTimeout = time.Second
 	// maxCarried is how many tunnels an instance carries for others at once.
@@ -41,6 +35,9 @@
 	DialDirect(ctx context.Context, addr string) (net.Conn, error)
 	// Lost reports whether the server at addr is known not to be within reach over the own links.
 	Lost(addr string) bool
+	// ReachesOthersLike reports whether the own links reach other servers like one that they do not reach. If they do not, it is the
+	// path that is missing, and nothing can be said of the server.
+	ReachesOthersLike(server *backend.Server) bool
 }
 
 // Server carries the tunnels of other instances.
@@ -54,23 +51,11 @@
 	stopping atomic.Bool
 	// carried is the number of tunnels, and requests the number of those that are for a request.
 	carried, requests atomic.Int64
-
-	mu sync.Mutex
-	// vouched holds, by failure domain, whether the own links reached servers there lately.
-	vouched map[string]voucher
-}
-
-// voucher is whether the own links reached servers of a failure domain at a time.
-type voucher struct {
-	at time.Time
-	ok bool
 }
 
 // NewServer returns a Server.
 func NewServer(servers Servers, paths DirectPaths, clock *timer.Service, stats *metrics.Registry, record *decision.Recorder) *Server {
-	return &Server{
-		servers: servers, paths: paths, clock: clock, stats: stats, record: record, vouched: map[string]voucher{},
-	}
+	return &Server{servers: servers, paths: paths, clock: clock, stats: stats, record: record}
 }
 
 // Stop makes the Server accept no further tunnels; those that it carries go on.
@@ -116,7 +101,7 @@
 	switch {
 	case err == nil:
 		return conn, Opened
-	case !s.vouch(server):
+	case !s.paths.ReachesOthersLike(server):
 		return nil, NoPath
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, NotListening
@@ -125,43 +110,6 @@
 	}
 }
 
-// vouch reports whether the own links reach other servers like one that they do not reach: otherwise it is the path that is missing,
-// and nothing can be said of the server.
-func (s *Server) vouch(server *backend.Server) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	if last := s.vouched[server.Domain()]; now.Sub(last.at) <= vouchTime {
-		return last.ok
-	}
-	ok := s.reachOthers(server)
-	s.vouched[server.Domain()] = voucher{at: s.clock.Now(), ok: ok}
-	return ok
-}
-
-// reachOthers tries to connect to other servers like one.
-func (s *Server) reachOthers(server *backend.Server) bool {
-	ctx, cancel := s.clock.WithTimeout(context.Background(), vouchTimeout)
-	defer cancel()
-	others := s.servers.OthersLike(server, vouchers)
-	reached := make(chan bool, len(others))
-	for _, other := range others {
-		go func() {
-			conn, err := s.paths.DialDirect(ctx, other.Addr())
-			if err == nil {
-				_ = conn.Close()
-			}
-			reached <- err == nil
-		}()
-	}
-	for range others {
-		if !<-reached {
-			return false
-		}
-	}
-	return len(others) > 0
-}
-
 // judge reports whether the instance may try to carry a tunnel to a server, by the verdict Opened.
 func (s *Server) judge(ask open, server *backend.Server) Verdict {
 	switch {
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -46,20 +46,12 @@
 	return nil
 }
 
-func (f fakeServers) OthersLike(server *backend.Server, n int) []*backend.Server {
-	var out []*backend.Server
-	for _, s := range f.all {
-		if s != server && len(out) < n {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
 // fakePaths are own links that reach all servers but those that are cut.
 type fakePaths struct {
 	mu  sync.Mutex
 	cut map[string]bool
+	// othersCut is true if other servers are out of reach as well.
+	othersCut bool
 }
 
 func (f *fakePaths) DialDirect(ctx context.Context, addr string) (net.Conn, error) {
@@ -75,6 +67,12 @@
 
 func (*fakePaths) Lost(string) bool { return false }
 
+func (f *fakePaths) ReachesOthersLike(*backend.Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.othersCut
+}
+
 // fakeFleet is a fleet of some instances with one key.
 type fakeFleet struct {
 	members []membership.Instance
@@ -210,10 +208,12 @@
 // TestAnInstanceSaysThatAServerIsGoneOnlyIfItReachesOthers guards against servers that count as gone since all paths are cut.
 func TestAnInstanceSaysThatAServerIsGoneOnlyIfItReachesOthers(t *testing.T) {
 	tt := newTunnelTest(t)
+	tt.paths.mu.Lock()
 	tt.paths.cut[tt.servers[0].Addr()] = true
+	tt.paths.mu.Unlock()
 	require.ErrorIs(t, tt.refusal(t, tt.servers[0]), ErrUnreachable)
 	tt.paths.mu.Lock()
-	tt.paths.cut[tt.servers[1].Addr()] = true
+	tt.paths.othersCut = true
 	tt.paths.mu.Unlock()
 	require.Eventually(t, func() bool {
 		_, err := tt.client.Dial(t.Context(), backend.Endpoint{Addr: tt.servers[0].Addr()})
