--- a/forward/forecast_test.go
+++ b/forward/forecast_test.go
@@ -54,6 +54,19 @@
 	require.InDelta(t, 2, c.expectedPlaces(100*time.Millisecond), 0.2, "the streams of others make room as well")
 }
 
+// TestAnInstanceWithoutStreamsExpectsRoom guards against an instance that refuses all since it has no streams, and has none since it
+// refuses all, as after a cut.
+func TestAnInstanceWithoutStreamsExpectsRoom(t *testing.T) {
+	q, now := newQueue(), time.Unix(0, 0)
+	never := func(*inflight) bool { return false }
+	c := q.forecastLocked(now, never)
+	require.Greater(t, c.likelihood(1, 5*initialLifetime), minLikelihoodToStart, "a caller who waits for long")
+	require.Less(t, c.likelihood(1, initialLifetime/10), minLikelihoodToContinue, "a caller who does not")
+	q.addUnderWay(&inflight{}, now)
+	stalled := q.forecastLocked(now, func(*inflight) bool { return true })
+	require.Zero(t, stalled.likelihood(1, 5*initialLifetime), "streams that stand still show that no room comes")
+}
+
 // drawLifetime draws the lifetime of a stream: one second and an exponentially distributed time.
 func drawLifetime(random *rand.Rand) time.Duration {
 	return time.Duration((1 + random.ExpFloat64()) * float64(time.Second))
