--- a/testlog/log.go
+++ b/testlog/log.go
@@ -10,7 +10,7 @@
 
 // New returns a logger that writes to the output of the test while it runs. Later lines are dropped, since writing to that output
 // after the end of the test panics.
-func New(t *testing.T) *logrus.Logger {
+func New(t testing.TB) *logrus.Logger {
 	w := &writer{out: t.Output()}
 	t.Cleanup(w.end)
 	log := logrus.New()
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"junctioncross/backend"
 	"junctioncross/decision"
@@ -94,7 +95,7 @@
 	accepted chan net.Conn
 }
 
-func newTunnelTest(t *testing.T) *tunnelTest {
+func newTunnelTest(t testing.TB) *tunnelTest {
 	key, err := keys.NewFleetKey(time.Now())
 	require.NoError(t, err)
 	addrs, err := ports.Free(1)
@@ -120,7 +121,7 @@
 	return tt
 }
 
-func (tt *tunnelTest) startServer(t *testing.T, id string) *backend.Server {
+func (tt *tunnelTest) startServer(t testing.TB, id string) *backend.Server {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -137,7 +138,7 @@
 }
 
 // dial opens a tunnel to a server; a handshake on a slow machine may take several tries.
-func (tt *tunnelTest) dial(t *testing.T, server *backend.Server) (*Conn, net.Conn) {
+func (tt *tunnelTest) dial(t testing.TB, server *backend.Server) (*Conn, net.Conn) {
 	var conn net.Conn
 	require.Eventually(t, func() bool {
 		var err error
@@ -248,3 +249,51 @@
 	require.Error(t, err)
 	require.Error(t, writeOpen(near, open{Request: string(make([]byte, 2*maxOpen))}))
 }
+
+// BenchmarkATunnelledEvent measures the processor time of both instances and the server for one event of a stream, each of which waits for
+// the one before; direct is the same without a tunnel.
+func BenchmarkATunnelledEvent(b *testing.B) {
+	const eventBytes = 130
+	measure := func(b *testing.B, near, far net.Conn) {
+		event, got := make([]byte, eventBytes), make([]byte, eventBytes)
+		before := processorTime(b)
+		for b.Loop() {
+			if _, err := far.Write(event); err != nil {
+				b.Fatal(err)
+			}
+			if _, err := io.ReadFull(near, got); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64((processorTime(b)-before).Nanoseconds())/float64(b.N), "cpu-ns/op")
+	}
+	tt := newTunnelTest(b)
+	b.Run("tunnel", func(b *testing.B) {
+		near, far := tt.dial(b, tt.servers[0])
+		measure(b, near, far)
+	})
+	b.Run("direct", func(b *testing.B) {
+		near, err := backend.DirectDialer{}.Dial(b.Context(), backend.Endpoint{Addr: tt.servers[0].Addr()})
+		require.NoError(b, err)
+		measure(b, near, <-tt.accepted)
+	})
+}
+
+// BenchmarkOpeningATunnel measures the processor time of both instances and the server for one tunnel.
+func BenchmarkOpeningATunnel(b *testing.B) {
+	tt := newTunnelTest(b)
+	before := processorTime(b)
+	for b.Loop() {
+		near, far := tt.dial(b, tt.servers[0])
+		_ = near.Close()
+		_ = far.Close()
+	}
+	b.ReportMetric(float64((processorTime(b)-before).Nanoseconds())/float64(b.N), "cpu-ns/op")
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime(t testing.TB) time.Duration {
+	var use unix.Rusage
+	require.NoError(t, unix.Getrusage(unix.RUSAGE_SELF, &use))
+	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
+}
