--- a/forward/lostpath_test.go
+++ b/forward/lostpath_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"junctioncross/backend"
+	"junctioncross/catalog"
+	"junctioncross/timer"
 )
 
 // cutOffDialer is the dialer of an instance whose own links reach no server.
@@ -96,3 +99,28 @@
 	forgive(server)
 	require.True(t, server.Ended(), "another start of it is known")
 }
+
+// hangingDialer opens its first connection on a path that is lost from then on; the others work.
+type hangingDialer struct {
+	losingDialer
+	hangs net.Conn
+}
+
+func (d *hangingDialer) Dial(ctx context.Context, to backend.Endpoint) (net.Conn, error) {
+	if !d.lost.Swap(true) {
+		return d.hangs, nil
+	}
+	return d.DirectDialer.Dial(ctx, to)
+}
+
+func (d *hangingDialer) PathFailed(_ string, conn net.Conn, _ error) bool { return conn == d.hangs }
+
+// TestARepeatableRequestOnALostPathGoesToTheSameServerAgain guards against requests that wait until their deadline for the answer of an
+// only server whose path is lost.
+func TestARepeatableRequestOnALostPathGoesToTheSameServerAgain(t *testing.T) {
+	near, _ := tcpPair(t)
+	only := newTestServer(t, "1", sealed)
+	h := plainHandlerWith(t, timer.NewReal(), &hangingDialer{hangs: near})
+	route := &catalog.Route{Name: "r", RetryPolicy: catalog.RetryAlways, MaxAttempts: 2, Timeout: testTimeout, Objective: time.Millisecond}
+	require.Equal(t, http.StatusOK, readStatus(t, callFront(t, frontOf(t, h, route, []*testServer{only}), "one")))
+}
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -128,11 +128,16 @@
 
 // plainHandler returns a handler for requests of plain services.
 func plainHandler(t *testing.T, clock *timer.Service) *Handler {
+	return plainHandlerWith(t, clock, backend.DirectDialer{})
+}
+
+// plainHandlerWith is plainHandler with another dialer.
+func plainHandlerWith(t *testing.T, clock *timer.Service, dialer backend.Dialer) *Handler {
 	stats := metrics.New()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return withFullRetryBudget(New(t.Context(), Settings{Domain: "a", Repeats: retry.Limit{Window: 10 * time.Second, Fixed: 100}, LongestBackOff: time.Hour},
-		follow.NewFleetView(), platform.Codec{}, nil, backend.DirectDialer{}, clock, stats, decision.NewRecorder(log, clock, stats), oneInstance{}, testBook(), noPublisher{}, nil))
+		follow.NewFleetView(), platform.Codec{}, nil, dialer, clock, stats, decision.NewRecorder(log, clock, stats), oneInstance{}, testBook(), noPublisher{}, nil))
 }
 
 // frontOf serves requests of a route with the servers through a handler.
