reach, tunnel, link, once, forward: call one piece where two stood

Cause: read again as a whole, the tunnels held twins and work done twice. Change: Dialer.connects, once.NewClientWith, askNext, one pass over the streams, one summary, a lock for each domain, the clock as a dependency. Behaviour stays, but that a check of one domain no longer waits for another one's. The test of stalled streams calls the scan in place of the part that went into it; its assertions are unchanged.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -54,9 +54,8 @@
 // Used reports whether the connection carried a request before, so that the server may have closed it in the meantime.
 func (c *Conn) Used() bool { return c.used }
 
-// Connect returns a connection that is ready for a request: an idle one, or a new one if there is none or fresh is set; to says what a
-// new one is for. It
-// returns ErrDial if no connection can be made or ctx has ended.
+// Connect returns a connection that is ready for a request: an idle one, or a new one if there is none or fresh is set; to
+// says what a new one is for. It returns ErrDial if no connection can be made or ctx has ended.
 func (s *Server) Connect(ctx context.Context, dialer Dialer, to Endpoint, now time.Time, fresh bool) (*Conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
--- a/forward/lostpath.go
+++ b/forward/lostpath.go
@@ -35,22 +35,19 @@
 	}
 }
 
-// cutLostPaths closes the connections of stalled streams over paths that are lost, so that the streams are resumed through another
-// instance. Streams that make progress keep theirs: a path that opens no new connections may still carry old ones.
-func (w *watcher) cutLostPaths() {
+// cutFromLostPath closes the connection of a stalled stream over a path that is lost, so that the stream is resumed through another
+// instance. Streams that make progress keep theirs: a path that opens no new connections may still carry old ones. The caller holds
+// the lock.
+func (w *watcher) cutFromLostPath(f *inflight) {
 	h := w.handler
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for f := range w.streams {
-		if !w.stalled(f) || !h.onLostPath(f) || !f.r.route.MayRetry() {
-			continue
-		}
-		h.stats.Counter("streams_cut_from_lost_paths_total").Inc(1)
-		h.record.Failure(f.r.meta.ID, "path of a stream lost", decision.Fields{
-			"server": f.first.ID(), "address": f.first.Addr(), "still_ms": f.pause(h).Milliseconds(),
-		})
-		_ = f.conn.Close()
+	if !h.onLostPath(f) || !f.r.route.MayRetry() {
+		return
 	}
+	h.stats.Counter("streams_cut_from_lost_paths_total").Inc(1)
+	h.record.Failure(f.r.meta.ID, "path of a stream lost", decision.Fields{
+		"server": f.first.ID(), "address": f.first.Addr(), "still_ms": f.pause(h).Milliseconds(),
+	})
+	_ = f.conn.Close()
 }
 
 // onLostPath reports whether a stream uses the own links to its first server although these no longer reach it.
--- a/forward/lostpath_test.go
+++ b/forward/lostpath_test.go
@@ -68,7 +68,7 @@
 	}
 	clock.Advance(stallLimit(stalled) + time.Millisecond)
 	moves.touch(h)
-	h.watch.cutLostPaths()
+	h.watch.scan(t.Context())
 	open := func(f *inflight) bool {
 		require.NoError(t, ends[f].SetReadDeadline(time.Now().Add(50*time.Millisecond)))
 		_, err := ends[f].Read(make([]byte, 1))
@@ -77,7 +77,7 @@
 	}
 	require.True(t, open(stalled), "its path is not lost")
 	dialer.lost.Store(true)
-	h.watch.cutLostPaths()
+	h.watch.scan(t.Context())
 	require.False(t, open(stalled))
 	require.True(t, open(moves), "the path still carries it")
 }
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -65,7 +65,6 @@
 		for {
 			select {
 			case <-ticks.C():
-				w.cutLostPaths()
 				w.scan(ctx)
 				w.refuteFindings(h.clock.Now())
 				w.evacuate(ctx, backlog, w.group)
@@ -118,9 +117,11 @@
 	defer w.mu.Unlock()
 	byFirst := map[*backend.Server][]*inflight{}
 	for f := range w.streams {
-		if w.stalled(f) {
-			byFirst[f.first] = append(byFirst[f.first], f)
+		if !w.stalled(f) {
+			continue
 		}
+		w.cutFromLostPath(f)
+		byFirst[f.first] = append(byFirst[f.first], f)
 	}
 	for first, streams := range byFirst {
 		if !w.dueForDiagnosis(now.Sub(w.lastDiagnosed[first]), streams, now) {
--- a/link/stream.go
+++ b/link/stream.go
@@ -9,6 +9,7 @@
 	"github.com/quic-go/quic-go"
 
 	"junctioncross/keys"
+	"junctioncross/timer"
 )
 
 // unusedStreamTime is how long a connection for streams is kept without one.
@@ -24,6 +25,7 @@
 // its connection.
 type StreamClient struct {
 	trust Trust
+	clock *timer.Service
 
 	mu    sync.Mutex
 	conns map[string]*streamConn
@@ -46,8 +48,8 @@
 }
 
 // NewStreamClient returns a StreamClient whose connections use the TLS settings of trust.
-func NewStreamClient(trust Trust) *StreamClient {
-	return &StreamClient{trust: trust, conns: map[string]*streamConn{}, dialing: map[string]*dialing{}}
+func NewStreamClient(trust Trust, clock *timer.Service) *StreamClient {
+	return &StreamClient{trust: trust, clock: clock, conns: map[string]*streamConn{}, dialing: map[string]*dialing{}}
 }
 
 // Open opens a stream to the instance at addr; done must be called once when it is no longer used. The error is ErrUnreachable.
@@ -103,7 +105,7 @@
 		defer c.mu.Unlock()
 		delete(c.dialing, addr)
 		if d.err = err; err == nil {
-			c.conns[addr] = &streamConn{Conn: conn, unusedSince: time.Now()}
+			c.conns[addr] = &streamConn{Conn: conn, unusedSince: c.clock.Now()}
 		}
 	}()
 	return d
@@ -125,7 +127,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conn.open--
-	conn.unusedSince = time.Now()
+	conn.unusedSince = c.clock.Now()
 }
 
 // CloseUnused closes the connections that have had no stream for some time, and forgets those that have ended.
@@ -133,7 +135,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for addr, conn := range c.conns {
-		if conn.open == 0 && time.Since(conn.unusedSince) > unusedStreamTime {
+		if conn.open == 0 && c.clock.Since(conn.unusedSince) > unusedStreamTime {
 			_ = conn.CloseWithError(0, "unused")
 		}
 		if conn.Context().Err() != nil {
--- a/once/client.go
+++ b/once/client.go
@@ -11,10 +11,15 @@
 // NewClient returns a client that never retries a request by itself; dialTimeout bounds the opening of a connection.
 func NewClient(dialTimeout time.Duration) *fasthttp.Client {
 	dialer := &fasthttp.TCPDialer{}
+	return NewClientWith(func(addr string) (net.Conn, error) { return dialer.DialTimeout(addr, dialTimeout) })
+}
+
+// NewClientWith is NewClient with connections that dial opens.
+func NewClientWith(dial fasthttp.DialFunc) *fasthttp.Client {
 	return &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial:                      func(addr string) (net.Conn, error) { return dialer.DialTimeout(addr, dialTimeout) },
+		Dial:                      dial,
 	}
 }
 
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -55,7 +55,7 @@
 ) *Dialer {
 	d := &Dialer{
 		direct: direct, tunnels: tunnels, servers: servers, clock: clock, stats: stats, log: log, book: NewBook(),
-		observe: func(backend.PathChange) {}, vouching: vouching{byDomain: map[string]voucher{}},
+		observe: func(backend.PathChange) {}, vouching: vouching{byDomain: map[string]*voucher{}},
 	}
 	ticks := clock.Subscribe(probePeriod)
 	go func() {
@@ -144,13 +144,21 @@
 		go func() {
 			ctx, cancel := d.clock.WithTimeout(ctx, probeTimeout)
 			defer cancel()
-			if c, err := d.DialDirect(ctx, addr); err == nil {
-				_ = c.Close()
-			}
+			d.connects(ctx, addr)
 		}()
 	}
 }
 
+// connects reports whether a connection to a server comes up over the own links, and closes it.
+func (d *Dialer) connects(ctx context.Context, addr string) bool {
+	c, err := d.DialDirect(ctx, addr)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 // noteDirect records the outcome of an attempt over the own links.
 func (d *Dialer) noteDirect(addr string, err error) {
 	d.stats.Counter("server_dials_total{result=\"" + resultOf(err) + "\"}").Inc(1)
@@ -162,7 +170,8 @@
 	} else {
 		d.book.Failed(addr, now)
 	}
-	observe := d.reviewLocked(now)
+	d.reviewLocked(now)
+	observe := d.observe
 	d.mu.Unlock()
 	if regained {
 		d.log.WithField("address", addr).Info("path to servers regained")
@@ -175,8 +184,7 @@
 	now := d.clock.Now()
 	d.mu.Lock()
 	isNew := d.book.NoteLost(addr, now)
-	summary := d.book.Summary(now)
-	observe := d.reviewLocked(now)
+	summary, observe := d.reviewLocked(now), d.observe
 	d.mu.Unlock()
 	if isNew {
 		d.stats.Counter("paths_lost_total").Inc(1)
@@ -185,8 +193,9 @@
 	}
 }
 
-// reviewLocked updates the gauges and logs a change of whether any server is within reach; the caller holds the lock.
-func (d *Dialer) reviewLocked(now time.Time) func(backend.PathChange) {
+// reviewLocked updates the gauges, logs a change of whether any server is within reach, and returns the summary; the caller holds the
+// lock.
+func (d *Dialer) reviewLocked(now time.Time) Summary {
 	s := d.book.Summary(now)
 	d.stats.Gauge("servers_out_of_reach").Update(int64(s.OutOfReach))
 	d.stats.Gauge("paths_lost").Update(int64(s.Lost))
@@ -194,7 +203,7 @@
 		d.allLost = s.All()
 		d.logChange(s)
 	}
-	return d.observe
+	return s
 }
 
 func (d *Dialer) logChange(s Summary) {
--- a/reach/vouch.go
+++ b/reach/vouch.go
@@ -22,29 +22,38 @@
 	OthersLike(server *backend.Server, n int) []*backend.Server
 }
 
-// voucher is whether the own links reached servers of a failure domain at a time.
+// voucher is whether the own links reached servers of a failure domain at a time. Its lock is held while they are tried.
 type voucher struct {
+	mu sync.Mutex
 	at time.Time
 	ok bool
 }
 
-// vouching keeps the latest voucher of each failure domain.
+// vouching keeps the voucher of each failure domain.
 type vouching struct {
 	mu       sync.Mutex
-	byDomain map[string]voucher
+	byDomain map[string]*voucher
+}
+
+func (v *vouching) of(domain string) *voucher {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.byDomain[domain] == nil {
+		v.byDomain[domain] = &voucher{}
+	}
+	return v.byDomain[domain]
 }
 
 // ReachesOthersLike implements backend.Dialer and tunnel.DirectPaths.
 func (d *Dialer) ReachesOthersLike(server *backend.Server) bool {
-	v := &d.vouching
+	v := d.vouching.of(server.Domain())
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if last, known := v.byDomain[server.Domain()]; known && d.clock.Since(last.at) <= vouchTime {
-		return last.ok
+	if v.at.IsZero() || d.clock.Since(v.at) > vouchTime {
+		v.ok = d.reachOthers(server)
+		v.at = d.clock.Now()
 	}
-	ok := d.reachOthers(server)
-	v.byDomain[server.Domain()] = voucher{at: d.clock.Now(), ok: ok}
-	return ok
+	return v.ok
 }
 
 // reachOthers tries to connect to other servers like one over the own links.
@@ -54,13 +63,7 @@
 	others := d.servers.OthersLike(server, vouchers)
 	reached := make(chan bool, len(others))
 	for _, other := range others {
-		go func() {
-			conn, err := d.DialDirect(ctx, other.Addr())
-			if err == nil {
-				_ = conn.Close()
-			}
-			reached <- err == nil
-		}()
+		go func() { reached <- d.connects(ctx, other.Addr()) }()
 	}
 	for range others {
 		if !<-reached {
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -123,7 +123,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	order := c.peers.order(others, c.clock.Now(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	order := c.peers.order(others, c.clock.Now(), rand.Float64)
 	return order[:min(len(order), maxAsked)]
 }
 
@@ -133,18 +133,23 @@
 	asked, answered := 0, 0
 	var verdicts verdictCount
 	defer func() { go c.closeLate(results, asked-answered) }()
-	for {
-		var late <-chan time.Time
+	askNext := func() {
 		if asked < len(candidates) {
-			if asked == answered {
-				c.ask(ctx, candidates[asked], ask, results)
-				asked++
-			}
-			late = c.clock.After(nextPeerDelay)
+			c.ask(ctx, candidates[asked], ask, results)
+			asked++
+		}
+	}
+	for {
+		if asked == answered {
+			askNext()
 		}
 		if asked == answered {
 			return nil, verdicts.failure()
 		}
+		var late <-chan time.Time
+		if asked < len(candidates) {
+			late = c.clock.After(nextPeerDelay)
+		}
 		select {
 		case r := <-results:
 			answered++
@@ -155,10 +160,7 @@
 				return nil, verdicts.failure()
 			}
 		case <-late:
-			if asked < len(candidates) {
-				c.ask(ctx, candidates[asked], ask, results)
-				asked++
-			}
+			askNext()
 		case <-ctx.Done():
 			return nil, verdicts.failure()
 		}
@@ -260,21 +262,25 @@
 		return nil, answer, err
 	}
 	opened = true
-	c.addOpen(1)
+	c.noteOpened()
 	return conn, answer, nil
 }
 
-func (c *Client) noteEnded(addr string) {
-	c.addOpen(-1)
+func (c *Client) noteOpened() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.peers.noteEnded(addr, c.clock.Now())
+	c.addOpenLocked(1)
 }
 
-// addOpen changes the number of open tunnels.
-func (c *Client) addOpen(n int64) {
+func (c *Client) noteEnded(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.addOpenLocked(-1)
+	c.peers.noteEnded(addr, c.clock.Now())
+}
+
+// addOpenLocked changes the number of open tunnels; the caller holds the lock.
+func (c *Client) addOpenLocked(n int64) {
 	c.open += n
 	c.stats.Gauge("tunnels_open").Update(c.open)
 }
--- a/tunnel/peers.go
+++ b/tunnel/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -43,8 +42,8 @@
 
 func newPeers(domain string) *peers { return &peers{domain: domain, byAddr: map[string]*peer{}} }
 
-// order returns the instances that may carry a tunnel, the best ones first.
-func (p *peers) order(members []membership.Instance, now time.Time, random *rand.Rand) []membership.Instance {
+// order returns the instances that may carry a tunnel, the best ones first. Random returns a random number in [0, 1).
+func (p *peers) order(members []membership.Instance, now time.Time, random func() float64) []membership.Instance {
 	type ranked struct {
 		instance membership.Instance
 		cost     float64
@@ -52,7 +51,7 @@
 	all := make([]ranked, 0, len(members))
 	for _, m := range members {
 		if cost, usable := p.cost(m, now); usable {
-			all = append(all, ranked{m, cost + random.Float64()})
+			all = append(all, ranked{m, cost + random()})
 		}
 	}
 	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(a.cost, b.cost) })
--- a/tunnel/peers_test.go
+++ b/tunnel/peers_test.go
@@ -10,14 +10,14 @@
 	"junctioncross/membership"
 )
 
-func testPeers() (*peers, []membership.Instance, *rand.Rand) {
+func testPeers() (*peers, []membership.Instance, func() float64) {
 	members := []membership.Instance{
 		{Name: "near-1", Domain: "a", Addr: "near-1"},
 		{Name: "near-2", Domain: "a", Addr: "near-2"},
 		{Name: "far-1", Domain: "b", Addr: "far-1"},
 		{Name: "far-2", Domain: "b", Addr: "far-2"},
 	}
-	return newPeers("a"), members, rand.New(rand.NewPCG(1, 1))
+	return newPeers("a"), members, rand.New(rand.NewPCG(1, 1)).Float64
 }
 
 func namesOf(members []membership.Instance) []string {
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -117,7 +117,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	self := Self{Name: "client", Domain: "a"}
-	tt.client = NewClient(t.Context(), self, fleet, known, link.NewStreamClient(trust), clock, stats)
+	tt.client = NewClient(t.Context(), self, fleet, known, link.NewStreamClient(trust, clock), clock, stats)
 	return tt
 }
 
