reach: leave a refusal unconfirmed while other instances are not asked again

What callers could see: after a cut that resets connections and that no other instance bridges, servers count as ended for good. Found by reading the change once more. Change: what the others said is kept as long as they are not asked again, and combined with the own refusal as in the race. Result: TestARefusalStaysUnconfirmedWhileNobodyIsAsked fails before and passes now.

--- a/reach/book.go
+++ b/reach/book.go
@@ -34,8 +34,9 @@
 	connectedAt, failedAt time.Time
 	// lost is true while the server is reached through another instance only.
 	lost bool
-	// hopelessUntil is the time until which other instances are not asked for the server.
+	// hopelessUntil is the time until which other instances are not asked for the server, and tunnelErr why: what they last said.
 	hopelessUntil time.Time
+	tunnelErr     error
 }
 
 // triedAt returns when a connection was last tried.
@@ -94,9 +95,18 @@
 	return !was
 }
 
-// NoteHopeless records that no other instance reaches a server.
-func (b *Book) NoteHopeless(addr string, now time.Time) {
-	b.of(addr).hopelessUntil = now.Add(hopelessTime)
+// NoteHopeless records that no other instance reaches a server, and what they said.
+func (b *Book) NoteHopeless(addr string, tunnelErr error, now time.Time) {
+	p := b.of(addr)
+	p.hopelessUntil, p.tunnelErr = now.Add(hopelessTime), tunnelErr
+}
+
+// TunnelErr returns what other instances said of a server; nil if none was asked lately.
+func (b *Book) TunnelErr(addr string, now time.Time) error {
+	if p := b.paths[addr]; p != nil && now.Before(p.hopelessUntil) {
+		return p.tunnelErr
+	}
+	return nil
 }
 
 // Lost reports whether a server is reached through another instance only.
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -107,7 +107,7 @@
 func (d *Dialer) Dial(ctx context.Context, to backend.Endpoint) (net.Conn, error) {
 	switch route := d.route(to.Addr); route {
 	case OwnLinksOnly:
-		return d.DialDirect(ctx, to.Addr)
+		return d.dialAlone(ctx, to.Addr)
 	case OtherInstance:
 		if c, err := d.dialTunnel(ctx, to); err == nil {
 			return c, nil
@@ -124,13 +124,26 @@
 	return d.book.Route(addr, d.clock.Now())
 }
 
+// dialAlone uses the own links only, since no other instance reaches the server.
+func (d *Dialer) dialAlone(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := d.DialDirect(ctx, addr)
+	if err == nil {
+		return c, nil
+	}
+	d.mu.Lock()
+	tunnelErr := d.book.TunnelErr(addr, d.clock.Now())
+	d.mu.Unlock()
+	return nil, combine(err, tunnelErr)
+}
+
 // dialTunnel opens a tunnel, and notes that there is none.
 func (d *Dialer) dialTunnel(ctx context.Context, to backend.Endpoint) (net.Conn, error) {
 	c, err := d.tunnels.Dial(ctx, to)
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if errors.Is(err, tunnel.ErrUnreachable) || errors.Is(err, tunnel.ErrNotListening) {
-		d.mu.Lock()
-		d.book.NoteHopeless(to.Addr, d.clock.Now())
-		d.mu.Unlock()
+		d.book.NoteHopeless(to.Addr, err, now)
 	}
 	return c, err
 }
--- a/reach/dialer_test.go
+++ b/reach/dialer_test.go
@@ -187,3 +187,18 @@
 	d.clock.Advance(vouchTime + time.Millisecond)
 	require.False(t, d.ReachesOthersLike(silent))
 }
+
+// TestARefusalStaysUnconfirmedWhileNobodyIsAsked guards against servers that count as ended at the second connection that a cut path
+// refuses, for which no other instance is asked again.
+func TestARefusalStaysUnconfirmedWhileNobodyIsAsked(t *testing.T) {
+	d := newDialerTest(t)
+	d.direct.set(syscall.ECONNREFUSED, false)
+	d.tunnels.set(tunnel.ErrUnreachable, false)
+	for range 3 {
+		require.NotErrorIs(t, d.dial(t, "a"), syscall.ECONNREFUSED)
+	}
+	d.tunnels.set(tunnel.ErrNotListening, false)
+	for range 3 {
+		require.ErrorIs(t, d.dial(t, "b"), syscall.ECONNREFUSED)
+	}
+}
--- a/reach/race.go
+++ b/reach/race.go
@@ -110,7 +110,7 @@
 		}
 	}
 	r.abandon()
-	return nil, r.failure()
+	return nil, combine(r.directErr, r.tunnelErr)
 }
 
 // abandon ends the attempts that still run, and closes connections that come up all the same.
@@ -146,15 +146,15 @@
 	}()
 }
 
-// failure returns the error of a connection that came up on neither way.
-func (r *race) failure() error {
-	refused := errors.Is(r.directErr, syscall.ECONNREFUSED)
+// combine returns the error of a connection that came up on neither way.
+func combine(directErr, tunnelErr error) error {
+	refused := errors.Is(directErr, syscall.ECONNREFUSED)
 	switch {
-	case errors.Is(r.tunnelErr, tunnel.ErrNotListening) && !refused:
-		return errors.Wrap(syscall.ECONNREFUSED, r.tunnelErr.Error())
-	case refused && (errors.Is(r.tunnelErr, tunnel.ErrUnreachable) || errors.Is(r.tunnelErr, tunnel.ErrNoPath)):
+	case errors.Is(tunnelErr, tunnel.ErrNotListening) && !refused:
+		return errors.Wrap(syscall.ECONNREFUSED, tunnelErr.Error())
+	case refused && (errors.Is(tunnelErr, tunnel.ErrUnreachable) || errors.Is(tunnelErr, tunnel.ErrNoPath)):
 		return errUnconfirmed
 	default:
-		return r.directErr
+		return directErr
 	}
 }
