reach, tunnel: ask once a second for a domain that nobody reaches

Cause: every state query and request for a server of the zone raced the own links against a tunnel, and for each server up to 8 instances were asked, none of which had a path; answers without a path were not even remembered. Change: three servers of a domain that nobody reaches are an outage (reach.outage, pure); others are asked for one of its servers a second until one is reached on any way. An instance that vouches that nothing listens is known to reach servers, and is asked again first.

--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -41,6 +41,8 @@
 
 	mu   sync.Mutex
 	book *Book
+	// outages holds, by failure domain, whether nobody reaches its servers.
+	outages map[string]*outage
 	// allLost is true while all servers that were tried are out of reach.
 	allLost bool
 	observe func(backend.PathChange)
@@ -55,6 +57,7 @@
 ) *Dialer {
 	d := &Dialer{
 		direct: direct, tunnels: tunnels, servers: servers, clock: clock, stats: stats, log: log, book: NewBook(),
+		outages: map[string]*outage{},
 		observe: func(backend.PathChange) {}, vouching: vouching{byDomain: map[string]*voucher{}},
 	}
 	ticks := clock.Subscribe(probePeriod)
@@ -121,7 +124,24 @@
 func (d *Dialer) route(addr string) Route {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.book.Route(addr, d.clock.Now())
+	now := d.clock.Now()
+	route := d.book.Route(addr, now)
+	if route != OwnLinksOnly && !d.outageLocked(addr).mayAsk(now) {
+		return OwnLinksOnly
+	}
+	return route
+}
+
+// outageLocked returns the outage of the domain of a server; the caller holds the lock.
+func (d *Dialer) outageLocked(addr string) *outage {
+	domain := ""
+	if s := d.servers.ServerAt(addr); s != nil {
+		domain = s.Domain()
+	}
+	if d.outages[domain] == nil {
+		d.outages[domain] = &outage{}
+	}
+	return d.outages[domain]
 }
 
 // dialAlone uses the own links only, since no other instance reaches the server.
@@ -133,6 +153,9 @@
 	d.mu.Lock()
 	tunnelErr := d.book.TunnelErr(addr, d.clock.Now())
 	d.mu.Unlock()
+	if tunnelErr == nil {
+		tunnelErr = tunnel.ErrNoPath
+	}
 	return nil, combine(err, tunnelErr)
 }
 
@@ -142,8 +165,14 @@
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if errors.Is(err, tunnel.ErrUnreachable) || errors.Is(err, tunnel.ErrNotListening) {
+	switch {
+	case err == nil:
+		d.outageLocked(to.Addr).noteReached()
+	case errors.Is(err, tunnel.ErrNotListening):
+		d.book.NoteHopeless(to.Addr, err, now)
+	case errors.Is(err, tunnel.ErrUnreachable), errors.Is(err, tunnel.ErrNoPath):
 		d.book.NoteHopeless(to.Addr, err, now)
+		d.outageLocked(to.Addr).noteFailed(to.Addr, now)
 	}
 	return c, err
 }
@@ -180,6 +209,7 @@
 	regained := false
 	if err == nil {
 		regained = d.book.Connected(addr, now)
+		d.outageLocked(addr).noteReached()
 	} else {
 		d.book.Failed(addr, now)
 	}
--- a/reach/dialer_test.go
+++ b/reach/dialer_test.go
@@ -71,6 +71,11 @@
 	return d
 }
 
+// ServerAt implements Servers.
+func (*dialerTest) ServerAt(addr string) *backend.Server {
+	return backend.NewServer(backend.Entry{ID: addr, Addr: addr, Domain: "a"})
+}
+
 // OthersLike implements Servers.
 func (*dialerTest) OthersLike(_ *backend.Server, n int) []*backend.Server {
 	var out []*backend.Server
@@ -202,3 +207,19 @@
 		require.ErrorIs(t, d.dial(t, "b"), syscall.ECONNREFUSED)
 	}
 }
+
+// TestAnOutageOfADomainIsNotAskedAboutAtEachConnection guards against instances that flood each other while a domain is cut off.
+func TestAnOutageOfADomainIsNotAskedAboutAtEachConnection(t *testing.T) {
+	d := newDialerTest(t)
+	d.direct.set(syscall.EHOSTUNREACH, false)
+	d.tunnels.set(tunnel.ErrNoPath, false)
+	for n := range 40 {
+		require.Error(t, d.dial(t, string(rune('a'+n))))
+	}
+	require.LessOrEqual(t, d.tunnels.count(), 2*minServers)
+	d.direct.set(nil, false)
+	require.NoError(t, d.dial(t, "a"))
+	d.direct.set(syscall.EHOSTUNREACH, false)
+	d.tunnels.set(nil, false)
+	require.NoError(t, d.dial(t, "z"), "the domain was reached in between")
+}
--- a/reach/vouch.go
+++ b/reach/vouch.go
@@ -18,6 +18,8 @@
 
 // Servers finds servers among those that the instance knows.
 type Servers interface {
+	// ServerAt returns the server at an address, or nil.
+	ServerAt(addr string) *backend.Server
 	// OthersLike returns up to n random servers beside one, of its failure domain as far as there are any.
 	OthersLike(server *backend.Server, n int) []*backend.Server
 }
--- a/tunnel/peers.go
+++ b/tunnel/peers.go
@@ -10,10 +10,10 @@
 
 const (
 	// otherDomainCost and unknownCost are added to the number of tunnels that an instance carries, for one of another domain and for
-	// one that has carried none lately: instances are tried before those that work carry many more than they.
+	// one that has not shown lately that it reaches servers: instances are tried before those that work carry many more than they.
 	otherDomainCost = 8
 	unknownCost     = 4
-	// knownTime is for how long an instance that opened a tunnel is known to reach servers.
+	// knownTime is for how long an instance that has reached a server is known to do so.
 	knownTime = 10 * time.Second
 	// forgetTime is for how long an instance is remembered.
 	forgetTime = time.Minute
@@ -28,8 +28,9 @@
 // peer is what is known of another instance that may carry tunnels.
 type peer struct {
 	// carried is the number of tunnels that it carried by its last reply, and of those opened and ended since.
-	carried    int
-	openedAt   time.Time
+	carried int
+	// reachedAt is when it last showed that it reaches servers.
+	reachedAt  time.Time
 	avoidUntil time.Time
 	notedAt    time.Time
 }
@@ -69,7 +70,7 @@
 		cost += otherDomainCost
 	}
 	one := p.byAddr[m.Addr]
-	if one == nil || now.Sub(one.openedAt) > knownTime {
+	if one == nil || now.Sub(one.reachedAt) > knownTime {
 		cost += unknownCost
 	}
 	if one == nil {
@@ -82,11 +83,11 @@
 func (p *peers) note(addr string, a reply, now time.Time) {
 	one := p.of(addr, now)
 	one.carried = int(a.carried)
-	if a.verdict == Opened {
-		one.openedAt = now
+	if a.verdict == Opened || a.verdict == NotListening {
+		one.reachedAt = now
 	}
 	one.avoidUntil = now.Add(avoidTimes[a.verdict])
-	if a.verdict == Unreachable && now.Sub(one.openedAt) <= knownTime {
+	if a.verdict == Unreachable && now.Sub(one.reachedAt) <= knownTime {
 		// It reaches other servers, so that its word counts.
 		one.avoidUntil = time.Time{}
 	}
