admission: make up for chance, and count who waits in vain

Cause, by traces each 250 ms and the queue's mean, deviation and empty part: 1. As many were admitted as streams end, but 10 to 16 a second of them wait in vain, so that the queue settled below its aim (20 where 32 is aimed at). 2. Each instance admits a share of its own chance; totals tell it too late. 3. The end of an overload was taken for chance where no rank alone fell by more than four deviations. Only a queue below its aim hid that.

One commit, since the parts need each other.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -44,6 +44,7 @@
 	updated         time.Time
 	// limiting is true from when the room is short until it is free and suffices for all requests.
 	limiting bool
+	pace     pace
 }
 
 // New returns a Controller that admits everything until it has totals; random returns random numbers in [0, 1), which keep the
@@ -54,7 +55,7 @@
 
 // Clear forgets all totals, so that everything is admitted; it is called when there are none that can be used.
 func (c *Controller) Clear() {
-	c.entries, c.capacity, c.limiting, c.updated = c.entries[:0], capacity{}, false, time.Time{}
+	c.entries, c.capacity, c.limiting, c.updated, c.pace = c.entries[:0], capacity{}, false, time.Time{}, pace{}
 }
 
 // Update computes the levels from new totals. Totals that cannot be true are not used, and it returns false for them.
@@ -69,10 +70,11 @@
 	c.load(t.Classes, dt)
 	c.updated = now
 	room := c.capacity.update(t, c.unexplainedRefusals(), dt)
-	c.capacity.estimate(t, c.offered(), dt)
+	c.capacity.estimate(t, c.offered(), c.inVain(), dt)
 	c.allot()
 	c.limiting = c.settings.limits() && (room == roomShort || c.limiting && (room == roomTight || c.wanted() > c.capacity.steady))
 	c.follow(dt)
+	c.pace.update(c.entries, t.Instances, now)
 	return true
 }
 
@@ -112,12 +114,15 @@
 
 // keepLevels gives new entries the levels that their classes have now, and makes their rates follow the former ones.
 func (c *Controller) keepLevels(next []entry, dt time.Duration) {
+	fallen := fallen(offered(c.entries), offered(next))
 	for i := range next {
 		e := &next[i]
 		if old := c.entryOf(e.class); old != nil {
 			e.level, e.returnedLevel, e.credit, e.returnedCredit = old.level, old.returnedLevel, old.credit, old.returnedCredit
 			e.followBegun(old, dt)
-			e.offered, e.returned = followRate(old.offered, e.offered, dt), followRate(old.returned, e.returned, dt)
+			if !fallen {
+				e.offered, e.returned = followRate(old.offered, e.offered, dt), followRate(old.returned, e.returned, dt)
+			}
 			continue
 		}
 		e.admittedLately, e.begunLately = e.offered, e.offered
@@ -163,10 +168,13 @@
 }
 
 // offered returns how many first tries a second want room.
-func (c *Controller) offered() float64 {
+func (c *Controller) offered() float64 { return offered(c.entries) }
+
+// offered returns how many first tries a second entries have.
+func offered(entries []entry) float64 {
 	sum := 0.0
-	for i := range c.entries {
-		sum += c.entries[i].offered
+	for i := range entries {
+		sum += entries[i].offered
 	}
 	return sum
 }
--- a/admission/decide.go
+++ b/admission/decide.go
@@ -7,7 +7,7 @@
 )
 
 // Decide decides on one request. Each instance admits the share of a class evenly among its requests, beginning at a random
-// point, so that the share also holds in sum where each instance has few requests.
+// point, so that the share also holds in sum where each instance has few requests. Returned callers make up for what chance changed.
 func (c *Controller) Decide(class demand.Class, try Try, now time.Time) Decision {
 	if try == Resumed || c.updated.IsZero() || now.Sub(c.updated) > maxAge {
 		return Admitted{}
@@ -22,19 +22,32 @@
 	if e == nil {
 		return c.decideNew(class, rank, try)
 	}
+	c.pace.arrived(now)
 	level, credit := e.level, &e.credit
 	if try == Returned {
 		level, credit = e.returnedLevel, &e.returnedCredit
+		if c.limiting {
+			level = c.pace.shift(level)
+		}
 	}
-	if level >= openLevel {
+	if admits(level, credit) {
+		c.pace.admitted()
 		return Admitted{}
 	}
+	return Refused{Reason: c.reasonOf(e), Rank: rank, Level: level}
+}
+
+// admits reports whether one more request is admitted at a level; credit is what is left of the level from the latest ones.
+func admits(level float64, credit *float64) bool {
+	if level >= openLevel {
+		return true
+	}
 	*credit += level
-	if *credit >= 1 {
-		*credit--
-		return Admitted{}
+	if *credit < 1 {
+		return false
 	}
-	return Refused{Reason: c.reasonOf(e), Rank: rank, Level: level}
+	*credit--
+	return true
 }
 
 // decideNew decides on a request of a class that is not in the totals yet.
--- a/admission/floors.go
+++ b/admission/floors.go
@@ -11,8 +11,11 @@
 	floorRise = 0.25
 	// minBegunShare bounds from below the part of the admitted first tries of a rank that is taken to begin, and begunTime is the
 	// time constant with which that part is followed.
-	minBegunShare = 0.6
+	minBegunShare = 0.4
 	begunTime     = 4 * time.Second
+	// maxInVainShare bounds the first tries that are taken to wait in vain, as a part of the streams that end. Some first tries are
+	// refused without a wait, and more admitted ones would then only be more refused ones.
+	maxInVainShare = 0.2
 	// fitSlack is how much more than what is left the most urgent rank may want, as a part of it, until floors are raised at its
 	// expense: it does not fit anyway then.
 	fitSlack = 0.25
@@ -106,6 +109,18 @@
 	e.begunLately = old.begunLately + (max(e.offered-e.refused, 0)-old.begunLately)*part
 }
 
+// inVain returns how many of the admitted first tries a second do not begin.
+func (c *Controller) inVain() float64 {
+	if !c.limiting {
+		return 0
+	}
+	sum := 0.0
+	for i := range c.entries {
+		sum += c.entries[i].admittedLately - c.entries[i].begunLately
+	}
+	return min(max(sum, 0), maxInVainShare*c.capacity.ending)
+}
+
 // begunShare returns the part of the admitted first tries of a rank that begins.
 func begunShare(group []entry) float64 {
 	admitted, begun := 0.0, 0.0
--- a/admission/levels.go
+++ b/admission/levels.go
@@ -96,8 +96,16 @@
 
 // followRate returns the rate, a second, that is acted on after a former one, dt before.
 func followRate(former, rate float64, dt time.Duration) float64 {
-	if math.Abs(rate-former) > chanceDeviations*math.Sqrt(max(former, rate, 1)) {
+	if beyondChance(former, rate) {
 		return rate
 	}
 	return former + (rate-former)*gain(dt, ratesTime)
 }
+
+// fallen reports whether a rate fell by more than chance explains.
+func fallen(former, rate float64) bool { return rate < former && beyondChance(former, rate) }
+
+// beyondChance reports whether two rates, a second, differ by more than chance explains.
+func beyondChance(former, rate float64) bool {
+	return math.Abs(rate-former) > chanceDeviations*math.Sqrt(max(former, rate, 1))
+}
