admission, forward: name what follows rates, write shapes and waits of tests once

What stood twice: the goroutine and the full servers of two tests of waits in forward, and the seeds of shapes in admission (a filter over all seeds, and an addition). A local variable had the name of the function that it came from.

--- a/admission/capacity.go
+++ b/admission/capacity.go
@@ -50,8 +50,8 @@
 	ends float64
 	// ending is how many streams a second end while the room is full; parts of the room are parts of it.
 	ending float64
-	// steady is how many streams a second the first tries can count on, and extra how many more there is room for at the moment,
-	// or fewer if it is negative; both follow the totals with smoothTime.
+	// steady is how many streams a second the first tries can count on, with those that will wait in vain, and extra how many more
+	// there is room for at the moment, or fewer if it is negative; both follow the totals with smoothTime.
 	steady, extra float64
 	// calm is how many streams a second fill the room up to calmFill.
 	calm float64
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -44,7 +44,8 @@
 	updated         time.Time
 	// limiting is true from when the room is short until it is free and suffices for all requests.
 	limiting bool
-	pace     pace
+	// pace makes up for the chance in this instance's own requests.
+	pace pace
 }
 
 // New returns a Controller that admits everything until it has totals; random returns random numbers in [0, 1), which keep the
@@ -55,7 +56,8 @@
 
 // Clear forgets all totals, so that everything is admitted; it is called when there are none that can be used.
 func (c *Controller) Clear() {
-	c.entries, c.capacity, c.limiting, c.updated, c.pace = c.entries[:0], capacity{}, false, time.Time{}, pace{}
+	c.entries, c.capacity, c.pace = c.entries[:0], capacity{}, pace{}
+	c.limiting, c.updated = false, time.Time{}
 }
 
 // Update computes the levels from new totals. Totals that cannot be true are not used, and it returns false for them.
@@ -114,14 +116,15 @@
 
 // keepLevels gives new entries the levels that their classes have now, and makes their rates follow the former ones.
 func (c *Controller) keepLevels(next []entry, dt time.Duration) {
-	fallen := fallen(offered(c.entries), offered(next))
+	// A fall that no class shows by itself counts for all of them.
+	allFell := fallen(offered(c.entries), offered(next))
 	for i := range next {
 		e := &next[i]
 		if old := c.entryOf(e.class); old != nil {
 			e.level, e.returnedLevel, e.credit, e.returnedCredit = old.level, old.returnedLevel, old.credit, old.returnedCredit
 			e.followBegun(old, dt)
-			if !fallen {
-				e.offered, e.returned = followRate(old.offered, e.offered, dt), followRate(old.returned, e.returned, dt)
+			if !allFell {
+				e.followRates(old, dt)
 			}
 			continue
 		}
--- a/admission/furtherseeds_test.go
+++ b/admission/furtherseeds_test.go
@@ -1,9 +1,6 @@
 package admission_test
 
-import (
-	"slices"
-	"testing"
-)
+import "testing"
 
 // The tests of this file play the checks of overload_test.go in small fleets, where chance weighs most, with seeds for which no constant
 // was chosen.
@@ -14,8 +11,7 @@
 
 // furtherShapes returns the shapes of a small fleet with seeds from firstFurtherSeed on.
 func furtherShapes(factors ...float64) []scenario {
-	all := smallFleet.shapes(firstFurtherSeed-1+furtherSeeds, factors...)
-	return slices.DeleteFunc(all, func(s scenario) bool { return s.seed < firstFurtherSeed })
+	return smallFleet.shapesFrom(firstFurtherSeed, furtherSeeds, factors...)
 }
 
 func TestTheMostUrgentAreInTimeWithFurtherSeeds(t *testing.T) {
--- a/admission/hundredseeds_test.go
+++ b/admission/hundredseeds_test.go
@@ -15,11 +15,7 @@
 
 // hundredShapes returns the shapes of a small fleet with a hundred seeds from first on.
 func hundredShapes(first uint64, factors ...float64) []scenario {
-	all := smallFleet.shapes(hundredSeeds, factors...)
-	for i := range all {
-		all[i].seed += first - 1
-	}
-	return all
+	return smallFleet.shapesFrom(first, hundredSeeds, factors...)
 }
 
 // TestABurstInASmallFleetLosesNoWorkWithHundredsOfSeeds guards against room that stays free in a burst while callers are refused.
--- a/admission/levels.go
+++ b/admission/levels.go
@@ -94,6 +94,11 @@
 	return level + (to-level)*gain(dt, constant)
 }
 
+// followRates makes the rates of an entry follow those of the update before, dt before.
+func (e *entry) followRates(old *entry, dt time.Duration) {
+	e.offered, e.returned = followRate(old.offered, e.offered, dt), followRate(old.returned, e.returned, dt)
+}
+
 // followRate returns the rate, a second, that is acted on after a former one, dt before.
 func followRate(former, rate float64, dt time.Duration) float64 {
 	if beyondChance(former, rate) {
--- a/admission/pace.go
+++ b/admission/pace.go
@@ -1,9 +1,6 @@
 package admission
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// paceTime is the time constant with which an instance makes up for the chance in its own requests.
@@ -32,7 +29,7 @@
 	returned, refused float64
 }
 
-// advance brings the numbers to a later time.
+// advance brings the numbers to a later time. After a gap longer than totals are used for, nothing is left to make up for.
 func (p *pace) advance(now time.Time) {
 	dt := now.Sub(p.at)
 	if p.at.IsZero() || dt > maxAge {
@@ -79,9 +76,9 @@
 	rate := weight * p.behind / paceTime.Seconds()
 	switch {
 	case rate > 0 && p.refused > 0:
-		return level + (1-level)*math.Min(rate/p.refused, 1)
+		return level + (1-level)*min(rate/p.refused, 1)
 	case rate < 0 && p.returned > 0:
-		return level * math.Max(1+rate/p.returned, 0)
+		return level * max(1+rate/p.returned, 0)
 	default:
 		return level
 	}
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -59,10 +59,15 @@
 
 // shapes returns steps and bursts of the factors in a whole fleet and in one that is cut, with the seeds from 1 on.
 func (s scenario) shapes(seeds int, factors ...float64) []scenario {
+	return s.shapesFrom(1, seeds, factors...)
+}
+
+// shapesFrom is like shapes, with the seeds from first on.
+func (s scenario) shapesFrom(first uint64, seeds int, factors ...float64) []scenario {
 	var out []scenario
 	for _, factor := range factors {
 		for n := range 4 * seeds {
-			s.factor, s.burst, s.parts, s.seed = factor, n%2 == 1, 1+n/2%2, uint64(1+n/4)
+			s.factor, s.burst, s.parts, s.seed = factor, n%2 == 1, 1+n/2%2, first+uint64(n/4)
 			out = append(out, s)
 		}
 	}
--- a/forward/wait_test.go
+++ b/forward/wait_test.go
@@ -43,6 +43,24 @@
 	return &inflight{r: r, need: chain.Need{Prompt: 10, Tokens: 20}}
 }
 
+// startWait lets a request wait for its turn while the servers of a group are full and twenty streams of all ages are under way; the channel
+// gets whether room came.
+func startWait(t *testing.T, h *Handler, clock *clockwork.FakeClock, g *backend.Group) (*queue, <-chan bool) {
+	t.Helper()
+	clock.Advance(time.Minute)
+	reportFilled(g, 1, clock.Now())
+	q := startStreams(h, 20, 2*time.Second, func(i int) time.Duration { return time.Duration(i) * 100 * time.Millisecond })
+	f := newUnbegun(h, g)
+	q.join(f)
+	got, until := make(chan bool, 1), clock.Now().Add(400*time.Millisecond)
+	go func() {
+		_, ok := h.awaitTurn(t.Context(), f, q, until)
+		got <- ok
+	}()
+	waitForSleepers(t, clock)
+	return q, got
+}
+
 // TestARequestIsRefusedAtOnceWhereNoStreamEndsInTime has only young streams: at their mean rate one would end in time, but by
 // their ages none does.
 func TestARequestIsRefusedAtOnceWhereNoStreamEndsInTime(t *testing.T) {
@@ -62,17 +80,7 @@
 func TestARequestWaitsWhereRoomIsLikelyToComeInTime(t *testing.T) {
 	g := twoCopies()
 	h, clock := testHandler(t, newFakeEngineClient(g))
-	clock.Advance(time.Minute)
-	reportFilled(g, 1, clock.Now())
-	q := startStreams(h, 20, 2*time.Second, func(i int) time.Duration { return time.Duration(i) * 100 * time.Millisecond })
-	f := newUnbegun(h, g)
-	q.join(f)
-	got := make(chan bool, 1)
-	go func() {
-		_, ok := h.awaitTurn(t.Context(), f, q, clock.Now().Add(400*time.Millisecond))
-		got <- ok
-	}()
-	waitForSleepers(t, clock)
+	q, got := startWait(t, h, clock, g)
 	require.Empty(t, got)
 	reportFilled(g, 0, clock.Now())
 	clock.Advance(roomPoll)
@@ -86,18 +94,8 @@
 func TestAWaitEndsWhenRoomBecomesUnlikely(t *testing.T) {
 	g := twoCopies()
 	h, clock := testHandler(t, newFakeEngineClient(g))
-	clock.Advance(time.Minute)
-	reportFilled(g, 1, clock.Now())
-	q := startStreams(h, 20, 2*time.Second, func(i int) time.Duration { return time.Duration(i) * 100 * time.Millisecond })
-	f := newUnbegun(h, g)
-	q.join(f)
-	got := make(chan bool, 1)
+	q, got := startWait(t, h, clock, g)
 	start := clock.Now()
-	go func() {
-		_, ok := h.awaitTurn(t.Context(), f, q, start.Add(400*time.Millisecond))
-		got <- ok
-	}()
-	waitForSleepers(t, clock)
 	q.mu.Lock()
 	for f := range q.underWay {
 		f.lastAt.Store(int64(-time.Hour))
