admission: add up admitted and begun first tries in one place

The sum over entries stood in begunShare and, since, with a minus sign in inVain. One function serves both.

--- a/admission/floors.go
+++ b/admission/floors.go
@@ -114,22 +114,24 @@
 	if !c.limiting {
 		return 0
 	}
-	sum := 0.0
-	for i := range c.entries {
-		sum += c.entries[i].admittedLately - c.entries[i].begunLately
-	}
-	return min(max(sum, 0), maxInVainShare*c.capacity.ending)
+	admitted, begun := admittedAndBegun(c.entries)
+	return min(max(admitted-begun, 0), maxInVainShare*c.capacity.ending)
 }
 
 // begunShare returns the part of the admitted first tries of a rank that begins.
 func begunShare(group []entry) float64 {
-	admitted, begun := 0.0, 0.0
-	for i := range group {
-		admitted += group[i].admittedLately
-		begun += group[i].begunLately
-	}
+	admitted, begun := admittedAndBegun(group)
 	if admitted <= 0 {
 		return 1
 	}
 	return min(max(begun/admitted, minBegunShare), 1)
 }
+
+// admittedAndBegun returns how many first tries of entries a second the levels admitted lately, and how many were not refused.
+func admittedAndBegun(entries []entry) (admitted, begun float64) {
+	for i := range entries {
+		admitted += entries[i].admittedLately
+		begun += entries[i].begunLately
+	}
+	return admitted, begun
+}
