forward: do not take a server's silence for its end

What callers saw: a whole answer with neither a length nor chunks whose connection was closed in the middle, some milliseconds after its server had ended it; and requests that counted as having ended sound servers. Cause: hasEnded took one state query that was unanswered within 300 ms, and for plain services one connection that did not come up within 400 ms, for the end of the server. Now the fate of a server is known only by what a sound one cannot show: nothing listens, another incarnation answers, its entry is gone, or silence for longer than sound servers are silent (1.5 s between unanswered queries) while others like it are within reach. A stream whose connection ended between two events is cut if its server is known to have ended, and is whole otherwise: a process that has gone refuses connections at once, so both promises hold.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -68,21 +69,36 @@
 	to.Addr = s.addr
 	c, err := dialer.Dial(ctx, to)
 	if err != nil {
-		return nil, errors.Wrap(ErrDial, err.Error())
+		return nil, dialError{cause: err}
 	}
 	return &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBufferSize), server: s}, nil
 }
 
-// Listens reports whether something listens at the server's address. It opens a connection, which is kept for a later request.
-func (s *Server) Listens(dialer Dialer, now time.Time) bool {
+// CheckListening returns nil if something listens at the server's address. It opens a connection, which is kept for a later request.
+func (s *Server) CheckListening(dialer Dialer, now time.Time) error {
 	conn, err := s.Connect(context.Background(), dialer, Endpoint{}, now, true)
 	if err != nil {
-		return false
+		return err
 	}
 	conn.Keep(now, 0)
-	return true
+	return nil
 }
 
+// Refused reports whether an error of Connect says that nothing listens at the server's address.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// dialError is an ErrDial with its cause.
+type dialError struct{ cause error }
+
+// Error implements error.
+func (e dialError) Error() string { return ErrDial.Error() + ": " + e.cause.Error() }
+
+// Is implements the interface that errors.Is uses.
+func (dialError) Is(target error) bool { return target == ErrDial }
+
+// Unwrap returns the cause.
+func (e dialError) Unwrap() error { return e.cause }
+
 // takeIdle returns the most recently used idle connection that is still reusable, or nil. It closes those that are not.
 func (s *Server) takeIdle(now time.Time) *Conn {
 	for {
--- a/backend/outofuse.go
+++ b/backend/outofuse.go
@@ -51,7 +51,7 @@
 // temporarilyOut returns the reason that ends at a known time, if there is one.
 func (s *Server) temporarilyOut(now time.Time) (OutOfUse, bool) {
 	s.mu.Lock()
-	suspect, stale, aside := s.suspectUntil, s.staleUntil, s.asideUntil
+	suspect, stale, aside := s.suspectUntil, s.staleUntil, later(s.asideUntil, s.sharedSilentUntil)
 	s.mu.Unlock()
 	switch {
 	case now.Before(suspect):
--- a/backend/server.go
+++ b/backend/server.go
@@ -89,9 +89,11 @@
 	paceAt time.Time
 	// queriedAt is when this instance last queried the server's state.
 	queriedAt time.Time
-	// answeredAt is when the server last answered a state query of this instance, and silentAt is when it last failed to.
+	// answeredAt is when the server last answered a state query of this instance.
 	answeredAt time.Time
-	silentAt   time.Time
+	silence    silence
+	// sharedSilentUntil is when the server may get work again after another instance got no answer from it.
+	sharedSilentUntil time.Time
 	// refusedAt is when the server last caused the refusal of a request of this instance.
 	refusedAt time.Time
 	foundWell foundWell
--- a/backend/sharedreport.go
+++ b/backend/sharedreport.go
@@ -52,11 +52,15 @@
 // bad reports whether the server that the report describes should get no new work if other servers can take it.
 func (r SharedReport) bad() bool { return r.Silent || r.Pace >= slowPace }
 
-// NoteAnswer records that the server answered a state query of this instance.
+// NoteAnswer records that the server answered a state query of this instance. If it had been silent, that explains what other servers
+// that waited for it and requests that broke said of it meanwhile.
 func (s *Server) NoteAnswer(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answeredAt = now
+	if !s.silence.since.IsZero() {
+		s.silence = silence{}
+	}
 	s.takeBackLocked(now)
 }
 
@@ -67,21 +71,6 @@
 	return s.answeredAt.After(moment)
 }
 
-// SilentSince reports whether the server has left a state query of this instance unanswered after the given time.
-func (s *Server) SilentSince(moment time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.silentAt.After(moment)
-}
-
-// NoteSilent records that the server did not answer a state query of this instance.
-func (s *Server) NoteSilent(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silentAt = now
-	s.reportSource = reportSource{queriedAt: now, learnedAt: now, own: true, silent: true}
-}
-
 // SharedReport returns the latest report on the server, if the instance learned of it after the given time; ownOnly leaves out
 // reports from other instances.
 func (s *Server) SharedReport(after, now time.Time, ownOnly bool) (SharedReport, bool) {
@@ -126,7 +115,9 @@
 	}
 	was := s.reportLocked(now).bad()
 	s.reportSource = reportSource{queriedAt: at, learnedAt: now, silent: r.Silent}
-	if !r.Silent {
+	if r.Silent {
+		s.sharedSilentUntil = later(s.sharedSilentUntil, at.Add(sharedSilenceTime))
+	} else {
 		s.takeBackLocked(at.Add(-minNewer))
 	}
 	if !r.Silent && r.Total > 0 {
@@ -135,8 +126,5 @@
 		s.memory.at, s.memory.reservedAtReport = at, s.reserved.Load()
 	}
 	s.mu.Unlock()
-	if r.Silent {
-		s.SetAside(at.Add(sharedSilenceTime))
-	}
 	return r.bad() && !was
 }
--- /dev/null
+++ b/backend/silence.go
@@ -0,0 +1,68 @@
+package backend
+
+import "time"
+
+// MaxSoundSilence is how long a sound server may leave state queries unanswered.
+const MaxSoundSilence = 1500 * time.Millisecond
+
+// silence is for how long a server has left the state queries of this instance unanswered.
+type silence struct {
+	// since is when the first query went unanswered since the server last answered, and at when the latest one did; both are zero
+	// while the server answers.
+	since, at time.Time
+}
+
+// note adds an unanswered query.
+func (s *silence) note(now time.Time) {
+	if s.since.IsZero() {
+		s.since = now
+	}
+	s.at = now
+}
+
+// NoteSilent records that the server did not answer a state query of this instance.
+func (s *Server) NoteSilent(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silence.note(now)
+	s.reportSource = reportSource{queriedAt: now, learnedAt: now, own: true, silent: true}
+}
+
+// SilentFor returns for how long the server is known to have left state queries of this instance unanswered; 0 means that it has
+// answered the latest one.
+func (s *Server) SilentFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silence.at.Sub(s.silence.since)
+}
+
+// IsSilent reports whether the server has left the latest state query of this instance unanswered.
+func (s *Server) IsSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.silence.since.IsZero()
+}
+
+// PresumedEnded reports whether the server is known to have terminated, or has been silent for longer than sound servers are.
+func (s *Server) PresumedEnded() bool { return s.Ended() || s.SilentFor() >= MaxSoundSilence }
+
+// ForgiveSilence takes the server out of suspicion: it did not answer since the path to it was lost.
+func (s *Server) ForgiveSilence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgiveSilenceLocked()
+}
+
+// forgiveSilenceLocked ends all that was concluded from the server's silence; the caller holds the lock.
+func (s *Server) forgiveSilenceLocked() {
+	s.suspectUntil, s.sharedSilentUntil, s.silence = time.Time{}, time.Time{}, silence{}
+	s.circuit.Succeeded()
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/backend/status.go
+++ b/backend/status.go
@@ -10,9 +10,8 @@
 // Suspect treats the server as gone until the given time, since it did not answer.
 func (s *Server) Suspect(until time.Time) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.suspectUntil = until
-	s.mu.Unlock()
-	s.SetAside(until)
 }
 
 // Suspected reports whether the server is treated as gone.
@@ -22,23 +21,17 @@
 	return now.Before(s.suspectUntil)
 }
 
-// ForgiveSilence takes the server out of suspicion: it did not answer since the path to it was lost.
-func (s *Server) ForgiveSilence() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.asideUntil.Equal(s.suspectUntil) {
-		s.asideUntil = time.Time{}
-	}
-	s.suspectUntil, s.silentAt = time.Time{}, time.Time{}
-	s.circuit.Succeeded()
-}
-
-// isAside reports whether the server was set aside, held other layers than its entry says, or has a finding of another instance
+// isAside reports whether the server was set aside or is suspected, held other layers than its entry says, or has a finding of another instance
 // that sets it aside, for a time that is not over.
 func (s *Server) isAside(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Before(s.asideUntil) || now.Before(s.staleUntil) || s.finding.aside(now)
+	return s.asideLocked(now) || now.Before(s.staleUntil) || s.finding.aside(now)
+}
+
+// asideLocked reports whether the server was set aside or is suspected; the caller holds the lock.
+func (s *Server) asideLocked(now time.Time) bool {
+	return now.Before(s.asideUntil) || now.Before(s.suspectUntil) || now.Before(s.sharedSilentUntil)
 }
 
 // SetAside keeps new work away from the server until the given time. Of two such times, the later one holds.
@@ -55,7 +48,7 @@
 func (s *Server) NoteFull(now time.Time) {
 	s.mu.Lock()
 	pause := retry.Backoff(fullBackOff, maxFullBackOff, s.refusals)
-	if !now.Before(s.asideUntil) {
+	if !s.asideLocked(now) {
 		s.refusals++
 	}
 	s.mu.Unlock()
--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -43,6 +43,8 @@
 type fakeEngineClient struct {
 	mu   sync.Mutex
 	dead map[string]bool
+	// silent lists servers that answer no query.
+	silent map[string]bool
 	// hanging lists servers whose calls hang until end is closed, whatever the context says.
 	hanging map[string]bool
 	end     chan struct{}
@@ -57,7 +59,7 @@
 }
 
 func newFakeEngineClient(g *backend.Group, dead ...int) *fakeEngineClient {
-	e := &fakeEngineClient{dead: map[string]bool{}, holds: map[string]models.Layers{}, queries: map[string]int{}, repairs: map[string][]call.Stage{}}
+	e := &fakeEngineClient{dead: map[string]bool{}, silent: map[string]bool{}, holds: map[string]models.Layers{}, queries: map[string]int{}, repairs: map[string][]call.Stage{}}
 	for _, s := range g.Servers() {
 		e.holds[s.Addr()] = s.Layers()
 	}
@@ -78,12 +80,22 @@
 		e.mu.Lock()
 		return backend.Report{}, backend.ErrNoAnswer
 	}
+	if e.silent[addr] {
+		return backend.Report{}, backend.ErrNoAnswer
+	}
 	if e.dead[addr] {
 		return backend.Report{}, backend.NotListening(errors.New("refused"))
 	}
 	return backend.Report{Layers: e.holds[addr], Pace: 1}, nil
 }
 
+// setSilent makes a server answer no query, or answer again.
+func (e *fakeEngineClient) setSilent(s *backend.Server, silent bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silent[s.Addr()] = silent
+}
+
 // Place implements backend.EngineClient.
 func (*fakeEngineClient) Place(context.Context, string, string, backend.PlaceOrder) error { return nil }
 
--- a/forward/pass.go
+++ b/forward/pass.go
@@ -112,13 +112,19 @@
 // errCutOff means that the connection of an answer without a marked end ended, and the answer may be incomplete.
 var errCutOff = errors.New("forward: connection ended, answer may be incomplete")
 
-// brokeBetweenEvents reports whether an answer that ended with its connection is to be taken as incomplete: its server has sent no
-// event or has ended, or this instance closed the connection.
+// brokeBetweenEvents reports whether an answer that ended with its connection is to be taken as incomplete: this instance closed the
+// connection, or the server has sent no event or has ended. Its silence says nothing of the answer.
 func (h *Handler) brokeBetweenEvents(f *inflight) bool {
-	if !f.progressed.Load() || f.next.Load() != nil {
+	switch {
+	case f.next.Load() != nil:
 		return true
+	case !f.progressed.Load():
+		return true
+	case f.first.Leaving():
+		return false
+	default:
+		return h.fateWithin(f.first, h.clock.Now(), firstAnswerTimeout) == fateEnded
 	}
-	return !f.first.Leaving() && h.hasEnded(f.first, true, h.clock.Now())
 }
 
 // completeStream marks the answer as complete. A server that resumes a stream after its last event sends a whole answer without
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -20,10 +20,6 @@
 	justBegunTime = 200 * time.Millisecond
 	// beginningTime is the same for a server that works slowly.
 	beginningTime = 2 * justBegunTime
-	// endCheckTimeout is how long it may take to find out whether a server has ended: several state queries.
-	endCheckTimeout = time.Second
-	// endCheckPeriod is the pause between two checks.
-	endCheckPeriod = 50 * time.Millisecond
 )
 
 // brokenRun is what is known of a run that broke.
@@ -120,7 +116,7 @@
 	h.ends.Suspect(end, now)
 	id, chained, parts := r.meta.ID, r.group.Graph() != nil, strings.Join(r.meta.SharedParts(), " ")
 	go func() {
-		if !h.hasEnded(server, chained, now) {
+		if h.fateOf(server, chained, now) != fateEnded {
 			h.ends.Withdraw(end)
 			return
 		}
@@ -136,29 +132,6 @@
 	}()
 }
 
-// hasEnded reports whether a server on which a run broke at the given time has ended, as far as can be known: a server that does
-// not answer counts as ended if others like it are within reach, one that gives any answer does not.
-func (h *Handler) hasEnded(server *backend.Server, chained bool, broke time.Time) bool {
-	if !chained {
-		// A plain service has no state query that does not take one of its slots; whether it listens costs nothing to check.
-		return server.Ended() || !server.Listens(h.dialer, h.clock.Now()) && h.dialer.ReachesOthersLike(server)
-	}
-	for h.clock.Since(broke) < endCheckTimeout {
-		if server.Ended() || server.Gone() {
-			return true
-		}
-		if server.SilentSince(broke) {
-			return h.dialer.ReachesOthersLike(server)
-		}
-		if server.AnsweredSince(broke) {
-			return false
-		}
-		h.queryState(server, "broken run")
-		<-h.clock.After(endCheckPeriod)
-	}
-	return h.dialer.ReachesOthersLike(server)
-}
-
 // clear clears a request and the parts of its prompt, since a server has run it for harmlessTime or written an answer to it.
 func (h *Handler) clear(r *request) {
 	h.clearEnds(r)
--- /dev/null
+++ b/forward/silence_test.go
@@ -0,0 +1,109 @@
+package forward
+
+import (
+	"context"
+	"math"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/backend"
+)
+
+// TestAWholeStreamIsNotBrokenOffBecauseItsServerFallsSilent guards against a silent server that is taken for one that has ended.
+func TestAWholeStreamIsNotBrokenOffBecauseItsServerFallsSilent(t *testing.T) {
+	first, other := newTestServer(t, "1", unframed(onlyEvent)), newTestServer(t, "2", afterLastEvent)
+	g := chainGroup(first, other)
+	h := chainHandler(t, g)
+	e := newFakeEngineClient(g)
+	e.setSilent(g.Servers()[0], true)
+	h.engines = e
+	status, body := readBody(t, callFront(t, streamFront(t, h, g), "1"))
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, onlyEvent, body)
+	require.Zero(t, requestCount([]*testServer{other}), "there is nothing left to send")
+}
+
+// playTime advances the clock in short steps for some time or until a condition holds, and reports whether it does. Queries to the server
+// that are due at a step end before the next one.
+func playTime(t *testing.T, h *Handler, clock *clockwork.FakeClock, server *backend.Server, d time.Duration, holds func() bool) bool {
+	const step = 10 * time.Millisecond
+	for end := clock.Now().Add(d); clock.Now().Before(end) && !holds(); {
+		clock.Advance(step)
+		time.Sleep(2 * time.Millisecond)
+		require.Eventually(t, func() bool {
+			q := server.QueryState()
+			return !q.QueriedAt.After(later(q.ReportedAt, q.AnsweredAt))
+		}, testTimeout, time.Millisecond)
+	}
+	return holds()
+}
+
+// TestASilentServerHasNotEndedUnderItsRequest guards against evidence against requests whose server falls silent and goes on.
+func TestASilentServerHasNotEndedUnderItsRequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		silentFor time.Duration
+		ended     bool
+	}{
+		"sound": {silentFor: time.Second},
+		"dark":  {silentFor: time.Hour, ended: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := twoCopies()
+			e := newFakeEngineClient(g)
+			h, clock := testHandler(t, e)
+			server, f := g.Servers()[0], newBegunStream(g, 2)
+			e.setSilent(server, true)
+			broke := clock.Now()
+			h.suspectEnd(f.r, server, brokenRun{begun: true})
+			confirmed := func() bool { return h.stats.Counter("quarantine_ends_total").Count() > 0 }
+			playTime(t, h, clock, server, 4*time.Second, func() bool {
+				e.setSilent(server, clock.Since(broke) < c.silentFor)
+				return confirmed()
+			})
+			require.Equal(t, c.ended, confirmed())
+			require.Equal(t, c.ended, h.ends.Size() > 0)
+		})
+	}
+}
+
+// deafDialer is the dialer of an instance whose next connections do not come up.
+type deafDialer struct {
+	backend.DirectDialer
+	left atomic.Int64
+}
+
+// Dial implements backend.Dialer.
+func (d *deafDialer) Dial(ctx context.Context, to backend.Endpoint) (net.Conn, error) {
+	if d.left.Add(-1) >= 0 {
+		return nil, errors.New("i/o timeout")
+	}
+	return d.DirectDialer.Dial(ctx, to)
+}
+
+// TestAPlainServerThatAcceptsNoConnectionForASecondHasNotEnded guards against evidence against sound requests of plain services.
+func TestAPlainServerThatAcceptsNoConnectionForASecondHasNotEnded(t *testing.T) {
+	for name, c := range map[string]struct {
+		failures int64
+		fate     fate
+	}{
+		"sound": {failures: 2, fate: fateAlive},
+		"dark":  {failures: math.MaxInt64, fate: fateEnded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts, dialer := newTestServer(t, "1", sealed), &deafDialer{}
+			dialer.left.Store(c.failures)
+			h, clock := testHandlerWith(t, newFakeEngineClient(twoCopies()), dialer)
+			found := make(chan fate, 1)
+			go func() { found <- h.fateOf(ts.server, false, h.clock.Now()) }()
+			require.True(t, playTime(t, h, clock, ts.server, 2*fateTimeout, func() bool { return len(found) > 0 }))
+			require.Equal(t, c.fate, <-found)
+		})
+	}
+}
