backend, forward: give a server work again as soon as it answers

What callers saw: requests refused for want of room while one or two of eight sound servers were silent for a second. Cause: one unanswered query set a server aside for 3 s on all instances and opened its circuit, nothing ended that early, and nobody asked it again. A server that others wait for although it answers this instance stays suspected. The tests fail without either part: the server is unusable 1.5 s after it has answered, and after an answer to another instance.

--- a/backend/sharedreport.go
+++ b/backend/sharedreport.go
@@ -57,9 +57,9 @@
 func (s *Server) NoteAnswer(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answeredAt = now
+	s.answeredAt, s.sharedSilentUntil = now, time.Time{}
 	if !s.silence.since.IsZero() {
-		s.silence = silence{}
+		s.forgiveSilenceLocked()
 	}
 	s.takeBackLocked(now)
 }
@@ -118,6 +118,7 @@
 	if r.Silent {
 		s.sharedSilentUntil = later(s.sharedSilentUntil, at.Add(sharedSilenceTime))
 	} else {
+		s.sharedSilentUntil = time.Time{}
 		s.takeBackLocked(at.Add(-minNewer))
 	}
 	if !r.Silent && r.Total > 0 {
--- /dev/null
+++ b/backend/silence_test.go
@@ -0,0 +1,46 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestAnAnswerEndsWhatWasConcludedFromSilence guards against a server that stays out of use after it has answered again.
+func TestAnAnswerEndsWhatWasConcludedFromSilence(t *testing.T) {
+	const suspicion = 3 * time.Second
+	now := time.Unix(100, 0)
+	s := NewServer(Entry{ID: "s"})
+	s.Suspect(now.Add(suspicion))
+	s.NoteSilent(now)
+	s.Failed(now)
+	require.False(t, s.Usable(now))
+	now = now.Add(time.Second)
+	s.NoteSilent(now)
+	require.Equal(t, time.Second, s.SilentFor())
+	s.NoteAnswer(now)
+	require.True(t, s.Usable(now))
+	require.Zero(t, s.SilentFor())
+
+	s.Suspect(now.Add(suspicion))
+	s.NoteAnswer(now)
+	require.False(t, s.Usable(now), "others wait for a server that answers this instance")
+}
+
+// TestAnAnswerToAnotherInstanceEndsTheSilenceThatItReported guards against the same for what instances tell each other.
+func TestAnAnswerToAnotherInstanceEndsTheSilenceThatItReported(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := NewServer(Entry{ID: "s"})
+	s.ApplySharedReport(SharedReport{ID: "s", Silent: true}, now)
+	require.False(t, s.Usable(now))
+	now = now.Add(2 * minNewer)
+	s.ApplySharedReport(SharedReport{ID: "s"}, now)
+	require.True(t, s.Usable(now))
+
+	s.Suspect(now.Add(time.Second))
+	s.NoteSilent(now)
+	now = now.Add(2 * minNewer)
+	s.ApplySharedReport(SharedReport{ID: "s"}, now)
+	require.False(t, s.Usable(now), "it has not answered this instance")
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -68,6 +68,7 @@
 	record    *decision.Recorder
 	instances Instances
 	watch     *watcher
+	silent    *silentServers
 	budget    *retry.Budget
 	ranks     rankCache
 	// retryLog and lanesLog limit the rate of the log lines about the retries and the lanes of each service.
@@ -100,6 +101,7 @@
 	h := &Handler{
 		fleetView: fleetView, codec: codec, engines: engines, dialer: dialer, clock: clock, stats: stats, record: record, instances: instances,
 		ends: ends, publisher: publisher, loads: loads, admissions: newAdmissions(),
+		silent: newSilentServers(),
 		budget: retry.NewBudget(settings.Repeats, clock.Now()),
 		lanes:  map[string]*laneCache{}, queues: map[string]*queue{}, longestWaits: longestWaits{},
 		loadRatio: loadRatio{estimate: initialLoadRatio},
--- a/forward/query.go
+++ b/forward/query.go
@@ -104,6 +104,7 @@
 	if err != nil {
 		server.Suspect(now.Add(suspectTime))
 		server.NoteSilent(now)
+		h.silent.add(server)
 		kind := backend.FindingSilent
 		if errors.Is(err, backend.ErrNotListening) {
 			kind = backend.FindingNotListening
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -36,6 +36,7 @@
 	const step = 10 * time.Millisecond
 	for end := clock.Now().Add(d); clock.Now().Before(end) && !holds(); {
 		clock.Advance(step)
+		h.querySilentServers(clock.Now())
 		time.Sleep(2 * time.Millisecond)
 		require.Eventually(t, func() bool {
 			q := server.QueryState()
@@ -73,6 +74,30 @@
 	}
 }
 
+// TestASilentServerGetsWorkAsSoonAsItAnswers guards against servers that stay out of use for seconds after a silence.
+func TestASilentServerGetsWorkAsSoonAsItAnswers(t *testing.T) {
+	const atOnce = 500 * time.Millisecond
+	g := twoCopies()
+	e := newFakeEngineClient(g)
+	h, clock := testHandler(t, e)
+	server := g.Servers()[0]
+	e.setSilent(server, true)
+	server.Failed(clock.Now())
+	h.queryState(server, "broken stream")
+	play := func(d time.Duration, holds func() bool) bool { return playTime(t, h, clock, server, d, holds) }
+	usable := func() bool { return server.Usable(clock.Now()) }
+	require.True(t, play(time.Second, server.IsSilent))
+	require.False(t, play(10*time.Second, usable), "it gets no new work while it is silent")
+	e.setSilent(server, false)
+	require.True(t, play(maxSilentQueryPeriod+atOnce, usable))
+	require.False(t, play(time.Second, func() bool { return !usable() }))
+	e.setSilent(server, true)
+	h.queryState(server, "broken stream")
+	require.True(t, play(time.Second, server.IsSilent))
+	e.setSilent(server, false)
+	require.True(t, play(atOnce, usable), "a silence of a second or so")
+}
+
 // deafDialer is the dialer of an instance whose next connections do not come up.
 type deafDialer struct {
 	backend.DirectDialer
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -66,6 +66,7 @@
 			select {
 			case <-ticks.C():
 				w.scan(ctx)
+				h.querySilentServers(h.clock.Now())
 				w.refuteFindings(h.clock.Now())
 				w.evacuate(ctx, backlog, w.group)
 			case <-ctx.Done():
