forward: do not count a run as ended because its server is silent once

What callers could have seen: a stream sent to more servers than its route allows. Cause: a server that has lost its entry and drains counted as ended with the first state query that it did not answer, although it may serve on. Now it counts so once it has been silent for longer than sound servers are; until then the stream waits, as it did for servers that leave. The test fails with the former condition.

--- a/forward/resume.go
+++ b/forward/resume.go
@@ -64,8 +64,8 @@
 		report, err := h.engines.Report(queryCtx, s.Addr())
 		cancel()
 		h.applyReport(s, report, err, "run that broke")
-		if err != nil && s.Gone() && s.LeavingFor(h.clock.Now()) > h.settings.Load().DrainTime {
-			// It has no entry and does not answer: it is partitioned or dead.
+		if s.PresumedEnded() && s.Gone() && s.LeavingFor(h.clock.Now()) > h.settings.Load().DrainTime {
+			// It has no entry and has not answered for long: it is partitioned or dead.
 			s.MarkEnded()
 		}
 		if s.Ended() || s.Leaving() {
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -98,6 +98,24 @@
 	require.True(t, play(atOnce, usable), "a silence of a second or so")
 }
 
+// TestAServerWithoutAnEntryThatFallsSilentHasNotEnded guards against a stream that is sent to more servers than its route allows.
+func TestAServerWithoutAnEntryThatFallsSilentHasNotEnded(t *testing.T) {
+	g := twoCopies()
+	e := newFakeEngineClient(g)
+	h, clock := testHandler(t, e)
+	f := newBegunStream(g, 1, 0)
+	server := g.Servers()[0]
+	server.Remove()
+	server.NoteLeaving(clock.Now())
+	clock.Advance(h.settings.Load().DrainTime + time.Second)
+	e.setSilent(server, true)
+	require.True(t, h.mayStillEnd(t.Context(), f), "it may end, since it leaves")
+	require.False(t, server.Ended(), "it is silent")
+	clock.Advance(backend.MaxSoundSilence)
+	require.True(t, h.mayStillEnd(t.Context(), f))
+	require.True(t, server.Ended(), "it is silent for longer than a sound server")
+}
+
 // deafDialer is the dialer of an instance whose next connections do not come up.
 type deafDialer struct {
 	backend.DirectDialer
