forward: complete a resumed stream whose rest is empty and has no marked end

What callers saw: a stream that had all its events, cut once its route's attempts were used up. Cause: an answer without events and without a marked end always counted as broken, so that a stream of which only the end was missing was resumed on one server after the other. Now such an answer completes a stream that has events already, if its server is known to be alive: here silence proves nothing either way. The test fails before: the answer is cut.

--- a/forward/pass.go
+++ b/forward/pass.go
@@ -113,13 +113,13 @@
 var errCutOff = errors.New("forward: connection ended, answer may be incomplete")
 
 // brokeBetweenEvents reports whether an answer that ended with its connection is to be taken as incomplete: this instance closed the
-// connection, or the server has sent no event or has ended. Its silence says nothing of the answer.
+// connection, or the server has ended. The server's silence says nothing of the answer, unless there is no event in it.
 func (h *Handler) brokeBetweenEvents(f *inflight) bool {
 	switch {
 	case f.next.Load() != nil:
 		return true
 	case !f.progressed.Load():
-		return true
+		return !f.events.resumed() || h.fateOf(f.first, true, h.clock.Now()) != fateAlive
 	case f.first.Leaving():
 		return false
 	default:
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"junctioncross/backend"
+	"junctioncross/platform/fake"
 )
 
 // TestAWholeStreamIsNotBrokenOffBecauseItsServerFallsSilent guards against a silent server that is taken for one that has ended.
@@ -30,6 +32,23 @@
 	require.Zero(t, requestCount([]*testServer{other}), "there is nothing left to send")
 }
 
+// TestAnEmptyAnswerWithoutAMarkedEndCompletesAStreamThatHasAllItsEvents guards against resuming a stream again and again that has
+// nothing left to get.
+func TestAnEmptyAnswerWithoutAMarkedEndCompletesAStreamThatHasAllItsEvents(t *testing.T) {
+	first := newTestServer(t, "1", func(c net.Conn, _ int) {
+		_, _ = io.WriteString(c, fake.UnframedStreamAnswer(onlyEvent))
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	})
+	other := newTestServer(t, "2", unframed(""))
+	g := chainGroup(first, other)
+	h := chainHandler(t, g)
+	status, body := readBody(t, callFront(t, streamFront(t, h, g), "1"))
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, onlyEvent, body)
+	require.Equal(t, 1, requestCount([]*testServer{other}))
+}
+
 // playTime advances the clock in short steps for some time or until a condition holds, and reports whether it does. Queries to the server
 // that are due at a step end before the next one.
 func playTime(t *testing.T, h *Handler, clock *clockwork.FakeClock, server *backend.Server, d time.Duration, holds func() bool) bool {
