forward: let streams leave a silent server that was just queried

What callers would have seen: streams that stay with a dark server for longer. Cause: silent servers are now queried each 0.24 s, and a diagnosis took a server that was queried within 0.25 s for one that needs no query and is not dead, so that streams which stalled after the first diagnosis were not handed over. Now the unanswered query counts as its answer. The test fails before: the stream's connection stays open.

--- a/forward/findings.go
+++ b/forward/findings.go
@@ -30,8 +30,9 @@
 	holds map[*backend.Server]models.Layers
 }
 
-// queryServers queries servers, all at once. Dead are those that refuse the connection, do not answer two queries, or are named
-// by the first server of the path as the one that it waits for. Servers of which enough is known are not queried. While instances
+// queryServers queries servers, all at once. Dead are those that refuse the connection, do not answer two queries or have left the
+// latest one unanswered, or are named by the first server of the path as the one that it waits for. Servers of which enough is known
+// are not queried. While instances
 // share reports, a quota limits the queries: the first server comes before others, then those of which nothing was heard for longest.
 func (w *watcher) queryServers(
 	ctx context.Context, first *backend.Server, group *backend.Group, servers map[*backend.Server]suspicion,
@@ -46,15 +47,14 @@
 		if saving == queryNow && !w.withinQuota(group, found.now) {
 			saving = savedQuota
 		}
-		switch saving {
-		case queryNow:
+		if saving == queryNow {
 			s.NoteQuery(found.now)
 			all.Go(func() { w.queryOne(ctx, found, s, group, why, s == first) })
-		case savedEnded:
+			continue
+		}
+		w.handler.countSaved(saving)
+		if saving == savedEnded || saving == savedQueried && s.IsSilent() {
 			found.addDead(s)
-			w.handler.countSaved(saving)
-		default:
-			w.handler.countSaved(saving)
 		}
 	}
 	all.Wait()
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -169,3 +169,20 @@
 		})
 	}
 }
+
+// TestStreamsLeaveASilentServerThatWasJustQueried guards against streams that stay with a silent server since it is queried all the time.
+func TestStreamsLeaveASilentServerThatWasJustQueried(t *testing.T) {
+	g := twoCopies()
+	e := newFakeEngineClient(g)
+	h, clock := testHandler(t, e)
+	server := g.Servers()[0]
+	f, conn := connected(t, h, g, "one", 0, 1)
+	e.setSilent(server, true)
+	clock.Advance(stallLimit(f) + 2*healthyTime)
+	h.fleetView.ApplySharedReports([]backend.SharedReport{{ID: "other"}}, clock.Now())
+	h.queryState(server, reasonSilent)
+	require.Eventually(t, server.IsSilent, testTimeout, time.Millisecond)
+	clock.Advance(time.Millisecond)
+	h.watch.diagnose(t.Context(), server, g, []*inflight{f})
+	require.False(t, isOpen(conn))
+}
