leader, platform: place the layers of a server at once that accepts no connection

A sound server that is silent still accepts connections. The client of the engines now says when none came up while an answer was waited for, and the layout leaves such a server out at once, as before; one that accepts and is silent keeps its place.

--- a/backend/report.go
+++ b/backend/report.go
@@ -13,6 +13,8 @@
 var (
 	// ErrNoAnswer means that no answer came. The server may have carried out the call, or may do so later.
 	ErrNoAnswer = errors.New("backend: no answer")
+	// ErrUnreachable means that no connection came up while an answer was waited for. An error that is ErrUnreachable is also ErrNoAnswer.
+	ErrUnreachable = errors.New("backend: no connection comes up")
 	// ErrNotListening means that nothing listens at the address. An error that is ErrNotListening is also ErrNoAnswer.
 	ErrNotListening = errors.New("backend: nothing listens at the address")
 	// ErrStale means that the server's state has changed since the order was decided on.
@@ -62,6 +64,18 @@
 // Is implements the interface that errors.Is uses.
 func (notListening) Is(target error) bool { return target == ErrNoAnswer || target == ErrNotListening }
 
+// unreachable is an error that is both ErrNoAnswer and ErrUnreachable.
+type unreachable struct{ cause error }
+
+// Unreachable returns the error of a call for which no connection came up.
+func Unreachable(cause error) error { return unreachable{cause: cause} }
+
+// Error implements error.
+func (e unreachable) Error() string { return ErrUnreachable.Error() + ": " + e.cause.Error() }
+
+// Is implements the interface that errors.Is uses.
+func (unreachable) Is(target error) bool { return target == ErrNoAnswer || target == ErrUnreachable }
+
 // Suspect is a server that seems to be stalled, according to another server on the path that waits for it.
 type Suspect struct {
 	ID   string
--- a/backend/silence.go
+++ b/backend/silence.go
@@ -10,6 +10,8 @@
 	// since is when the first query went unanswered since the server last answered, and at when the latest one did; both are zero
 	// while the server answers.
 	since, at time.Time
+	// unreachable is true if no connection came up for the latest query, which a sound server accepts while it is silent.
+	unreachable bool
 }
 
 // note adds an unanswered query.
@@ -17,7 +19,7 @@
 	if s.since.IsZero() {
 		s.since = now
 	}
-	s.at = now
+	s.at, s.unreachable = now, false
 }
 
 // NoteSilent records that the server did not answer a state query of this instance.
@@ -28,6 +30,21 @@
 	s.reportSource = reportSource{queriedAt: now, learnedAt: now, own: true, silent: true}
 }
 
+// NoteUnreachable is NoteSilent for a query for which no connection came up.
+func (s *Server) NoteUnreachable(now time.Time) {
+	s.NoteSilent(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silence.unreachable = true
+}
+
+// Unreachable reports whether no connection came up for the latest query of this instance.
+func (s *Server) Unreachable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silence.unreachable
+}
+
 // SilentFor returns for how long the server is known to have left state queries of this instance unanswered; 0 means that it has
 // answered the latest one.
 func (s *Server) SilentFor() time.Duration {
--- a/forward/query.go
+++ b/forward/query.go
@@ -103,7 +103,11 @@
 	}
 	if err != nil {
 		server.Suspect(now.Add(suspectTime))
-		server.NoteSilent(now)
+		if errors.Is(err, backend.ErrUnreachable) {
+			server.NoteUnreachable(now)
+		} else {
+			server.NoteSilent(now)
+		}
 		h.silent.add(server)
 		kind := backend.FindingSilent
 		if errors.Is(err, backend.ErrNotListening) {
--- a/leader/service.go
+++ b/leader/service.go
@@ -53,7 +53,7 @@
 	var available []placement.Server
 	for _, s := range servers {
 		byID[s.Incarnation().String()] = s
-		if s.Leaving() || s.PresumedEnded() {
+		if s.Leaving() || s.PresumedEnded() || s.Unreachable() {
 			continue
 		}
 		available = append(available, t.projected(engine, s))
--- a/leader/silence_test.go
+++ b/leader/silence_test.go
@@ -29,3 +29,12 @@
 	f.rounds(t, leader, 5*time.Second)
 	require.Greater(t, f.given, given, "the layers of a server that has ended are placed elsewhere")
 }
+
+// TestTheLayersOfAServerThatAcceptsNoConnectionArePlacedElsewhereAtOnce guards against waiting for a dark server as for a silent one.
+func TestTheLayersOfAServerThatAcceptsNoConnectionArePlacedElsewhereAtOnce(t *testing.T) {
+	f, leader := placedFleet(t, "a")
+	given := f.given
+	f.soleHolder().view.NoteUnreachable(f.clock.Now())
+	f.rounds(t, leader, 2*roundPeriod)
+	require.Greater(t, f.given, given)
+}
