--- a/forward/query.go
+++ b/forward/query.go
@@ -90,45 +90,53 @@
 	now := h.clock.Now()
 	fields := decision.Fields{"server": server.ID(), "address": server.Addr(), "why": why}
 	if errors.Is(err, backend.ErrGarbled) {
-		server.NoteAnswer(now)
+		h.noteAnswer(server, now)
 		fields["error"] = err.Error()
 		h.record.Failure("", "report not readable", fields)
 		return
 	}
 	if report.RetryAfter > 0 {
 		// It answers, but refuses to be queried.
-		server.NoteAnswer(now)
+		h.noteAnswer(server, now)
 		h.applyNotice("", server, report.Notice)
 		return
 	}
 	if err != nil {
-		server.Suspect(now.Add(suspectTime))
-		if errors.Is(err, backend.ErrUnreachable) {
-			server.NoteUnreachable(now)
-		} else {
-			server.NoteSilent(now)
-		}
-		h.silent.add(server)
-		kind := backend.FindingSilent
-		if errors.Is(err, backend.ErrNotListening) {
-			kind = backend.FindingNotListening
-			server.MarkEnded()
-		}
-		h.fleetView.NoteFinding(server, kind, now)
 		fields["error"] = err.Error()
-		h.record.Failure("", "server does not answer", fields)
+		h.applyNoAnswer(server, err, fields, now)
 		return
 	}
 	if report.Born != server.Incarnation().Born {
 		h.applyOtherIncarnation(server, report, now)
 		return
 	}
-	server.NoteAnswer(now)
+	h.noteAnswer(server, now)
 	h.applyNotice("", server, report.Notice)
 	h.applyLoad(server, report, fields, now)
 	h.recordReport(server, report, fields, why, now)
 }
 
+// applyNoAnswer applies that a server did not answer. The queries to a server that is silent already are not logged again.
+func (h *Handler) applyNoAnswer(server *backend.Server, err error, fields decision.Fields, now time.Time) {
+	known := server.IsSilent()
+	server.Suspect(now.Add(suspectTime))
+	if errors.Is(err, backend.ErrUnreachable) {
+		server.NoteUnreachable(now)
+	} else {
+		server.NoteSilent(now)
+	}
+	h.silent.add(server)
+	kind := backend.FindingSilent
+	if errors.Is(err, backend.ErrNotListening) {
+		kind = backend.FindingNotListening
+		server.MarkEnded()
+	}
+	h.fleetView.NoteFinding(server, kind, now)
+	if !known || fields["why"] != reasonSilent {
+		h.record.Failure("", "server does not answer", fields)
+	}
+}
+
 // applyLoad applies what a report says of the load of its server, and adds it to the fields of a log line.
 func (h *Handler) applyLoad(server *backend.Server, report backend.Report, fields decision.Fields, now time.Time) {
 	if report.Limit.Named {
--- a/forward/silentservers.go
+++ b/forward/silentservers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"junctioncross/backend"
+	"junctioncross/decision"
 )
 
 const (
@@ -67,3 +68,14 @@
 		h.queryState(server, reasonSilent)
 	}
 }
+
+// noteAnswer records that a server has answered a state query of this instance, and logs the end of a silence.
+func (h *Handler) noteAnswer(server *backend.Server, now time.Time) {
+	if silent := server.SilentFor(); server.IsSilent() {
+		h.stats.Counter("server_silences_total").Inc(1)
+		h.record.Failure("", "server answers again", decision.Fields{
+			"server": server.ID(), "address": server.Addr(), "silent_ms": silent.Milliseconds(),
+		})
+	}
+	server.NoteAnswer(now)
+}
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -80,6 +80,7 @@
 		endsNotPublished{},
 		entryVanished{},
 		noAnswer{},
+		answersAgain{},
 		noServerInReach{},
 		serversInReach{},
 		pathLost{},
--- a/schema/servers.go
+++ b/schema/servers.go
@@ -150,6 +150,15 @@
 	failure
 }
 
+// A server has answered a state query again after it had left some unanswered.
+type answersAgain struct {
+	_ struct{} `msg:"server answers again" level:"warning"`
+	noRequest
+	server
+	// Time between the first and the last query that it left unanswered, in milliseconds.
+	SilentMS int64 `log:"silent_ms"`
+}
+
 // A server's answer to a state query cannot be decoded; what was known of the server stays valid.
 type reportNotReadable struct {
 	_ struct{} `msg:"report not readable" level:"warning"`
