--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -115,6 +115,7 @@
 	require.True(t, play(time.Second, server.IsSilent))
 	e.setSilent(server, false)
 	require.True(t, play(atOnce, usable), "a silence of a second or so")
+	require.EqualValues(t, 2, h.stats.Counter("server_silences_total").Count())
 }
 
 // TestAServerWithoutAnEntryThatFallsSilentHasNotEnded guards against a stream that is sent to more servers than its route allows.
