forward: do not connect to a plain server that is known to have ended

Cause: since fateOfPlain opens a connection before it asks whether the server is known to have ended, so a request at a server that was replaced costs one more connection.

--- a/forward/fate.go
+++ b/forward/fate.go
@@ -57,6 +57,9 @@
 // costs nothing to check.
 func (h *Handler) fateOfPlain(server *backend.Server, broke time.Time) fate {
 	for h.clock.Since(broke) < fateTimeout {
+		if server.Ended() {
+			return fateEnded
+		}
 		err := server.CheckListening(h.dialer, h.clock.Now())
 		switch {
 		case server.Ended() || backend.Refused(err):
