retry, forward: do not keep a plain server out of use for longer with each request that leaves it in one silence

Cause: requests that leave a silent plain server at their silence limit opened its circuit, each time for twice as long, also those that had been sent before it opened: a server silent for 1.5 s got no work for up to a second after it had answered again, since nothing but a trial request asks it. Now the circuit opens for the shortest time, 250 ms, until the silence has lasted for longer than sound servers are silent (1.5 s); from then on as before. The test fails with the doubled times: the circuit is open 300 ms after a failure. The limit for silent servers has a file of its own, and the log names the silence in place of a closed connection.

--- a/backend/status.go
+++ b/backend/status.go
@@ -137,6 +137,12 @@
 // Failed records for the circuit breaker that a request failed.
 func (s *Server) Failed(now time.Time) { s.circuit.Failed(now) }
 
+// LeftSilent records that a request left the server because it was silent for too long.
+func (s *Server) LeftSilent(now time.Time) {
+	s.Observe(false)
+	s.circuit.FailedSilent(now, MaxSoundSilence)
+}
+
 // Succeeded records for the circuit breaker that a request was answered.
 func (s *Server) Succeeded() { s.circuit.Succeeded() }
 
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// silenceFactor times its objective is how long a request that may be retried stays with a server that does not answer.
-	silenceFactor = 2
 	// maxLoadAge is how old a reported load of a server may be to count.
 	maxLoadAge = 500 * time.Millisecond
 	// otherDomainCost is added for a server of another domain, so that a request leaves its own domain only for a server
@@ -120,48 +118,18 @@
 	}
 	if err != nil {
 		h.finish(s, false)
-		return h.brokenPlain(ctx, r, s, brokenRun{}, err)
+		return h.brokenPlain(ctx, r, s, brokenRun{}, errOf(attemptCtx, err))
 	}
 	begun := h.clock.Now()
 	server.SetLoad(s.info.Load, begun)
 	body, err := readWhole(s)
 	h.finish(s, err == nil)
 	if err != nil {
-		return h.brokenPlain(ctx, r, s, brokenRun{begun: true, answered: h.clock.Since(begun)}, err)
+		return h.brokenPlain(ctx, r, s, brokenRun{begun: true, answered: h.clock.Since(begun)}, errOf(attemptCtx, err))
 	}
 	return h.judgeAnswer(r, server, s, body)
 }
 
-// withSilenceLimit returns a context that ends when a server has been silent for too long and another one can take its
-// place, or its path is lost; otherwise its late answer is the best that can be had. The retry for that has been taken from
-// the budget by then. endAttempt must be called after the attempt.
-func (h *Handler) withSilenceLimit(ctx context.Context, r *request, tried []*backend.Server) (attemptCtx context.Context, endAttempt func()) {
-	limit := max(silenceFactor*r.route.Objective, r.route.Objective+200*time.Millisecond)
-	silent := h.clock.After(limit)
-	attemptCtx, cancel := context.WithCancel(ctx)
-	granted := make(chan bool, 1)
-	go func() {
-		for {
-			select {
-			case <-silent:
-			case <-attemptCtx.Done():
-				granted <- false
-				return
-			}
-			if (h.dialer.Lost(tried[len(tried)-1].Addr()) || h.pick(r.group, tried) != nil) && h.takeRetry(r) {
-				cancel()
-				granted <- true
-				return
-			}
-			silent = h.clock.After(limit)
-		}
-	}()
-	return attemptCtx, func() {
-		cancel()
-		r.retryGranted = <-granted || r.retryGranted
-	}
-}
-
 // callerDisconnected reports whether the caller has disconnected before the deadline.
 func (h *Handler) callerDisconnected(ctx context.Context, r *request) bool {
 	return ctx.Err() != nil && h.remaining(r) > 0
@@ -198,8 +166,7 @@
 	if onPath {
 		server.ReleaseTrial()
 	} else {
-		server.Observe(false)
-		server.Failed(h.clock.Now())
+		h.noteBrokenPlain(server, err)
 		h.suspectEnd(r, server, run)
 	}
 	reason := models.RetryBroken
@@ -213,6 +180,16 @@
 	return failed{reason: reason, onPath: onPath}
 }
 
+// noteBrokenPlain counts an attempt that ended without a complete answer as a failure of its server.
+func (h *Handler) noteBrokenPlain(server *backend.Server, err error) {
+	if errors.Is(err, errSilent) {
+		server.LeftSilent(h.clock.Now())
+		return
+	}
+	server.Observe(false)
+	server.Failed(h.clock.Now())
+}
+
 // judgeAnswer classifies a complete answer.
 func (h *Handler) judgeAnswer(r *request, server *backend.Server, s *sentRequest, body []byte) outcome {
 	status := s.info.Status
--- /dev/null
+++ b/forward/silencelimit.go
@@ -0,0 +1,58 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"junctioncross/backend"
+)
+
+const (
+	// silenceFactor times its objective is how long a request that may be retried stays with a server that does not answer.
+	silenceFactor = 2
+	// minSilenceSlack is how much longer than its objective that is at least.
+	minSilenceSlack = 200 * time.Millisecond
+)
+
+// errSilent means that a request left its server because that was silent for too long.
+var errSilent = errors.New("forward: server is silent")
+
+// errOf returns the error of an attempt that broke: errSilent if its silence limit ended it.
+func errOf(attemptCtx context.Context, err error) error {
+	if errors.Is(context.Cause(attemptCtx), errSilent) {
+		return errSilent
+	}
+	return err
+}
+
+// withSilenceLimit returns a context that ends when a server has been silent for too long and another one can take its
+// place, or its path is lost; otherwise its late answer is the best that can be had. The retry for that has been taken from
+// the budget by then. endAttempt must be called after the attempt.
+func (h *Handler) withSilenceLimit(ctx context.Context, r *request, tried []*backend.Server) (attemptCtx context.Context, endAttempt func()) {
+	limit := max(silenceFactor*r.route.Objective, r.route.Objective+minSilenceSlack)
+	silent := h.clock.After(limit)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	granted := make(chan bool, 1)
+	go func() {
+		for {
+			select {
+			case <-silent:
+			case <-attemptCtx.Done():
+				granted <- false
+				return
+			}
+			if (h.dialer.Lost(tried[len(tried)-1].Addr()) || h.pick(r.group, tried) != nil) && h.takeRetry(r) {
+				cancel(errSilent)
+				granted <- true
+				return
+			}
+			silent = h.clock.After(limit)
+		}
+	}()
+	return attemptCtx, func() {
+		cancel(nil)
+		r.retryGranted = <-granted || r.retryGranted
+	}
+}
--- a/retry/circuit.go
+++ b/retry/circuit.go
@@ -18,6 +18,8 @@
 	until time.Time
 	// trial is true while a trial request is under way.
 	trial bool
+	// silentSince is when a request first left the server because of its silence, if all failures are of that kind.
+	silentSince time.Time
 }
 
 // Failed records a failure. Each consecutive failure doubles the time for which the circuit stays open. Failures while it is open
@@ -26,7 +28,34 @@
 	if now.Before(c.until) {
 		return
 	}
-	c.until = now.Add(Backoff(initialOpenTime, maxOpenTime, c.failures))
+	c.open(now, Backoff(initialOpenTime, maxOpenTime, c.failures))
+	c.silentSince = time.Time{}
+}
+
+// FailedSilent is Failed for a request that left the server since it was silent for too long. The circuit stays open for the shortest
+// time until the silence has lasted for longer than the given time, which sound servers may be silent for.
+func (c *Circuit) FailedSilent(now time.Time, soundSilence time.Duration) {
+	if now.Before(c.until) {
+		return
+	}
+	if c.failures == 0 {
+		c.silentSince = now
+	}
+	if !c.Late(now, soundSilence) {
+		c.Failed(now)
+		return
+	}
+	c.open(now, initialOpenTime)
+}
+
+// Late reports whether all failures are of one silence that has not lasted for longer than the given time.
+func (c *Circuit) Late(now time.Time, soundSilence time.Duration) bool {
+	return !c.silentSince.IsZero() && now.Sub(c.silentSince) < soundSilence
+}
+
+// open counts a failure and keeps the circuit open for some time.
+func (c *Circuit) open(now time.Time, d time.Duration) {
+	c.until = now.Add(d)
 	c.failures++
 	c.trial = false
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -58,3 +58,27 @@
 		require.Equal(t, longest, retry.Backoff(first, longest, times))
 	}
 }
+
+// TestASilenceOfASecondDoesNotKeepTheCircuitOpenForLong guards against a server that gets no work for seconds after it has answered.
+func TestASilenceOfASecondDoesNotKeepTheCircuitOpenForLong(t *testing.T) {
+	const soundSilence, atOnce = 1500 * time.Millisecond, 300 * time.Millisecond
+	now := time.Unix(100, 0)
+	var c retry.Circuit
+	for begin := now; now.Sub(begin) < soundSilence; now = now.Add(atOnce) {
+		c.FailedSilent(now, soundSilence)
+		require.True(t, c.Open(now))
+		require.True(t, c.Late(now, soundSilence))
+		require.False(t, c.Open(now.Add(atOnce)))
+		c.StartTrial()
+	}
+	for range 3 {
+		c.FailedSilent(now, soundSilence)
+		require.False(t, c.Late(now, soundSilence))
+		require.True(t, c.Open(now.Add(time.Second)), "it is silent for longer than a sound server")
+		now = now.Add(10 * time.Second)
+	}
+	c.Succeeded()
+	c.Failed(now)
+	c.FailedSilent(now.Add(time.Second), soundSilence)
+	require.False(t, c.Late(now.Add(time.Second), soundSilence), "it has failed otherwise")
+}
--- a/retry/synccircuit.go
+++ b/retry/synccircuit.go
@@ -18,6 +18,20 @@
 	c.circuit.Failed(now)
 }
 
+// FailedSilent records a failure by silence.
+func (c *SyncCircuit) FailedSilent(now time.Time, soundSilence time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.circuit.FailedSilent(now, soundSilence)
+}
+
+// Late reports whether all failures are of one silence that has not lasted for longer than the given time.
+func (c *SyncCircuit) Late(now time.Time, soundSilence time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.circuit.Late(now, soundSilence)
+}
+
 // Succeeded closes the circuit.
 func (c *SyncCircuit) Succeeded() {
 	c.mu.Lock()
