backend, forward: count a plain server's silence of a second as one failure

Now requests that leave a server in one silence are not counted while that is no longer than sound servers are silent, since the circuit breaker keeps work away meanwhile; once the server answers they count as one failure, and once it has been silent for longer, each counts as before.

--- a/backend/server.go
+++ b/backend/server.go
@@ -103,6 +103,8 @@
 	firstStageAtLoad int64
 	// failRate is the exponential moving average of failures: 1 for a request that failed, 0 for one that did not.
 	failRate float64
+	// leftSilent counts the requests that left the server during its present silence and are not in failRate.
+	leftSilent int
 	// idle holds the connections that wait for another request.
 	idle []*idleConn
 }
--- a/backend/silence.go
+++ b/backend/silence.go
@@ -46,6 +46,30 @@
 // PresumedEnded reports whether the server is known to have terminated, or has been silent for longer than sound servers are.
 func (s *Server) PresumedEnded() bool { return s.Ended() || s.SilentFor() >= MaxSoundSilence }
 
+// LeftSilent records that a request left the server because it was silent for too long. While that is no longer than sound servers are
+// silent, it changes nothing but the circuit breaker: how many requests were there says nothing of the server.
+func (s *Server) LeftSilent(now time.Time) {
+	s.circuit.FailedSilent(now, MaxSoundSilence)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leftSilent++
+	if s.circuit.Late(now, MaxSoundSilence) {
+		return
+	}
+	for range s.leftSilent {
+		s.observeLocked(false)
+	}
+	s.leftSilent = 0
+}
+
+// settleSilenceLocked counts a silence that is over as one failure; the caller holds the lock.
+func (s *Server) settleSilenceLocked() {
+	if s.leftSilent > 0 {
+		s.observeLocked(false)
+	}
+	s.leftSilent = 0
+}
+
 // ForgiveSilence takes the server out of suspicion: it did not answer since the path to it was lost.
 func (s *Server) ForgiveSilence() {
 	s.mu.Lock()
@@ -57,6 +81,7 @@
 func (s *Server) forgiveSilenceLocked() {
 	s.suspectUntil, s.sharedSilentUntil, s.silence = time.Time{}, time.Time{}, silence{}
 	s.circuit.Succeeded()
+	s.settleSilenceLocked()
 }
 
 // later returns the later of two times.
--- a/backend/silence_test.go
+++ b/backend/silence_test.go
@@ -44,3 +44,22 @@
 	s.ApplySharedReport(SharedReport{ID: "s"}, now)
 	require.False(t, s.Usable(now), "it has not answered this instance")
 }
+
+// TestASilenceOfASecondCountsAsOneFailure guards against a server that all avoid after a silence, the more so the more work it had.
+func TestASilenceOfASecondCountsAsOneFailure(t *testing.T) {
+	now := time.Unix(100, 0)
+	leave := func(s *Server) {
+		for range 10 {
+			s.LeftSilent(now)
+		}
+	}
+	sound, hanging := NewServer(Entry{ID: "s"}), NewServer(Entry{ID: "h"})
+	leave(sound)
+	leave(hanging)
+	require.Zero(t, sound.FailRate(), "it may go on")
+	sound.Succeeded()
+	require.InDelta(t, failWeight, sound.FailRate(), 0.01)
+	now = now.Add(MaxSoundSilence)
+	hanging.LeftSilent(now)
+	require.Greater(t, hanging.FailRate(), 0.5, "it is silent for longer than a sound server")
+}
--- a/backend/status.go
+++ b/backend/status.go
@@ -137,14 +137,13 @@
 // Failed records for the circuit breaker that a request failed.
 func (s *Server) Failed(now time.Time) { s.circuit.Failed(now) }
 
-// LeftSilent records that a request left the server because it was silent for too long.
-func (s *Server) LeftSilent(now time.Time) {
-	s.Observe(false)
-	s.circuit.FailedSilent(now, MaxSoundSilence)
-}
-
 // Succeeded records for the circuit breaker that a request was answered.
-func (s *Server) Succeeded() { s.circuit.Succeeded() }
+func (s *Server) Succeeded() {
+	s.circuit.Succeeded()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settleSilenceLocked()
+}
 
 // ReleaseTrial records for the circuit breaker that the outcome of a request says nothing about the server.
 func (s *Server) ReleaseTrial() { s.circuit.ReleaseTrial() }
@@ -153,6 +152,11 @@
 func (s *Server) Observe(ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.observeLocked(ok)
+}
+
+// observeLocked is Observe; the caller holds the lock.
+func (s *Server) observeLocked(ok bool) {
 	outcome := 1.0
 	if ok {
 		outcome = 0
--- /dev/null
+++ b/forward/plainsilence_test.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"junctioncross/catalog"
+)
+
+// soundSilence is for how long the plain servers of these tests are silent.
+const soundSilence = 1200 * time.Millisecond
+
+// silencer lets plain servers be silent and then go on.
+type silencer struct {
+	mu    sync.Mutex
+	quiet chan struct{}
+}
+
+// fallSilent makes the servers send nothing until the returned function is called.
+func (s *silencer) fallSilent() (goOn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quiet = make(chan struct{})
+	return sync.OnceFunc(func() { close(s.quiet) })
+}
+
+// answer answers a request once the servers are no longer silent.
+func (s *silencer) answer(c net.Conn, number int) {
+	s.mu.Lock()
+	quiet := s.quiet
+	s.mu.Unlock()
+	if quiet != nil {
+		<-quiet
+	}
+	sealed(c, number)
+}
+
+// repeatRoute is the route of requests that may be sent to several servers.
+func repeatRoute(attempts int) *catalog.Route {
+	return &catalog.Route{
+		Name: "r", RetryPolicy: catalog.RetryAlways, MaxAttempts: attempts, Timeout: time.Hour, Objective: 100 * time.Millisecond,
+	}
+}
+
+// statusLater receives the status of the next answer; 0 means that there is none.
+func statusLater(c net.Conn) chan int {
+	status := make(chan int, 1)
+	go func() {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			status <- 0
+			return
+		}
+		_ = resp.Body.Close()
+		status <- resp.StatusCode
+	}()
+	return status
+}
+
+// TestAPlainServerThatAnswersAgainGetsWork guards against a server that all requests avoid after a silence.
+func TestAPlainServerThatAnswersAgainGetsWork(t *testing.T) {
+	const tries = 60
+	var voice silencer
+	silent, other := newTestServer(t, "1", voice.answer), newTestServer(t, "2", sealed)
+	s, clock := plainFrontAt(t, repeatRoute(2), silent, other)
+	goOn := voice.fallSilent()
+	reached := func() int { return requestCount([]*testServer{silent}) }
+	var status chan int
+	for n := 0; reached() == 0 && n < tries; n++ {
+		status = statusLater(callFront(t, s, fmt.Sprint("before-", n)))
+		require.Eventually(t, func() bool { return len(status) > 0 || reached() > 0 }, testTimeout, time.Millisecond)
+	}
+	require.Equal(t, 1, reached())
+	require.Eventually(t, func() bool { clock.Advance(soundSilence / 4); return len(status) > 0 }, testTimeout, time.Millisecond)
+	require.Equal(t, http.StatusOK, <-status, "by the other server")
+	goOn()
+	clock.Advance(soundSilence)
+	for n := 0; reached() == 1 && n < tries; n++ {
+		require.Equal(t, http.StatusOK, readStatus(t, callFront(t, s, fmt.Sprint("after-", n))))
+	}
+	require.Equal(t, 2, reached())
+}
