forward: send plain requests to a silent server rather than refuse them while all are silent

Cause: requests that may be retried leave a server at their silence limit while another one can take them, which opens its circuit; with all servers of a service silent at once each circuit was open in turn, and requests then were refused at once with 503 and no_server although no server had failed; one that had just left a server for another could end with 502, since the other's circuit opened in between. Now a server that is out of use only for a silence that sound servers may have, up to 1.5 s, gets work if there is no other: its late answer is the best that can be had, as for requests that are there already. After that they are refused as before.

--- a/backend/silence.go
+++ b/backend/silence.go
@@ -62,6 +62,11 @@
 	s.leftSilent = 0
 }
 
+// Late reports whether the server would be usable had requests not left it in a silence that sound servers may have.
+func (s *Server) Late(now time.Time) bool {
+	return !s.BackedOff(now) && s.takesWork(now) && s.circuit.Late(now, MaxSoundSilence)
+}
+
 // settleSilenceLocked counts a silence that is over as one failure; the caller holds the lock.
 func (s *Server) settleSilenceLocked() {
 	if s.leftSilent > 0 {
--- a/backend/status.go
+++ b/backend/status.go
@@ -125,10 +125,12 @@
 
 // usableIgnoringBackOff reports whether the server may get new work apart from its back-off.
 func (s *Server) usableIgnoringBackOff(now time.Time) bool {
-	if s.Leaving() || s.possiblyLeaving.Load() {
-		return false
-	}
-	return !s.isAside(now) && !s.circuit.Open(now)
+	return s.takesWork(now) && !s.circuit.Open(now)
+}
+
+// takesWork reports whether the server may get new work apart from its back-off and its circuit breaker.
+func (s *Server) takesWork(now time.Time) bool {
+	return !s.Leaving() && !s.possiblyLeaving.Load() && !s.isAside(now)
 }
 
 // Chosen records for the circuit breaker that work is sent to the server.
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -35,7 +35,7 @@
 	var last outcome = notRun{reason: models.ReasonNoServer}
 	urgency := h.urgencyFor(r)
 	for {
-		server := h.pick(r.group, tried)
+		server := h.pickOrLate(r.group, tried)
 		if server == nil {
 			break
 		}
@@ -61,13 +61,29 @@
 	h.conclude(ctx, r, last)
 }
 
+// pickOrLate is pick, but returns a server that is silent, as sound ones may be for a while, rather than none: its late answer is the
+// best that can be had.
+func (h *Handler) pickOrLate(g *backend.Group, tried []*backend.Server) *backend.Server {
+	if server := h.pick(g, tried); server != nil {
+		return server
+	}
+	return h.cheapest(g, tried, (*backend.Server).Late)
+}
+
 // pick returns the server with the lowest cost that may get this request, or nil.
 func (h *Handler) pick(g *backend.Group, tried []*backend.Server) *backend.Server {
+	return h.cheapest(g, tried, (*backend.Server).Usable)
+}
+
+// cheapest returns the server with the lowest cost among those that were not tried, are usable and are within their rate limits, or nil.
+func (h *Handler) cheapest(
+	g *backend.Group, tried []*backend.Server, usable func(s *backend.Server, now time.Time) bool,
+) *backend.Server {
 	now := h.clock.Now()
 	var best *backend.Server
 	lowest := 0.0
 	for _, s := range g.Servers() {
-		if slices.Contains(tried, s) || !s.Usable(now) || !s.WithinLimit(h.instances.Instances(), now) {
+		if slices.Contains(tried, s) || !usable(s, now) || !s.WithinLimit(h.instances.Instances(), now) {
 			continue
 		}
 		if c := h.plainCost(s, now); best == nil || c < lowest {
--- a/forward/plainsilence_test.go
+++ b/forward/plainsilence_test.go
@@ -87,3 +87,20 @@
 	}
 	require.Equal(t, 2, reached())
 }
+
+// TestNoRequestIsRefusedWhileAllPlainServersAreSilent guards against silent servers that are taken for servers that are not there.
+func TestNoRequestIsRefusedWhileAllPlainServersAreSilent(t *testing.T) {
+	const step, settleTime = 50 * time.Millisecond, 5 * time.Millisecond
+	var voice silencer
+	goOn := voice.fallSilent()
+	s, clock := plainFrontAt(t, repeatRoute(2), newTestServer(t, "1", voice.answer), newTestServer(t, "2", voice.answer))
+	var statuses []chan int
+	for begin := clock.Now(); clock.Since(begin) < soundSilence; clock.Advance(step) {
+		statuses = append(statuses, statusLater(callFront(t, s, fmt.Sprint(len(statuses)))))
+		time.Sleep(settleTime)
+	}
+	goOn()
+	for _, status := range statuses {
+		require.Equal(t, http.StatusOK, <-status)
+	}
+}
