forward: let a plain request wait for a silent server that is reached through another instance

Cause: at its silence limit a request left its server if the own links did not reach it, also when the connection went through another instance and only the server was silent: the same server got the request a second time, a run and a repeat of the budget for nothing. Now the path counts as lost only for connections over the own links.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -65,6 +65,7 @@
 		return nil, err
 	}
 	server.NoteAlive()
+	r.direct.Store(conn.Direct())
 	if via := conn.Via(); via != "" {
 		h.stats.Counter("sent_through_others_total").Inc(1)
 		h.record.Routine(r.meta.ID, "sent through another instance", decision.Fields{"server": server.ID(), "via": via})
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -152,6 +152,8 @@
 	ran []*backend.Server
 	// sends counts how often the request was sent to a server.
 	sends int
+	// direct is true while the request has a connection that uses the own links all the way.
+	direct atomic.Bool
 	// forecast says from which streams the Retry-After time of a refused request was predicted.
 	forecast string
 	// digest is the fingerprint, once computed.
--- a/forward/plainsilence_test.go
+++ b/forward/plainsilence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,9 +10,12 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/backend"
 	"junctioncross/catalog"
+	"junctioncross/timer"
 )
 
 // soundSilence is for how long the plain servers of these tests are silent.
@@ -104,3 +108,36 @@
 		require.Equal(t, http.StatusOK, <-status)
 	}
 }
+
+// relayedConn is a connection through another instance.
+type relayedConn struct{ net.Conn }
+
+// Peer returns the name of that instance.
+func (relayedConn) Peer() string { return "other" }
+
+// relayDialer is the dialer of an instance that reaches servers through another instance only.
+type relayDialer struct{ backend.DirectDialer }
+
+func (relayDialer) Lost(string) bool                        { return true }
+func (relayDialer) PathFailed(string, net.Conn, error) bool { return true }
+func (d relayDialer) Dial(ctx context.Context, to backend.Endpoint) (net.Conn, error) {
+	c, err := d.DirectDialer.Dial(ctx, to)
+	return relayedConn{c}, err
+}
+
+// TestARequestStaysWithASilentServerThatIsReachedThroughAnotherInstance guards against a server's silence that is taken for that of the path.
+func TestARequestStaysWithASilentServerThatIsReachedThroughAnotherInstance(t *testing.T) {
+	var voice silencer
+	goOn := voice.fallSilent()
+	only, clock := newTestServer(t, "1", voice.answer), clockwork.NewFakeClockAt(time.Now())
+	s := frontOf(t, plainHandlerWith(t, timer.New(clock), relayDialer{}), repeatRoute(2), []*testServer{only})
+	status := statusLater(callFront(t, s, "r"))
+	require.Eventually(t, func() bool { return requestCount([]*testServer{only}) == 1 }, testTimeout, time.Millisecond)
+	for range 4 {
+		clock.Advance(soundSilence / 4)
+		time.Sleep(20 * time.Millisecond)
+	}
+	goOn()
+	require.Equal(t, http.StatusOK, <-status)
+	require.Equal(t, 1, requestCount([]*testServer{only}), "it has the request already")
+}
--- a/forward/silencelimit.go
+++ b/forward/silencelimit.go
@@ -28,11 +28,12 @@
 }
 
 // withSilenceLimit returns a context that ends when a server has been silent for too long and another one can take its
-// place, or its path is lost; otherwise its late answer is the best that can be had. The retry for that has been taken from
+// place, or its path over the own links is lost; otherwise its late answer is the best that can be had. The retry for that has been taken from
 // the budget by then. endAttempt must be called after the attempt.
 func (h *Handler) withSilenceLimit(ctx context.Context, r *request, tried []*backend.Server) (attemptCtx context.Context, endAttempt func()) {
 	limit := max(silenceFactor*r.route.Objective, r.route.Objective+minSilenceSlack)
 	silent := h.clock.After(limit)
+	r.direct.Store(false)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	granted := make(chan bool, 1)
 	go func() {
@@ -43,7 +44,8 @@
 				granted <- false
 				return
 			}
-			if (h.dialer.Lost(tried[len(tried)-1].Addr()) || h.pick(r.group, tried) != nil) && h.takeRetry(r) {
+			pathLost := r.direct.Load() && h.dialer.Lost(tried[len(tried)-1].Addr())
+			if (pathLost || h.pick(r.group, tried) != nil) && h.takeRetry(r) {
 				cancel(errSilent)
 				granted <- true
 				return
