forward: do not count a silence behind another instance as a failure of the path

Cause: a request that leaves a silent server closes its connection, and a connection through another instance that this instance has closed counted as one whose path failed: the server stayed without a mark and was tried again at once, by the same request and by others. Now leaving over such a connection counts as the server's silence.

--- a/forward/plain.go
+++ b/forward/plain.go
@@ -178,7 +178,7 @@
 		server.ReleaseTrial()
 		return callerGone{}
 	}
-	onPath := h.pathFailed(server, s.conn, err)
+	onPath := !leftBehindInstance(s, err) && h.pathFailed(server, s.conn, err)
 	if onPath {
 		server.ReleaseTrial()
 	} else {
--- a/forward/plainsilence_test.go
+++ b/forward/plainsilence_test.go
@@ -141,3 +141,24 @@
 	require.Equal(t, http.StatusOK, <-status)
 	require.Equal(t, 1, requestCount([]*testServer{only}), "it has the request already")
 }
+
+// TestARequestThatLeavesASilentServerBehindAnotherInstanceDoesNotGoBackToIt guards against a server's silence that counts as a failure of
+// the path.
+func TestARequestThatLeavesASilentServerBehindAnotherInstanceDoesNotGoBackToIt(t *testing.T) {
+	var voice silencer
+	goOn := voice.fallSilent()
+	defer goOn()
+	silent, other := newTestServer(t, "1", voice.answer), newTestServer(t, "2", sealed)
+	// It is in another domain, so that the silent server has the lowest cost.
+	other.server = backend.NewServer(backend.Entry{ID: "2", Service: "s", Addr: other.server.Addr(), Domain: "b", Slots: 4})
+	clock := clockwork.NewFakeClockAt(time.Now())
+	s := frontOf(t, plainHandlerWith(t, timer.New(clock), relayDialer{}), repeatRoute(2), []*testServer{silent, other})
+	status := statusLater(callFront(t, s, "r"))
+	require.Eventually(t, func() bool { return requestCount([]*testServer{silent}) == 1 }, testTimeout, time.Millisecond)
+	require.Eventually(t, func() bool {
+		clock.Advance(soundSilence / 4)
+		return len(status) > 0 || requestCount([]*testServer{silent}) > 1
+	}, testTimeout, 10*time.Millisecond)
+	require.Equal(t, 1, requestCount([]*testServer{silent}))
+	require.Equal(t, http.StatusOK, <-status)
+}
