forward: do not set aside a server because its own refusal came late

Cause: a refusal that came 1 s or later (half the stall time) set its server aside for 2 s, also one in which the server that answers names itself or nobody: a sound first server that was silent for 1.2 s and then had no room got no work for 2 s after it had answered, and nothing ends that earlier. The test fails without the change (unusable after its answer).

--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -15,7 +15,9 @@
 	"github.com/stretchr/testify/require"
 
 	"junctioncross/backend"
+	"junctioncross/call"
 	"junctioncross/platform/fake"
+	"junctioncross/retry"
 )
 
 // TestAWholeStreamIsNotBrokenOffBecauseItsServerFallsSilent guards against a silent server that is taken for one that has ended.
@@ -169,3 +171,27 @@
 		})
 	}
 }
+
+// TestALateRefusalDoesNotSetAsideTheServerThatSentIt guards against a server that stays out of use after a silence of a second.
+func TestALateRefusalDoesNotSetAsideTheServerThatSentIt(t *testing.T) {
+	const soundSilence = 1200 * time.Millisecond
+	for name, c := range map[string]struct {
+		named  int
+		usable bool
+	}{
+		"itself":               {named: 0, usable: true},
+		"the one it waits for": {named: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := twoCopies()
+			h, clock := testHandler(t, newFakeEngineClient(g))
+			h.ApplySettings(Settings{Domain: "a", Repeats: retry.Limit{Window: 10 * time.Second, Fixed: 10}, StallTime: 2 * time.Second})
+			f, named := newBegunStream(g, 2), g.Servers()[c.named]
+			f.first = g.Servers()[0]
+			f.touch(h)
+			clock.Advance(soundSilence)
+			h.noteRefusal(f, &sentRequest{info: call.Answer{Status: http.StatusServiceUnavailable, Fault: named.Addr(), NotRun: true}})
+			require.Equal(t, c.usable, named.Usable(clock.Now()))
+		})
+	}
+}
--- a/forward/silencelimit.go
+++ b/forward/silencelimit.go
@@ -61,4 +61,6 @@
 
 // leftBehindInstance reports whether a request left its server because of its silence, over a connection through another instance: this
 // instance has closed it, which says nothing of the path.
-func leftBehindInstance(s *sentRequest, err error) bool { return errors.Is(err, errSilent) && !s.conn.Direct() }
+func leftBehindInstance(s *sentRequest, err error) bool {
+	return errors.Is(err, errSilent) && !s.conn.Direct()
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -138,7 +138,8 @@
 	f.noteRejection(server, h.clock.Now())
 	h.recordRefusal(f.r, server, s)
 	h.queryIfActive(server, "refusal")
-	if f.pause(h) >= h.settings.Load().StallTime/2 {
+	// A server that refuses late itself was silent and has answered; one that others have waited for has not.
+	if server != f.first && f.pause(h) >= h.settings.Load().StallTime/2 {
 		server.SetAside(h.clock.Now().Add(h.settings.Load().StallTime))
 	}
 }
