--- a/backend/status.go
+++ b/backend/status.go
@@ -125,10 +125,12 @@
 
 // usableIgnoringBackOff reports whether the server may get new work apart from its back-off.
 func (s *Server) usableIgnoringBackOff(now time.Time) bool {
-	if s.Leaving() || s.possiblyLeaving.Load() {
-		return false
-	}
-	return !s.isAside(now) && !s.circuit.Open(now)
+	return s.takesWork(now) && !s.circuit.Open(now)
+}
+
+// takesWork reports whether the server may get new work apart from its back-off and its circuit breaker.
+func (s *Server) takesWork(now time.Time) bool {
+	return !s.Leaving() && !s.possiblyLeaving.Load() && !s.isAside(now)
 }
 
 // Chosen records for the circuit breaker that work is sent to the server.
@@ -138,7 +140,12 @@
 func (s *Server) Failed(now time.Time) { s.circuit.Failed(now) }
 
 // Succeeded records for the circuit breaker that a request was answered.
-func (s *Server) Succeeded() { s.circuit.Succeeded() }
+func (s *Server) Succeeded() {
+	s.circuit.Succeeded()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settleSilenceLocked()
+}
 
 // ReleaseTrial records for the circuit breaker that the outcome of a request says nothing about the server.
 func (s *Server) ReleaseTrial() { s.circuit.ReleaseTrial() }
@@ -147,6 +154,11 @@
 func (s *Server) Observe(ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.observeLocked(ok)
+}
+
+// observeLocked is Observe; the caller holds the lock.
+func (s *Server) observeLocked(ok bool) {
 	outcome := 1.0
 	if ok {
 		outcome = 0
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// silenceFactor times its objective is how long a request that may be retried stays with a server that does not answer.
-	silenceFactor = 2
 	// maxLoadAge is how old a reported load of a server may be to count.
 	maxLoadAge = 500 * time.Millisecond
 	// otherDomainCost is added for a server of another domain, so that a request leaves its own domain only for a server
@@ -37,7 +35,7 @@
 	var last outcome = notRun{reason: models.ReasonNoServer}
 	urgency := h.urgencyFor(r)
 	for {
-		server := h.pick(r.group, tried)
+		server := h.pickOrLate(r.group, tried)
 		if server == nil {
 			break
 		}
@@ -63,13 +61,29 @@
 	h.conclude(ctx, r, last)
 }
 
+// pickOrLate is pick, but returns a server that is silent, as sound ones may be for a while, rather than none: its late answer is the
+// best that can be had.
+func (h *Handler) pickOrLate(g *backend.Group, tried []*backend.Server) *backend.Server {
+	if server := h.pick(g, tried); server != nil {
+		return server
+	}
+	return h.cheapest(g, tried, (*backend.Server).Late)
+}
+
 // pick returns the server with the lowest cost that may get this request, or nil.
 func (h *Handler) pick(g *backend.Group, tried []*backend.Server) *backend.Server {
+	return h.cheapest(g, tried, (*backend.Server).Usable)
+}
+
+// cheapest returns the server with the lowest cost among those that were not tried, are usable and are within their rate limits, or nil.
+func (h *Handler) cheapest(
+	g *backend.Group, tried []*backend.Server, usable func(s *backend.Server, now time.Time) bool,
+) *backend.Server {
 	now := h.clock.Now()
 	var best *backend.Server
 	lowest := 0.0
 	for _, s := range g.Servers() {
-		if slices.Contains(tried, s) || !s.Usable(now) || !s.WithinLimit(h.instances.Instances(), now) {
+		if slices.Contains(tried, s) || !usable(s, now) || !s.WithinLimit(h.instances.Instances(), now) {
 			continue
 		}
 		if c := h.plainCost(s, now); best == nil || c < lowest {
@@ -120,48 +134,18 @@
 	}
 	if err != nil {
 		h.finish(s, false)
-		return h.brokenPlain(ctx, r, s, brokenRun{}, err)
+		return h.brokenPlain(ctx, r, s, brokenRun{}, errOf(attemptCtx, err))
 	}
 	begun := h.clock.Now()
 	server.SetLoad(s.info.Load, begun)
 	body, err := readWhole(s)
 	h.finish(s, err == nil)
 	if err != nil {
-		return h.brokenPlain(ctx, r, s, brokenRun{begun: true, answered: h.clock.Since(begun)}, err)
+		return h.brokenPlain(ctx, r, s, brokenRun{begun: true, answered: h.clock.Since(begun)}, errOf(attemptCtx, err))
 	}
 	return h.judgeAnswer(r, server, s, body)
 }
 
-// withSilenceLimit returns a context that ends when a server has been silent for too long and another one can take its
-// place, or its path is lost; otherwise its late answer is the best that can be had. The retry for that has been taken from
-// the budget by then. endAttempt must be called after the attempt.
-func (h *Handler) withSilenceLimit(ctx context.Context, r *request, tried []*backend.Server) (attemptCtx context.Context, endAttempt func()) {
-	limit := max(silenceFactor*r.route.Objective, r.route.Objective+200*time.Millisecond)
-	silent := h.clock.After(limit)
-	attemptCtx, cancel := context.WithCancel(ctx)
-	granted := make(chan bool, 1)
-	go func() {
-		for {
-			select {
-			case <-silent:
-			case <-attemptCtx.Done():
-				granted <- false
-				return
-			}
-			if (h.dialer.Lost(tried[len(tried)-1].Addr()) || h.pick(r.group, tried) != nil) && h.takeRetry(r) {
-				cancel()
-				granted <- true
-				return
-			}
-			silent = h.clock.After(limit)
-		}
-	}()
-	return attemptCtx, func() {
-		cancel()
-		r.retryGranted = <-granted || r.retryGranted
-	}
-}
-
 // callerDisconnected reports whether the caller has disconnected before the deadline.
 func (h *Handler) callerDisconnected(ctx context.Context, r *request) bool {
 	return ctx.Err() != nil && h.remaining(r) > 0
@@ -194,12 +178,11 @@
 		server.ReleaseTrial()
 		return callerGone{}
 	}
-	onPath := h.pathFailed(server, s.conn, err)
+	onPath := !leftBehindInstance(s, err) && h.pathFailed(server, s.conn, err)
 	if onPath {
 		server.ReleaseTrial()
 	} else {
-		server.Observe(false)
-		server.Failed(h.clock.Now())
+		h.noteBrokenPlain(server, err)
 		h.suspectEnd(r, server, run)
 	}
 	reason := models.RetryBroken
@@ -213,6 +196,16 @@
 	return failed{reason: reason, onPath: onPath}
 }
 
+// noteBrokenPlain counts an attempt that ended without a complete answer as a failure of its server.
+func (h *Handler) noteBrokenPlain(server *backend.Server, err error) {
+	if errors.Is(err, errSilent) {
+		server.LeftSilent(h.clock.Now())
+		return
+	}
+	server.Observe(false)
+	server.Failed(h.clock.Now())
+}
+
 // judgeAnswer classifies a complete answer.
 func (h *Handler) judgeAnswer(r *request, server *backend.Server, s *sentRequest, body []byte) outcome {
 	status := s.info.Status
