forward: do not suspect a server for a silence that has ended since the report that names it

Cause: the report of a first server names the servers that it waits for as they stood some hundred milliseconds before; a server that had just answered again was suspected for 3 s when such a report came after its answer, and nothing ended that, since its answers did not follow a silence any more. Now a name counts only if no silence of the server has ended since the moment that the report describes; a server that is still waited for later is suspected as before.

--- a/backend/server.go
+++ b/backend/server.go
@@ -92,6 +92,8 @@
 	// answeredAt is when the server last answered a state query of this instance.
 	answeredAt time.Time
 	silence    silence
+	// silenceEndedAt is when this instance first got an answer after the latest silence.
+	silenceEndedAt time.Time
 	// sharedSilentUntil is when the server may get work again after another instance got no answer from it.
 	sharedSilentUntil time.Time
 	// refusedAt is when the server last caused the refusal of a request of this instance.
--- a/backend/sharedreport.go
+++ b/backend/sharedreport.go
@@ -59,6 +59,7 @@
 	defer s.mu.Unlock()
 	s.answeredAt, s.sharedSilentUntil = now, time.Time{}
 	if !s.silence.since.IsZero() {
+		s.silenceEndedAt = now
 		s.forgiveSilenceLocked()
 	}
 	s.takeBackLocked(now)
--- a/backend/silence.go
+++ b/backend/silence.go
@@ -43,6 +43,13 @@
 	return !s.silence.since.IsZero()
 }
 
+// AnsweredAgainSince reports whether a silence of the server ended after the given time.
+func (s *Server) AnsweredAgainSince(moment time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silenceEndedAt.After(moment)
+}
+
 // PresumedEnded reports whether the server is known to have terminated, or has been silent for longer than sound servers are.
 func (s *Server) PresumedEnded() bool { return s.Ended() || s.SilentFor() >= MaxSoundSilence }
 
--- a/forward/findings.go
+++ b/forward/findings.go
@@ -121,15 +121,23 @@
 		found.holds[s] = report.Layers
 		found.mu.Unlock()
 	}
-	if !first {
-		return
+	if first {
+		w.suspectAwaited(found, report, s, group)
 	}
+}
+
+// suspectAwaited suspects the servers that the first server of some streams waits for. A report describes the past: a server whose
+// silence has ended since was waited for during that.
+func (w *watcher) suspectAwaited(found *findings, report backend.Report, first *backend.Server, group *backend.Group) {
+	h := w.handler
+	described := found.now.Add(-max(h.reportLag(first), minReportLag))
 	for _, suspect := range report.Stalled {
 		server := group.ByAddr(suspect.Addr)
-		if server != nil && (suspect.ID == "" || suspect.ID == server.ID()) {
-			server.Suspect(h.clock.Now().Add(suspectTime))
-			found.addDead(server)
+		if server == nil || suspect.ID != "" && suspect.ID != server.ID() || server.AnsweredAgainSince(described) {
+			continue
 		}
+		server.Suspect(h.clock.Now().Add(suspectTime))
+		found.addDead(server)
 	}
 }
 
--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -54,6 +54,8 @@
 	reassigned map[string]bool
 	// forgets lists the requests that their first servers accepted and do not know.
 	forgets map[string]bool
+	// awaits has the servers that a server waits for, by its address.
+	awaits  map[string][]backend.Suspect
 	queries map[string]int
 	repairs map[string][]call.Stage
 }
@@ -86,7 +88,7 @@
 	if e.dead[addr] {
 		return backend.Report{}, backend.NotListening(errors.New("refused"))
 	}
-	return backend.Report{Layers: e.holds[addr], Pace: 1}, nil
+	return backend.Report{Layers: e.holds[addr], Pace: 1, Stalled: e.awaits[addr]}, nil
 }
 
 // setSilent makes a server answer no query, or answer again.
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -195,3 +195,24 @@
 		})
 	}
 }
+
+// TestAServerThatHasJustAnsweredAgainIsNotSuspectedForItsSilence guards against a late report that keeps a server out of use for seconds.
+func TestAServerThatHasJustAnsweredAgainIsNotSuspectedForItsSilence(t *testing.T) {
+	g := twoCopies()
+	e := newFakeEngineClient(g)
+	h, clock := testHandler(t, e)
+	first, server := g.Servers()[0], g.Servers()[1]
+	usable := func() bool { return server.Usable(clock.Now()) }
+	e.setSilent(server, true)
+	h.queryState(server, "broken stream")
+	require.True(t, playTime(t, h, clock, server, time.Second, server.IsSilent))
+	e.setSilent(server, false)
+	require.True(t, playTime(t, h, clock, server, time.Second, usable))
+	e.awaits = map[string][]backend.Suspect{first.Addr(): {{ID: server.ID(), Addr: server.Addr()}}}
+	diagnose := func() { h.watch.queryServers(t.Context(), first, g, map[*backend.Server]suspicion{first: {}}) }
+	diagnose()
+	require.True(t, usable(), "the report describes its silence")
+	clock.Advance(time.Second)
+	diagnose()
+	require.False(t, usable(), "it is still waited for")
+}
