tunnel: test that a lost tunnel does not end like an answer

An answer with neither a length nor chunks ends with its connection. Over a tunnel that is io.EOF only if the server has ended its connection: a server that breaks it gives the code serverBroke, and an instance that has gone a timeout of the connection.

--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -297,3 +297,17 @@
 	require.NoError(t, unix.Getrusage(unix.RUSAGE_SELF, &use))
 	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
 }
+
+// TestATunnelThatIsLostDoesNotEndLikeAnAnswer guards against an answer without a marked end that is taken for whole since the instance that
+// carries it has gone.
+func TestATunnelThatIsLostDoesNotEndLikeAnAnswer(t *testing.T) {
+	tt := newTunnelTest(t)
+	near, far := tt.dial(t, tt.servers[0])
+	_, err := far.Write([]byte("event"))
+	require.NoError(t, err)
+	tt.network.Cut()
+	_, err = io.ReadAll(near)
+	require.Error(t, err)
+	require.NotErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.NoError(t, far.Close())
+}
