forward: let a stream that was taken from a silent server wait for a path

What callers saw: 502 (broken answer, fate unknown) 0.3 to 0.7 s after the request, while all servers were silent for a moment: a stream without an event yet is handed over because its first server is silent, its next path closes before it is sent there, no path is left, and room is not expected in time. The instance itself had ended a run with which a sound server would have gone on. Now such a stream waits for its next path as long as its caller does, as one that has begun.

--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -41,6 +41,9 @@
 	// only the goroutine of the request uses them.
 	chosenAt time.Time
 	rechosen int
+	// leftServer is true once the stream was handed over: this instance ended a run with which its server might have gone on. Only the
+	// goroutine of the request uses it.
+	leftServer bool
 	// answeredAt is when the server of the present attempt began to answer, zero before; only the goroutine of the request uses it.
 	answeredAt time.Time
 	// harmless is true once the present attempt has shown that the request does not terminate its server.
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -49,9 +49,6 @@
 	switch last.(type) {
 	case nil:
 		return notRun{reason: models.ReasonNoRoom}
-	case handedOver:
-		// The path for which the stream left its server was closed before it was sent there.
-		return failed{reason: models.RetryBroken}
 	default:
 		return last
 	}
--- a/forward/resend_test.go
+++ b/forward/resend_test.go
@@ -52,9 +52,14 @@
 
 // streamFront returns a front that sends each request along the servers of a group, over a route with retries.
 func streamFront(t *testing.T, h *Handler, group *backend.Group) *front.Server {
+	return streamFrontWith(t, h, group, 10*time.Second, time.Second)
+}
+
+// streamFrontWith is streamFront for a route with those objectives.
+func streamFrontWith(t *testing.T, h *Handler, group *backend.Group, objective, pause time.Duration) *front.Server {
 	route := &catalog.Route{
-		Name: "r", RetryPolicy: catalog.RetryResume, Stream: true, MaxAttempts: 2, Timeout: time.Minute, Objective: 10 * time.Second,
-		PauseObjective: time.Second,
+		Name: "r", RetryPolicy: catalog.RetryResume, Stream: true, MaxAttempts: 2, Timeout: time.Minute, Objective: objective,
+		PauseObjective: pause,
 	}
 	s := front.New(platform.Codec{}, groupHandler{handler: h, route: route, group: group, send: h.stream},
 		func() catalog.Limits { return catalog.Limits{} }, func() int { return 100 }, timer.NewReal(), metrics.New())
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -49,6 +49,39 @@
 	require.Equal(t, 1, requestCount([]*testServer{other}))
 }
 
+// TestAStreamTakenFromASilentServerIsNotGivenUpForLackOfAPath guards against a 502 some tenths of a second after all servers fell silent.
+func TestAStreamTakenFromASilentServerIsNotGivenUpForLackOfAPath(t *testing.T) {
+	const silentFor = 700 * time.Millisecond
+	first := newTestServer(t, "1", func(c net.Conn, _ int) { _, _ = c.Read(make([]byte, 1)) })
+	g := chainGroup(first, newTestServer(t, "2", streamed))
+	h, e := chainHandler(t, g), newFakeEngineClient(g)
+	h.engines = e
+	setSilent := func(silent bool, servers ...*backend.Server) {
+		for _, s := range servers {
+			e.setSilent(s, silent)
+		}
+	}
+	conn := callFront(t, streamFrontWith(t, h, g, 500*time.Millisecond, 200*time.Millisecond), "1")
+	require.Eventually(t, func() bool { return len(h.watch.startingAt(g.Servers()[0])) == 1 }, testTimeout, time.Millisecond)
+	f := h.watch.startingAt(g.Servers()[0])[0]
+	f.first.Suspect(h.clock.Now().Add(suspectTime))
+	next, ok := h.choosePathIn(f, g)
+	require.True(t, ok)
+	setSilent(true, g.Servers()...)
+	for _, s := range g.Servers() {
+		h.applyReport(s, backend.Report{}, backend.ErrNoAnswer, "slow stream")
+	}
+	// No path is expected within the time that callers are thought to wait for a first event.
+	q := h.queueOf("s")
+	q.mu.Lock()
+	q.outages = *constantSample(time.Minute)
+	q.mu.Unlock()
+	time.AfterFunc(silentFor, func() { setSilent(false, g.Servers()[1:]...) })
+	f.next.Store(&next)
+	require.NoError(t, f.conn.Close())
+	require.Equal(t, http.StatusOK, readStatus(t, conn))
+}
+
 // playTime advances the clock in short steps for some time or until a condition holds, and reports whether it does. Queries to the server
 // that are due at a step end before the next one.
 func playTime(t *testing.T, h *Handler, clock *clockwork.FakeClock, server *backend.Server, d time.Duration, holds func() bool) bool {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -55,7 +55,7 @@
 		f.r.retryGranted, f.r.retryTaken = true, next.retryTaken
 		return next.path, nil
 	}
-	if f.r.x.Begun() {
+	if f.r.x.Begun() || f.leftServer {
 		path, obstacle, ok := h.awaitResumePath(ctx, f)
 		if !ok {
 			return chain.Path{}, failed{reason: obstacle}
@@ -80,6 +80,7 @@
 // as its caller waits, unless it must not run again; the search for its next path finds out what it has to wait for.
 func (h *Handler) mayContinue(f *inflight, last outcome, attempt int) bool {
 	if _, ok := last.(handedOver); ok {
+		f.leftServer = true
 		return true
 	}
 	if !f.r.x.Begun() {
