forward: let new streams wait for silent servers while there is no path

What callers saw: refusals for want of room (no_room) as soon as all servers had been silent for 0.3 s, up to the moment at which they answered. Cause: without a path a request waits only if former outages ended in time, whatever the outage is. Now, while a server is silent for no longer than sound ones are, it waits for as long as its objective lets it.

--- a/forward/wait.go
+++ b/forward/wait.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
+	"junctioncross/backend"
 	"junctioncross/chain"
 	"junctioncross/decision"
 )
@@ -105,6 +107,9 @@
 	if len(lanes) == 0 {
 		expected.likelihood = q.outages.endLikelihood(outage, expected.left)
 		expected.wait = q.outages.timeToEnd(outage, median, expected.left)
+		if awaitsSilent(f.r.group) {
+			expected.likelihood = max(expected.likelihood, minLikelihoodToStart)
+		}
 		return expected
 	}
 	c := q.forecastLocked(now, h.watch.stalled)
@@ -121,6 +126,11 @@
 	return expected
 }
 
+// awaitsSilent reports whether a server of a group is silent for no longer than sound servers are, so that it may get work at any moment.
+func awaitsSilent(group *backend.Group) bool {
+	return slices.ContainsFunc(group.Servers(), func(s *backend.Server) bool { return s.IsSilent() && !s.PresumedEnded() && !s.Leaving() })
+}
+
 // lanesAndOutage returns the lanes of the service, and how long the current path outage has lasted or the one that has just
 // ended. It records outages that have ended.
 func (h *Handler) lanesAndOutage(r *request, q *queue, now time.Time) ([]chain.Lane, time.Duration) {
--- a/forward/wait_test.go
+++ b/forward/wait_test.go
@@ -137,6 +137,30 @@
 	require.Less(t, h.predictWait(f, q, until()).likelihood, minLikelihoodToStart, "this outage has lasted longer already")
 }
 
+// TestWithoutAPathARequestWaitsForSilentServers guards against refusals for want of room while sound servers are silent for a moment.
+func TestWithoutAPathARequestWaitsForSilentServers(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newFakeEngineClient(g))
+	clock.Advance(time.Minute)
+	q := h.queueOf("s")
+	q.outages = *constantSample(time.Hour)
+	f := newUnbegun(h, g)
+	likelihood := func() float64 { return h.predictWait(f, q, clock.Now().Add(400*time.Millisecond)).likelihood }
+	for _, s := range g.Servers() {
+		s.Suspect(clock.Now().Add(time.Hour))
+	}
+	require.Less(t, likelihood(), minLikelihoodToStart, "others wait for servers that answer")
+	for _, s := range g.Servers() {
+		s.NoteSilent(clock.Now())
+	}
+	require.GreaterOrEqual(t, likelihood(), minLikelihoodToStart)
+	clock.Advance(backend.MaxSoundSilence)
+	for _, s := range g.Servers() {
+		s.NoteSilent(clock.Now())
+	}
+	require.Less(t, likelihood(), minLikelihoodToStart, "they have been silent for longer than sound servers are")
+}
+
 // TestRetryAfterLeavesTimeForRequestsAhead refuses many callers at one moment. If all got the same Retry-After, there would be
 // room for only some of them when they come back.
 func TestRetryAfterLeavesTimeForRequestsAhead(t *testing.T) {
