forward: do not let new streams wait for servers that accept no connection

Cause: while a silent server may answer at any moment, new streams wait for as long as their objective lets them; a dark server is as silent. One that accepts no connection is not waited for. The test's new case fails before.

--- a/forward/wait.go
+++ b/forward/wait.go
@@ -126,9 +126,12 @@
 	return expected
 }
 
-// awaitsSilent reports whether a server of a group is silent for no longer than sound servers are, so that it may get work at any moment.
+// awaitsSilent reports whether a server of a group accepts connections and is silent for no longer than sound servers are, so that it may
+// get work at any moment.
 func awaitsSilent(group *backend.Group) bool {
-	return slices.ContainsFunc(group.Servers(), func(s *backend.Server) bool { return s.IsSilent() && !s.PresumedEnded() && !s.Leaving() })
+	return slices.ContainsFunc(group.Servers(), func(s *backend.Server) bool {
+		return s.IsSilent() && !s.Unreachable() && !s.PresumedEnded() && !s.Leaving()
+	})
 }
 
 // lanesAndOutage returns the lanes of the service, and how long the current path outage has lasted or the one that has just
--- a/forward/wait_test.go
+++ b/forward/wait_test.go
@@ -154,6 +154,10 @@
 		s.NoteSilent(clock.Now())
 	}
 	require.GreaterOrEqual(t, likelihood(), minLikelihoodToStart)
+	for _, s := range g.Servers() {
+		s.NoteUnreachable(clock.Now())
+	}
+	require.Less(t, likelihood(), minLikelihoodToStart, "no connection to them comes up")
 	clock.Advance(backend.MaxSoundSilence)
 	for _, s := range g.Servers() {
 		s.NoteSilent(clock.Now())
