--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -41,9 +41,6 @@
 	// only the goroutine of the request uses them.
 	chosenAt time.Time
 	rechosen int
-	// leftServer is true once the stream was handed over: this instance ended a run with which its server might have gone on. Only the
-	// goroutine of the request uses it.
-	leftServer bool
 	// answeredAt is when the server of the present attempt began to answer, zero before; only the goroutine of the request uses it.
 	answeredAt time.Time
 	// harmless is true once the present attempt has shown that the request does not terminate its server.
@@ -51,6 +48,10 @@
 	// ranSince is when the first event of the present attempt came; only the goroutine of the request uses it.
 	ranSince time.Time
 
+	// left is true once the stream has been handed over, so that a server was left that may have gone on with it; only the goroutine of the
+	// request uses it.
+	left bool
+
 	// failedMoves counts the searches, since the last successful one, that found no path without a server that leaves.
 	failedMoves atomic.Int64
 
@@ -83,6 +84,8 @@
 	repairs           int
 	// verified is true once the first server of the present attempt was asked whether it knows the stream.
 	verified bool
+	// unknown counts how often it has answered that it does not.
+	unknown int
 	// repairing is true while a repair is under way.
 	repairing bool
 }
@@ -161,6 +164,19 @@
 	return resolvedPath{hops: f.hops, servers: f.servers}, true
 }
 
+// noteUnknown records that the first server of the present attempt does not know the stream, and reports whether it has said so twice. After
+// the first time it may be asked again.
+func (f *inflight) noteUnknown(first *backend.Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.servers) == 0 || f.servers[0] != first {
+		return false
+	}
+	f.unknown++
+	f.verified = f.unknown > 1
+	return f.verified
+}
+
 func (f *inflight) release() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forward/plainsilence_test.go
+++ b/forward/plainsilence_test.go
@@ -18,9 +18,6 @@
 	"junctioncross/timer"
 )
 
-// soundSilence is for how long the plain servers of these tests are silent.
-const soundSilence = 1200 * time.Millisecond
-
 // silencer lets plain servers be silent and then go on.
 type silencer struct {
 	mu    sync.Mutex
