forward: ask a server twice before a request counts as forgotten

What callers saw: 502 (broken answer, fate unknown) 0.3 to 0.9 s after the request, while its server was sound. Cause: a server whose first event is overdue by 0.2 s is asked whether it knows the request; one that was silent or slow had not come to it yet and said no, so that its connection was closed at once. Now it has to say so again 0.2 s later.

--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -83,6 +83,8 @@
 	repairs           int
 	// verified is true once the first server of the present attempt was asked whether it knows the stream.
 	verified bool
+	// unknownSince is when that server first said that it does not know the stream; zero before.
+	unknownSince time.Time
 	// repairing is true while a repair is under way.
 	repairing bool
 }
@@ -161,6 +163,18 @@
 	return resolvedPath{hops: f.hops, servers: f.servers}, true
 }
 
+// noteUnknown records that the first server says that it does not know the stream, and reports whether the server has had enough time
+// since it first said so: one that was silent, or is slow, comes to a request later. Otherwise it is to be asked again.
+func (f *inflight) noteUnknown(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unknownSince.IsZero() {
+		f.unknownSince = now
+	}
+	f.verified = now.Sub(f.unknownSince) >= firstEventSlack
+	return f.verified
+}
+
 func (f *inflight) release() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
