pipeline: do not use up a request's attempts in a silence of a second

Cause: jxd run takes a server for stalled after some mean steps (40 ms at least) and counted each such attempt of a request whose answer has not begun; with all servers silent for 1.2 s, 13 attempts were over before some of the silences were: 4 of 120 requests failed with retries_exhausted although all servers were sound. Now attempts that a silence ended do not count until it has lasted for longer than sound servers are silent, 1.5 s; refusals, lost connections and begun answers are treated as before.

--- a/pipeline/retry.go
+++ b/pipeline/retry.go
@@ -20,6 +20,8 @@
 	// that it has lost hold its layers. Those retries do not count as attempts: the other servers may be loading the layers, and
 	// since a refusal or a lost connection comes at once, the retries would use up all attempts before the layers are loaded.
 	resumeTimeout = 5 * time.Second
+	// maxSoundSilence is how long sound servers may answer nothing; attempts that end so meanwhile do not count.
+	maxSoundSilence = 1500 * time.Millisecond
 )
 
 // shouldReroute reports whether a server of the path has become slow and a path without it exists; it adds that server to avoid.
@@ -70,11 +72,15 @@
 // exhausted counts a failed attempt and reports whether no other may follow. For an answer that has begun, attempts that no
 // server started do not count, nor do those that lost a server again; they are bounded by resumeTimeout. The first loss of each
 // server after a token counts, since the servers may terminate because of the request. Before an answer begins all attempts count,
-// so that the caller is soon refused and can send the request elsewhere.
+// so that the caller is soon refused and can send the request elsewhere, except for those that a silence ended which sound servers
+// may have.
 func (e *execution) exhausted(cause error) bool {
 	if e.produced > 0 && (e.lostAgain || errors.Is(cause, errNoPath) || engine.NotStarted(cause)) {
 		return e.runner.clock.Since(e.brokenAt) >= resumeTimeout
 	}
+	if errors.Is(cause, engine.ErrTimeout) && e.runner.clock.Since(e.brokenAt) < maxSoundSilence {
+		return false
+	}
 	e.countedFailures++
 	return e.countedFailures > maxAttempts
 }
--- a/pipeline/testbed_test.go
+++ b/pipeline/testbed_test.go
@@ -39,8 +39,13 @@
 	closing atomic.Pointer[atomic.Int32]
 	// refuses is true while the server starts no frame, like a server that loads other layers.
 	refuses atomic.Bool
+	// silentUntil is when the server answers calls again, in nanoseconds since 1970.
+	silentUntil atomic.Int64
 }
 
+// fallSilent makes the server answer no call for some time, and then all that it has got.
+func (s *server) fallSilent(d time.Duration) { s.silentUntil.Store(time.Now().Add(d).UnixNano()) }
+
 func startServer(t testing.TB, r models.Layers) *server {
 	s := &server{engine: standin.NewEngine(standin.EngineSettings{Name: r.String(), LayerMicros: 5, MaxBatch: 8, Fetch: func(int) {}})}
 	s.engine.Order(engine.Order{Fence: 1, Model: modelName, Version: "v", Layers: r, Total: layers})
@@ -65,6 +70,7 @@
 		inner(ctx)
 		return
 	}
+	time.Sleep(time.Until(time.Unix(0, s.silentUntil.Load())))
 	n := s.calls.Add(1)
 	if from := s.failFrom.Load(); from > 0 && n >= from {
 		closeConnection(ctx)
