--- a/forward/stream.go
+++ b/forward/stream.go
@@ -87,7 +87,7 @@
 		f.left = true
 		return true
 	}
-	if _, refused := last.(notRun); !f.r.x.Begun() && !(f.left && refused) {
+	if _, refused := last.(notRun); !f.r.x.Begun() && (!f.left || !refused) {
 		return h.mayRetry(f.r, last, attempt)
 	}
 	switch o := last.(type) {
