forward: let a stream that left a silent server wait for its next path

Cause: a hand-over closes the connection to the silent server and names the next path; if that path is closed or refuses, a stream that has begun waits for another one, but one that has not had to join the queue of new streams, which told it that room would come too late. Its former server may have gone on with it, so it cannot be refused as not run: it was given up. Now a stream that has left a server goes on for as long as its caller waits, as one that has begun does. The test fails before with "room would come too late" and broken_answer.

--- a/forward/handover_test.go
+++ b/forward/handover_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"junctioncross/backend"
+	"junctioncross/front"
 	"junctioncross/retry"
 )
 
@@ -61,6 +62,37 @@
 	}
 }
 
+// TestAStreamThatLeftASilentServerWaitsForItsNextPath guards against a request that is lost because the path for which it left its
+// server is closed meanwhile.
+func TestAStreamThatLeftASilentServerWaitsForItsNextPath(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandler(t, newFakeEngineClient(g))
+	f, _ := connected(t, h, g, "one", 0, 1)
+	f.r.x = &front.Exchange{}
+	g.Servers()[0].Suspect(clock.Now().Add(suspectTime))
+	require.True(t, h.watch.handOver(f, f.first, g, "first part is silent"))
+	left := h.handedOverFrom(f, f.first.Layers())
+	_, instead := h.nextPath(t.Context(), f, left)
+	require.Nil(t, instead)
+	const full = 2 * time.Second
+	for _, s := range g.Servers() {
+		s.SetAside(clock.Now().Add(full))
+	}
+	for _, last := range []outcome{left, notRun{}} {
+		require.True(t, h.mayContinue(f, last, 1000))
+		found := make(chan outcome, 1)
+		go func() {
+			_, instead := h.nextPath(t.Context(), f, last)
+			found <- instead
+		}()
+		require.Eventually(t, func() bool {
+			clock.Advance(roomPoll)
+			return len(found) > 0
+		}, testTimeout, time.Millisecond)
+		require.Nil(t, <-found, "it goes on once there is room")
+	}
+}
+
 // TestAStreamThatEndsBeforeItsServerIsNotHandedOver has a stream expect less time than the server still works.
 func TestAStreamThatEndsBeforeItsServerIsNotHandedOver(t *testing.T) {
 	g := twoCopies()
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -48,6 +48,10 @@
 	// ranSince is when the first event of the present attempt came; only the goroutine of the request uses it.
 	ranSince time.Time
 
+	// left is true once the stream has been handed over, so that a server was left that may have gone on with it; only the goroutine of the
+	// request uses it.
+	left bool
+
 	// failedMoves counts the searches, since the last successful one, that found no path without a server that leaves.
 	failedMoves atomic.Int64
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -53,9 +53,10 @@
 	if next := f.takeNext(); next != nil {
 		f.r.group, f.laneLoad, f.chosenAt = next.group, next.load, next.at
 		f.r.retryGranted, f.r.retryTaken = true, next.retryTaken
+		f.left = true
 		return next.path, nil
 	}
-	if f.r.x.Begun() {
+	if f.mustGoOn() {
 		path, obstacle, ok := h.awaitResumePath(ctx, f)
 		if !ok {
 			return chain.Path{}, failed{reason: obstacle}
@@ -76,13 +77,17 @@
 	return path, nil
 }
 
-// mayContinue reports whether another attempt follows one with this outcome. A stream that has begun is resumed for as long
-// as its caller waits, unless it must not run again; the search for its next path finds out what it has to wait for.
+// mustGoOn reports whether the stream is resumed for as long as its caller waits: its answer has begun, or it has left a server that may
+// have gone on with it.
+func (f *inflight) mustGoOn() bool { return f.r.x.Begun() || f.left }
+
+// mayContinue reports whether another attempt follows one with this outcome. A stream that must go on does, unless it must not run
+// again; the search for its next path finds out what it has to wait for.
 func (h *Handler) mayContinue(f *inflight, last outcome, attempt int) bool {
 	if _, ok := last.(handedOver); ok {
 		return true
 	}
-	if !f.r.x.Begun() {
+	if _, refused := last.(notRun); !f.r.x.Begun() && (!f.left || !refused) {
 		return h.mayRetry(f.r, last, attempt)
 	}
 	switch o := last.(type) {
