forward: resume a stream without a marked end unless its server is alive

What callers saw: a part of an answer that ended as if it were the whole one. Cause: a stream whose connection ended between two events counted as whole if its server was leaving, although servers that leave end in the middle of streams, and if the server had not answered within 0.6 s, although it may then turn out to have ended. The last check comes after the last pause. TestAStreamWhoseServerEndsBetweenTwoEventsIsResumed fails before in both cases.

TestAWholeStreamIsNotBrokenOffBecauseItsServerFallsSilent had a server that is silent for ever, which a sound one is not; it is now silent for 1.2 s and goes on, and the test is run for a leaving server too.

--- a/forward/fate.go
+++ b/forward/fate.go
@@ -10,8 +10,6 @@
 	// fateTimeout is how long it may take to find out what has become of a server: until a silent one is presumed to have ended, and
 	// several state queries.
 	fateTimeout = backend.MaxSoundSilence + time.Second
-	// firstAnswerTimeout is how long a server has to answer its next state query: the pause before that and the query.
-	firstAnswerTimeout = 600 * time.Millisecond
 	// fatePeriod is the pause between two checks.
 	fatePeriod = 50 * time.Millisecond
 )
@@ -33,12 +31,12 @@
 	if !chained {
 		return h.fateOfPlain(server, broke)
 	}
-	return h.fateWithin(server, broke, fateTimeout)
+	return h.fateOfEngine(server, broke)
 }
 
-// fateWithin is fateOf for a server of a chained engine, within a time since the run broke.
-func (h *Handler) fateWithin(server *backend.Server, broke time.Time, limit time.Duration) fate {
-	for h.clock.Since(broke) < limit {
+// fateOfEngine is fateOf for a server of a chained engine.
+func (h *Handler) fateOfEngine(server *backend.Server, broke time.Time) fate {
+	for {
 		switch {
 		case server.Ended() || server.Gone():
 			return fateEnded
@@ -46,11 +44,12 @@
 			return fateAlive
 		case server.PresumedEnded():
 			return h.fateOfSilent(server)
+		case h.clock.Since(broke) >= fateTimeout:
+			return fateUnknown
 		}
 		h.queryState(server, "broken run")
 		<-h.clock.After(fatePeriod)
 	}
-	return fateUnknown
 }
 
 // fateOfPlain is fateOf for a server of a plain service. It has no state query that does not take one of its slots; whether it listens
--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -96,6 +96,13 @@
 	e.silent[s.Addr()] = silent
 }
 
+// setDead makes nothing listen at a server's address any more.
+func (e *fakeEngineClient) setDead(s *backend.Server) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dead[s.Addr()] = true
+}
+
 // Place implements backend.EngineClient.
 func (*fakeEngineClient) Place(context.Context, string, string, backend.PlaceOrder) error { return nil }
 
--- a/forward/pass.go
+++ b/forward/pass.go
@@ -113,18 +113,12 @@
 var errCutOff = errors.New("forward: connection ended, answer may be incomplete")
 
 // brokeBetweenEvents reports whether an answer that ended with its connection is to be taken as incomplete: this instance closed the
-// connection, or the server has ended. The server's silence says nothing of the answer, unless there is no event in it.
+// connection, a new answer has no event, or the server is not known to be alive. Servers that leave end in the middle of streams.
 func (h *Handler) brokeBetweenEvents(f *inflight) bool {
-	switch {
-	case f.next.Load() != nil:
+	if f.next.Load() != nil || !f.progressed.Load() && !f.events.resumed() {
 		return true
-	case !f.progressed.Load():
-		return !f.events.resumed() || h.fateOf(f.first, true, h.clock.Now()) != fateAlive
-	case f.first.Leaving():
-		return false
-	default:
-		return h.fateWithin(f.first, h.clock.Now(), firstAnswerTimeout) == fateEnded
 	}
+	return h.fateOf(f.first, true, h.clock.Now()) != fateAlive
 }
 
 // completeStream marks the answer as complete. A server that resumes a stream after its last event sends a whole answer without
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -18,18 +18,67 @@
 	"junctioncross/platform/fake"
 )
 
+// soundSilence is for how long a sound server may be silent.
+const soundSilence = 1200 * time.Millisecond
+
 // TestAWholeStreamIsNotBrokenOffBecauseItsServerFallsSilent guards against a silent server that is taken for one that has ended.
 func TestAWholeStreamIsNotBrokenOffBecauseItsServerFallsSilent(t *testing.T) {
-	first, other := newTestServer(t, "1", unframed(onlyEvent)), newTestServer(t, "2", afterLastEvent)
-	g := chainGroup(first, other)
-	h := chainHandler(t, g)
-	e := newFakeEngineClient(g)
-	e.setSilent(g.Servers()[0], true)
-	h.engines = e
-	status, body := readBody(t, callFront(t, streamFront(t, h, g), "1"))
-	require.Equal(t, http.StatusOK, status)
-	require.Equal(t, onlyEvent, body)
-	require.Zero(t, requestCount([]*testServer{other}), "there is nothing left to send")
+	for name, arrange := range map[string]func(*backend.Server){
+		"stays":  func(*backend.Server) {},
+		"leaves": announceLeaving,
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, other := newTestServer(t, "1", unframed(onlyEvent)), newTestServer(t, "2", afterLastEvent)
+			g := chainGroup(first, other)
+			h := chainHandler(t, g)
+			e := newFakeEngineClient(g)
+			e.setSilent(g.Servers()[0], true)
+			h.engines = e
+			time.AfterFunc(soundSilence, func() { e.setSilent(g.Servers()[0], false) })
+			c := callFront(t, streamFront(t, h, g), "1")
+			require.Eventually(t, func() bool { return requestCount([]*testServer{first}) == 1 }, testTimeout, time.Millisecond)
+			arrange(g.Servers()[0])
+			status, body := readBody(t, c)
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, onlyEvent, body)
+			require.Zero(t, requestCount([]*testServer{other}), "there is nothing left to send")
+		})
+	}
+}
+
+// TestAStreamWhoseServerEndsBetweenTwoEventsIsResumed guards against a part of an answer that is taken for the whole one.
+func TestAStreamWhoseServerEndsBetweenTwoEventsIsResumed(t *testing.T) {
+	const twoEvents = onlyEvent + "id: 1\ndata: y\n\n"
+	for name, arrange := range map[string]func(*fakeEngineClient, *backend.Server){
+		"leaving": func(e *fakeEngineClient, s *backend.Server) {
+			announceLeaving(s)
+			e.setDead(s)
+		},
+		"silent before that is known": func(e *fakeEngineClient, s *backend.Server) {
+			e.setSilent(s, true)
+			time.AfterFunc(soundSilence, func() {
+				e.setDead(s)
+				e.setSilent(s, false)
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var g *backend.Group
+			var e *fakeEngineClient
+			first := newTestServer(t, "1", func(c net.Conn, n int) {
+				arrange(e, g.Servers()[0])
+				unframed(onlyEvent)(c, n)
+			})
+			other := newTestServer(t, "2", unframed(twoEvents[len(onlyEvent):]))
+			g = chainGroup(first, other)
+			h := chainHandler(t, g)
+			e = newFakeEngineClient(g)
+			h.engines = e
+			status, body := readBody(t, callFront(t, streamFront(t, h, g), "1"))
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, twoEvents, body)
+		})
+	}
 }
 
 // TestAnEmptyAnswerWithoutAMarkedEndCompletesAStreamThatHasAllItsEvents guards against resuming a stream again and again that has
