forward: ask a server twice whether it knows a stream before taking it away

Cause: while the first event is overdue the server is asked whether it knows the stream. One that was silent may answer that call before it has read what was sent to it earlier; a single "no such request" closed the connection, and no retry or room was left.

--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -84,6 +84,8 @@
 	repairs           int
 	// verified is true once the first server of the present attempt was asked whether it knows the stream.
 	verified bool
+	// unknown counts how often it has answered that it does not.
+	unknown int
 	// repairing is true while a repair is under way.
 	repairing bool
 }
@@ -162,6 +164,19 @@
 	return resolvedPath{hops: f.hops, servers: f.servers}, true
 }
 
+// noteUnknown records that the first server of the present attempt does not know the stream, and reports whether it has said so twice. After
+// the first time it may be asked again.
+func (f *inflight) noteUnknown(first *backend.Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.servers) == 0 || f.servers[0] != first {
+		return false
+	}
+	f.unknown++
+	f.verified = f.unknown > 1
+	return f.verified
+}
+
 func (f *inflight) release() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forward/lifetime.go
+++ b/forward/lifetime.go
@@ -58,7 +58,7 @@
 	f.earlierServers = append([]*backend.Server(nil), f.r.ran...)
 	f.attemptStart, f.predictedLifetime, f.expectedLifetime = h.clock.Now(), predicted, usual
 	f.minLeft = time.Duration(overdueFraction * float64(usual))
-	f.verified, f.harmless, f.answeredAt = false, false, time.Time{}
+	f.verified, f.unknown, f.harmless, f.answeredAt = false, 0, false, time.Time{}
 	f.progressed.Store(false)
 	if attempt > 1 && f.r.x.Begun() {
 		f.expectedLifetime, f.predictedLifetime = left, 0
--- a/forward/resumedprompt_test.go
+++ b/forward/resumedprompt_test.go
@@ -23,6 +23,8 @@
 	f.touch(h)
 	clock.Advance(time.Second)
 	h.watch.diagnose(t.Context(), f.first, g, []*inflight{f})
+	require.True(t, isOpen(conn), "its server has said once that it does not know the stream")
+	h.watch.diagnose(t.Context(), f.first, g, []*inflight{f})
 	require.False(t, isOpen(conn), "its connection is closed, so that it is resumed at another server")
 }
 
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -172,13 +172,14 @@
 
 // verify asks the first server of a path whether it knows a stream whose first event is overdue although all servers are healthy: some
 // servers accept requests and forget them. The query is a repair call that names the path which the stream already has; it
-// changes nothing at a server that knows the stream.
+// changes nothing at a server that knows the stream. One that was silent may answer before it has read what was sent to it earlier, so it is
+// asked twice.
 func (w *watcher) verify(ctx context.Context, f *inflight, path resolvedPath) {
 	h := w.handler
 	repairCtx, cancel := context.WithTimeout(ctx, repairTimeout)
 	defer cancel()
 	err := h.engines.Repair(repairCtx, path.servers[0].Addr(), f.r.meta.ID, path.stages())
-	if errors.Is(err, backend.ErrUnknownRequest) {
+	if errors.Is(err, backend.ErrUnknownRequest) && f.noteUnknown(path.servers[0]) {
 		h.stats.Counter("requests_forgotten_total").Inc(1)
 		w.cutStreams(path.servers[0], []*inflight{f})
 	}
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -275,6 +275,8 @@
 	}
 	clock.Advance(time.Second)
 	h.watch.diagnose(t.Context(), g.Servers()[0], g, streams)
+	require.NoError(t, conns["forgotten"].SetDeadline(time.Time{}), "its server has said once that it does not know it")
+	h.watch.diagnose(t.Context(), g.Servers()[0], g, streams)
 	require.Error(t, conns["forgotten"].SetDeadline(time.Time{}), "its connection is closed, so that it is resumed elsewhere")
 	require.NoError(t, conns["queued"].SetDeadline(time.Time{}))
 }
