--- a/backend/server.go
+++ b/backend/server.go
@@ -89,7 +89,7 @@
 	paceAt time.Time
 	// queriedAt is when this instance last queried the server's state.
 	queriedAt time.Time
-	// answeredAt is when the server last answered a state query of this instance.
+	// answeredAt is when the latest state query was sent that the server has answered.
 	answeredAt time.Time
 	silence    silence
 	// silenceEndedAt is when this instance first got an answer after the latest silence.
--- a/backend/sharedreport.go
+++ b/backend/sharedreport.go
@@ -52,12 +52,12 @@
 // bad reports whether the server that the report describes should get no new work if other servers can take it.
 func (r SharedReport) bad() bool { return r.Silent || r.Pace >= slowPace }
 
-// NoteAnswer records that the server answered a state query of this instance. If it had been silent, that explains what other servers
+// NoteAnswer records that the server answered a state query that this instance sent at a time. If it had been silent, that explains what other servers
 // that waited for it and requests that broke said of it meanwhile.
-func (s *Server) NoteAnswer(now time.Time) {
+func (s *Server) NoteAnswer(sentAt, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answeredAt, s.sharedSilentUntil = now, time.Time{}
+	s.answeredAt, s.sharedSilentUntil = later(s.answeredAt, sentAt), time.Time{}
 	if !s.silence.since.IsZero() {
 		s.silenceEndedAt = now
 		s.forgiveSilenceLocked()
@@ -65,11 +65,11 @@
 	s.takeBackLocked(now)
 }
 
-// AnsweredSince reports whether the server has answered a state query of this instance after the given time.
+// AnsweredSince reports whether the server has answered a state query that this instance sent at the given time or later.
 func (s *Server) AnsweredSince(moment time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.answeredAt.After(moment)
+	return !s.answeredAt.IsZero() && !s.answeredAt.Before(moment)
 }
 
 // SharedReport returns the latest report on the server, if the instance learned of it after the given time; ownOnly leaves out
--- a/backend/silence.go
+++ b/backend/silence.go
@@ -10,7 +10,8 @@
 	// since is when the first query went unanswered since the server last answered, and at when the latest one did; both are zero
 	// while the server answers.
 	since, at time.Time
-	// unreachable is true if no connection came up for the latest query, which a sound server accepts while it is silent.
+	// unreachable is true if no connection came up for the latest query of which that is known; a sound server accepts connections while
+	// it is silent.
 	unreachable bool
 }
 
@@ -19,26 +20,34 @@
 	if s.since.IsZero() {
 		s.since = now
 	}
-	s.at, s.unreachable = now, false
+	s.at = now
 }
 
+// Reachability is what an unanswered query says of connections to its server.
+type Reachability int
+
+// The values of Reachability.
+const (
+	// ReachableUnknown means that the query does not tell.
+	ReachableUnknown Reachability = iota
+	// Connected means that a connection was there.
+	Connected
+	// NotConnected means that none came up.
+	NotConnected
+)
+
 // NoteSilent records that the server did not answer a state query of this instance.
-func (s *Server) NoteSilent(now time.Time) {
+func (s *Server) NoteSilent(r Reachability, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.silence.note(now)
+	if r != ReachableUnknown {
+		s.silence.unreachable = r == NotConnected
+	}
 	s.reportSource = reportSource{queriedAt: now, learnedAt: now, own: true, silent: true}
 }
 
-// NoteUnreachable is NoteSilent for a query for which no connection came up.
-func (s *Server) NoteUnreachable(now time.Time) {
-	s.NoteSilent(now)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silence.unreachable = true
-}
-
-// Unreachable reports whether no connection came up for the latest query of this instance.
+// Unreachable reports whether the server is silent and no connection came up for the latest query that tells.
 func (s *Server) Unreachable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/forward/fate.go
+++ b/forward/fate.go
@@ -38,7 +38,7 @@
 func (h *Handler) fateOfEngine(server *backend.Server, broke time.Time) fate {
 	for {
 		switch {
-		case server.Ended() || server.Gone():
+		case server.Ended():
 			return fateEnded
 		case server.AnsweredSince(broke):
 			return fateAlive
@@ -53,24 +53,35 @@
 }
 
 // fateOfPlain is fateOf for a server of a plain service. It has no state query that does not take one of its slots; whether it listens
-// costs nothing to check.
+// is checked instead, as often as state queries are made, for all broken runs together.
 func (h *Handler) fateOfPlain(server *backend.Server, broke time.Time) fate {
 	for h.clock.Since(broke) < fateTimeout {
-		if server.Ended() {
-			return fateEnded
-		}
-		err := server.CheckListening(h.dialer, h.clock.Now())
 		switch {
-		case server.Ended() || backend.Refused(err):
+		case server.Ended():
 			return fateEnded
-		case err == nil:
+		case server.AnsweredSince(broke):
 			return fateAlive
+		case server.TryQuery(h.clock.Now()):
+			h.checkListening(server)
+			continue
 		}
 		<-h.clock.After(fatePeriod)
 	}
 	return h.fateOfSilent(server)
 }
 
+// checkListening notes whether something listens at the address of a server.
+func (h *Handler) checkListening(server *backend.Server) {
+	sentAt := h.clock.Now()
+	err := server.CheckListening(h.dialer, sentAt)
+	switch {
+	case err == nil:
+		server.NoteAnswer(sentAt, h.clock.Now())
+	case backend.Refused(err):
+		server.MarkEnded()
+	}
+}
+
 // fateOfSilent returns the fate of a server that has been silent for longer than sound ones are: it has ended if others like it are
 // within reach, or else it is the path that is missing.
 func (h *Handler) fateOfSilent(server *backend.Server) fate {
--- a/forward/findings.go
+++ b/forward/findings.go
@@ -21,6 +21,9 @@
 	queriesTimeout = 75 * time.Millisecond
 )
 
+// errBothUnanswered means that a server has answered neither of two queries. There was hardly time to see whether connections come up.
+var errBothUnanswered = errors.Wrap(backend.ErrNoAnswer, "queried twice")
+
 // findings is the result of a diagnosis: what some servers answered.
 type findings struct {
 	now  time.Time
@@ -104,8 +107,9 @@
 	ctx context.Context, found *findings, s *backend.Server, group *backend.Group, why suspicion, first bool,
 ) {
 	h := w.handler
+	sentAt := h.clock.Now()
 	report, err := w.queryTwice(ctx, s)
-	h.applyReport(s, report, err, "slow stream")
+	h.applyAnswer(s, sentAt, report, err, "slow stream")
 	if errors.Is(err, backend.ErrGarbled) {
 		return
 	}
@@ -173,10 +177,10 @@
 				return a.report, a.err
 			}
 		case <-ctx.Done():
-			return backend.Report{}, errors.Wrap(backend.ErrNoAnswer, ctx.Err().Error())
+			return backend.Report{}, errBothUnanswered
 		}
 	}
-	return backend.Report{}, errors.Wrap(backend.ErrNoAnswer, "queried twice")
+	return backend.Report{}, errBothUnanswered
 }
 
 func (f *findings) addDead(s *backend.Server) {
--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -144,3 +144,8 @@
 	h.budget = retry.NewBudget(limit, h.clock.Now().Add(-limit.Window))
 	return h
 }
+
+// applyReport applies a report, or the error of a query, as of a query that takes no time.
+func (h *Handler) applyReport(server *backend.Server, report backend.Report, err error, why string) {
+	h.applyAnswer(server, h.clock.Now(), report, err, why)
+}
--- a/forward/pass.go
+++ b/forward/pass.go
@@ -115,6 +115,8 @@
 // brokeBetweenEvents reports whether an answer that ended with its connection is to be taken as incomplete: this instance closed the
 // connection, a new answer has no event, or the server is not known to be alive. Servers that leave end in the middle of streams.
 func (h *Handler) brokeBetweenEvents(f *inflight) bool {
+	// The stream is not to be handed over while its end is judged.
+	h.watch.remove(f)
 	if f.next.Load() != nil || !f.progressed.Load() && !f.events.resumed() {
 		return true
 	}
--- a/forward/query.go
+++ b/forward/query.go
@@ -40,8 +40,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 		defer cancel()
+		sentAt := h.clock.Now()
 		report, err := h.engines.Report(ctx, server.Addr())
-		h.applyReport(server, report, err, why)
+		h.applyAnswer(server, sentAt, report, err, why)
 	}()
 }
 
@@ -78,53 +79,53 @@
 		return
 	}
 	server.Suspect(now.Add(suspectTime))
-	server.NoteSilent(now)
+	server.NoteSilent(backend.Connected, now)
 	server.MarkReplaced()
 	h.record.Failure("", "another start of the server answers", decision.Fields{
 		"server": server.ID(), "address": server.Addr(), "born": server.Incarnation().Born, "answers": report.Born,
 	})
 }
 
-// applyReport applies the report of a server, or the error of a query.
-func (h *Handler) applyReport(server *backend.Server, report backend.Report, err error, why string) {
+// applyAnswer applies the report of a server that was queried at the given time, or the error of that query.
+func (h *Handler) applyAnswer(server *backend.Server, sentAt time.Time, report backend.Report, err error, why string) {
 	now := h.clock.Now()
 	fields := decision.Fields{"server": server.ID(), "address": server.Addr(), "why": why}
 	if errors.Is(err, backend.ErrGarbled) {
-		h.noteAnswer(server, now)
+		h.noteAnswer(server, sentAt, now)
 		fields["error"] = err.Error()
 		h.record.Failure("", "report not readable", fields)
 		return
 	}
 	if report.RetryAfter > 0 {
 		// It answers, but refuses to be queried.
-		h.noteAnswer(server, now)
+		h.noteAnswer(server, sentAt, now)
 		h.applyNotice("", server, report.Notice)
 		return
 	}
 	if err != nil {
 		fields["error"] = err.Error()
-		h.applyNoAnswer(server, err, fields, now)
+		h.applyNoAnswer(server, sentAt, err, fields, now)
 		return
 	}
 	if report.Born != server.Incarnation().Born {
 		h.applyOtherIncarnation(server, report, now)
 		return
 	}
-	h.noteAnswer(server, now)
+	h.noteAnswer(server, sentAt, now)
 	h.applyNotice("", server, report.Notice)
 	h.applyLoad(server, report, fields, now)
 	h.recordReport(server, report, fields, why, now)
 }
 
-// applyNoAnswer applies that a server did not answer. The queries to a server that is silent already are not logged again.
-func (h *Handler) applyNoAnswer(server *backend.Server, err error, fields decision.Fields, now time.Time) {
+// applyNoAnswer applies that a server did not answer a query. It changes nothing if the server has answered one that was sent later. The
+// queries to a server that is silent already are not logged again.
+func (h *Handler) applyNoAnswer(server *backend.Server, sentAt time.Time, err error, fields decision.Fields, now time.Time) {
+	if server.AnsweredSince(sentAt) {
+		return
+	}
 	known := server.IsSilent()
 	server.Suspect(now.Add(suspectTime))
-	if errors.Is(err, backend.ErrUnreachable) {
-		server.NoteUnreachable(now)
-	} else {
-		server.NoteSilent(now)
-	}
+	server.NoteSilent(reachabilityOf(err), now)
 	h.silent.add(server)
 	kind := backend.FindingSilent
 	if errors.Is(err, backend.ErrNotListening) {
@@ -137,6 +138,18 @@
 	}
 }
 
+// reachabilityOf returns what the error of an unanswered query says of connections to the server.
+func reachabilityOf(err error) backend.Reachability {
+	switch {
+	case errors.Is(err, backend.ErrUnreachable):
+		return backend.NotConnected
+	case errors.Is(err, errBothUnanswered):
+		return backend.ReachableUnknown
+	default:
+		return backend.Connected
+	}
+}
+
 // applyLoad applies what a report says of the load of its server, and adds it to the fields of a log line.
 func (h *Handler) applyLoad(server *backend.Server, report backend.Report, fields decision.Fields, now time.Time) {
 	if report.Limit.Named {
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -61,9 +61,10 @@
 			continue
 		}
 		queryCtx, cancel := context.WithTimeout(ctx, queryTimeout)
+		sentAt := h.clock.Now()
 		report, err := h.engines.Report(queryCtx, s.Addr())
 		cancel()
-		h.applyReport(s, report, err, "run that broke")
+		h.applyAnswer(s, sentAt, report, err, "run that broke")
 		if s.PresumedEnded() && s.Gone() && s.LeavingFor(h.clock.Now()) > h.settings.Load().DrainTime {
 			// It has no entry and has not answered for long: it is partitioned or dead.
 			s.MarkEnded()
--- a/forward/silentservers.go
+++ b/forward/silentservers.go
@@ -69,13 +69,13 @@
 	}
 }
 
-// noteAnswer records that a server has answered a state query of this instance, and logs the end of a silence.
-func (h *Handler) noteAnswer(server *backend.Server, now time.Time) {
+// noteAnswer records that a server has answered a state query that was sent at the given time, and logs the end of a silence.
+func (h *Handler) noteAnswer(server *backend.Server, sentAt, now time.Time) {
 	if silent := server.SilentFor(); server.IsSilent() {
 		h.stats.Counter("server_silences_total").Inc(1)
 		h.record.Failure("", "server answers again", decision.Fields{
 			"server": server.ID(), "address": server.Addr(), "silent_ms": silent.Milliseconds(),
 		})
 	}
-	server.NoteAnswer(now)
+	server.NoteAnswer(sentAt, now)
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -53,6 +53,7 @@
 	if next := f.takeNext(); next != nil {
 		f.r.group, f.laneLoad, f.chosenAt = next.group, next.load, next.at
 		f.r.retryGranted, f.r.retryTaken = true, next.retryTaken
+		f.left = true
 		return next.path, nil
 	}
 	if f.mustGoOn() {
--- a/forward/wait.go
+++ b/forward/wait.go
@@ -107,7 +107,7 @@
 	if len(lanes) == 0 {
 		expected.likelihood = q.outages.endLikelihood(outage, expected.left)
 		expected.wait = q.outages.timeToEnd(outage, median, expected.left)
-		if awaitsSilent(f.r.group) {
+		if awaitsSilent(f.r.group, now) {
 			expected.likelihood = max(expected.likelihood, minLikelihoodToStart)
 		}
 		return expected
@@ -126,12 +126,19 @@
 	return expected
 }
 
-// awaitsSilent reports whether a server of a group accepts connections and is silent for no longer than sound servers are, so that it may
-// get work at any moment.
-func awaitsSilent(group *backend.Group) bool {
-	return slices.ContainsFunc(group.Servers(), func(s *backend.Server) bool {
+// awaitsSilent reports whether there would be a lane if silent servers took work that accept connections and are silent for no longer than
+// sound servers are, so that they may at any moment.
+func awaitsSilent(group *backend.Group, now time.Time) bool {
+	servers := group.Servers()
+	late := func(i int) bool {
+		s := servers[i]
 		return s.IsSilent() && !s.Unreachable() && !s.PresumedEnded() && !s.Leaving()
-	})
+	}
+	if !slices.ContainsFunc(servers, func(s *backend.Server) bool { return s.IsSilent() }) {
+		return false
+	}
+	usable := func(i int) bool { return late(i) || servers[i].Usable(now) }
+	return len(usualLanes(group, usable, func(i int) float64 { return servers[i].Pace(now) })) > 0
 }
 
 // lanesAndOutage returns the lanes of the service, and how long the current path outage has lasted or the one that has just
