forward, backend: bound the queries to silent servers, tell others of a silence once

Now the period grows with the number of instances while they share reports, the answer to another one ends a silence over a sound path, and a silence is told once.

--- a/backend/sharedreport.go
+++ b/backend/sharedreport.go
@@ -120,6 +120,10 @@
 		s.sharedSilentUntil = later(s.sharedSilentUntil, at.Add(sharedSilenceTime))
 	} else {
 		s.sharedSilentUntil = time.Time{}
+		if s.silence.connected && at.After(s.silence.at) {
+			s.silenceEndedAt = now
+			s.forgiveSilenceLocked()
+		}
 		s.takeBackLocked(at.Add(-minNewer))
 	}
 	if !r.Silent && r.Total > 0 {
--- a/backend/silence.go
+++ b/backend/silence.go
@@ -13,6 +13,8 @@
 	// unreachable is true if no connection came up for the latest query of which that is known; a sound server accepts connections while
 	// it is silent.
 	unreachable bool
+	// connected is true if a connection was there for that query, so that the path to the server is sound.
+	connected bool
 }
 
 // note adds an unanswered query.
@@ -40,11 +42,16 @@
 func (s *Server) NoteSilent(r Reachability, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	learnedAt := now
+	if !s.silence.since.IsZero() && s.reportSource.own && s.reportSource.silent {
+		// Other instances hear of a silence once: one with a bad path must not keep the server from all of them.
+		learnedAt = s.reportSource.learnedAt
+	}
 	s.silence.note(now)
 	if r != ReachableUnknown {
-		s.silence.unreachable = r == NotConnected
+		s.silence.unreachable, s.silence.connected = r == NotConnected, r == Connected
 	}
-	s.reportSource = reportSource{queriedAt: now, learnedAt: now, own: true, silent: true}
+	s.reportSource = reportSource{queriedAt: now, learnedAt: learnedAt, own: true, silent: true}
 }
 
 // Unreachable reports whether the server is silent and no connection came up for the latest query that tells.
--- a/forward/silentservers.go
+++ b/forward/silentservers.go
@@ -12,9 +12,10 @@
 	// reasonSilent is the reason of the queries to servers that have not answered.
 	reasonSilent = "silent"
 	// silentQueryTime, multiplied by the number of instances, is how often an instance queries a silent server, so that all of them
-	// together do not query it more often the more they are; between the two bounds.
-	silentQueryTime      = 30 * time.Millisecond
+	// together do not query it more often the more they are; minSilentQueryPeriod is the lower bound of that.
+	silentQueryTime      = 25 * time.Millisecond
 	minSilentQueryPeriod = 240 * time.Millisecond
+	// maxSilentQueryPeriod is the upper bound while instances share no reports, from which they hear of the answers that others get.
 	maxSilentQueryPeriod = time.Second
 )
 
@@ -35,9 +36,9 @@
 	s.servers[server] = struct{}{}
 }
 
-// due returns the servers to be queried now by one of a number of instances, and forgets those that have answered, have terminated or
-// get no new work in any case.
-func (s *silentServers) due(instances int, now time.Time) []*backend.Server {
+// due returns the servers to be queried now, each at the given period, and forgets those that have answered, have terminated or get no
+// new work in any case.
+func (s *silentServers) due(period time.Duration, now time.Time) []*backend.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []*backend.Server
@@ -45,26 +46,35 @@
 		switch {
 		case !server.IsSilent() || server.Ended() || server.Leaving():
 			delete(s.servers, server)
-		case silentQueryDue(server, instances, now):
+		case silentQueryDue(server, period, now):
 			out = append(out, server)
 		}
 	}
 	return out
 }
 
-// silentQueryDue reports whether a silent server is to be queried again: after a time, or once it has answered another instance.
-func silentQueryDue(server *backend.Server, instances int, now time.Time) bool {
-	period := min(max(time.Duration(instances)*silentQueryTime, minSilentQueryPeriod), maxSilentQueryPeriod)
+// silentQueryDue reports whether a silent server is to be queried again: after the period, or once it has answered another instance.
+func silentQueryDue(server *backend.Server, period time.Duration, now time.Time) bool {
 	if server.PresumedEnded() {
-		period = maxSilentQueryPeriod
+		period = max(period, maxSilentQueryPeriod)
 	}
 	state := server.QueryState()
 	return now.Sub(state.QueriedAt) >= period || !state.Silent && state.ReportedAt.After(state.QueriedAt)
 }
 
+// silentQueryPeriod returns how often one of a number of instances queries a silent server.
+func silentQueryPeriod(instances int, shared bool) time.Duration {
+	period := max(time.Duration(instances)*silentQueryTime, minSilentQueryPeriod)
+	if !shared {
+		return min(period, maxSilentQueryPeriod)
+	}
+	return period
+}
+
 // querySilentServers queries the silent servers that are due.
 func (h *Handler) querySilentServers(now time.Time) {
-	for _, server := range h.silent.due(h.instances.Instances(), now) {
+	period := silentQueryPeriod(h.instances.Instances(), h.fleetView.ReportsShared(now))
+	for _, server := range h.silent.due(period, now) {
 		h.queryState(server, reasonSilent)
 	}
 }
