forward: do not connect to a plain server that is known to have ended

Cause: since the fate of a plain server is looked for by a connection before it is asked whether its end is known, so that a restarted server got one connection more for each broken request.

--- a/forward/fate.go
+++ b/forward/fate.go
@@ -56,9 +56,12 @@
 // costs nothing to check.
 func (h *Handler) fateOfPlain(server *backend.Server, broke time.Time) fate {
 	for h.clock.Since(broke) < fateTimeout {
+		if server.Ended() {
+			return fateEnded
+		}
 		err := server.CheckListening(h.dialer, h.clock.Now())
 		switch {
-		case server.Ended() || backend.Refused(err):
+		case backend.Refused(err):
 			return fateEnded
 		case err == nil:
 			return fateAlive
