quarantine: try blamed parts now and then, so that sound ones are served again

Cause: harmful requests that end servers before any head, from the start on, have the second parts of all callers blamed: the streams that broke go on together and have just begun at each server that ends, which the harmful part has not. Nothing with such a part is sent any more, so that nothing proves it harmless for 5 to 10 minutes; callers were told to come back after 600 s.

Change: after 2 s without an end (5 s for a part with hardly more than one request on each server) one request with the part is sent as a trial, by one instance at a time. A harmful part has one trial until its ends expire. Retry-After tells the next trial.

--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -76,7 +76,10 @@
 		return quarantined{left: left}, true
 	}
 	part, left, ok := h.ends.QuarantinedPart(r.sharedParts(), now)
-	return quarantined{left: left, part: part.ID}, ok
+	if !ok || h.ends.Try(r.fingerprint(), quarantine.ShortDigest(r.meta.ID), r.sharedParts(), now) {
+		return quarantined{}, false
+	}
+	return quarantined{left: left, part: part.ID}, true
 }
 
 // sharedParts returns the parts of the request's prompt that other requests may have as well.
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -30,7 +30,8 @@
 	return ends
 }
 
-// QuarantinedPart returns the part for which a request with these parts is quarantined, if any, and for how long at most.
+// QuarantinedPart returns the part for which a request with these parts is quarantined, if any, and for how long: until its next trial
+// may have proved it harmless, or else until its ends expire.
 func (b *Book) QuarantinedPart(of []Part, now time.Time) (part Part, left time.Duration, ok bool) {
 	if b.Size() == 0 || len(of) == 0 {
 		return Part{}, 0, false
@@ -41,7 +42,11 @@
 	if !ok {
 		return Part{}, 0, false
 	}
-	return part, max(b.settings.Keep-now.Sub(latest), 0), true
+	left = max(b.settings.Keep-now.Sub(latest), 0)
+	if due, ok := b.parts.trialDue(part, b.parts.records[part]); ok {
+		left = min(left, max(due.Sub(now), 0)+trialPeriod)
+	}
+	return part, left, true
 }
 
 // Parts returns the number of parts under which servers have terminated.
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -81,7 +81,7 @@
 		r.ends[e.Server] = record
 	}
 	record.addAttempt(e.Attempt)
-	b.parts.add(e.Request, e.Server, e.Suspects, record.at, now)
+	b.parts.add(e.Request, e.Server, e.Suspects, to == suspected, record.at, now)
 	if isNew {
 		return true
 	}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -21,6 +21,11 @@
 	// end was; they are to be computed anew while the part is in parts.changed.
 	weight, breadth float64
 	latest          time.Time
+	// blamedAt is when the end was that had the part blamed; it is zero until then.
+	blamedAt time.Time
+	// trial is the latest trial of this instance, and turns is the order of those of all instances, to be computed anew if it is nil.
+	trial trial
+	turns []turn
 }
 
 // partEnd holds the requests with one part that a server ran when it terminated; the value is true for those that it had just
@@ -28,6 +33,8 @@
 type partEnd struct {
 	at       time.Time
 	requests map[Fingerprint]bool
+	// own holds those of the requests that this instance sent there.
+	own map[Fingerprint]bool
 }
 
 // justBegun reports whether the server had just begun to answer one of the requests.
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -55,6 +55,14 @@
 		add("two at once, fresh, quick, one route", func(c *fleetCase) {
 			c.harmful, c.fresh, c.quick, c.oneRoute = [][]string{middle, {"bad1", "f0"}}, true, true, true
 		})
+		add("fresh, quick, one route, headless", func(c *fleetCase) { c.fresh, c.quick, c.oneRoute, c.headless = true, true, true, true })
+		add("fresh, quick, one route, headless, few parts", func(c *fleetCase) {
+			c.fresh, c.quick, c.oneRoute, c.headless, c.fewParts = true, true, true, true, true
+		})
+		add("fresh, quick, one route, headless, without proofs of others", func(c *fleetCase) {
+			c.fresh, c.quick, c.oneRoute, c.headless, c.proofless = true, true, true, true, true
+		})
+		add("fresh, quick, one route, cut off", func(c *fleetCase) { c.fresh, c.quick, c.oneRoute, c.cutOff = true, true, true, 0.3 })
 		if size == largestFleet {
 			// Each play of the largest fleet takes seconds; the other cases differ in what an instance sees, not in how many there are.
 			continue
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -19,17 +19,20 @@
 	changed map[Part]bool
 	// rivals holds what rivalsOf has returned since ends last changed.
 	rivals map[Part]map[string][]Part
+	// failed holds what failedTrials has returned since ends last changed.
+	failed map[Part]int
 }
 
 func newParts(settings Settings) *parts {
 	return &parts{
 		settings: settings, records: map[Part]*partRecord{}, terminated: map[string]map[string]time.Time{}, released: map[Part]time.Time{},
 		proofs: newProofs(), blamed: map[Part]*partRecord{}, changed: map[Part]bool{}, rivals: map[Part]map[string][]Part{},
+		failed: map[Part]int{},
 	}
 }
 
-// add records that a server terminated under a request with these suspects.
-func (b *parts) add(request Fingerprint, server string, s Suspects, at, now time.Time) {
+// add records that a server terminated under a request with these suspects, which this instance sent there if it is its own.
+func (b *parts) add(request Fingerprint, server string, s Suspects, own bool, at, now time.Time) {
 	if s.Service == "" {
 		return
 	}
@@ -43,10 +46,13 @@
 		r := b.record(p)
 		e := r.ends[server]
 		if e == nil {
-			e = &partEnd{at: at, requests: map[Fingerprint]bool{}}
+			e = &partEnd{at: at, requests: map[Fingerprint]bool{}, own: map[Fingerprint]bool{}}
 			r.ends[server] = e
 		}
 		e.requests[request] = e.requests[request] || s.JustBegun
+		if own {
+			e.own[request] = true
+		}
 	}
 }
 
@@ -85,6 +91,7 @@
 		}
 		b.changed[p] = true
 		delete(r.ends[server].requests, request)
+		delete(r.ends[server].own, request)
 		if len(r.ends[server].requests) == 0 {
 			b.removeEnd(p, server)
 		}
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -11,7 +11,7 @@
 
 const (
 	// simulatedTime is how long a simulated fleet runs, and harmFrom when the first harmful request comes unless it is a fresh one.
-	simulatedTime = 24 * time.Second
+	simulatedTime = 40 * time.Second
 	harmFrom      = 4 * time.Second
 	// restartTime is how long a server that terminated is away, and provedAfter how long a run takes to prove a request harmless.
 	restartTime = 3 * time.Second
@@ -45,6 +45,10 @@
 	quick bool
 	// oneRoute has all sound requests share their first part.
 	oneRoute bool
+	// fewParts has all sound requests share three second parts.
+	fewParts bool
+	// proofless has instances learn of ends from each other, but not of proofs, as while the store is away.
+	proofless bool
 }
 
 // simulatedRequest is one attempt of a caller.
@@ -124,7 +128,11 @@
 	period := min(25*time.Millisecond, 400*time.Millisecond/time.Duration(s.instances))
 	s.every(0, max(period, 4*time.Millisecond), func(n int) {
 		caller := s.random.IntN(12)
-		s.arrive([]string{fmt.Sprint("f", caller%s.routes()), fmt.Sprint("c", caller, "-", n/48)}, false)
+		second := fmt.Sprint("c", caller, "-", n/48)
+		if s.fewParts {
+			second = fmt.Sprint("c", caller%3)
+		}
+		s.arrive([]string{fmt.Sprint("f", caller%s.routes()), second}, false)
 	})
 }
 
@@ -182,8 +190,9 @@
 func (s *simulation) send(r *simulatedRequest) {
 	book := s.books[r.instance]
 	_, whole := book.Quarantined(request(r.id), quarantine.ShortDigest(fmt.Sprint(r.id)), s.time())
-	_, _, part := book.QuarantinedPart(quarantine.PartsOf(service, r.parts), s.time())
-	if whole || part {
+	parts := quarantine.PartsOf(service, r.parts)
+	_, _, part := book.QuarantinedPart(parts, s.time())
+	if whole || part && !book.Try(request(r.id), quarantine.ShortDigest(fmt.Sprint(r.id)), parts, s.time()) {
 		r.refused = true
 		return
 	}
@@ -250,7 +259,7 @@
 func (s *simulation) shareProofs() {
 	for n, book := range s.books {
 		proofs := book.PendingProofs(24)
-		if len(proofs) == 0 || s.cut[n] {
+		if len(proofs) == 0 || s.cut[n] || s.proofless {
 			continue
 		}
 		book.AddProofs(proofs, s.time())
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -18,6 +18,7 @@
 		return
 	}
 	clear(b.rivals)
+	clear(b.failed)
 	for p := range b.changed {
 		delete(b.changed, p)
 		r := b.records[p]
@@ -26,9 +27,12 @@
 			continue
 		}
 		v := r.evidence(noServer, math.MaxInt)
-		r.weight, r.breadth, r.latest = v.weight(), v.breadth(), v.latest
+		r.weight, r.breadth, r.latest, r.turns = v.weight(), v.breadth(), v.latest, nil
 		if b.suffices(p, r, noServer) {
 			b.blamed[p] = r
+			if r.blamedAt.IsZero() {
+				r.blamedAt = v.latest
+			}
 		} else {
 			delete(b.blamed, p)
 		}
