forward: resume a stream without a marked end whose server holds other layers now

Servers start without layers; one whose report does not hold the stage that it ran is taken for one that has started again. A server that has given the layers up in the meantime costs a stream that is resumed once with nothing left. The test fails without the change.

--- a/backend/server.go
+++ b/backend/server.go
@@ -92,6 +92,8 @@
 	// answeredAt is when the latest state query was sent that the server has answered.
 	answeredAt time.Time
 	silence    silence
+	// reportedLayers are the layers that the server held by its latest report to this instance.
+	reportedLayers models.Layers
 	// silenceEndedAt is when this instance first got an answer after the latest silence.
 	silenceEndedAt time.Time
 	// sharedSilentUntil is when the server may get work again after another instance got no answer from it.
--- a/backend/silence.go
+++ b/backend/silence.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"time"
+
+	"junctioncross/models"
+)
 
 // MaxSoundSilence is how long a sound server may leave state queries unanswered.
 const MaxSoundSilence = 1500 * time.Millisecond
@@ -136,3 +140,17 @@
 	}
 	return b
 }
+
+// NoteReportedLayers records the layers that the server holds by its report to this instance.
+func (s *Server) NoteReportedLayers(layers models.Layers) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reportedLayers = layers
+}
+
+// ReportedLayers returns the layers that the server held by its latest report to this instance.
+func (s *Server) ReportedLayers() models.Layers {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reportedLayers
+}
--- a/forward/pass.go
+++ b/forward/pass.go
@@ -113,14 +113,19 @@
 var errCutOff = errors.New("forward: connection ended, answer may be incomplete")
 
 // brokeBetweenEvents reports whether an answer that ended with its connection is to be taken as incomplete: this instance closed the
-// connection, a new answer has no event, or the server is not known to be alive. Servers that leave end in the middle of streams.
+// connection, a new answer has no event, or the server is not known to be alive. Servers that leave end in the middle of streams. One that
+// no longer holds its layers may have started again.
 func (h *Handler) brokeBetweenEvents(f *inflight) bool {
 	// The stream is not to be handed over while its end is judged.
 	h.watch.remove(f)
 	if f.next.Load() != nil || !f.progressed.Load() && !f.events.resumed() {
 		return true
 	}
-	return h.fateOf(f.first, true, h.clock.Now()) != fateAlive
+	if h.fateOf(f.first, true, h.clock.Now()) != fateAlive {
+		return true
+	}
+	c := f.path()
+	return len(c.hops) == 0 || !f.first.ReportedLayers().Holds(c.hops[0].Layers)
 }
 
 // completeStream marks the answer as complete. A server that resumes a stream after its last event sends a whole answer without
--- a/forward/query.go
+++ b/forward/query.go
@@ -111,6 +111,7 @@
 		h.applyOtherIncarnation(server, report, now)
 		return
 	}
+	server.NoteReportedLayers(report.Layers)
 	h.noteAnswer(server, sentAt, now)
 	h.applyNotice("", server, report.Notice)
 	h.applyLoad(server, report, fields, now)
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -16,6 +16,7 @@
 
 	"junctioncross/backend"
 	"junctioncross/call"
+	"junctioncross/models"
 	"junctioncross/platform/fake"
 	"junctioncross/retry"
 )
@@ -416,3 +417,18 @@
 	perSecond := int64(5)
 	require.LessOrEqual(t, math.MaxInt64-dialer.left.Load(), perSecond*int64(clock.Since(start)/time.Second+1))
 }
+
+// TestAStreamWhoseServerHasStartedAgainIsResumed guards against a part of an answer that is taken for the whole one, where reports do not tell
+// when their server started.
+func TestAStreamWhoseServerHasStartedAgainIsResumed(t *testing.T) {
+	const twoEvents = onlyEvent + "id: 1\ndata: y\n\n"
+	first, other := newTestServer(t, "1", unframed(onlyEvent)), newTestServer(t, "2", unframed(twoEvents[len(onlyEvent):]))
+	g := chainGroup(first, other)
+	h := chainHandler(t, g)
+	e := newFakeEngineClient(g)
+	e.holds[g.Servers()[0].Addr()] = models.Layers{}
+	h.engines = e
+	status, body := readBody(t, callFront(t, streamFront(t, h, g), "1"))
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, twoEvents, body)
+}
