--- a/backend/silence.go
+++ b/backend/silence.go
@@ -133,14 +133,6 @@
 	s.settleSilenceLocked()
 }
 
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // NoteReportedLayers records the layers that the server holds by its report to this instance.
 func (s *Server) NoteReportedLayers(layers models.Layers) {
 	s.mu.Lock()
@@ -154,3 +146,11 @@
 	defer s.mu.Unlock()
 	return s.reportedLayers
 }
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
