--- a/forward/wait.go
+++ b/forward/wait.go
@@ -89,9 +89,10 @@
 	now := h.clock.Now()
 	expected := expectation{left: max(until.Sub(now), 0)}
 	lanes, outage := h.lanesAndOutage(f.r, q, now)
-	usableIn, known := time.Duration(0), false
+	usableIn, known, awaited := time.Duration(0), false, false
 	if len(lanes) == 0 {
 		usableIn, known = h.usableIn(f.r.group, now)
+		awaited = !known && awaitsSilent(f.r.group, now)
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -107,7 +108,7 @@
 	if len(lanes) == 0 {
 		expected.likelihood = q.outages.endLikelihood(outage, expected.left)
 		expected.wait = q.outages.timeToEnd(outage, median, expected.left)
-		if awaitsSilent(f.r.group, now) {
+		if awaited {
 			expected.likelihood = max(expected.likelihood, minLikelihoodToStart)
 		}
 		return expected
