overload: measure how loaded the instance itself is

What an instance could not see of itself: how late it gets the processor, and what it uses of its processor, link and memory. longest_pause_ms is taken between reads, and a ticker goes first in the runtime's queue, so that both look well on an instance that is 400 ms late.

Change: the waits of runnable goroutines (the runtime's own histogram) and the processor time used against the limit are measured each 50 ms; the clock keeps the delay for whoever waits for others. New settings processor.cores and network.megabits, gauges own_load_percent, own_delay_ms, connections_taken_percent, lines 'instance is overloaded' and 'instance has room again'.

--- a/config/hosted.go
+++ b/config/hosted.go
@@ -12,12 +12,15 @@
 	Listen   HostedListen   `yaml:"listen"`
 	Store    HostedStore    `yaml:"store"`
 	Memory   HostedMemory   `yaml:"memory"`
-	Keys     HostedKeys     `yaml:"keys"`
-	Repeats  HostedRepeats  `yaml:"repeats"`
-	Stop     HostedStop     `yaml:"stop"`
-	Engines  HostedEngines  `yaml:"engines"`
-	Servers  HostedServers  `yaml:"servers"`
-	Relays   HostedRelays   `yaml:"relays"`
+	// Processor and Network are what the instance may use of its machine; a missing limit is not watched.
+	Processor HostedProcessor `yaml:"processor"`
+	Network   HostedNetwork   `yaml:"network"`
+	Keys      HostedKeys      `yaml:"keys"`
+	Repeats   HostedRepeats   `yaml:"repeats"`
+	Stop      HostedStop      `yaml:"stop"`
+	Engines   HostedEngines   `yaml:"engines"`
+	Servers   HostedServers   `yaml:"servers"`
+	Relays    HostedRelays    `yaml:"relays"`
 	// Quarantine defines when a request is no longer sent to any server, because servers have terminated while they ran it.
 	Quarantine HostedQuarantine `yaml:"quarantine"`
 	// Admission defines which requests are refused first while the room of a service is short.
@@ -62,6 +65,18 @@
 	Megabytes int `yaml:"megabytes" validate:"min=32"`
 }
 
+// HostedProcessor limits the processor time of the process.
+type HostedProcessor struct {
+	// Cores is the processor time that the instance gets, in seconds a second; 0 means that it is not known.
+	Cores float64 `yaml:"cores" validate:"min=0,max=4096"`
+}
+
+// HostedNetwork limits the traffic of the instance.
+type HostedNetwork struct {
+	// Megabits is the rate of the instance's network link in each direction, in megabits a second; 0 means that it is not known.
+	Megabits float64 `yaml:"megabits" validate:"min=0,max=10000000"`
+}
+
 // HostedKeys defines how strictly revoked keys are refused.
 type HostedKeys struct {
 	// Strict makes an instance that cannot confirm that its keys are up to date refuse the requests that need a key.
--- /dev/null
+++ b/overload/monitor.go
@@ -0,0 +1,152 @@
+package overload
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"junctioncross/metrics"
+	"junctioncross/timer"
+)
+
+const (
+	// period is how often the load is measured.
+	period = 50 * time.Millisecond
+	// span is the number of periods over which the use of the processor and of the link is taken.
+	spanPeriods = 4
+	// logPeriod is the least time between two log lines about the load.
+	logPeriod = time.Second
+)
+
+// Monitor measures the load of the instance and decides which new connections it takes.
+type Monitor struct {
+	limits Limits
+	clock  *timer.Service
+	stats  *metrics.Registry
+	log    *logrus.Logger
+	sent   atomic.Int64
+	shed   gometrics.Counter
+
+	mu   sync.Mutex
+	gate gate
+
+	// what follows is of the measuring goroutine alone.
+	queue    *runQueue
+	history  []measurement
+	loggedAt time.Time
+	shedding bool
+}
+
+// measurement is what was used up to a moment.
+type measurement struct {
+	at    time.Time
+	usage usage
+}
+
+// New returns a Monitor that measures the load until ctx ends and tells the clock how late the process gets the processor.
+func New(ctx context.Context, limits Limits, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger) *Monitor {
+	m := &Monitor{
+		limits: limits, clock: clock, stats: stats, log: log, gate: newGate(), queue: newRunQueue(),
+		shed: stats.Counter("connections_shed_total"),
+	}
+	ticks := clock.Subscribe(period)
+	go func() {
+		defer ticks.Stop()
+		due := clock.Now().Add(period)
+		for {
+			select {
+			case <-ticks.C():
+				now := clock.Now()
+				m.measure(now, now.Sub(due))
+				due = now.Add(period)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return m
+}
+
+// measure takes one measurement; late is how much later than planned it comes.
+func (m *Monitor) measure(now time.Time, late time.Duration) {
+	w := m.queue.read()
+	m.clock.NoteDelay(max(w.long, late), period)
+	used, err := processorTime()
+	if err != nil {
+		m.stats.Counter("load_not_measured_total").Inc(1)
+		return
+	}
+	current := measurement{at: now, usage: usage{processor: used, sent: m.sent.Load(), memory: heldMemory()}}
+	m.history = append(m.history, current)
+	if len(m.history) <= spanPeriods {
+		return
+	}
+	former := m.history[0]
+	m.history = append(m.history[:0], m.history[1:]...)
+	m.apply(m.limits.pressureOn(former.usage, current.usage, now.Sub(former.at), w), now)
+}
+
+// apply adjusts the share of new connections that are taken.
+func (m *Monitor) apply(p Pressure, now time.Time) {
+	m.mu.Lock()
+	m.gate.adjust(p.Most())
+	share := m.gate.share
+	m.mu.Unlock()
+	m.publish(p, share)
+	shedding := share < 1
+	if shedding != m.shedding && (!shedding || now.Sub(m.loggedAt) >= logPeriod) {
+		m.shedding, m.loggedAt = shedding, now
+		m.logChange(p, share)
+	}
+}
+
+// publish updates the gauges of the load, in per cent and milliseconds.
+func (m *Monitor) publish(p Pressure, share float64) {
+	for name, value := range map[string]float64{"processor": p.Processor, "link": p.Link, "memory": p.Memory, "delay": p.Delay} {
+		m.stats.Gauge("own_load_percent{resource=\"" + name + "\"}").Update(int64(100 * value))
+	}
+	m.stats.Gauge("connections_taken_percent").Update(int64(100 * share))
+	m.stats.Gauge("own_delay_ms").Update(m.clock.Delay().Milliseconds())
+}
+
+func (m *Monitor) logChange(p Pressure, share float64) {
+	fields := logrus.Fields{
+		"resource": p.Scarcest(), "processor": p.Processor, "link": p.Link, "memory": p.Memory, "delay_ms": m.clock.Delay().Milliseconds(),
+		"taken": share, "shed": m.shed.Count(),
+	}
+	if m.shedding {
+		m.log.WithFields(fields).Warn("instance is overloaded")
+		return
+	}
+	m.log.WithFields(fields).Info("instance has room again")
+}
+
+// TakeConnection reports whether a new connection is to be served; one that is not is to be closed unread, so that its caller asks another
+// instance.
+func (m *Monitor) TakeConnection() bool {
+	m.mu.Lock()
+	taken := m.gate.take(m.clock.Now())
+	m.mu.Unlock()
+	if !taken {
+		m.shed.Inc(1)
+	}
+	return taken
+}
+
+// KeepConnection reports whether a connection may stay open after an answer: while connections are shed, callers with open ones are sent
+// away by the same share.
+func (m *Monitor) KeepConnection() bool {
+	m.mu.Lock()
+	share := m.gate.share
+	m.mu.Unlock()
+	return share >= 1 || rand.Float64() < share
+}
+
+// NoteSent counts a message that was sent over the link.
+func (m *Monitor) NoteSent(bytes int) { m.sent.Add(int64(bytes) + segmentBytes) }
--- a/schema/beliefs.go
+++ b/schema/beliefs.go
@@ -84,6 +84,36 @@
 	GapMS int64 `log:"gap_ms"`
 }
 
+// The instance has more work than it can do in time, so that it closes a part of callers' new connections unread.
+type instanceOverloaded struct {
+	_ struct{} `msg:"instance is overloaded" level:"warning"`
+	ownLoad
+}
+
+// The instance takes all new connections again.
+type instanceHasRoom struct {
+	_ struct{} `msg:"instance has room again" level:"info"`
+	ownLoad
+}
+
+// ownLoad is what the instance uses of its limits, as a part of what requests may use of them.
+type ownLoad struct {
+	// The resource that is scarcest: processor, link, memory or delay.
+	Resource string `log:"resource"`
+	// Use of the processor.
+	Processor float64 `log:"processor"`
+	// Use of the network link, by what is sent.
+	Link float64 `log:"link"`
+	// Use of the memory.
+	Memory float64 `log:"memory"`
+	// By how much the process lately got the processor too late.
+	DelayMS int64 `log:"delay_ms"`
+	// The share of new connections that is taken.
+	Taken float64 `log:"taken"`
+	// Number of connections that were closed unread since the start.
+	Shed int64 `log:"shed"`
+}
+
 // The boot clock, which also counts the time of suspension, could not be read.
 type clockNotRead struct {
 	_ struct{} `msg:"clock not read" level:"error"`
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -63,6 +63,8 @@
 		metricsNotWritten{},
 		loadNotWritten{},
 		machineSuspended{},
+		instanceOverloaded{},
+		instanceHasRoom{},
 		clockNotRead{},
 		dependencyLost{},
 		dependencyRegained{},
--- a/timer/service.go
+++ b/timer/service.go
@@ -26,6 +26,9 @@
 	mu sync.Mutex
 	// deadlines holds the pending deadlines of WithDeadline.
 	deadlines map[*deadline]struct{}
+
+	delayMu sync.Mutex
+	delays  delays
 }
 
 // New returns a Service on the given clock for a machine that is never suspended.
