front: close a share of new connections unread while the instance is overloaded

Cause: an instance read whatever came. Its processor does some 100 streams a second (0.192 of a core), no code knew that limit, and what had been read could only be served late or refused.

Change: the share of new connections that is taken follows the scarcest of processor, link, memory and delay (beyond its limit the share falls in proportion, below it grows again). The rest is closed with nothing read, so that the caller's next try meets another instance; that costs no keep-alive options either. Answers on open connections tell the same share of callers to open another one. A connection is taken each 0.5 s at least.

Why it works: what comes is cut back where it is cheapest, before it costs a stream, and in the same 50 ms in which the processor is measured; streams under way keep the rest. Ruled out: not calling itself ready moves the whole skew to the next instance after two missed checks; passing requests on costs nearly a stream's processor time and twice the link (both by reading, not tried).

What is left is that the instance takes its own lateness for others' silence.

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -132,7 +132,7 @@
 			return platform.NewEngineClient(dialer, clock)
 		},
 		timer.NewSuspendable, metrics.New, follow.NewFleetView, follow.New, newStdoutQueue, newHostedLog, decision.NewRecorder,
-		forwardSettings, forward.New, newFront, newOrderLeader, newChecks, newMembershipView, newRegistry, newMembership, relaySelf,
+		forwardSettings, forward.New, newLoadMonitor, newFront, newOrderLeader, newChecks, newMembershipView, newRegistry, newMembership, relaySelf,
 		relay.New, relay.NewExchange, link.NewClient, link.NewStreamClient,
 	)
 }
--- a/app/hostedparts.go
+++ b/app/hostedparts.go
@@ -20,6 +20,7 @@
 	"junctioncross/link"
 	"junctioncross/membership"
 	"junctioncross/metrics"
+	"junctioncross/overload"
 	"junctioncross/platform"
 	"junctioncross/quarantine"
 	"junctioncross/reach"
@@ -43,7 +44,7 @@
 }
 
 func newFront(
-	codec call.Codec, handler *forward.Handler, view *follow.FleetView, clock *timer.Service, stats *metrics.Registry,
+	codec call.Codec, handler *forward.Handler, view *follow.FleetView, load *overload.Monitor, clock *timer.Service, stats *metrics.Registry,
 ) *front.Server {
 	limits := func() catalog.Limits {
 		if c := view.Current().Catalog(); c != nil {
@@ -51,7 +52,17 @@
 		}
 		return catalog.Limits{}
 	}
-	return front.New(codec, handler, limits, maxConnections, clock, stats)
+	return front.New(codec, handler, limits, maxConnections, load, clock, stats)
+}
+
+// newLoadMonitor returns what measures the load of this instance.
+func newLoadMonitor(
+	ctx context.Context, settings *config.Hosted, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
+) *overload.Monitor {
+	limits := overload.Limits{
+		Cores: settings.Processor.Cores, LinkMegabits: settings.Network.Megabits, MemoryMegabytes: settings.Memory.Megabytes,
+	}
+	return overload.New(ctx, limits, clock, stats, log)
 }
 
 func newMembershipView(settings *config.Hosted) *membership.View {
@@ -101,7 +112,7 @@
 func newDialer(
 	ctx context.Context, tunnels *tunnel.Client, view *follow.FleetView, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger,
 ) *reach.Dialer {
-	return reach.New(ctx, backend.DirectDialer{}, tunnels, view, clock, stats, log)
+	return reach.New(ctx, backend.NewDirectDialer(clock), tunnels, view, clock, stats, log)
 }
 
 func newTunnelClient(
--- a/backend/dialer.go
+++ b/backend/dialer.go
@@ -6,11 +6,12 @@
 	"time"
 
 	"junctioncross/once"
+	"junctioncross/timer"
 )
 
 const (
-	// dialTimeout is several round trips between failure domains; a server that takes longer is treated as unreachable.
-	dialTimeout = 400 * time.Millisecond
+	// DialTimeout is several round trips between failure domains; a server that takes longer is treated as unreachable.
+	DialTimeout = 400 * time.Millisecond
 	// unacknowledgedTimeout is how long a connection may go without an acknowledgement of sent data or keep-alive probes before
 	// it is closed; no reset arrives from a peer that is unreachable. It is less than the two seconds without an event after
 	// which callers disconnect, so that there is time to resume the stream on another path. A slow server is not affected, since
@@ -61,11 +62,18 @@
 }
 
 // DirectDialer opens connections over the instance's own network links; it implements Dialer.
-type DirectDialer struct{}
+type DirectDialer struct{ clock *timer.Service }
+
+// NewDirectDialer returns a DirectDialer that waits longer while the process itself is late by the clock. The zero value does not.
+func NewDirectDialer(clock *timer.Service) DirectDialer { return DirectDialer{clock: clock} }
 
 // Dial implements Dialer.
-func (DirectDialer) Dial(ctx context.Context, to Endpoint) (net.Conn, error) {
-	return once.KeepAliveDialer(dialTimeout, unacknowledgedTimeout).DialContext(ctx, "tcp4", to.Addr)
+func (d DirectDialer) Dial(ctx context.Context, to Endpoint) (net.Conn, error) {
+	limit := DialTimeout
+	if d.clock != nil {
+		limit = d.clock.Patience(limit)
+	}
+	return once.KeepAliveDialer(limit, unacknowledgedTimeout).DialContext(ctx, "tcp4", to.Addr)
 }
 
 // Lost implements Dialer.
--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -147,5 +147,12 @@
 
 // applyReport applies a report, or the error of a query, as of a query that takes no time.
 func (h *Handler) applyReport(server *backend.Server, report backend.Report, err error, why string) {
-	h.applyAnswer(server, h.clock.Now(), report, err, why)
+	h.applyAnswer(stateQuery{server: server, sentAt: h.clock.Now(), why: why}, report, err)
 }
+
+// idleInstance is the load of an instance that takes all connections.
+type idleInstance struct{}
+
+func (idleInstance) TakeConnection() bool { return true }
+func (idleInstance) KeepConnection() bool { return true }
+func (idleInstance) NoteSent(int)         {}
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -148,7 +148,7 @@
 	}
 	group := backend.NewGroup(&catalog.Service{Name: "s"}, backends)
 	s := front.New(platform.Codec{}, groupHandler{handler: h, route: route, group: group, send: h.plain},
-		func() catalog.Limits { return catalog.Limits{} }, func() int { return 100 }, timer.NewReal(), metrics.New())
+		func() catalog.Limits { return catalog.Limits{} }, func() int { return 100 }, idleInstance{}, timer.NewReal(), metrics.New())
 	require.NoError(t, s.Listen("127.0.0.1:0"))
 	t.Cleanup(s.Close)
 	return s
--- a/forward/resend_test.go
+++ b/forward/resend_test.go
@@ -62,7 +62,7 @@
 		PauseObjective: pause,
 	}
 	s := front.New(platform.Codec{}, groupHandler{handler: h, route: route, group: group, send: h.stream},
-		func() catalog.Limits { return catalog.Limits{} }, func() int { return 100 }, timer.NewReal(), metrics.New())
+		func() catalog.Limits { return catalog.Limits{} }, func() int { return 100 }, idleInstance{}, timer.NewReal(), metrics.New())
 	require.NoError(t, s.Listen("127.0.0.1:0"))
 	t.Cleanup(s.Close)
 	return s
--- a/front/descriptors_test.go
+++ b/front/descriptors_test.go
@@ -28,7 +28,7 @@
 	limits := func() catalog.Limits {
 		return catalog.Limits{HeaderBytes: 4096, BodyBytes: 1000, HeaderTime: time.Hour, IdleTime: time.Hour}
 	}
-	return New(platform.Codec{}, h, limits, func() int { return 8 }, timer.NewReal(), metrics.New())
+	return New(platform.Codec{}, h, limits, func() int { return 8 }, idleInstance{}, timer.NewReal(), metrics.New())
 }
 
 // pair returns both ends of a TCP connection.
@@ -78,3 +78,10 @@
 	<-s.testEnded
 	return nil, net.ErrClosed
 }
+
+// idleInstance is the load of an instance that takes all connections.
+type idleInstance struct{}
+
+func (idleInstance) TakeConnection() bool { return true }
+func (idleInstance) KeepConnection() bool { return true }
+func (idleInstance) NoteSent(int)         {}
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -27,6 +27,8 @@
 	// complete is true once the whole answer was passed to write.
 	complete bool
 	failed   bool
+	// closes is true once the caller was told that the connection closes after the answer.
+	closes bool
 }
 
 var exchanges = sync.Pool{New: func() any { return &Exchange{} }}
@@ -40,7 +42,7 @@
 func releaseExchange(x *Exchange) {
 	x.request.Reset()
 	x.conn, x.meta, x.arrived, x.buffer = nil, call.Meta{}, time.Time{}, x.buffer[:0]
-	x.begun, x.complete, x.failed = false, false, false
+	x.begun, x.complete, x.failed, x.closes = false, false, false, false
 	exchanges.Put(x)
 }
 
@@ -113,7 +115,8 @@
 func (x *Exchange) Failed() bool { return x.failed }
 
 func (x *Exchange) appendClose(out []byte) []byte {
-	if x.conn.server.Leaving() || x.request.Header.ConnectionClose() {
+	x.closes = x.conn.server.Leaving() || x.request.Header.ConnectionClose() || !x.conn.server.load.KeepConnection()
+	if x.closes {
 		return append(out, "Connection: close\r\n\r\n"...)
 	}
 	return append(out, "\r\n"...)
@@ -137,6 +140,7 @@
 			return
 		}
 	}
+	x.conn.server.load.NoteSent(len(p))
 	if _, err := x.conn.net.Write(p); err != nil {
 		x.failed = true
 	}
@@ -149,7 +153,7 @@
 		_ = x.conn.net.Close()
 		return false
 	}
-	if x.conn.server.Leaving() || x.request.Header.ConnectionClose() {
+	if x.closes || x.conn.server.Leaving() {
 		_ = closeWrite(x.conn.net)
 		x.wakeReader()
 		return false
--- a/front/server.go
+++ b/front/server.go
@@ -21,12 +21,23 @@
 	Handle(ctx context.Context, x *Exchange)
 }
 
+// Load tells how much work the instance can take.
+type Load interface {
+	// TakeConnection reports whether a new connection is to be served; one that is not is closed unread.
+	TakeConnection() bool
+	// KeepConnection reports whether a connection may stay open after an answer.
+	KeepConnection() bool
+	// NoteSent counts a message that was sent over the link.
+	NoteSent(bytes int)
+}
+
 // Server accepts callers' connections and passes their requests to a Handler.
 type Server struct {
 	codec          call.Codec
 	handler        Handler
 	limits         func() catalog.Limits
 	maxConnections func() int
+	load           Load
 	clock          *timer.Service
 	stats          *metrics.Registry
 	leaving        atomic.Bool
@@ -39,12 +50,14 @@
 }
 
 // New returns a Server that passes requests to handler; limits returns the limits on requests that are in force, maxConnections
-// the number of connections beyond which a new one causes the oldest idle one to be closed.
+// the number of connections beyond which a new one causes the oldest idle one to be closed, and load which ones are taken at all.
 func New(
-	codec call.Codec, handler Handler, limits func() catalog.Limits, maxConnections func() int, clock *timer.Service, stats *metrics.Registry,
+	codec call.Codec, handler Handler, limits func() catalog.Limits, maxConnections func() int, load Load, clock *timer.Service,
+	stats *metrics.Registry,
 ) *Server {
 	return &Server{
-		codec: codec, handler: handler, limits: limits, maxConnections: maxConnections, clock: clock, stats: stats, conns: map[*conn]struct{}{},
+		codec: codec, handler: handler, limits: limits, maxConnections: maxConnections, load: load, clock: clock, stats: stats,
+		conns: map[*conn]struct{}{},
 	}
 }
 
@@ -55,7 +68,9 @@
 
 // Listen starts to accept connections on an IPv4 address and port.
 func (s *Server) Listen(addr string) error {
-	listener, err := net.Listen("tcp4", addr)
+	// Connections that are shed need no keep-alive; the others get it when they are taken.
+	config := net.ListenConfig{KeepAlive: -1}
+	listener, err := config.Listen(context.Background(), "tcp4", addr)
 	if err != nil {
 		return errors.Wrapf(err, "front: listen on %s", addr)
 	}
@@ -84,11 +99,20 @@
 			continue
 		}
 		s.stats.Counter("connections_total").Inc(1)
+		if !s.load.TakeConnection() {
+			_ = c.Close()
+			continue
+		}
 		s.start(c)
 	}
 }
 
 func (s *Server) start(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		if err := t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true}); err != nil {
+			s.stats.Counter("accept_errors_total").Inc(1)
+		}
+	}
 	one := newConn(s, c)
 	s.mu.Lock()
 	s.conns[one] = struct{}{}
