forward: do not take the instance's own delay for the silence of servers

Cause: time-outs on servers run while the answer waits for this process. A state query of 75 ms counts as unanswered, a stream without a read for 0.14 s as stalled, a plain request as left alone; each conclusion starts queries, hand-overs, tunnels and retries, which cost more of what is short.

Change: limits on servers are longer by four times the delay with which the process lately got the processor, and if that grew during the wait nothing is concluded. Refused connections, resets and early errors are believed as before. A server that really is silent is found after the longer limit, and at once by other instances.

--- a/forward/findings.go
+++ b/forward/findings.go
@@ -107,10 +107,9 @@
 	ctx context.Context, found *findings, s *backend.Server, group *backend.Group, why suspicion, first bool,
 ) {
 	h := w.handler
-	sentAt := h.clock.Now()
+	q := stateQuery{server: s, sentAt: h.clock.Now(), timeout: queriesTimeout, why: "slow stream"}
 	report, err := w.queryTwice(ctx, s)
-	h.applyAnswer(s, sentAt, report, err, "slow stream")
-	if errors.Is(err, backend.ErrGarbled) {
+	if !h.applyAnswer(q, report, err) || errors.Is(err, backend.ErrGarbled) {
 		return
 	}
 	if err != nil || s.Ended() {
@@ -154,7 +153,7 @@
 // queryTwice queries a server, a second time if the first query is not answered soon, and returns the first answer.
 func (w *watcher) queryTwice(ctx context.Context, s *backend.Server) (backend.Report, error) {
 	h := w.handler
-	ctx, cancel := context.WithTimeout(ctx, queriesTimeout)
+	ctx, cancel := context.WithTimeout(ctx, h.clock.Patience(queriesTimeout))
 	defer cancel()
 	// A call may outlast its context while it opens a connection; its answer is not waited for then.
 	answers := make(chan queryResult, 2)
@@ -167,7 +166,7 @@
 	select {
 	case a := <-answers:
 		return a.report, a.err
-	case <-h.clock.After(secondQueryDelay):
+	case <-h.clock.After(h.clock.Patience(secondQueryDelay)):
 	}
 	go query()
 	for range 2 {
--- a/forward/query.go
+++ b/forward/query.go
@@ -14,7 +14,7 @@
 const reasonMemory = "memory"
 
 const (
-	// queryTimeout limits a state query; a server that takes longer counts as gone.
+	// queryTimeout limits a state query; a server that takes longer counts as silent.
 	queryTimeout = 300 * time.Millisecond
 	// fullMemoryShare is the used share of a server's memory above which the server is logged as full.
 	fullMemoryShare = 0.93
@@ -38,11 +38,11 @@
 	}
 	h.stats.Counter("inquiries_total{reason=\"" + why + "\"}").Inc(1)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), h.clock.Patience(queryTimeout))
 		defer cancel()
-		sentAt := h.clock.Now()
+		q := stateQuery{server: server, sentAt: h.clock.Now(), timeout: queryTimeout, why: why}
 		report, err := h.engines.Report(ctx, server.Addr())
-		h.applyAnswer(server, sentAt, report, err, why)
+		h.applyAnswer(q, report, err)
 	}()
 }
 
@@ -86,9 +86,37 @@
 	})
 }
 
-// applyAnswer applies the report of a server that was queried at the given time, or the error of that query.
-func (h *Handler) applyAnswer(server *backend.Server, sentAt time.Time, report backend.Report, err error, why string) {
-	now := h.clock.Now()
+// stateQuery is a query of a server's state.
+type stateQuery struct {
+	server *backend.Server
+	// sentAt is when it was sent, and timeout how soon a sound server answers it.
+	sentAt  time.Time
+	timeout time.Duration
+	why     string
+}
+
+// answerMissed reports whether an answer may have failed to reach this instance in time because the instance itself was late. That nothing
+// listens at the server is known at once in any case.
+func (h *Handler) answerMissed(q stateQuery, err error) bool {
+	if !errors.Is(err, backend.ErrNoAnswer) || errors.Is(err, backend.ErrNotListening) || !h.clock.DelayedSince(q.sentAt, q.timeout) {
+		return false
+	}
+	h.stats.Counter("silences_not_believed_total").Inc(1)
+	return true
+}
+
+// applyAnswer applies the report that answers a query, or the error of that query, and reports whether the query has shown anything.
+func (h *Handler) applyAnswer(q stateQuery, report backend.Report, err error) bool {
+	if h.answerMissed(q, err) {
+		return false
+	}
+	h.applyResult(q, report, err)
+	return true
+}
+
+// applyResult applies a report, or the error of a query that does not come from this instance's own delay.
+func (h *Handler) applyResult(q stateQuery, report backend.Report, err error) {
+	server, sentAt, why, now := q.server, q.sentAt, q.why, h.clock.Now()
 	fields := decision.Fields{"server": server.ID(), "address": server.Addr(), "why": why}
 	if errors.Is(err, backend.ErrGarbled) {
 		h.noteAnswer(server, sentAt, now)
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -71,7 +71,7 @@
 		return errPathChanged
 	}
 	fields := decision.Fields{"old_path": old.describe(), "path": next.describe()}
-	repairCtx, cancel := context.WithTimeout(ctx, repairTimeout)
+	repairCtx, cancel := context.WithTimeout(ctx, h.clock.Patience(repairTimeout))
 	defer cancel()
 	err := h.engines.Repair(repairCtx, next.servers[0].Addr(), f.r.meta.ID, next.stages())
 	h.stats.Counter("repairs_total").Inc(1)
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -60,11 +60,11 @@
 		if s.Ended() {
 			continue
 		}
-		queryCtx, cancel := context.WithTimeout(ctx, queryTimeout)
-		sentAt := h.clock.Now()
+		queryCtx, cancel := context.WithTimeout(ctx, h.clock.Patience(queryTimeout))
+		q := stateQuery{server: s, sentAt: h.clock.Now(), timeout: queryTimeout, why: "run that broke"}
 		report, err := h.engines.Report(queryCtx, s.Addr())
 		cancel()
-		h.applyAnswer(s, sentAt, report, err, "run that broke")
+		h.applyAnswer(q, report, err)
 		if s.PresumedEnded() && s.Gone() && s.LeavingFor(h.clock.Now()) > h.settings.Load().DrainTime {
 			// It has no entry and has not answered for long: it is partitioned or dead.
 			s.MarkEnded()
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -283,7 +283,7 @@
 	clock.Advance(time.Millisecond)
 	h.applyReport(server, backend.Report{Layers: server.Layers()}, nil, "memory")
 	clock.Advance(time.Millisecond)
-	h.applyAnswer(server, earlier, backend.Report{}, backend.ErrNoAnswer, "memory")
+	h.applyAnswer(stateQuery{server: server, sentAt: earlier, why: "memory"}, backend.Report{}, backend.ErrNoAnswer)
 	require.True(t, server.Usable(clock.Now()))
 	require.False(t, server.AnsweredSince(clock.Now()), "the answer is to a query that was sent before")
 }
--- a/forward/silencelimit.go
+++ b/forward/silencelimit.go
@@ -32,7 +32,7 @@
 // the budget by then. endAttempt must be called after the attempt.
 func (h *Handler) withSilenceLimit(ctx context.Context, r *request, tried []*backend.Server) (attemptCtx context.Context, endAttempt func()) {
 	limit := max(silenceFactor*r.route.Objective, r.route.Objective+minSilenceSlack)
-	silent := h.clock.After(limit)
+	sentAt, silent := h.clock.Now(), h.clock.After(h.clock.Patience(limit))
 	r.direct.Store(false)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	granted := make(chan bool, 1)
@@ -45,7 +45,7 @@
 				return
 			}
 			pathLost := r.direct.Load() && h.dialer.Lost(tried[len(tried)-1].Addr())
-			if (pathLost || h.pick(r.group, tried) != nil) && h.takeRetry(r) {
+			if !h.clock.DelayedSince(sentAt, limit) && (pathLost || h.pick(r.group, tried) != nil) && h.takeRetry(r) {
 				cancel(errSilent)
 				granted <- true
 				return
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -102,13 +102,13 @@
 	return max(time.Duration(stallShare*float64(f.r.route.PauseObjective)), minStall)
 }
 
-// overdue returns for how long the stream has been stalled; it is 0 or less if it is not.
+// overdue returns for how long the stream has been stalled; it is 0 or less if it is not. What this instance itself is late does not count.
 func (w *watcher) overdue(f *inflight) time.Duration {
 	limit := stallLimit(f)
 	if !f.progressed.Load() {
 		limit = firstEventSlack + time.Duration(f.firstEventDue.Load())
 	}
-	return f.pause(w.handler) - limit
+	return f.pause(w.handler) - w.handler.clock.Patience(limit)
 }
 
 // scan starts a diagnosis for each first server that has stalled streams.
@@ -176,7 +176,7 @@
 // asked twice.
 func (w *watcher) verify(ctx context.Context, f *inflight, path resolvedPath) {
 	h := w.handler
-	repairCtx, cancel := context.WithTimeout(ctx, repairTimeout)
+	repairCtx, cancel := context.WithTimeout(ctx, h.clock.Patience(repairTimeout))
 	defer cancel()
 	err := h.engines.Repair(repairCtx, path.servers[0].Addr(), f.r.meta.ID, path.stages())
 	if errors.Is(err, backend.ErrUnknownRequest) && f.noteUnknown(h.clock.Now()) {
