reach, tunnel: do not take the instance's own delay for a lost path

Callers saw: requests sent through other instances, at the cost of both, and answers cut and resumed, while the links were whole.

Cause: a connection over the own links that takes 40 ms starts a tunnel, 100 ms more make the path lost, and an instance that was asked says after 150 ms that it does not reach the server either.

Change: these limits, those of vouching, probing and asking, and of connections themselves are extended by the own delay; if it grew during the wait no path is noted as lost or failed, no instance as lost, and another one is told 'no path' rather than 'unreachable'.

Measured: TestAnInstanceThatIsLateTakesNoPathForLost fails 3 of 3 without it; a path that is lost is still found.

--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -99,13 +99,28 @@
 
 // DialDirect implements tunnel.DirectPaths.
 func (d *Dialer) DialDirect(ctx context.Context, addr string) (net.Conn, error) {
+	begun, limit := d.clock.Now(), d.dialLimit(ctx)
 	c, err := d.direct.Dial(ctx, backend.Endpoint{Addr: addr})
-	if !errors.Is(err, context.Canceled) {
+	switch {
+	case errors.Is(err, context.Canceled):
+	case timedOut(err) && d.clock.DelayedSince(begun, limit):
+		d.stats.Counter("server_dials_total{result=\"late\"}").Inc(1)
+	default:
 		d.noteDirect(addr, err)
 	}
 	return c, err
 }
 
+// dialLimit returns within which time a connection comes up that is begun now, by an instance that is not late itself.
+func (d *Dialer) dialLimit(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return backend.DialTimeout
+	}
+	left := deadline.Sub(d.clock.MonotonicTime(d.clock.Now()))
+	return min(left-d.clock.Patience(0), backend.DialTimeout)
+}
+
 // Dial implements backend.Dialer.
 func (d *Dialer) Dial(ctx context.Context, to backend.Endpoint) (net.Conn, error) {
 	switch route := d.route(to.Addr); route {
@@ -184,7 +199,7 @@
 	d.mu.Unlock()
 	for _, addr := range lost[:min(len(lost), probesAtOnce)] {
 		go func() {
-			ctx, cancel := d.clock.WithTimeout(ctx, probeTimeout)
+			ctx, cancel := d.clock.WithTimeout(ctx, d.clock.Patience(probeTimeout))
 			defer cancel()
 			d.connects(ctx, addr)
 		}()
@@ -260,15 +275,20 @@
 
 // resultOf returns the outcome of an attempt as the metrics name it.
 func resultOf(err error) string {
-	var timeout interface{ Timeout() bool }
 	switch {
 	case err == nil:
 		return "connected"
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return "refused"
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case timedOut(err):
 		return "silent"
 	default:
 		return "failed"
 	}
 }
+
+// timedOut reports whether an error means that a time limit has passed.
+func timedOut(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/reach/race.go
+++ b/reach/race.go
@@ -65,7 +65,7 @@
 	if route == Both {
 		r.startTunnel(ctx)
 	} else {
-		r.late = d.clock.After(hedgeDelay)
+		r.late = d.clock.After(d.clock.Patience(hedgeDelay))
 	}
 	return r
 }
@@ -131,6 +131,7 @@
 		return
 	}
 	r.keepDirect()
+	begun := r.dialer.clock.Now()
 	go func() {
 		defer r.endDirect()
 		select {
@@ -139,8 +140,11 @@
 			if a.err == nil {
 				return
 			}
-		case <-r.dialer.clock.After(lostDelay):
+		case <-r.dialer.clock.After(r.dialer.clock.Patience(lostDelay)):
 			go func() { (<-r.direct).close() }()
+			if r.dialer.clock.DelayedSince(begun, lostDelay) {
+				return
+			}
 		}
 		r.dialer.noteLost(r.to.Addr)
 	}()
--- a/reach/vouch.go
+++ b/reach/vouch.go
@@ -60,7 +60,7 @@
 
 // reachOthers tries to connect to other servers like one over the own links.
 func (d *Dialer) reachOthers(server *backend.Server) bool {
-	ctx, cancel := d.clock.WithTimeout(context.Background(), vouchTimeout)
+	ctx, cancel := d.clock.WithTimeout(context.Background(), d.clock.Patience(vouchTimeout))
 	defer cancel()
 	others := d.servers.OthersLike(server, vouchers)
 	reached := make(chan bool, len(others))
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -108,7 +108,7 @@
 		return nil, ErrNoPeer
 	}
 	ask := open{Server: server.ID(), Born: server.Incarnation().Born, Request: to.Request, NewWork: to.NewWork, From: c.self.Name}
-	ctx, cancel := c.clock.WithTimeout(ctx, openTimeout)
+	ctx, cancel := c.clock.WithTimeout(ctx, c.clock.Patience(openTimeout))
 	defer cancel()
 	return c.askInTurn(ctx, ask, c.candidates())
 }
@@ -148,7 +148,7 @@
 		}
 		var late <-chan time.Time
 		if asked < len(candidates) {
-			late = c.clock.After(nextPeerDelay)
+			late = c.clock.After(c.clock.Patience(nextPeerDelay))
 		}
 		select {
 		case r := <-results:
@@ -212,10 +212,13 @@
 	// An answer that comes when another instance has answered still tells whether this one reaches the server.
 	ctx = context.WithoutCancel(ctx)
 	go func() {
-		ctx, cancel := c.clock.WithTimeout(ctx, openTimeout)
+		begun := c.clock.Now()
+		ctx, cancel := c.clock.WithTimeout(ctx, c.clock.Patience(openTimeout))
 		defer cancel()
 		conn, answer, err := c.openAt(ctx, m, ask)
-		c.note(m, answer, err)
+		if err == nil || !c.clock.DelayedSince(begun, openTimeout) {
+			c.note(m, answer, err)
+		}
 		results <- result{conn: conn, verdict: answer.verdict}
 	}()
 }
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -95,7 +95,8 @@
 	if verdict := s.judge(ask, server); verdict != Opened {
 		return nil, verdict
 	}
-	ctx, cancel := s.clock.WithTimeout(ctx, serverDialTimeout)
+	begun := s.clock.Now()
+	ctx, cancel := s.clock.WithTimeout(ctx, s.clock.Patience(serverDialTimeout))
 	defer cancel()
 	conn, err := s.paths.DialDirect(ctx, server.Addr())
 	switch {
@@ -105,6 +106,8 @@
 		return nil, NoPath
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, NotListening
+	case s.clock.DelayedSince(begun, serverDialTimeout):
+		return nil, NoPath
 	default:
 		return nil, Unreachable
 	}
