relay: wait longer for a relay while the instance itself is late

Cause: a poll that is answered in time but handled late counts as failed, so that the instance leaves its relay and asks the next one, anew each time.

Change: the limit on a poll is extended by the own delay, as those on servers are.

No unit test: the limit is one call.

--- a/relay/pollinstance.go
+++ b/relay/pollinstance.go
@@ -13,7 +13,7 @@
 // pollInstance polls the instance at addr.
 func (s *Source) pollInstance(ctx context.Context, addr string, p poll) (update, error) {
 	s.stats.Counter("relay_polls_total").Inc(1)
-	ctx, cancel := s.clock.WithTimeout(ctx, pollTimeout(p))
+	ctx, cancel := s.clock.WithTimeout(ctx, s.clock.Patience(pollTimeout(p)))
 	defer cancel()
 	sentAt := s.clock.Now()
 	s.attachOwn(&p, addr, sentAt)
