forward: leave servers whose bytes are no answer and do not end

Callers saw, on servers in trouble: a stream or a plain request that hung until its caller left, and an instance that fills up: a plain answer may take 8 MiB, an event 1 MiB, and nothing bounds the sum on instances of 184 MB.

Cause: progress was counted in bytes. Any byte kept a stream from being stalled, interim answers were read as a body without an end, and a head that comes slowly had no limit at all.

Change: a stream makes progress with whole events only; a stalled one on whose connection bytes keep coming for 1.5 s that complete no event is cut and resumed elsewhere ('bytes complete no event'). A head has 1.5 s from its first byte on (longer while the instance itself is late). Interim answers are no answers. An event has 64 KiB at most. Bodies of plain answers beyond 16 KiB share an eighth of the memory. The server counts as one that answers wrongly, not as silent or ended.

--- a/app/forwardsettings.go
+++ b/app/forwardsettings.go
@@ -8,6 +8,9 @@
 	"junctioncross/retry"
 )
 
+// bodyMemoryPart is the part of the memory, one of so many, that the bodies of plain answers may take.
+const bodyMemoryPart = 8
+
 // forwardSettings returns the settings of the handler from those of the process.
 func forwardSettings(settings *config.Hosted) forward.Settings {
 	s := forward.Settings{
@@ -16,6 +19,7 @@
 			Window: settings.Repeats.Window, Share: retryShare * settings.Repeats.Share, Fixed: retryShare * settings.Repeats.Slack,
 		},
 		DrainTime: settings.Engines.DrainTime, LongestBackOff: settings.Servers.LongestBackOff,
+		BodyMemory: int64(settings.Memory.Megabytes) << 20 / bodyMemoryPart,
 	}
 	s.Admission = admissionSettings(&settings.Admission)
 	if settings.Keys.Strict {
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,8 +31,20 @@
 	server *Server
 	// used is true when the connection carried a request before.
 	used bool
+	// received is the number of bytes that have been read from the network.
+	received atomic.Int64
 }
 
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// Received returns the number of bytes that have come on the connection.
+func (c *Conn) Received() int64 { return c.received.Load() }
+
 // idleConn is a connection that may be used for another request until the given time.
 type idleConn struct {
 	conn  *Conn
@@ -71,7 +84,9 @@
 	if err != nil {
 		return nil, dialError{cause: err}
 	}
-	return &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBufferSize), server: s}, nil
+	conn := &Conn{Conn: c, server: s}
+	conn.Reader = bufio.NewReaderSize(conn, readBufferSize)
+	return conn, nil
 }
 
 // CheckListening returns nil if something listens at the server's address. It opens a connection, which is kept for a later request.
--- a/forward/events.go
+++ b/forward/events.go
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 )
 
-// maxEventBytes bounds the size of one event; a server that sends more without ending the event does not speak the protocol.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds the size of one event, which is held in memory: many times what the tokens of an event take.
+const maxEventBytes = 64 << 10
 
 // errBadEvent means that bytes are not an event, or not the one that comes next.
 var errBadEvent = errors.New("forward: malformed or out-of-order event")
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// maxPlainBody limits the body of a plain answer, which is held in memory until it is complete.
-	maxPlainBody = 8 << 20
 	// maxStrayAnswers is how many answers to other requests are read and discarded before a connection is given up.
 	maxStrayAnswers = 2
 )
@@ -127,8 +125,8 @@
 // receive reads the head of the answer; it discards answers that belong to other requests.
 func (h *Handler) receive(r *request, s *sentRequest) error {
 	for range maxStrayAnswers + 1 {
-		if err := s.head.Read(s.conn.Reader); err != nil {
-			return errors.Wrap(err, "forward: read answer")
+		if err := h.readHead(s); err != nil {
+			return err
 		}
 		s.info = h.codec.ReadAnswer(&s.head)
 		h.applyNotice(r.meta.ID, s.server, s.info.Notice)
@@ -139,7 +137,7 @@
 			return nil
 		}
 		h.stats.Counter("stray_answers_total").Inc(1)
-		if _, err := readWhole(s); err != nil {
+		if _, err := h.readWhole(r, s); err != nil {
 			return errStray
 		}
 	}
@@ -171,27 +169,6 @@
 	}
 }
 
-// readWhole reads the body of an answer; the error means that it is incomplete.
-func readWhole(s *sentRequest) ([]byte, error) {
-	if s.head.ContentLength() > maxPlainBody {
-		return nil, errMalformed
-	}
-	from := s.body()
-	body, err := readLimited(from)
-	if err != nil {
-		return nil, err
-	}
-	return body, from.end()
-}
-
-func readLimited(from io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(from, maxPlainBody+1))
-	if err == nil && len(body) > maxPlainBody {
-		err = errMalformed
-	}
-	return body, err
-}
-
 // endChunks reads the empty line after the last chunk.
 func endChunks(reader *bufio.Reader) error {
 	line, err := reader.ReadSlice('\n')
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -41,6 +41,8 @@
 	LongestBackOff time.Duration
 	// Admission defines which requests are refused first while the room of a service is short.
 	Admission AdmissionSettings
+	// BodyMemory limits the memory, in bytes, for the bodies of plain answers that are held at once; 0 means a default.
+	BodyMemory int64
 }
 
 // Instances returns the number of instances that share the limits.
@@ -78,6 +80,8 @@
 	publisher          EndPublisher
 	// loads holds the load reports of the failure domain; it is nil if load is not reported.
 	loads *demand.Book
+	// bodies is the memory that is left for the bodies of plain answers.
+	bodies heldBodies
 	// outOfUse notes since when servers have got no new work.
 	outOfUse outOfUse
 
@@ -106,6 +110,10 @@
 		lanes:  map[string]*laneCache{}, queues: map[string]*queue{}, longestWaits: longestWaits{},
 		loadRatio: loadRatio{estimate: initialLoadRatio},
 	}
+	h.bodies.left.Store(settings.BodyMemory)
+	if settings.BodyMemory == 0 {
+		h.bodies.left.Store(defaultHeldBytes)
+	}
 	if loads != nil {
 		h.setLoads(loads)
 	}
@@ -156,6 +164,8 @@
 	direct atomic.Bool
 	// forecast says from which streams the Retry-After time of a refused request was predicted.
 	forecast string
+	// heldBytes is the memory that the bodies of its answers take beyond what each may take.
+	heldBytes int
 	// digest is the fingerprint, once computed.
 	digest *quarantine.Fingerprint
 }
@@ -183,6 +193,7 @@
 	ctx, cancel := h.clock.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	h.countRequest(r)
+	defer func() { h.bodies.giveBack(r.heldBytes) }()
 	if r.group.Graph() != nil {
 		h.stream(ctx, r)
 	} else {
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -48,6 +48,9 @@
 	// ranSince is when the first event of the present attempt came; only the goroutine of the request uses it.
 	ranSince time.Time
 
+	// useless is what has come since the stream last made progress; the lock of the watcher guards it.
+	useless uselessBytes
+
 	// left is true once the stream has been handed over, so that a server was left that may have gone on with it; only the goroutine of the
 	// request uses it.
 	left bool
--- a/forward/pass.go
+++ b/forward/pass.go
@@ -17,11 +17,9 @@
 	for {
 		n, err := body.Read(buffer)
 		out, bad := f.events.feed(buffer[:n])
-		if n > 0 {
+		if len(out) > 0 {
 			h.observePause(f)
 			f.touch(h)
-		}
-		if len(out) > 0 {
 			h.pass(f, s, out)
 			h.noteHarmless(f)
 		}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -138,7 +138,7 @@
 	}
 	begun := h.clock.Now()
 	server.SetLoad(s.info.Load, begun)
-	body, err := readWhole(s)
+	body, err := h.readWhole(r, s)
 	h.finish(s, err == nil)
 	if err != nil {
 		return h.brokenPlain(ctx, r, s, brokenRun{begun: true, answered: h.clock.Since(begun)}, errOf(attemptCtx, err))
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -116,7 +116,7 @@
 
 // refusedStream returns the outcome of an answer that is not a stream, and notes the failure or refusal at the server.
 func (h *Handler) refusedStream(f *inflight, s *sentRequest) outcome {
-	body, err := readWhole(s)
+	body, err := h.readWhole(f.r, s)
 	h.watch.remove(f)
 	h.finish(s, err == nil)
 	if s.info.NotRun {
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -122,6 +122,7 @@
 			continue
 		}
 		w.cutFromLostPath(f)
+		w.cutEndless(f)
 		byFirst[f.first] = append(byFirst[f.first], f)
 	}
 	for first, streams := range byFirst {
--- a/schema/attempts.go
+++ b/schema/attempts.go
@@ -1,5 +1,16 @@
 package schema
 
+// A server keeps sending bytes that complete no event of a stream, which is resumed elsewhere.
+type bytesCompleteNothing struct {
+	_ struct{} `msg:"bytes complete no event" level:"warning"`
+	request
+	server
+	// How long the stream has stood still.
+	StillMS int64 `log:"still_ms"`
+	// Number of bytes that have come on the connection.
+	Bytes int64 `log:"bytes"`
+}
+
 // A stream was sent along a path.
 type sentStream struct {
 	_ struct{} `msg:"sent" level:"info"`
--- a/schema/lines.go
+++ b/schema/lines.go
@@ -50,6 +50,7 @@
 		tunnelCarried{},
 		tunnelNotCarried{},
 		streamPathLost{},
+		bytesCompleteNothing{},
 	}
 	beliefLines = []any{
 		started{},
