--- a/once/client.go
+++ b/once/client.go
@@ -8,7 +8,11 @@
 	"github.com/valyala/fasthttp"
 )
 
-// NewClient returns a client that never retries a request by itself; dialTimeout bounds the opening of a connection.
+// defaultBodyBytes limits the body of an answer, which is held in memory whole.
+const defaultBodyBytes = 8 << 20
+
+// NewClient returns a client that never retries a request by itself and takes no body of more than 8 MiB; dialTimeout bounds the opening of a
+// connection.
 func NewClient(dialTimeout time.Duration) *fasthttp.Client {
 	dialer := &fasthttp.TCPDialer{}
 	return NewClientWith(func(addr string) (net.Conn, error) { return dialer.DialTimeout(addr, dialTimeout) })
@@ -20,6 +24,7 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		Dial:                      dial,
+		MaxResponseBodySize:       defaultBodyBytes,
 	}
 }
 
