overload: shed only what lasts

Cause: a configuration, a plan or a crash gives all instances something to do at the same moment; the use of the processor over 0.2 s, and one long wait, then passed for overload, on all of them at once, so that the next try met the same.

Change: the processor and the link are judged over 0.5 s, the wait for the processor by the shortest of four measurements, and one measurement changes the share by a third of what it shows at most.

--- a/overload/gate.go
+++ b/overload/gate.go
@@ -10,11 +10,10 @@
 	minShare = 0.02
 	// longestGap is how long the gate takes no connection at most.
 	longestGap = 500 * time.Millisecond
-	// shareStep is by how much the share grows with each measurement that shows room, as a part of that room, and leastStep the least growth.
-	shareStep = 0.25
+	// growth and cut are by how much the share follows one measurement that shows room, or too much work, and leastStep the least growth.
+	growth    = 0.25
+	cut       = 0.3
 	leastStep = 0.01
-	// largestCut is the least part of the share that one measurement leaves.
-	largestCut = 0.5
 )
 
 // gate takes a share of the new connections, evenly. It is not safe for concurrent use.
@@ -31,10 +30,10 @@
 // adjust changes the share after a measurement: pressure is the use of the scarcest resource, as a part of what may be used.
 func (g *gate) adjust(pressure float64) {
 	if pressure > 1 {
-		g.share = max(g.share*max(1/pressure, largestCut), minShare)
+		g.share = max(g.share*(1-cut*(1-1/pressure)), minShare)
 		return
 	}
-	g.share = min(g.share+max(shareStep*(1-pressure)*g.share, leastStep), 1)
+	g.share = min(g.share+max(growth*(1-pressure)*g.share, leastStep), 1)
 }
 
 // take reports whether a new connection is to be taken.
--- a/overload/monitor.go
+++ b/overload/monitor.go
@@ -18,8 +18,10 @@
 const (
 	// period is how often the load is measured.
 	period = 50 * time.Millisecond
-	// span is the number of periods over which the use of the processor and of the link is taken.
-	spanPeriods = 4
+	// spanPeriods is the number of periods over which the use of the processor and of the link is taken, and lastingPeriods that for which
+	// goroutines must have waited: all instances of a fleet may have much to do for some tenths of a second, as when a configuration comes.
+	spanPeriods    = 10
+	lastingPeriods = 4
 	// logPeriod is the least time between two log lines about the load.
 	logPeriod = time.Second
 )
@@ -43,10 +45,11 @@
 	shedding bool
 }
 
-// measurement is what was used up to a moment.
+// measurement is what was used up to a moment, and how long goroutines have waited for the processor since the one before.
 type measurement struct {
 	at    time.Time
 	usage usage
+	waits waits
 }
 
 // New returns a Monitor that measures the load until ctx ends and tells the clock how late the process gets the processor.
@@ -82,14 +85,24 @@
 		m.stats.Counter("load_not_measured_total").Inc(1)
 		return
 	}
-	current := measurement{at: now, usage: usage{processor: used, sent: m.sent.Load(), memory: heldMemory()}}
+	current := measurement{at: now, usage: usage{processor: used, sent: m.sent.Load(), memory: heldMemory()}, waits: w}
 	m.history = append(m.history, current)
 	if len(m.history) <= spanPeriods {
 		return
 	}
 	former := m.history[0]
 	m.history = append(m.history[:0], m.history[1:]...)
-	m.apply(m.limits.pressureOn(former.usage, current.usage, now.Sub(former.at), w), now)
+	m.apply(m.limits.pressureOn(former.usage, current.usage, now.Sub(former.at), lastingWait(m.history)), now)
+}
+
+// lastingWait returns the shortest of the latest usual waits.
+func lastingWait(history []measurement) time.Duration {
+	latest := history[max(len(history)-lastingPeriods, 0):]
+	shortest := latest[0].waits.usual
+	for _, m := range latest {
+		shortest = min(shortest, m.waits.usual)
+	}
+	return shortest
 }
 
 // apply adjusts the share of new connections that are taken.
--- a/overload/simulation_test.go
+++ b/overload/simulation_test.go
@@ -35,7 +35,7 @@
 	late    map[int]bool
 	backlog time.Duration
 	used    time.Duration
-	history []usage
+	history []measurement
 }
 
 func newModelInstance(cores float64) *modelInstance {
@@ -72,13 +72,13 @@
 }
 
 func (m *modelInstance) measure() {
-	m.history = append(m.history, usage{processor: m.used})
+	m.history = append(m.history, measurement{usage: usage{processor: m.used}, waits: waits{usual: m.delay()}})
 	if len(m.history) <= spanPeriods {
 		return
 	}
 	former, now := m.history[0], m.history[len(m.history)-1]
 	m.history = m.history[1:]
-	m.gate.adjust(m.limits.pressureOn(former, now, spanPeriods*period, waits{usual: m.delay()}).Most())
+	m.gate.adjust(m.limits.pressureOn(former.usage, now.usage, spanPeriods*period, lastingWait(m.history)).Most())
 }
 
 // connect has a caller connect and reports whether its request was read.
--- a/overload/usage.go
+++ b/overload/usage.go
@@ -37,9 +37,10 @@
 	memory    uint64
 }
 
-// pressureOn returns the use of each resource since a former measurement, as a part of what requests may use of it.
-func (l Limits) pressureOn(former, now usage, span time.Duration, w waits) Pressure {
-	p := Pressure{Delay: float64(w.usual) / float64(maxUsualWait)}
+// pressureOn returns the use of each resource since a former measurement, as a part of what requests may use of it; wait is for how long
+// goroutines have waited for the processor all the time.
+func (l Limits) pressureOn(former, now usage, span, wait time.Duration) Pressure {
+	p := Pressure{Delay: float64(wait) / float64(maxUsualWait)}
 	if span <= 0 {
 		return p
 	}
