overload: judge the wait for the processor by its mean

Cause: the processor was judged over 0.5 s and against 0.85 of its limit, the wait by the shortest of four values of nine in ten goroutines, which stays below 20 ms on a processor that is used up: what comes late are the few.

Change: 0.3 s, 0.8 of the limit, and the mean of the longest waits of 0.3 s (99 in 100) against 20 ms.

Measured: the simulated skews and the domain at its room as before, bounds unchanged.

--- a/overload/latency.go
+++ b/overload/latency.go
@@ -10,13 +10,8 @@
 	latencyMetric = "/sched/latencies:seconds"
 	// delayQuantile is the quantile of the waits for the processor that counts as the delay of the process.
 	delayQuantile = 0.99
-	// usualQuantile is the quantile that counts as the usual wait.
-	usualQuantile = 0.9
 )
 
-// waits are the quantiles of the time for which runnable goroutines have waited for the processor.
-type waits struct{ usual, long time.Duration }
-
 // runQueue reads how long runnable goroutines wait for the processor. A ticker does not show that, since the runtime lets the goroutines
 // of timers go first.
 type runQueue struct {
@@ -28,8 +23,8 @@
 	return &runQueue{samples: []metrics.Sample{{Name: latencyMetric}}}
 }
 
-// read returns the waits since the former call.
-func (q *runQueue) read() waits {
+// read returns how long goroutines have waited since the former call.
+func (q *runQueue) read() time.Duration {
 	metrics.Read(q.samples)
 	h := q.samples[0].Value.Float64Histogram()
 	counts := make([]uint64, len(h.Counts))
@@ -40,7 +35,7 @@
 		}
 	}
 	q.former = append(q.former[:0], h.Counts...)
-	return waits{usual: quantile(h.Buckets, counts, usualQuantile), long: quantile(h.Buckets, counts, delayQuantile)}
+	return quantile(h.Buckets, counts, delayQuantile)
 }
 
 // quantile returns the upper bound of the bucket that holds a quantile of a histogram of seconds; 0 if the histogram is empty.
--- a/overload/monitor.go
+++ b/overload/monitor.go
@@ -18,10 +18,9 @@
 const (
 	// period is how often the load is measured.
 	period = 50 * time.Millisecond
-	// spanPeriods is the number of periods over which the use of the processor and of the link is taken, and lastingPeriods that for which
-	// goroutines must have waited: all instances of a fleet may have much to do for some tenths of a second, as when a configuration comes.
-	spanPeriods    = 10
-	lastingPeriods = 4
+	// spanPeriods is the number of periods over which the load is taken: all instances of a fleet may have much to do at one moment, as when a
+	// configuration comes.
+	spanPeriods = 6
 	// logPeriod is the least time between two log lines about the load.
 	logPeriod = time.Second
 )
@@ -49,7 +48,7 @@
 type measurement struct {
 	at    time.Time
 	usage usage
-	waits waits
+	wait  time.Duration
 }
 
 // New returns a Monitor that measures the load until ctx ends and tells the clock how late the process gets the processor.
@@ -78,31 +77,30 @@
 
 // measure takes one measurement; late is how much later than planned it comes.
 func (m *Monitor) measure(now time.Time, late time.Duration) {
-	w := m.queue.read()
-	m.clock.NoteDelay(max(w.long, late), period)
+	wait := max(m.queue.read(), late)
+	m.clock.NoteDelay(wait, period)
 	used, err := processorTime()
 	if err != nil {
 		m.stats.Counter("load_not_measured_total").Inc(1)
 		return
 	}
-	current := measurement{at: now, usage: usage{processor: used, sent: m.sent.Load(), memory: heldMemory()}, waits: w}
+	current := measurement{at: now, usage: usage{processor: used, sent: m.sent.Load(), memory: heldMemory()}, wait: wait}
 	m.history = append(m.history, current)
 	if len(m.history) <= spanPeriods {
 		return
 	}
 	former := m.history[0]
 	m.history = append(m.history[:0], m.history[1:]...)
-	m.apply(m.limits.pressureOn(former.usage, current.usage, now.Sub(former.at), lastingWait(m.history)), now)
+	m.apply(m.limits.pressureOn(former.usage, current.usage, now.Sub(former.at), meanWait(m.history)), now)
 }
 
-// lastingWait returns the shortest of the latest usual waits.
-func lastingWait(history []measurement) time.Duration {
-	latest := history[max(len(history)-lastingPeriods, 0):]
-	shortest := latest[0].waits.usual
-	for _, m := range latest {
-		shortest = min(shortest, m.waits.usual)
+// meanWait returns the mean of the longest waits of some periods.
+func meanWait(history []measurement) time.Duration {
+	all := time.Duration(0)
+	for _, m := range history {
+		all += m.wait
 	}
-	return shortest
+	return all / time.Duration(len(history))
 }
 
 // apply adjusts the share of new connections that are taken.
--- a/overload/simulation_test.go
+++ b/overload/simulation_test.go
@@ -72,13 +72,13 @@
 }
 
 func (m *modelInstance) measure() {
-	m.history = append(m.history, measurement{usage: usage{processor: m.used}, waits: waits{usual: m.delay()}})
+	m.history = append(m.history, measurement{usage: usage{processor: m.used}, wait: m.delay()})
 	if len(m.history) <= spanPeriods {
 		return
 	}
 	former, now := m.history[0], m.history[len(m.history)-1]
 	m.history = m.history[1:]
-	m.gate.adjust(m.limits.pressureOn(former.usage, now.usage, spanPeriods*period, lastingWait(m.history)).Most())
+	m.gate.adjust(m.limits.pressureOn(former.usage, now.usage, spanPeriods*period, meanWait(m.history)).Most())
 }
 
 // connect has a caller connect and reports whether its request was read.
--- a/overload/usage.go
+++ b/overload/usage.go
@@ -20,11 +20,11 @@
 const (
 	// maxCoresShare, maxLinkShare and maxMemoryShare are the parts of the limits that requests may use; beyond them each one waits for many
 	// others. The rest of the memory is for what the runtime does not count: stacks of the system and bytes in sockets.
-	maxCoresShare  = 0.85
+	maxCoresShare  = 0.8
 	maxLinkShare   = 0.8
 	maxMemoryShare = 0.85
-	// maxUsualWait is how long goroutines may usually wait for the processor: a few of these waits make an event late.
-	maxUsualWait = 25 * time.Millisecond
+	// maxWait is how long goroutines may wait for the processor: a few of these waits make an event late.
+	maxWait = 20 * time.Millisecond
 	// segmentBytes is what a message needs on the link beside its bytes: the headers of a segment and of an acknowledgement.
 	segmentBytes = 110
 	bitsPerByte  = 8
@@ -37,10 +37,10 @@
 	memory    uint64
 }
 
-// pressureOn returns the use of each resource since a former measurement, as a part of what requests may use of it; wait is for how long
-// goroutines have waited for the processor all the time.
+// pressureOn returns the use of each resource since a former measurement, as a part of what requests may use of it; wait is how long
+// goroutines have waited for the processor in the mean.
 func (l Limits) pressureOn(former, now usage, span, wait time.Duration) Pressure {
-	p := Pressure{Delay: float64(wait) / float64(maxUsualWait)}
+	p := Pressure{Delay: float64(wait) / float64(maxWait)}
 	if span <= 0 {
 		return p
 	}
