timer: bound by how much limits on others are extended

A process that was stopped for 10 s would have given connections and state queries 40 s in the second after: a caller of a server that does not answer would have waited for as long.

Change: 1 s at most. What is concluded from a wait still follows the whole delay since it began.

Measured: TestAProcessThatWasStoppedDoesNotFirstJudgeOthers fails without the bound.

--- a/timer/delay.go
+++ b/timer/delay.go
@@ -10,6 +10,9 @@
 	// turnsPerAnswer is how many turns of this process an answer of another party takes: to connect, to send, to receive, and to hand the
 	// answer on.
 	turnsPerAnswer = 4
+	// longestExtension bounds by how much a limit is extended: a process that was stopped for seconds is not late any more, and a connection
+	// that does not come up must not keep a request for long.
+	longestExtension = time.Second
 )
 
 // delays holds by how much the process lately got the processor later than it could have used it.
@@ -62,7 +65,7 @@
 
 // Patience returns a limit on the wait for another party, extended by what the own delay adds to the wait.
 func (s *Service) Patience(limit time.Duration) time.Duration {
-	return limit + turnsPerAnswer*s.Delay()
+	return limit + min(turnsPerAnswer*s.Delay(), longestExtension)
 }
 
 // DelayedSince reports whether the own delay explains that a wait since the given time of Now, which another party ends within the limit,
--- a/timer/delay_test.go
+++ b/timer/delay_test.go
@@ -56,4 +56,10 @@
 	begun := s.Now()
 	clock.Advance(10 * time.Second)
 	require.True(t, s.DelayedSince(begun, answerLimit), "the time-out fires before the delay is noted")
+	require.LessOrEqual(t, s.Patience(answerLimit), answerLimit+time.Second, "what it waits for from now on is not late")
+	s.NoteDelay(10*time.Second, notePeriod)
+	begun = s.Now()
+	clock.Advance(s.Patience(answerLimit))
+	s.NoteDelay(0, notePeriod)
+	require.False(t, s.DelayedSince(begun.Add(time.Millisecond), answerLimit), "a wait that began after it was woken is judged as ever")
 }
