overload: a single stop of the process is no overload

After a stop of 2 s or more one measurement alone made the mean wait exceed its limit for 0.3 s, and nine in ten new connections were closed although the instance had nothing to do.

Change: one period counts 100 ms at most.

--- a/overload/monitor.go
+++ b/overload/monitor.go
@@ -21,6 +21,8 @@
 	// spanPeriods is the number of periods over which the load is taken: all instances of a fleet may have much to do at one moment, as when a
 	// configuration comes.
 	spanPeriods = 6
+	// maxCountedWait bounds what one period counts, so that a single stop of the process, however long, is no overload.
+	maxCountedWait = 100 * time.Millisecond
 	// logPeriod is the least time between two log lines about the load.
 	logPeriod = time.Second
 )
@@ -37,11 +39,11 @@
 	mu   sync.Mutex
 	gate gate
 
-	// what follows is of the measuring goroutine alone.
+	// queue, history, shedding and loggedAt are used by the measuring goroutine alone; shedding is what was logged last, at loggedAt.
 	queue    *runQueue
 	history  []measurement
-	loggedAt time.Time
 	shedding bool
+	loggedAt time.Time
 }
 
 // measurement is what was used up to a moment, and how long goroutines have waited for the processor since the one before.
@@ -98,7 +100,7 @@
 func meanWait(history []measurement) time.Duration {
 	all := time.Duration(0)
 	for _, m := range history {
-		all += m.wait
+		all += min(m.wait, maxCountedWait)
 	}
 	return all / time.Duration(len(history))
 }
--- a/overload/simulation_test.go
+++ b/overload/simulation_test.go
@@ -231,3 +231,14 @@
 		require.Less(t, now.Sub(taken), contactTime)
 	}
 }
+
+// TestASingleStopOfTheProcessIsNoOverload guards against connections that are shed after the process was stopped once.
+func TestASingleStopOfTheProcessIsNoOverload(t *testing.T) {
+	history := make([]measurement, spanPeriods)
+	history[2].wait = 10 * time.Second
+	require.Less(t, Limits{}.pressureOn(usage{}, usage{}, spanPeriods*period, meanWait(history)).Most(), 1.0)
+	for n := range history {
+		history[n].wait = 10 * time.Second
+	}
+	require.Greater(t, Limits{}.pressureOn(usage{}, usage{}, spanPeriods*period, meanWait(history)).Most(), 1.0)
+}
