--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -93,3 +95,14 @@
 	require.NoError(t, err, "small bodies have room in any case")
 	require.Len(t, small, firstBodyBytes-1)
 }
+
+// TestABodyForWhichThereIsNoMemoryBlamesNoServer guards against sound servers that count as broken since the instance has no memory left.
+func TestABodyForWhichThereIsNoMemoryBlamesNoServer(t *testing.T) {
+	large := newTestServer(t, "1", func(c net.Conn, _ int) {
+		_, _ = io.WriteString(c, fake.PlainAnswer(strings.Repeat("x", 4*firstBodyBytes)))
+	})
+	h := plainHandler(t, timer.NewReal())
+	h.bodies.left.Store(0)
+	readStatus(t, callFront(t, frontOf(t, h, repeatRoute(1), []*testServer{large}), "1"))
+	require.Zero(t, large.server.FailRate())
+}
