--- a/forward/endless.go
+++ b/forward/endless.go
@@ -1,8 +1,6 @@
 package forward
 
 import (
-	"time"
-
 	"junctioncross/backend"
 	"junctioncross/decision"
 )
@@ -48,8 +46,3 @@
 	})
 	_ = f.conn.Close()
 }
-
-// monotonicAfter returns the time after d as connections use it for deadlines.
-func (h *Handler) monotonicAfter(d time.Duration) time.Time {
-	return h.clock.MonotonicTime(h.clock.Now().Add(d))
-}
--- a/forward/head.go
+++ b/forward/head.go
@@ -18,7 +18,7 @@
 		return errors.Wrap(err, "forward: read answer")
 	}
 	if begun, _ := s.conn.Reader.Peek(s.conn.Reader.Buffered()); !bytes.Contains(begun, headEnd) {
-		if err := s.conn.SetReadDeadline(h.monotonicAfter(h.clock.Patience(eventTime))); err != nil {
+		if err := s.conn.SetReadDeadline(h.clock.DeadlineIn(h.clock.Patience(eventTime))); err != nil {
 			return errors.Wrap(err, "forward: read answer")
 		}
 		defer func() { _ = s.conn.SetReadDeadline(time.Time{}) }()
--- a/front/conn.go
+++ b/front/conn.go
@@ -80,7 +80,7 @@
 	if c.reader.Buffered() > 0 {
 		return true
 	}
-	if err := c.net.SetReadDeadline(c.server.deadlineIn(c.limits.IdleTime + idleMargin)); err != nil {
+	if err := c.net.SetReadDeadline(c.server.clock.DeadlineIn(c.limits.IdleTime + idleMargin)); err != nil {
 		return false
 	}
 	_, err := c.reader.Peek(1)
@@ -156,7 +156,7 @@
 }
 
 func (c *conn) readRequest(x *Exchange) *readFailure {
-	if err := c.net.SetReadDeadline(c.server.deadlineIn(c.limits.HeaderTime)); err != nil {
+	if err := c.net.SetReadDeadline(c.server.clock.DeadlineIn(c.limits.HeaderTime)); err != nil {
 		return &readFailure{}
 	}
 	if err := x.request.Header.Read(c.reader); err != nil {
@@ -173,7 +173,7 @@
 			return &readFailure{}
 		}
 	}
-	if err := c.net.SetReadDeadline(c.server.deadlineIn(bodyReadTime)); err != nil {
+	if err := c.net.SetReadDeadline(c.server.clock.DeadlineIn(bodyReadTime)); err != nil {
 		return &readFailure{}
 	}
 	if x.request.Header.ContentLength() != 0 {
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -135,7 +135,7 @@
 	}
 	if !x.begun {
 		x.begun = true
-		if err := x.conn.net.SetWriteDeadline(x.conn.server.deadlineIn(x.meta.Wait + writeMargin)); err != nil {
+		if err := x.conn.net.SetWriteDeadline(x.conn.server.clock.DeadlineIn(x.meta.Wait + writeMargin)); err != nil {
 			x.failed = true
 			return
 		}
@@ -160,7 +160,7 @@
 	}
 	// The reading goroutine may already wait for the next request, without a deadline: this one limits the wait to the idle time.
 	x.conn.setIdle()
-	return x.conn.net.SetReadDeadline(x.conn.server.deadlineIn(x.conn.limits.IdleTime+idleMargin)) == nil
+	return x.conn.net.SetReadDeadline(x.conn.server.clock.DeadlineIn(x.conn.limits.IdleTime+idleMargin)) == nil
 }
 
 // wakeReader ends the wait of the reading goroutine by a deadline in the past.
--- a/front/server.go
+++ b/front/server.go
@@ -61,11 +61,6 @@
 	}
 }
 
-// deadlineIn returns the deadline that is limit from now, in the monotonic time that connections use for deadlines.
-func (s *Server) deadlineIn(limit time.Duration) time.Time {
-	return s.clock.MonotonicTime(s.clock.Now().Add(limit))
-}
-
 // Listen starts to accept connections on an IPv4 address and port.
 func (s *Server) Listen(addr string) error {
 	// Connections that are shed need no keep-alive; the others get it when they are taken.
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -117,8 +117,7 @@
 	if !ok {
 		return backend.DialTimeout
 	}
-	left := deadline.Sub(d.clock.MonotonicTime(d.clock.Now()))
-	return min(left-d.clock.Patience(0), backend.DialTimeout)
+	return min(d.clock.LeftUntil(deadline)-d.clock.Patience(0), backend.DialTimeout)
 }
 
 // Dial implements backend.Dialer.
--- a/timer/suspension.go
+++ b/timer/suspension.go
@@ -78,6 +78,16 @@
 // machine is suspended.
 func (s *Service) MonotonicTime(at time.Time) time.Time { return at.Add(-s.Suspended()) }
 
+// DeadlineIn returns the monotonic time that is limit from now, as connections take it for a deadline.
+func (s *Service) DeadlineIn(limit time.Duration) time.Time {
+	return s.MonotonicTime(s.Now().Add(limit))
+}
+
+// LeftUntil returns the time left until a deadline in monotonic time, such as that of a context.
+func (s *Service) LeftUntil(deadline time.Time) time.Duration {
+	return deadline.Sub(s.MonotonicTime(s.Now()))
+}
+
 // WatchSuspension compares the clocks periodically until ctx ends and passes each suspension, or the error of reading the boot
 // clock, to report.
 func (s *Service) WatchSuspension(ctx context.Context, report func(gap time.Duration, err error)) {
