overload, forward: read the runtime's metrics once, make gauges once

Each 50 ms the load was read from the runtime in two calls, with a new histogram of some kilobytes, and six gauges were looked up by names put together anew. One call with buffers that are reused; gauges made at the start. In forward a default without a branch, and the library's reader in place of a test's own.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -85,13 +86,13 @@
 	read := 0
 	for range 100 {
 		r := &request{}
-		if body, err := h.readHeld(r, &zeros{left: room / 4}); err == nil {
+		if body, err := h.readHeld(r, bytes.NewReader(make([]byte, room/4))); err == nil {
 			read += len(body)
 		}
 	}
 	require.LessOrEqual(t, read, room)
 	require.Positive(t, read)
-	small, err := h.readHeld(&request{}, &zeros{left: firstBodyBytes - 1})
+	small, err := h.readHeld(&request{}, bytes.NewReader(make([]byte, firstBodyBytes-1)))
 	require.NoError(t, err, "small bodies have room in any case")
 	require.Len(t, small, firstBodyBytes-1)
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -110,10 +111,7 @@
 		lanes:  map[string]*laneCache{}, queues: map[string]*queue{}, longestWaits: longestWaits{},
 		loadRatio: loadRatio{estimate: initialLoadRatio},
 	}
-	h.bodies.left.Store(settings.BodyMemory)
-	if settings.BodyMemory == 0 {
-		h.bodies.left.Store(defaultHeldBytes)
-	}
+	h.bodies.left.Store(cmp.Or(settings.BodyMemory, defaultHeldBytes))
 	if loads != nil {
 		h.setLoads(loads)
 	}
--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"testing"
 	"time"
@@ -157,17 +156,3 @@
 func (idleInstance) TakeConnection() bool { return true }
 func (idleInstance) KeepConnection() bool { return true }
 func (idleInstance) NoteSent(int)         {}
-
-// zeros is a reader of some zero bytes.
-type zeros struct{ left int }
-
-// Read implements io.Reader.
-func (z *zeros) Read(p []byte) (int, error) {
-	if z.left == 0 {
-		return 0, io.EOF
-	}
-	n := min(len(p), z.left)
-	clear(p[:n])
-	z.left -= n
-	return n, nil
-}
--- a/overload/monitor.go
+++ b/overload/monitor.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// period is how often the load is measured.
+	// period is the time between two readings of the load.
 	period = 50 * time.Millisecond
 	// spanPeriods is the number of periods over which the load is taken: all instances of a fleet may have much to do at one moment, as when a
 	// configuration comes.
@@ -35,12 +35,13 @@
 	log    *logrus.Logger
 	sent   atomic.Int64
 	shed   gometrics.Counter
+	gauges gauges
 
 	mu   sync.Mutex
 	gate gate
 
-	// queue, history, shedding and loggedAt are used by the measuring goroutine alone; shedding is what was logged last, at loggedAt.
-	queue    *runQueue
+	// runtime, history, shedding and loggedAt are used by the measuring goroutine alone; shedding is what was logged last, at loggedAt.
+	runtime  *runtimeMetrics
 	history  []measurement
 	shedding bool
 	loggedAt time.Time
@@ -56,8 +57,8 @@
 // New returns a Monitor that measures the load until ctx ends and tells the clock how late the process gets the processor.
 func New(ctx context.Context, limits Limits, clock *timer.Service, stats *metrics.Registry, log *logrus.Logger) *Monitor {
 	m := &Monitor{
-		limits: limits, clock: clock, stats: stats, log: log, gate: newGate(), queue: newRunQueue(),
-		shed: stats.Counter("connections_shed_total"),
+		limits: limits, clock: clock, stats: stats, log: log, gate: newGate(), runtime: newRuntimeMetrics(),
+		shed: stats.Counter("connections_shed_total"), gauges: newGauges(stats),
 	}
 	ticks := clock.Subscribe(period)
 	go func() {
@@ -79,14 +80,15 @@
 
 // measure takes one measurement; late is how much later than planned it comes.
 func (m *Monitor) measure(now time.Time, late time.Duration) {
-	wait := max(m.queue.read(), late)
+	wait, memory := m.runtime.read()
+	wait = max(wait, late)
 	m.clock.NoteDelay(wait, period)
 	used, err := processorTime()
 	if err != nil {
 		m.stats.Counter("load_not_measured_total").Inc(1)
 		return
 	}
-	current := measurement{at: now, usage: usage{processor: used, sent: m.sent.Load(), memory: heldMemory()}, wait: wait}
+	current := measurement{at: now, usage: usage{processor: used, sent: m.sent.Load(), memory: memory}, wait: wait}
 	m.history = append(m.history, current)
 	if len(m.history) <= spanPeriods {
 		return
@@ -111,7 +113,7 @@
 	m.gate.adjust(p.Most())
 	share := m.gate.share
 	m.mu.Unlock()
-	m.publish(p, share)
+	m.gauges.update(p, share, m.clock.Delay())
 	shedding := share < 1
 	if shedding != m.shedding && (!shedding || now.Sub(m.loggedAt) >= logPeriod) {
 		m.shedding, m.loggedAt = shedding, now
@@ -119,15 +121,6 @@
 	}
 }
 
-// publish updates the gauges of the load, in per cent and milliseconds.
-func (m *Monitor) publish(p Pressure, share float64) {
-	for name, value := range map[string]float64{"processor": p.Processor, "link": p.Link, "memory": p.Memory, "delay": p.Delay} {
-		m.stats.Gauge("own_load_percent{resource=\"" + name + "\"}").Update(int64(100 * value))
-	}
-	m.stats.Gauge("connections_taken_percent").Update(int64(100 * share))
-	m.stats.Gauge("own_delay_ms").Update(m.clock.Delay().Milliseconds())
-}
-
 func (m *Monitor) logChange(p Pressure, share float64) {
 	fields := logrus.Fields{
 		"resource": p.Scarcest(), "processor": p.Processor, "link": p.Link, "memory": p.Memory, "delay_ms": m.clock.Delay().Milliseconds(),
--- a/overload/usage.go
+++ b/overload/usage.go
@@ -1,7 +1,6 @@
 package overload
 
 import (
-	"runtime/metrics"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -38,7 +37,7 @@
 }
 
 // pressureOn returns the use of each resource since a former measurement, as a part of what requests may use of it; wait is how long
-// goroutines have waited for the processor in the mean.
+// goroutines have waited for the processor on average.
 func (l Limits) pressureOn(former, now usage, span, wait time.Duration) Pressure {
 	p := Pressure{Delay: float64(wait) / float64(maxWait)}
 	if span <= 0 {
@@ -85,16 +84,3 @@
 	}
 	return time.Duration(r.Utime.Nano() + r.Stime.Nano()), nil
 }
-
-// memoryMetrics are the memory that the runtime holds, and the part of it that was given back to the system.
-var memoryMetrics = []string{"/memory/classes/total:bytes", "/memory/classes/heap/released:bytes"}
-
-// heldMemory returns the memory that the process holds.
-func heldMemory() uint64 {
-	samples := make([]metrics.Sample, len(memoryMetrics))
-	for i, name := range memoryMetrics {
-		samples[i].Name = name
-	}
-	metrics.Read(samples)
-	return samples[0].Value.Uint64() - samples[1].Value.Uint64()
-}
