backend, platform: one error for a connection that did not come up

platform had its own type for that beside backend's, and front's outer tests two loads that take all connections. No behaviour changes; tests of the three packages pass.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -82,7 +82,7 @@
 	to.Addr = s.addr
 	c, err := dialer.Dial(ctx, to)
 	if err != nil {
-		return nil, dialError{cause: err}
+		return nil, DialFailed(err)
 	}
 	conn := &Conn{Conn: c, server: s}
 	conn.Reader = bufio.NewReaderSize(conn, readBufferSize)
@@ -102,6 +102,9 @@
 // Refused reports whether an error of Connect says that nothing listens at the server's address.
 func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// DialFailed returns an ErrDial with its cause.
+func DialFailed(cause error) error { return dialError{cause: cause} }
+
 // dialError is an ErrDial with its cause.
 type dialError struct{ cause error }
 
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -35,7 +35,7 @@
 const maxConnections = 8
 
 func serve(t *testing.T, h handler) *front.Server {
-	s := front.New(platform.Codec{}, h, func() catalog.Limits { return limits }, func() int { return maxConnections }, idleInstance{}, timer.NewReal(), metrics.New())
+	s := front.New(platform.Codec{}, h, func() catalog.Limits { return limits }, func() int { return maxConnections }, &overloadedInstance{}, timer.NewReal(), metrics.New())
 	require.NoError(t, s.Listen("127.0.0.1:0"))
 	t.Cleanup(s.Close)
 	return s
@@ -181,10 +181,3 @@
 	require.Equal(t, http.StatusServiceUnavailable, status)
 	require.Zero(t, s.Running())
 }
-
-// idleInstance is the load of an instance that takes all connections.
-type idleInstance struct{}
-
-func (idleInstance) TakeConnection() bool { return true }
-func (idleInstance) KeepConnection() bool { return true }
-func (idleInstance) NoteSent(int)         {}
