--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -15,6 +15,7 @@
 	"junctioncross/catalog"
 	"junctioncross/front"
 	"junctioncross/models"
+	"junctioncross/platform/fake"
 	"junctioncross/quarantine"
 	"junctioncross/timer"
 )
@@ -53,7 +54,7 @@
 	h := plainHandler(t, timer.NewReal())
 	s := frontOf(t, h, onceRoute(), []*testServer{ts})
 	ask := func(id, parts string) int {
-		return readStatus(t, callFrontWith(t, s, id, "X-Prompt-Prefix: "+parts+"\r\n"))
+		return readStatus(t, callFrontWith(t, s, id, fake.PromptHeader(parts)))
 	}
 	for n := range 3 {
 		end := quarantine.NewEnd(quarantine.FingerprintOf([]byte("h"), []byte("/b"), "", nil, fmt.Sprint(n)), fmt.Sprint(n), fmt.Sprint(n))
@@ -70,7 +71,7 @@
 // TestAnAnswerThatWasNotWrittenProvesNoPart guards against clearing a harmful part by a request that resumes a stream after its last
 // event, or that a server rejects: neither has begun to write.
 func TestAnAnswerThatWasNotWrittenProvesNoPart(t *testing.T) {
-	const parts = "X-Prompt-Prefix: bad:1,own:1\r\n"
+	parts := fake.PromptHeader("bad:1,own:1")
 	unproven := func(h *Handler) bool {
 		return len(h.ends.Unproven(quarantine.PartsOf("s", []string{"bad"}), time.Now())) == 1
 	}
@@ -82,7 +83,7 @@
 	require.True(t, unproven(h))
 
 	rejecting := newTestServer(t, "1", func(c net.Conn, _ int) {
-		_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nX-Server-Seal: s\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(c, fake.PlainFailure("404 Not Found"))
 	})
 	h = plainHandler(t, timer.NewReal())
 	require.Equal(t, http.StatusNotFound, readStatus(t, callFrontWith(t, frontOf(t, h, onceRoute(), []*testServer{rejecting}), "1", parts)))
