forward: an answer without memory says nothing against its server

Callers would have met sound servers out of use: a plain answer that the instance had no memory for counted as a failure of the server that sent it, the instance's own limit taken for another's fault.

Cause: brokenPlain took any error but those of the path for the server's.

Change: errNoMemory is told apart; the attempt is over, the server is not judged.

--- a/forward/plain.go
+++ b/forward/plain.go
@@ -178,8 +178,9 @@
 		server.ReleaseTrial()
 		return callerGone{}
 	}
-	onPath := !leftBehindInstance(s, err) && h.pathFailed(server, s.conn, err)
-	if onPath {
+	noMemory := errors.Is(err, errNoMemory)
+	onPath := !noMemory && !leftBehindInstance(s, err) && h.pathFailed(server, s.conn, err)
+	if noMemory || onPath {
 		server.ReleaseTrial()
 	} else {
 		h.noteBrokenPlain(server, err)
