forward: let the silent server of a test stay silent

Traced by reading: the clock of the test wakes the watcher, which queries a silent server again, and the test's engine client answered.

--- a/forward/owndelay_test.go
+++ b/forward/owndelay_test.go
@@ -22,8 +22,9 @@
 	for name, late := range map[string]bool{"late": true, "in time": false} {
 		t.Run(name, func(t *testing.T) {
 			g := twoCopies()
-			h, clock := testHandler(t, newFakeEngineClient(g))
-			server := g.Servers()[0]
+			e, server := newFakeEngineClient(g), g.Servers()[0]
+			e.setSilent(server, true)
+			h, clock := testHandler(t, e)
 			q := stateQuery{server: server, sentAt: h.clock.Now(), timeout: queryTimeout, why: reasonMemory}
 			clock.Advance(queryTimeout)
 			if late {
@@ -38,7 +39,9 @@
 
 func TestAnInstanceThatIsLateFindsAServerThatNeverAnswers(t *testing.T) {
 	g := twoCopies()
-	h, clock := testHandler(t, newFakeEngineClient(g))
+	e := newFakeEngineClient(g)
+	e.setSilent(g.Servers()[0], true)
+	h, clock := testHandler(t, e)
 	noteDelay(h)
 	q := stateQuery{server: g.Servers()[0], sentAt: h.clock.Now(), timeout: queryTimeout, why: reasonMemory}
 	clock.Advance(h.clock.Patience(queryTimeout))
