forward: tell what ended a run that broke

The hypotheses (own conclusion, reload, end at the server) could be told apart only by lines written some milliseconds before, which the log may leave out under load.

All connections of runs are closed in one function. What is closed when has not changed.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -19,6 +19,7 @@
 	f.firstEventDue.Store(int64(path.Read + path.Step))
 	f.events.dropPartial()
 	f.beginAttempt(h, path, attempt)
+	f.closedFor.Store(nil)
 	f.first.AddFirstStage(1)
 	defer f.first.AddFirstStage(-1)
 	f.first.Chosen()
--- a/forward/cutstreams.go
+++ b/forward/cutstreams.go
@@ -26,7 +26,7 @@
 func (w *watcher) moveStalledStreams(first *backend.Server, group *backend.Group) {
 	streams := slices.DeleteFunc(w.startingAt(first), func(f *inflight) bool { return !w.stalled(f) || !f.r.route.MayRetry() })
 	if first.Ended() {
-		w.cutStreams(first, streams)
+		w.cutStreams(first, streams, endNotListening)
 		return
 	}
 	for _, f := range streams {
@@ -36,7 +36,7 @@
 
 // cutStreams closes the connections of streams to a first server that no longer knows them, so that they are resumed
 // elsewhere.
-func (w *watcher) cutStreams(first *backend.Server, streams []*inflight) {
+func (w *watcher) cutStreams(first *backend.Server, streams []*inflight, why runEnd) {
 	h := w.handler
 	h.stats.Counter("first_parts_lost_total").Inc(1)
 	w.mu.Lock()
@@ -49,8 +49,7 @@
 			"server": first.ID(), "address": first.Addr(), "still_ms": f.pause(h).Milliseconds(), "gone": first.Gone(),
 			"leaving_ms": first.LeavingFor(h.clock.Now()).Milliseconds(),
 		})
-		// The lock guarantees that this is still the connection to that server.
-		_ = f.conn.Close()
+		w.closeRun(f, why)
 	}
 }
 
--- a/forward/endless.go
+++ b/forward/endless.go
@@ -44,5 +44,5 @@
 	h.record.Failure(f.r.meta.ID, "bytes complete no event", decision.Fields{
 		"server": f.first.ID(), "address": f.first.Addr(), "still_ms": f.pause(h).Milliseconds(), "bytes": received,
 	})
-	_ = f.conn.Close()
+	w.closeRun(f, endEndless)
 }
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -48,8 +48,7 @@
 		"leaving_ms": first.LeavingFor(h.clock.Now()).Milliseconds(), "expected_left_ms": f.expectedLeft(h).Milliseconds(),
 		"next": group.Servers()[next.path.Hops[0].Server].ID(),
 	})
-	// The lock guarantees that this is still the connection to that server.
-	_ = f.conn.Close()
+	w.closeRun(f, endHandedOver)
 	return true
 }
 
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -48,6 +48,9 @@
 	// ranSince is when the first event of the present attempt came; only the goroutine of the request uses it.
 	ranSince time.Time
 
+	// closedFor is why the instance has closed the connection of the present attempt; nil while it has not.
+	closedFor atomic.Pointer[runEnd]
+
 	// useless is what has come since the stream last made progress; the lock of the watcher guards it.
 	useless uselessBytes
 
--- a/forward/lostpath.go
+++ b/forward/lostpath.go
@@ -47,7 +47,7 @@
 	h.record.Failure(f.r.meta.ID, "path of a stream lost", decision.Fields{
 		"server": f.first.ID(), "address": f.first.Addr(), "still_ms": f.pause(h).Milliseconds(),
 	})
-	_ = f.conn.Close()
+	w.closeRun(f, endLostPath)
 }
 
 // onLostPath reports whether a stream uses the own links to its first server although these no longer reach it.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -173,7 +173,8 @@
 		h.mayStillEnd(ctx, f)
 	}
 	h.record.Failure(f.r.meta.ID, "attempt broken", h.fields(f.r, decision.Fields{
-		"server": f.first.ID(), "address": f.first.Addr(), "path": f.path().describe(), "error": err.Error(), "last_event": f.events.last,
+		"server": f.first.ID(), "address": f.first.Addr(), "path": f.path().describe(), "error": err.Error(), "ended_by": f.runEnded(),
+		"last_event": f.events.last,
 		"runs": f.r.runs, "gone": f.first.Gone(), "leaving_ms": f.first.LeavingFor(h.clock.Now()).Milliseconds(),
 		"fingerprint": f.r.fingerprint().String(),
 	}))
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -182,7 +182,7 @@
 	err := h.engines.Repair(repairCtx, path.servers[0].Addr(), f.r.meta.ID, path.stages())
 	if errors.Is(err, backend.ErrUnknownRequest) && f.noteUnknown(h.clock.Now()) {
 		h.stats.Counter("requests_forgotten_total").Inc(1)
-		w.cutStreams(path.servers[0], []*inflight{f})
+		w.cutStreams(path.servers[0], []*inflight{f}, endForgotten)
 	}
 }
 
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -24,9 +24,9 @@
 	defer theirs.Close()
 	f := &inflight{r: &request{}, first: servers[2], conn: &backend.Conn{Conn: ours}}
 	h.watch.add(f)
-	h.watch.cutStreams(servers[0], []*inflight{f})
+	h.watch.cutStreams(servers[0], []*inflight{f}, endNotListening)
 	require.NoError(t, ours.SetDeadline(time.Time{}), "the connection to the new first server is open")
-	h.watch.cutStreams(servers[2], []*inflight{f})
+	h.watch.cutStreams(servers[2], []*inflight{f}, endNotListening)
 	require.Error(t, ours.SetDeadline(time.Time{}), "the connection to a dead first server is closed")
 }
 
--- a/schema/attempts.go
+++ b/schema/attempts.go
@@ -82,6 +82,9 @@
 	Path string `log:"path"`
 	// How the answer ended.
 	Error string `log:"error"`
+	// What ended the run: server (it, or the path to it), or what the instance concluded: restart, handed_over, not_listening, forgotten,
+	// lost_path, endless_bytes.
+	EndedBy string `log:"ended_by"`
 	// Number of the last event that was passed on; -1 before the first.
 	LastEvent int64 `log:"last_event"`
 	// Number of servers that may have run the request.
