forward: repair streams of a service that a configuration removes

What callers see: an answer that has begun stands still, and ends with its server, although others could go on with it, since the operator has taken the service out of the configuration meanwhile.

Now they use the servers from which the path was chosen.

--- a/forward/evacuate.go
+++ b/forward/evacuate.go
@@ -36,7 +36,7 @@
 // evacuate moves streams off the servers that leave or drop layers while these still work. A stream whose stage is replaced
 // is stalled only while the new server reads its tokens; a stream whose server has terminated is stalled until that is
 // detected, together with all others that used it. Streams that end before the server does stay.
-func (w *watcher) evacuate(ctx context.Context, backlog evacuationBacklog, groupOf func(service string) *backend.Group) {
+func (w *watcher) evacuate(ctx context.Context, backlog evacuationBacklog, groupOf func(f *inflight) *backend.Group) {
 	byServer := w.leaving()
 	for s := range backlog {
 		if len(byServer[s]) == 0 {
@@ -45,7 +45,7 @@
 	}
 	tries := 0
 	for s, streams := range byServer {
-		group := groupOf(s.Service())
+		group := groupOf(streams[0])
 		if group == nil {
 			continue
 		}
--- a/forward/handover_test.go
+++ b/forward/handover_test.go
@@ -52,7 +52,7 @@
 		backlog := evacuationBacklog{}
 		for range evacuationTime / watchPeriod {
 			clock.Advance(watchPeriod)
-			h.watch.evacuate(t.Context(), backlog, func(string) *backend.Group { return group })
+			h.watch.evacuate(t.Context(), backlog, func(*inflight) *backend.Group { return group })
 		}
 		require.False(t, isOpen(conn), "announced %v: the stream has left its server", announced)
 		next := f.takeNext()
@@ -103,7 +103,7 @@
 	backlog := evacuationBacklog{}
 	for range 40 {
 		clock.Advance(watchPeriod)
-		h.watch.evacuate(t.Context(), backlog, func(string) *backend.Group { return g })
+		h.watch.evacuate(t.Context(), backlog, func(*inflight) *backend.Group { return g })
 	}
 	require.True(t, isOpen(conn))
 }
@@ -147,7 +147,7 @@
 	backlog := evacuationBacklog{}
 	round := func() {
 		clock.Advance(watchPeriod)
-		h.watch.evacuate(t.Context(), backlog, func(string) *backend.Group { return g })
+		h.watch.evacuate(t.Context(), backlog, func(*inflight) *backend.Group { return g })
 		for _, f := range all {
 			if f.next.Load() != nil {
 				h.watch.remove(f)
@@ -181,7 +181,7 @@
 	backlog, alone := evacuationBacklog{}, backend.NewGroup(g.Service(), g.Servers()[:2])
 	round := func(group *backend.Group) {
 		clock.Advance(watchPeriod)
-		h.watch.evacuate(t.Context(), backlog, func(string) *backend.Group { return group })
+		h.watch.evacuate(t.Context(), backlog, func(*inflight) *backend.Group { return group })
 		for _, f := range all {
 			if f.next.Load() != nil {
 				h.watch.remove(f)
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -80,6 +80,8 @@
 	// hops and servers are the present path, which a repair may change; they are nil while no attempt is under way.
 	hops    []chain.Hop
 	servers []*backend.Server
+	// group is the group from which the path was chosen.
+	group *backend.Group
 	need    chain.Need
 	// laneLoad is the share of the lane's memory that was thought to be taken when the path was chosen.
 	laneLoad float64
@@ -109,9 +111,17 @@
 func (f *inflight) assign(group *backend.Group, hops []chain.Hop) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.group = group
 	f.reserveLocked(resolvePath(group, hops))
 }
 
+// pathGroup returns the group from which the path of the present attempt was chosen.
+func (f *inflight) pathGroup() *backend.Group {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.group
+}
+
 func (f *inflight) reserveLocked(c resolvedPath) {
 	f.releaseLocked()
 	f.hops, f.servers = c.hops, c.servers
--- a/forward/reload_test.go
+++ b/forward/reload_test.go
@@ -43,7 +43,7 @@
 				clock.Advance(watchPeriod)
 				f.touch(h)
 				h.watch.scan(t.Context())
-				h.watch.evacuate(t.Context(), backlog, h.watch.group)
+				h.watch.evacuate(t.Context(), backlog, h.watch.groupOf)
 			}
 			require.True(t, isOpen(conn))
 			require.Equal(t, was, f.path())
--- a/forward/resumable_test.go
+++ b/forward/resumable_test.go
@@ -27,7 +27,7 @@
 	backlog := evacuationBacklog{}
 	for range minLeaveNotice / watchPeriod {
 		clock.Advance(watchPeriod)
-		h.watch.evacuate(t.Context(), backlog, func(string) *backend.Group { return g })
+		h.watch.evacuate(t.Context(), backlog, func(*inflight) *backend.Group { return g })
 	}
 	require.False(t, isOpen(conn))
 	require.NotNil(t, f.takeNext())
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -68,7 +68,7 @@
 				w.scan(ctx)
 				h.querySilentServers(h.clock.Now())
 				w.refuteFindings(h.clock.Now())
-				w.evacuate(ctx, backlog, w.group)
+				w.evacuate(ctx, backlog, w.groupOf)
 			case <-ctx.Done():
 				return
 			}
@@ -77,9 +77,17 @@
 	return w
 }
 
-// group returns the present servers of a service, or nil if there is no such service.
-func (w *watcher) group(service string) *backend.Group {
-	return w.handler.fleetView.Current().Group(service)
+// groupOf returns the present servers of the service of a stream under way, or those from which its path was chosen if the configuration
+// has no such service any more. It is nil before the first configuration.
+func (w *watcher) groupOf(f *inflight) *backend.Group {
+	chosenFrom, now := f.pathGroup(), w.handler.fleetView.Current()
+	if chosenFrom == nil || now.Catalog() == nil {
+		return nil
+	}
+	if present := now.Group(chosenFrom.Service().Name); present != nil {
+		return present
+	}
+	return chosenFrom
 }
 
 func (w *watcher) add(f *inflight) {
@@ -129,7 +137,7 @@
 		if !w.dueForDiagnosis(now.Sub(w.lastDiagnosed[first]), streams, now) {
 			continue
 		}
-		group := w.group(first.Service())
+		group := w.groupOf(streams[0])
 		if group == nil {
 			continue
 		}
