forward: resume a begun answer at a server that ran it before

What callers see: a whole answer closed in its middle with 15 s left, since its route allows no further server.

Now the path may start at those when no further server is allowed, and a begun answer waits for one as long as its caller does. A stream that has not begun is still given up at once if none of them takes it.

TestAStreamWhoseAttemptsAreUsedUpIsResumedAtAServerThatRanIt: before, awaitResumePath returned attempts_used_up. Two other tests now have former servers that cannot be a start, so that they still wait for the end of one.

--- a/forward/choice.go
+++ b/forward/choice.go
@@ -47,6 +47,8 @@
 	load []float64
 	// avoid is what the request is to avoid after rejections.
 	avoid avoidance
+	// starts limits where a path may start.
+	starts starts
 }
 
 // newLaneChoice returns a choice for one of the given number of instances, which all choose in the same way.
@@ -99,6 +101,7 @@
 			weights[i] *= tooSlowWeight
 		}
 	}
+	keepOnly(weights, func(i int) bool { return c.starts.allow(c.lanes[i].Hops[0].Server) })
 	c.avoid.narrow(c.lanes, weights, c.tooSlow)
 	for _, w := range weights {
 		total += w
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -30,7 +30,7 @@
 	if !f.r.route.MayRetry() || !h.mayRunAgain(f, first) {
 		return false
 	}
-	next, ok := h.choosePathIn(f, group)
+	next, ok := h.choosePathIn(f, group, nil)
 	if !ok || !first.Suspected(h.clock.Now()) && resolvePath(group, next.path.Hops).crossings() > f.path().crossings() {
 		return false
 	}
--- a/forward/path.go
+++ b/forward/path.go
@@ -55,21 +55,25 @@
 
 // choosePath returns a path for a whole stream: a lane with room or, when missing servers leave no lane, any path whose servers
 // are expected to have room.
-func (h *Handler) choosePath(f *inflight) (chain.Path, bool) {
-	p, ok := h.choosePathIn(f, f.r.group)
+func (h *Handler) choosePath(f *inflight) (chain.Path, bool) { return h.choosePathFrom(f, nil) }
+
+// choosePathFrom is choosePath for a path that starts at one of some servers; nil means any.
+func (h *Handler) choosePathFrom(f *inflight, starts []*backend.Server) (chain.Path, bool) {
+	p, ok := h.choosePathIn(f, f.r.group, starts)
 	if ok {
 		f.laneLoad, f.chosenAt = p.load, p.at
 	}
 	return p.path, ok
 }
 
-// choosePathIn returns a path through the servers of a group, chosen as by choosePath.
-func (h *Handler) choosePathIn(f *inflight, group *backend.Group) (chosenPath, bool) {
+// choosePathIn returns a path through the servers of a group, chosen as by choosePath, that starts at one of some servers; nil means any.
+func (h *Handler) choosePathIn(f *inflight, group *backend.Group, starts []*backend.Server) (chosenPath, bool) {
 	now := h.clock.Now()
 	lanes := h.lanesOf(group, now)
 	if len(lanes) > 0 {
 		choice := newLaneChoice(group, lanes, h.settings.Load().Domain, h.instances.Instances(), now)
 		choice.avoid = f.avoid(group, now)
+		choice.starts = startsOf(group, starts)
 		choice.steps, choice.timeLeft = int(streamSlack*float64(f.need.Tokens-f.need.Prompt)), h.remaining(f.r)
 		i := choice.pick()
 		if i < 0 {
@@ -79,6 +83,7 @@
 	}
 	state := h.chainState(group, now)
 	state.avoid = f.avoid(group, now)
+	state.starts = startsOf(group, starts)
 	path, ok := chain.Choose(group.Graph(), state, f.need)
 	return chosenPath{group: group, path: path, at: now}, ok
 }
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -34,7 +34,7 @@
 			return path, "", true
 		}
 		if reason == models.ReasonAttemptsUsedUp && h.clock.Since(queried) >= requeryPeriod {
-			if !h.mayStillEnd(ctx, f) {
+			if !h.mayStillEnd(ctx, f) && !f.r.x.Begun() {
 				return chain.Path{}, reason, false
 			}
 			queried = h.clock.Now()
@@ -54,7 +54,7 @@
 }
 
 // mayStillEnd queries the servers that the stream ran on, and reports whether it may be resumed later: because one has
-// terminated, or will since it is leaving. Otherwise its caller does better to ask another instance at once.
+// terminated, or will since it is leaving. Otherwise the caller of a stream that has not begun does better to ask another instance at once.
 func (h *Handler) mayStillEnd(ctx context.Context, f *inflight) bool {
 	for _, s := range f.r.ran {
 		if s.Ended() {
@@ -79,10 +79,11 @@
 // resumePath returns a path for a stream that has begun, or the reason why there is none; it takes one retry from the
 // service's budget unless one is granted already.
 func (h *Handler) resumePath(f *inflight) (chain.Path, models.Reason) {
-	if f.r.activeRuns() >= f.r.route.MaxAttempts {
+	starts := f.startsAfter(f.r.ran)
+	path, ok := h.choosePathFrom(f, starts)
+	if !ok && starts != nil {
 		return chain.Path{}, models.ReasonAttemptsUsedUp
 	}
-	path, ok := h.choosePath(f)
 	if !ok {
 		return chain.Path{}, models.ReasonNoRoom
 	}
--- a/forward/state.go
+++ b/forward/state.go
@@ -47,12 +47,17 @@
 	instances int
 	// avoid is what the request is to avoid after rejections.
 	avoid avoidance
+	// starts limits where a path may start.
+	starts starts
 	// ignoreMemory makes all memory count as free, whatever the servers reported of it.
 	ignoreMemory bool
 }
 
 // Usable implements chain.State.
 func (s *chainState) Usable(i int) bool {
+	if s.servers[i].Layers().First == 0 && !s.starts.allow(i) {
+		return false
+	}
 	return !s.avoid.bars(i) && s.servers[i].Usable(s.now) && s.servers[i].WithinLimit(s.instances, s.now)
 }
 
