forward: let a begun answer wait while its request is quarantined

What callers see: a whole answer closed in its middle between two attempts, since a part of its prompt is blamed for the ends of servers, be it by mistake; such blame may end within seconds (a proof, a trial).

Cause: stream() ends whatever it holds when the check before a send says no. Now an answer that has begun waits for it like for room, as long as its caller does. Requests that have not begun are refused at once, as before, and nothing more is sent to a server.

--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -244,3 +244,23 @@
 		})
 	}
 }
+
+// TestABegunAnswerWaitsWhileItsRequestIsQuarantined guards against answers that end since their request is blamed, perhaps by mistake, for
+// the ends of servers.
+func TestABegunAnswerWaitsWhileItsRequestIsQuarantined(t *testing.T) {
+	const blamedFor = 300 * time.Millisecond
+	var h *Handler
+	first := newTestServer(t, "1", func(c net.Conn, number int) {
+		for n := range 3 {
+			h.ends.AddListed(endOf(n), time.Now())
+		}
+		time.AfterFunc(blamedFor, func() { h.ends.Clear(endOf(0).Request) })
+		closedBeforeEnd(c, number)
+	})
+	other := newTestServer(t, "2", afterLastEvent)
+	g := chainGroup(first, other)
+	h = chainHandler(t, g)
+	status, body := readBody(t, callFront(t, streamFront(t, h, g), "1"))
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, onlyEvent, body)
+}
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -79,6 +79,9 @@
 // resumePath returns a path for a stream that has begun, or the reason why there is none; it takes one retry from the
 // service's budget unless one is granted already.
 func (h *Handler) resumePath(f *inflight) (chain.Path, models.Reason) {
+	if k, ok := h.quarantineOf(f.r); ok && f.r.x.Begun() {
+		return chain.Path{}, k.reason()
+	}
 	starts := f.startsAfter(f.r.ran)
 	path, ok := h.choosePathFrom(f, starts)
 	if !ok && starts != nil {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -31,6 +31,10 @@
 			break
 		}
 		if k, ok := h.quarantineOf(f.r); ok {
+			if f.r.x.Begun() {
+				// The next search for a path waits until it may be sent.
+				continue
+			}
 			last = k
 			break
 		}
@@ -174,9 +178,8 @@
 	}
 	h.record.Failure(f.r.meta.ID, "attempt broken", h.fields(f.r, decision.Fields{
 		"server": f.first.ID(), "address": f.first.Addr(), "path": f.path().describe(), "error": err.Error(), "ended_by": f.runEnded(),
-		"last_event": f.events.last,
-		"runs": f.r.runs, "gone": f.first.Gone(), "leaving_ms": f.first.LeavingFor(h.clock.Now()).Milliseconds(),
-		"fingerprint": f.r.fingerprint().String(),
+		"last_event": f.events.last, "runs": f.r.runs, "gone": f.first.Gone(),
+		"leaving_ms": f.first.LeavingFor(h.clock.Now()).Milliseconds(), "fingerprint": f.r.fingerprint().String(),
 	}))
 	return failed{reason: models.RetryBroken}
 }
