forward: leave the run of a begun answer only for one that may follow

What callers see: 200, some events, a closed connection, while the server goes on and other instances reach it.

Cause: each finding about a stalled stream closed the connection of its run by a rule of its own. A lost path asked only whether the route allows repeats, bytes without end asked nothing, a server at which nothing listens was left before there was another path. Whether the rest may come from anywhere else (attempts, path, retry, quarantine) came to light after the run was closed; then the answer was cut. The class: an instance ends an answer that it has begun, by its own conclusion, with no certainty that the rest comes.

Now one function closes runs. A begun answer leaves its run only for a path that is chosen, allowed and paid for (handOver, which also respects a quarantine); without one it stays, and the next scan tries again. On a lost path it may go on at the same server through another instance. Only a run that its server says it does not know is left before that. What has not begun is given up as before.

--- a/forward/cutstreams.go
+++ b/forward/cutstreams.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"junctioncross/backend"
-	"junctioncross/decision"
 )
 
 // startingAt returns the streams under way whose first server is the given one.
@@ -20,36 +19,20 @@
 	return out
 }
 
-// moveStalledStreams has the stalled streams of a first server that does not answer resumed elsewhere, if other servers may
-// run them. If nothing listens at its address any more, their connections are closed at once. A server that is only silent
-// may still make progress with them, so that they stay with it until there is another path.
+// moveStalledStreams has the stalled streams of a first server that does not answer resumed elsewhere, if other servers may run them. The
+// server may still make progress with them, even if it accepts no connections any more, so that streams that have begun stay with it
+// until there is another path.
 func (w *watcher) moveStalledStreams(first *backend.Server, group *backend.Group) {
 	streams := slices.DeleteFunc(w.startingAt(first), func(f *inflight) bool { return !w.stalled(f) || !f.r.route.MayRetry() })
-	if first.Ended() {
-		w.cutStreams(first, streams, endNotListening)
+	if !first.Ended() {
+		for _, f := range streams {
+			w.handOver(f, first, group, endSilent)
+		}
 		return
 	}
+	w.handler.stats.Counter("first_parts_lost_total").Inc(1)
 	for _, f := range streams {
-		w.handOver(f, first, group, "first part is silent")
-	}
-}
-
-// cutStreams closes the connections of streams to a first server that no longer knows them, so that they are resumed
-// elsewhere.
-func (w *watcher) cutStreams(first *backend.Server, streams []*inflight, why runEnd) {
-	h := w.handler
-	h.stats.Counter("first_parts_lost_total").Inc(1)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, f := range streams {
-		if !w.startsAt(f, first) {
-			continue
-		}
-		h.record.Failure(f.r.meta.ID, "first part is silent", decision.Fields{
-			"server": first.ID(), "address": first.Addr(), "still_ms": f.pause(h).Milliseconds(), "gone": first.Gone(),
-			"leaving_ms": first.LeavingFor(h.clock.Now()).Milliseconds(),
-		})
-		w.closeRun(f, why)
+		w.leaveRun(f, first, group, endNotListening)
 	}
 }
 
--- a/forward/endless.go
+++ b/forward/endless.go
@@ -1,9 +1,6 @@
 package forward
 
-import (
-	"junctioncross/backend"
-	"junctioncross/decision"
-)
+import "junctioncross/backend"
 
 const (
 	// eventTime is how long a head or an event may take from its first byte to its last one: a sound server may fall silent in between.
@@ -21,28 +18,19 @@
 	arrivals int
 }
 
-// cutEndless closes the connection of a stalled stream whose server keeps sending bytes that complete no event, so that the stream is
-// resumed elsewhere. The caller holds the lock.
-func (w *watcher) cutEndless(f *inflight) {
+// getsEndlessBytes reports whether a stalled stream's server keeps sending bytes that complete no event. The caller holds the lock.
+func (w *watcher) getsEndlessBytes(f *inflight) bool {
 	if f.conn == nil {
-		return
+		return false
 	}
 	h, u, received := w.handler, &f.useless, f.conn.Received()
 	if at := f.lastAt.Load(); at != u.since {
 		*u = uselessBytes{since: at, received: received}
-		return
+		return false
 	}
 	if received > u.received {
 		u.received = received
 		u.arrivals++
 	}
-	if u.arrivals < manyArrivals || f.pause(h) <= h.clock.Patience(eventTime) {
-		return
-	}
-	*u = uselessBytes{}
-	h.stats.Counter("streams_cut_from_endless_bytes_total").Inc(1)
-	h.record.Failure(f.r.meta.ID, "bytes complete no event", decision.Fields{
-		"server": f.first.ID(), "address": f.first.Addr(), "still_ms": f.pause(h).Milliseconds(), "bytes": received,
-	})
-	w.closeRun(f, endEndless)
+	return u.arrivals >= manyArrivals && f.pause(h) > h.clock.Patience(eventTime)
 }
--- a/forward/evacuate.go
+++ b/forward/evacuate.go
@@ -160,7 +160,7 @@
 	if len(c.servers) == 0 {
 		return false
 	}
-	if first := c.servers[0]; w.handler.outlasts(f, first, c.hops[0].Layers) && w.handOver(f, first, group, "handed over") {
+	if first := c.servers[0]; w.handler.outlasts(f, first, c.hops[0].Layers) && w.handOver(f, first, group, endLeaving) {
 		return true
 	}
 	return w.evacuateOne(ctx, f, group)
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -165,17 +165,17 @@
 	// heldBytes is the memory that the bodies of its answers take beyond what each may take.
 	heldBytes int
 	// digest is the fingerprint, once computed.
-	digest *quarantine.Fingerprint
+	digest     quarantine.Fingerprint
+	digestOnce sync.Once
 }
 
 // fingerprint returns the digest that is the same for all attempts of a caller at one request.
 func (r *request) fingerprint() quarantine.Fingerprint {
-	if r.digest == nil {
+	r.digestOnce.Do(func() {
 		header := r.x.Header()
-		digest := quarantine.FingerprintOf(header.Host(), header.RequestURI(), r.account, r.x.Body(), r.meta.PromptParts...)
-		r.digest = &digest
-	}
-	return *r.digest
+		r.digest = quarantine.FingerprintOf(header.Host(), header.RequestURI(), r.account, r.x.Body(), r.meta.PromptParts...)
+	})
+	return r.digest
 }
 
 // Handle implements front.Handler.
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -1,11 +1,11 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"junctioncross/backend"
 	"junctioncross/chain"
-	"junctioncross/decision"
 	"junctioncross/models"
 	"junctioncross/retry"
 )
@@ -22,51 +22,41 @@
 	retryTaken time.Time
 }
 
-// handOver has a stream resumed on a path with another first server, after the last event that was passed on; text is the log
-// text. It does so only if there is such a path and the request may run there, so that nothing is lost by leaving the present
-// server. A path that crosses domains more often is accepted only if the present server does not answer.
-func (w *watcher) handOver(f *inflight, first *backend.Server, group *backend.Group, text string) bool {
+// handOver has a stream resumed on another path, after the last event that was passed on. It does so only if there is such a path, the
+// request may run there and there is a retry for it, so that nothing is lost by leaving the present run. A stream that makes progress at
+// a server which leaves accepts no path that crosses domains more often.
+func (w *watcher) handOver(f *inflight, first *backend.Server, group *backend.Group, why runEnd) bool {
 	h := w.handler
-	if !f.r.route.MayRetry() || !h.mayRunAgain(f, first) {
+	if group == nil || !f.r.route.MayRetry() {
 		return false
 	}
-	next, ok := h.choosePathIn(f, group, nil)
-	if !ok || !first.Suspected(h.clock.Now()) && resolvePath(group, next.path.Hops).crossings() > f.path().crossings() {
+	h.queryDrained(f, first)
+	next, ok := h.choosePathIn(f, group, f.startsAfter(append(slices.Clone(f.previousServers()), first)))
+	if !ok || why == endLeaving && !first.Suspected(h.clock.Now()) && resolvePath(group, next.path.Hops).crossings() > f.path().crossings() {
 		return false
 	}
 	claim := h.claimOf(f, group.Service().Name)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	next.retryTaken = h.clock.Now()
-	if !w.startsAt(f, first) || h.takeRetryAs(f.r, claim, next.retryTaken) != retry.Granted {
+	if !w.startsAt(f, first) || f.next.Load() != nil || h.isQuarantined(f.r) || h.takeRetryAs(f.r, claim, next.retryTaken) != retry.Granted {
 		return false
 	}
 	f.next.Store(&next)
 	h.stats.Counter("streams_handed_over_total").Inc(1)
-	h.record.Failure(f.r.meta.ID, text, decision.Fields{
-		"server": first.ID(), "address": first.Addr(), "still_ms": f.pause(h).Milliseconds(), "gone": first.Gone(),
-		"leaving_ms": first.LeavingFor(h.clock.Now()).Milliseconds(), "expected_left_ms": f.expectedLeft(h).Milliseconds(),
-		"next": group.Servers()[next.path.Hops[0].Server].ID(),
-	})
-	w.closeRun(f, endHandedOver)
+	w.closeRun(f, why, group.Servers()[next.path.Hops[0].Server])
 	return true
 }
 
-// mayRunAgain reports whether a stream may run on one more server while its present first server is still active. Earlier
-// servers that have had the time to leave are queried whether they have terminated.
-func (h *Handler) mayRunAgain(f *inflight, first *backend.Server) bool {
+// queryDrained queries the earlier servers of a stream that have had the time to leave whether they have terminated, so that they no
+// longer count as running it.
+func (h *Handler) queryDrained(f *inflight, first *backend.Server) {
 	now, drain := h.clock.Now(), h.settings.Load().DrainTime
-	others := 0
 	for _, s := range activeServers(f.previousServers()) {
-		if s == first {
-			continue
-		}
-		others++
-		if s.LeavingFor(now) > drain {
+		if s != first && s.LeavingFor(now) > drain {
 			h.queryState(s, "former run")
 		}
 	}
-	return 1+others < f.r.route.MaxAttempts
 }
 
 // previousServers returns the servers that ran the stream before the present attempt.
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -82,7 +82,7 @@
 	servers []*backend.Server
 	// group is the group from which the path was chosen.
 	group *backend.Group
-	need    chain.Need
+	need  chain.Need
 	// laneLoad is the share of the lane's memory that was thought to be taken when the path was chosen.
 	laneLoad float64
 	// returned is true for a returning caller: one that was refused before, or that resumes a stream which broke off.
--- a/forward/lostpath.go
+++ b/forward/lostpath.go
@@ -1,9 +1,6 @@
 package forward
 
-import (
-	"junctioncross/backend"
-	"junctioncross/decision"
-)
+import "junctioncross/backend"
 
 // observePath follows changes of whether servers are within reach over the instance's own links.
 func (w *watcher) observePath(change backend.PathChange) {
@@ -35,21 +32,6 @@
 	}
 }
 
-// cutFromLostPath closes the connection of a stalled stream over a path that is lost, so that the stream is resumed through another
-// instance. Streams that make progress keep theirs: a path that opens no new connections may still carry old ones. The caller holds
-// the lock.
-func (w *watcher) cutFromLostPath(f *inflight) {
-	h := w.handler
-	if !h.onLostPath(f) || !f.r.route.MayRetry() {
-		return
-	}
-	h.stats.Counter("streams_cut_from_lost_paths_total").Inc(1)
-	h.record.Failure(f.r.meta.ID, "path of a stream lost", decision.Fields{
-		"server": f.first.ID(), "address": f.first.Addr(), "still_ms": f.pause(h).Milliseconds(),
-	})
-	w.closeRun(f, endLostPath)
-}
-
 // onLostPath reports whether a stream uses the own links to its first server although these no longer reach it.
 func (h *Handler) onLostPath(f *inflight) bool {
 	return f.conn != nil && f.conn.Direct() && h.dialer.Lost(f.first.Addr())
--- a/forward/lostpath_test.go
+++ b/forward/lostpath_test.go
@@ -54,6 +54,7 @@
 	g := twoCopies()
 	dialer := &losingDialer{}
 	h, clock := testHandlerWith(t, newFakeEngineClient(g), dialer)
+	removeServices(t, h)
 	stalled, _ := connected(t, h, g, "stalled", 0, 1)
 	moves, _ := connected(t, h, g, "moves", 0, 1)
 	ends := map[*inflight]net.Conn{}
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -82,6 +82,19 @@
 	return quarantined{left: left, part: part.ID}, true
 }
 
+// isQuarantined reports whether the request is quarantined, and does not try its parts.
+func (h *Handler) isQuarantined(r *request) bool {
+	if h.ends.Size() == 0 {
+		return false
+	}
+	now := h.clock.Now()
+	if _, ok := h.ends.Quarantined(r.fingerprint(), quarantine.ShortDigest(r.meta.ID), now); ok {
+		return true
+	}
+	_, _, ok := h.ends.QuarantinedPart(r.sharedParts(), now)
+	return ok
+}
+
 // sharedParts returns the parts of the request's prompt that other requests may have as well.
 func (r *request) sharedParts() []quarantine.Part {
 	ids := r.meta.SharedParts()
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -25,6 +25,8 @@
 	diagnosePeriod = 250 * time.Millisecond
 	// urgentPeriod is that time for streams that have been still for longer than slow but living servers explain.
 	urgentPeriod = 100 * time.Millisecond
+	// maxLeavingTries bounds the streams for which one scan searches for another path.
+	maxLeavingTries = 16
 	// crowdedAge is the greatest age of a server's report at which the requests that it names as waiting count as still
 	// waiting: requests wait on a server for some hundred milliseconds.
 	crowdedAge = time.Second
@@ -119,20 +121,15 @@
 	return f.pause(w.handler) - w.handler.clock.Patience(limit)
 }
 
-// scan starts a diagnosis for each first server that has stalled streams.
+// scan has stalled streams leave runs that cannot go on, and starts a diagnosis for each first server that has other stalled streams.
 func (w *watcher) scan(ctx context.Context) {
+	stuck, byFirst := w.stalledStreams()
+	for _, s := range stuck {
+		w.leaveRun(s.stream, s.first, w.groupOf(s.stream), s.why)
+	}
 	now := w.handler.clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	byFirst := map[*backend.Server][]*inflight{}
-	for f := range w.streams {
-		if !w.stalled(f) {
-			continue
-		}
-		w.cutFromLostPath(f)
-		w.cutEndless(f)
-		byFirst[f.first] = append(byFirst[f.first], f)
-	}
 	for first, streams := range byFirst {
 		if !w.dueForDiagnosis(now.Sub(w.lastDiagnosed[first]), streams, now) {
 			continue
@@ -151,6 +148,43 @@
 	}
 }
 
+// stuckStream is a stream under way whose run cannot go on, with its first server.
+type stuckStream struct {
+	stream *inflight
+	first  *backend.Server
+	why    runEnd
+}
+
+// stalledStreams returns some of the streams whose runs cannot go on, and all stalled streams by their first server.
+func (w *watcher) stalledStreams() (stuck []stuckStream, byFirst map[*backend.Server][]*inflight) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	byFirst = map[*backend.Server][]*inflight{}
+	for f := range w.streams {
+		if !w.stalled(f) {
+			continue
+		}
+		byFirst[f.first] = append(byFirst[f.first], f)
+		if why, ok := w.stuck(f); ok && len(stuck) < maxLeavingTries {
+			stuck = append(stuck, stuckStream{stream: f, first: f.first, why: why})
+		}
+	}
+	return stuck, byFirst
+}
+
+// stuck returns why the run of a stalled stream cannot go on, if that is known without a query. A path that opens no new connections may
+// still carry streams that make progress. The caller holds the lock.
+func (w *watcher) stuck(f *inflight) (runEnd, bool) {
+	switch {
+	case w.handler.onLostPath(f):
+		return endLostPath, true
+	case w.getsEndlessBytes(f):
+		return endEndless, true
+	default:
+		return "", false
+	}
+}
+
 // diagnose queries the servers that may have stalled some streams. The findings are applied to all streams of the service: those
 // that use a dead server get a new path although they have not been stalled for long themselves.
 func (w *watcher) diagnose(ctx context.Context, first *backend.Server, group *backend.Group, streams []*inflight) {
@@ -190,7 +224,7 @@
 	err := h.engines.Repair(repairCtx, path.servers[0].Addr(), f.r.meta.ID, path.stages())
 	if errors.Is(err, backend.ErrUnknownRequest) && f.noteUnknown(h.clock.Now()) {
 		h.stats.Counter("requests_forgotten_total").Inc(1)
-		w.cutStreams(path.servers[0], []*inflight{f}, endForgotten)
+		w.leaveRun(f, path.servers[0], w.groupOf(f), endForgotten)
 	}
 }
 
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -19,14 +19,15 @@
 // another server between the diagnosis of its first server and the finding that this server is dead.
 func TestAResumedStreamIsNotCutForItsFormerFirstServer(t *testing.T) {
 	h, _ := testHandler(t, nil)
-	servers := twoCopies().Servers()
+	g := twoCopies()
+	servers := g.Servers()
 	ours, theirs := net.Pipe()
 	defer theirs.Close()
-	f := &inflight{r: &request{}, first: servers[2], conn: &backend.Conn{Conn: ours}}
+	f := &inflight{r: &request{route: &catalog.Route{}}, first: servers[2], conn: &backend.Conn{Conn: ours}}
 	h.watch.add(f)
-	h.watch.cutStreams(servers[0], []*inflight{f}, endNotListening)
+	h.watch.leaveRun(f, servers[0], g, endForgotten)
 	require.NoError(t, ours.SetDeadline(time.Time{}), "the connection to the new first server is open")
-	h.watch.cutStreams(servers[2], []*inflight{f}, endNotListening)
+	h.watch.leaveRun(f, servers[2], g, endForgotten)
 	require.Error(t, ours.SetDeadline(time.Time{}), "the connection to a dead first server is closed")
 }
 
--- a/schema/attempts.go
+++ b/schema/attempts.go
@@ -3,12 +3,7 @@
 // A server keeps sending bytes that complete no event of a stream, which is resumed elsewhere.
 type bytesCompleteNothing struct {
 	_ struct{} `msg:"bytes complete no event" level:"warning"`
-	request
-	server
-	// How long the stream has stood still.
-	StillMS int64 `log:"still_ms"`
-	// Number of bytes that have come on the connection.
-	Bytes int64 `log:"bytes"`
+	firstServerChange
 }
 
 // A stream was sent along a path.
@@ -82,7 +77,7 @@
 	Path string `log:"path"`
 	// How the answer ended.
 	Error string `log:"error"`
-	// What ended the run: server (it, or the path to it), or what the instance concluded: restart, handed_over, not_listening, forgotten,
+	// What ended the run: server (it, or the path to it), or what the instance concluded: restart, leaving, silent, not_listening, forgotten,
 	// lost_path, endless_bytes.
 	EndedBy string `log:"ended_by"`
 	// Number of the last event that was passed on; -1 before the first.
--- a/schema/reach.go
+++ b/schema/reach.go
@@ -36,13 +36,7 @@
 // A stream that stands still uses the own links, which no longer reach its first server; it is resumed through another instance.
 type streamPathLost struct {
 	_ struct{} `msg:"path of a stream lost" level:"warning"`
-	request
-	// Id of its first server.
-	Server string `log:"server"`
-	// Address of that server.
-	Address string `log:"address"`
-	// How long the stream has stood still.
-	StillMS int64 `log:"still_ms"`
+	firstServerChange
 }
 
 // All connections to servers that the instance tried to open in the last two seconds failed.
