forward: keep a quarantined plain request at its silent server

What callers see: 502 for a request whose sound server was silent for a second and would have answered.

Cause: the silence limit asked for another server and for a retry, and not whether the request may be sent to one: it left the server, then the check before the send refused it.

TestAQuarantinedRequestStaysWithItsSilentServer: 502 before, 200 now, and nothing is sent to the other server.

--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -264,3 +264,22 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, onlyEvent, body)
 }
+
+// TestAQuarantinedRequestStaysWithItsSilentServer guards against requests that leave a sound server although they may go to no other one.
+func TestAQuarantinedRequestStaysWithItsSilentServer(t *testing.T) {
+	const silentFor = time.Second
+	var h *Handler
+	silent := newTestServer(t, "1", func(c net.Conn, number int) {
+		for n := range 3 {
+			h.ends.AddListed(endOf(n), time.Now())
+		}
+		time.Sleep(silentFor)
+		sealed(c, number)
+	})
+	other := newTestServer(t, "2", sealed)
+	other.server.Reserve(0)
+	h = plainHandler(t, timer.NewReal())
+	route := repeatRoute(2)
+	require.Equal(t, http.StatusOK, readStatus(t, callFront(t, frontOf(t, h, route, []*testServer{silent, other}), "one")))
+	require.Zero(t, requestCount([]*testServer{other}))
+}
--- a/forward/silencelimit.go
+++ b/forward/silencelimit.go
@@ -44,8 +44,7 @@
 				granted <- false
 				return
 			}
-			pathLost := r.direct.Load() && h.dialer.Lost(tried[len(tried)-1].Addr())
-			if !h.clock.DelayedSince(sentAt, limit) && (pathLost || h.pick(r.group, tried) != nil) && h.takeRetry(r) {
+			if !h.clock.DelayedSince(sentAt, limit) && h.mayGoElsewhere(r, tried) && h.takeRetry(r) {
 				cancel(errSilent)
 				granted <- true
 				return
@@ -59,6 +58,15 @@
 	}
 }
 
+// mayGoElsewhere reports whether a request may be sent again, to another server or on another path to the last one of those tried.
+func (h *Handler) mayGoElsewhere(r *request, tried []*backend.Server) bool {
+	if h.isQuarantined(r) {
+		return false
+	}
+	pathLost := r.direct.Load() && h.dialer.Lost(tried[len(tried)-1].Addr())
+	return pathLost || h.pick(r.group, tried) != nil
+}
+
 // leftBehindInstance reports whether a request left its server because of its silence, over a connection through another instance: this
 // instance has closed it, which says nothing of the path.
 func leftBehindInstance(s *sentRequest, err error) bool {
