follow, backend: end what a server runs only when it has started again

Callers saw answers that had begun closed at once when the entry of their server changed: an entry under the same id with another service, domain, kind, number of slots or address counted as another start, and so did one that says its start for the first time or no longer. All connections to the server were closed, and the server counted as ended, so that its requests could run beyond the attempts of their route.

Only an entry with a later start is certain. One of the same start at the same address changes what is known of the server, which keeps all that it runs. Of any other it is not known whether the server is the same: the former is taken out of use as one that leaves, and its runs go on.

--- a/backend/entry.go
+++ b/backend/entry.go
@@ -31,11 +31,10 @@
 // Incarnation returns the incarnation of the server that the entry describes.
 func (e Entry) Incarnation() Incarnation { return Incarnation{ID: e.ID, Born: e.Born} }
 
-// SameIncarnation reports whether another entry can describe the same incarnation: everything that changes only with a restart is
-// equal.
+// SameIncarnation reports whether another entry describes the same incarnation, as far as is known: the same start at the same address.
+// What else an entry says may change while the server runs.
 func (e Entry) SameIncarnation(other Entry) bool {
-	return e.Incarnation() == other.Incarnation() && e.Service == other.Service && e.Addr == other.Addr && e.Domain == other.Domain &&
-		e.Kind == other.Kind && e.Slots == other.Slots
+	return e.Incarnation() == other.Incarnation() && e.Addr == other.Addr
 }
 
 // Same reports whether two entries are equal apart from the revision.
--- a/backend/server.go
+++ b/backend/server.go
@@ -34,11 +34,8 @@
 // Server is what this instance knows of one incarnation of a backend server. It is safe for concurrent use.
 type Server struct {
 	incarnation Incarnation
-	service     string
 	addr        string
-	domain      string
-	slots       int
-	kind        string
+	described   atomic.Pointer[description]
 
 	// leaving is true once the server's entry has said that it leaves.
 	leaving atomic.Bool
@@ -115,13 +112,14 @@
 
 // NewServer returns the server that the entry describes.
 func NewServer(e Entry) *Server {
-	s := &Server{incarnation: e.Incarnation(), service: e.Service, addr: e.Addr, domain: e.Domain, slots: e.Slots, kind: e.Kind}
+	s := &Server{incarnation: e.Incarnation(), addr: e.Addr}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.Describe(e)
 	s.Update(e)
 	return s
 }
 
-// Update applies a newer entry of the same incarnation.
+// Update applies the layers and the leave notice of a newer entry of the same incarnation.
 func (s *Server) Update(e Entry) {
 	layers := e.Layers
 	if was := s.layers.Swap(&layers); was != nil && *was != layers {
@@ -132,6 +130,17 @@
 	}
 }
 
+// description is what a server says of itself in its entry apart from its state.
+type description struct {
+	service, domain, kind string
+	slots                 int
+}
+
+// Describe applies the description in a newer entry of the same incarnation.
+func (s *Server) Describe(e Entry) {
+	s.described.Store(&description{service: e.Service, domain: e.Domain, kind: e.Kind, slots: e.Slots})
+}
+
 // ID returns the name of the server, which its other incarnations may have as well.
 func (s *Server) ID() string { return s.incarnation.ID }
 
@@ -150,19 +159,19 @@
 }
 
 // Service returns the name of the service.
-func (s *Server) Service() string { return s.service }
+func (s *Server) Service() string { return s.described.Load().service }
 
 // Addr returns the server's IP address and port.
 func (s *Server) Addr() string { return s.addr }
 
 // Domain returns the server's failure domain.
-func (s *Server) Domain() string { return s.domain }
+func (s *Server) Domain() string { return s.described.Load().domain }
 
 // Kind returns the name of the server's kind of accelerator.
-func (s *Server) Kind() string { return s.kind }
+func (s *Server) Kind() string { return s.described.Load().kind }
 
 // Slots returns the number of requests that the server runs at once; 0 means that it did not say.
-func (s *Server) Slots() int { return s.slots }
+func (s *Server) Slots() int { return s.described.Load().slots }
 
 // NoteLayers records that the instance has learned of the present layers.
 func (s *Server) NoteLayers(now time.Time) { s.layersAt.store(now) }
@@ -255,5 +264,5 @@
 
 // Node returns the server as a node of the graph that paths are chosen in; index identifies it there.
 func (s *Server) Node(index int, e *catalog.Engine) chain.Node {
-	return chain.Node{Server: index, Domain: s.domain, Kind: e.Kind(s.kind), Layers: s.Layers()}
+	return chain.Node{Server: index, Domain: s.Domain(), Kind: e.Kind(s.Kind()), Layers: s.Layers()}
 }
--- a/follow/entries.go
+++ b/follow/entries.go
@@ -41,11 +41,16 @@
 	if e.Service != tracked.entry.Service && !l.hasService(e.Service) {
 		return l.markUnusable(EntryUnusable{ID: e.ID, Field: "service", Value: e.Service, Err: errUnknownService})
 	}
-	if !tracked.entry.SameIncarnation(e) {
+	switch {
+	case e.Incarnation().After(tracked.entry.Incarnation()):
 		l.noteRestart(tracked.server)
 		return l.addServer(e)
+	case !tracked.entry.SameIncarnation(e):
+		l.retire(tracked)
+		return l.addServer(e)
+	default:
+		return l.updateServer(tracked, e)
 	}
-	return l.updateServer(tracked, e)
 }
 
 // addServer adds the server of the first entry of an incarnation.
@@ -64,6 +69,7 @@
 func (l *Loop) updateServer(tracked *trackedServer, e backend.Entry) bool {
 	old, wasUnusable := tracked.entry, tracked.unusable
 	tracked.entry, tracked.unusable = e, false
+	tracked.server.Describe(e)
 	tracked.server.Update(e)
 	if e.Layers != old.Layers {
 		tracked.server.NoteLayers(l.clock.Now())
@@ -104,6 +110,16 @@
 	l.log.WithFields(logrus.Fields{"server": s.ID(), "address": s.Addr(), "born": s.Incarnation().Born}).Info("server started again")
 }
 
+// retire takes a server out of use whose id now stands for a server of which it is not known whether it is another one: whatever runs on the
+// former goes on.
+func (l *Loop) retire(tracked *trackedServer) {
+	s := tracked.server
+	s.NoteLeaving(l.clock.Now())
+	s.MarkGone()
+	l.rememberFormer(tracked, false)
+	l.log.WithFields(logrus.Fields{"server": s.ID(), "address": s.Addr()}).Info("server gone")
+}
+
 // markUnusable takes a server out of use when its entry describes no usable server, until there is a usable entry. The
 // requests that it runs go on.
 func (l *Loop) markUnusable(c EntryUnusable) bool {
