follow, backend: find servers of removed services by their addresses

A configuration that removes a service leaves the runs of its servers as they are, but ServerAt looked in the groups of present services only: no other instance was asked for a path to such a server (ErrNoPeer), a lost path to it was not noticed, and repairs of its streams went over the lost path. It looks among all servers with an entry now. Where an address belongs to another server before the entry of the former is gone, one of the two was found at random, by the order of a map; the one with the newest entry is.

--- a/backend/group.go
+++ b/backend/group.go
@@ -16,10 +16,7 @@
 
 // NewGroup returns the Group of a service with these servers.
 func NewGroup(service *catalog.Service, servers []*Server) *Group {
-	g := &Group{service: service, servers: servers, byAddr: make(map[string]*Server, len(servers))}
-	for _, s := range servers {
-		g.byAddr[s.addr] = s
-	}
+	g := &Group{service: service, servers: servers, byAddr: ByAddr(servers)}
 	if service.Engine == nil {
 		return g
 	}
@@ -31,6 +28,18 @@
 	return g
 }
 
+// ByAddr returns servers by their addresses. An address may belong to another server before the entry of the former is gone: of those at one
+// address, the one whose description is newest counts.
+func ByAddr(servers []*Server) map[string]*Server {
+	out := make(map[string]*Server, len(servers))
+	for _, s := range servers {
+		if known := out[s.addr]; known == nil || known.described.Load().revision < s.described.Load().revision {
+			out[s.addr] = s
+		}
+	}
+	return out
+}
+
 // Service returns the service's configuration.
 func (g *Group) Service() *catalog.Service { return g.service }
 
--- a/backend/server.go
+++ b/backend/server.go
@@ -134,11 +134,13 @@
 type description struct {
 	service, domain, kind string
 	slots                 int
+	// revision is the position of the entry in the store's sequence of changes.
+	revision int64
 }
 
 // Describe applies the description in a newer entry of the same incarnation.
 func (s *Server) Describe(e Entry) {
-	s.described.Store(&description{service: e.Service, domain: e.Domain, kind: e.Kind, slots: e.Slots})
+	s.described.Store(&description{service: e.Service, domain: e.Domain, kind: e.Kind, slots: e.Slots, revision: e.Revision})
 }
 
 // ID returns the name of the server, which its other incarnations may have as well.
--- a/follow/loop.go
+++ b/follow/loop.go
@@ -202,17 +202,6 @@
 	if !changed || l.catalog == nil {
 		return
 	}
-	byService, byID := map[string][]*backend.Server{}, make(map[string]*backend.Server, len(l.servers))
-	for id, tracked := range l.servers {
-		byID[id] = tracked.server
-		if !tracked.unusable {
-			byService[tracked.server.Service()] = append(byService[tracked.server.Service()], tracked.server)
-		}
-	}
-	groups := map[string]*backend.Group{}
-	for _, service := range l.catalog.Services() {
-		groups[service.Name] = backend.NewGroup(service, byService[service.Name])
-	}
-	l.view.current.Store(&Snapshot{catalog: l.catalog, groups: groups, byID: byID})
+	l.view.current.Store(newSnapshot(l.catalog, l.servers))
 	l.stats.Gauge("servers_known").Update(int64(len(l.servers)))
 }
--- a/follow/snapshot.go
+++ b/follow/snapshot.go
@@ -1,7 +1,9 @@
 package follow
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +16,24 @@
 	catalog *catalog.Catalog
 	groups  map[string]*backend.Group
 	byID    map[string]*backend.Server
+	byAddr  map[string]*backend.Server
+}
+
+// newSnapshot returns the state of the fleet with a configuration and the servers that have entries, usable or not.
+func newSnapshot(c *catalog.Catalog, tracked map[string]*trackedServer) *Snapshot {
+	s := &Snapshot{catalog: c, groups: map[string]*backend.Group{}, byID: make(map[string]*backend.Server, len(tracked))}
+	byService := map[string][]*backend.Server{}
+	for id, one := range tracked {
+		s.byID[id] = one.server
+		if !one.unusable {
+			byService[one.server.Service()] = append(byService[one.server.Service()], one.server)
+		}
+	}
+	s.byAddr = backend.ByAddr(slices.Collect(maps.Values(s.byID)))
+	for _, service := range c.Services() {
+		s.groups[service.Name] = backend.NewGroup(service, byService[service.Name])
+	}
+	return s
 }
 
 // Catalog returns the configuration in force, or nil before there is one.
@@ -28,15 +48,8 @@
 // server returns a server by its id, or nil.
 func (s *Snapshot) server(id string) *backend.Server { return s.byID[id] }
 
-// ServerAt returns the server at an address, or nil.
-func (v *FleetView) ServerAt(addr string) *backend.Server {
-	for _, g := range v.Current().groups {
-		if s := g.ByAddr(addr); s != nil {
-			return s
-		}
-	}
-	return nil
-}
+// ServerAt returns the server at an address, or nil. Its service need not be configured any more, since it may still run requests.
+func (v *FleetView) ServerAt(addr string) *backend.Server { return v.Current().byAddr[addr] }
 
 // ServerOf returns the server of an incarnation, or nil.
 func (v *FleetView) ServerOf(incarnation backend.Incarnation) *backend.Server {
