follow, backend: keep a server that has an entry again as the one it was

The entry of a server that works may vanish for a while: it expires while the server is cut off from the store, or a full read after a lost history does not list it. When it came back, a new Server stood for the process, and the streams that ran on the former one no longer knew it: they were moved off a server that stays, and a stream whose route allows no further server could not be resumed at the one that ran it (startsAfter finds none of its servers in the group), so that it stood still until its caller left.

The same incarnation at the same address is now the same Server again, unless another start is known or, without a start time, the server had announced something that the next one has not.

Before: TestAServerWhoseEntryIsBackIsTheOneThatItWas (both cases) and TestAServerThatIsGoneInALostHistoryKeepsWhatItRuns fail. After: both pass, ./follow and ./backend with -race pass.

--- a/backend/server.go
+++ b/backend/server.go
@@ -234,6 +234,17 @@
 	s.CloseIdle()
 }
 
+// Return records that the server has an entry again after that was removed, so that it has not terminated.
+func (s *Server) Return(e Entry) {
+	s.Describe(e)
+	s.Update(e)
+	s.gone.Store(false)
+	s.ended.Store(false)
+	if !s.Leaving() {
+		s.ForgetLeaving()
+	}
+}
+
 // SetPossiblyLeaving sets whether the server is possibly leaving; new work is kept away from it while that is so.
 func (s *Server) SetPossiblyLeaving(possibly bool) { s.possiblyLeaving.Store(possibly) }
 
--- a/follow/former.go
+++ b/follow/former.go
@@ -25,17 +25,15 @@
 	hasLeft bool
 }
 
-// newServer returns the server that an entry describes. If the same incarnation had an entry before, the new server
-// inherits what it announced then: an entry may expire in an outage of the store, which does not revoke a leave notice.
+// newServer returns the server that an entry describes. If the same incarnation had an entry before, that is the server of then, so that
+// requests which it may have run know it again: an entry may expire while its server works, which does not revoke a leave notice.
 func (l *Loop) newServer(e backend.Entry) *backend.Server {
-	s := backend.NewServer(e)
-	name := s.Incarnation()
-	f, known := l.former[name]
+	f, known := l.former[e.Incarnation()]
 	if !known {
-		return s
+		return backend.NewServer(e)
 	}
-	delete(l.former, name)
-	s.Inherit(f.server)
+	delete(l.former, e.Incarnation())
+	s := f.again(e)
 	if f.isRestored(e) {
 		s.SetAside(l.clock.Now().Add(restoredEntryHold))
 		l.log.WithFields(logrus.Fields{"server": e.ID, "address": e.Addr}).Info("entry of a server that has left is there again")
@@ -43,6 +41,17 @@
 	return s
 }
 
+// again returns the former server, which has an entry again, or a new one that inherits from it if it cannot be the same.
+func (f formerServer) again(e backend.Entry) *backend.Server {
+	if !f.entry.SameIncarnation(e) || f.server.Context().Err() != nil {
+		s := backend.NewServer(e)
+		s.Inherit(f.server)
+		return s
+	}
+	f.server.Return(e)
+	return f.server
+}
+
 // isRestored reports whether e is the last entry of a server that has left, brought back when the store was restored
 // from a backup copy.
 func (f formerServer) isRestored(e backend.Entry) bool {
@@ -50,12 +59,11 @@
 	return f.hasLeft && now.Era() > then.Era() && now.Revision() == then.Revision() && e.Same(f.entry)
 }
 
-// rememberFormer keeps a removed server if it has left, or if it has announced something that still holds, such as a
-// back-off. Servers without a start time are not kept: their incarnations cannot be distinguished, and the next one has
-// announced nothing yet.
+// rememberFormer keeps a removed server. One without a start time that has announced something is not kept: its incarnations cannot be
+// distinguished, and the next one has announced nothing yet.
 func (l *Loop) rememberFormer(tracked *trackedServer, hasLeft bool) {
 	s := tracked.server
-	if s.Incarnation().Born == 0 || !hasLeft && !s.HasNotices(l.clock.Now()) || len(l.former) >= maxFormer {
+	if s.Incarnation().Born == 0 && s.HasNotices(l.clock.Now()) || len(l.former) >= maxFormer {
 		return
 	}
 	l.former[s.Incarnation()] = formerServer{server: s, entry: tracked.entry, hasLeft: hasLeft}
