forward, backend: believe a later start of a server that reports name twice

One report with a later start than the known one closed all connections to the server, counted it as ended and kept it out of use until a later start wrote an entry, however many own reports came afterwards. A wrong number in one answer did that to all answers that had begun at a sound server.

The first such report keeps new work away and has the server asked again (each 240 ms, as a silent one); the second one in a row with the same start is certain. A restarted process loses its connections in any case, so that nothing waits for longer.

TestTheReportOfAnotherIncarnationIsNotApplied took one report for certain, which was wrong: it now asks that the server is out of use after the first and ended after the second. TestOneReportOfALaterStartEndsNothing is new. Before: it fails at the first report. After: both pass with -race.

--- a/backend/server.go
+++ b/backend/server.go
@@ -68,6 +68,8 @@
 	circuit retry.SyncCircuit
 
 	mu sync.Mutex
+	// laterBorn is the start time in the latest report if that is of a later incarnation, or 0.
+	laterBorn int64
 	// asideUntil is when a server that was set aside may get work again.
 	asideUntil time.Time
 	// staleUntil is when a server that did not hold the layers of its entry may get work again.
@@ -160,6 +162,16 @@
 	s.cancel()
 }
 
+// NoteLaterStart records that a report of a later incarnation has come from the server's address, and reports whether two in a row have
+// named that start: a single one may be wrong.
+func (s *Server) NoteLaterStart(born int64) (certain bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	certain = s.laterBorn == born
+	s.laterBorn = born
+	return certain
+}
+
 // Service returns the name of the service.
 func (s *Server) Service() string { return s.described.Load().service }
 
--- a/backend/sharedreport.go
+++ b/backend/sharedreport.go
@@ -57,7 +57,7 @@
 func (s *Server) NoteAnswer(sentAt, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answeredAt, s.sharedSilentUntil = later(s.answeredAt, sentAt), time.Time{}
+	s.answeredAt, s.sharedSilentUntil, s.laterBorn = later(s.answeredAt, sentAt), time.Time{}, 0
 	if !s.silence.since.IsZero() {
 		s.silenceEndedAt = now
 		s.forgiveSilenceLocked()
--- a/forward/incarnation_test.go
+++ b/forward/incarnation_test.go
@@ -35,7 +35,23 @@
 	require.True(t, server.Usable(clock.Now()), "it has answered")
 	after := backend.Report{Born: 3000, Pace: 1, Total: 10}
 	h.applyReport(server, after, nil, "test")
+	require.False(t, server.Usable(clock.Now()), "no new work until it is certain")
+	h.applyReport(server, after, nil, "test")
 	require.True(t, server.Ended())
 	require.Error(t, server.Context().Err())
 	require.False(t, server.Usable(clock.Now()))
 }
+
+// TestOneReportOfALaterStartEndsNothing guards against answers that are closed for a wrong number in one report, and a server that gets no
+// work any more because of it.
+func TestOneReportOfALaterStartEndsNothing(t *testing.T) {
+	h, clock := testHandler(t, newFakeEngineClient(twoCopies()))
+	server := backend.NewServer(backend.Entry{ID: "a", Service: "s", Addr: "127.0.0.1:1", Layers: models.Layers{End: 4}, Born: 2000})
+	for _, born := range []int64{3000, 2000, 3000, 4000, 1000, 2000} {
+		h.applyReport(server, backend.Report{Born: born, Pace: 1, Total: 10, Layers: server.Layers()}, nil, "test")
+		require.NoError(t, server.Context().Err(), "what it runs goes on")
+		require.False(t, server.Ended())
+		require.False(t, server.Gone())
+	}
+	require.True(t, server.Usable(clock.Now()), "its own report has come since")
+}
--- a/forward/report.go
+++ b/forward/report.go
@@ -76,8 +76,8 @@
 	h.recordReport(server, report, fields, why, now)
 }
 
-// applyOtherIncarnation handles a report of another incarnation of the server: a later one means that this one has ended, an
-// earlier one means nothing.
+// applyOtherIncarnation handles a report of another incarnation of the server: a later one means that this one has ended once it has
+// answered twice, and that it gets no new work until then; an earlier one means nothing.
 func (h *Handler) applyOtherIncarnation(server *backend.Server, report backend.Report, now time.Time) {
 	later := backend.Incarnation{ID: server.ID(), Born: report.Born}
 	if !later.After(server.Incarnation()) {
@@ -85,6 +85,10 @@
 	}
 	server.Suspect(now.Add(suspectTime))
 	server.NoteSilent(backend.Connected, now)
+	h.silent.add(server)
+	if !server.NoteLaterStart(report.Born) {
+		return
+	}
 	server.MarkReplaced()
 	h.record.Failure("", "another start of the server answers", decision.Fields{
 		"server": server.ID(), "address": server.Addr(), "born": server.Incarnation().Born, "answers": report.Born,
