front: let callers receive their last answers before connections close

What callers saw: the rest of an answer replaced by a reset. A connection was closed as soon as its last answer was written. If its caller had already sent the next request (it crossed the close), the bytes that the instance had not read made the kernel reset the connection and drop what it had still to send; bytes that came after the close did the same. It happened wherever an answer says Connection: close: at a planned stop, while connections are shed, to a caller that asks for it, and to each request refused unread (413, 431, 400), whose body is still coming. The process could also end while such an answer was on its way.

A connection now ends its sending side, and is closed once its caller has closed it, or after 2 s; what comes meanwhile is discarded, not run. Such a connection counts as idle, so that it makes room for new ones, and the process does not end before it is closed (bounded by lingerTime and by the grace time).

--- a/front/conn.go
+++ b/front/conn.go
@@ -42,6 +42,8 @@
 	idleSince atomic.Int64
 	// answered tells the reading goroutine that the handler has finished; false means that the connection must be closed.
 	answered chan bool
+	// lingers is true once the last answer was sent and the connection only waits for its caller to close it.
+	lingers bool
 }
 
 func newConn(s *Server, c net.Conn) *conn {
@@ -73,6 +75,9 @@
 	defer c.net.Close()
 	for c.awaitRequest() && c.markBusy() && c.serveRequest() {
 	}
+	if c.lingers {
+		c.linger()
+	}
 }
 
 // awaitRequest waits for the first byte of a request and reports whether it came before the idle time was over.
@@ -116,7 +121,7 @@
 		c.answered <- x.finish()
 	}()
 	// Waits until the caller sends more; until it disconnects, which cancels the request; or until the answer has been sent and the
-	// connection has been idle for too long.
+	// connection has been idle, or has lingered, for too long.
 	_, err := c.reader.Peek(1)
 	if err != nil {
 		cancel()
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"net"
 	"strconv"
 	"sync"
 	"time"
@@ -154,8 +153,7 @@
 		return false
 	}
 	if x.closes || x.conn.server.Leaving() {
-		_ = closeWrite(x.conn.net)
-		x.wakeReader()
+		x.conn.beginLinger()
 		return false
 	}
 	// The reading goroutine may already wait for the next request, without a deadline: this one limits the wait to the idle time.
@@ -163,16 +161,6 @@
 	return x.conn.net.SetReadDeadline(x.conn.server.clock.DeadlineIn(x.conn.limits.IdleTime+idleMargin)) == nil
 }
 
-// wakeReader ends the wait of the reading goroutine by a deadline in the past.
-func (x *Exchange) wakeReader() { _ = x.conn.net.SetReadDeadline(time.Unix(1, 0)) }
-
-func closeWrite(c net.Conn) error {
-	if t, ok := c.(*net.TCPConn); ok {
-		return t.CloseWrite()
-	}
-	return c.Close()
-}
-
 // refuseUnserved answers a request that could not be read or came too late; there is no answer if the caller has disconnected or was too
 // slow.
 func (x *Exchange) refuseUnserved(failure *readFailure) {
@@ -185,4 +173,5 @@
 	head = append(head, " "+fasthttp.StatusMessage(failure.status)+"\r\nContent-Type: text/plain\r\n"...)
 	x.request.Header.SetConnectionClose()
 	x.Answer(head, []byte(failure.reason+"\n"))
+	x.finish()
 }
--- a/front/server.go
+++ b/front/server.go
@@ -43,6 +43,8 @@
 	leaving        atomic.Bool
 	// running is the number of requests in progress, or stopped.
 	running atomic.Int64
+	// lingering is the number of connections whose callers may still read their last answers.
+	lingering atomic.Int64
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -172,8 +174,12 @@
 // Running returns the number of requests in progress.
 func (s *Server) Running() int { return int(max(s.running.Load(), 0)) }
 
-// StopIfIdle keeps further requests from beginning if none is in progress, and reports whether it did.
-func (s *Server) StopIfIdle() bool { return s.running.CompareAndSwap(0, stopped) }
+// StopIfIdle keeps further requests from beginning if none is in progress and no caller may still read its last answer, and reports
+// whether it did.
+func (s *Server) StopIfIdle() bool {
+	// A connection begins to linger before its request is no longer in progress.
+	return s.running.Load() == 0 && s.lingering.Load() == 0 && s.running.CompareAndSwap(0, stopped)
+}
 
 // begin counts a request as in progress, or reports false if none may begin any more.
 func (s *Server) begin() bool {
