front: end no answer that its caller reads for being long

What callers saw: an answer that had begun was cut 30 s after its first byte, though events came and were read, if the caller names no deadline and the route allows more than 30 s. Cause: one write deadline an answer, set at its first write to the time for which the caller will wait plus 30 s; a caller that names no time counted as waiting for 0 s. For callers that name one, the deadline lies 30 s behind their own, so it ends nothing that anybody still waits for; that stays.

Without a named time the 30 s now bound each piece of 64 KB, so that only a caller that takes nothing for so long loses its answer.

--- a/front/exchange.go
+++ b/front/exchange.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -10,9 +11,14 @@
 	"junctioncross/call"
 )
 
-// writeMargin plus the time for which the caller will wait bounds the writing of an answer, counted from its first write. After
-// that the answer is abandoned, so that a caller that does not read does not hold it up for longer.
-const writeMargin = 30 * time.Second
+const (
+	// writeMargin plus the time for which the caller will wait bounds the writing of an answer, counted from its first write. After
+	// that the answer is abandoned, so that a caller that does not read does not hold it up for longer. For a caller that does not say
+	// how long it will wait, it bounds the writing of each piece.
+	writeMargin = 30 * time.Second
+	// writePiece is the size in bytes of the pieces in which an answer is written.
+	writePiece = 64 << 10
+)
 
 // Exchange is one request with the means to answer it.
 type Exchange struct {
@@ -132,17 +138,24 @@
 	if x.failed {
 		return
 	}
-	if !x.begun {
-		x.begun = true
-		if err := x.conn.net.SetWriteDeadline(x.conn.server.clock.DeadlineIn(x.meta.Wait + writeMargin)); err != nil {
+	x.conn.server.load.NoteSent(len(p))
+	for piece := range slices.Chunk(p, writePiece) {
+		if err := x.writePiece(piece); err != nil {
 			x.failed = true
 			return
 		}
 	}
-	x.conn.server.load.NoteSent(len(p))
-	if _, err := x.conn.net.Write(p); err != nil {
-		x.failed = true
+}
+
+func (x *Exchange) writePiece(p []byte) error {
+	if !x.begun || x.meta.Wait == 0 {
+		x.begun = true
+		if err := x.conn.net.SetWriteDeadline(x.conn.server.clock.DeadlineIn(x.meta.Wait + writeMargin)); err != nil {
+			return err
+		}
 	}
+	_, err := x.conn.net.Write(p)
+	return err
 }
 
 // finish ends the exchange and reports whether the connection can take another request.
