front: give the interim answer to a request a write deadline of its own

What callers saw: a request that expects 100 Continue, on a connection that had been kept for more than 30 s since its former answer, had its connection closed without an answer. Cause: the interim answer was written under the write deadline of the answer before. It takes an idle limit over 30 s, or a former answer without a named time that lasted. The interim answer now has the time for which a head may take.

--- a/front/conn.go
+++ b/front/conn.go
@@ -174,6 +174,10 @@
 	}
 	x.arrived = c.server.clock.Now()
 	if x.request.MayContinue() {
+		// The write deadline of the answer before may have passed.
+		if err := c.net.SetWriteDeadline(c.server.clock.DeadlineIn(c.limits.HeaderTime)); err != nil {
+			return &readFailure{}
+		}
 		if _, err := c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return &readFailure{}
 		}
--- a/front/writelimit_test.go
+++ b/front/writelimit_test.go
@@ -1,9 +1,11 @@
 package front
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"slices"
 	"testing"
@@ -112,3 +114,29 @@
 		x.Answer([]byte(statusLine), make([]byte, 16*writePiece))
 	}))
 }
+
+// TestARequestThatAwaitsContinueIsReadLongAfterTheAnswerBefore guards kept connections against the write deadline of a former answer.
+func TestARequestThatAwaitsContinueIsReadLongAfterTheAnswerBefore(t *testing.T) {
+	clientConn, serverConn := pair(t)
+	clock := clockwork.NewFakeClock()
+	h := handlerFunc(func(_ context.Context, x *Exchange) { x.Answer([]byte(statusLine), nil) })
+	s := New(platform.Codec{}, h, func() catalog.Limits { return catalog.Limits{} }, func() int { return 8 }, idleInstance{}, timer.New(clock), metrics.New())
+	s.start(&timedConn{Conn: serverConn, clock: clock})
+	require.NoError(t, clientConn.SetDeadline(time.Now().Add(testTimeout)))
+	reader := bufio.NewReader(clientConn)
+	_, err := io.WriteString(clientConn, oneRequest)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, statusOf(t, reader))
+	clock.Advance(2 * writeMargin)
+	_, err = io.WriteString(clientConn, "POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\nb")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusContinue, statusOf(t, reader))
+	require.Equal(t, http.StatusOK, statusOf(t, reader))
+}
+
+func statusOf(t *testing.T, r *bufio.Reader) int {
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	return resp.StatusCode
+}
