front: apply the limits in force to requests on open connections

What callers saw: on a kept connection a request was refused with 413 or 431, a 4xx of our own, by a limit that the configuration in force had raised (or passed beyond one that it had lowered). Cause: a connection took its limits once, when it was opened. Each request now takes the limits that are in force when it is read; a head limit that changes gives the connection a new reader, which keeps what was read ahead.

--- a/front/conn.go
+++ b/front/conn.go
@@ -17,11 +17,6 @@
 )
 
 const (
-	// defaultHeaderBytes, defaultBodyBytes, defaultHeaderTime and defaultIdleTime apply before the first configuration.
-	defaultHeaderBytes = 16 << 10
-	defaultBodyBytes   = 1 << 20
-	defaultHeaderTime  = 3 * time.Second
-	defaultIdleTime    = 15 * time.Second
 	// bodyReadTime bounds the time for reading a body; it is long enough for the largest bodies over slow links.
 	bodyReadTime = 10 * time.Second
 	// idleMargin is added to the idle time, so that a request that is sent just before the idle time ends finds the connection open.
@@ -47,12 +42,7 @@
 }
 
 func newConn(s *Server, c net.Conn) *conn {
-	limits := s.limits()
-	if limits.HeaderBytes == 0 {
-		limits = catalog.Limits{
-			HeaderBytes: defaultHeaderBytes, BodyBytes: defaultBodyBytes, HeaderTime: defaultHeaderTime, IdleTime: defaultIdleTime,
-		}
-	}
+	limits := s.currentLimits()
 	out := &conn{
 		server: s, net: c, reader: bufio.NewReaderSize(c, limits.HeaderBytes), limits: limits, answered: make(chan bool, 1),
 	}
@@ -94,6 +84,7 @@
 
 // serveRequest reads and answers one request and reports whether the connection can take another.
 func (c *conn) serveRequest() bool {
+	c.applyLimits()
 	x := acquireExchange(c)
 	if failure := c.readRequest(x); failure != nil {
 		c.server.stats.Counter("requests_unreadable_total").Inc(1)
