front: close no connection as idle whose request has arrived

What callers saw: a connection closed, with a reset, though they had just sent a request on it, while descriptors run out or the maximum of connections is reached and the process waits for the processor. Cause: a connection counts as idle until its reading goroutine has run, which may be long after the bytes came; closing with unread bytes also resets, which destroys the end of the answer before. The connection that is to make room is now asked whether it holds unread bytes (a peek that does not wait for the reading goroutine).

Evidence: TestAConnectionWithAnUnreadRequestIsNotClosedAsIdle fails without the check; TestAConnectionThatItsCallerHasClosedMakesRoom passes on both. go test -race -count=3 ./front passes.

--- a/front/conn.go
+++ b/front/conn.go
@@ -6,12 +6,10 @@
 	"io"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 
 	"junctioncross/catalog"
 )
@@ -124,26 +122,6 @@
 	return keep && err == nil
 }
 
-// callerDisconnected reports whether the caller has closed or reset the connection and no received data is left to read.
-func (c *conn) callerDisconnected() bool {
-	socket, ok := c.net.(syscall.Conn)
-	if !ok || c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return true
-	}
-	disconnected := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		disconnected = err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
-		return true
-	})
-	return err != nil || disconnected
-}
-
 // readFailure says how to refuse a request that was not read or is not served; status 0 means that the connection is closed without an
 // answer.
 type readFailure struct {
--- a/front/server.go
+++ b/front/server.go
@@ -122,13 +122,14 @@
 }
 
 // closeOldestIdle closes the connection that has been idle longest and reports whether it closed one. The caller of that
-// connection opens another one when it needs it; a caller that cannot connect at all is worse off.
+// connection opens another one when it needs it; a caller that cannot connect at all is worse off. One whose request has arrived is not
+// idle.
 func (s *Server) closeOldestIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var oldest *conn
 	for c := range s.conns {
-		if c.idle.Load() && (oldest == nil || c.idleSince.Load() < oldest.idleSince.Load()) {
+		if c.idle.Load() && (oldest == nil || c.idleSince.Load() < oldest.idleSince.Load()) && !unread(c.net) {
 			oldest = c
 		}
 	}
