app: let callers receive streams for as long as a request may take

What callers of an entry instance saw: a stream cut 60 s after its head, though events came and were read. Cause: the server for callers had a fixed write time of a minute, which the HTTP library sets once an answer, while limits.request_time is 2 minutes by default and up to an hour. The write time is now that limit and a minute.

--- a/app/run.go
+++ b/app/run.go
@@ -27,7 +27,8 @@
 )
 
 const (
-	writeTimeout    = time.Minute
+	// writeMargin is added to the time that a request may take, so that no answer ends for the time that it takes to write it.
+	writeMargin     = time.Minute
 	maxOperatorBody = 4 << 20
 	gcPercent       = 50
 	// statePeriod is how often an instance checks whether it leads and whether it has its first configuration.
@@ -138,12 +139,7 @@
 
 // listen starts the listeners for callers, operators and health checks.
 func (i *instance) listen(health *health) ([]*fasthttp.Server, error) {
-	callers := &fasthttp.Server{
-		Handler: i.Entry.Routes(), ErrorHandler: i.Entry.HandleReadError, MaxRequestBodySize: i.Settings.Limits.BodyBytes,
-		ReadTimeout: i.Settings.Limits.IdleTime, WriteTimeout: writeTimeout, IdleTimeout: i.Settings.Limits.IdleTime,
-		Concurrency: i.Settings.Limits.Connections, NoDefaultServerHeader: true, ReduceMemoryUsage: true,
-		Logger: discardLogger{}, StreamRequestBody: false,
-	}
+	callers := callersServer(&i.Settings.Limits, i.Entry.Routes(), i.Entry.HandleReadError)
 	operators := &fasthttp.Server{
 		Handler: i.Ops.Routes(), MaxRequestBodySize: maxOperatorBody, ReadTimeout: time.Minute, Logger: discardLogger{},
 		NoDefaultServerHeader: true,
@@ -171,6 +167,17 @@
 	return []*fasthttp.Server{callers, operators, checks}, nil
 }
 
+// callersServer returns the server for callers.
+func callersServer(
+	limits *config.Limits, handler fasthttp.RequestHandler, onReadError func(ctx *fasthttp.RequestCtx, err error),
+) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handler, ErrorHandler: onReadError, MaxRequestBodySize: limits.BodyBytes, ReadTimeout: limits.IdleTime,
+		WriteTimeout: limits.RequestTime + writeMargin, IdleTimeout: limits.IdleTime, Concurrency: limits.Connections,
+		NoDefaultServerHeader: true, ReduceMemoryUsage: true, Logger: discardLogger{}, StreamRequestBody: false,
+	}
+}
+
 // serve starts to serve a TCP address, with TLS if tlsConfig is set.
 func serve(addr string, server *fasthttp.Server, tlsConfig *tls.Config, clock *timer.Service) error {
 	listener, err := net.Listen("tcp4", addr)
