--- a/front/conn.go
+++ b/front/conn.go
@@ -6,22 +6,15 @@
 	"io"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 
 	"junctioncross/catalog"
 )
 
 const (
-	// defaultHeaderBytes, defaultBodyBytes, defaultHeaderTime and defaultIdleTime apply before the first configuration.
-	defaultHeaderBytes = 16 << 10
-	defaultBodyBytes   = 1 << 20
-	defaultHeaderTime  = 3 * time.Second
-	defaultIdleTime    = 15 * time.Second
 	// bodyReadTime bounds the time for reading a body; it is long enough for the largest bodies over slow links.
 	bodyReadTime = 10 * time.Second
 	// idleMargin is added to the idle time, so that a request that is sent just before the idle time ends finds the connection open.
@@ -42,15 +35,12 @@
 	idleSince atomic.Int64
 	// answered tells the reading goroutine that the handler has finished; false means that the connection must be closed.
 	answered chan bool
+	// lingers is true once the last answer was sent and the connection only waits for its caller to close it.
+	lingers bool
 }
 
 func newConn(s *Server, c net.Conn) *conn {
-	limits := s.limits()
-	if limits.HeaderBytes == 0 {
-		limits = catalog.Limits{
-			HeaderBytes: defaultHeaderBytes, BodyBytes: defaultBodyBytes, HeaderTime: defaultHeaderTime, IdleTime: defaultIdleTime,
-		}
-	}
+	limits := s.currentLimits()
 	out := &conn{
 		server: s, net: c, reader: bufio.NewReaderSize(c, limits.HeaderBytes), limits: limits, answered: make(chan bool, 1),
 	}
@@ -73,6 +63,9 @@
 	defer c.net.Close()
 	for c.awaitRequest() && c.markBusy() && c.serveRequest() {
 	}
+	if c.lingers {
+		c.linger()
+	}
 }
 
 // awaitRequest waits for the first byte of a request and reports whether it came before the idle time was over.
@@ -89,6 +82,7 @@
 
 // serveRequest reads and answers one request and reports whether the connection can take another.
 func (c *conn) serveRequest() bool {
+	c.applyLimits()
 	x := acquireExchange(c)
 	if failure := c.readRequest(x); failure != nil {
 		c.server.stats.Counter("requests_unreadable_total").Inc(1)
@@ -116,7 +110,7 @@
 		c.answered <- x.finish()
 	}()
 	// Waits until the caller sends more; until it disconnects, which cancels the request; or until the answer has been sent and the
-	// connection has been idle for too long.
+	// connection has been idle, or has lingered, for too long.
 	_, err := c.reader.Peek(1)
 	if err != nil {
 		cancel()
@@ -128,26 +122,6 @@
 	return keep && err == nil
 }
 
-// callerDisconnected reports whether the caller has closed or reset the connection and no received data is left to read.
-func (c *conn) callerDisconnected() bool {
-	socket, ok := c.net.(syscall.Conn)
-	if !ok || c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return true
-	}
-	disconnected := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		disconnected = err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
-		return true
-	})
-	return err != nil || disconnected
-}
-
 // readFailure says how to refuse a request that was not read or is not served; status 0 means that the connection is closed without an
 // answer.
 type readFailure struct {
@@ -169,6 +143,10 @@
 	}
 	x.arrived = c.server.clock.Now()
 	if x.request.MayContinue() {
+		// The write deadline of the answer before may have passed.
+		if err := c.net.SetWriteDeadline(c.server.clock.DeadlineIn(c.limits.HeaderTime)); err != nil {
+			return &readFailure{}
+		}
 		if _, err := c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return &readFailure{}
 		}
