follow, catalog: know the servers of services that are not configured any more

A stream whose service a configuration removes goes on with the group from which its path was chosen: servers that come later or have been written anew are missing in it, and it holds the layers of then. Where the service has the same name but is plain, or runs another model, the present group does not fit the stream at all: its graph is nil, and the instance panics.

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -11,6 +11,14 @@
 	Engine *Engine
 }
 
+// RunsLike reports whether servers of the service can go on with requests of another one: both are plain, or run the layers of the same model.
+func (s *Service) RunsLike(other *Service) bool {
+	if s.Engine == nil || other.Engine == nil {
+		return s.Engine == other.Engine
+	}
+	return s.Engine.Model == other.Engine.Model && s.Engine.Layers == other.Engine.Layers
+}
+
 // Engine holds the published cost model of chained model engines: backend servers that each run a range of a model's layers
 // and pass activations on to the next.
 type Engine struct {
--- a/follow/snapshot.go
+++ b/follow/snapshot.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,23 +16,30 @@
 type Snapshot struct {
 	catalog *catalog.Catalog
 	groups  map[string]*backend.Group
-	byID    map[string]*backend.Server
-	byAddr  map[string]*backend.Server
+	// byService holds the usable servers of all services, configured or not.
+	byService map[string][]*backend.Server
+	byID      map[string]*backend.Server
+	byAddr    map[string]*backend.Server
+	// former holds the groups of services as they are not configured any more, by the groups that they stand for.
+	former sync.Map
 }
 
 // newSnapshot returns the state of the fleet with a configuration and the servers that have entries, usable or not.
 func newSnapshot(c *catalog.Catalog, tracked map[string]*trackedServer) *Snapshot {
-	s := &Snapshot{catalog: c, groups: map[string]*backend.Group{}, byID: make(map[string]*backend.Server, len(tracked))}
-	byService := map[string][]*backend.Server{}
+	s := &Snapshot{
+		catalog: c, groups: map[string]*backend.Group{}, byService: map[string][]*backend.Server{},
+		byID: make(map[string]*backend.Server, len(tracked)),
+	}
 	for id, one := range tracked {
 		s.byID[id] = one.server
 		if !one.unusable {
-			byService[one.server.Service()] = append(byService[one.server.Service()], one.server)
+			service := one.server.Service()
+			s.byService[service] = append(s.byService[service], one.server)
 		}
 	}
 	s.byAddr = backend.ByAddr(slices.Collect(maps.Values(s.byID)))
 	for _, service := range c.Services() {
-		s.groups[service.Name] = backend.NewGroup(service, byService[service.Name])
+		s.groups[service.Name] = backend.NewGroup(service, s.byService[service.Name])
 	}
 	return s
 }
@@ -45,6 +53,31 @@
 // Groups returns the servers of all services, by service.
 func (s *Snapshot) Groups() map[string]*backend.Group { return s.groups }
 
+// GroupLike returns the present servers of a group's service for requests that are under way. If the service is not configured any more, or
+// runs something else, that is a group of the service as it was.
+func (s *Snapshot) GroupLike(g *backend.Group) *backend.Group {
+	if present := s.groups[g.Service().Name]; present != nil && present.Service().RunsLike(g.Service()) {
+		return present
+	}
+	if former, ok := s.former.Load(g); ok {
+		return former.(*backend.Group)
+	}
+	former, _ := s.former.LoadOrStore(g, backend.NewGroup(g.Service(), s.serversLike(g)))
+	s.former.Store(former, former)
+	return former.(*backend.Group)
+}
+
+// serversLike returns the usable servers that have entries for a group's service, and those of the group that were never removed.
+func (s *Snapshot) serversLike(g *backend.Group) []*backend.Server {
+	out := slices.Clone(s.byService[g.Service().Name])
+	for _, server := range g.Servers() {
+		if s.byID[server.ID()] == nil && !server.Gone() {
+			out = append(out, server)
+		}
+	}
+	return out
+}
+
 // server returns a server by its id, or nil.
 func (s *Snapshot) server(id string) *backend.Server { return s.byID[id] }
 
