app: stop by the grace time of the latest settings

What callers would see: answers cut by a kill where the platform shortens the time between the stop signal and the kill, or cut too soon where it lengthens it. Cause: stop.grace was read once, at the start; settings that were read again changed nothing of it, without a word (needs_restart false), while OPERATIONS.md says that bounds change at once.

Evidence: TestAStopHasTheGraceTimeOfTheLatestSettings fails on the former code (grace_ms 8000 where 5000 is asked).

--- a/app/hosted.go
+++ b/app/hosted.go
@@ -164,13 +164,16 @@
 		return err
 	}
 	defer closePeers()
+	grace := i.Settings.Stop.Grace
 	for {
 		select {
 		case r := <-signals.Reload:
-			i.reload(r)
+			if i.reload(r) {
+				grace = r.Settings.Stop.Grace
+			}
 		case <-signals.Stop:
 			fire(i.Log, machine, "stop")
-			return i.shutDown(machine)
+			return i.shutDown(machine, grace)
 		}
 	}
 }
@@ -205,23 +208,24 @@
 	}, nil
 }
 
-// reload applies the settings that can change while the instance runs; the others need a restart.
-func (i *hosted) reload(r Reload) {
+// reload applies the settings that can change while the instance runs, and reports whether they can be used; the others need a restart.
+func (i *hosted) reload(r Reload) bool {
 	if r.Err != nil {
 		i.Log.WithError(r.Err).Error("settings not reloaded, the former ones stay in force")
-		return
+		return false
 	}
 	restart := r.Settings.Listen != i.Settings.Listen || r.Settings.Store != i.Settings.Store ||
 		r.Settings.Instance != i.Settings.Instance
 	i.Handler.ApplySettings(forwardSettings(r.Settings))
 	i.Log.WithField("needs_restart", restart).Info("settings reloaded")
+	return true
 }
 
 // shutDown lets the requests in flight finish, but returns before the grace time is over.
-func (i *hosted) shutDown(m *chart.Machine) error {
+func (i *hosted) shutDown(m *chart.Machine, grace time.Duration) error {
 	start := i.Clock.Now()
-	end := start.Add(i.Settings.Stop.Grace - stopMargin)
-	i.Log.WithFields(logrus.Fields{"running": i.Front.Running(), "grace_ms": i.Settings.Stop.Grace.Milliseconds()}).Info("stopping")
+	end := start.Add(grace - stopMargin)
+	i.Log.WithFields(logrus.Fields{"running": i.Front.Running(), "grace_ms": grace.Milliseconds()}).Info("stopping")
 	i.Checks.leave()
 	i.Relay.Stop()
 	i.Tunnels.Stop()
