--- a/front/disconnect_test.go
+++ b/front/disconnect_test.go
@@ -65,3 +65,24 @@
 	require.NoError(t, clientConn.CloseWrite())
 	require.Eventually(t, func() bool { return s.Running() == 0 }, testTimeout, time.Millisecond)
 }
+
+// TestACallerThatEndsItsSendingSideCountsAsGone guards against work for callers that have closed their connections, which looks the same:
+// its request is cancelled at once.
+func TestACallerThatEndsItsSendingSideCountsAsGone(t *testing.T) {
+	clientConn, serverConn := pair(t)
+	cancelled := make(chan struct{})
+	s := newServer(func(ctx context.Context, _ *Exchange) {
+		<-ctx.Done()
+		close(cancelled)
+	})
+	s.start(serverConn)
+	_, err := io.WriteString(clientConn, oneRequest)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.Running() == 1 }, testTimeout, time.Millisecond)
+	require.NoError(t, clientConn.CloseWrite())
+	select {
+	case <-cancelled:
+	case <-time.After(testTimeout):
+		t.Fatal("the request was not cancelled")
+	}
+}
--- a/front/shed_test.go
+++ b/front/shed_test.go
@@ -53,3 +53,28 @@
 	require.Equal(t, http.StatusOK, resp.StatusCode, "callers with open connections are served")
 	require.True(t, resp.Close, "and sent to another instance after that")
 }
+
+// TestARequestThatCrossesTheCloseOfAnOverloadedInstanceIsNotRun guards against two ends of one crossing: the request runs without an answer,
+// or takes the answer before it along.
+func TestARequestThatCrossesTheCloseOfAnOverloadedInstanceIsNotRun(t *testing.T) {
+	load, handled := &overloadedInstance{}, atomic.Int64{}
+	h := handler(func(ctx context.Context, x *front.Exchange) {
+		handled.Add(1)
+		answerLong(ctx, x)
+	})
+	s := front.New(platform.Codec{}, h, func() catalog.Limits { return limits }, func() int { return maxConnections }, load, timer.NewReal(), metrics.New())
+	require.NoError(t, s.Listen("127.0.0.1:0"))
+	t.Cleanup(s.Close)
+	c, r := dial(t, s)
+	// The first of two requests is answered on a connection that is kept, the second on one that closes.
+	_, err := io.WriteString(c, request("r1", ""))
+	require.NoError(t, err)
+	require.False(t, readLong(t, r))
+	load.overloaded.Store(true)
+	_, err = io.WriteString(c, request("r2", "")+request("r3", ""))
+	require.NoError(t, err)
+	require.True(t, readLong(t, r))
+	_, err = r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, int64(2), handled.Load())
+}
