forward: use the present servers of services that are not configured any more

What callers see: a begun answer whose service a configuration removes is resumed at a server that has dropped its layers meanwhile, or does not find servers that came later; if the service has the same name but is plain now, the instance panics (its group has no graph).

Cause: streams under way took the group by the name of the service, or kept the one of then.

--- a/forward/resume.go
+++ b/forward/resume.go
@@ -98,7 +98,7 @@
 
 // refreshGroup gives a stream the present servers of its service to choose from.
 func (h *Handler) refreshGroup(f *inflight) {
-	if group := h.fleetView.Current().Group(f.r.group.Service().Name); group != nil {
-		f.r.group = group
+	if now := h.fleetView.Current(); now.Catalog() != nil {
+		f.r.group = now.GroupLike(f.r.group)
 	}
 }
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -79,17 +79,14 @@
 	return w
 }
 
-// groupOf returns the present servers of the service of a stream under way, or those from which its path was chosen if the configuration
-// has no such service any more. It is nil before the first configuration.
+// groupOf returns the present servers of the service of a stream under way, whether it is still configured or not. It is nil before the
+// first configuration.
 func (w *watcher) groupOf(f *inflight) *backend.Group {
 	chosenFrom, now := f.pathGroup(), w.handler.fleetView.Current()
 	if chosenFrom == nil || now.Catalog() == nil {
 		return nil
 	}
-	if present := now.Group(chosenFrom.Service().Name); present != nil {
-		return present
-	}
-	return chosenFrom
+	return now.GroupLike(chosenFrom)
 }
 
 func (w *watcher) add(f *inflight) {
