forward: do not give a request up because its silent server has not come to it

What callers see: 502 for a request at a sound server.

Cause: the word of a server that it does not know a request counted as the end of the run. It is none: the server comes to the request later. Now the stream leaves for another path only, as for any other reason, and is asked again in each diagnosis while it stays.

TestARequestThatItsServerDoesNotKnowYetIsNotGivenUpForLackOfRoom fails before (its connection is closed without a path). In place of TestARunThatItsServerDoesNotKnowIsLeftAtOnce, which asserted the fault, the reason is one of those in TestARunOfABegunAnswerIsLeftOnlyIfAnotherOneMayFollow.

--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -181,15 +181,15 @@
 }
 
 // noteUnknown records that the first server says that it does not know the stream, and reports whether the server has had enough time
-// since it first said so: one that was silent, or is slow, comes to a request later. Otherwise it is to be asked again.
+// since it first said so: one that was silent, or is slow, comes to a request later. It is to be asked again while the stream stays.
 func (f *inflight) noteUnknown(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.unknownSince.IsZero() {
 		f.unknownSince = now
 	}
-	f.verified = now.Sub(f.unknownSince) >= firstEventSlack
-	return f.verified
+	f.verified = false
+	return now.Sub(f.unknownSince) >= firstEventSlack
 }
 
 func (f *inflight) release() {
--- a/forward/leave.go
+++ b/forward/leave.go
@@ -27,22 +27,13 @@
 	endEndless runEnd = "endless_bytes"
 )
 
-// nothingLost reports whether a run may be closed for this reason although no path to go on is known: nothing more can come from it, or
-// the answer has not begun, so that its caller does better to hear soon that it does not.
-func (e runEnd) nothingLost(begun bool) bool {
-	switch e {
-	case endForgotten:
-		return true
-	case endNotListening, endEndless:
-		return !begun
-	default:
-		return false
-	}
-}
+// needless reports whether a run whose answer has not begun may be closed for this reason although no path to go on is known: nothing
+// will come from it, so that its caller does better to hear that soon.
+func (e runEnd) needless() bool { return e == endNotListening || e == endEndless }
 
-// leaveRun has a stream leave its present run for another path or, if nothing is lost by that, before there is one.
+// leaveRun has a stream leave its present run for another path or, if its answer has not begun and will not, before there is one.
 func (w *watcher) leaveRun(f *inflight, first *backend.Server, group *backend.Group, why runEnd) {
-	if w.handOver(f, first, group, why) || !why.nothingLost(f.begun.Load()) {
+	if w.handOver(f, first, group, why) || f.begun.Load() || !why.needless() {
 		return
 	}
 	w.mu.Lock()
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -204,7 +204,7 @@
 			continue
 		}
 		if path, ok := f.beginVerify(first); ok {
-			all.Go(func() { w.verify(ctx, f, path) })
+			all.Go(func() { w.verify(ctx, f, group, path) })
 		}
 	}
 	all.Wait()
@@ -214,14 +214,14 @@
 // servers accept requests and forget them. The query is a repair call that names the path which the stream already has; it
 // changes nothing at a server that knows the stream. One that was silent may answer before it has read what was sent to it earlier, so it is
 // asked twice.
-func (w *watcher) verify(ctx context.Context, f *inflight, path resolvedPath) {
+func (w *watcher) verify(ctx context.Context, f *inflight, group *backend.Group, path resolvedPath) {
 	h := w.handler
 	repairCtx, cancel := context.WithTimeout(ctx, h.clock.Patience(repairTimeout))
 	defer cancel()
 	err := h.engines.Repair(repairCtx, path.servers[0].Addr(), f.r.meta.ID, path.stages())
 	if errors.Is(err, backend.ErrUnknownRequest) && f.noteUnknown(h.clock.Now()) {
 		h.stats.Counter("requests_forgotten_total").Inc(1)
-		w.leaveRun(f, path.servers[0], w.groupOf(f), endForgotten)
+		w.leaveRun(f, path.servers[0], group, endForgotten)
 	}
 }
 
