reach: let a second connection tell whether a path is lost

A path counted as lost when a connection over the own links did not come up within 100 ms after a tunnel, or had failed before it. The server may have been silent for everybody until the tunnel came up: a SYN that was dropped in the silence comes again only after 1 s. Streams on such a path are handed over, idle connections are closed.

Once the tunnel is up a second connection over the own links begins, which must come up within 100 ms; the first one still refutes the loss if it comes up in that time. Cut-off instances find a silent path after the same 100 ms, a refused one a round trip later.

The test of probes waits until a path is lost, which is no longer so when the connection is there.

--- a/reach/book.go
+++ b/reach/book.go
@@ -86,9 +86,13 @@
 // Failed records that a connection over the own links did not come up.
 func (b *Book) Failed(addr string, now time.Time) { b.of(addr).failedAt = now }
 
-// NoteLost records that another instance reaches a server that is out of reach over the own links, and reports whether that is new.
-func (b *Book) NoteLost(addr string, now time.Time) bool {
+// NoteLost records that another instance reaches a server that is out of reach over the own links, and reports whether that is new. A
+// connection over the own links that came up after the attempt had begun, by which the path was found lost, refutes it.
+func (b *Book) NoteLost(addr string, begun, now time.Time) bool {
 	p := b.of(addr)
+	if p.connectedAt.After(begun) {
+		return false
+	}
 	p.failedAt = now
 	was := p.lost
 	p.lost = true
--- a/reach/book_test.go
+++ b/reach/book_test.go
@@ -33,8 +33,8 @@
 	b, now := NewBook(), time.Unix(0, 0)
 	require.Equal(t, OwnLinks, b.Route("new", now))
 	for _, addr := range []string{"a", "b", "c"} {
-		require.True(t, b.NoteLost(addr, now))
-		require.False(t, b.NoteLost(addr, now), "it is known")
+		require.True(t, b.NoteLost(addr, now, now))
+		require.False(t, b.NoteLost(addr, now, now), "it is known")
 	}
 	b.Connected("works", now)
 	require.Equal(t, Both, b.Route("new", now))
@@ -50,7 +50,7 @@
 		b.Connected(fmt.Sprint(n), now)
 	}
 	for _, addr := range []string{"0", "1", "2", "3"} {
-		b.NoteLost(addr, now)
+		b.NoteLost(addr, now, now)
 	}
 	require.Equal(t, OwnLinks, b.Route("new", now))
 	require.Equal(t, OtherInstance, b.Route("2", now))
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -236,11 +236,27 @@
 	}
 }
 
-// noteLost records that a server is reached through another instance only.
-func (d *Dialer) noteLost(addr string) {
+// verifyLost notes the path to a server that another instance has just reached as lost, unless a connection over the own links comes
+// up as well.
+func (d *Dialer) verifyLost(addr string) {
+	begun := d.clock.Now()
+	ctx, cancel := d.clock.WithTimeout(context.Background(), d.clock.Patience(lostDelay))
+	defer cancel()
+	c, err := d.DialDirect(ctx, addr)
+	switch {
+	case err == nil:
+		_ = c.Close()
+	case timedOut(err) && d.clock.DelayedSince(begun, lostDelay):
+	default:
+		d.noteLost(addr, begun)
+	}
+}
+
+// noteLost records that a server is reached through another instance only, unless the own links have reached it since begun.
+func (d *Dialer) noteLost(addr string, begun time.Time) {
 	now := d.clock.Now()
 	d.mu.Lock()
-	isNew := d.book.NoteLost(addr, now)
+	isNew := d.book.NoteLost(addr, begun, now)
 	summary, observe := d.reviewLocked(now), d.observe
 	d.mu.Unlock()
 	if isNew {
--- a/reach/dialer_test.go
+++ b/reach/dialer_test.go
@@ -134,6 +134,7 @@
 	d.direct.set(syscall.ECONNREFUSED, false)
 	for _, addr := range []string{"a", "b", "c", "d"} {
 		require.NoError(t, d.dial(t, addr))
+		require.Eventually(t, func() bool { return d.Lost(addr) }, time.Minute, time.Millisecond)
 	}
 	d.direct.set(nil, false)
 	require.Eventually(t, func() bool {
--- a/reach/race.go
+++ b/reach/race.go
@@ -16,7 +16,7 @@
 	// hedgeDelay is how long a connection over the own links may take before another instance is asked as well: many round trips
 	// between failure domains, and short enough for a state query to be answered through the other instance.
 	hedgeDelay = 40 * time.Millisecond
-	// lostDelay is how much longer than a tunnel a connection over the own links may take before the path counts as lost.
+	// lostDelay is how long a connection over the own links may take that begins when a tunnel is up, before the path counts as lost.
 	lostDelay = 100 * time.Millisecond
 )
 
@@ -123,30 +123,13 @@
 	}
 }
 
-// tunnelWon finds out whether the own links reach the server as well.
+// tunnelWon finds out whether the own links reach the server as well. The first attempt may have met a server that was silent for
+// everybody until the tunnel came up, so that only its success counts.
 func (r *race) tunnelWon() {
-	if r.directErr != nil {
-		r.endDirect()
-		r.dialer.noteLost(r.to.Addr)
-		return
-	}
 	r.keepDirect()
-	begun := r.dialer.clock.Now()
 	go func() {
-		defer r.endDirect()
-		select {
-		case a := <-r.direct:
-			a.close()
-			if a.err == nil {
-				return
-			}
-		case <-r.dialer.clock.After(r.dialer.clock.Patience(lostDelay)):
-			go func() { (<-r.direct).close() }()
-			if r.dialer.clock.DelayedSince(begun, lostDelay) {
-				return
-			}
-		}
-		r.dialer.noteLost(r.to.Addr)
+		defer r.abandon()
+		r.dialer.verifyLost(r.to.Addr)
 	}()
 }
 
