forward: keep the ranks of a service that a configuration takes out

What callers see: a resumed answer whose service a configuration has taken out meanwhile goes without urgency, behind all others.

Cause: the ranks of a service come from the routes that lead to it now, of which there are none. The latest ones that there were count then.

TestRequestsUnderWayKeepTheirRanksWithoutTheirService fails before (no ranks).

--- a/forward/ranks.go
+++ b/forward/ranks.go
@@ -15,6 +15,8 @@
 	mu      sync.Mutex
 	catalog *catalog.Catalog
 	ranks   map[string][]demand.Rank
+	// latest holds the ranks of each service by the latest configuration with routes to it.
+	latest map[string][]demand.Rank
 }
 
 // of returns the ranks that the requests of a service can have, the most urgent first.
@@ -27,11 +29,23 @@
 	ranks, known := r.ranks[service]
 	if !known {
 		ranks = ranksOf(c, service)
-		r.ranks[service] = ranks
+		if len(ranks) == 0 {
+			// Requests under way go on although no route leads to their service any more.
+			ranks = r.latest[service]
+		}
+		r.keep(service, ranks)
 	}
 	return ranks
 }
 
+// keep caches the ranks of a service; the caller holds the lock.
+func (r *rankCache) keep(service string, ranks []demand.Rank) {
+	if r.latest == nil {
+		r.latest = map[string][]demand.Rank{}
+	}
+	r.ranks[service], r.latest[service] = ranks, ranks
+}
+
 // ranksOf returns the ranks that the requests of a service can have, the most urgent first.
 func ranksOf(c *catalog.Catalog, service string) []demand.Rank {
 	var out []demand.Rank
--- a/forward/ranks_test.go
+++ b/forward/ranks_test.go
@@ -73,3 +73,13 @@
 		}
 	})
 }
+
+// TestRequestsUnderWayKeepTheirRanksWithoutTheirService guards against resumed streams without urgency while a configuration lacks their service.
+func TestRequestsUnderWayKeepTheirRanksWithoutTheirService(t *testing.T) {
+	var b rankCache
+	ranks := b.of(catalogOf(t, nil, rankedRoute("x", 1, false)), "s")
+	require.NotEmpty(t, ranks)
+	without, err := catalog.New(&catalog.Content{Version: 2})
+	require.NoError(t, err)
+	require.Equal(t, ranks, b.of(without, "s"))
+}
