forward: let streams that left a server wait for room there

What callers see: 502 for a request at a sound server.

Cause: a stream without an event that had left its run was given up after one answered query once its attempts were used up. It waits now as long as its caller does, like one that has begun.

TestACallerThatDoesNotLeaveIsToldSoonThatItsAnswerDoesNotGoOn is new.

--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -82,6 +82,11 @@
 	return quarantined{left: left, part: part.ID}, true
 }
 
+// isQuarantine reports whether a reason is that of a quarantine.
+func isQuarantine(reason models.Reason) bool {
+	return reason == models.ReasonQuarantined || reason == models.ReasonPartQuarantined
+}
+
 // isQuarantined reports whether the request is quarantined, and does not try its parts.
 func (h *Handler) isQuarantined(r *request) bool {
 	if h.ends.Size() == 0 {
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -283,3 +284,22 @@
 	require.Equal(t, http.StatusOK, readStatus(t, callFront(t, frontOf(t, h, route, []*testServer{silent, other}), "one")))
 	require.Zero(t, requestCount([]*testServer{other}))
 }
+
+// TestACallerThatDoesNotLeaveIsToldSoonThatItsAnswerDoesNotGoOn guards against answers that stand still for as long as a quarantine lasts.
+func TestACallerThatDoesNotLeaveIsToldSoonThatItsAnswerDoesNotGoOn(t *testing.T) {
+	var h *Handler
+	first := newTestServer(t, "1", func(c net.Conn, number int) {
+		for n := range 3 {
+			h.ends.AddListed(endOf(n), time.Now())
+		}
+		closedBeforeEnd(c, number)
+	})
+	g := chainGroup(first, newTestServer(t, "2", afterLastEvent))
+	h = chainHandler(t, g)
+	front := streamFrontWith(t, h, g, 100*time.Millisecond, 100*time.Millisecond)
+	resp, err := http.ReadResponse(bufio.NewReader(callFront(t, front, "1")), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -33,10 +33,11 @@
 		if reason == "" {
 			return path, "", true
 		}
+		if isQuarantine(reason) && f.pause(h) > patienceOf(f.r.route) {
+			return chain.Path{}, reason, false
+		}
 		if reason == models.ReasonAttemptsUsedUp && h.clock.Since(queried) >= requeryPeriod {
-			if !h.mayStillEnd(ctx, f) && !f.r.x.Begun() {
-				return chain.Path{}, reason, false
-			}
+			h.queryFormer(ctx, f)
 			queried = h.clock.Now()
 		}
 		if reason != reported {
@@ -53,9 +54,8 @@
 	}
 }
 
-// mayStillEnd queries the servers that the stream ran on, and reports whether it may be resumed later: because one has
-// terminated, or will since it is leaving. Otherwise the caller of a stream that has not begun does better to ask another instance at once.
-func (h *Handler) mayStillEnd(ctx context.Context, f *inflight) bool {
+// queryFormer queries the servers that the stream ran on until one of them is found to have terminated, or will since it is leaving.
+func (h *Handler) queryFormer(ctx context.Context, f *inflight) {
 	for _, s := range f.r.ran {
 		if s.Ended() {
 			continue
@@ -70,10 +70,9 @@
 			s.MarkEnded()
 		}
 		if s.Ended() || s.Leaving() {
-			return true
+			return
 		}
 	}
-	return f.r.activeRuns() < f.r.route.MaxAttempts
 }
 
 // resumePath returns a path for a stream that has begun, or the reason why there is none; it takes one retry from the
