forward: let streams leave a silent first server in each scan

Callers leave after two seconds.

Cause: only diagnoses (each 250 ms) tried again, and only if they queried the server or had done so within 250 ms. While instances share reports, the queries of diagnoses have a quota that shrinks with the number of instances; queryServers (findings.go) does not count a server that it may not query (savedQuota) as one that does not answer, although it is known to be silent.

Change: a scan counts a stalled stream as stuck if its first server has left a query unanswered that was sent since the stream last made progress, as docs/design/silence.md says. It leaves by handOver as before: for a path that is chosen, allowed and paid for, else it stays. No query is added.

Measured: TestAStreamThatCouldNotLeaveDoesSoSoonAfterItMay fails without the change in its 6 cases of silent servers (fleets of 7, 87 and 985; path, retry) and passes with it: within two scans. TestStreamsOfALargeFleetLeaveTheirRunsWithinTheLimits passes with and without it: with 48 stuck streams 13, 6 and 6 leave in the first second (the retries), then 13, 1 and 0 in 4 to 24 s; queries of the silent server by one instance 14, 6 and 4 in 5 s, 28, 9 and 1 in the next 20 s. Whole ./forward with -race: only the known red test fails, once.

--- a/forward/watch.go
+++ b/forward/watch.go
@@ -180,11 +180,20 @@
 		return endLostPath, true
 	case w.getsEndlessBytes(f):
 		return endEndless, true
+	case w.atSilentServer(f):
+		return endSilent, true
 	default:
 		return "", false
 	}
 }
 
+// atSilentServer reports whether the first server of a stalled stream has left a query unanswered that was sent since the stream last made
+// progress. The caller holds the lock.
+func (w *watcher) atSilentServer(f *inflight) bool {
+	q, lastProgress := f.first.QueryState(), w.start.Add(time.Duration(f.lastAt.Load()))
+	return f.first.IsSilent() && q.QueriedAt.After(lastProgress) && q.ReportedAt.After(lastProgress)
+}
+
 // diagnose queries the servers that may have stalled some streams. The findings are applied to all streams of the service: those
 // that use a dead server get a new path although they have not been stalled for long themselves.
 func (w *watcher) diagnose(ctx context.Context, first *backend.Server, group *backend.Group, streams []*inflight) {
