--- a/cmd/jxload/soak.go
+++ b/cmd/jxload/soak.go
@@ -18,6 +18,7 @@
 	Events int    `default:"24" help:"Faults and planned changes of each seed."`
 	Domain int    `default:"2" help:"Instances in each of the two domains."`
 	Logs   string `default:"out/soak" help:"Directory for settings and logs; those of seeds that found something stay."`
+	Keep   bool   `help:"Keep the settings and logs of all seeds."`
 }
 
 // serviceTimeout bounds the wait for service at the start of a run and after its last fault.
@@ -35,9 +36,12 @@
 		if err != nil {
 			return errors.Wrap(err, "soak")
 		}
-		fmt.Printf("seed %d: %d requests, %d whole, %d stood still, %d findings, %d events\n",
-			seed, r.Requests, r.Complete, r.Stalled, len(r.Findings), len(r.Events))
+		fmt.Printf("seed %d: %d requests, %d whole, %d stood still, %d broken off, %d findings, %d events\n",
+			seed, r.Requests, r.Complete, r.Stalled, r.BrokenOff, len(r.Findings), len(r.Events))
 		if len(r.Findings) == 0 {
+			if s.Keep {
+				continue
+			}
 			if err := os.RemoveAll(dir); err != nil {
 				return errors.Wrap(err, "soak")
 			}
