link: notice the end of an instance that carries answers in 1.5 s

A test packet of an idle QUIC connection begins its idle time anew: with a test after 0.5 s and 1.5 s of idle time, an instance that vanished while it carried an answer was noticed after 2.0 s, when the callers have left. Test and idle time are 1.5 s together now.

The price: an instance whose own silence lasts 1.25 s to 1.5 s loses the tunnels that it carries, where it kept them for 1.5 s to 2 s.

--- a/link/wire.go
+++ b/link/wire.go
@@ -24,6 +24,8 @@
 	// streamSilence is how long the other end of a connection for streams may be silent. It is less than the two seconds without an
 	// event after which callers disconnect.
 	streamSilence = 1500 * time.Millisecond
+	// streamPing is after which silence a connection for streams is tested; the test may begin the idle time anew.
+	streamPing = 250 * time.Millisecond
 )
 
 // Trust provides the TLS settings by which instances authenticate to each other.
@@ -102,7 +104,7 @@
 // streamConfig returns the configuration of a connection for streams, which ends soon after the other end has vanished.
 func streamConfig() *quic.Config {
 	c := quicConfig()
-	c.MaxIdleTimeout, c.KeepAlivePeriod, c.HandshakeIdleTimeout = streamSilence, streamSilence/3, streamSilence
+	c.MaxIdleTimeout, c.KeepAlivePeriod, c.HandshakeIdleTimeout = streamSilence-streamPing, streamPing, streamSilence
 	return c
 }
 
