link: close the connections to others when an instance ends

An instance that stops waits for the tunnels that it carries within its grace time, and then ended without a word: quic-go closes a listener without its connections. The other instance waited for 1.5 s to 2 s of silence before it resumed the answers, so that callers with slow answers left first.

Server.Close closes the connections that it has accepted.

--- a/link/server.go
+++ b/link/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -41,6 +42,10 @@
 	mux      *Mux
 	stats    *metrics.Registry
 	log      *logrus.Logger
+
+	mu sync.Mutex
+	// conns holds the open connections; nil once the server is closed.
+	conns map[*quic.Conn]struct{}
 }
 
 // Listen starts a Server on addr, an IP number and UDP port.
@@ -49,13 +54,39 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "link: listen on %s", addr)
 	}
-	s := &Server{listener: listener, mux: mux, stats: stats, log: log}
+	s := &Server{listener: listener, mux: mux, stats: stats, log: log, conns: map[*quic.Conn]struct{}{}}
 	go func() { s.accept() }()
 	return s, nil
 }
 
 // Close stops the server and closes its connections.
-func (s *Server) Close() error { return s.listener.Close() }
+func (s *Server) Close() error {
+	s.mu.Lock()
+	conns := s.conns
+	s.conns = nil
+	s.mu.Unlock()
+	for conn := range conns {
+		_ = conn.CloseWithError(0, "closing")
+	}
+	return s.listener.Close()
+}
+
+// add keeps a connection until it ends; it reports false if the server is closed.
+func (s *Server) add(conn *quic.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(conn *quic.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
 
 func (s *Server) accept() {
 	for {
@@ -68,6 +99,11 @@
 }
 
 func (s *Server) serveConnection(conn *quic.Conn) {
+	if !s.add(conn) {
+		_ = conn.CloseWithError(0, "closing")
+		return
+	}
+	defer s.remove(conn)
 	from, err := identify(conn)
 	if err != nil {
 		s.stats.Counter("link_refused_total").Inc(1)
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -90,7 +90,9 @@
 	paths   *fakePaths
 	// network is between the client and the instance.
 	network *fault.UDP
-	servers []*backend.Server
+	// listener is that of the instance.
+	listener *link.Server
+	servers  []*backend.Server
 	// accepted receives the connections of the servers.
 	accepted chan net.Conn
 }
@@ -113,9 +115,9 @@
 	tt.carrier = NewServer(known, tt.paths, clock, stats, decision.NewRecorder(log, clock, stats))
 	mux := link.NewMux()
 	mux.HandleStreams(tt.carrier.ServeStream)
-	listener, err := link.Listen(addrs[0], trust, mux, stats, log)
+	tt.listener, err = link.Listen(addrs[0], trust, mux, stats, log)
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
+	t.Cleanup(func() { _ = tt.listener.Close() })
 	self := Self{Name: "client", Domain: "a"}
 	tt.client = NewClient(t.Context(), self, fleet, known, link.NewStreamClient(trust, clock), clock, stats)
 	return tt
--- a/tunnel/vanish_test.go
+++ b/tunnel/vanish_test.go
@@ -26,3 +26,15 @@
 	require.Less(t, time.Since(begun), noticeTarget)
 	require.NoError(t, far.Close())
 }
+
+// TestACarrierThatEndsSaysSo guards against callers who wait for a process that is known to be gone.
+func TestACarrierThatEndsSaysSo(t *testing.T) {
+	tt := newTunnelTest(t)
+	near, far := tt.dial(t, tt.servers[0])
+	begun := time.Now()
+	require.NoError(t, tt.listener.Close())
+	_, err := io.ReadAll(near)
+	require.False(t, near.ServerFailed(err), err)
+	require.Less(t, time.Since(begun), noticeTarget/4)
+	require.NoError(t, far.Close())
+}
