tunnel: deliver what the server sent before its connection ended

Three ways in which an instance that carries a connection lost bytes of a begun answer that it had received: - a server that broke its connection reset the tunnel, and the reset threw away what was on its way, a whole answer as well; - a server that read no further had its connection closed before its answer was read; - a tunnel counted as ended, so that a stopping instance might end, before the other instance had its last bytes.

--- a/link/wire.go
+++ b/link/wire.go
@@ -91,6 +91,8 @@
 		HandshakeIdleTimeout:           2 * time.Second,
 		InitialStreamReceiveWindow:     64 << 10,
 		InitialConnectionReceiveWindow: 128 << 10,
+		// What came before the reset of a stream is not lost with it.
+		EnableStreamResetPartialDelivery: true,
 	}
 }
 
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -25,6 +25,8 @@
 	askTimeout = time.Second
 	// maxCarried is how many tunnels an instance carries for others at once.
 	maxCarried = 512
+	// deliverTimeout is how long the other instance may take to close a tunnel whose server has ended its connection.
+	deliverTimeout = time.Second
 	// copyBuffer is the size in bytes of the buffer for each direction of a tunnel; it holds some events.
 	copyBuffer = 4 << 10
 )
@@ -86,7 +88,7 @@
 		_ = stream.Close()
 		return
 	}
-	pipe(stream, conn)
+	s.pipe(stream, conn)
 }
 
 // connect opens the connection that a tunnel is asked for.
@@ -151,24 +153,39 @@
 	s.record.Failure(ask.Request, "tunnel not carried", fields)
 }
 
-// pipe passes the bytes on in both directions until either side ends.
-func pipe(stream *quic.Stream, conn net.Conn) {
-	ended := make(chan struct{})
+// pipe passes the bytes on in both directions until the server ends its connection or the other instance the tunnel.
+func (s *Server) pipe(stream *quic.Stream, conn net.Conn) {
+	left := make(chan struct{})
 	go func() {
-		defer close(ended)
+		defer close(left)
+		if _, err := io.CopyBuffer(writerOnly{conn}, stream, make([]byte, copyBuffer)); writeFailed(err) {
+			// A server that reads no further may have more to send.
+			_, _ = io.CopyBuffer(io.Discard, stream, make([]byte, copyBuffer))
+		}
 		// Whatever ends the stream, the server must learn that its caller has left.
-		_, _ = io.CopyBuffer(writerOnly{conn}, stream, make([]byte, copyBuffer))
 		_ = conn.Close()
 	}()
 	_, err := io.CopyBuffer(stream, readerOnly{conn}, make([]byte, copyBuffer))
 	if err != nil {
+		stream.SetReliableBoundary()
 		stream.CancelWrite(serverBroke)
 	} else {
 		_ = stream.Close()
 	}
-	stream.CancelRead(closedByClient)
 	_ = conn.Close()
-	<-ended
+	// The other instance closes the tunnel once it has all: until then this one must not count as idle.
+	select {
+	case <-left:
+	case <-s.clock.After(deliverTimeout):
+	}
+	stream.CancelRead(closedByClient)
+	<-left
+}
+
+// writeFailed reports whether copying ended since the server takes no more bytes.
+func writeFailed(err error) bool {
+	var opErr *net.OpError
+	return errors.As(err, &opErr) && opErr.Op == "write"
 }
 
 // writerOnly and readerOnly hide the methods by which io.CopyBuffer would take another buffer.
