front: lose no byte that was read ahead when limits change twice

What callers would see: a pipelined request that is read from the middle of another one, or a connection that stands still.

Each reader now goes on with the source of the one before.

--- a/front/conn.go
+++ b/front/conn.go
@@ -26,6 +26,8 @@
 type conn struct {
 	server *Server
 	net    net.Conn
+	// source is what reader reads from: net, after what earlier readers have read ahead.
+	source io.Reader
 	reader *bufio.Reader
 	limits catalog.Limits
 	// idle is true while no request is in progress. The goroutine that sets it from true to false decides what happens next: the
@@ -42,7 +44,7 @@
 func newConn(s *Server, c net.Conn) *conn {
 	limits := s.currentLimits()
 	out := &conn{
-		server: s, net: c, reader: bufio.NewReaderSize(c, limits.HeaderBytes), limits: limits, answered: make(chan bool, 1),
+		server: s, net: c, source: c, reader: bufio.NewReaderSize(c, limits.HeaderBytes), limits: limits, answered: make(chan bool, 1),
 	}
 	out.setIdle()
 	return out
--- a/front/limits.go
+++ b/front/limits.go
@@ -40,5 +40,6 @@
 // resizeReader replaces the reader by one with another size, which also bounds the heads that can be read, and keeps what was read ahead.
 func (c *conn) resizeReader(size int) {
 	ahead, _ := c.reader.Peek(c.reader.Buffered())
-	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(ahead)), c.net), size)
+	c.source = io.MultiReader(bytes.NewReader(bytes.Clone(ahead)), c.source)
+	c.reader = bufio.NewReaderSize(c.source, size)
 }
--- a/front/limits_test.go
+++ b/front/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -82,3 +83,34 @@
 		l.Store(&changed)
 	}
 }
+
+// TestNoByteIsLostWhenSmallerLimitsChangeAgain guards against requests that are read from the middle of others: more has been read ahead than
+// a reader of the smaller size holds.
+func TestNoByteIsLostWhenSmallerLimitsChangeAgain(t *testing.T) {
+	const requests = 24
+	asked := 0
+	nextLimits := func() catalog.Limits {
+		next := limits
+		next.HeaderBytes = 1024 + 256*(asked%2)
+		if asked < 2 {
+			next.HeaderBytes = 16 << 10
+		}
+		asked++
+		return next
+	}
+	s := front.New(platform.Codec{}, handler(echo), nextLimits, func() int { return maxConnections }, &overloadedInstance{}, timer.NewReal(), metrics.New())
+	require.NoError(t, s.Listen("127.0.0.1:0"))
+	t.Cleanup(s.Close)
+	c, r := dial(t, s)
+	sent := ""
+	for n := range requests {
+		sent += request(strconv.Itoa(n), strings.Repeat("x", 500))
+	}
+	_, err := io.WriteString(c, sent)
+	require.NoError(t, err)
+	for n := range requests {
+		status, body := answer(t, r)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, strconv.Itoa(n)+":"+strings.Repeat("x", 500), body)
+	}
+}
