forward: give turns to leave only to streams that may leave

A scan searches paths for 16 stuck streams, drawn at random; begun answers that may not be repeated took such turns although they stay in any case: with many of them a stream that could go on waited for its turn longer than its caller. Also whether an answer has begun is asked again under the lock before its run is closed without a next path.

TestStreamsThatMayNotLeaveTakeNoTriesOfOthers fails before (16 stuck streams where one may leave).

--- a/forward/leave.go
+++ b/forward/leave.go
@@ -38,7 +38,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.startsAt(f, first) && f.next.Load() == nil {
+	if w.startsAt(f, first) && f.next.Load() == nil && !f.begun.Load() {
 		w.closeRun(f, why, nil)
 	}
 }
--- a/forward/leave_test.go
+++ b/forward/leave_test.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -139,3 +141,47 @@
 
 // Instances implements Instances.
 func (n fleetOf) Instances() int { return int(n) }
+
+// TestStreamsThatMayNotLeaveTakeNoTriesOfOthers guards against streams that wait in vain for their turn to leave a run that cannot go on.
+func TestStreamsThatMayNotLeaveTakeNoTriesOfOthers(t *testing.T) {
+	g := twoCopies()
+	h, clock := testHandlerWith(t, newFakeEngineClient(g), cutOffDialer{})
+	near, _ := tcpPair(t)
+	for n := range 10 * maxLeavingTries {
+		f, _ := connected(t, h, g, fmt.Sprint(n), 0, 1)
+		f.conn = &backend.Conn{Conn: near}
+		f.begun.Store(true)
+		route := *f.r.route
+		if n > 0 {
+			route.RetryPolicy = 0
+		}
+		f.r.route = &route
+	}
+	clock.Advance(time.Second)
+	stuck, _ := h.watch.stalledStreams()
+	require.Len(t, stuck, 1)
+}
+
+// TestStreamsThatWaitForOneServerShareItsQueries guards against as many queries of a server as there are streams that it ran.
+func TestStreamsThatWaitForOneServerShareItsQueries(t *testing.T) {
+	g := twoCopies()
+	e := newFakeEngineClient(g)
+	h, clock := testHandler(t, e)
+	server := g.Servers()[0]
+	server.SetAside(clock.Now().Add(time.Minute))
+	ctx, stop := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	for range 20 {
+		all.Go(func() { h.awaitResumePath(ctx, newBegunStream(g, 1, 0, 0)) })
+	}
+	const waited = 2 * time.Second
+	for range waited / roomPoll {
+		clock.Advance(roomPoll)
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	all.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	require.LessOrEqual(t, e.queries[server.Addr()], int(waited/requeryPeriod)+1)
+}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -169,10 +169,12 @@
 	return stuck, byFirst
 }
 
-// stuck returns why the run of a stalled stream cannot go on, if that is known without a query. A path that opens no new connections may
+// stuck returns why the run of a stalled stream cannot go on, if that is known without a query and the stream may leave it. A path that opens no new connections may
 // still carry streams that make progress. The caller holds the lock.
 func (w *watcher) stuck(f *inflight) (runEnd, bool) {
 	switch {
+	case f.begun.Load() && !f.r.route.MayRetry():
+		return "", false
 	case w.handler.onLostPath(f):
 		return endLostPath, true
 	case w.getsEndlessBytes(f):
