forward: let streams that wait for a server share its queries

Each stream whose attempts are used up queried each server that it had run on each 250 ms, a server that ran it twice twice, without the limit that holds for all other queries; since begun answers wait as long as their callers, a troubled server would get as many queries as there are such streams.

--- a/forward/resume.go
+++ b/forward/resume.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"junctioncross/backend"
 	"junctioncross/chain"
 	"junctioncross/decision"
 	"junctioncross/models"
@@ -37,7 +39,7 @@
 			return chain.Path{}, reason, false
 		}
 		if reason == models.ReasonAttemptsUsedUp && h.clock.Since(queried) >= requeryPeriod {
-			h.queryFormer(ctx, f)
+			h.queryFormer(ctx, h.dueForQuery(activeServers(f.r.ran)))
 			queried = h.clock.Now()
 		}
 		if reason != reported {
@@ -54,12 +56,14 @@
 	}
 }
 
-// queryFormer queries the servers that the stream ran on until one of them is found to have terminated, or will since it is leaving.
-func (h *Handler) queryFormer(ctx context.Context, f *inflight) {
-	for _, s := range f.r.ran {
-		if s.Ended() {
-			continue
-		}
+// dueForQuery returns those of the servers that may be queried now: the streams that wait for a server share the limit on its queries.
+func (h *Handler) dueForQuery(servers []*backend.Server) []*backend.Server {
+	return slices.DeleteFunc(servers, func(s *backend.Server) bool { return !s.TryQuery(h.clock.Now()) })
+}
+
+// queryFormer queries servers that a stream ran on until one of them is found to have terminated, or will since it is leaving.
+func (h *Handler) queryFormer(ctx context.Context, servers []*backend.Server) {
+	for _, s := range servers {
 		queryCtx, cancel := context.WithTimeout(ctx, h.clock.Patience(queryTimeout))
 		q := stateQuery{server: s, sentAt: h.clock.Now(), timeout: queryTimeout, why: "run that broke"}
 		report, err := h.engines.Report(queryCtx, s.Addr())
--- a/forward/resume_test.go
+++ b/forward/resume_test.go
@@ -36,7 +36,7 @@
 	}
 	_, obstacle := h.resumePath(f)
 	require.Equal(t, models.ReasonAttemptsUsedUp, obstacle)
-	h.queryFormer(t.Context(), f)
+	h.queryFormer(t.Context(), activeServers(f.r.ran))
 	require.Equal(t, 1, f.r.activeRuns(), "the queries show that a server has terminated")
 	clock.Advance(time.Second)
 	_, obstacle = h.resumePath(f)
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -134,10 +134,10 @@
 	server.NoteLeaving(clock.Now())
 	clock.Advance(h.settings.Load().DrainTime + time.Second)
 	e.setSilent(server, true)
-	h.queryFormer(t.Context(), f)
+	h.queryFormer(t.Context(), activeServers(f.r.ran))
 	require.False(t, server.Ended(), "it is silent")
 	clock.Advance(backend.MaxSoundSilence)
-	h.queryFormer(t.Context(), f)
+	h.queryFormer(t.Context(), activeServers(f.r.ran))
 	require.True(t, server.Ended(), "it is silent for longer than a sound server")
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -174,7 +174,7 @@
 	}
 	if !f.r.x.Begun() && f.r.activeRuns() >= f.r.route.MaxAttempts {
 		// Another attempt is allowed only if one of the servers that ran the request has terminated.
-		h.queryFormer(ctx, f)
+		h.queryFormer(ctx, activeServers(f.r.ran))
 	}
 	h.record.Failure(f.r.meta.ID, "attempt broken", h.fields(f.r, decision.Fields{
 		"server": f.first.ID(), "address": f.first.Addr(), "path": f.path().describe(), "error": err.Error(), "ended_by": f.runEnded(),
