--- a/tunnel/ends_test.go
+++ b/tunnel/ends_test.go
@@ -1,7 +1,6 @@
 package tunnel
 
 import (
-	"context"
 	"io"
 	"net"
 	"syscall"
@@ -9,8 +8,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"junctioncross/backend"
 )
 
 // settleTime is enough for what a server has sent to pass the instance that carries it.
@@ -41,19 +38,12 @@
 	return 0, &net.OpError{Op: "write", Net: "tcp", Err: syscall.EPIPE}
 }
 
-// deafPaths reach servers that take no bytes.
-type deafPaths struct{ *fakePaths }
-
-// DialDirect implements DirectPaths.
-func (p deafPaths) DialDirect(ctx context.Context, addr string) (net.Conn, error) {
-	conn, err := backend.DirectDialer{}.Dial(ctx, backend.Endpoint{Addr: addr})
-	return deafServer{conn}, err
-}
-
 // TestAServerThatReadsNoFurtherStillAnswers guards against answers that end with the rest of a request that nobody reads.
 func TestAServerThatReadsNoFurtherStillAnswers(t *testing.T) {
 	tt := newTunnelTest(t)
-	tt.carrier.paths = deafPaths{tt.paths}
+	tt.paths.mu.Lock()
+	tt.paths.deaf = true
+	tt.paths.mu.Unlock()
 	near, far := tt.dial(t, tt.servers[0])
 	_, err := near.Write([]byte("body"))
 	require.NoError(t, err)
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -53,17 +53,23 @@
 	cut map[string]bool
 	// othersCut is true if other servers are out of reach as well.
 	othersCut bool
+	// deaf is true if servers take no bytes.
+	deaf bool
 }
 
 func (f *fakePaths) DialDirect(ctx context.Context, addr string) (net.Conn, error) {
 	f.mu.Lock()
-	cut := f.cut[addr]
+	cut, deaf := f.cut[addr], f.deaf
 	f.mu.Unlock()
 	if cut {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	return backend.DirectDialer{}.Dial(ctx, backend.Endpoint{Addr: addr})
+	conn, err := backend.DirectDialer{}.Dial(ctx, backend.Endpoint{Addr: addr})
+	if deaf && err == nil {
+		return deafServer{conn}, nil
+	}
+	return conn, err
 }
 
 func (*fakePaths) Lost(string) bool { return false }
