review: show that plain answers cut by a crash appear complete

Cause: forward/exchange.go takes the end of the connection for the end of an answer that has neither a length nor chunks, whatever has become of its server. A server process that is killed ends its connections without a reset if it had read all that was sent to it. Streams are checked for this, plain answers are not.

Change: review/2 has the claim and the script, review/stand the play. Nothing else changes; the script is in no test.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -31,9 +31,12 @@
 type play func(s *site, trouble bool) (verdict, error)
 
 // plays holds the cases by name.
-var plays = map[string]play{"multipart": playMultipart}
+var plays = map[string]play{"multipart": playMultipart, "unframed": playUnframed}
 
 func main() {
+	if len(os.Args) == 3 && os.Args[1] == serverCommand {
+		os.Exit(runServer(os.Args[2]))
+	}
 	os.Exit(run(os.Args[1:]))
 }
 
