review: show that a planned stop cuts requests that it still accepts

Cause: forward/stop.go accepts a plain request on a stopping instance if four times the objective of its route is left; the request may last for the time-out of its route, and the process ends 400 ms before the grace time is over whatever is under way.

Change: review/3 has the claim and the script, review/stand the play. Nothing else changes; the script is in no test.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -31,7 +31,7 @@
 type play func(s *site, trouble bool) (verdict, error)
 
 // plays holds the cases by name.
-var plays = map[string]play{"multipart": playMultipart, "unframed": playUnframed}
+var plays = map[string]play{"multipart": playMultipart, "stop": playStop, "unframed": playUnframed}
 
 func main() {
 	if len(os.Args) == 3 && os.Args[1] == serverCommand {
