forward, httphead: refuse answers with a broken status line

What callers saw: a server in trouble answered with status 000; its caller got 200 with the body. So did callers of answers in HTTP/0.9, 2.0 and 9.9, with control bytes in the reason, two blanks, or blank lines before the status line, and interim answers of status 099 were passed over.

Cause: the HTTP library keeps the status as a number whose zero means "not set", which reads as 200, and takes more status lines than RFC 9112 (4) allows. After it has read a head, no check can tell. A parser that mends its input was trusted to judge it.

Change: the new package httphead waits for a whole head, checks the bytes of its status line, and only then lets the library read it. A line that breaks it ends the wait at once; a head that does not fit into the reader's buffer (4 KiB, as before) is refused. The refusal is an error of the exchange as bytes that are no answer were before, so that retries, the closed connection and the server's failures follow from it. A status line without the blank before an empty reason passes too, as RFC 9112 (4) lets readers split it at blanks. Bytes before a status line belong to no answer, as those that an idle connection already holds, so that blank lines there are refused.

--- a/forward/head.go
+++ b/forward/head.go
@@ -6,6 +6,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"junctioncross/httphead"
 )
 
 // headEnd is the end of a head.
@@ -43,7 +45,7 @@
 		}
 		defer func() { _ = s.conn.SetReadDeadline(time.Time{}) }()
 	}
-	if err := s.head.Read(s.conn.Reader); err != nil {
+	if err := httphead.Read(s.conn.Reader, &s.head); err != nil {
 		return errors.Wrap(err, "forward: read answer")
 	}
 	return nil
--- /dev/null
+++ b/httphead/headtest/broken.go
@@ -0,0 +1,82 @@
+package headtest
+
+import (
+	"fmt"
+	"strings"
+)
+
+// okLine is the status line of a success.
+const okLine = "HTTP/1.1 200 OK\r\n"
+
+// Case is an answer in which nothing but the head is broken.
+type Case struct {
+	name string
+	// interim is an interim answer before the answer.
+	interim string
+	// status is the status line, that of a success if empty.
+	status string
+	// lines are the headers that break the head. In them {length} stands for the length of the body, {less} for one byte less.
+	lines string
+	// framing is how the end of the body is marked.
+	framing framing
+}
+
+type framing int
+
+const (
+	byLength framing = iota
+	byChunks
+	// byLines means that the lines of the case, which are broken, say where the body ends.
+	byLines
+	// chunksByLines is byLines for a body in chunks.
+	chunksByLines
+)
+
+// String returns the name of the case.
+func (c Case) String() string { return c.name }
+
+// Answer returns the answer as it is sent, with the headers that its reader needs; its connection is to be closed afterwards.
+func (c Case) Answer(headers, body string) string {
+	status := c.status
+	if status == "" {
+		status = okLine
+	}
+	lines := strings.NewReplacer("{length}", fmt.Sprint(len(body)), "{less}", fmt.Sprint(len(body)-1)).Replace(c.lines)
+	head := c.interim + status + headers + lines
+	switch c.framing {
+	case byChunks:
+		return head + "Transfer-Encoding: chunked\r\n\r\n" + inChunks(body)
+	case byLines:
+		return head + "\r\n" + body
+	case chunksByLines:
+		return head + "\r\n" + inChunks(body)
+	default:
+		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	}
+}
+
+// inChunks returns a body as one chunk and its end.
+func inChunks(body string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body) }
+
+// Statuses are answers with a broken status line.
+var Statuses = []Case{
+	{name: "status 000", status: "HTTP/1.1 000 OK\r\n"},
+	{name: "status 000, no reason", status: "HTTP/1.1 000 \r\n"},
+	{name: "status 000, no blank", status: "HTTP/1.1 000\r\n"},
+	{name: "status 000, chunks", status: "HTTP/1.1 000 OK\r\n", framing: byChunks},
+	{name: "status 001", status: "HTTP/1.1 001 OK\r\n"},
+	{name: "status 099", status: "HTTP/1.1 099 OK\r\n"},
+	{name: "interim status 099", interim: "HTTP/1.1 099 Odd\r\n\r\n"},
+	{name: "interim status 000", interim: "HTTP/1.1 000 Odd\r\n\r\n"},
+	{name: "two blanks", status: "HTTP/1.1  200 OK\r\n"},
+	{name: "reason with NUL", status: "HTTP/1.1 200 O\x00K\r\n"},
+	{name: "reason with ESC", status: "HTTP/1.1 200 O\x1bK\r\n"},
+	{name: "reason with DEL", status: "HTTP/1.1 200 O\x7fK\r\n"},
+	{name: "reason with CR", status: "HTTP/1.1 200 O\rK\r\n"},
+	{name: "HTTP/0.9", status: "HTTP/0.9 200 OK\r\n"},
+	{name: "HTTP/2.0", status: "HTTP/2.0 200 OK\r\n"},
+	{name: "HTTP/9.9", status: "HTTP/9.9 200 OK\r\n"},
+	{name: "blank line first", status: "\r\nHTTP/1.1 200 OK\r\n"},
+	{name: "LF first", status: "\nHTTP/1.1 200 OK\r\n"},
+	{name: "status line ends with LF", status: "HTTP/1.1 200 OK\n"},
+}
