httphead: refuse heads with a lone LF

What callers saw: of an answer in whose head a line begins with LF, the rest of the head became the body, whatever byte followed: the answer was passed on with a body that was not the server's.

Cause: the HTTP library takes a lone LF for the end of a line, and an empty one for the end of the head. RFC 9112 (2.2) allows a reader to do so, but where readers differ, so do the ends of the head and of the body.

Change: each line of a head must end with CRLF. The library never took a head all of whose lines end with LF (it wants CRLF CRLF somewhere), so that no server loses its answers by this that had them read rightly before.

Evidence: TestAnAnswerWithALoneLineFeedInItsHeadReachesNoCaller failed before in 4 of 8 cases (line that begins, or ends, with LF; plain and stream); all pass now. The other two were refused before as well.

--- a/forward/brokenhead_test.go
+++ b/forward/brokenhead_test.go
@@ -64,3 +64,9 @@
 func TestAnAnswerWithABrokenStatusReachesNoCaller(t *testing.T) {
 	requireNoneReachesCallers(t, headtest.Statuses)
 }
+
+// TestAnAnswerWithALoneLineFeedInItsHeadReachesNoCaller guards against a head that the HTTP library ends at a lone LF, so that the rest of it
+// becomes the body.
+func TestAnAnswerWithALoneLineFeedInItsHeadReachesNoCaller(t *testing.T) {
+	requireNoneReachesCallers(t, headtest.LineEnds)
+}
--- a/httphead/check.go
+++ b/httphead/check.go
@@ -41,8 +41,8 @@
 		first := c.checked == 0
 		c.checked += end + 1
 		switch {
-		case !ended && first:
-			return false, malformed("status line without CRLF", line)
+		case !ended:
+			return false, malformed("line without CRLF", line)
 		case first:
 			if fault := statusLineFault(line); fault != "" {
 				return false, malformed(fault, line)
--- a/httphead/headtest/broken.go
+++ b/httphead/headtest/broken.go
@@ -80,3 +80,11 @@
 	{name: "LF first", status: "\nHTTP/1.1 200 OK\r\n"},
 	{name: "status line ends with LF", status: "HTTP/1.1 200 OK\n"},
 }
+
+// LineEnds are answers with a line that ends with a lone LF, or two in a row, where only some readers see the end of the head.
+var LineEnds = []Case{
+	{name: "line that begins with LF", lines: "\nX-A: 1\r\n"},
+	{name: "line that ends with LF", lines: "X-A: 1\n"},
+	{name: "LF at the end of the head", lines: "Content-Length: {length}\r\n\n", framing: byLines},
+	{name: "all lines end with LF", lines: "Content-Length: {length}\n\n", status: "HTTP/1.1 200 OK\n", framing: byLines},
+}
