httphead: refuse heads with a name that is none

What callers saw: an answer in whose head the name of a header held a blank reached its caller, with that line passed on, or with a body that was not the server's: a wrong "Content-Length : 3" of 4 cut it, "Transfer Encoding: chunked" put the marks of the chunks into it. Lines that continue another one were joined to it.

Cause: the HTTP library takes blanks in names and before the colon, and joins lines that begin with a blank (RFC 9112, 5.1 and 5.2, has proxies reject both). Requests were checked for lines that continue another one (front/head.go); answers were not.

Change: each line after the status line must begin with a token and a colon. A line that continues another one begins with a blank, and so with no token; it needs no rule of its own.

The other control bytes in names were refused before as well.

--- a/forward/brokenhead_test.go
+++ b/forward/brokenhead_test.go
@@ -70,3 +70,9 @@
 func TestAnAnswerWithALoneLineFeedInItsHeadReachesNoCaller(t *testing.T) {
 	requireNoneReachesCallers(t, headtest.LineEnds)
 }
+
+// TestAnAnswerWithABrokenNameReachesNoCaller guards against lines that the HTTP library mends, joins or passes on, and then looks for the end of
+// the body elsewhere.
+func TestAnAnswerWithABrokenNameReachesNoCaller(t *testing.T) {
+	requireNoneReachesCallers(t, headtest.Names)
+}
--- a/httphead/check.go
+++ b/httphead/check.go
@@ -49,6 +49,10 @@
 			}
 		case len(line) == 0:
 			return true, nil
+		default:
+			if fault := fieldLineFault(line); fault != "" {
+				return false, malformed(fault, line)
+			}
 		}
 	}
 }
--- a/httphead/headtest/broken.go
+++ b/httphead/headtest/broken.go
@@ -88,3 +88,28 @@
 	{name: "LF at the end of the head", lines: "Content-Length: {length}\r\n\n", framing: byLines},
 	{name: "all lines end with LF", lines: "Content-Length: {length}\n\n", status: "HTTP/1.1 200 OK\n", framing: byLines},
 }
+
+// Names are answers with a line whose name is none.
+var Names = []Case{
+	{name: "blank in a name", lines: "X A: 1\r\n"},
+	{name: "blank in a name, chunks", lines: "X A: 1\r\n", framing: byChunks},
+	{name: "control byte in a name", lines: "X\x01A: 1\r\n"},
+	{name: "TAB in a name", lines: "X\tA: 1\r\n"},
+	{name: "CR in a name", lines: "X\rA: 1\r\n"},
+	{name: "blank in the name of the coding", lines: "Transfer Encoding: chunked\r\n", framing: chunksByLines},
+	{name: "blank in the name of the length", lines: "Content Length: {length}\r\n", framing: byLines},
+	{name: "blank before the colon", lines: "X-A : 1\r\n"},
+	{name: "TAB before the colon", lines: "X-A\t: 1\r\n"},
+	{name: "blank before the colon of the length", lines: "Content-Length : {length}\r\n", framing: byLines},
+	{name: "blank before the colon of a wrong length", lines: "Content-Length : {less}\r\n", framing: byLines},
+	{name: "blank before the colon of the coding", lines: "Transfer-Encoding : chunked\r\n", framing: chunksByLines},
+	{name: "empty name", lines: ": 1\r\n"},
+	{name: "no colon", lines: "X-A\r\n"},
+	{name: "fold by a blank", lines: "X-A: 1\r\n 2\r\n"},
+	{name: "fold by a TAB", lines: "X-A: 1\r\n\t2\r\n"},
+	{name: "fold by blanks alone", lines: "X-A: 1\r\n  \r\n"},
+	{name: "fold of the status line", status: "HTTP/1.1 200 OK\r\n x\r\n"},
+	{name: "fold of the length", lines: "Content-Length: {length}\r\n \r\n", framing: byLines},
+	{name: "fold of the coding", lines: "Transfer-Encoding: chunked\r\n x\r\n", framing: chunksByLines},
+	{name: "interim answer with a blank in a name", interim: "HTTP/1.1 100 Continue\r\nX A: 1\r\n\r\n"},
+}
