httphead: refuse chunks in a version without them

What callers saw: of an answer in HTTP/1.0 (or 1.2) whose body came in chunks, the marks of the chunks stood in the body; as a stream, the mark of the first chunk stood before the first event.

Cause: the HTTP library ignores the coding unless the version is HTTP/1.1, and reads the body to the end of the connection. RFC 9112 (6.1) forbids servers to send one in HTTP/1.0 and has readers treat the end of the body as unknown.

Change: a coding in a version other than HTTP/1.1 breaks the head. Control bytes in values are refused here too; the library refused them already, but that need not stay so.

Not changed, with the reason: a length beside chunks passes by the chunks (RFC 9112, 6.3: the coding goes before; the end of the body is marked, and the length is not passed on). A body with 205 passes by its length. Trailers that are no headers are dropped as others are; the body before them is whole.

Evidence: TestAnAnswerWhoseBodyEndsWhereReadersDifferReachesNoCaller failed before in 6 of 28 cases (chunks in HTTP/1.0, with and without keep-alive, and in HTTP/1.2; plain and stream); all pass now. The 14 cases of values passed before. Ten new cases of sound answers in TestAnAnswerReachesItsCallerAsItCame pass here and on.

--- a/forward/brokenhead_test.go
+++ b/forward/brokenhead_test.go
@@ -76,3 +76,13 @@
 func TestAnAnswerWithABrokenNameReachesNoCaller(t *testing.T) {
 	requireNoneReachesCallers(t, headtest.Names)
 }
+
+// TestAnAnswerWithAControlByteInAValueReachesNoCaller guards against values that one reader ends where another goes on.
+func TestAnAnswerWithAControlByteInAValueReachesNoCaller(t *testing.T) {
+	requireNoneReachesCallers(t, headtest.Values)
+}
+
+// TestAnAnswerWhoseBodyEndsWhereReadersDifferReachesNoCaller guards against the marks of chunks in a body, or a body that is cut short.
+func TestAnAnswerWhoseBodyEndsWhereReadersDifferReachesNoCaller(t *testing.T) {
+	requireNoneReachesCallers(t, headtest.Framings)
+}
--- a/forward/unchangedanswer_test.go
+++ b/forward/unchangedanswer_test.go
@@ -41,6 +41,16 @@
 	"HEAD, failure":        {http.MethodHead, "HTTP/1.1 500 Internal Server Error\r\n" + fake.SealLine + "Content-Length: 5\r\n\r\n", ""},
 	"HEAD, not run":        {http.MethodHead, "HTTP/1.1 503 Service Unavailable\r\n" + fake.NotRunLine + "Content-Length: 5\r\n\r\n", "503"},
 	"nothing in the body":  {http.MethodPost, sealedOK + "Content-Length: 0\r\n\r\n", ""},
+	"status 600":           {http.MethodPost, "HTTP/1.1 600 Odd\r\n" + fake.SealLine + plainLength + "no", ""},
+	"status 999":           {http.MethodPost, "HTTP/1.1 999 Odd\r\n" + fake.SealLine + plainLength + "no", ""},
+	"205":                  {http.MethodPost, "HTTP/1.1 205 Reset Content\r\n" + fake.SealLine + plainLength + "ok", ""},
+	"odd reason":           {http.MethodGet, "HTTP/1.1 200 \xe9\tso so \r\n" + fake.SealLine + plainLength + "ok", ""},
+	"all bytes of a name":  {http.MethodGet, sealedOK + "X!#$%&'*+-.^_`|~09azaz: 1\r\n" + plainLength + "ok", ""},
+	"odd value":            {http.MethodGet, sealedOK + "X-A: \"(a\tb  c,:;)\" \x80\xff\r\n" + plainLength + "ok", ""},
+	"blanks around values": {http.MethodGet, sealedOK + "X-A:1\r\nX-B: \t 2 \t \r\n" + plainLength + "ok", sealedOK + "X-A: 1\r\nX-B: 2\r\n" + plainLength + "ok"},
+	"HTTP/1.0":             {http.MethodGet, "HTTP/1.0 200 OK\r\n" + fake.SealLine + "Connection: keep-alive\r\n" + plainLength + "ok", sealedOK + plainLength + "ok"},
+	"length beside chunks": {http.MethodGet, sealedOK + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", sealedOK + plainLength + "ok"},
+	"odd trailers":         {http.MethodGet, sealedOK + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX T\r\n\r\n", sealedOK + plainLength + "ok"},
 	"a refusal of its own": {http.MethodPost, "HTTP/1.1 422 Unprocessable Entity\r\n" + fake.SealLine + plainLength + "no", ""},
 }
 
--- a/httphead/check.go
+++ b/httphead/check.go
@@ -4,6 +4,7 @@
 	"bytes"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // ErrTooLong means that a head does not fit into the buffer of its reader.
@@ -27,6 +28,8 @@
 type checker struct {
 	// checked is the number of bytes of the lines that have been checked.
 	checked int
+	// chunks is true if the version of the answer has bodies in chunks, as the library reads it.
+	chunks bool
 }
 
 // check checks the lines that have come since the last call, in all that has come of a head; it reports whether the head is whole.
@@ -38,25 +41,36 @@
 			return false, nil
 		}
 		line, ended := bytes.CutSuffix(rest[:end+1], lineEnd)
+		if !ended {
+			return false, malformed("line without CRLF", line)
+		}
 		first := c.checked == 0
 		c.checked += end + 1
-		switch {
-		case !ended:
-			return false, malformed("line without CRLF", line)
-		case first:
-			if fault := statusLineFault(line); fault != "" {
-				return false, malformed(fault, line)
-			}
-		case len(line) == 0:
+		if !first && len(line) == 0 {
 			return true, nil
-		default:
-			if fault := fieldLineFault(line); fault != "" {
-				return false, malformed(fault, line)
-			}
+		}
+		if fault := c.lineFault(line, first); fault != "" {
+			return false, malformed(fault, line)
 		}
 	}
 }
 
+// lineFault returns what breaks a line, or an empty string.
+func (c *checker) lineFault(line []byte, first bool) string {
+	if first {
+		c.chunks = bytes.HasPrefix(line, []byte(chunksVersion))
+		return statusLineFault(line)
+	}
+	name, fault := fieldName(line)
+	if fault == "" && !c.chunks && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
+		return "coding in a version without one"
+	}
+	return fault
+}
+
+// chunksVersion is the only version whose bodies the library reads in chunks. In HTTP/1.0 there are none (RFC 9112, 6.1).
+const chunksVersion = "HTTP/1.1"
+
 // malformed copies the line, which is part of a buffer.
 func malformed(fault string, line []byte) *MalformedError {
 	return &MalformedError{fault: fault, line: bytes.Clone(line)}
--- a/httphead/field.go
+++ b/httphead/field.go
@@ -2,13 +2,16 @@
 
 import "bytes"
 
-// fieldLineFault returns what breaks the line of a header, or an empty string.
-func fieldLineFault(line []byte) string {
-	name, _, found := bytes.Cut(line, []byte(":"))
-	if !found || !isToken(name) {
-		return "bad name"
+// fieldName returns the name of the header on a line, and what breaks the line, or an empty string.
+func fieldName(line []byte) (name []byte, fault string) {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	switch {
+	case !found || !isToken(name):
+		return nil, "bad name"
+	case !isText(value):
+		return nil, "control byte in a value"
 	}
-	return ""
+	return name, ""
 }
 
 // isToken reports whether the bytes are a token, as each name is. A line that continues the one before begins with a blank, and so with no name.
--- a/httphead/headtest/broken.go
+++ b/httphead/headtest/broken.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -113,3 +114,37 @@
 	{name: "fold of the coding", lines: "Transfer-Encoding: chunked\r\n x\r\n", framing: chunksByLines},
 	{name: "interim answer with a blank in a name", interim: "HTTP/1.1 100 Continue\r\nX A: 1\r\n\r\n"},
 }
+
+// Values are answers with a control byte in the value of a header.
+var Values = []Case{
+	{name: "NUL in a value", lines: "X-A: 1\x002\r\n"},
+	{name: "CR in a value", lines: "X-A: 1\r2\r\n"},
+	{name: "CR at the end of a value", lines: "X-A: 1\r\r\n"},
+	{name: "ESC in a value", lines: "X-A: \x1b\r\n"},
+	{name: "DEL in a value", lines: "X-A: \x7f\r\n"},
+	{name: "control byte in a cookie", lines: "Set-Cookie: a=\x01\r\n"},
+	{name: "CR after the length", lines: "Content-Length: {length}\r\r\n", framing: byLines},
+}
+
+// Framings are answers whose head marks the end of the body in a way that readers understand differently.
+var Framings = []Case{
+	{name: "chunks in HTTP/1.0", status: "HTTP/1.0 200 OK\r\n", framing: byChunks},
+	{name: "chunks in HTTP/1.0, kept alive", status: "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n", framing: byChunks},
+	{name: "chunks in HTTP/1.2", status: "HTTP/1.2 200 OK\r\n", framing: byChunks},
+	{name: "two lengths", lines: "Content-Length: {less}\r\nContent-Length: {length}\r\n", framing: byLines},
+	{name: "two lengths in one line", lines: "Content-Length: {length}, {length}\r\n", framing: byLines},
+	{name: "length with a sign", lines: "Content-Length: +{length}\r\n", framing: byLines},
+	{name: "length with a unit", lines: "Content-Length: {length}B\r\n", framing: byLines},
+	{name: "empty length", lines: "Content-Length: \r\n", framing: byLines},
+	{name: "length without end", lines: "Content-Length: 99999999999999999999999\r\n", framing: byLines},
+	{name: "length beside a wrong one and chunks", lines: "Content-Length: x\r\nTransfer-Encoding: chunked\r\n", framing: chunksByLines},
+	{name: "other coding", lines: "Transfer-Encoding: gzip\r\n", framing: byLines},
+	{name: "coding before chunks", lines: "Transfer-Encoding: gzip, chunked\r\n", framing: chunksByLines},
+	{name: "coding identity", lines: "Transfer-Encoding: identity\r\nContent-Length: {length}\r\n", framing: byLines},
+	{name: "two codings", lines: "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", framing: chunksByLines},
+}
+
+// Broken returns all cases.
+func Broken() []Case {
+	return slices.Concat(Statuses, LineEnds, Names, Values, Framings)
+}
