once: refuse answers with a broken head in all clients

What was seen: an order to a server counted as carried out when its answer had status 000 (taken for 200: "already holds, or done") or another broken head; a report of a server in trouble counted, its leave notice too; the store's lease, write, record and era counted; callers of the own interface got the answer as 200, cut or with the marks of chunks; so did frames and orders of package engine and records of package kv.

Cause: the same as in package forward. These clients let the library read for them, so nothing could check the bytes first.

Change: all clients of package once have a transport of their own, which does what the library's does for bodies held in memory but reads heads with package httphead. A broken head is an error of the call after it was sent: an order or write may have been taken (ErrNoAnswer, ErrOutcomeUnknown, ErrLost), a report is garbled (the server answers, if wrongly), a call of the own interface is sent again only where its service allows that, and the connection is closed. Bytes that follow an answer belong to no request, so that its connection is closed as well; the library dropped those it had read and kept the connection. Interim answers are skipped by one function for this and package forward.

--- a/forward/head.go
+++ b/forward/head.go
@@ -13,19 +13,11 @@
 // headEnd is the end of a head.
 var headEnd = []byte("\r\n\r\n")
 
-// maxInterimAnswers is how many interim answers may precede an answer.
-const maxInterimAnswers = 8
-
 // readHead reads the head of an answer, after interim answers, which are not passed on.
 func (h *Handler) readHead(s *sentRequest) error {
 	s.head.SetNoDefaultContentType(true)
-	for range maxInterimAnswers + 1 {
-		if err := h.readOneHead(s); err != nil {
-			return err
-		}
-		if status := s.head.StatusCode(); status >= fasthttp.StatusOK || status == fasthttp.StatusSwitchingProtocols {
-			break
-		}
+	if err := httphead.SkipInterim(&s.head, func() error { return h.readOneHead(s) }); err != nil {
+		return err
 	}
 	if s.head.StatusCode() < fasthttp.StatusOK {
 		return errMalformed
--- a/once/client.go
+++ b/once/client.go
@@ -11,8 +11,8 @@
 // defaultBodyBytes limits the body of an answer, which is held in memory whole.
 const defaultBodyBytes = 8 << 20
 
-// NewClient returns a client that never retries a request by itself and takes no body of more than 8 MiB; dialTimeout bounds the opening of a
-// connection.
+// NewClient returns a client that never retries a request by itself, takes no answer with a broken head and no body of more than 8 MiB; dialTimeout
+// bounds the opening of a connection.
 func NewClient(dialTimeout time.Duration) *fasthttp.Client {
 	dialer := &fasthttp.TCPDialer{}
 	return NewClientWith(func(addr string) (net.Conn, error) { return dialer.DialTimeout(addr, dialTimeout) })
@@ -25,6 +25,7 @@
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		Dial:                      dial,
 		MaxResponseBodySize:       defaultBodyBytes,
+		Transport:                 transport{},
 	}
 }
 
