operator: refuse answers with a broken head

What operators saw: an answer to a confirmation with status 000 or another broken head counted: a plan seemed confirmed that the instance may not have taken, or a failure seemed settled.

Cause: the same as in package once, whose transport this client did not use.

Change: the client is one of package once. An answer with a broken head is no answer; the operator is told to ask again.

--- a/httphead/headtest/server.go
+++ b/httphead/headtest/server.go
@@ -22,6 +22,11 @@
 func NewServer(tb testing.TB, answer string) *Server {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(tb, err)
+	return NewServerOn(tb, listener, answer)
+}
+
+// NewServerOn is NewServer with a listener, which the server closes.
+func NewServerOn(tb testing.TB, listener net.Listener, answer string) *Server {
 	tb.Cleanup(func() { _ = listener.Close() })
 	s := &Server{listener: listener, answer: answer}
 	go func() {
--- a/operator/client.go
+++ b/operator/client.go
@@ -11,11 +11,16 @@
 
 	"junctioncross/control"
 	"junctioncross/keys"
+	"junctioncross/once"
 	"junctioncross/revision"
 )
 
-// clientTimeout is longer than callTimeout, so that the instance ends a slow call first.
-const clientTimeout = 20 * time.Second
+const (
+	// clientTimeout is longer than callTimeout, so that the instance ends a slow call first.
+	clientTimeout    = 20 * time.Second
+	dialTimeout      = 3 * time.Second
+	maxResponseBytes = 64 << 20
+)
 
 // Client calls the operators' API of an instance.
 type Client struct {
@@ -25,9 +30,10 @@
 
 // NewClient returns a Client of the instance at addr that presents the certificate of certs.
 func NewClient(addr string, certs *keys.CertReloader) *Client {
-	return &Client{base: "https://" + addr, http: &fasthttp.Client{
-		TLSConfig: certs.Client(), MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 64 << 20,
-	}}
+	client := once.NewClient(dialTimeout)
+	client.TLSConfig = certs.Client()
+	client.MaxResponseBodySize = maxResponseBytes
+	return &Client{base: "https://" + addr, http: client}
 }
 
 // FailureError is the error for a failure that the instance reported.
