control: refuse instance lists with a broken head

What was seen: an instance list whose head was broken (status 000, a blank in a name, lines that continue another one) was used. Servers that such a list shows as leaving get no new work, and nothing is served by them until another list shows them otherwise.

Change: the list is read by a client of package once. It lasts up to the same 2 s when the instance stops in between; its result is then dropped.

--- a/control/loop.go
+++ b/control/loop.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
-	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"junctioncross/gossip"
 	"junctioncross/member"
+	"junctioncross/once"
 	"junctioncross/view"
 )
 
@@ -35,7 +37,7 @@
 	self  Self
 	deps  Deps
 	inbox chan message
-	http  *http.Client
+	http  *fasthttp.Client
 
 	stopped chan struct{}
 
@@ -97,7 +99,7 @@
 	now := deps.Clock.Now()
 	l := &Loop{
 		self: self, deps: deps, inbox: make(chan message, inboxCapacity),
-		http:          &http.Client{Timeout: 2 * time.Second},
+		http:          once.NewClient(listTimeout),
 		stopped:       make(chan struct{}),
 		table:         gossip.New(self.Name, self.Incarnation, now),
 		backends:      map[string]*backend{},
--- a/control/poll.go
+++ b/control/poll.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"sort"
 	"time"
 
@@ -24,6 +23,7 @@
 	// suspectAfterFailures is the number of consecutive failed polls after which a server is suspect.
 	suspectAfterFailures = 3
 	listPeriod           = 3 * time.Second
+	listTimeout          = 2 * time.Second
 )
 
 // poll is the state of this instance's polling of one backend server.
@@ -116,7 +116,7 @@
 func (l *Loop) pollList(ctx context.Context) {
 	for first := true; ; first = false {
 		if first || l.relay.Load() || l.alone.Load() {
-			if lines, err := l.readList(ctx); err == nil {
+			if lines, err := l.readList(); err == nil {
 				l.post(listArrived{lines: lines})
 			} else {
 				l.deps.Stats.Counter("list_errors_total").Inc(1)
@@ -129,19 +129,14 @@
 }
 
 // readList reads the platform's instance list.
-func (l *Loop) readList(ctx context.Context) ([]member.ListedInstance, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.self.ListAddr+member.PathInstances, http.NoBody)
+func (l *Loop) readList() ([]member.ListedInstance, error) {
+	_, body, err := l.http.GetTimeout(nil, "http://"+l.self.ListAddr+member.PathInstances, listTimeout)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "control: read list")
 	}
-	resp, err := l.http.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
 	var lines []member.ListedInstance
-	err = json.NewDecoder(resp.Body).Decode(&lines)
-	return lines, err
+	err = json.Unmarshal(body, &lines)
+	return lines, errors.Wrap(err, "control: read list")
 }
 
 // handleList stores the platform's list and publishes the servers that it marks as leaving. A server stays marked, even without a
