control: use no instance list with a failure's status

What was seen: the body of an answer with status 404, 500 or 600 was used as the instance list, as "[]" was: a list that names no server.

Cause: the status was not looked at.

Change: only status 200 gives a list; anything else counts as an error of the list, and the one before stays.

Evidence: TestAFailureOfThePlatformIsNoInstanceList failed before for these three statuses.

--- a/control/list_test.go
+++ b/control/list_test.go
@@ -31,3 +31,15 @@
 		})
 	}
 }
+
+// TestAFailureOfThePlatformIsNoInstanceList guards against the body of a failure that is read as the list.
+func TestAFailureOfThePlatformIsNoInstanceList(t *testing.T) {
+	for _, status := range []string{"204 No Content", "404 Not Found", "500 Internal Server Error", "600 Odd"} {
+		lines, err := listOf(t, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\n[]")
+		require.Error(t, err, status)
+		require.Empty(t, lines)
+	}
+	lines, err := listOf(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+leavingList)
+	require.NoError(t, err)
+	require.Equal(t, []member.ListedInstance{{Name: "b", Role: member.RoleBackend, Leaving: true}}, lines)
+}
--- a/control/poll.go
+++ b/control/poll.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
 	"junctioncross/engine"
 	"junctioncross/member"
@@ -130,10 +131,13 @@
 
 // readList reads the platform's instance list.
 func (l *Loop) readList() ([]member.ListedInstance, error) {
-	_, body, err := l.http.GetTimeout(nil, "http://"+l.self.ListAddr+member.PathInstances, listTimeout)
+	status, body, err := l.http.GetTimeout(nil, "http://"+l.self.ListAddr+member.PathInstances, listTimeout)
 	if err != nil {
 		return nil, errors.Wrap(err, "control: read list")
 	}
+	if status != fasthttp.StatusOK {
+		return nil, errors.Errorf("control: read list: status %d", status)
+	}
 	var lines []member.ListedInstance
 	err = json.Unmarshal(body, &lines)
 	return lines, errors.Wrap(err, "control: read list")
