cmd/jxctl: refuse pages with a broken head

What operators saw: jxctl load showed a page whose answer had a broken head (a blank in a name, lines that continue another one, HTTP/9.9), with figures that were cut or not the instance's.

Cause: net/http takes blanks in names and joins lines.

Change: the pages are read by a client of package once, in a goroutine, so that an interrupt ends the command at once as before. Clients of package once also connect to IPv6 addresses, as this command and the reading of instance lists did; checked by hand with a listener on [::1].

Evidence: TestAPageWithABrokenHeadIsNotShown failed before in 22 of 65 cases; all pass now. TestAnInterruptEndsTheWaitForInstances passed before and now.

--- a/cmd/jxctl/load.go
+++ b/cmd/jxctl/load.go
@@ -5,8 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
-	"net/url"
 	"os"
 	"os/signal"
 	"slices"
@@ -15,8 +13,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
 	"junctioncross/loadview"
+	"junctioncross/once"
 )
 
 const (
@@ -99,15 +99,16 @@
 
 // ask asks all instances, some at a time, and merges their pages.
 func (l *loadCommand) ask(ctx context.Context) loadview.Fleet {
-	client := &http.Client{Timeout: l.Timeout}
+	client := once.NewClient(l.Timeout)
+	client.MaxResponseBodySize = loadview.MaxPageBytes
 	addresses := slices.Compact(slices.Sorted(slices.Values(l.Addresses)))
-	pages, faults := make([]loadview.Page, len(addresses)), make([]error, len(addresses))
+	results := make([]fetched, len(addresses))
 	var all sync.WaitGroup
 	free := make(chan struct{}, maxLoadCalls)
 	for i, addr := range addresses {
 		free <- struct{}{}
 		all.Go(func() {
-			pages[i], faults[i] = fetchLoad(ctx, client, addr)
+			results[i] = l.fetchLoad(ctx, client, addr)
 			<-free
 		})
 	}
@@ -115,37 +116,41 @@
 	var answered []loadview.Page
 	var failed []loadview.Failure
 	for i, addr := range addresses {
-		if faults[i] != nil {
-			failed = append(failed, loadview.Failure{Address: addr, Error: faults[i].Error()})
+		if results[i].fault != nil {
+			failed = append(failed, loadview.Failure{Address: addr, Error: results[i].fault.Error()})
 			continue
 		}
-		answered = append(answered, pages[i])
+		answered = append(answered, results[i].page)
 	}
 	return loadview.Merge(answered, failed)
 }
 
-// fetchLoad reads the page of one instance.
-func fetchLoad(ctx context.Context, client *http.Client, addr string) (loadview.Page, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+strings.TrimPrefix(addr, "http://")+"/load", http.NoBody)
-	if err != nil {
-		return loadview.Page{}, errors.Wrap(err, "jxctl: address")
-	}
-	answer, err := client.Do(request)
-	if err != nil {
-		return loadview.Page{}, errors.Wrap(withoutURL(err), "jxctl: ask")
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return loadview.Page{}, errors.Errorf("jxctl: ask: status %d; is it the address of listen.metrics?", answer.StatusCode)
+// fetched is the page of an instance, or why there is none.
+type fetched struct {
+	page  loadview.Page
+	fault error
+}
+
+// fetchLoad reads the page of one instance. It returns as soon as ctx ends; the call itself goes on until its timeout.
+func (l *loadCommand) fetchLoad(ctx context.Context, client *fasthttp.Client, addr string) fetched {
+	answers := make(chan fetched, 1)
+	go func() { answers <- l.readPage(client, addr) }()
+	select {
+	case f := <-answers:
+		return f
+	case <-ctx.Done():
+		return fetched{fault: ctx.Err()}
 	}
-	return loadview.Parse(answer.Body)
 }
 
-// withoutURL returns the cause of the error of a call, without its address, which is printed anyway.
-func withoutURL(err error) error {
-	var failed *url.Error
-	if errors.As(err, &failed) {
-		return failed.Err
+func (l *loadCommand) readPage(client *fasthttp.Client, addr string) fetched {
+	status, body, err := client.GetTimeout(nil, "http://"+strings.TrimPrefix(addr, "http://")+"/load", l.Timeout)
+	if err != nil {
+		return fetched{fault: errors.Wrap(err, "jxctl: ask")}
+	}
+	if status != fasthttp.StatusOK {
+		return fetched{fault: errors.Errorf("jxctl: ask: status %d; is it the address of listen.metrics?", status)}
 	}
-	return err
+	page, err := loadview.Parse(bytes.NewReader(body))
+	return fetched{page: page, fault: err}
 }
--- a/cmd/jxctl/load_test.go
+++ b/cmd/jxctl/load_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"flag"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -14,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/httphead/headtest"
 	"junctioncross/loadview"
 	"junctioncross/models"
 )
@@ -131,3 +134,24 @@
 	require.NoError(t, json.Unmarshal(out.Bytes(), &f))
 	require.Len(t, f.Failed, 2)
 }
+
+// TestAPageWithABrokenHeadIsNotShown guards operators against figures that an instance did not give.
+func TestAPageWithABrokenHeadIsNotShown(t *testing.T) {
+	body, err := json.Marshal(shortOfRoom("i-1"))
+	require.NoError(t, err)
+	for _, c := range headtest.Broken() {
+		t.Run(c.String(), func(t *testing.T) {
+			server := headtest.NewServer(t, c.Answer("", string(body)))
+			l := loadCommand{Addresses: []string{server.Addr()}, Timeout: time.Minute}
+			require.ErrorIs(t, l.show(t.Context(), io.Discard), errNoLoad)
+		})
+	}
+}
+
+// TestAnInterruptEndsTheWaitForInstances guards against a command that goes on until its timeout when it is interrupted.
+func TestAnInterruptEndsTheWaitForInstances(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	l := loadCommand{Addresses: []string{silent(t)}, Timeout: time.Hour}
+	require.ErrorIs(t, l.show(ctx, io.Discard), errNoLoad)
+}
--- a/loadview/parse.go
+++ b/loadview/parse.go
@@ -7,19 +7,19 @@
 	"github.com/pkg/errors"
 )
 
-// maxPageBytes bounds a page that is read.
-const maxPageBytes = 16 << 20
+// MaxPageBytes bounds a page that is read, in bytes.
+const MaxPageBytes = 16 << 20
 
 // ErrPage is the cause of the error for what is not a page.
 var ErrPage = errors.New("loadview: not a page of load")
 
 // Parse reads the JSON of a page. It returns an error for anything else, and for a page that exceeds its bounds.
 func Parse(in io.Reader) (Page, error) {
-	body, err := io.ReadAll(io.LimitReader(in, maxPageBytes+1))
+	body, err := io.ReadAll(io.LimitReader(in, MaxPageBytes+1))
 	if err != nil {
 		return Page{}, errors.Wrap(err, "loadview: read page")
 	}
-	if len(body) > maxPageBytes {
+	if len(body) > MaxPageBytes {
 		return Page{}, errors.Wrap(ErrPage, "too long")
 	}
 	var p Page
--- a/loadview/parse_test.go
+++ b/loadview/parse_test.go
@@ -40,7 +40,7 @@
 		"empty": "", "no JSON": "404 page", "cut": encoded(t, testPage("i-1", 1, true))[:80], "other type": `{"instance": 7}`,
 		"list": "[]", "null": "null", "unnamed": `{"services": []}`, "huge number": `{"instance":"i","services":[{"service":"s","own":{"under_way":1e999}}]}`,
 		"two values": `{"instance":"i"}{"instance":"j"}`, "too many servers": encoded(t, many),
-		"unnamed service": `{"instance":"i","services":[{}]}`, "deep": strings.Repeat("[", 100_000), "long": strings.Repeat(" ", maxPageBytes+1),
+		"unnamed service": `{"instance":"i","services":[{}]}`, "deep": strings.Repeat("[", 100_000), "long": strings.Repeat(" ", MaxPageBytes+1),
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := Parse(strings.NewReader(body))
--- a/once/client.go
+++ b/once/client.go
@@ -15,7 +15,7 @@
 // bounds the opening of a connection.
 func NewClient(dialTimeout time.Duration) *fasthttp.Client {
 	dialer := &fasthttp.TCPDialer{}
-	return NewClientWith(func(addr string) (net.Conn, error) { return dialer.DialTimeout(addr, dialTimeout) })
+	return NewClientWith(func(addr string) (net.Conn, error) { return dialer.DialDualStackTimeout(addr, dialTimeout) })
 }
 
 // NewClientWith is NewClient with connections that dial opens.
