--- a/cmd/jxctl/load_test.go
+++ b/cmd/jxctl/load_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/httphead/headcase"
 	"junctioncross/httphead/headtest"
 	"junctioncross/loadview"
 	"junctioncross/models"
@@ -139,7 +140,7 @@
 func TestAPageWithABrokenHeadIsNotShown(t *testing.T) {
 	body, err := json.Marshal(shortOfRoom("i-1"))
 	require.NoError(t, err)
-	for _, c := range headtest.Broken() {
+	for _, c := range headcase.Broken() {
 		t.Run(c.String(), func(t *testing.T) {
 			server := headtest.NewServer(t, c.Answer("", string(body)))
 			l := loadCommand{Addresses: []string{server.Addr()}, Timeout: time.Minute}
--- a/control/list_test.go
+++ b/control/list_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/httphead/headcase"
 	"junctioncross/httphead/headtest"
 	"junctioncross/member"
 	"junctioncross/once"
@@ -23,7 +24,7 @@
 // TestAnInstanceListWithABrokenHeadIsNotUsed guards against servers that count as leaving, which get no new work, since the head of the list was
 // mended.
 func TestAnInstanceListWithABrokenHeadIsNotUsed(t *testing.T) {
-	for _, c := range headtest.Broken() {
+	for _, c := range headcase.Broken() {
 		t.Run(c.String(), func(t *testing.T) {
 			lines, err := listOf(t, c.Answer("", leavingList))
 			require.Error(t, err)
--- a/engine/brokenhead_test.go
+++ b/engine/brokenhead_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/httphead/headcase"
 	"junctioncross/httphead/headtest"
 )
 
@@ -17,7 +18,7 @@
 	require.NoError(t, err)
 	report, err := Encode(Report{Incarnation: 1, State: StateReady})
 	require.NoError(t, err)
-	for _, c := range headtest.Broken() {
+	for _, c := range headcase.Broken() {
 		t.Run(c.String(), func(t *testing.T) {
 			client := NewClient()
 			server := headtest.NewServer(t, c.Answer("", string(done)))
--- a/forward/brokenhead_test.go
+++ b/forward/brokenhead_test.go
@@ -11,7 +11,7 @@
 	"junctioncross/backend"
 	"junctioncross/catalog"
 	"junctioncross/front"
-	"junctioncross/httphead/headtest"
+	"junctioncross/httphead/headcase"
 	"junctioncross/platform/fake"
 )
 
@@ -37,7 +37,7 @@
 }
 
 // requireNoneReachesCallers plays broken answers to plain requests and to streams.
-func requireNoneReachesCallers(t *testing.T, cases []headtest.Case) {
+func requireNoneReachesCallers(t *testing.T, cases []headcase.Case) {
 	for _, c := range cases {
 		t.Run("plain, "+c.String(), func(t *testing.T) {
 			server := newTestServer(t, "1", closesAfter(c.Answer(fake.SealLine, "data")))
@@ -62,27 +62,27 @@
 // TestAnAnswerWithABrokenStatusReachesNoCaller guards against a status line that the HTTP library mends, such as that of status 000, which it
 // takes for one that is not set, and so for a success.
 func TestAnAnswerWithABrokenStatusReachesNoCaller(t *testing.T) {
-	requireNoneReachesCallers(t, headtest.Statuses)
+	requireNoneReachesCallers(t, headcase.Statuses)
 }
 
 // TestAnAnswerWithALoneLineFeedInItsHeadReachesNoCaller guards against a head that the HTTP library ends at a lone LF, so that the rest of it
 // becomes the body.
 func TestAnAnswerWithALoneLineFeedInItsHeadReachesNoCaller(t *testing.T) {
-	requireNoneReachesCallers(t, headtest.LineEnds)
+	requireNoneReachesCallers(t, headcase.LineEnds)
 }
 
 // TestAnAnswerWithABrokenNameReachesNoCaller guards against lines that the HTTP library mends, joins or passes on, and then looks for the end of
 // the body elsewhere.
 func TestAnAnswerWithABrokenNameReachesNoCaller(t *testing.T) {
-	requireNoneReachesCallers(t, headtest.Names)
+	requireNoneReachesCallers(t, headcase.Names)
 }
 
 // TestAnAnswerWithAControlByteInAValueReachesNoCaller guards against values that one reader ends where another goes on.
 func TestAnAnswerWithAControlByteInAValueReachesNoCaller(t *testing.T) {
-	requireNoneReachesCallers(t, headtest.Values)
+	requireNoneReachesCallers(t, headcase.Values)
 }
 
 // TestAnAnswerWhoseBodyEndsWhereReadersDifferReachesNoCaller guards against the marks of chunks in a body, or a body that is cut short.
 func TestAnAnswerWhoseBodyEndsWhereReadersDifferReachesNoCaller(t *testing.T) {
-	requireNoneReachesCallers(t, headtest.Framings)
+	requireNoneReachesCallers(t, headcase.Framings)
 }
--- a/httphead/fuzz_test.go
+++ b/httphead/fuzz_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
-	"junctioncross/httphead/headtest"
+	"junctioncross/httphead/headcase"
 )
 
 // The grammar of a head in RFC 9112 (2.1, 4 and 5) and RFC 9110 (5.1 and 5.5), apart from the code that is tested. The status is one that exists,
@@ -46,10 +46,10 @@
 // FuzzAHeadThatPassesIsSoundAndReadsTheSame guards against heads that the check or the HTTP library mends: one that passes is a head in a strict
 // reading, and has the same status and headers there.
 func FuzzAHeadThatPassesIsSoundAndReadsTheSame(f *testing.F) {
-	for _, c := range headtest.Broken() {
+	for _, c := range headcase.Broken() {
 		f.Add([]byte(c.Answer("X-B: 2\r\n", "data")))
 	}
-	for _, answer := range headtest.Sound() {
+	for _, answer := range headcase.Sound() {
 		f.Add([]byte(answer))
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
--- a/httphead/headtest/broken.go
+++ b/httphead/headcase/broken.go
@@ -1,4 +1,4 @@
-package headtest
+package headcase
 
 import (
 	"fmt"
--- a/httphead/headtest/sound.go
+++ b/httphead/headcase/sound.go
@@ -1,4 +1,4 @@
-package headtest
+package headcase
 
 // Sound returns answers whose heads are sound, if unusual. Their body is "data" in chunks, by its length, to the end of the connection, or there
 // is none.
--- a/httphead/headtest/doc.go
+++ b/httphead/headtest/doc.go
@@ -1,2 +1,2 @@
-// Package headtest has answers with broken heads for the tests of all that reads answers over HTTP.
+// Package headtest has a server that gives one answer, for the tests of all that reads answers over HTTP.
 package headtest
--- a/httphead/read_test.go
+++ b/httphead/read_test.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"junctioncross/httphead"
-	"junctioncross/httphead/headtest"
+	"junctioncross/httphead/headcase"
 )
 
 // bufferSize is that of the readers of connections.
@@ -26,7 +26,7 @@
 
 // TestBrokenHeadsAreRefused guards against heads that are mended on their way to the reader.
 func TestBrokenHeadsAreRefused(t *testing.T) {
-	for _, c := range headtest.Broken() {
+	for _, c := range headcase.Broken() {
 		t.Run(c.String(), func(t *testing.T) {
 			_, err := read(strings.NewReader(c.Answer("X-B: 2\r\n", "data")))
 			require.Error(t, err)
--- a/kv/brokenhead_test.go
+++ b/kv/brokenhead_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/httphead/headcase"
 	"junctioncross/httphead/headtest"
 	"junctioncross/kv"
 	"junctioncross/metrics"
@@ -14,7 +15,7 @@
 
 // TestARecordWithABrokenHeadIsNotRead guards against leases, settings and claims that the service did not give, and against writes that count as done.
 func TestARecordWithABrokenHeadIsNotRead(t *testing.T) {
-	for _, c := range headtest.Broken() {
+	for _, c := range headcase.Broken() {
 		t.Run(c.String(), func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
--- a/once/transport_test.go
+++ b/once/transport_test.go
@@ -13,13 +13,14 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"junctioncross/httphead/headcase"
 	"junctioncross/httphead/headtest"
 	"junctioncross/once"
 )
 
 // TestAnAnswerWithABrokenHeadIsNone guards all callers of the clients against heads that the HTTP library mends.
 func TestAnAnswerWithABrokenHeadIsNone(t *testing.T) {
-	for _, c := range headtest.Broken() {
+	for _, c := range headcase.Broken() {
 		t.Run(c.String(), func(t *testing.T) {
 			server := headtest.NewServer(t, c.Answer("", "data"))
 			_, body, err := once.NewClient(time.Second).Get(nil, "http://"+server.Addr())
@@ -32,7 +33,7 @@
 
 // TestASoundAnswerIsReadAsItCame guards against sound answers that are refused, or read otherwise than the HTTP library reads them.
 func TestASoundAnswerIsReadAsItCame(t *testing.T) {
-	for _, answer := range headtest.Sound() {
+	for _, answer := range headcase.Sound() {
 		for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodHead} {
 			if method == http.MethodHead {
 				head, _, _ := strings.Cut(answer, "\r\n\r\ndata")
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"junctioncross/httphead/headcase"
 	"junctioncross/httphead/headtest"
 	"junctioncross/keys"
 	"junctioncross/operator"
@@ -35,7 +36,7 @@
 		_, err = operator.NewClient(server.Addr(), certs).Confirm("p")
 		return server, err
 	}
-	for _, c := range headtest.Broken() {
+	for _, c := range headcase.Broken() {
 		t.Run(c.String(), func(t *testing.T) {
 			server, err := play(t, c.Answer("", "{}"))
 			require.ErrorContains(t, err, "no answer; ask again")
--- a/service/brokenhead_test.go
+++ b/service/brokenhead_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"junctioncross/httphead/headcase"
 	"junctioncross/httphead/headtest"
 	"junctioncross/intent"
 	"junctioncross/metrics"
@@ -18,7 +19,7 @@
 // TestAnAnswerWithABrokenHeadReachesNoCallerOfAService guards against answers that are mended on their way, and against a call that is sent again
 // although it may have run.
 func TestAnAnswerWithABrokenHeadReachesNoCallerOfAService(t *testing.T) {
-	for _, c := range headtest.Broken() {
+	for _, c := range headcase.Broken() {
 		for name, mayRetry := range map[string]bool{"may be retried": true, "must not be retried": false} {
 			t.Run(name+", "+c.String(), func(t *testing.T) {
 				server := headtest.NewServer(t, c.Answer("", "data"))
