forward: test what follows from a broken head

A request with a broken answer is repeated only where its route allows that, its connection is closed, and nothing more is read from it; a stream that has begun goes on at another server; a sound head may come byte by byte.

--- a/forward/brokenhead_test.go
+++ b/forward/brokenhead_test.go
@@ -4,7 +4,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -86,3 +89,71 @@
 func TestAnAnswerWhoseBodyEndsWhereReadersDifferReachesNoCaller(t *testing.T) {
 	requireNoneReachesCallers(t, headcase.Framings)
 }
+
+// oneOfEach are a broken head of each kind, for what does not depend on how it is broken.
+var oneOfEach = []headcase.Case{headcase.Statuses[0], headcase.LineEnds[0], headcase.Names[0], headcase.Values[0], headcase.Framings[0]}
+
+// TestARequestWithABrokenAnswerIsRepeatedOnlyWhereItMayBe guards against a request that runs twice although it may have run, and against an answer
+// that is taken from the bytes after a broken one.
+func TestARequestWithABrokenAnswerIsRepeatedOnlyWhereItMayBe(t *testing.T) {
+	for _, c := range oneOfEach {
+		for name, repeats := range map[string]bool{"may be repeated": true, "may not": false} {
+			t.Run(name+", "+c.String(), func(t *testing.T) {
+				first := newTestServer(t, "1", func(conn net.Conn, _ int) { _, _ = io.WriteString(conn, c.Answer(fake.SealLine, "data")+wireAnswer) })
+				second := newTestServer(t, "2", sealed)
+				second.server.Reserve(0)
+				route, want, again := repeatRoute(2), http.StatusOK, 1
+				route.Objective = testTimeout
+				if !repeats {
+					route.RetryPolicy, want, again = catalog.RetryNever, http.StatusBadGateway, 0
+				}
+				require.Equal(t, want, readStatus(t, callFront(t, plainFront(t, route, first, second), "1")))
+				requests, _ := first.counts()
+				require.Equal(t, 1, requests)
+				require.Eventually(t, func() bool {
+					_, closed := first.counts()
+					return closed == 1
+				}, testTimeout, time.Millisecond, "its connection is closed")
+				requests, _ = second.counts()
+				require.Equal(t, again, requests)
+			})
+		}
+	}
+}
+
+// TestAStreamThatHasBegunGoesOnAfterABrokenHead guards against a stream that ends, or goes on with what is no answer, when the server that it moves
+// to answers with a broken head.
+func TestAStreamThatHasBegunGoesOnAfterABrokenHead(t *testing.T) {
+	for _, c := range oneOfEach {
+		t.Run(c.String(), func(t *testing.T) {
+			first := newTestServer(t, "1", closesAfter(strings.TrimSuffix(fake.StreamAnswer(onlyEvent), "0\r\n\r\n")))
+			var moved atomic.Int64
+			other := func(conn net.Conn, _ int) {
+				answer := fake.StreamAnswer(laterEvent)
+				if moved.Add(1) == 1 {
+					answer = c.Answer(fake.SealLine, "id: 1\ndata: broken\n\n")
+				}
+				closesAfter(answer)(conn, 0)
+			}
+			g := chainGroup(first, newTestServer(t, "2", other), newTestServer(t, "3", other))
+			h := chainHandler(t, g)
+			route := &catalog.Route{
+				Name: "r", RetryPolicy: catalog.RetryResume, Stream: true, MaxAttempts: 3, Timeout: testTimeout, Objective: testTimeout, PauseObjective: testTimeout,
+			}
+			status, body := readBody(t, callFront(t, frontWith(t, groupHandler{handler: h, route: route, group: g, send: h.stream}), "1"))
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, onlyEvent+laterEvent, body)
+			require.EqualValues(t, 2, moved.Load())
+		})
+	}
+}
+
+// TestASoundHeadMayComeByteByByte guards against sound answers that are refused because their heads come in pieces.
+func TestASoundHeadMayComeByteByByte(t *testing.T) {
+	server := newTestServer(t, "1", func(c net.Conn, _ int) {
+		for _, b := range []byte(fake.PlainAnswer("ok")) {
+			_, _ = c.Write([]byte{b})
+		}
+	})
+	require.Equal(t, http.StatusOK, readStatus(t, callFront(t, plainFront(t, repeatRoute(1), server), "1")))
+}
