forward, platform: refuse answers that name two requests or seals

What callers could see: an answer with two different ids, one of them of another request, or with two different seals, was passed on with both.

Cause: the first id counted, wherever another one stood; the same for seals. Whose answer it is, and which seal is that of its body, can't be told then.

Change: such an answer is broken, before anything else of it counts. The same value twice names nothing else and passes.

--- a/call/request.go
+++ b/call/request.go
@@ -93,6 +93,8 @@
 	RequestID string
 	// Sealed means that the answer carries the server's signature.
 	Sealed bool
+	// Ambiguous means that the answer names several requests or carries several signatures, so that it is not known whose it is.
+	Ambiguous bool
 	// NotRun means that the server reports that it did not run the request.
 	NotRun bool
 	// Fault is the address of the server on the path that caused a refusal.
--- a/forward/brokenhead_test.go
+++ b/forward/brokenhead_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -157,3 +158,18 @@
 	})
 	require.Equal(t, http.StatusOK, readStatus(t, callFront(t, plainFront(t, repeatRoute(1), server), "1")))
 }
+
+// TestAnAnswerThatNamesTwoRequestsReachesNoCaller guards against the answer to another request, and against a signature that belongs to another
+// answer. Names that stand there twice are no second ones.
+func TestAnAnswerThatNamesTwoRequestsReachesNoCaller(t *testing.T) {
+	two := func(line string) headcase.Case { return headcase.New(fmt.Sprintf("%q", line), line) }
+	requireNoneReachesCallers(t, []headcase.Case{
+		two("X-Request-Id: r\r\nX-Request-Id: other\r\n"), two("X-Request-Id: \r\nX-Request-Id: r\r\n"), two(fake.SealName + ": other\r\n"),
+	})
+	same := "HTTP/1.1 200 OK\r\n" + "X-Request-Id: r\r\nX-Request-Id: r\r\n" + fake.SealLine + fake.SealLine + plainLength + "ok"
+	addr, _ := wirePlain(t, same, catalog.RetryNever)
+	resp, err := http.ReadResponse(callWire(t, addr, bare("GET /a", "")), nil)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -134,7 +134,9 @@
 		if err := h.readHead(s); err != nil {
 			return err
 		}
-		s.info = h.codec.ReadAnswer(&s.head)
+		if s.info = h.codec.ReadAnswer(&s.head); s.info.Ambiguous {
+			return errMalformed
+		}
 		s.bodiless = r.x.Header().IsHead() || s.info.Status == fasthttp.StatusNoContent || s.info.Status == fasthttp.StatusNotModified
 		h.applyNotice(r.meta.ID, s.server, s.info.Notice)
 		if s.info.RequestID == "" || s.info.RequestID == r.meta.ID {
--- a/httphead/headcase/broken.go
+++ b/httphead/headcase/broken.go
@@ -33,6 +33,9 @@
 	chunksByLines
 )
 
+// New returns a case whose head has further lines of headers.
+func New(name, lines string) Case { return Case{name: name, lines: lines} }
+
 // String returns the name of the case.
 func (c Case) String() string { return c.name }
 
