--- a/forward/brokenhead_test.go
+++ b/forward/brokenhead_test.go
@@ -173,3 +173,13 @@
 	require.NoError(t, resp.Body.Close())
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 }
+
+// TestAnAnswerWithBrokenChunksReachesNoCaller guards against chunks that a reader mends, and against a body that is cut short.
+func TestAnAnswerWithBrokenChunksReachesNoCaller(t *testing.T) {
+	for name, answer := range headcase.BrokenChunks(fake.SealLine, "data") {
+		t.Run(name, func(t *testing.T) {
+			server := newTestServer(t, "1", closesAfter(answer))
+			requireBrokenAnswer(t, plainFront(t, &catalog.Route{Name: "r", MaxAttempts: 1, Timeout: testTimeout, Objective: testTimeout}, server))
+		})
+	}
+}
--- a/httphead/headcase/broken.go
+++ b/httphead/headcase/broken.go
@@ -151,3 +151,33 @@
 func Broken() []Case {
 	return slices.Concat(Statuses, LineEnds, Names, Values, Framings)
 }
+
+// BrokenChunks returns answers whose heads are sound and whose bodies are broken chunks of a body of four bytes or more, with the headers that their
+// reader needs.
+func BrokenChunks(headers, body string) map[string]string {
+	size := fmt.Sprintf("%x", len(body))
+	out := map[string]string{}
+	for name, chunks := range map[string]string{
+		"size ends with LF":        size + "\n" + body + "\r\n0\r\n\r\n",
+		"data ends with LF":        size + "\r\n" + body + "\n0\r\n\r\n",
+		"data without an end":      size + "\r\n" + body + "0\r\n\r\n",
+		"size with a sign":         "+" + size + "\r\n" + body + "\r\n0\r\n\r\n",
+		"size below none":          "-" + size + "\r\n" + body + "\r\n0\r\n\r\n",
+		"size with a prefix":       "0x" + size + "\r\n" + body + "\r\n0\r\n\r\n",
+		"blank before the size":    " " + size + "\r\n" + body + "\r\n0\r\n\r\n",
+		"two sizes":                size + " " + size + "\r\n" + body + "\r\n0\r\n\r\n",
+		"no size":                  "\r\n" + body + "\r\n0\r\n\r\n",
+		"letters as the size":      "xyz\r\n" + body + "\r\n0\r\n\r\n",
+		"NUL in the size":          size + "\x00\r\n" + body + "\r\n0\r\n\r\n",
+		"size above all":           "ffffffffffffffffff\r\n" + body + "\r\n0\r\n\r\n",
+		"size too small":           "1\r\n" + body + "\r\n0\r\n\r\n",
+		"size too large":           fmt.Sprintf("%x", len(body)+1) + "\r\n" + body + "\r\n0\r\n\r\n",
+		"no last chunk":            size + "\r\n" + body + "\r\n",
+		"last chunk without end":   size + "\r\n" + body + "\r\n0",
+		"last chunk ends with LF":  size + "\r\n" + body + "\r\n0\n\r\n",
+		"no blank line at the end": size + "\r\n" + body + "\r\n0\r\n",
+	} {
+		out[name] = okLine + headers + "Transfer-Encoding: chunked\r\n\r\n" + chunks
+	}
+	return out
+}
--- a/once/transport_test.go
+++ b/once/transport_test.go
@@ -136,3 +136,13 @@
 	_, _, err := once.NewClient(time.Second).GetTimeout(nil, "http://"+addr, 50*time.Millisecond)
 	require.ErrorIs(t, err, fasthttp.ErrTimeout)
 }
+
+// TestAnAnswerWithBrokenChunksIsNone guards against chunks that the HTTP library mends, and against a body that is cut short.
+func TestAnAnswerWithBrokenChunksIsNone(t *testing.T) {
+	for name, answer := range headcase.BrokenChunks("", "data") {
+		t.Run(name, func(t *testing.T) {
+			_, body, err := once.NewClient(time.Second).Get(nil, "http://"+headtest.NewServer(t, answer).Addr())
+			require.Error(t, err, "%q", body)
+		})
+	}
+}
