--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -19,6 +19,7 @@
 	"junctioncross/decision"
 	"junctioncross/follow"
 	"junctioncross/front"
+	"junctioncross/httphead/headtest"
 	"junctioncross/metrics"
 	"junctioncross/platform"
 	"junctioncross/platform/fake"
@@ -46,22 +47,12 @@
 func newTestServer(t *testing.T, id string, answer func(c net.Conn, number int)) *testServer {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	ts := &testServer{answer: answer, listener: listener, server: backend.NewServer(backend.Entry{ID: id, Service: "s", Addr: listener.Addr().String(), Domain: "a", Slots: 4})}
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() { ts.serve(c) }()
-		}
-	}()
+	headtest.ListenOn(t, listener, ts.serve)
 	return ts
 }
 
 func (ts *testServer) serve(c net.Conn) {
-	defer c.Close()
 	reader := bufio.NewReader(c)
 	for number := 1; ; number++ {
 		r, err := http.ReadRequest(reader)
--- a/forward/unchanged_test.go
+++ b/forward/unchanged_test.go
@@ -18,6 +18,7 @@
 
 	"junctioncross/backend"
 	"junctioncross/catalog"
+	"junctioncross/httphead/headtest"
 	"junctioncross/models"
 	"junctioncross/platform/fake"
 	"junctioncross/timer"
@@ -33,24 +34,12 @@
 }
 
 func newWireServer(tb testing.TB, answer string) *wireServer {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(tb, err)
-	tb.Cleanup(func() { _ = listener.Close() })
-	s := &wireServer{answer: answer, server: backend.NewServer(backend.Entry{ID: "1", Service: "s", Addr: listener.Addr().String(), Domain: "a", Slots: 4})}
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() { s.serve(c) }()
-		}
-	}()
+	s := &wireServer{answer: answer}
+	s.server = backend.NewServer(backend.Entry{ID: "1", Service: "s", Addr: headtest.Listen(tb, s.serve), Domain: "a", Slots: 4})
 	return s
 }
 
 func (s *wireServer) serve(c net.Conn) {
-	defer c.Close()
 	for {
 		var request bytes.Buffer
 		r, err := http.ReadRequest(bufio.NewReader(io.TeeReader(c, &request)))
--- a/httphead/headtest/server.go
+++ b/httphead/headtest/server.go
@@ -7,42 +7,30 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
-
-	"github.com/stretchr/testify/require"
 )
 
 // Server answers each request with the same bytes and then ends the connection.
 type Server struct {
-	listener net.Listener
+	addr     string
 	answer   string
 	requests atomic.Int64
 }
 
 // NewServer starts a Server, which ends with the test.
 func NewServer(tb testing.TB, answer string) *Server {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(tb, err)
-	return NewServerOn(tb, listener, answer)
+	s := &Server{answer: answer}
+	s.addr = Listen(tb, s.serve)
+	return s
 }
 
 // NewServerOn is NewServer with a listener, which the server closes.
 func NewServerOn(tb testing.TB, listener net.Listener, answer string) *Server {
-	tb.Cleanup(func() { _ = listener.Close() })
-	s := &Server{listener: listener, answer: answer}
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() { s.serve(c) }()
-		}
-	}()
+	s := &Server{answer: answer}
+	s.addr = ListenOn(tb, listener, s.serve)
 	return s
 }
 
 func (s *Server) serve(c net.Conn) {
-	defer c.Close()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
@@ -55,7 +43,7 @@
 }
 
 // Addr returns the address of the server.
-func (s *Server) Addr() string { return s.listener.Addr().String() }
+func (s *Server) Addr() string { return s.addr }
 
 // Requests returns how many requests have come.
 func (s *Server) Requests() int { return int(s.requests.Load()) }
--- a/once/transport_test.go
+++ b/once/transport_test.go
@@ -70,25 +70,15 @@
 
 // keptServer answers each request on a connection with bytes, and counts its connections.
 func keptServer(t *testing.T, answer string) (addr string, connections *atomic.Int64) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	connections = new(atomic.Int64)
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			connections.Add(1)
-			go func() { keepAnswering(c, answer) }()
-		}
-	}()
-	return listener.Addr().String(), connections
+	addr = headtest.Listen(t, func(c net.Conn) {
+		connections.Add(1)
+		keepAnswering(c, answer)
+	})
+	return addr, connections
 }
 
 func keepAnswering(c net.Conn, answer string) {
-	defer c.Close()
 	reader := bufio.NewReader(c)
 	for {
 		if _, err := http.ReadRequest(reader); err != nil {
