httphead: quote the beginning of a broken line only

The error of a broken head is logged, and a line may have 4 KiB, with values that belong to callers. TestTheErrorOfABrokenHeadIsShort: 12 KiB before, under 400 bytes now.

--- a/httphead/check.go
+++ b/httphead/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -10,15 +11,19 @@
 // ErrTooLong means that a head does not fit into the buffer of its reader.
 var ErrTooLong = errors.New("httphead: head is too long")
 
+// maxQuoted is how many bytes of a line an error quotes: it is logged.
+const maxQuoted = 64
+
 // MalformedError means that a head is not one of HTTP/1.
 type MalformedError struct {
 	fault string
-	line  []byte
+	// line is the beginning of the line that breaks the head.
+	line []byte
 }
 
 // Error implements error.
 func (e *MalformedError) Error() string {
-	return errors.Errorf("httphead: %s: %q", e.fault, e.line).Error()
+	return fmt.Sprintf("httphead: %s: %q", e.fault, e.line)
 }
 
 // lineEnd ends each line of a head. Readers differ on a lone LF, so that none may stand in a head.
@@ -71,7 +76,7 @@
 // chunksVersion is the only version whose bodies the library reads in chunks. In HTTP/1.0 there are none (RFC 9112, 6.1).
 const chunksVersion = "HTTP/1.1"
 
-// malformed copies the line, which is part of a buffer.
+// malformed copies the beginning of the line, which is part of a buffer.
 func malformed(fault string, line []byte) *MalformedError {
-	return &MalformedError{fault: fault, line: bytes.Clone(line)}
+	return &MalformedError{fault: fault, line: bytes.Clone(line[:min(len(line), maxQuoted)])}
 }
--- a/httphead/read_test.go
+++ b/httphead/read_test.go
@@ -159,3 +159,10 @@
 		require.ErrorIs(t, err, io.ErrNoProgress, begun)
 	}
 }
+
+// TestTheErrorOfABrokenHeadIsShort guards the log against the contents of heads.
+func TestTheErrorOfABrokenHeadIsShort(t *testing.T) {
+	_, err := read(strings.NewReader("HTTP/1.1 200 OK\r\n" + strings.Repeat("\x00", 3<<10) + "\r\n\r\n"))
+	require.ErrorContains(t, err, "bad name")
+	require.Less(t, len(err.Error()), 400)
+}
