--- a/review/stand2/streamend.go
+++ b/review/stand2/streamend.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// streamEndCase has clients read streams of a route to a service without an engine, while one replica of three breaks off 2 of 100 streams inside
-// an event. ORDER is broken if a client gets such a stream as a complete answer.
+// streamEndCase has clients read streams of a route to a service without an engine, while one of the replicas breaks off some streams inside an
+// event. ORDER is broken if a client gets such a stream as a complete answer.
 func streamEndCase(s *site, trouble bool) bool {
 	desks := []*unframedDesk{
 		newUnframedDesk(s, "i-7f3a91c2", trouble), newUnframedDesk(s, "i-02d9e6b4", false), newUnframedDesk(s, "i-55c0de11", false),
--- a/review/stand2/surplus.go
+++ b/review/stand2/surplus.go
@@ -102,7 +102,7 @@
 	return b, ok
 }
 
-// surplusCase has clients send idempotent requests, while one replica of three sends more after 3 of 100 answers. MIXED is broken if a client
+// surplusCase has clients send idempotent requests, while one of the replicas sends more after some of its answers. MIXED is broken if a client
 // gets a success that is not the answer to its request.
 func surplusCase(s *site, trouble bool) bool {
 	desks := []*faultyDesk{newFaultyDesk(s, "i-7f3a91c2", trouble), newFaultyDesk(s, "i-02d9e6b4", false), newFaultyDesk(s, "i-55c0de11", false)}
