forward: tell servers without an engine where a stream goes on

Callers who went on at another instance with Last-Event-Id, and whose request now went to the service without an engine, got the stream from event 0 again, complete.

Cause: the codec drops Last-Event-Id of a caller, since the system sets it from SendParams.ResumeAfter. Only the path of engines fills that; tryPlain did not.

Evidence: a server that records its requests gets "" where the caller sent "4".

Why it works: requests that take this way are sent with the caller's header, which on routes that aren't streaming is one of the "other headers" that are passed along.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -206,12 +206,17 @@
 	defer release()
 	h.countRequest(r)
 	defer func() { h.bodies.giveBack(r.heldBytes) }()
+	h.serve(ctx, r)
+	h.observeHeld(r)
+}
+
+// serve has an accepted request answered by the servers of its service.
+func (h *Handler) serve(ctx context.Context, r *request) {
 	if r.group.Graph() != nil {
 		h.stream(ctx, r)
 	} else {
 		h.plain(ctx, r)
 	}
-	h.observeHeld(r)
 }
 
 // accept finds the route, the account and the servers, or answers with the reason why it cannot.
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -130,7 +130,7 @@
 	}))
 	// If one idle connection has failed silently, the others may have as well: a retry opens a new one.
 	to := destination{server: server, fresh: len(tried) > 1 || !r.route.MayRetry()}
-	s, err := h.send(attemptCtx, r, to, &call.SendParams{Urgency: urgency})
+	s, err := h.send(attemptCtx, r, to, &call.SendParams{Urgency: urgency, ResumeAfter: r.meta.ResumeAfter})
 	if s == nil {
 		return h.unsentAttempt(ctx, r, server, err)
 	}
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -41,6 +42,8 @@
 	mu sync.Mutex
 	// requests counts the requests that arrived, closed the connections that were closed.
 	requests, closed int
+	// resumes holds the event after which each request asked the stream to go on; it is empty for a new stream.
+	resumes []string
 }
 
 // newTestServer starts a server; without a function it does not answer.
@@ -61,13 +64,27 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
-		ts.increment(&ts.requests)
+		ts.noteRequest(r)
 		if ts.answer != nil {
 			ts.answer(c, number)
 		}
 	}
 }
 
+func (ts *testServer) noteRequest(r *http.Request) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	ts.requests++
+	ts.resumes = append(ts.resumes, r.Header.Get("Last-Event-Id"))
+}
+
+// resumedAfter returns the events after which the requests so far asked their streams to go on.
+func (ts *testServer) resumedAfter() []string {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return slices.Clone(ts.resumes)
+}
+
 func (ts *testServer) increment(counter *int) {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
