forward: take only whole streams of servers without an engine for whole

The caller got what had come as a whole answer, with the seal and a length that fitted the part.

Cause: the kind of an answer was taken from the service, not from its route. All answers of services without an engine were judged as bodies: one with a length or chunks is whole at its end, one with neither if its replica lives on. That a streaming route's answer is a series of events was looked at on the path of engines only.

Why it works: the body of a 200 on a streaming route is read as events before it is passed on; what isn't a whole stream counts as an attempt that broke, which is followed by another one only where the route allows it.

--- a/forward/events.go
+++ b/forward/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -94,3 +95,18 @@
 
 // dropPartial drops the part of an event that a former server did not finish.
 func (e *events) dropPartial() { e.pending = e.pending[:0] }
+
+// checkEvents checks that the body of an answer is a whole stream of events for a caller with the events up to an id.
+func checkEvents(resumeAfter string, body []byte) error {
+	e := events{last: parseResumeAfter(resumeAfter)}
+	resumed := e.resumed()
+	for piece := range slices.Chunk(body, streamBuffer) {
+		if _, err := e.feed(piece); err != nil {
+			return err
+		}
+	}
+	if len(e.pending) > 0 || !resumed && !e.resumed() {
+		return errMalformed
+	}
+	return nil
+}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -147,6 +147,9 @@
 	if err == nil && !s.framed() && !h.livesAfter(ctx, server) {
 		err = errCutOff
 	}
+	if err == nil && r.route.Stream && s.info.Status == fasthttp.StatusOK && !s.bodiless {
+		err = checkEvents(r.meta.ResumeAfter, body)
+	}
 	h.finish(s, err == nil)
 	if err != nil {
 		return h.brokenPlain(ctx, r, s, brokenRun{begun: true, answered: h.clock.Since(begun)}, errOf(attemptCtx, err))
