forward: break a stream off whose caller misses an event

Cause: events.feed takes an event with an id that isn't above the last one, at the beginning of a read, for one that the caller has, as a server sends them that begins a stream anew. Within one read the order was checked.

Change: a run remembers whether it has left out an id. An earlier event after that means that the caller misses it: the answer is broken off, and not sent to another server, which would complete it. If the gap has come in the same read, the caller has none of it, and the stream goes on from before the gap. Ids that leave out some, and events that come twice, are as before.

Evidence: TestAnEventAfterLaterOnesIsNoticed (1 of 4 cases) and TestAStreamWhoseCallerMissesAnEventIsNotCompleted failed before.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -17,7 +17,7 @@
 	defer f.release()
 	f.first = r.group.Servers()[path.Hops[0].Server]
 	f.firstEventDue.Store(int64(path.Read + path.Step))
-	f.events.dropPartial()
+	f.events.beginRun()
 	f.beginAttempt(h, path, attempt)
 	f.closedFor.Store(nil)
 	f.first.AddFirstStage(1)
--- a/forward/events.go
+++ b/forward/events.go
@@ -11,8 +11,12 @@
 // maxEventBytes bounds the size of one event, which is held in memory: many times what the tokens of an event take.
 const maxEventBytes = 64 << 10
 
-// errBadEvent means that bytes are not an event, or not the one that comes next.
-var errBadEvent = errors.New("forward: malformed or out-of-order event")
+var (
+	// errBadEvent means that bytes are not an event, or not the one that comes next.
+	errBadEvent = errors.New("forward: malformed or out-of-order event")
+	// errMissedEvent means that the caller has got later events than one that comes now, so that nothing can complete the answer.
+	errMissedEvent = errors.New("forward: event after later ones")
+)
 
 var (
 	eventEnd = []byte("\n\n")
@@ -24,6 +28,8 @@
 	pending []byte
 	// last is the id of the last whole event, -1 before the first.
 	last int64
+	// gapped is true once the present run has left out an id. Ids need not follow one another, but an event with that id can't come any more.
+	gapped bool
 }
 
 // feed takes bytes of the stream and returns the whole events that they complete, without those that the caller already has.
@@ -39,7 +45,13 @@
 	}
 	whole := e.pending[:end+len(eventEnd)]
 	rest := e.pending[end+len(eventEnd):]
+	last, gapped := e.last, e.gapped
 	out, err := e.newEvents(whole)
+	if errors.Is(err, errMissedEvent) && !gapped {
+		// The events around the gap have come together, and the caller has none of them.
+		e.last, e.gapped = last, gapped
+		out, err = nil, errBadEvent
+	}
 	// The rest moves to a new buffer, since the returned events still point into the old one.
 	e.pending = append(make([]byte, 0, cap(e.pending)), rest...)
 	return out, err
@@ -55,11 +67,15 @@
 			return whole[start:at], err
 		}
 		if id <= e.last {
+			if id < e.last && e.gapped {
+				return whole[start:at], errMissedEvent
+			}
 			if start != at {
 				return whole[start:at], errBadEvent
 			}
 			start = end
 		} else {
+			e.gapped = e.gapped || id != e.last+1
 			e.last = id
 		}
 		at = end
@@ -93,8 +109,8 @@
 	return strconv.FormatInt(e.last, 10)
 }
 
-// dropPartial drops the part of an event that a former server did not finish.
-func (e *events) dropPartial() { e.pending = e.pending[:0] }
+// beginRun drops what is known of a former server's run but for the last whole event.
+func (e *events) beginRun() { e.pending, e.gapped = e.pending[:0], false }
 
 // checkEvents checks that the body of an answer is a whole stream of events for a caller with the events up to an id.
 func checkEvents(resumeAfter string, body []byte) error {
--- a/forward/events_test.go
+++ b/forward/events_test.go
@@ -12,7 +12,7 @@
 	out, err := e.feed([]byte("id: 0\ndata: a\n\nid: 1\ndata: b"))
 	require.NoError(t, err)
 	require.Equal(t, "id: 0\ndata: a\n\n", string(out))
-	e.dropPartial()
+	e.beginRun()
 	out, err = e.feed([]byte("id: 1\ndata: bcd\n\n"))
 	require.NoError(t, err)
 	require.Equal(t, "id: 1\ndata: bcd\n\n", string(out))
@@ -31,7 +31,7 @@
 		e := events{last: -1}
 		got := ""
 		for e.last < int64(len(all)-1) {
-			e.dropPartial()
+			e.beginRun()
 			from := rapid.Int64Range(max(e.last, 0), e.last+1).Draw(t, "from")
 			stream := ""
 			for _, event := range all[from:] {
@@ -63,3 +63,26 @@
 		require.ErrorIs(t, err, errBadEvent, bad)
 	}
 }
+
+// TestAnEventAfterLaterOnesIsNoticed guards against a piece that is dropped as one which the caller has.
+func TestAnEventAfterLaterOnesIsNoticed(t *testing.T) {
+	for name, c := range map[string]struct {
+		reads []string
+		want  error
+	}{
+		"in one read":             {[]string{"id: 0\n\nid: 2\n\nid: 1\n\n"}, errBadEvent},
+		"in another read":         {[]string{"id: 0\n\nid: 2\n\n", "id: 1\n\n"}, errMissedEvent},
+		"the same event again":    {[]string{"id: 0\n\nid: 1\n\n", "id: 1\n\n", "id: 0\n\nid: 2\n\n"}, nil},
+		"ids that leave out some": {[]string{"id: 10\n\nid: 20\n\n", "id: 20\n\n", "id: 30\n\n"}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, err := events{last: -1}, error(nil)
+			for _, read := range c.reads {
+				if _, err = e.feed([]byte(read)); err != nil {
+					break
+				}
+			}
+			require.ErrorIs(t, err, c.want)
+		})
+	}
+}
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -31,6 +31,9 @@
 // handedOver means that the instance left the server on purpose and resumes the stream on another path.
 type handedOver struct{}
 
+// incomplete means that the caller has got events between which one is missing, so that the answer can only be broken off.
+type incomplete struct{}
+
 // expired means that the deadline passed.
 type expired struct{}
 
@@ -39,6 +42,7 @@
 func (notRun) outcome()     {}
 func (failed) outcome()     {}
 func (handedOver) outcome() {}
+func (incomplete) outcome() {}
 func (expired) outcome()    {}
 
 // heldAnswer is a whole answer that has not been passed on yet.
@@ -87,6 +91,8 @@
 		return o.reason
 	case failed:
 		return o.reason
+	case incomplete:
+		return models.RetryOutOfOrder
 	case quarantined:
 		return o.reason()
 	default:
--- a/forward/resumeend_test.go
+++ b/forward/resumeend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -79,3 +80,28 @@
 	require.Equal(t, onlyEvent, body)
 	require.Equal(t, 1, requestCount([]*testServer{other}))
 }
+
+// inPieces answers with a stream in chunks, the pieces of which come one by one.
+func inPieces(pieces ...string) func(net.Conn, int) {
+	return func(c net.Conn, _ int) {
+		_, _ = io.WriteString(c, fake.ChunkedStreamHead())
+		for _, piece := range pieces {
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(piece), piece)
+			time.Sleep(betweenPieces)
+		}
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	}
+}
+
+// betweenPieces is the pause after a piece, within which it reaches the reader by itself.
+const betweenPieces = 20 * time.Millisecond
+
+// TestAStreamWhoseCallerMissesAnEventIsNotCompleted guards against an answer that is complete but for an event that came after later ones.
+func TestAStreamWhoseCallerMissesAnEventIsNotCompleted(t *testing.T) {
+	first := newTestServer(t, "1", inPieces("id: 0\ndata: x\n\nid: 2\ndata: z\n\n", "id: 1\ndata: y\n\n", "id: 3\ndata: w\n\n"))
+	other := newTestServer(t, "2", afterLastEvent)
+	g := chainGroup(first, other)
+	h := chainHandler(t, g)
+	require.False(t, isWhole(t, callFront(t, streamFront(t, h, g), "1")))
+	require.Zero(t, requestCount([]*testServer{other}), "no server can send what the caller misses")
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
+
 	"junctioncross/backend"
 	"junctioncross/chain"
 	"junctioncross/decision"
@@ -184,6 +186,9 @@
 		"last_event": f.events.last, "runs": f.r.runs, "gone": f.first.Gone(),
 		"leaving_ms": f.first.LeavingFor(h.clock.Now()).Milliseconds(), "fingerprint": f.r.fingerprint().String(),
 	}))
+	if errors.Is(err, errMissedEvent) {
+		return incomplete{}
+	}
 	return failed{reason: models.RetryBroken}
 }
 
