forward: pass streams of services without an engine on as they arrive

The answer had a length, was held in memory up to 8 MiB, and a server that broke it made it begin anew or fail as a whole.

It is the route that says it; the service says who runs a request.

What differs is the choice (a server of a plain service, chosen as for its other requests, in place of a lane) and what only an engine has: layers and Path, room, queues, state queries, repairs, forecasts. A plain server that sends nothing for as long as sound ones may be silent is left for another one where the route allows it, as far as this instance waits for the server and not for its caller. A server that breaks or rejects a stream gets it again only if no other one can take it. Answers other than 200 are judged as those of other requests.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -10,7 +10,7 @@
 	"junctioncross/decision"
 )
 
-// attempt sends the request along a path and passes its events on until the answer ends.
+// attempt sends the request along a path, or to a server of a plain service, and passes its events on until the answer ends.
 func (h *Handler) attempt(ctx context.Context, f *inflight, path chain.Path, attempt int) (out outcome) {
 	r := f.r
 	f.assign(r.group, path.Hops)
@@ -31,6 +31,8 @@
 	h.countPath(f)
 	f.conn = s.conn
 	f.touch(h)
+	f.beginWait(h)
+	defer f.endWait()
 	h.watch.add(f)
 	defer h.watch.remove(f)
 	if err == nil {
@@ -54,7 +56,7 @@
 	f.refusals = 0
 	f.answeredAt = h.clock.Now()
 	f.noteAccepted()
-	err = h.passEvents(f, s)
+	err = h.passEvents(ctx, f, s)
 	// A connection that is kept may carry another request at once, and a hand-over of this stream must not close it then.
 	h.watch.remove(f)
 	h.finish(s, err == nil)
@@ -74,7 +76,7 @@
 		"resume_after": f.events.resumeAfter(),
 	}))
 	params := &call.SendParams{
-		Path: f.path().stages(), ResumeAfter: f.events.resumeAfter(), Urgency: h.rankPosition(r, f.first.Service()).level(f.returned),
+		Path: f.pathToSend(), ResumeAfter: f.events.resumeAfter(), Urgency: h.rankPosition(r, f.first.Service()).level(f.returned),
 	}
 	to := destination{
 		server: f.first, fresh: attempt > 1 || !r.route.MayRetry(), open: func() bool { return h.mayStillSend(f) },
@@ -91,6 +93,9 @@
 		h.proveParts(r)
 	}
 	h.observeLifetime(f)
+	if f.plain {
+		h.plainTimes.add(r, h.clock.Since(r.x.Arrived()))
+	}
 	h.queueOf(f.first.Service()).ended(h.clock.Since(r.x.Arrived()))
 }
 
--- a/forward/awaitpath.go
+++ b/forward/awaitpath.go
@@ -8,8 +8,12 @@
 )
 
 // awaitPath returns the path for the next attempt. A first attempt waits its turn for room while that is likely to leave time
-// for the answer to begin within its objective; otherwise it does not wait at all.
+// for the answer to begin within its objective; otherwise it does not wait at all. Servers of plain services have queues of their own, so that
+// nobody waits for these here.
 func (h *Handler) awaitPath(ctx context.Context, f *inflight) (chain.Path, bool) {
+	if f.plain {
+		return h.choosePath(f)
+	}
 	r, q := f.r, h.queueOf(f.r.group.Service().Name)
 	h.lanesAndOutage(r, q, h.clock.Now())
 	// While the queue is empty there is nobody to overtake, so requests that arrive together all take the room there is.
--- a/forward/evacuate.go
+++ b/forward/evacuate.go
@@ -151,7 +151,7 @@
 
 // droppedStage reports whether a server no longer holds some layers, according to its entry.
 func droppedStage(s *backend.Server, layers models.Layers) bool {
-	return !s.Layers().Holds(layers)
+	return layers.Count() > 0 && !s.Layers().Holds(layers)
 }
 
 // leaveStages moves a stream off the servers that will not last as long as it does, and reports whether it can.
@@ -163,7 +163,7 @@
 	if first := c.servers[0]; w.handler.outlasts(f, first, c.hops[0].Layers) && w.handOver(f, first, group, endLeaving) {
 		return true
 	}
-	return w.evacuateOne(ctx, f, group)
+	return !f.plain && w.evacuateOne(ctx, f, group)
 }
 
 // evacuateOne starts to replace the servers behind the first one on a stream's path that leave, and reports whether there is
--- a/forward/events.go
+++ b/forward/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"slices"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -111,18 +110,3 @@
 
 // beginRun drops what is known of a former server's run but for the last whole event.
 func (e *events) beginRun() { e.pending, e.gapped = e.pending[:0], false }
-
-// checkEvents checks that the body of an answer is a whole stream of events for a caller with the events up to an id.
-func checkEvents(resumeAfter string, body []byte) error {
-	e := events{last: parseResumeAfter(resumeAfter)}
-	resumed := e.resumed()
-	for piece := range slices.Chunk(body, streamBuffer) {
-		if _, err := e.feed(piece); err != nil {
-			return err
-		}
-	}
-	if len(e.pending) > 0 || !resumed && !e.resumed() {
-		return errMalformed
-	}
-	return nil
-}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -120,7 +120,7 @@
 		budget: retry.NewBudget(settings.Repeats, clock.Now()),
 		lanes:  map[string]*laneCache{}, queues: map[string]*queue{}, longestWaits: longestWaits{},
 		loadRatio:  loadRatio{estimate: initialLoadRatio},
-		plainTimes: plainTimes{byService: map[string]*sample{}}, listenChecks: listenChecks{running: map[*backend.Server]*listenCheck{}},
+		plainTimes: plainTimes{samples: map[plainAnswers]*sample{}}, listenChecks: listenChecks{running: map[*backend.Server]*listenCheck{}},
 	}
 	h.unbegun, h.endUnbegun = context.WithCancel(ctx)
 	h.bodies.left.Store(cmp.Or(settings.BodyMemory, defaultHeldBytes))
@@ -210,9 +210,10 @@
 	h.observeHeld(r)
 }
 
-// serve has an accepted request answered by the servers of its service.
+// serve has an accepted request answered by the servers of its service. What an answer is depends on the route, and who runs the request on
+// the service.
 func (h *Handler) serve(ctx context.Context, r *request) {
-	if r.group.Graph() != nil {
+	if r.route.Stream || r.group.Graph() != nil {
 		h.stream(ctx, r)
 	} else {
 		h.plain(ctx, r)
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -52,13 +52,13 @@
 	return true
 }
 
-// queryDrained queries the earlier servers of a stream that have had the time to leave whether they have terminated, so that they no
+// queryDrained finds out which of the earlier servers of a stream that have had the time to leave have terminated, so that they no
 // longer count as running it.
 func (h *Handler) queryDrained(f *inflight, first *backend.Server) {
 	now, drain := h.clock.Now(), h.settings.Load().DrainTime
 	for _, s := range activeServers(f.previousServers()) {
 		if s != first && s.LeavingFor(now) > drain {
-			h.queryState(s, "former run")
+			h.lookAfter(f, s, "former run")
 		}
 	}
 }
@@ -81,7 +81,8 @@
 		f.first.ReleaseTrial()
 	} else {
 		f.first.LeftSilent(h.clock.Now())
-		h.queryState(f.first, "broken stream")
+		f.noteBroken(h)
+		h.lookAfter(f, f.first, "broken stream")
 		h.suspectEnd(f.r, f.first, f.brokenRun(h))
 	}
 	return handedOver{}
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -16,6 +16,8 @@
 // inflight is the state of one stream under way, over all its attempts.
 type inflight struct {
 	r *request
+	// plain is true for a stream of a plain service, one server of which runs the whole request.
+	plain bool
 	// firstTriesFirst is true if first tries go before returning callers of the same rank.
 	firstTriesFirst bool
 	events          events
@@ -25,6 +27,9 @@
 	conn  *backend.Conn
 	// lastAt is when the last event came, or the request was sent, in nanoseconds since the handler's start.
 	lastAt atomic.Int64
+	// waitsSince is since when the server of the present attempt has been waited for, in nanoseconds since the handler's start; it is 0 while
+	// what came is passed on.
+	waitsSince atomic.Int64
 	// refusals counts the servers that have refused the stream since one last accepted it.
 	refusals int
 	// firstEventDue is how long after the sending the first event is due, in nanoseconds.
@@ -54,9 +59,8 @@
 	// useless is what has come since the stream last made progress; the lock of the watcher guards it.
 	useless uselessBytes
 
-	// left is true once the stream has been handed over, so that a server was left that may have gone on with it; only the goroutine of the
-	// request uses it.
-	left bool
+	// left is true once the stream has been handed over, so that a server was left that may have gone on with it.
+	left atomic.Bool
 
 	// failedMoves counts the searches, since the last successful one, that found no path without a server that leaves.
 	failedMoves atomic.Int64
@@ -228,7 +232,7 @@
 func (f *inflight) touch(h *Handler) {
 	now := h.clock.Since(h.watch.start)
 	pause := now - time.Duration(f.lastAt.Swap(int64(now)))
-	if overdue := pause - stallLimit(f); overdue > 0 && f.progressed.Load() {
+	if overdue := pause - stallLimit(f); overdue > 0 && f.progressed.Load() && !f.plain {
 		h.watch.plan.notePause(f.path().servers, overdue, h.clock.Now())
 	}
 }
--- a/forward/lifetime.go
+++ b/forward/lifetime.go
@@ -57,7 +57,7 @@
 func (f *inflight) beginAttempt(h *Handler, path chain.Path, attempt int) {
 	left := f.expectedLeft(h)
 	predicted := predictedLifetime(f.need, path)
-	usual := h.queueOf(f.first.Service()).lifetimeQuantile(predicted, usualQuantile)
+	usual := h.usualLifetime(f, predicted)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.earlierServers = append([]*backend.Server(nil), f.r.ran...)
@@ -71,6 +71,14 @@
 	}
 }
 
+// usualLifetime returns the time within which most answers like that of a stream end; predicted is what the cost model says.
+func (h *Handler) usualLifetime(f *inflight, predicted time.Duration) time.Duration {
+	if f.plain {
+		return h.plainTimes.quantile(f.r, usualQuantile)
+	}
+	return h.queueOf(f.first.Service()).lifetimeQuantile(predicted, usualQuantile)
+}
+
 // expectedLeft returns how much longer the stream is expected to last.
 func (f *inflight) expectedLeft(h *Handler) time.Duration {
 	f.mu.Lock()
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -75,12 +75,14 @@
 const noLength = -1
 
 // withoutPath returns the outcome of a stream that has not begun and finds no path after an attempt that ended like this.
-func withoutPath(last outcome) outcome {
-	switch last.(type) {
-	case nil:
-		return notRun{reason: models.ReasonNoRoom}
-	default:
+func (f *inflight) withoutPath(last outcome) outcome {
+	switch {
+	case last != nil:
 		return last
+	case f.plain:
+		return notRun{reason: models.ReasonNoServer}
+	default:
+		return notRun{reason: models.ReasonNoRoom}
 	}
 }
 
--- a/forward/pass.go
+++ b/forward/pass.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -8,14 +9,16 @@
 )
 
 // passEvents sends whole events on to the caller as they arrive; nil means that the stream ended as it should.
-func (h *Handler) passEvents(f *inflight, s *sentRequest) error {
+func (h *Handler) passEvents(ctx context.Context, f *inflight, s *sentRequest) error {
 	q := h.queueOf(f.first.Service())
 	q.addUnderWay(f, f.r.x.Arrived())
 	defer q.removeUnderWay(f)
 	body := s.body()
 	buffer := make([]byte, streamBuffer)
 	for {
+		f.beginWait(h)
 		n, err := body.Read(buffer)
+		f.endWait()
 		out, bad := f.events.feed(buffer[:n])
 		if len(out) > 0 {
 			h.observePause(f)
@@ -29,7 +32,7 @@
 		case f.r.x.Failed():
 			return errCallerGone
 		case errors.Is(err, io.EOF):
-			return h.endStream(f, s, body)
+			return h.endStream(ctx, f, s, body)
 		case err != nil:
 			return err
 		}
@@ -79,6 +82,9 @@
 	h.queueOf(f.first.Service()).observeFirstEvent(waited)
 	f.firstEvent = h.clock.Since(f.r.x.Arrived())
 	h.stats.Histogram("first_event_ms").Update(f.firstEvent.Milliseconds())
+	if f.plain {
+		return
+	}
 	predicted := time.Duration(f.firstEventDue.Load())
 	h.stats.Histogram("first_event_predicted_ms").Update(predicted.Milliseconds())
 	h.observeRatio("first_event", waited, predicted)
@@ -94,14 +100,14 @@
 }
 
 // endStream ends the answer after the server's last byte. An incomplete event at the end means that the stream broke off.
-func (h *Handler) endStream(f *inflight, s *sentRequest, body answerBody) error {
+func (h *Handler) endStream(ctx context.Context, f *inflight, s *sentRequest, body answerBody) error {
 	if len(f.events.pending) > 0 {
 		return errMalformed
 	}
 	if err := body.end(); err != nil {
 		return err
 	}
-	if !s.framed() && h.brokeBetweenEvents(f) {
+	if !s.framed() && h.brokeBetweenEvents(ctx, f) {
 		return errCutOff
 	}
 	return h.completeStream(f, s)
@@ -113,12 +119,15 @@
 // brokeBetweenEvents reports whether an answer that ended with its connection is to be taken as incomplete: this instance closed the
 // connection, a new answer has no event, or the server is not known to be alive. Servers that leave end in the middle of streams. One that
 // no longer holds its layers may have started again.
-func (h *Handler) brokeBetweenEvents(f *inflight) bool {
+func (h *Handler) brokeBetweenEvents(ctx context.Context, f *inflight) bool {
 	// The stream is not to be handed over while its end is judged.
 	h.watch.remove(f)
 	if f.next.Load() != nil || !f.progressed.Load() && !f.events.resumed() {
 		return true
 	}
+	if f.plain {
+		return !h.livesAfter(ctx, f.first)
+	}
 	if h.fateOf(f.first, true, h.clock.Now()) != fateAlive {
 		return true
 	}
--- a/forward/path.go
+++ b/forward/path.go
@@ -9,8 +9,11 @@
 	"junctioncross/chain"
 )
 
-// needOf returns the number of tokens that a path must have memory for, and the instance's domain.
+// needOf returns the number of tokens that a path must have memory for, which is 0 for plain services, and the instance's domain.
 func (h *Handler) needOf(r *request) chain.Need {
+	if r.group.Graph() == nil {
+		return chain.Need{Domain: h.settings.Load().Domain}
+	}
 	engine := r.group.Graph().Engine()
 	prompt := r.meta.PromptTokens
 	if prompt == 0 {
@@ -53,7 +56,7 @@
 	return max(minPatience, patiencePerObjective*r.Objective, patiencePerPause*r.PauseObjective)
 }
 
-// choosePath returns a path for a whole stream: a lane with room or, when missing servers leave no lane, any path whose servers
+// choosePath returns a path for a whole stream: a server of a plain service; or else a lane with room or, when missing servers leave no lane, any path whose servers
 // are expected to have room.
 func (h *Handler) choosePath(f *inflight) (chain.Path, bool) { return h.choosePathFrom(f, nil) }
 
@@ -68,6 +71,9 @@
 
 // choosePathIn returns a path through the servers of a group, chosen as by choosePath, that starts at one of some servers; nil means any.
 func (h *Handler) choosePathIn(f *inflight, group *backend.Group, starts []*backend.Server) (chosenPath, bool) {
+	if group.Graph() == nil {
+		return h.choosePlain(f, group, starts)
+	}
 	now := h.clock.Now()
 	lanes := h.lanesOf(group, now)
 	if len(lanes) > 0 {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -27,7 +27,7 @@
 	failureCost = 4.0
 )
 
-// plain answers a request of a service that is no chained engine.
+// plain answers a request of a service that is no chained engine, whose answer is passed on once it is whole.
 func (h *Handler) plain(ctx context.Context, r *request) {
 	var tried []*backend.Server
 	// sameServer is true once the request may have gone to one server by two paths.
@@ -147,9 +147,6 @@
 	if err == nil && !s.framed() && !h.livesAfter(ctx, server) {
 		err = errCutOff
 	}
-	if err == nil && r.route.Stream && s.info.Status == fasthttp.StatusOK && !s.bodiless {
-		err = checkEvents(r.meta.ResumeAfter, body)
-	}
 	h.finish(s, err == nil)
 	if err != nil {
 		return h.brokenPlain(ctx, r, s, brokenRun{begun: true, answered: h.clock.Since(begun)}, errOf(attemptCtx, err))
--- a/forward/plaintimes.go
+++ b/forward/plaintimes.go
@@ -7,8 +7,14 @@
 
 // plainTimes holds how long the latest answers of plain services took. It is safe for concurrent use.
 type plainTimes struct {
-	mu        sync.Mutex
-	byService map[string]*sample
+	mu      sync.Mutex
+	samples map[plainAnswers]*sample
+}
+
+// plainAnswers are the answers of one service that are compared with each other: its streams, or its other answers.
+type plainAnswers struct {
+	service string
+	streams bool
 }
 
 // add records the time of the answer to a request.
@@ -28,12 +34,12 @@
 // ofLocked returns the sample of the request's service; the caller holds the lock. A service that has given no answer yet is assumed to meet
 // the objective in the mean.
 func (p *plainTimes) ofLocked(r *request) *sample {
-	service := r.group.Service().Name
-	s := p.byService[service]
+	answers := plainAnswers{service: r.group.Service().Name, streams: r.route.Stream}
+	s := p.samples[answers]
 	if s == nil {
 		assumed := newSample(r.route.Objective)
 		s = &assumed
-		p.byService[service] = s
+		p.samples[answers] = s
 	}
 	return s
 }
--- a/forward/query.go
+++ b/forward/query.go
@@ -31,6 +31,18 @@
 	go func() { h.guarded(server, func() { h.queryNow(server, why) }) }()
 }
 
+// lookAfter finds out in the background what has become of a server of a stream: one of an engine is queried for its state, one of a plain
+// service, which has no state query, is checked to listen. The rate of both is limited.
+func (h *Handler) lookAfter(f *inflight, server *backend.Server, why string) {
+	if !f.plain {
+		h.queryState(server, why)
+		return
+	}
+	if !server.Ended() && server.TryQuery(h.clock.Now()) {
+		go func() { h.guarded(server, func() { h.checkListening(server) }) }()
+	}
+}
+
 // queryNow queries the state of a server and applies the answer.
 func (h *Handler) queryNow(server *backend.Server, why string) {
 	ctx, cancel := context.WithTimeout(context.Background(), h.clock.Patience(queryTimeout))
--- a/forward/recheck_test.go
+++ b/forward/recheck_test.go
@@ -25,6 +25,6 @@
 	cancel()
 	_, instead := h.nextPath(ctx, f, handedOver{})
 	require.IsType(t, failed{}, instead, "its former server may have run it")
-	require.Equal(t, notRun{reason: models.ReasonNoRoom}, withoutPath(nil))
-	require.Equal(t, notRun{reason: models.RetryRefused}, withoutPath(notRun{reason: models.RetryRefused}))
+	require.Equal(t, notRun{reason: models.ReasonNoRoom}, (&inflight{}).withoutPath(nil))
+	require.Equal(t, notRun{reason: models.RetryRefused}, (&inflight{}).withoutPath(notRun{reason: models.RetryRefused}))
 }
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -39,7 +39,7 @@
 			return chain.Path{}, reason, false
 		}
 		if reason == models.ReasonAttemptsUsedUp && h.clock.Since(queried) >= requeryPeriod {
-			h.queryFormer(ctx, h.dueForQuery(activeServers(f.r.ran)))
+			h.lookForEnds(ctx, f)
 			queried = h.clock.Now()
 		}
 		if reason != reported {
@@ -56,6 +56,18 @@
 	}
 }
 
+// lookForEnds finds out whether servers that a stream ran on have terminated.
+func (h *Handler) lookForEnds(ctx context.Context, f *inflight) {
+	active := activeServers(f.r.ran)
+	if !f.plain {
+		h.queryFormer(ctx, h.dueForQuery(active))
+		return
+	}
+	for _, s := range active {
+		h.lookAfter(f, s, "run that broke")
+	}
+}
+
 // dueForQuery returns those of the servers that may be queried now: the streams that wait for a server share the limit on its queries.
 func (h *Handler) dueForQuery(servers []*backend.Server) []*backend.Server {
 	return slices.DeleteFunc(servers, func(s *backend.Server) bool { return !s.TryQuery(h.clock.Now()) })
--- a/forward/silencelimit.go
+++ b/forward/silencelimit.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"junctioncross/backend"
+	"junctioncross/catalog"
 )
 
 const (
@@ -27,11 +28,16 @@
 	return err
 }
 
+// silenceLimit returns how long a server may take to begin its answer before the request leaves it for another one.
+func silenceLimit(route *catalog.Route) time.Duration {
+	return max(silenceFactor*route.Objective, route.Objective+minSilenceSlack)
+}
+
 // withSilenceLimit returns a context that ends when a server has been silent for too long and another one can take its
 // place, or its path over the own links is lost; otherwise its late answer is the best that can be had. The retry for that has been taken from
 // the budget by then. endAttempt must be called after the attempt.
 func (h *Handler) withSilenceLimit(ctx context.Context, r *request, tried []*backend.Server) (attemptCtx context.Context, endAttempt func()) {
-	limit := max(silenceFactor*r.route.Objective, r.route.Objective+minSilenceSlack)
+	limit := silenceLimit(r.route)
 	sentAt, silent := h.clock.Now(), h.clock.After(h.clock.Patience(limit))
 	r.direct.Store(false)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -15,9 +15,10 @@
 // streamBuffer is the size in bytes of the buffer for one read from a server; it holds some events.
 const streamBuffer = 4 << 10
 
-// stream handles a request to a chained engine, whose servers each run some of the layers.
+// stream handles a request whose answer is a stream of events: to a chained engine, whose servers each run some of the layers, or to a plain
+// service.
 func (h *Handler) stream(ctx context.Context, r *request) {
-	f := &inflight{r: r, events: events{last: parseResumeAfter(r.meta.ResumeAfter)}}
+	f := &inflight{r: r, plain: r.group.Graph() == nil, events: events{last: parseResumeAfter(r.meta.ResumeAfter)}}
 	f.need = h.needOf(r)
 	h.noteEarlierTry(f)
 	h.countTry(f)
@@ -59,7 +60,7 @@
 	if next := f.takeNext(); next != nil {
 		f.r.group, f.laneLoad, f.chosenAt = next.group, next.load, next.at
 		f.r.retryGranted, f.r.retryTaken = true, next.retryTaken
-		f.left = true
+		f.left.Store(true)
 		return next.path, nil
 	}
 	if f.mustGoOn() {
@@ -75,7 +76,7 @@
 	}
 	path, ok := h.awaitPath(ctx, f)
 	if !ok {
-		return chain.Path{}, withoutPath(last)
+		return chain.Path{}, f.withoutPath(last)
 	}
 	if !h.mayBegin(f.r) {
 		return chain.Path{}, instead(last, models.ReasonDraining)
@@ -88,16 +89,16 @@
 
 // mustGoOn reports whether the stream is resumed for as long as its caller waits: its answer has begun, or it has left a server that may
 // have gone on with it.
-func (f *inflight) mustGoOn() bool { return f.r.x.Begun() || f.left }
+func (f *inflight) mustGoOn() bool { return f.r.x.Begun() || f.left.Load() }
 
 // mayContinue reports whether another attempt follows one with this outcome. A stream that must go on does, unless it must not run
 // again; the search for its next path finds out what it has to wait for.
 func (h *Handler) mayContinue(f *inflight, last outcome, attempt int) bool {
 	if _, ok := last.(handedOver); ok {
-		f.left = true
+		f.left.Store(true)
 		return true
 	}
-	if _, refused := last.(notRun); !f.r.x.Begun() && (!f.left || !refused) {
+	if _, refused := last.(notRun); !f.r.x.Begun() && (!f.left.Load() || !refused) {
 		return h.mayRetry(f.r, last, attempt)
 	}
 	switch o := last.(type) {
@@ -118,6 +119,9 @@
 
 func (h *Handler) observeLoad(f *inflight, s *sentRequest) {
 	f.first.SetLoad(s.info.Load, h.clock.Now())
+	if f.plain {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.loadRatio.observe(s.info.Load, f.first.Running())
@@ -132,6 +136,9 @@
 		h.noteRefusal(f, s)
 		return notRun{reason: models.RetryRefused}
 	}
+	if err == nil && f.plain && !f.r.x.Begun() {
+		return h.judgeAnswer(f.r, f.first, s, body)
+	}
 	f.first.Observe(false)
 	f.first.ReleaseTrial()
 	f.r.ranOn(f.first)
@@ -152,7 +159,9 @@
 	}
 	f.noteRejection(server, h.clock.Now())
 	h.recordRefusal(f.r, server, s)
-	h.queryIfActive(server, "refusal")
+	if !f.plain {
+		h.queryIfActive(server, "refusal")
+	}
 	// A server that refuses late itself was silent and has answered; one that others have waited for has not.
 	if server != f.first && f.pause(h) >= h.settings.Load().StallTime/2 {
 		server.SetAside(h.clock.Now().Add(h.settings.Load().StallTime))
@@ -174,10 +183,11 @@
 		f.first.ReleaseTrial()
 		h.stats.Counter("streams_on_failed_paths_total").Inc(1)
 	} else {
-		h.noteBreak(f.first)
+		h.noteBreak(f, f.first)
+		f.noteBroken(h)
 		h.suspectEnd(f.r, f.first, f.brokenRun(h))
 	}
-	if !f.r.x.Begun() && f.r.activeRuns() >= f.r.route.MaxAttempts {
+	if !f.plain && !f.r.x.Begun() && f.r.activeRuns() >= f.r.route.MaxAttempts {
 		// Another attempt is allowed only if one of the servers that ran the request has terminated.
 		h.queryFormer(ctx, activeServers(f.r.ran))
 	}
@@ -193,15 +203,15 @@
 }
 
 // noteBreak counts a broken stream as a failure of its server, except for a server that is leaving, whose streams are
-// expected to break. It also queries the server, which shows whether it has terminated.
-func (h *Handler) noteBreak(server *backend.Server) {
+// expected to break. It also finds out whether the server has terminated.
+func (h *Handler) noteBreak(f *inflight, server *backend.Server) {
 	if server.Leaving() {
 		server.ReleaseTrial()
 	} else {
 		server.Observe(false)
 		server.Failed(h.clock.Now())
 	}
-	h.queryState(server, "broken stream")
+	h.lookAfter(f, server, "broken stream")
 }
 
 // concludeStream logs the outcome of the stream and answers the caller who has no answer yet. A stream that has begun and
--- a/forward/streamend_test.go
+++ b/forward/streamend_test.go
@@ -131,7 +131,7 @@
 	f, _ := connected(t, h, g, "one", 0, 1)
 	e.setSilent(f.first, true)
 	judged := make(chan bool, 1)
-	go func() { judged <- h.brokeBetweenEvents(f) }()
+	go func() { judged <- h.brokeBetweenEvents(t.Context(), f) }()
 	require.Eventually(t, func() bool { return h.watch.count() == 0 }, testTimeout, time.Millisecond)
 	require.False(t, h.watch.handOver(f, f.first, g, "first part is silent"))
 	e.setSilent(f.first, false)
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -159,7 +159,7 @@
 	why    runEnd
 }
 
-// stalledStreams returns some of the streams whose runs cannot go on, and all stalled streams by their first server.
+// stalledStreams returns some of the streams whose runs cannot go on, and all stalled streams of engines by their first server.
 func (w *watcher) stalledStreams() (stuck []stuckStream, byFirst map[*backend.Server][]*inflight) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -168,7 +168,9 @@
 		if !w.stalled(f) {
 			continue
 		}
-		byFirst[f.first] = append(byFirst[f.first], f)
+		if !f.plain {
+			byFirst[f.first] = append(byFirst[f.first], f)
+		}
 		if why, ok := w.stuck(f); ok && len(stuck) < maxLeavingTries {
 			stuck = append(stuck, stuckStream{stream: f, first: f.first, why: why})
 		}
@@ -186,7 +188,7 @@
 		return endLostPath, true
 	case w.getsEndlessBytes(f):
 		return endEndless, true
-	case w.atSilentServer(f):
+	case f.plain && w.plainIsSilent(f), !f.plain && w.atSilentServer(f):
 		return endSilent, true
 	default:
 		return "", false
@@ -243,11 +245,17 @@
 	}
 }
 
-// count returns the number of streams under way.
+// count returns the number of streams of engines under way.
 func (w *watcher) count() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.streams)
+	n := 0
+	for f := range w.streams {
+		if !f.plain {
+			n++
+		}
+	}
+	return n
 }
 
 // active returns the streams under way.
