forward: pass answers of engines on as the route says

Cause: as for streams of services without an engine, the other way round.

Change: the answer of such a request is read whole and returned unchanged, and repeated where its route allows it; its path is chosen as for streams. No page says that an engine serves streaming routes only, and the store takes such a configuration, so a refusal before the run, the other way to spare it, would turn away what can be served.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -56,7 +56,7 @@
 	f.refusals = 0
 	f.answeredAt = h.clock.Now()
 	f.noteAccepted()
-	err = h.passEvents(ctx, f, s)
+	err = h.passAnswer(ctx, f, s)
 	// A connection that is kept may carry another request at once, and a hand-over of this stream must not close it then.
 	h.watch.remove(f)
 	h.finish(s, err == nil)
--- a/forward/pass.go
+++ b/forward/pass.go
@@ -8,11 +8,19 @@
 	"github.com/pkg/errors"
 )
 
-// passEvents sends whole events on to the caller as they arrive; nil means that the stream ended as it should.
-func (h *Handler) passEvents(ctx context.Context, f *inflight, s *sentRequest) error {
+// passAnswer sends an answer on to the caller: a stream event by event, any other one once it is whole.
+func (h *Handler) passAnswer(ctx context.Context, f *inflight, s *sentRequest) error {
 	q := h.queueOf(f.first.Service())
 	q.addUnderWay(f, f.r.x.Arrived())
 	defer q.removeUnderWay(f)
+	if f.r.route.Stream {
+		return h.passEvents(ctx, f, s)
+	}
+	return h.passWhole(ctx, f, s)
+}
+
+// passEvents sends whole events on to the caller as they arrive; nil means that the stream ended as it should.
+func (h *Handler) passEvents(ctx context.Context, f *inflight, s *sentRequest) error {
 	body := s.body()
 	buffer := make([]byte, streamBuffer)
 	for {
@@ -116,13 +124,19 @@
 // errCutOff means that the connection of an answer without a marked end ended, and the answer may be incomplete.
 var errCutOff = errors.New("forward: connection ended, answer may be incomplete")
 
-// brokeBetweenEvents reports whether an answer that ended with its connection is to be taken as incomplete: this instance closed the
-// connection, a new answer has no event, or the server is not known to be alive. Servers that leave end in the middle of streams. One that
-// no longer holds its layers may have started again.
+// brokeBetweenEvents reports whether a stream that ended with its connection is to be taken as incomplete: a new answer has no event, or its
+// run may have ended otherwise.
 func (h *Handler) brokeBetweenEvents(ctx context.Context, f *inflight) bool {
-	// The stream is not to be handed over while its end is judged.
+	return !f.progressed.Load() && !f.events.resumed() || h.mayHaveEnded(ctx, f)
+}
+
+// mayHaveEnded reports whether an answer that ended with its connection may have done so because its run ended: this instance closed the
+// connection, or the server is not known to be alive. Servers that leave end in the middle of answers. One that no longer holds its layers may
+// have started again.
+func (h *Handler) mayHaveEnded(ctx context.Context, f *inflight) bool {
+	// The request is not to be handed over while its end is judged.
 	h.watch.remove(f)
-	if f.next.Load() != nil || !f.progressed.Load() && !f.events.resumed() {
+	if f.next.Load() != nil {
 		return true
 	}
 	if f.plain {
@@ -150,3 +164,19 @@
 	}
 	return nil
 }
+
+// passWhole sends an answer that is no stream on to the caller once it is whole.
+func (h *Handler) passWhole(ctx context.Context, f *inflight, s *sentRequest) error {
+	body, err := h.readWhole(f.r, s)
+	if err != nil {
+		return err
+	}
+	if !s.framed() && h.mayHaveEnded(ctx, f) {
+		return errCutOff
+	}
+	h.hold(s, body).passOn(f.r.x)
+	if f.r.x.Failed() {
+		return errCallerGone
+	}
+	return nil
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -15,8 +15,7 @@
 // streamBuffer is the size in bytes of the buffer for one read from a server; it holds some events.
 const streamBuffer = 4 << 10
 
-// stream handles a request whose answer is a stream of events: to a chained engine, whose servers each run some of the layers, or to a plain
-// service.
+// stream handles a request to a chained engine, whose servers each run some of the layers, or one whose answer is a stream of events.
 func (h *Handler) stream(ctx context.Context, r *request) {
 	f := &inflight{r: r, plain: r.group.Graph() == nil, events: events{last: parseResumeAfter(r.meta.ResumeAfter)}}
 	f.need = h.needOf(r)
@@ -136,7 +135,7 @@
 		h.noteRefusal(f, s)
 		return notRun{reason: models.RetryRefused}
 	}
-	if err == nil && f.plain && !f.r.x.Begun() {
+	if err == nil && !f.r.x.Begun() && (f.plain || !f.r.route.Stream) {
 		return h.judgeAnswer(f.r, f.first, s, body)
 	}
 	f.first.Observe(false)
