--- a/forward/plainstream_test.go
+++ b/forward/plainstream_test.go
@@ -36,7 +36,7 @@
 	var entries []backend.Entry
 	for i, ts := range servers {
 		entries = append(entries, backend.Entry{
-			ID: ts.server.ID(), Service: configuredService, Addr: ts.server.Addr(), Domain: string(rune('a' + i)), Slots: 4, Revision: int64(i + 1),
+			ID: ts.server.ID(), Service: configuredService, Addr: ts.server.Addr(), Domain: string(rune('a' + i)), Slots: 4, Born: 1, Revision: int64(i + 1),
 		})
 	}
 	return startConfigured(t, content, nil, entries)
