--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -42,8 +42,8 @@
 	mu sync.Mutex
 	// requests counts the requests that arrived, closed the connections that were closed.
 	requests, closed int
-	// resumes holds the event after which each request asked the stream to go on; it is empty for a new stream.
-	resumes []string
+	// headers are those of each request.
+	headers []http.Header
 }
 
 // newTestServer starts a server; without a function it does not answer.
@@ -75,14 +75,23 @@
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	ts.requests++
-	ts.resumes = append(ts.resumes, r.Header.Get("Last-Event-Id"))
+	ts.headers = append(ts.headers, r.Header)
 }
 
-// resumedAfter returns the events after which the requests so far asked their streams to go on.
-func (ts *testServer) resumedAfter() []string {
+// headersOf returns the headers of the requests so far.
+func (ts *testServer) headersOf() []http.Header {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	return slices.Clone(ts.resumes)
+	return slices.Clone(ts.headers)
+}
+
+// resumedAfter returns the events after which the requests so far asked their streams to go on, "" for new streams.
+func (ts *testServer) resumedAfter() []string {
+	var out []string
+	for _, header := range ts.headersOf() {
+		out = append(out, header.Get("Last-Event-Id"))
+	}
+	return out
 }
 
 func (ts *testServer) increment(counter *int) {
