forward: end a wait beside silent servers at its time

While sound servers are silent predictWait raises the likelihood whatever time is left, awaitRoom returns at once when none is, and the loop goes round without a pause.

Change: the given time ends the wait; the forecast can only end it sooner.

--- a/forward/wait.go
+++ b/forward/wait.go
@@ -51,7 +51,8 @@
 	wait time.Duration
 }
 
-// awaitTurn waits for a request's turn and for room, while it is likely to get both by the time until.
+// awaitTurn waits for a request's turn and for room, until the given time at most and while it is likely to get both by then. It looks once if that
+// time is over.
 func (h *Handler) awaitTurn(ctx context.Context, f *inflight, q *queue, until time.Time) (chain.Path, bool) {
 	start := h.clock.Now()
 	initial := h.predictWait(f, q, until)
@@ -69,6 +70,10 @@
 		if ctx.Err() != nil {
 			return chain.Path{}, false
 		}
+		// The end of the wait depends on no forecast.
+		if !h.clock.Now().Before(until) {
+			break
+		}
 	}
 	h.observeWait(f, initial, h.clock.Since(start), false)
 	return chain.Path{}, false
--- a/forward/wait_test.go
+++ b/forward/wait_test.go
@@ -241,3 +241,32 @@
 	f.returned, f.r.runs = false, 1
 	require.Equal(t, patienceOf(f.r.route)-80*time.Millisecond, h.maxWait(f, q), "it has run: it can't be refused any more")
 }
+
+// TestAWaitForSilentServersEndsInTime guards against a wait that goes round without a pause once its time is over, while servers that may answer at
+// any moment are silent: it used up a core, and its caller was told up to a second late.
+func TestAWaitForSilentServersEndsInTime(t *testing.T) {
+	for name, left := range map[string]time.Duration{"time is over": -time.Millisecond, "no time": 0, "some time": 2 * roomPoll} {
+		t.Run(name, func(t *testing.T) {
+			g := twoCopies()
+			h, clock := testHandler(t, newFakeEngineClient(g))
+			for _, s := range g.Servers() {
+				s.Suspect(clock.Now().Add(time.Minute))
+				s.NoteSilent(backend.Connected, clock.Now())
+			}
+			f, got := newUnbegun(h, g), make(chan bool, 1)
+			q := h.queueOf("s")
+			q.join(f)
+			until := clock.Now().Add(left)
+			go func() {
+				_, ok := h.awaitTurn(t.Context(), f, q, until)
+				got <- ok
+			}()
+			for clock.Now().Before(until) {
+				waitForSleepers(t, clock)
+				clock.Advance(roomPoll)
+			}
+			require.Eventually(t, func() bool { return len(got) == 1 }, testTimeout/10, time.Millisecond)
+			require.False(t, <-got)
+		})
+	}
+}
