forward: give an answer that names no request to nobody on a used connection

Cause: receive took an answer without an id for the one that is due, whatever the connection had carried before. On such a connection nothing tells whose it is.

Change: it breaks the attempt, as an answer to another request that can't be read away does: sent again where the route allows it, else 502, and the connection is closed. A connection on which an answer has named no request is not kept: the next answer there could be more of that one as well, and a server that never names requests still answers all.

Weighed: to read such an answer away and wait for the next one; a server that names requests only at times would then keep its caller until the deadline.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -139,6 +139,10 @@
 		}
 		s.bodiless = r.x.Header().IsHead() || s.info.Status == fasthttp.StatusNoContent || s.info.Status == fasthttp.StatusNotModified
 		h.applyNotice(r.meta.ID, s.server, s.info.Notice)
+		if s.isNobodys() {
+			h.stats.Counter("stray_answers_total").Inc(1)
+			return errStray
+		}
 		if s.info.RequestID == "" || s.info.RequestID == r.meta.ID {
 			if s.info.Status != fasthttp.StatusMisdirectedRequest {
 				h.noteLimit(r.meta.ID, s.server, s.info.Limit, s.at)
@@ -153,6 +157,10 @@
 	return errStray
 }
 
+// isNobodys reports whether the answer names no request and comes on a connection that carried an answer before: it may be more that the
+// server sends after that one. Only refusals need not name their request.
+func (s *sentRequest) isNobodys() bool { return s.info.RequestID == "" && !s.info.NotRun && s.conn.Used() }
+
 // answerBody is the body of an answer, whose end is marked by its length, by chunks or by the end of the connection.
 type answerBody struct {
 	io.Reader
@@ -197,10 +205,11 @@
 // framed reports whether the end of the body is marked, so that the connection can be reused.
 func (s *sentRequest) framed() bool { return s.bodiless || s.head.ContentLength() >= -1 }
 
-// finish keeps the connection of an answer that was read completely, or else closes it.
+// finish keeps the connection of an answer that was read completely, or else closes it. One whose answers name no requests carries one request
+// only.
 func (h *Handler) finish(s *sentRequest, whole bool) {
 	untouched := s.stopWatching()
-	if !whole || !untouched || !s.framed() || s.info.Closing {
+	if !whole || !untouched || !s.framed() || s.info.Closing || s.info.RequestID == "" && !s.info.NotRun {
 		_ = s.conn.Close()
 		return
 	}
