--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -159,7 +159,9 @@
 
 // isNobodys reports whether the answer names no request and comes on a connection that carried an answer before: it may be more that the
 // server sends after that one. Only refusals need not name their request.
-func (s *sentRequest) isNobodys() bool { return s.info.RequestID == "" && !s.info.NotRun && s.conn.Used() }
+func (s *sentRequest) isNobodys() bool {
+	return s.info.RequestID == "" && !s.info.NotRun && s.conn.Used()
+}
 
 // answerBody is the body of an answer, whose end is marked by its length, by chunks or by the end of the connection.
 type answerBody struct {
