front: refuse requests whose header names are no tokens

Cause: the library reads such names, and nothing looked at them after it. Change: checkHead asks httphead, which knows the bytes of a token, and answers 400. Evidence: TestARequestWithABadHeaderName... sends each byte that no token has; it failed before at "X A". A line feed alone as the end of a line stays as it is: RFC 9112, 2.2, allows it.

--- a/forward/unchanged_test.go
+++ b/forward/unchanged_test.go
@@ -18,6 +18,7 @@
 
 	"junctioncross/backend"
 	"junctioncross/catalog"
+	"junctioncross/httphead"
 	"junctioncross/httphead/headtest"
 	"junctioncross/models"
 	"junctioncross/platform/fake"
@@ -215,6 +216,25 @@
 	}
 }
 
+// TestARequestWithABadHeaderNameIsNotPassedOn guards against names in which a server may see another header than the instance.
+func TestARequestWithABadHeaderNameIsNotPassedOn(t *testing.T) {
+	addr, server := wirePlain(t, wireAnswer, catalog.RetryNever)
+	names := []string{"X A", "Transfer Encoding", "Content Length", "X-A ", " X-A"}
+	for b := range 256 {
+		// The others end the name or its line, or may stand in one.
+		if c := byte(b); c != ':' && c != '\r' && c != '\n' && !httphead.IsToken([]byte{c}) {
+			names = append(names, "X"+string([]byte{c})+"A")
+		}
+	}
+	for _, name := range names {
+		resp, err := http.ReadResponse(callWire(t, addr, bare("GET /a", name+": 5\r\n")), nil)
+		require.NoError(t, err, "%q", name)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusBadRequest, resp.StatusCode, "%q", name)
+		require.Empty(t, server.taken(), "%q", name)
+	}
+}
+
 // FuzzARequestReachesItsServerAsItCame is TestARequestReachesItsServerAsItCame for all that a careful client may send.
 func FuzzARequestReachesItsServerAsItCame(f *testing.F) {
 	f.Add("POST", "/a", "multipart/form-data; boundary=b", "Cookie", "a=\"1\"", form("b", "1"), true)
--- a/front/head.go
+++ b/front/head.go
@@ -5,12 +5,15 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"junctioncross/httphead"
 )
 
 // Errors of a head that the library accepts and in which a server may see something else.
 var (
 	errFolded   = errors.New("front: header on several lines")
 	errEncoding = errors.New("front: unsupported transfer encoding")
+	errName     = errors.New("front: header name that is no token")
 )
 
 // chunkedLength is what the library returns as the length of a body in chunks.
@@ -23,6 +26,9 @@
 		return false, errFolded
 	}
 	for name := range h.AllInOrder() {
+		if !httphead.IsToken(name) {
+			return false, errName
+		}
 		switch string(name) {
 		case fasthttp.HeaderContentLength:
 			hasBody = true
--- a/httphead/field.go
+++ b/httphead/field.go
@@ -6,7 +6,7 @@
 func fieldName(line []byte) (name []byte, fault string) {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	switch {
-	case !found || !isToken(name):
+	case !found || !IsToken(name):
 		return nil, "bad name"
 	case !isText(value):
 		return nil, "control byte in a value"
@@ -14,8 +14,8 @@
 	return name, ""
 }
 
-// isToken reports whether the bytes are a token, as each name is. A line that continues the one before begins with a blank, and so with no name.
-func isToken(name []byte) bool {
+// IsToken reports whether the bytes are a token, as each name is. A line that continues the one before begins with a blank, and so with no name.
+func IsToken(name []byte) bool {
 	for _, c := range name {
 		if !tokenBytes[c] {
 			return false
