--- a/forward/plainstream_test.go
+++ b/forward/plainstream_test.go
@@ -67,11 +67,19 @@
 
 // framings are the ways in which servers mark the end of an answer with events: those of events that come in one piece.
 var framings = map[string]func(events string) func(net.Conn, int){
-	"chunks": func(events string) func(net.Conn, int) { return writing(fake.StreamAnswer(events)) },
+	"chunks": oneChunk,
 	"length": func(events string) func(net.Conn, int) { return writing(fake.PlainAnswer(events)) },
 	"none":   unframed,
 }
 
+// oneChunk answers with events in one chunk, or with none.
+func oneChunk(events string) func(net.Conn, int) {
+	if events == "" {
+		return writing(fake.EmptyChunksAnswer())
+	}
+	return writing(fake.StreamAnswer(events))
+}
+
 // writing answers with some bytes.
 func writing(answer string) func(net.Conn, int) {
 	return func(c net.Conn, _ int) { _, _ = io.WriteString(c, answer) }
@@ -91,9 +99,6 @@
 		"no events but text":        "ok",
 	} {
 		for framing, answer := range framings {
-			if framing == "chunks" && events == "" {
-				answer = func(string) func(net.Conn, int) { return writing(fake.EmptyChunksAnswer()) }
-			}
 			t.Run(name+", "+framing, func(t *testing.T) {
 				first, other := newTestServer(t, "1", answer(events)), newTestServer(t, "2", framings[framing](threeEvents))
 				s := plainStreams(t, plainStreamRoute(), first, other).front
