--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -15,6 +15,7 @@
 	"junctioncross/backend"
 	"junctioncross/call"
 	"junctioncross/decision"
+	"junctioncross/httphead"
 )
 
 const (
@@ -183,7 +184,7 @@
 			}
 			return nil
 		}}
-	case length == -1:
+	case length == httphead.ChunkedLength:
 		return answerBody{Reader: httputil.NewChunkedReader(s.conn.Reader), end: func() error { return endChunks(s.conn.Reader) }}
 	default:
 		return answerBody{Reader: s.conn.Reader, end: func() error { return nil }}
@@ -205,7 +206,9 @@
 }
 
 // framed reports whether the end of the body is marked, so that the connection can be reused.
-func (s *sentRequest) framed() bool { return s.bodiless || s.head.ContentLength() >= -1 }
+func (s *sentRequest) framed() bool {
+	return s.bodiless || s.head.ContentLength() >= httphead.ChunkedLength
+}
 
 // finish keeps the connection of an answer that was read completely, or else closes it. One whose answers name no requests carries one request
 // only.
--- a/front/head.go
+++ b/front/head.go
@@ -16,9 +16,6 @@
 	errName     = errors.New("front: header name that is no token")
 )
 
-// chunkedLength is what the library returns as the length of a body in chunks.
-const chunkedLength = -1
-
 // checkHead reports whether a head announces a body, which may be empty.
 func checkHead(h *fasthttp.RequestHeader) (hasBody bool, err error) {
 	raw := h.RawHeaders()
@@ -34,7 +31,7 @@
 			hasBody = true
 		case fasthttp.HeaderTransferEncoding:
 			// The library ignores some encodings, so that the body would be taken for the next request.
-			if h.ContentLength() != chunkedLength {
+			if h.ContentLength() != httphead.ChunkedLength {
 				return false, errEncoding
 			}
 			hasBody = true
--- a/httphead/check.go
+++ b/httphead/check.go
@@ -26,6 +26,9 @@
 	return fmt.Sprintf("httphead: %s: %q", e.fault, e.line)
 }
 
+// ChunkedLength is what the library returns as the length of a body in chunks; a body that only the end of its connection ends has a lower one.
+const ChunkedLength = -1
+
 // lineEnd ends each line of a head. Readers differ on a lone LF, so that none may stand in a head.
 var lineEnd = []byte("\r\n")
 
--- a/once/transport.go
+++ b/once/transport.go
@@ -71,19 +71,17 @@
 
 // readBody reads the body of an answer whose head has been read, and its trailers.
 func readBody(client *fasthttp.HostClient, reader *bufio.Reader, req *fasthttp.Request, resp *fasthttp.Response) error {
-	if resp.SkipBody = resp.SkipBody || req.Header.IsHead(); resp.SkipBody || bodiless(resp.StatusCode()) {
+	resp.SkipBody = resp.SkipBody || req.Header.IsHead()
+	if resp.SkipBody || bodiless(resp.StatusCode()) {
 		return nil
 	}
-	chunked := resp.Header.ContentLength() == chunkedLength
+	chunked := resp.Header.ContentLength() == httphead.ChunkedLength
 	if err := resp.ReadBody(reader, client.MaxResponseBodySize); err != nil || !chunked {
 		return err
 	}
 	return resp.Header.ReadTrailer(reader)
 }
 
-// chunkedLength is what the library returns as the length of a body in chunks.
-const chunkedLength = -1
-
 // bodiless reports whether answers with a status have no body, whatever their head says.
 func bodiless(status int) bool {
 	return status < fasthttp.StatusOK || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
