relay: bound the history of a feed in bytes

Cause: a feedLog keeps the latest 1,024 changes, counted in records; a change of the configuration is the whole document.

Change: the history holds 16 MiB at most; who is behind it reads the content, as after a gap, which is one document in this feed.

The package's tests pass.

--- a/relay/log.go
+++ b/relay/log.go
@@ -12,10 +12,12 @@
 
 // The history keeps at least minHistory changes, and at least historyFactor times as many as the feed has held keys. The
 // latter covers a change of the whole feed, as after an outage of the store in which the entries of all servers have
-// expired.
+// expired. It holds at most maxHistoryBytes in any case: a record may be a whole configuration, and those who are behind the history read the
+// content, which is not larger than one.
 const (
-	minHistory    = 1024
-	historyFactor = 2
+	minHistory      = 1024
+	historyFactor   = 2
+	maxHistoryBytes = 16 << 20
 )
 
 // feedLog keeps the content and the latest changes of one feed, to pass them on to other instances.
@@ -23,6 +25,8 @@
 	mu       sync.Mutex
 	position follow.Position
 	history  []Record
+	// historyBytes is what the history takes, in bytes.
+	historyBytes int
 	// floor is the position after which the history holds all changes, except those in gaps.
 	floor follow.Position
 	// gaps are the parts of the history of which only the net changes are known.
@@ -132,11 +136,28 @@
 // appendLocked adds changes to the history and applies them to the content; the caller holds the lock.
 func (l *feedLog) appendLocked(records []Record) {
 	l.history = append(l.history, records...)
+	for i := range records {
+		l.historyBytes += records[i].size()
+	}
 	l.apply(records)
-	if over := len(l.history) - max(minHistory, historyFactor*l.maxKeys); over > 0 {
-		l.floor = l.history[over-1].Revision
-		l.history = append([]Record(nil), l.history[over:]...)
+	l.trimLocked()
+}
+
+// trimLocked drops the oldest changes beyond what the history may hold; the caller holds the lock.
+func (l *feedLog) trimLocked() {
+	over := max(len(l.history)-max(minHistory, historyFactor*l.maxKeys), 0)
+	for i := range l.history {
+		if i >= over && l.historyBytes <= maxHistoryBytes {
+			break
+		}
+		l.historyBytes -= l.history[i].size()
+		over = max(over, i+1)
+	}
+	if over == 0 {
+		return
 	}
+	l.floor = l.history[over-1].Revision
+	l.history = append([]Record(nil), l.history[over:]...)
 }
 
 // apply applies changes to the content; the caller holds the lock.
--- a/relay/log_test.go
+++ b/relay/log_test.go
@@ -292,3 +292,24 @@
 	l.reset(updateAt(positionOf(2, 870), old), true)
 	require.Equal(t, []Record{old}, l.since(positionOf(1, 900)).records)
 }
+
+// TestHistoryOfLargeChangesIsBounded guards against a process that runs out of memory since it keeps each of many large configurations.
+func TestHistoryOfLargeChangesIsBounded(t *testing.T) {
+	const changes, size = 200, 1 << 20
+	l := newFeedLog()
+	l.reset(updateAt(1), true)
+	for i := range changes {
+		at := follow.Position(i + 2)
+		l.append(updateAt(at, Record{Key: "op", Value: make([]byte, size), Revision: at}), true)
+	}
+	held := 0
+	for _, r := range l.history {
+		held += len(r.Value)
+	}
+	require.LessOrEqual(t, held, maxHistoryBytes)
+	latest := l.position
+	require.True(t, l.since(latest-1).complete, "those who follow closely get the changes")
+	require.Len(t, l.since(latest-1).records, 1)
+	require.False(t, l.since(2).complete, "others read the content")
+	require.Len(t, l.all().records, 1)
+}
--- a/relay/record.go
+++ b/relay/record.go
@@ -16,6 +16,9 @@
 	Gone bool `cbor:"4,keyasint,omitempty"`
 }
 
+// size returns about how many bytes the record takes.
+func (r *Record) size() int { return len(r.Key) + len(r.Value) }
+
 // PageTimeout is how long a store may take for each page of a feed: a hundred times what it takes under normal load.
 const PageTimeout = 2 * time.Second
 
