forward: count as used what has carried an answer

Cause, of: "used" is also a connection that was opened to see whether the server listens, or for a request that was then not sent, and kept. An answer without a name on it can only be that to the present request.

Change: what counts is whether bytes have come on the connection.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -43,6 +43,8 @@
 	at   time.Time
 	head fasthttp.ResponseHeader
 	info call.Answer
+	// reused is true if the connection carried an answer before.
+	reused bool
 	// bodiless is true if the answer has no body, whatever length its head names.
 	bodiless bool
 	// stopWatching stops the callbacks that close the connection when the caller disconnects or the server has restarted. It
@@ -103,7 +105,7 @@
 		return nil, err
 	}
 	server := to.server
-	out := &sentRequest{server: server, conn: conn, at: h.clock.Now()}
+	out := &sentRequest{server: server, conn: conn, at: h.clock.Now(), reused: conn.Received() > 0}
 	// Closing the connection tells a server to stop; it also ends the read that waits for the answer.
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	// A restarted server knows no request that was sent before: such a request fails at once, not after a timeout.
@@ -161,7 +163,7 @@
 // isNobodys reports whether the answer names no request and comes on a connection that carried an answer before: it may be more that the
 // server sends after that one. Only refusals need not name their request.
 func (s *sentRequest) isNobodys() bool {
-	return s.info.RequestID == "" && !s.info.NotRun && s.conn.Used()
+	return s.info.RequestID == "" && !s.info.NotRun && s.reused
 }
 
 // answerBody is the body of an answer, whose end is marked by its length, by chunks or by the end of the connection.
--- a/forward/nobodys_test.go
+++ b/forward/nobodys_test.go
@@ -116,3 +116,15 @@
 	require.Equal(t, http.StatusOK, readStatus(t, callFront(t, s, "2")))
 	require.Len(t, reused, 1)
 }
+
+// TestAConnectionThatWasOnlyOpenedCarriesAnAnswerWithoutAName guards against answers that are given to nobody since their connection was opened for a
+// check whether the server listens.
+func TestAConnectionThatWasOnlyOpenedCarriesAnAnswerWithoutAName(t *testing.T) {
+	ts := newTestServer(t, "1", sealed)
+	require.NoError(t, ts.server.CheckListening(backend.DirectDialer{}, time.Now()))
+	route := plainStreamRoute()
+	route.Stream, route.RetryPolicy = false, catalog.RetryAlways
+	s := nobodysFront(t, &route, false, ts)
+	require.Equal(t, http.StatusOK, readStatus(t, callFront(t, s, "1")))
+	require.Zero(t, ts.server.FailRate())
+}
