forward: hand no stream over whose caller misses an event

It would have been completed elsewhere if a hand-over was under way (TestAStreamWhoseCallerMissesAnEventIsNotHandedOver failed before). The silence of a plain server is not concluded from own delay, as for its other requests.

--- a/forward/handover_test.go
+++ b/forward/handover_test.go
@@ -215,3 +215,15 @@
 	h.watch.moveStalledStreams(g.Servers()[0], g)
 	require.False(t, isOpen(conn))
 }
+
+// TestAStreamWhoseCallerMissesAnEventIsNotHandedOver guards against an answer that another server completes, though an event is missing in it.
+func TestAStreamWhoseCallerMissesAnEventIsNotHandedOver(t *testing.T) {
+	g := twoCopies()
+	h, _ := testHandler(t, newFakeEngineClient(g))
+	f := newBegunStream(g, 2)
+	f.first = g.Servers()[0]
+	f.next.Store(&chosenPath{group: g})
+	last := h.brokenStream(t.Context(), f, errMissedEvent)
+	require.Equal(t, incomplete{}, last)
+	require.False(t, h.mayContinue(f, last, 1))
+}
--- a/forward/path.go
+++ b/forward/path.go
@@ -56,8 +56,8 @@
 	return max(minPatience, patiencePerObjective*r.Objective, patiencePerPause*r.PauseObjective)
 }
 
-// choosePath returns a path for a whole stream: a server of a plain service; or else a lane with room or, when missing servers leave no lane, any path whose servers
-// are expected to have room.
+// choosePath returns a path for a whole stream: a server of a plain service, or else a lane with room or, when missing servers leave no lane,
+// any path whose servers are expected to have room.
 func (h *Handler) choosePath(f *inflight) (chain.Path, bool) { return h.choosePathFrom(f, nil) }
 
 // choosePathFrom is choosePath for a path that starts at one of some servers; nil means any.
--- a/forward/plainstream.go
+++ b/forward/plainstream.go
@@ -79,14 +79,14 @@
 // plainIsSilent reports whether the server of a stream of a plain service, which answers no state queries, has sent nothing for longer than sound
 // servers are silent. A caller that reads slowly says nothing of the server.
 func (w *watcher) plainIsSilent(f *inflight) bool {
-	since := f.waitsSince.Load()
-	if since == 0 {
+	waits := f.waitsSince.Load()
+	if waits == 0 {
 		return false
 	}
-	h := w.handler
+	h, since := w.handler, w.start.Add(time.Duration(waits))
 	limit := silenceLimit(f.r.route)
 	if f.begun.Load() {
 		limit = max(backend.MaxSoundSilence, silenceFactor*f.r.route.PauseObjective)
 	}
-	return h.clock.Since(h.watch.start)-time.Duration(since) > h.clock.Patience(limit)
+	return h.clock.Since(since) > h.clock.Patience(limit) && !h.clock.DelayedSince(since, limit)
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -174,7 +174,8 @@
 		f.first.ReleaseTrial()
 		return callerGone{}
 	}
-	if f.next.Load() != nil {
+	missed := errors.Is(err, errMissedEvent)
+	if f.next.Load() != nil && !missed {
 		return h.handedOverFrom(f, f.path().hops[0].Layers)
 	}
 	f.r.ranOn(f.first)
@@ -195,7 +196,7 @@
 		"last_event": f.events.last, "runs": f.r.runs, "gone": f.first.Gone(),
 		"leaving_ms": f.first.LeavingFor(h.clock.Now()).Milliseconds(), "fingerprint": f.r.fingerprint().String(),
 	}))
-	if errors.Is(err, errMissedEvent) {
+	if missed {
 		return incomplete{}
 	}
 	return failed{reason: models.RetryBroken}
