--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -160,11 +160,12 @@
 	return errStray
 }
 
-// isNobodys reports whether the answer names no request and comes on a connection that carried an answer before: it may be more that the
-// server sends after that one. Only refusals need not name their request.
-func (s *sentRequest) isNobodys() bool {
-	return s.info.RequestID == "" && !s.info.NotRun && s.reused
-}
+// isNameless reports whether the answer names no request although it has to: only refusals need not.
+func (s *sentRequest) isNameless() bool { return s.info.RequestID == "" && !s.info.NotRun }
+
+// isNobodys reports whether a nameless answer comes on a connection that carried an answer before: it may be more that the server sends after
+// that one.
+func (s *sentRequest) isNobodys() bool { return s.isNameless() && s.reused }
 
 // answerBody is the body of an answer, whose end is marked by its length, by chunks or by the end of the connection.
 type answerBody struct {
@@ -216,7 +217,7 @@
 // only.
 func (h *Handler) finish(s *sentRequest, whole bool) {
 	untouched := s.stopWatching()
-	if !whole || !untouched || !s.framed() || s.info.Closing || s.info.RequestID == "" && !s.info.NotRun {
+	if !whole || !untouched || !s.framed() || s.info.Closing || s.isNameless() {
 		_ = s.conn.Close()
 		return
 	}
--- a/forward/inflight.go
+++ b/forward/inflight.go
@@ -28,7 +28,7 @@
 	// lastAt is when the last event came, or the request was sent, in nanoseconds since the handler's start.
 	lastAt atomic.Int64
 	// waitsSince is since when the server of the present attempt has been waited for, in nanoseconds since the handler's start; it is 0 while
-	// what came is passed on.
+	// what came is passed on, and for streams of engines.
 	waitsSince atomic.Int64
 	// refusals counts the servers that have refused the stream since one last accepted it.
 	refusals int
--- a/forward/plainstream.go
+++ b/forward/plainstream.go
@@ -68,8 +68,11 @@
 	return f.path().stages()
 }
 
-// beginWait notes that the server of the present attempt is waited for from now on.
+// beginWait notes that the server of the present attempt is waited for from now on. Servers of engines are queried instead.
 func (f *inflight) beginWait(h *Handler) {
+	if !f.plain {
+		return
+	}
 	f.waitsSince.Store(max(int64(h.clock.Since(h.watch.start)), 1))
 }
 
